--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+MODULES := lib router lacectl standin loadgen
+PROGRAMS := router lacectl standin loadgen
+GOTEST ?= go test -race -timeout 10m
+
+.PHONY: all build check format generate lint test clean
+
+all: build
+
+build:
+	@mkdir -p bin
+	@for m in $(PROGRAMS); do (cd $$m && go build -o ../bin/$$m .) || exit 1; done
+
+check: lint build
+
+# Formatter and linter in one pass per module; a difference in format fails.
+lint:
+	@tool=$$(.ci/tools) && for m in $(MODULES); do \
+	  (cd $$m && out=$$($$tool fmt --config ../.golangci.yml --diff ./...) && { [ -z "$$out" ] || { echo "$$out"; exit 1; }; } && \
+	  $$tool run --config ../.golangci.yml ./...) || exit 1; done
+
+format:
+	@tool=$$(.ci/tools) && for m in $(MODULES); do (cd $$m && $$tool fmt --config ../.golangci.yml ./...) || exit 1; done
+
+test:
+	@for m in $(MODULES); do (cd $$m && $(GOTEST) ./...) || exit 1; done
+
+# Needs protoc, protoc-gen-go and protoc-gen-twirp on the path; the output is committed.
+generate:
+	cd lib/lacewire && protoc --go_out=. --go_opt=paths=source_relative --twirp_out=. --twirp_opt=paths=source_relative *.proto
+
+clean:
+	rm -rf bin out
--- /dev/null
+++ b/lacectl/main.go
@@ -0,0 +1,4 @@
+// Command lacectl is described in the README.
+package main
+
+func main() {}
--- /dev/null
+++ b/lib/laceplatform/store.go
@@ -0,0 +1,87 @@
+package laceplatform
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// MaxValueBytes is the largest value that the platform accepts.
+const MaxValueBytes = 1 << 20
+
+// Errors of the platform layer.
+var (
+	// ErrMissing means that the key does not exist.
+	ErrMissing = errors.New("platform: key does not exist")
+	// ErrConflict means that the key was not at the expected revision; nothing was written.
+	ErrConflict = errors.New("platform: revision conflict")
+	// ErrUnavailable means that the call was certainly not carried out.
+	ErrUnavailable = errors.New("platform: unavailable")
+	// ErrUnknown means that the call may have been carried out; read back before repeating it.
+	ErrUnknown = errors.New("platform: outcome unknown")
+	// ErrLeaseGone means that the lease has expired or was revoked.
+	ErrLeaseGone = errors.New("platform: lease is gone")
+	// ErrTooLarge means that the value exceeds MaxValueBytes.
+	ErrTooLarge = errors.New("platform: value too large")
+	// ErrCompacted means that a watch can't start at a revision that is no longer kept.
+	ErrCompacted = errors.New("platform: revision compacted")
+)
+
+// Key is a key of the store.
+type Key string
+
+// Revision is the store-wide revision at which a key was last written; zero means that it does not exist.
+type Revision int64
+
+// LeaseID names a lease; zero means no lease.
+type LeaseID int64
+
+// Entry is a key with its value.
+type Entry struct {
+	Key      Key
+	Value    []byte
+	Revision Revision
+	Lease    LeaseID
+}
+
+// Event is one change seen by a watch.
+type Event struct {
+	Entry   Entry
+	Deleted bool
+}
+
+// Watch is a stream of changes; Events is closed when the watch ends and Err then says why.
+type Watch interface {
+	Events() <-chan Event
+	Err() error
+	Close() error
+}
+
+// Store is the platform's key-value service.
+type Store interface {
+	// Get returns one key, or ErrMissing.
+	Get(ctx context.Context, key Key) (Entry, error)
+	// List returns the keys with a prefix in key order, and the revision that the list reflects.
+	List(ctx context.Context, prefix Key) ([]Entry, Revision, error)
+	// Swap writes a key if it stands at the expected revision; zero means that it must not exist.
+	Swap(ctx context.Context, swap Swap) (Revision, error)
+	// Delete removes a key if it stands at the expected revision.
+	Delete(ctx context.Context, key Key, expect Revision) error
+	// Lease creates a lease.
+	Lease(ctx context.Context, ttl time.Duration) (LeaseID, error)
+	// Renew extends a lease by its time to live.
+	Renew(ctx context.Context, lease LeaseID) error
+	// Revoke ends a lease and deletes its keys.
+	Revoke(ctx context.Context, lease LeaseID) error
+	// Watch streams the changes of a prefix that come after a revision.
+	Watch(ctx context.Context, prefix Key, after Revision) (Watch, error)
+}
+
+// Swap is one compare-and-swap.
+type Swap struct {
+	Key    Key
+	Value  []byte
+	Expect Revision
+	Lease  LeaseID
+}
--- /dev/null
+++ b/lib/laceunit/doc.go
@@ -0,0 +1,2 @@
+// Package laceunit defines the identifiers and units that every other package shares.
+package laceunit
--- /dev/null
+++ b/loadgen/main.go
@@ -0,0 +1,4 @@
+// Command loadgen is described in the README.
+package main
+
+func main() {}
--- /dev/null
+++ b/router/main.go
@@ -0,0 +1,4 @@
+// Command router is described in the README.
+package main
+
+func main() {}
--- /dev/null
+++ b/standin/main.go
@@ -0,0 +1,4 @@
+// Command standin is described in the README.
+package main
+
+func main() {}
