--- /dev/null
+++ b/lib/lacegrant/service.go
@@ -0,0 +1,355 @@
+package lacegrant
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lacewingcove/lib/laceledger"
+	"lacewingcove/lib/laceplatform"
+	"lacewingcove/lib/laceunit"
+)
+
+// Errors of the wallet service.
+var (
+	// ErrSpent means that the budget has too few tokens left.
+	ErrSpent = errors.New("grant: budget is spent")
+	// ErrElsewhere means that the tokens left are held by other instances or by running requests.
+	ErrElsewhere = errors.New("grant: tokens are reserved elsewhere")
+	// ErrUnreachable means that the ledger can't be reached and the grant is too small.
+	ErrUnreachable = errors.New("grant: ledger is out of reach")
+	// ErrUnknownBudget means that the ledger has no such budget: nothing was paid into it.
+	ErrUnknownBudget = errors.New("grant: budget does not exist")
+)
+
+// Recaller asks other instances to give back what they can spare of a budget.
+type Recaller interface {
+	Recall(ctx context.Context, budget laceunit.BudgetID) error
+}
+
+// Option changes a service at construction.
+type Option func(*Service)
+
+// WithRecaller sets the way to other instances' spare tokens.
+func WithRecaller(r Recaller) Option {
+	return func(s *Service) { s.recaller = r }
+}
+
+// WithClock replaces the system clock.
+func WithClock(now func() time.Time) Option {
+	return func(s *Service) { s.now = now }
+}
+
+// WithWitnesses sets who is named in new grants as holder of journal copies.
+func WithWitnesses(witnesses func() []laceunit.Holder) Option {
+	return func(s *Service) { s.witnesses = witnesses }
+}
+
+const (
+	// openTimeout bounds one Open; the ledger reads back a lost answer within it.
+	openTimeout = 3 * time.Second
+	// idleInterval is how often idle and retired grants are looked for.
+	idleInterval = time.Second
+	// refusalLife is how long a refusal is repeated without asking the ledger again, so that callers of a spent
+	// budget don't turn into platform calls.
+	refusalLife = 250 * time.Millisecond
+)
+
+// Service runs a wallet over the ledger.
+type Service struct {
+	ledger    laceledger.Ledger
+	recaller  Recaller
+	now       func() time.Time
+	witnesses func() []laceunit.Holder
+
+	mu       sync.Mutex
+	wallet   *Wallet
+	waiting  map[laceunit.BudgetID]chan struct{}
+	refusals map[laceunit.BudgetID]refusal
+	closed   bool
+	tasks    sync.WaitGroup
+}
+
+// refusal remembers why and when an Open failed.
+type refusal struct {
+	at  time.Time
+	err error
+	// left is what the budget had left; a smaller ceiling is tried all the same.
+	left laceunit.Tokens
+}
+
+// NewService returns a service over a wallet.
+func NewService(wallet *Wallet, ledger laceledger.Ledger, options ...Option) *Service {
+	s := &Service{
+		ledger:    ledger,
+		now:       time.Now,
+		witnesses: func() []laceunit.Holder { return nil },
+		wallet:    wallet,
+		waiting:   map[laceunit.BudgetID]chan struct{}{},
+		refusals:  map[laceunit.BudgetID]refusal{},
+	}
+	for _, o := range options {
+		o(s)
+	}
+	return s
+}
+
+// Reserve takes a ceiling from the grant of a budget and opens or enlarges the grant when needed.
+func (s *Service) Reserve(ctx context.Context, budget laceunit.BudgetID, ceiling laceunit.Tokens) (Reservation, error) {
+	recalled := false
+	for {
+		r, wait, err := s.try(budget, ceiling)
+		if err == nil && wait == nil {
+			return r, nil
+		}
+		if err != nil {
+			if recalled || !errors.Is(err, ErrElsewhere) || s.recaller == nil {
+				return Reservation{}, err
+			}
+			recalled = true
+			if s.recaller.Recall(ctx, budget) != nil {
+				return Reservation{}, err
+			}
+			s.forget(budget)
+			continue
+		}
+		select {
+		case <-wait:
+		case <-ctx.Done():
+			return Reservation{}, errors.Wrap(ErrUnreachable, "deadline passed")
+		}
+	}
+}
+
+// ReserveOffline takes a ceiling from the offline part.
+func (s *Service) ReserveOffline(budget laceunit.BudgetID, ceiling laceunit.Tokens) (Reservation, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, ok := s.wallet.ReserveOffline(s.now(), budget, ceiling)
+	if !ok {
+		return Reservation{}, ErrUnreachable
+	}
+	return r, nil
+}
+
+// Convert turns a reservation into an offline one when the offline part is large enough.
+func (s *Service) Convert(r Reservation) (Reservation, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.wallet.Convert(r)
+}
+
+// Settle ends a reservation of which some tokens were spent.
+func (s *Service) Settle(r Reservation, used laceunit.Tokens) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.wallet.Settle(r, used)
+}
+
+// Cancel ends a reservation of which nothing was spent.
+func (s *Service) Cancel(r Reservation) {
+	s.Settle(r, 0)
+}
+
+// Forfeit ends a reservation whose tokens are the ledger's to decide on.
+func (s *Service) Forfeit(r Reservation) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.wallet.Forfeit(r)
+}
+
+// Drop forgets a grant that the ledger has closed.
+func (s *Service) Drop(budget laceunit.BudgetID, grant laceunit.GrantID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.wallet.Drop(budget, grant)
+}
+
+// HandOver deducts tokens of the offline part for another instance.
+func (s *Service) HandOver(budget laceunit.BudgetID, tokens laceunit.Tokens) (Reservation, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.wallet.HandOver(budget, tokens)
+}
+
+// SetInstances tells the wallet how many instances share the budgets.
+func (s *Service) SetInstances(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.wallet.SetInstances(n)
+}
+
+// GiveBack returns the spare tokens of a budget to the ledger for an instance in need.
+func (s *Service) GiveBack(ctx context.Context, budget laceunit.BudgetID) error {
+	s.mu.Lock()
+	record, ok := s.wallet.Recall(s.now(), budget)
+	s.mu.Unlock()
+	if !ok {
+		return nil
+	}
+	return s.giveBack(ctx, record, laceledger.Now)
+}
+
+// Serve returns idle grants until the context ends.
+func (s *Service) Serve(ctx context.Context) error {
+	ticker := time.NewTicker(idleInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			s.tidy(ctx)
+		}
+	}
+}
+
+// Drain gives every grant back; grants with reservations are closed when those end, by Close at the latest.
+func (s *Service) Drain(ctx context.Context) {
+	s.mu.Lock()
+	s.wallet.Drain()
+	s.closed = true
+	s.mu.Unlock()
+	s.tidy(ctx)
+}
+
+// Close drains the wallet and waits for what is under way.
+func (s *Service) Close() error {
+	ctx, cancel := context.WithTimeout(context.Background(), openTimeout)
+	defer cancel()
+	s.Drain(ctx)
+	s.tasks.Wait()
+	return nil
+}
+
+// try reserves, or returns a channel that is closed when the grant may have grown, or the reason of a refusal.
+func (s *Service) try(budget laceunit.BudgetID, ceiling laceunit.Tokens) (Reservation, <-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return Reservation{}, nil, errors.Wrap(ErrUnreachable, "draining")
+	}
+	now := s.now()
+	r, ok := s.wallet.Reserve(now, budget, ceiling)
+	if !ok {
+		if old, refused := s.refusals[budget]; refused && now.Sub(old.at) < refusalLife && old.left < ceiling {
+			return Reservation{}, nil, old.err
+		}
+	}
+	if open, need := s.wallet.Need(now, budget, ceiling); need {
+		open.Witnesses = s.witnesses()
+		s.waiting[budget] = make(chan struct{})
+		s.tasks.Add(1)
+		go s.open(open)
+	}
+	if ok {
+		return r, nil, nil
+	}
+	return Reservation{}, s.waiting[budget], nil
+}
+
+// open appends an Open and tells those who wait for it.
+func (s *Service) open(open laceledger.Open) {
+	defer s.tasks.Done()
+	ctx, cancel := context.WithTimeout(context.Background(), openTimeout)
+	defer cancel()
+	verdict, err := s.ledger.Append(ctx, open, laceledger.Now)
+	reason := s.reason(ctx, open, verdict, err)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case err == nil:
+		s.wallet.Opened(open, verdict)
+	case errors.Is(err, laceplatform.ErrUnavailable):
+		s.wallet.OpenFailed(open.Budget)
+	default:
+		s.wallet.OpenLost(open)
+	}
+	if reason != nil {
+		s.refusals[open.Budget] = refusal{
+			at:   s.now(),
+			err:  reason,
+			left: verdict.Left,
+		}
+	} else {
+		delete(s.refusals, open.Budget)
+	}
+	if c := s.waiting[open.Budget]; c != nil {
+		close(c)
+		delete(s.waiting, open.Budget)
+	}
+}
+
+// reason returns why an Open gave nothing, or nil.
+func (s *Service) reason(ctx context.Context, open laceledger.Open, verdict laceledger.Verdict, err error) error {
+	if err != nil {
+		return errors.Wrap(ErrUnreachable, err.Error())
+	}
+	switch verdict.Result {
+	case laceledger.Missing:
+		return ErrUnknownBudget
+	case laceledger.Short:
+		b, err := s.ledger.Balance(ctx, open.Budget)
+		if err == nil && b.Paid-b.Settled >= open.Least {
+			return ErrElsewhere
+		}
+		return ErrSpent
+	case laceledger.Invalid, laceledger.Conflict:
+		return errors.Wrap(ErrUnreachable, "ledger refused the grant")
+	default:
+		return nil
+	}
+}
+
+func (s *Service) forget(budget laceunit.BudgetID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.refusals, budget)
+}
+
+// tidy appends the records that give back idle and retired grants.
+func (s *Service) tidy(ctx context.Context) {
+	s.mu.Lock()
+	idle := s.wallet.Idle(s.now())
+	ended := s.wallet.Retired()
+	s.mu.Unlock()
+	for _, r := range idle {
+		// A failed return is tried again at the next round.
+		_ = s.giveBack(ctx, r, laceledger.Lazy)
+	}
+	if len(ended) == 0 {
+		return
+	}
+	s.tasks.Add(1)
+	go s.end(ended)
+}
+
+// end appends the last records of retired grants, in order. A grant that can't be ended here is closed by recovery when
+// the incarnation is gone.
+func (s *Service) end(records []laceledger.Record) {
+	defer s.tasks.Done()
+	ctx, cancel := context.WithTimeout(context.Background(), openTimeout)
+	defer cancel()
+	for _, r := range records {
+		if _, err := s.ledger.Append(ctx, r, laceledger.Soon); err != nil {
+			return
+		}
+	}
+}
+
+func (s *Service) giveBack(ctx context.Context, r laceledger.Return, urgency laceledger.Urgency) error {
+	ctx, cancel := context.WithTimeout(ctx, openTimeout)
+	defer cancel()
+	verdict, err := s.ledger.Append(ctx, r, urgency)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case errors.Is(err, laceplatform.ErrUnavailable):
+		s.wallet.ReturnFailed(r)
+	case err == nil && verdict.Result == laceledger.Closed:
+		s.wallet.Drop(r.Budget, r.Grant)
+	}
+	return errors.Wrap(err, "give back")
+}
--- /dev/null
+++ b/lib/lacerequest/spec.go
@@ -0,0 +1,40 @@
+package lacerequest
+
+import (
+	"strconv"
+
+	"lacewingcove/lib/laceledger"
+	"lacewingcove/lib/laceunit"
+)
+
+// Spec is what the machine has to know of a request.
+type Spec struct {
+	Request    laceledger.Request
+	Budget     laceunit.BudgetID
+	Digest     laceunit.Digest
+	Idempotent bool
+	// Claim is the attempt id under which the ledger knows this run.
+	Claim laceunit.AttemptID
+	Grant laceunit.GrantID
+	// Ceiling is the most that the request can cost.
+	Ceiling laceunit.Tokens
+	// Prompt is the part of the cost that is due as soon as the request runs.
+	Prompt laceunit.Tokens
+	// Price is the cost of a plain service call; engines report theirs.
+	Price laceunit.Tokens
+	// Offline is true when the request runs from the offline part of a grant.
+	Offline bool
+	// Resume is true when a run can be resumed by request id at the backend server that has it.
+	Resume bool
+	// Lookup is true when the backend server can be asked about a request id.
+	Lookup bool
+	// Tries bounds the attempts at backend servers.
+	Tries int
+}
+
+// DefaultTries is the number of attempts at backend servers when a Spec names none.
+const DefaultTries = 3
+
+func (s Spec) attempt(n int) laceunit.AttemptID {
+	return laceunit.AttemptID(string(s.Claim) + "." + strconv.Itoa(n))
+}
