lacegateway: HTTP API for callers and the driver of request machines

Cause: requests need a path from a caller to a backend server and back. Ruled out: a handler that decides by itself; the driver only carries out the effects of lacerequest and posts the results.

--- /dev/null
+++ b/lib/lacegateway/attempt.go
@@ -0,0 +1,124 @@
+package lacegateway
+
+import (
+	"context"
+	"io"
+
+	"github.com/pkg/errors"
+
+	"lacewingcove/lib/lacebackend"
+	"lacewingcove/lib/laceledger"
+	"lacewingcove/lib/lacerequest"
+	"lacewingcove/lib/laceunit"
+)
+
+// dispatch sends the request to the picked backend server.
+func (d *driver) dispatch(e lacerequest.Dispatch) {
+	if d.attempt != nil {
+		d.attempt()
+	}
+	ctx, cancel := d.context(d.task.timeout)
+	d.attempt = cancel
+	address := d.ticket.Address
+	d.work(func() {
+		defer cancel()
+		if d.task.invocation != nil {
+			d.invoke(ctx, address, e.Attempt)
+			return
+		}
+		d.generate(ctx, address, e)
+	})
+}
+
+// generate reads an engine's stream into the machine.
+func (d *driver) generate(ctx context.Context, address laceunit.Address, e lacerequest.Dispatch) {
+	call := d.task.call
+	call.Request = d.scoped()
+	call.Attempt = e.Attempt
+	call.Resume = e.Resume
+	stream, err := d.gateway.deps.Backend.Generate(ctx, address, call)
+	if err != nil {
+		d.fail(e.Attempt, err)
+		return
+	}
+	defer func() { _ = stream.Close() }()
+	var ended *lacebackend.Chunk
+	for {
+		c, err := stream.Next()
+		switch {
+		case errors.Is(err, io.EOF) && ended != nil:
+			d.whole(e.Attempt, *ended)
+			return
+		case err != nil:
+			d.fail(e.Attempt, err)
+			return
+		case c.End:
+			ended = &c
+		default:
+			d.post(lacerequest.Chunk{
+				Attempt: e.Attempt,
+				Index:   c.Index,
+				Text:    c.Text,
+			})
+		}
+	}
+}
+
+// whole reports a whole answer of an engine.
+func (d *driver) whole(attempt laceunit.AttemptID, end lacebackend.Chunk) {
+	result := ResultDone
+	if over := end.Prompt + end.Tokens - d.task.spec.Ceiling; over > 0 {
+		// The charge stays at the ceiling; the rest is the operator's loss.
+		d.gateway.metrics.overrun(over)
+		result = ResultSuspect
+	}
+	d.send(message{
+		input: lacerequest.Ended{
+			Attempt: attempt,
+			Prompt:  end.Prompt,
+			Output:  end.Tokens,
+		},
+		accept: func() { d.finishTicket(result) },
+	})
+}
+
+// invoke calls a plain service.
+func (d *driver) invoke(ctx context.Context, address laceunit.Address, attempt laceunit.AttemptID) {
+	invocation := *d.task.invocation
+	invocation.Request = d.scoped()
+	invocation.Attempt = attempt
+	reply, err := d.gateway.deps.Backend.Invoke(ctx, address, invocation)
+	if err != nil {
+		d.fail(attempt, err)
+		return
+	}
+	d.send(message{
+		input: lacerequest.Replied{
+			Attempt: attempt,
+			Answer: laceledger.Answer{
+				Status: reply.Status,
+				Type:   reply.Header.Get("Content-Type"),
+				Body:   reply.Body,
+			},
+		},
+		accept: func() {
+			d.header = reply.Header
+			d.finishTicket(ResultDone)
+		},
+	})
+}
+
+func (d *driver) fail(attempt laceunit.AttemptID, err error) {
+	class := lacerequest.MayHaveRun
+	if lacebackend.EffectOf(err) == lacebackend.EffectNone {
+		class = lacerequest.NotSent
+	}
+	d.gateway.metrics.attemptFailed(class)
+	d.send(message{
+		input: lacerequest.Failed{
+			Attempt: attempt,
+			Class:   class,
+		},
+		accept: func() { d.finishTicket(ResultFailed) },
+	})
+}
--- /dev/null
+++ b/lib/lacegateway/chat.go
@@ -0,0 +1,231 @@
+package lacegateway
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/pkg/errors"
+
+	"lacewingcove/lib/lacebackend"
+	"lacewingcove/lib/laceconfig"
+	"lacewingcove/lib/lacefault"
+	"lacewingcove/lib/laceledger"
+	"lacewingcove/lib/lacerequest"
+	"lacewingcove/lib/laceunit"
+)
+
+// maxRequestID bounds request ids, because the ledger keeps them for the whole retention window.
+const maxRequestID = 128
+
+// defaultBody is the body limit in bytes when the document sets none.
+const defaultBody = 4 << 20
+
+type wireMessage struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+type wirePart struct {
+	Type string `json:"type"`
+	Text string `json:"text"`
+}
+
+type wireChat struct {
+	Model               string        `json:"model"`
+	Messages            []wireMessage `json:"messages"`
+	MaxTokens           *int64        `json:"max_tokens"`
+	MaxCompletionTokens *int64        `json:"max_completion_tokens"`
+	Stream              bool          `json:"stream"`
+	N                   *int          `json:"n"`
+}
+
+// chatRequest is a decoded chat completion request.
+type chatRequest struct {
+	Model  laceunit.ModelID
+	Prompt string
+	Max    laceunit.Tokens
+	Stream bool
+}
+
+// decodeChat decodes and checks the body of a chat completion request.
+func decodeChat(body []byte) (chatRequest, error) {
+	var w wireChat
+	if err := json.Unmarshal(body, &w); err != nil {
+		return chatRequest{}, errors.Errorf("body: not valid JSON of a chat completion request: %v", err)
+	}
+	if w.Model == "" {
+		return chatRequest{}, errors.New("model: missing")
+	}
+	if len(w.Messages) == 0 {
+		return chatRequest{}, errors.New("messages: at least one is needed")
+	}
+	if w.N != nil && *w.N != 1 {
+		return chatRequest{}, errors.New("n: only 1 is supported")
+	}
+	c := chatRequest{
+		Model:  laceunit.ModelID(w.Model),
+		Stream: w.Stream,
+	}
+	limit := w.MaxCompletionTokens
+	if limit == nil {
+		limit = w.MaxTokens
+	}
+	if limit != nil {
+		if *limit < 1 {
+			return chatRequest{}, errors.New("max_tokens: must be at least 1")
+		}
+		c.Max = laceunit.Tokens(*limit)
+	}
+	var lines []string
+	for i, m := range w.Messages {
+		text, err := contentText(m.Content)
+		if err != nil {
+			return chatRequest{}, errors.Errorf("messages[%d].content: %v", i, err)
+		}
+		if m.Role == "" {
+			return chatRequest{}, errors.Errorf("messages[%d].role: missing", i)
+		}
+		lines = append(lines, m.Role+": "+text)
+	}
+	c.Prompt = strings.Join(lines, "\n")
+	return c, nil
+}
+
+// contentText returns the text of a message: a string, or a list of text parts.
+func contentText(raw json.RawMessage) (string, error) {
+	var text string
+	if json.Unmarshal(raw, &text) == nil {
+		return text, nil
+	}
+	var parts []wirePart
+	if err := json.Unmarshal(raw, &parts); err != nil {
+		return "", errors.New("must be a string or a list of text parts")
+	}
+	var b strings.Builder
+	for _, p := range parts {
+		if p.Type != "text" {
+			return "", errors.Errorf("part type %q is not supported, only text is", p.Type)
+		}
+		b.WriteString(p.Text)
+	}
+	return b.String(), nil
+}
+
+// chat serves POST /v1/chat/completions.
+func (g *Gateway) chat(w http.ResponseWriter, r *http.Request) {
+	c, document, fault := g.authenticate(r)
+	if fault != nil {
+		g.refuse(w, fault)
+		return
+	}
+	body, fault := readBody(w, r, document)
+	if fault != nil {
+		g.refuse(w, fault)
+		return
+	}
+	chat, err := decodeChat(body)
+	if err != nil {
+		g.refuse(w, refusal(lacefault.BadRequest, err.Error()))
+		return
+	}
+	model, ok := document.Models[chat.Model]
+	if !ok {
+		g.refuse(w, refusal(lacefault.NotFound, "no such model"))
+		return
+	}
+	prompt := lacebackend.CountTokens(chat.Prompt)
+	if chat.Max == 0 || chat.Max > model.Output {
+		chat.Max = model.Output
+	}
+	if prompt+chat.Max > model.Context {
+		g.refuse(w, refusal(lacefault.BadRequest, "prompt and max_tokens exceed the model's context"))
+		return
+	}
+	id, fault := requestID(r, true)
+	if fault != nil {
+		g.refuse(w, fault)
+		return
+	}
+	t := task{
+		caller: c,
+		id:     id,
+		choice: Choice{
+			Account:  c.id,
+			Model:    chat.Model,
+			Prefix:   lacebackend.PrefixOf(chat.Model, chat.Prompt),
+			Priority: model.Priority,
+			Cost:     prompt + chat.Max,
+		},
+		spec: lacerequest.Spec{
+			Digest:     digest(r, body),
+			Idempotent: true,
+			Ceiling:    prompt + chat.Max,
+			Prompt:     prompt,
+			Resume:     true,
+		},
+		call: lacebackend.Call{
+			Model:    chat.Model,
+			Prompt:   chat.Prompt,
+			Max:      chat.Max,
+			Priority: model.Priority,
+		},
+		timeout: engineTimeout,
+	}
+	t.sink = newChatSink(w, chat, id)
+	g.run(w, r, t)
+}
+
+// readBody reads a bounded body.
+func readBody(w http.ResponseWriter, r *http.Request, document *laceconfig.Document) ([]byte, *lacefault.Fault) {
+	limit := document.Limits.Body
+	if limit <= 0 {
+		limit = defaultBody
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, refusal(lacefault.TooLarge, "the body exceeds "+laceunit.Tokens(limit).String()+" bytes")
+	case err != nil:
+		return nil, refusal(lacefault.BadRequest, "the body could not be read")
+	}
+	return body, nil
+}
+
+// requestID returns the caller's request id; an idempotent request may leave it out.
+func requestID(r *http.Request, idempotent bool) (laceunit.RequestID, *lacefault.Fault) {
+	id := r.Header.Get(headerRequest)
+	switch {
+	case id == "" && idempotent:
+		return laceunit.RequestID(ulid.Make().String()), nil
+	case id == "":
+		return "", refusal(lacefault.IDMissing, "a call that is not idempotent needs an Idempotency-Key")
+	case len(id) > maxRequestID || strings.ContainsAny(id, "/ \t"):
+		return "", refusal(lacefault.BadRequest, "Idempotency-Key: at most 128 bytes, without slash and white space")
+	}
+	return laceunit.RequestID(id), nil
+}
+
+// digest identifies the content of a request, so that an id used again for another one is noticed.
+func digest(r *http.Request, body []byte) laceunit.Digest {
+	h := sha256.New()
+	for _, s := range []string{r.Method, r.URL.EscapedPath(), r.URL.RawQuery, r.Header.Get(headerBudget)} {
+		_, _ = h.Write([]byte(s))
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(body)
+	// 128 bits are enough to tell bodies of one id apart and halve what the ledger keeps.
+	return laceunit.Digest(hex.EncodeToString(h.Sum(nil)[:16]))
+}
+
+func (t *task) request() laceledger.Request {
+	return laceledger.Request{
+		Account: t.caller.id,
+		ID:      t.id,
+	}
+}
--- /dev/null
+++ b/lib/lacegateway/doc.go
@@ -0,0 +1,2 @@
+// Package lacegateway is the HTTP API for callers and the shell that runs lacerequest machines.
+package lacegateway
--- /dev/null
+++ b/lib/lacegateway/fault.go
@@ -0,0 +1,102 @@
+package lacegateway
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lacewingcove/lib/lacefault"
+	"lacewingcove/lib/lacegrant"
+)
+
+// The headers of the caller API.
+const (
+	headerRequest  = "Idempotency-Key"
+	headerBudget   = "Lace-Budget"
+	headerOutcome  = "Lace-Outcome"
+	headerInstance = "Lace-Instance"
+	headerID       = "Lace-Request"
+)
+
+const (
+	// retryStale is the Retry-After while the configuration is not confirmed; peers are asked each second.
+	retryStale = time.Second
+	// retryBudget is the Retry-After when other requests hold the rest of a budget; most end within seconds.
+	retryBudget = 2 * time.Second
+	// retrySpent is the Retry-After of a spent budget: somebody has to top it up.
+	retrySpent = time.Minute
+)
+
+func refusal(code lacefault.Code, message string) *lacefault.Fault {
+	return &lacefault.Fault{
+		Outcome: lacefault.NotRun,
+		Code:    code,
+		Message: message,
+	}
+}
+
+// walletFault translates an error of the wallet.
+func walletFault(err error) *lacefault.Fault {
+	f := refusal(lacefault.BudgetBlocked, "the budget can't be reserved now")
+	f.RetryAfter = retryBudget
+	switch {
+	case errors.Is(err, lacegrant.ErrUnknownBudget):
+		f.Code, f.Message, f.RetryAfter = lacefault.BudgetSpent, "nothing was paid into the budget yet", retrySpent
+	case errors.Is(err, lacegrant.ErrSpent):
+		f.Code, f.Message, f.RetryAfter = lacefault.BudgetSpent, "the budget has too few tokens left", retrySpent
+	case errors.Is(err, lacegrant.ErrElsewhere):
+		f.Message = "the rest of the budget is reserved by running requests"
+	case errors.Is(err, lacegrant.ErrUnreachable):
+		f.Code, f.Message = lacefault.PlatformDown, "the ledger is out of reach and the grant of this instance is too small"
+	}
+	return f
+}
+
+type wireFault struct {
+	Error wireFaultBody `json:"error"`
+}
+
+type wireFaultBody struct {
+	Message  string `json:"message"`
+	Type     string `json:"type"`
+	Code     string `json:"code"`
+	Outcome  string `json:"outcome"`
+	Retry    int64  `json:"retry,omitempty"`
+	Instance string `json:"instance,omitempty"`
+}
+
+func faultBody(f *lacefault.Fault) []byte {
+	kind := "invalid_request_error"
+	if f.Code.Status() >= http.StatusInternalServerError {
+		kind = "server_error"
+	}
+	// A struct of strings always encodes.
+	b, _ := json.Marshal(wireFault{Error: wireFaultBody{
+		Message:  f.Message,
+		Type:     kind,
+		Code:     string(f.Code),
+		Outcome:  string(f.Outcome),
+		Retry:    f.RetryAfter.Milliseconds(),
+		Instance: string(f.Instance),
+	}})
+	return b
+}
+
+// writeFault sends a fault as the whole answer.
+func writeFault(w http.ResponseWriter, f *lacefault.Fault) {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(headerOutcome, string(f.Outcome))
+	if f.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(f.RetryAfter.Seconds()))))
+	}
+	if f.Instance != "" {
+		h.Set(headerInstance, string(f.Instance))
+	}
+	w.WriteHeader(f.Code.Status())
+	_, _ = w.Write(append(faultBody(f), '\n'))
+}
--- /dev/null
+++ b/lib/lacegateway/key.go
@@ -0,0 +1,97 @@
+package lacegateway
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"strings"
+	"sync"
+
+	"lacewingcove/lib/laceconfig"
+	"lacewingcove/lib/lacefault"
+	"lacewingcove/lib/laceunit"
+)
+
+// caller is the client account behind an API key.
+type caller struct {
+	id      laceunit.AccountID
+	account laceconfig.Account
+	budget  laceunit.BudgetID
+}
+
+// keyring maps key hashes to client accounts; it is rebuilt when a new document comes into force.
+type keyring struct {
+	mu       sync.Mutex
+	document *laceconfig.Document
+	callers  map[string]caller
+}
+
+func (k *keyring) find(document *laceconfig.Document, key string) (caller, bool) {
+	sum := sha256.Sum256([]byte(key))
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.document != document {
+		k.build(document)
+	}
+	c, ok := k.callers[hex.EncodeToString(sum[:])]
+	return c, ok
+}
+
+func (k *keyring) build(document *laceconfig.Document) {
+	k.document = document
+	k.callers = make(map[string]caller, len(document.Accounts))
+	for id, a := range document.Accounts {
+		for _, key := range a.Keys {
+			c := caller{
+				id:      id,
+				account: a,
+				budget:  key.Budget,
+			}
+			if c.budget == "" && len(a.Budgets) > 0 {
+				c.budget = a.Budgets[0]
+			}
+			k.callers[strings.ToLower(key.Hash)] = c
+		}
+	}
+}
+
+// authenticate returns the client account of a request and the budget that it draws on.
+func (g *Gateway) authenticate(r *http.Request) (caller, *laceconfig.Document, *lacefault.Fault) {
+	document := g.deps.Configuration.Current()
+	if document == nil || !g.deps.Configuration.Fresh() {
+		return caller{}, nil, &lacefault.Fault{
+			Outcome:    lacefault.NotRun,
+			Code:       lacefault.Stale,
+			Message:    "this instance has no confirmed configuration",
+			RetryAfter: retryStale,
+			Instance:   g.deps.Members.Other(),
+		}
+	}
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok || key == "" {
+		return caller{}, nil, refusal(lacefault.Unauthorized, "no API key in the Authorization header")
+	}
+	c, ok := g.keys.find(document, key)
+	if !ok {
+		return caller{}, nil, refusal(lacefault.Unauthorized, "unknown API key")
+	}
+	if name := laceunit.BudgetID(r.Header.Get(headerBudget)); name != "" {
+		if !owns(c.account, name) {
+			return caller{}, nil, refusal(lacefault.Forbidden, "the client account has no such budget")
+		}
+		c.budget = name
+	}
+	if c.budget == "" {
+		return caller{}, nil, refusal(lacefault.Forbidden, "the client account has no budget")
+	}
+	return c, document, nil
+}
+
+func owns(a laceconfig.Account, budget laceunit.BudgetID) bool {
+	for _, b := range a.Budgets {
+		if b == budget {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/lib/lacegateway/metric.go
@@ -0,0 +1,91 @@
+package lacegateway
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"lacewingcove/lib/lacefault"
+	"lacewingcove/lib/lacerequest"
+	"lacewingcove/lib/laceunit"
+)
+
+// Metrics counts what the gateway does; label values come from closed sets.
+type Metrics struct {
+	running  prometheus.Gauge
+	finished prometheus.Counter
+	refusals *prometheus.CounterVec
+	attempts *prometheus.CounterVec
+	overruns prometheus.Counter
+	open     prometheus.Gauge
+	first    prometheus.Histogram
+	total    prometheus.Histogram
+}
+
+// NewMetrics returns the gateway's metrics; a nil registerer leaves them unregistered.
+func NewMetrics(registerer prometheus.Registerer) *Metrics {
+	buckets := prometheus.ExponentialBuckets(0.001, 2, 18)
+	m := &Metrics{
+		running: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "lace_requests_running",
+			Help: "Requests under way.",
+		}),
+		finished: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "lace_requests_done_total",
+			Help: "Requests that ended with a whole and billed answer.",
+		}),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lace_requests_refused_total",
+			Help: "Requests that ended without a whole answer, by code and outcome.",
+		}, []string{"code", "outcome"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lace_attempts_failed_total",
+			Help: "Attempts at backend servers without a whole answer, by whether they may have run.",
+		}, []string{"ran"}),
+		overruns: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "overrun_tokens_total",
+			Help: "Tokens that backend servers reported beyond the reservation; they are not charged.",
+		}),
+		open: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "lace_records_open",
+			Help: "Ledger records that the background still has to append.",
+		}),
+		first: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name:    "lace_first_byte_seconds",
+			Help:    "Time from admission to the first byte of a streamed answer.",
+			Buckets: buckets,
+		}),
+		total: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name:    "lace_request_seconds",
+			Help:    "Time from admission to the end of a whole answer.",
+			Buckets: buckets,
+		}),
+	}
+	if registerer != nil {
+		registerer.MustRegister(m.running, m.finished, m.refusals, m.attempts, m.overruns, m.open, m.first, m.total)
+	}
+	return m
+}
+
+func (m *Metrics) begin()                        { m.running.Inc() }
+func (m *Metrics) end()                          { m.running.Dec() }
+func (m *Metrics) pending(n int)                 { m.open.Set(float64(n)) }
+func (m *Metrics) overrun(tokens laceunit.Tokens) { m.overruns.Add(float64(tokens)) }
+func (m *Metrics) firstByte(d time.Duration)     { m.first.Observe(d.Seconds()) }
+
+func (m *Metrics) done(d time.Duration) {
+	m.finished.Inc()
+	m.total.Observe(d.Seconds())
+}
+
+func (m *Metrics) refused(f *lacefault.Fault) {
+	m.refusals.WithLabelValues(string(f.Code), string(f.Outcome)).Inc()
+}
+
+func (m *Metrics) attemptFailed(class lacerequest.Class) {
+	ran := "maybe"
+	if class == lacerequest.NotSent {
+		ran = "no"
+	}
+	m.attempts.WithLabelValues(ran).Inc()
+}
--- /dev/null
+++ b/lib/lacegateway/run.go
@@ -0,0 +1,126 @@
+package lacegateway
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"lacewingcove/lib/lacebackend"
+	"lacewingcove/lib/lacefault"
+	"lacewingcove/lib/lacegrant"
+	"lacewingcove/lib/laceledger"
+	"lacewingcove/lib/lacerequest"
+	"lacewingcove/lib/laceunit"
+)
+
+const (
+	// engineTimeout bounds one attempt at a model engine; the longest drafts take minutes.
+	engineTimeout = 5 * time.Minute
+	// recordTimeout bounds one ledger record or journal copy; after it the request goes on without the platform.
+	recordTimeout = 2 * time.Second
+	// reserveTimeout bounds the wait for a grant.
+	reserveTimeout = 2 * time.Second
+	// inputQueue bounds the inputs that wait for the machine; a full queue slows the backend server's stream down.
+	inputQueue = 64
+)
+
+// task is one request on its way through the gateway.
+type task struct {
+	caller     caller
+	id         laceunit.RequestID
+	choice     Choice
+	spec       lacerequest.Spec
+	call       lacebackend.Call
+	invocation *lacebackend.Invocation
+	timeout    time.Duration
+	sink       sink
+}
+
+// run admits a request, reserves its ceiling and drives its machine to the final answer.
+func (g *Gateway) run(w http.ResponseWriter, r *http.Request, t task) {
+	serial, fault := g.enter()
+	if fault != nil {
+		g.refuse(w, fault)
+		return
+	}
+	defer g.running.Done()
+	g.metrics.begin()
+	defer g.metrics.end()
+	release, fault := g.deps.Limiter.Admit(r.Context(), Admission{
+		Account:  t.caller.id,
+		Priority: t.choice.Priority,
+		Tokens:   t.spec.Ceiling,
+	})
+	if fault != nil {
+		g.refuse(w, fault)
+		return
+	}
+	defer release()
+	t.spec.Request = t.request()
+	t.spec.Budget = t.caller.budget
+	t.spec.Claim = laceunit.AttemptID(g.holder.String() + "/" + strconv.FormatUint(serial, 36))
+	mode, fault := g.deps.Members.Authorize(r.Context(), t.spec.Request, t.spec.Idempotent)
+	if mode == ModeRefuse {
+		g.refuse(w, fault)
+		return
+	}
+	if mode == ModeOffline && !t.spec.Idempotent {
+		if old, known := g.deps.Journal.Find(t.spec.Request); known {
+			g.repeat(t, old)
+			return
+		}
+	}
+	reservation, fault := g.reserve(r.Context(), t, mode)
+	if fault != nil {
+		g.refuse(w, fault)
+		return
+	}
+	t.spec.Offline = mode == ModeOffline
+	t.spec.Grant = reservation.Grant
+	d := newDriver(g, t, reservation)
+	d.loop(r.Context())
+}
+
+// reserve takes the ceiling from the wallet.
+func (g *Gateway) reserve(ctx context.Context, t task, mode Mode) (lacegrant.Reservation, *lacefault.Fault) {
+	if mode == ModeOffline {
+		r, err := g.deps.Wallet.ReserveOffline(t.spec.Budget, t.spec.Ceiling)
+		if err != nil {
+			return r, walletFault(err)
+		}
+		return r, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
+	defer cancel()
+	r, err := g.deps.Wallet.Reserve(ctx, t.spec.Budget, t.spec.Ceiling)
+	if err != nil {
+		return r, walletFault(err)
+	}
+	return r, nil
+}
+
+// repeat answers a call that is not idempotent and that this instance's journal knows: it never runs again.
+func (g *Gateway) repeat(t task, old laceledger.Offline) {
+	switch {
+	case old.Digest != t.spec.Digest:
+		t.sink.refuse(refusal(lacefault.IDReused, "the request id was used before with another body"))
+	case old.Finished && old.Answer != nil:
+		t.sink.reply(*old.Answer, nil, false)
+	case old.Finished:
+		t.sink.reply(laceledger.Answer{}, nil, true)
+	default:
+		t.sink.refuse(&lacefault.Fault{
+			Outcome:    lacefault.Unknown,
+			Code:       lacefault.InProgress,
+			Message:    "the request is running or its outcome is not known yet",
+			RetryAfter: retryBudget,
+		})
+	}
+}
+
+// refuse sends a refusal that was decided before the request had a machine.
+func (g *Gateway) refuse(w http.ResponseWriter, fault *lacefault.Fault) {
+	g.metrics.refused(fault)
+	writeFault(w, fault)
+}
--- /dev/null
+++ b/lib/lacegateway/sink.go
@@ -0,0 +1,184 @@
+package lacegateway
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"lacewingcove/lib/lacefault"
+	"lacewingcove/lib/laceledger"
+	"lacewingcove/lib/laceunit"
+)
+
+// sink writes one answer to the caller.
+type sink interface {
+	chunk(text string)
+	finish(prompt, output laceunit.Tokens)
+	reply(answer laceledger.Answer, header http.Header, missing bool)
+	refuse(fault *lacefault.Fault)
+}
+
+type wireUsage struct {
+	Prompt     int64 `json:"prompt_tokens"`
+	Completion int64 `json:"completion_tokens"`
+	Total      int64 `json:"total_tokens"`
+}
+
+type wireDelta struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content,omitempty"`
+}
+
+type wireChoice struct {
+	Index   int        `json:"index"`
+	Delta   *wireDelta `json:"delta,omitempty"`
+	Message *wireDelta `json:"message,omitempty"`
+	Finish  *string    `json:"finish_reason"`
+}
+
+type wireCompletion struct {
+	ID      string       `json:"id"`
+	Object  string       `json:"object"`
+	Model   string       `json:"model"`
+	Choices []wireChoice `json:"choices"`
+	Usage   *wireUsage   `json:"usage,omitempty"`
+}
+
+// chatSink writes a chat completion, streamed or whole.
+type chatSink struct {
+	w      http.ResponseWriter
+	id     laceunit.RequestID
+	model  laceunit.ModelID
+	stream bool
+	begun  bool
+	text   strings.Builder
+}
+
+func newChatSink(w http.ResponseWriter, chat chatRequest, id laceunit.RequestID) *chatSink {
+	return &chatSink{
+		w:      w,
+		id:     id,
+		model:  chat.Model,
+		stream: chat.Stream,
+	}
+}
+
+func (s *chatSink) chunk(text string) {
+	if !s.stream {
+		s.text.WriteString(text)
+		return
+	}
+	delta := &wireDelta{Content: text}
+	if !s.begun {
+		delta.Role = "assistant"
+	}
+	s.event(wireChoice{Delta: delta}, nil)
+}
+
+func (s *chatSink) finish(prompt, output laceunit.Tokens) {
+	usage := &wireUsage{
+		Prompt:     int64(prompt),
+		Completion: int64(output),
+		Total:      int64(prompt + output),
+	}
+	stop := "stop"
+	if s.stream {
+		s.event(wireChoice{
+			Delta:  &wireDelta{},
+			Finish: &stop,
+		}, usage)
+		_, _ = fmt.Fprint(s.w, "data: [DONE]\n\n")
+		s.flush()
+		return
+	}
+	h := s.w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(headerOutcome, string(lacefault.Done))
+	h.Set(headerID, string(s.id))
+	_ = json.NewEncoder(s.w).Encode(s.completion("chat.completion", wireChoice{
+		Message: &wireDelta{
+			Role:    "assistant",
+			Content: s.text.String(),
+		},
+		Finish: &stop,
+	}, usage))
+}
+
+func (s *chatSink) reply(laceledger.Answer, http.Header, bool) {}
+
+// refuse sends the fault as the answer, or as the last event of a stream that has begun. Such a stream has no end
+// marker, so the caller knows that it is cut.
+func (s *chatSink) refuse(fault *lacefault.Fault) {
+	if !s.begun {
+		s.w.Header().Set(headerID, string(s.id))
+		writeFault(s.w, fault)
+		return
+	}
+	_, _ = fmt.Fprintf(s.w, "event: error\ndata: %s\n\n", faultBody(fault))
+	s.flush()
+}
+
+func (s *chatSink) event(choice wireChoice, usage *wireUsage) {
+	if !s.begun {
+		s.begun = true
+		h := s.w.Header()
+		h.Set("Content-Type", "text/event-stream")
+		h.Set("Cache-Control", "no-store")
+		h.Set(headerID, string(s.id))
+	}
+	// A struct of strings and numbers always encodes.
+	b, _ := json.Marshal(s.completion("chat.completion.chunk", choice, usage))
+	_, _ = fmt.Fprintf(s.w, "data: %s\n\n", b)
+	s.flush()
+}
+
+func (s *chatSink) completion(object string, choice wireChoice, usage *wireUsage) wireCompletion {
+	return wireCompletion{
+		ID:      string(s.id),
+		Object:  object,
+		Model:   string(s.model),
+		Choices: []wireChoice{choice},
+		Usage:   usage,
+	}
+}
+
+func (s *chatSink) flush() {
+	if f, ok := s.w.(http.Flusher); ok {
+		f.Flush()
+	}
+}
+
+// serviceSink writes the answer of a plain service.
+type serviceSink struct {
+	w  http.ResponseWriter
+	id laceunit.RequestID
+}
+
+func (s *serviceSink) chunk(string) {}
+
+func (s *serviceSink) finish(_, _ laceunit.Tokens) {}
+
+func (s *serviceSink) reply(answer laceledger.Answer, header http.Header, missing bool) {
+	h := s.w.Header()
+	for name, values := range header {
+		h[name] = values
+	}
+	h.Set(headerOutcome, string(lacefault.Done))
+	h.Set(headerID, string(s.id))
+	if missing {
+		// The call ran and was billed once; its answer was too large to be kept.
+		s.w.WriteHeader(http.StatusNoContent)
+		return
+	}
+	if answer.Type != "" {
+		h.Set("Content-Type", answer.Type)
+	}
+	s.w.WriteHeader(answer.Status)
+	_, _ = s.w.Write(answer.Body)
+}
+
+func (s *serviceSink) refuse(fault *lacefault.Fault) {
+	s.w.Header().Set(headerID, string(s.id))
+	writeFault(s.w, fault)
+}
--- a/lib/lacerequest/answer.go
+++ b/lib/lacerequest/answer.go
@@ -36,7 +36,7 @@
 	}
 	m.emitted += len(m.held)
 	m.held = nil
-	if m.ended == nil && m.reply == nil {
+	if m.ended == nil && m.reply == nil && !m.unanswered {
 		return effects
 	}
 	return append(effects, m.settle()...)
@@ -154,6 +154,9 @@
 	if m.reply != nil {
 		return append(effects, Reply{Answer: *m.reply})
 	}
+	if m.unanswered {
+		return append(effects, Reply{Missing: true})
+	}
 	return append(effects, Finish{
 		Prompt: m.ended.Prompt,
 		Output: m.ended.Output,
@@ -244,10 +247,10 @@
 	if m.live || m.settling {
 		return nil
 	}
-	if in.Answer == nil {
+	if !in.Ran {
 		return m.unknown()
 	}
-	m.reply = in.Answer
+	m.unanswered = true
 	return m.flush()
 }
 
--- a/lib/lacerequest/input.go
+++ b/lib/lacerequest/input.go
@@ -78,8 +78,8 @@
 	Fault *lacefault.Fault
 }
 
-// Found is a backend server's word about a request id; Answer is set when it ran.
-type Found struct{ Answer *laceledger.Answer }
+// Found is a backend server's word about a request id. Ran is false when the server does not know it or still runs it.
+type Found struct{ Ran bool }
 
 // Gone tells that the caller has disconnected.
 type Gone struct{}
--- a/lib/lacerequest/machine.go
+++ b/lib/lacerequest/machine.go
@@ -55,6 +55,8 @@
 	held    []string
 	ended   *Ended
 	reply   *laceledger.Answer
+	// unanswered is true when a plain service ran the call and its answer did not arrive.
+	unanswered bool
 }
 
 // New returns the machine of a request and its first effects.
