--- /dev/null
+++ b/lib/laceemulator/lease.go
@@ -0,0 +1,94 @@
+package laceemulator
+
+import (
+	"slices"
+	"time"
+
+	"lacewingcove/lib/laceplatform"
+)
+
+// lease is a time to live with the keys that depend on it.
+type lease struct {
+	ttl      time.Duration
+	deadline time.Time
+	keys     map[laceplatform.Key]struct{}
+}
+
+// Lease creates a lease; ids are never reused.
+func (s *State) Lease(now time.Time, ttl time.Duration) laceplatform.LeaseID {
+	if s.leases == nil {
+		s.leases = map[laceplatform.LeaseID]*lease{}
+	}
+	s.lastLease++
+	l := &lease{
+		ttl:      ttl,
+		deadline: now.Add(ttl),
+		keys:     map[laceplatform.Key]struct{}{},
+	}
+	s.leases[s.lastLease] = l
+	if len(s.leases) == 1 || l.deadline.Before(s.due) {
+		s.due = l.deadline
+	}
+	return s.lastLease
+}
+
+// Renew extends a lease by its time to live.
+func (s *State) Renew(now time.Time, id laceplatform.LeaseID) (time.Duration, error) {
+	l := s.leases[id]
+	if l == nil {
+		return 0, laceplatform.ErrLeaseGone
+	}
+	l.deadline = now.Add(l.ttl)
+	return l.ttl, nil
+}
+
+// Revoke ends a lease and deletes its keys in key order.
+func (s *State) Revoke(id laceplatform.LeaseID) error {
+	l := s.leases[id]
+	if l == nil {
+		return laceplatform.ErrLeaseGone
+	}
+	delete(s.leases, id)
+	keys := make([]laceplatform.Key, 0, len(l.keys))
+	for k := range l.keys {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	for _, k := range keys {
+		s.remove(k)
+	}
+	return nil
+}
+
+// Expire ends the leases whose deadline has come and reports whether there were any.
+func (s *State) Expire(now time.Time) bool {
+	if len(s.leases) == 0 || now.Before(s.due) {
+		return false
+	}
+	var gone []laceplatform.LeaseID
+	var due time.Time
+	for id, l := range s.leases {
+		switch {
+		case !now.Before(l.deadline):
+			gone = append(gone, id)
+		case due.IsZero() || l.deadline.Before(due):
+			due = l.deadline
+		}
+	}
+	s.due = due
+	slices.Sort(gone)
+	for _, id := range gone {
+		_ = s.Revoke(id) // Present: it was found in the loop above.
+	}
+	return len(gone) > 0
+}
+
+// attach moves a key from one lease to another; zero means no lease.
+func (s *State) attach(key laceplatform.Key, from, to laceplatform.LeaseID) {
+	if l := s.leases[from]; l != nil {
+		delete(l.keys, key)
+	}
+	if l := s.leases[to]; l != nil {
+		l.keys[key] = struct{}{}
+	}
+}
