lacebackend: HTTP client to backend servers

Cause: the gateway needs answers from engines and plain services that are whole and belong to the attempt that asked for them. Ruled out: http.Client, which follows redirects and so sends a call twice; the transport's own repeat after a lost connection, which happens for GET and for any request with an Idempotency-Key, so that header is not forwarded and the body of a GET can't be read again. The protocol is silent on refusals: an engine refuses with 4xx or 503, a plain service with the header Lace-Outcome: not_run.

--- /dev/null
+++ b/lib/lacebackend/control.go
@@ -0,0 +1,137 @@
+package lacebackend
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/pkg/errors"
+
+	"lacewingcove/lib/laceunit"
+)
+
+// Cancel implements Client.
+func (h *HTTP) Cancel(ctx context.Context, server laceunit.Address, request Request) error {
+	body, err := json.Marshal(wireCancel{Request: string(request)})
+	if err != nil {
+		return &Error{
+			Effect: EffectNone,
+			Reason: ErrRequest,
+			Server: server,
+			Cause:  err,
+		}
+	}
+	return h.control(ctx, outgoing{
+		server: server,
+		method: http.MethodPost,
+		path:   "/v1/cancel",
+		header: http.Header{"Content-Type": {"application/json"}},
+		body:   body,
+	}, nil)
+}
+
+// Find implements Client. Only an answer that names the request counts, so that the 404 of a server without this
+// lookup is not taken for a request that did not run.
+func (h *HTTP) Find(ctx context.Context, server laceunit.Address, request Request) (Status, error) {
+	var w wireStatus
+	err := h.control(ctx, outgoing{
+		server: server,
+		method: http.MethodGet,
+		path:   "/v1/requests/" + url.PathEscape(string(request)),
+	}, &w)
+	if err != nil {
+		return Status{}, err
+	}
+	s, ok := w.status()
+	if !ok || w.Request != string(request) {
+		return Status{}, malformed(server)
+	}
+	return s, nil
+}
+
+// Load implements Client.
+func (h *HTTP) Load(ctx context.Context, server laceunit.Address) (Load, error) {
+	var w wireLoad
+	err := h.control(ctx, outgoing{
+		server: server,
+		method: http.MethodGet,
+		path:   "/v1/load",
+	}, &w)
+	if err != nil {
+		return Load{}, err
+	}
+	l, ok := w.load()
+	if !ok {
+		return Load{}, malformed(server)
+	}
+	return l, nil
+}
+
+// Events implements Client.
+func (h *HTTP) Events(ctx context.Context, server laceunit.Address, after uint64) (Events, error) {
+	var w wireEvents
+	err := h.control(ctx, outgoing{
+		server: server,
+		method: http.MethodGet,
+		path:   "/v1/cache/events",
+		query:  "after=" + strconv.FormatUint(after, 10),
+	}, &w)
+	if err != nil {
+		return Events{}, err
+	}
+	page, ok := w.events(after)
+	if !ok {
+		return Events{}, malformed(server)
+	}
+	return page, nil
+}
+
+// control makes a short call and parses the JSON answer, if one is wanted. A status 404 may carry an answer.
+func (h *HTTP) control(ctx context.Context, out outgoing, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, h.bounds.Control)
+	defer cancel()
+	resp, err := h.send(ctx, out)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := readBounded(resp.Body, h.bounds.Page)
+	fault := &Error{
+		Effect:     EffectUnknown,
+		Reason:     ErrStatus,
+		Server:     out.server,
+		Status:     resp.StatusCode,
+		RetryAfter: retryAfter(resp.Header),
+		Cause:      err,
+	}
+	switch {
+	case err != nil && ctx.Err() != nil:
+		fault.Reason = ErrTimeout
+	case errors.Is(err, ErrTooLong):
+		fault.Reason, fault.Cause = ErrTooLong, nil
+	case err != nil:
+		fault.Reason = ErrCut
+	case resp.StatusCode/100 != 2 && (into == nil || resp.StatusCode != http.StatusNotFound):
+		if resp.StatusCode/100 == 4 || resp.StatusCode == http.StatusServiceUnavailable {
+			fault.Effect, fault.Reason = EffectNone, ErrRefused
+		}
+	case into == nil:
+		return nil
+	default:
+		if err = json.Unmarshal(body, into); err == nil {
+			return nil
+		}
+		fault.Reason, fault.Cause = ErrMalformed, err
+	}
+	return fault
+}
+
+func malformed(server laceunit.Address) *Error {
+	return &Error{
+		Effect: EffectUnknown,
+		Reason: ErrMalformed,
+		Server: server,
+	}
+}
--- /dev/null
+++ b/lib/lacebackend/http.go
@@ -0,0 +1,194 @@
+package lacebackend
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lacewingcove/lib/laceunit"
+)
+
+// Bounds limit what a backend server can make the instance hold or wait for; zero fields take their defaults.
+type Bounds struct {
+	// Line is the largest event of a stream and Stream the largest stream, in bytes.
+	Line   int
+	Stream int64
+	// Reply is the largest answer of a plain service and Page the largest status or load report, in bytes.
+	Reply int64
+	Page  int64
+	// Dial bounds the connection, Control a status, load or cancel call.
+	Dial    time.Duration
+	Control time.Duration
+	// Idle bounds the time between two chunks, Tail the time from the end marker to the end of the answer.
+	Idle time.Duration
+	Tail time.Duration
+	// Whole bounds an Invoke whose context has no deadline.
+	Whole time.Duration
+}
+
+// DefaultBounds returns the bounds that a client has without options.
+func DefaultBounds() Bounds {
+	return Bounds{
+		Line:    64 << 10,
+		Stream:  16 << 20,
+		Reply:   8 << 20,
+		Page:    1 << 20,
+		Dial:    time.Second,
+		Control: 2 * time.Second,
+		Idle:    30 * time.Second,
+		Tail:    time.Second,
+		Whole:   30 * time.Second,
+	}
+}
+
+// Option changes a client at construction.
+type Option func(*HTTP)
+
+// WithBounds sets the bounds.
+func WithBounds(bounds Bounds) Option {
+	return func(h *HTTP) { h.bounds = bounds }
+}
+
+// WithTLS sets the TLS configuration for servers whose address has the scheme https.
+func WithTLS(config *tls.Config) Option {
+	return func(h *HTTP) { h.transport.TLSClientConfig = config }
+}
+
+// HTTP is the Client over net/http.
+type HTTP struct {
+	bounds    Bounds
+	transport *http.Transport
+}
+
+// New returns a client.
+func New(options ...Option) *HTTP {
+	h := &HTTP{
+		bounds: DefaultBounds(),
+		// Compression is off because it would hide the announced length; proxies from the environment are ignored.
+		transport: &http.Transport{
+			DisableCompression:     true,
+			MaxIdleConnsPerHost:    64,
+			MaxResponseHeaderBytes: 64 << 10,
+			IdleConnTimeout:        time.Minute,
+		},
+	}
+	for _, o := range options {
+		o(h)
+	}
+	h.transport.DialContext = (&net.Dialer{Timeout: h.bounds.Dial}).DialContext
+	h.transport.TLSHandshakeTimeout = h.bounds.Dial
+	return h
+}
+
+// Close closes the idle connections.
+func (h *HTTP) Close() error {
+	h.transport.CloseIdleConnections()
+	return nil
+}
+
+type outgoing struct {
+	server laceunit.Address
+	method string
+	path   string
+	query  string
+	header http.Header
+	body   []byte
+}
+
+// send makes one round trip. It uses the transport and not http.Client, because a client follows redirects and would
+// send a request twice.
+func (h *HTTP) send(ctx context.Context, out outgoing) (*http.Response, error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	}
+	req, err := build(httptrace.WithClientTrace(ctx, trace), out)
+	if err != nil {
+		return nil, &Error{
+			Effect: EffectNone,
+			Reason: ErrRequest,
+			Server: out.server,
+			Cause:  err,
+		}
+	}
+	resp, err := h.transport.RoundTrip(req)
+	if err == nil {
+		return resp, nil
+	}
+	fault := &Error{
+		Effect: EffectUnknown,
+		Reason: ErrLost,
+		Server: out.server,
+		Cause:  err,
+	}
+	// Without a connection nothing was sent. With one, the write runs in a goroutine of the transport, so even an
+	// early error does not prove that nothing left.
+	switch {
+	case !connected.Load():
+		fault.Effect, fault.Reason = EffectNone, ErrUnreachable
+	case ctx.Err() != nil:
+		fault.Reason = ErrTimeout
+	}
+	return nil, fault
+}
+
+func build(ctx context.Context, out outgoing) (*http.Request, error) {
+	base := string(out.server)
+	if !strings.Contains(base, "://") {
+		base = "http://" + base
+	}
+	if !strings.HasPrefix(out.path, "/") || strings.ContainsAny(out.path, "?#") {
+		return nil, errors.Errorf("invalid path %q", out.path)
+	}
+	u, err := url.Parse(strings.TrimSuffix(base, "/") + out.path)
+	if err != nil {
+		return nil, err
+	}
+	u.RawQuery = out.query
+	req, err := http.NewRequestWithContext(ctx, out.method, u.String(), bytes.NewReader(out.body))
+	if err != nil {
+		return nil, err
+	}
+	if out.header != nil {
+		req.Header = out.header
+	}
+	switch out.method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		// The transport repeats these methods after a lost connection unless the body can't be read again, but a
+		// service may have non-idempotent routes under them.
+		req.GetBody = nil
+		req.Body = io.NopCloser(bytes.NewReader(out.body))
+	}
+	return req, nil
+}
+
+func retryAfter(header http.Header) time.Duration {
+	n, err := strconv.Atoi(header.Get("Retry-After"))
+	if err != nil || n < 0 || n > 3600 {
+		return 0
+	}
+	return time.Duration(n) * time.Second
+}
+
+// readBounded reads a body of at most max bytes and returns ErrTooLong beyond that.
+func readBounded(r io.Reader, maximum int64) ([]byte, error) {
+	b, err := io.ReadAll(io.LimitReader(r, maximum+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(b)) > maximum {
+		return nil, ErrTooLong
+	}
+	return b, nil
+}
--- /dev/null
+++ b/lib/lacebackend/invoke.go
@@ -0,0 +1,122 @@
+package lacebackend
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"lacewingcove/lib/laceunit"
+)
+
+// Invoke implements Client. A server refuses a call before it runs with a status of 400 or more and the header
+// Lace-Outcome: not_run; any other status is an answer and is returned.
+func (h *HTTP) Invoke(ctx context.Context, server laceunit.Address, invocation Invocation) (Reply, error) {
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, h.bounds.Whole)
+		defer cancel()
+	}
+	header := forwarded(invocation.Header)
+	header.Set(headerRequest, string(invocation.Request))
+	header.Set(headerAttempt, string(invocation.Attempt))
+	resp, err := h.send(ctx, outgoing{
+		server: server,
+		method: invocation.Method,
+		path:   invocation.Path,
+		query:  invocation.Query,
+		header: header,
+		body:   invocation.Body,
+	})
+	if err != nil {
+		return Reply{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	reply, fault := checkReply(resp, invocation, h.bounds.Reply)
+	if fault == nil {
+		return reply, nil
+	}
+	fault.Server, fault.Status, fault.RetryAfter = server, resp.StatusCode, retryAfter(resp.Header)
+	if fault.Effect == EffectRan && ctx.Err() != nil {
+		fault.Reason = ErrTimeout
+	}
+	return Reply{}, fault
+}
+
+// checkReply reads the whole answer and returns it only when it is this attempt's and complete.
+func checkReply(resp *http.Response, invocation Invocation, maximum int64) (Reply, *Error) {
+	if resp.Header.Get(headerAttempt) != string(invocation.Attempt) {
+		return Reply{}, &Error{
+			Effect: EffectUnknown,
+			Reason: ErrAttempt,
+		}
+	}
+	if resp.Header.Get(headerOutcome) == outcomeNotRun && resp.StatusCode >= http.StatusBadRequest {
+		return Reply{}, &Error{
+			Effect: EffectNone,
+			Reason: ErrRefused,
+		}
+	}
+	// An answer that ends with the connection can't be told from a cut one.
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		return Reply{}, &Error{
+			Effect: EffectRan,
+			Reason: ErrLength,
+		}
+	}
+	if resp.ContentLength > maximum {
+		return Reply{}, &Error{
+			Effect: EffectRan,
+			Reason: ErrTooLong,
+		}
+	}
+	body, err := readBounded(resp.Body, maximum)
+	switch {
+	case errors.Is(err, ErrTooLong):
+		return Reply{}, &Error{
+			Effect: EffectRan,
+			Reason: ErrTooLong,
+		}
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		return Reply{}, &Error{
+			Effect: EffectRan,
+			Reason: ErrLength,
+			Cause:  err,
+		}
+	case err != nil:
+		return Reply{}, &Error{
+			Effect: EffectRan,
+			Reason: ErrCut,
+			Cause:  err,
+		}
+	}
+	return Reply{
+		Status: resp.StatusCode,
+		Header: forwarded(resp.Header),
+		Body:   body,
+	}, nil
+}
+
+// forwarded copies a header without the fields that belong to one connection, to the caller's key or to this
+// protocol. Idempotency-Key is among them because the transport repeats a request that carries it.
+func forwarded(header http.Header) http.Header {
+	h := header.Clone()
+	if h == nil {
+		h = http.Header{}
+	}
+	for _, v := range header.Values("Connection") {
+		for _, name := range strings.Split(v, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range []string{
+		"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
+		"Transfer-Encoding", "Upgrade", "Content-Length", "Host", "Expect", "Authorization", "Idempotency-Key",
+		"X-Idempotency-Key", headerRequest, headerAttempt, headerOutcome, "Lace-Budget",
+	} {
+		h.Del(name)
+	}
+	return h
+}
--- /dev/null
+++ b/lib/lacebackend/wire.go
@@ -0,0 +1,125 @@
+package lacebackend
+
+import (
+	"strconv"
+	"time"
+
+	"lacewingcove/lib/laceunit"
+)
+
+// Headers of the backend protocol.
+const (
+	headerRequest = "Lace-Request"
+	headerAttempt = "Lace-Attempt"
+	// headerOutcome with the value not_run marks a refusal of a request that did not run.
+	headerOutcome = "Lace-Outcome"
+	outcomeNotRun = "not_run"
+)
+
+type wireCall struct {
+	Request  string `json:"request"`
+	Attempt  string `json:"attempt"`
+	Model    string `json:"model"`
+	Prompt   string `json:"prompt"`
+	Max      int64  `json:"max"`
+	Priority int    `json:"priority"`
+	Resume   int    `json:"resume"`
+}
+
+type wireChunk struct {
+	Attempt string  `json:"attempt"`
+	Index   *int    `json:"index"`
+	Text    *string `json:"text"`
+	End     bool    `json:"end"`
+	Tokens  *int64  `json:"tokens"`
+	Prompt  *int64  `json:"prompt"`
+}
+
+type wireCancel struct {
+	Request string `json:"request"`
+}
+
+type wireStatus struct {
+	Request string `json:"request"`
+	Attempt string `json:"attempt"`
+	State   string `json:"state"`
+	Tokens  int64  `json:"tokens"`
+	Prompt  int64  `json:"prompt"`
+}
+
+type wireLoad struct {
+	Running int     `json:"running"`
+	Waiting int     `json:"waiting"`
+	Slots   int     `json:"slots"`
+	Memory  float64 `json:"memory"`
+	AgeMS   int64   `json:"age_ms"`
+}
+
+type wireEvents struct {
+	Events []wireEvent `json:"events"`
+}
+
+type wireEvent struct {
+	Sequence uint64 `json:"sequence"`
+	Prefix   string `json:"prefix"`
+	Stored   bool   `json:"stored"`
+}
+
+func (w wireCall) from(c Call) wireCall {
+	return wireCall{
+		Request:  string(c.Request),
+		Attempt:  string(c.Attempt),
+		Model:    string(c.Model),
+		Prompt:   c.Prompt,
+		Max:      int64(c.Max),
+		Priority: int(c.Priority),
+		Resume:   c.Resume,
+	}
+}
+
+func (w wireStatus) status() (Status, bool) {
+	s := Status{
+		State:   State(w.State),
+		Attempt: laceunit.AttemptID(w.Attempt),
+		Tokens:  laceunit.Tokens(w.Tokens),
+		Prompt:  laceunit.Tokens(w.Prompt),
+	}
+	switch s.State {
+	case StateAbsent, StateRunning, StateDone, StateFailed:
+		return s, w.Tokens >= 0 && w.Prompt >= 0
+	}
+	return Status{}, false
+}
+
+func (w wireLoad) load() (Load, bool) {
+	l := Load{
+		Running: w.Running,
+		Waiting: w.Waiting,
+		Slots:   w.Slots,
+		Memory:  w.Memory,
+		Age:     time.Duration(w.AgeMS) * time.Millisecond,
+	}
+	valid := w.Running >= 0 && w.Waiting >= 0 && w.Slots >= 0 && w.AgeMS >= 0 && w.Memory >= 0 && w.Memory <= 1
+	return l, valid
+}
+
+func (w wireEvents) events(after uint64) (Events, bool) {
+	var page Events
+	last := after
+	for _, e := range w.Events {
+		prefix, err := strconv.ParseUint(e.Prefix, 16, 64)
+		if err != nil || e.Sequence <= last {
+			return Events{}, false
+		}
+		if e.Sequence != last+1 {
+			page.Gap = true
+		}
+		last = e.Sequence
+		page.List = append(page.List, Event{
+			Sequence: e.Sequence,
+			Prefix:   Prefix(prefix),
+			Stored:   e.Stored,
+		})
+	}
+	return page, true
+}
