config: YAML codec of the document, settings of the router process

Cause: the router program needs the document's decoder and its own settings before the rest of the configuration exists. Ruled out: struct tags, because domain types carry none and tags give no line numbers; a separate validator per format, which drifts from the decoder. Change: lib/laceyaml maps YAML through tables of fields written by hand; one table gives decoder, encoder, flags and reference. lib/laceconfig has the document's tables, samples and validation with line, path and expectation. lib/lacesetting has Default, Load (file, then flags) and checks.

--- /dev/null
+++ b/lib/lacesetting/doc.go
@@ -0,0 +1,2 @@
+// Package lacesetting reads the settings of a router process from a YAML file and from flags.
+package lacesetting
--- /dev/null
+++ b/lib/lacesetting/setting.go
@@ -0,0 +1,187 @@
+package lacesetting
+
+import (
+	"time"
+
+	"lacewingcove/lib/laceunit"
+)
+
+// Settings are the settings of one router process.
+type Settings struct {
+	Instance laceunit.InstanceID
+	Place    laceunit.Place
+	Caller   Caller
+	Peer     Peer
+	Admin    Admin
+	Platform Platform
+	// List is the base URL of the platform's list of live and leaving instances.
+	List   laceunit.Address
+	Lean   laceunit.Lean
+	Ledger Ledger
+	Grant  Grant
+	Config Config
+	Member Member
+	Log    Log
+	// Drain bounds a planned stop.
+	Drain time.Duration
+}
+
+// Caller is the listener for callers.
+type Caller struct {
+	Listen laceunit.Address
+	// Public is the address that callers are told.
+	Public laceunit.Address
+	TLS    TLS
+}
+
+// Peer is the listener for other instances.
+type Peer struct {
+	Listen laceunit.Address
+	// Public is the address that other instances connect to.
+	Public laceunit.Address
+	// TLS is mutual: the authority signs every instance's certificate.
+	TLS TLS
+}
+
+// Admin is the listener for operators.
+type Admin struct {
+	Listen laceunit.Address
+	TLS    TLS
+	// Operators is the file of operator tokens; without it every administration call is refused.
+	Operators string
+}
+
+// TLS names the files of a certificate, its key and the authority that the other side must be signed by.
+type TLS struct {
+	Certificate string
+	Key         string
+	Authority   string
+}
+
+// IsZero reports whether no file is named, which means plain text.
+func (t TLS) IsZero() bool { return t == TLS{} }
+
+// Platform is the key-value service.
+type Platform struct {
+	// Endpoints are base URLs, tried in order.
+	Endpoints []laceunit.Address
+	// Timeout bounds one call.
+	Timeout time.Duration
+	// Writes is the rate of ledger writes a second that the whole fleet may use.
+	Writes float64
+	TLS    TLS
+}
+
+// Ledger sets the budget ledger; Shards must be equal on every instance.
+type Ledger struct {
+	Shards int
+	// Retain is how long the ids of ended non-idempotent requests are kept, Idempotent those of idempotent ones.
+	Retain     time.Duration
+	Idempotent time.Duration
+	// Abandon is the age at which open idempotent requests of a gone instance are voided.
+	Abandon time.Duration
+}
+
+// Grant sets the size and life of grants.
+type Grant struct {
+	// Span is the stretch of recent spend that a grant covers.
+	Span time.Duration
+	// Idle is how long an unused grant is kept.
+	Idle time.Duration
+	// Offline is the share of a grant that may be spent without the platform.
+	Offline float64
+}
+
+// Config sets the configuration's distribution.
+type Config struct {
+	// Fresh is the oldest confirmation by the platform with which new work is taken.
+	Fresh time.Duration
+}
+
+// Member sets the membership.
+type Member struct {
+	// Fence is how long a home of non-idempotent work may be out of reach before it is fenced when lean is available.
+	Fence time.Duration
+}
+
+// Log sets the process log.
+type Log struct {
+	Level  Level
+	Format Format
+}
+
+// Level is the least severity that is logged.
+type Level string
+
+// The log levels.
+const (
+	LevelError Level = "error"
+	LevelInfo  Level = "info"
+	LevelDebug Level = "debug"
+)
+
+// Format is the form of log lines.
+type Format string
+
+// The log formats.
+const (
+	FormatText Format = "text"
+	FormatJSON Format = "json"
+)
+
+// offlineShare returns the default offline part: strict deployments keep less money out of the platform's sight.
+func offlineShare(l laceunit.Lean) float64 {
+	if l == laceunit.LeanStrict {
+		return 0.2
+	}
+	return 0.6
+}
+
+// Default returns settings that work for one process on loopback.
+func Default() Settings {
+	return Settings{
+		Instance: "router-1",
+		Place: laceunit.Place{
+			Region: "local",
+			Zone:   "local-a",
+		},
+		Caller: Caller{
+			Listen: "127.0.0.1:8080",
+		},
+		Peer: Peer{
+			Listen: "127.0.0.1:8081",
+		},
+		Admin: Admin{
+			Listen: "127.0.0.1:8082",
+		},
+		Platform: Platform{
+			Endpoints: []laceunit.Address{"http://127.0.0.1:2379"},
+			Timeout:   2 * time.Second,
+			Writes:    300,
+		},
+		List: "http://127.0.0.1:2380",
+		Lean: laceunit.LeanAvailable,
+		Ledger: Ledger{
+			Shards:     16,
+			Retain:     24 * time.Hour,
+			Idempotent: time.Hour,
+			Abandon:    10 * time.Minute,
+		},
+		Grant: Grant{
+			Span:    10 * time.Second,
+			Idle:    30 * time.Second,
+			Offline: offlineShare(laceunit.LeanAvailable),
+		},
+		Config: Config{
+			Fresh: 5 * time.Second,
+		},
+		Member: Member{
+			Fence: 10 * time.Minute,
+		},
+		Log: Log{
+			Level:  LevelInfo,
+			Format: FormatText,
+		},
+		Drain: 5 * time.Minute,
+	}
+}
--- /dev/null
+++ b/lib/lacesetting/table.go
@@ -0,0 +1,131 @@
+package lacesetting
+
+import (
+	"net"
+	"net/url"
+	"strconv"
+	"time"
+
+	"lacewingcove/lib/laceunit"
+	"lacewingcove/lib/laceyaml"
+)
+
+const day = 24 * time.Hour
+
+func fields(s *Settings) []laceyaml.Field {
+	return []laceyaml.Field{
+		laceyaml.ID("instance", "Name of the instance; it survives restarts and is unique in the fleet.", &s.Instance),
+		laceyaml.ID("region", "Region that the instance runs in.", &s.Place.Region),
+		laceyaml.ID("zone", "Availability zone that the instance runs in.", &s.Place.Zone),
+		laceyaml.Group("caller", "Listener for callers.",
+			listen(&s.Caller.Listen),
+			public("Address that callers are told; without it the listen address.", &s.Caller.Public),
+			serverTLS(&s.Caller.TLS)),
+		laceyaml.Group("peer", "Listener for other instances.",
+			listen(&s.Peer.Listen),
+			public("Address that other instances connect to; without it the listen address.", &s.Peer.Public),
+			mutualTLS("Files for mutual TLS between instances.", &s.Peer.TLS)),
+		laceyaml.Group("admin", "Listener for operators.",
+			listen(&s.Admin.Listen),
+			serverTLS(&s.Admin.TLS),
+			file("operators", "YAML file of operator tokens; without it every administration call is refused.",
+				&s.Admin.Operators)),
+		laceyaml.Group("platform", "The platform's key-value service.", platformFields(&s.Platform)...),
+		laceyaml.Match("list", "Base URL of the platform's list of live and leaving instances.", urlExpect, &s.List, isURL),
+		laceyaml.Choice("lean", "Which error the deployment prefers to avoid during faults: false refusals or overspend. "+
+			"Overspend is zero in both.", &s.Lean, laceunit.LeanAvailable, laceunit.LeanStrict),
+		laceyaml.Group("ledger", "Budget ledger.", ledgerFields(&s.Ledger)...),
+		laceyaml.Group("grant", "Size and life of grants.", grantFields(&s.Grant)...),
+		laceyaml.Group("config", "Distribution of the configuration.",
+			laceyaml.Duration("fresh", "Oldest confirmation by the platform with which new work is taken.",
+				&s.Config.Fresh, time.Second, 7*time.Second)),
+		laceyaml.Group("member", "Membership.",
+			laceyaml.Duration("fence", "Time after which an unreachable home of non-idempotent work is fenced; "+
+				"it has no effect when lean is strict.", &s.Member.Fence, time.Minute, day)),
+		laceyaml.Group("log", "Process log.",
+			laceyaml.Choice("level", "Least severity that is logged.", &s.Log.Level, LevelError, LevelInfo, LevelDebug),
+			laceyaml.Choice("format", "Form of the lines.", &s.Log.Format, FormatText, FormatJSON)),
+		laceyaml.Duration("drain", "Longest wait for requests in progress at a planned stop.", &s.Drain, time.Second, day),
+	}
+}
+
+func platformFields(p *Platform) []laceyaml.Field {
+	return []laceyaml.Field{
+		laceyaml.Strings("endpoints", "Base URLs, tried in order.", urlExpect, &p.Endpoints, isURL),
+		laceyaml.Duration("timeout", "Bound on one call.", &p.Timeout, 10*time.Millisecond, time.Minute),
+		laceyaml.Number("writes", "Ledger writes a second that the whole fleet may use.", &p.Writes, 1, 1e6),
+		mutualTLS("Files for TLS to the platform; certificate and key only where it asks for them.", &p.TLS),
+	}
+}
+
+func ledgerFields(l *Ledger) []laceyaml.Field {
+	return []laceyaml.Field{
+		laceyaml.Integer("shards", "Number of shards; it must be equal on every instance and never change.", &l.Shards, 1, 4096),
+		laceyaml.Duration("retain", "How long the ids of ended non-idempotent requests are kept.", &l.Retain, time.Minute, 30*day),
+		laceyaml.Duration("idempotent", "How long the ids of ended idempotent requests are kept.", &l.Idempotent, time.Minute, 30*day),
+		laceyaml.Duration("abandon", "Age at which open idempotent requests of a gone instance are voided.",
+			&l.Abandon, time.Minute, day),
+	}
+}
+
+func grantFields(g *Grant) []laceyaml.Field {
+	return []laceyaml.Field{
+		laceyaml.Duration("seconds", "Span of recent spend that a grant covers.", &g.Span, time.Second, 10*time.Minute),
+		laceyaml.Duration("idle", "How long an unused grant is kept.", &g.Idle, time.Second, time.Hour),
+		laceyaml.Number("offline", "Share of a grant that may be spent without the platform; "+
+			"without it 0.6 when lean is available, 0.2 when it is strict.", &g.Offline, 0, 0.9),
+	}
+}
+
+func listen(p *laceunit.Address) laceyaml.Field {
+	return laceyaml.Match("listen", "Address to listen on.", "host:port with a numeric port; 0 picks a free one", p, isListen)
+}
+
+func public(doc string, p *laceunit.Address) laceyaml.Field {
+	return laceyaml.Match("public", doc, "host:port with a host that others can reach", p, isPublic)
+}
+
+func serverTLS(t *TLS) laceyaml.Field {
+	return laceyaml.Group("tls", "Files for TLS; plain text is accepted on loopback only.",
+		file("certificate", "PEM file of the certificate chain.", &t.Certificate),
+		file("key", "PEM file of the private key.", &t.Key))
+}
+
+func mutualTLS(doc string, t *TLS) laceyaml.Field {
+	f := laceyaml.Group("tls", doc,
+		file("certificate", "PEM file of the certificate chain.", &t.Certificate),
+		file("key", "PEM file of the private key.", &t.Key),
+		file("authority", "PEM file of the authority that signs the other side's certificate.", &t.Authority))
+	return f
+}
+
+func file(name, doc string, p *string) laceyaml.Field {
+	return laceyaml.String(name, doc, p)
+}
+
+const urlExpect = "a base URL such as http://127.0.0.1:2379"
+
+func isURL(s string) bool {
+	u, err := url.Parse(s)
+	return err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != "" && u.RawQuery == "" &&
+		u.Fragment == "" && u.User == nil
+}
+
+func isListen(s string) bool {
+	_, port, err := net.SplitHostPort(s)
+	if err != nil {
+		return false
+	}
+	n, err := strconv.Atoi(port)
+	return err == nil && n >= 0 && n <= 65535
+}
+
+func isPublic(s string) bool {
+	host, port, err := net.SplitHostPort(s)
+	return err == nil && host != "" && !net.ParseIP(host).IsUnspecified() && isListen(s) && port != "0"
+}
+
+func isLoopback(a laceunit.Address) bool {
+	host, _, err := net.SplitHostPort(string(a))
+	return err == nil && (host == "localhost" || net.ParseIP(host).IsLoopback())
+}
