laceledger: shard state machine and its messages

Cause: the ledger needs one deterministic decision per record that every appender of a shard repeats with the same result.

--- /dev/null
+++ b/lib/laceledger/offline.go
@@ -0,0 +1,74 @@
+package laceledger
+
+func (d *draft) applyOffline(b *budget, r Offline) Verdict {
+	if r.Request.Account != b.account {
+		return Verdict{Result: Invalid}
+	}
+	q := d.request(r.Request)
+	if q == nil {
+		return d.addOffline(b, r, nil)
+	}
+	same := q.Attempt == r.Attempt
+	switch {
+	case q.other(b, r.Digest, r.Idempotent):
+		return q.refuse(Conflict)
+	case q.Phase == PhaseSettled && same:
+		return q.refuse(Repeated)
+	case q.Phase == PhaseSettled:
+		return q.refuse(Duplicate)
+	case q.Phase == PhaseVoid && same && !r.Finished:
+		return q.refuse(Superseded)
+	case q.Phase == PhaseVoid:
+		// A finished run was delivered, so it is billed even if it had been given up.
+		return d.addOffline(b, r, nil)
+	case same && r.Finished:
+		return d.settle(b, q, r.Tokens, r.Answer)
+	case same:
+		return q.refuse(Repeated)
+	case !r.Finished:
+		return q.refuse(Duplicate)
+	}
+	return d.addOffline(b, r, q)
+}
+
+// addOffline reserves or bills against the grant that the record names; open is another attempt's reservation, which ends.
+func (d *draft) addOffline(b *budget, r Offline, open *request) Verdict {
+	g := d.grant(b, r.Grant)
+	if g == nil {
+		return Verdict{Result: Closed}
+	}
+	if g.free() < r.Tokens {
+		return Verdict{
+			Result:  Short,
+			Offline: g.Offline,
+		}
+	}
+	n := request{Existing: Existing{
+		Request:    r.Request,
+		Budget:     b.id,
+		Digest:     r.Digest,
+		Phase:      PhaseOpen,
+		Attempt:    r.Attempt,
+		Grant:      r.Grant,
+		Holder:     g.Holder,
+		Server:     r.Server,
+		Ceiling:    r.Tokens,
+		Idempotent: r.Idempotent,
+	}}
+	v := Verdict{Result: Accepted}
+	g.Offline = max(0, g.Offline-r.Tokens)
+	if r.Finished {
+		n.Phase, n.Tokens, n.Answer = PhaseSettled, r.Tokens, kept(r.Answer, r.Idempotent)
+		v.Granted = r.Tokens
+		d.charge(b, g, r.Tokens)
+	} else {
+		n.offline = true
+		g.Reserved += r.Tokens
+	}
+	v.Offline = g.Offline
+	if open != nil {
+		d.unreserve(b, open)
+	}
+	d.put(n)
+	return v
+}
--- a/lib/laceledger/record.go
+++ b/lib/laceledger/record.go
@@ -35,14 +35,20 @@
 	Offline laceunit.Tokens
 	// Witnesses hold copies of the holder's offline journal.
 	Witnesses []laceunit.Holder
+	// Serial counts the holder's Opens and Returns of the grant from 1, so that a repeated record has no second effect.
+	// Zero leaves the record without that protection; it must then never be sent twice.
+	Serial uint64
 }
 
 // Return gives unused tokens of a grant back to the budget and lowers its offline part.
 type Return struct {
-	Budget  laceunit.BudgetID
-	Grant   laceunit.GrantID
-	Tokens  laceunit.Tokens
+	Budget laceunit.BudgetID
+	Grant  laceunit.GrantID
+	Tokens laceunit.Tokens
+	// Offline is the grant's offline part after this record; a value above the present one changes nothing.
 	Offline laceunit.Tokens
+	// Serial is as in Open.
+	Serial uint64
 }
 
 // Close ends a grant: no further intents, the free part beyond the offline part goes back to the budget.
@@ -69,7 +75,7 @@
 	Attempt    laceunit.AttemptID
 	Server     laceunit.ServerID
 	Idempotent bool
-	// At is the writer's wall clock in Unix seconds; only retention uses it.
+	// At is informative; retention uses the time of the entry that carries the record.
 	At int64
 }
 
--- /dev/null
+++ b/lib/laceledger/state_test.go
@@ -0,0 +1,310 @@
+package laceledger
+
+import (
+	"errors"
+	"fmt"
+	"reflect"
+	"testing"
+
+	"lacewingcove/lib/laceunit"
+)
+
+// shard drives a state through single-record entries and checks the invariant after each.
+type shard struct {
+	t     *testing.T
+	state State
+	at    int64
+}
+
+func newShard(t *testing.T, paid laceunit.Tokens) *shard {
+	s := &shard{t: t}
+	s.expect(TopUp{Budget: "b", Account: "a", ID: "t0", Tokens: paid}, Accepted)
+	return s
+}
+
+func (s *shard) expect(r Record, want Result) Verdict {
+	s.t.Helper()
+	e, vs := s.state.Propose([]Record{r}, s.at, DefaultRetain().Cutoff(s.at))
+	if vs[0].Result != want {
+		s.t.Fatalf("%#v: result %d, want %d", r, vs[0].Result, want)
+	}
+	if len(e.Records) > 0 {
+		if err := s.state.Apply(e); err != nil {
+			s.t.Fatal(err)
+		}
+	}
+	if err := s.state.Check(); err != nil {
+		s.t.Fatal(err)
+	}
+	return vs[0]
+}
+
+// balance expects settled and outstanding of the budget.
+func (s *shard) balance(settled, outstanding laceunit.Tokens) {
+	s.t.Helper()
+	b, _ := s.state.Balance("b")
+	if b.Settled != settled || b.Outstanding != outstanding {
+		s.t.Fatalf("settled %d, outstanding %d, want %d, %d", b.Settled, b.Outstanding, settled, outstanding)
+	}
+}
+
+func req(id string) Request { return Request{Account: "a", ID: laceunit.RequestID(id)} }
+
+func open(grant string, tokens, offline laceunit.Tokens) Open {
+	return Open{Budget: "b", Grant: laceunit.GrantID(grant), Holder: laceunit.Holder{Instance: laceunit.InstanceID("i-" + grant)}, Tokens: tokens, Offline: offline}
+}
+
+func intent(id, attempt, grant string, ceiling laceunit.Tokens) Intent {
+	return Intent{Budget: "b", Request: req(id), Digest: "d", Grant: laceunit.GrantID(grant), Ceiling: ceiling, Attempt: laceunit.AttemptID(attempt), Idempotent: true}
+}
+
+func settle(id, attempt string, tokens laceunit.Tokens) Settle {
+	return Settle{Budget: "b", Request: req(id), Attempt: laceunit.AttemptID(attempt), Tokens: tokens}
+}
+
+func void(id, attempt string) Void {
+	return Void{Budget: "b", Request: req(id), Attempt: laceunit.AttemptID(attempt)}
+}
+
+func offline(id, attempt, grant string, tokens laceunit.Tokens, finished bool) Offline {
+	return Offline{Budget: "b", Request: req(id), Digest: "d", Grant: laceunit.GrantID(grant), Attempt: laceunit.AttemptID(attempt), Tokens: tokens, Finished: finished, Idempotent: true}
+}
+
+// Guards against top-ups counted twice and ids reused for another amount or another client account.
+func TestTopUpCountsOnce(t *testing.T) {
+	s := newShard(t, 10)
+	s.expect(TopUp{Budget: "b", Account: "a", ID: "t0", Tokens: 10}, Repeated)
+	s.expect(TopUp{Budget: "b", Account: "a", ID: "t0", Tokens: 11}, Conflict)
+	s.expect(TopUp{Budget: "b", Account: "other", ID: "t1", Tokens: 1}, Conflict)
+	s.expect(TopUp{Budget: "b", Account: "a", ID: "t2", Tokens: 1<<63 - 1}, Invalid)
+	s.expect(TopUp{Budget: "b", Account: "a", ID: "t2", Tokens: 0}, Invalid)
+	if b, _ := s.state.Balance("b"); b.Paid != 10 {
+		t.Fatalf("paid %d", b.Paid)
+	}
+}
+
+// Guards against grants beyond what is left, and against a repeated Open or Return that counts twice.
+func TestOpenAndReturn(t *testing.T) {
+	s := newShard(t, 100)
+	first := open("g", 80, 40)
+	first.Serial = 1
+	if v := s.expect(first, Accepted); v.Granted != 80 || v.Offline != 40 || v.Left != 20 {
+		t.Fatalf("verdict %+v", v)
+	}
+	if v := s.expect(first, Repeated); v.Granted != 80 {
+		t.Fatalf("verdict %+v", v)
+	}
+	short := open("h", 50, 0)
+	short.Least = 30
+	s.expect(short, Short)
+	short.Least = 20
+	if v := s.expect(short, Accepted); v.Granted != 20 || v.Left != 0 {
+		t.Fatalf("verdict %+v", v)
+	}
+	s.expect(open("k", 1, 0), Short)
+	stranger := open("g", 1, 0)
+	stranger.Holder.Incarnation = 9
+	s.expect(stranger, Conflict)
+	back := Return{Budget: "b", Grant: "g", Tokens: 50, Offline: 25, Serial: 2}
+	if v := s.expect(back, Accepted); v.Offline != 25 || v.Left != 50 {
+		t.Fatalf("verdict %+v", v)
+	}
+	s.expect(back, Repeated)
+	s.expect(Return{Budget: "b", Grant: "g", Tokens: 31}, Short)
+	s.balance(0, 50)
+	late := open("gone", 5, 0)
+	late.Serial = 2
+	s.expect(late, Closed)
+}
+
+// Guards against a request billed twice, billed above its ceiling, or billed by an attempt that lost it.
+func TestRequestIsBilledOnce(t *testing.T) {
+	s := newShard(t, 100)
+	s.expect(open("g", 50, 0), Accepted)
+	s.expect(open("h", 50, 0), Accepted)
+	s.expect(intent("r", "1", "g", 60), Short)
+	s.expect(intent("r", "1", "g", 30), Accepted)
+	s.expect(intent("r", "1", "g", 30), Repeated)
+	if v := s.expect(intent("r", "2", "h", 30), Duplicate); v.Existing.Attempt != "1" || v.Existing.Phase != PhaseOpen {
+		t.Fatalf("existing %+v", v.Existing)
+	}
+	reused := intent("r", "2", "h", 30)
+	reused.Digest = "e"
+	s.expect(reused, Conflict)
+	s.expect(Takeover{Budget: "b", Request: req("r"), From: "0", Attempt: "2", Grant: "h"}, Superseded)
+	s.expect(Takeover{Budget: "b", Request: req("r"), From: "1", Attempt: "2", Grant: "h"}, Accepted)
+	s.expect(Takeover{Budget: "b", Request: req("r"), From: "1", Attempt: "2", Grant: "h"}, Repeated)
+	s.expect(settle("r", "1", 30), Superseded)
+	s.expect(void("r", "1"), Superseded)
+	s.balance(0, 100)
+	if v := s.expect(settle("r", "2", 99), Accepted); v.Granted != 30 {
+		t.Fatalf("billed %d", v.Granted)
+	}
+	if v := s.expect(settle("r", "2", 99), Repeated); v.Granted != 30 {
+		t.Fatalf("billed %d", v.Granted)
+	}
+	s.expect(settle("r", "1", 30), Superseded)
+	s.expect(void("r", "2"), Superseded)
+	s.expect(intent("r", "3", "g", 30), Duplicate)
+	s.balance(30, 70)
+}
+
+// Guards against a voided request that can't be tried again, and against a delayed intent that reopens it.
+func TestIntentAfterVoid(t *testing.T) {
+	s := newShard(t, 100)
+	s.expect(open("g", 50, 0), Accepted)
+	s.expect(intent("r", "1", "g", 30), Accepted)
+	s.expect(void("r", "1"), Accepted)
+	s.expect(void("r", "1"), Repeated)
+	s.expect(intent("r", "1", "g", 30), Superseded)
+	reused := intent("r", "2", "g", 30)
+	reused.Digest = "e"
+	s.expect(reused, Conflict)
+	s.expect(intent("r", "2", "g", 50), Accepted)
+	s.expect(settle("r", "1", 30), Superseded)
+	s.expect(settle("r", "2", 20), Accepted)
+	s.balance(20, 30)
+}
+
+// Guards against a close that gives back tokens which the holder may still spend offline, or keeps any others.
+func TestCloseAndRelease(t *testing.T) {
+	s := newShard(t, 100)
+	s.expect(open("g", 100, 60), Accepted)
+	s.expect(intent("r", "1", "g", 30), Accepted)
+	s.expect(Release{Budget: "b", Grant: "g"}, Invalid)
+	s.expect(Close{Budget: "b", Grant: "g"}, Accepted)
+	s.expect(Close{Budget: "b", Grant: "g"}, Repeated)
+	s.balance(0, 90)
+	s.expect(intent("q", "1", "g", 1), Closed)
+	s.expect(open("g", 1, 0), Closed)
+	s.expect(Return{Budget: "b", Grant: "g", Tokens: 1}, Closed)
+	s.expect(settle("r", "1", 10), Accepted)
+	s.balance(10, 60)
+	s.expect(offline("o", "1", "g", 61, true), Short)
+	s.expect(offline("o", "1", "g", 20, false), Accepted)
+	if v := s.expect(Release{Budget: "b", Grant: "g"}, Accepted); v.Granted != 40 {
+		t.Fatalf("released %d", v.Granted)
+	}
+	s.expect(Release{Budget: "b", Grant: "g"}, Repeated)
+	s.balance(10, 20)
+	s.expect(offline("o", "1", "g", 5, true), Accepted)
+	s.balance(15, 0)
+	s.expect(Release{Budget: "b", Grant: "g"}, Closed)
+	s.expect(offline("p", "1", "g", 1, true), Closed)
+}
+
+// Guards against offline tokens lost between the runs of one outage: the rest of a ceiling may be spent again.
+func TestOfflineRemainderStaysHeld(t *testing.T) {
+	s := newShard(t, 100)
+	s.expect(open("g", 60, 60), Accepted)
+	s.expect(Close{Budget: "b", Grant: "g"}, Accepted)
+	s.expect(offline("r", "1", "g", 20, false), Accepted)
+	s.expect(offline("r", "1", "g", 5, true), Accepted)
+	s.expect(offline("q", "1", "g", 55, false), Accepted)
+	s.expect(offline("q", "1", "g", 55, true), Accepted)
+	s.balance(60, 0)
+}
+
+// Guards against a second bill for a request that ran on both sides of a partition.
+func TestOfflineDuplicate(t *testing.T) {
+	s := newShard(t, 100)
+	s.expect(open("g", 50, 50), Accepted)
+	s.expect(open("h", 50, 50), Accepted)
+	s.expect(intent("r", "1", "g", 30), Accepted)
+	s.expect(offline("r", "2", "h", 30, false), Duplicate)
+	if v := s.expect(offline("r", "2", "h", 20, true), Accepted); v.Granted != 20 {
+		t.Fatalf("billed %d", v.Granted)
+	}
+	s.balance(20, 80)
+	s.expect(settle("r", "1", 30), Superseded)
+	s.expect(offline("r", "1", "g", 30, true), Duplicate)
+	s.expect(offline("r", "2", "h", 20, true), Repeated)
+	s.balance(20, 80)
+	s.expect(intent("q", "1", "g", 50), Accepted)
+	s.expect(void("q", "1"), Accepted)
+	s.expect(offline("q", "1", "g", 50, false), Superseded)
+	s.expect(offline("q", "1", "g", 40, true), Accepted)
+	s.balance(60, 40)
+}
+
+// Guards against answers that are lost or kept without need.
+func TestAnswerIsKept(t *testing.T) {
+	s := newShard(t, 100)
+	s.expect(open("g", 100, 0), Accepted)
+	for i, c := range []struct {
+		size       int
+		idempotent bool
+		kept       bool
+	}{{MaxAnswerBytes, false, true}, {MaxAnswerBytes + 1, false, false}, {1, true, false}} {
+		id := fmt.Sprint("r", i)
+		r := intent(id, "1", "g", 1)
+		r.Idempotent = c.idempotent
+		s.expect(r, Accepted)
+		d := settle(id, "1", 1)
+		d.Answer = &Answer{Status: 201, Type: "text/plain", Body: make([]byte, c.size)}
+		s.expect(d, Accepted)
+		e, ok := s.state.Find(req(id))
+		if !ok || (e.Answer != nil) != c.kept {
+			t.Fatalf("case %d: answer %v", i, e.Answer)
+		}
+	}
+}
+
+// Guards against ended requests that are forgotten early or never, and open ones that are forgotten at all.
+func TestRetention(t *testing.T) {
+	s := newShard(t, 100)
+	s.expect(open("g", 100, 0), Accepted)
+	s.expect(intent("open", "1", "g", 1), Accepted)
+	s.expect(intent("idem", "1", "g", 1), Accepted)
+	once := intent("once", "1", "g", 1)
+	once.Idempotent = false
+	s.expect(once, Accepted)
+	s.expect(settle("idem", "1", 1), Accepted)
+	s.expect(settle("once", "1", 1), Accepted)
+	known := func(want ...bool) {
+		t.Helper()
+		for i, id := range []string{"open", "idem", "once"} {
+			if _, ok := s.state.Find(req(id)); ok != want[i] {
+				t.Fatalf("at %d: %s known: %v", s.at, id, ok)
+			}
+		}
+	}
+	for _, c := range []struct {
+		at   int64
+		want []bool
+	}{{3600, []bool{true, true, true}}, {3601, []bool{true, false, true}}, {86400, []bool{true, false, true}}, {86401, []bool{true, false, false}}} {
+		s.at = c.at
+		s.expect(TopUp{Budget: "b", Account: "a", ID: laceunit.TopUpID(fmt.Sprint(c.at)), Tokens: 1}, Accepted)
+		known(c.want...)
+	}
+}
+
+// Guards against a batch that is validated against the state before it instead of record by record.
+func TestBatchIsValidatedInOrder(t *testing.T) {
+	s := newShard(t, 100)
+	e, vs := s.state.Propose([]Record{open("g", 60, 0), open("h", 60, 0), intent("r", "1", "g", 60), intent("q", "1", "g", 1), nil}, 0, Cutoff{})
+	want := []Result{Accepted, Accepted, Accepted, Short, Invalid}
+	for i, v := range vs {
+		if v.Result != want[i] {
+			t.Fatalf("record %d: result %d", i, v.Result)
+		}
+	}
+	if vs[1].Granted != 40 || len(e.Records) != 3 {
+		t.Fatalf("granted %d, %d records", vs[1].Granted, len(e.Records))
+	}
+	before := s.state.Snapshot()
+	bad := e
+	bad.Records = append(bad.Records, open("k", 1, 0))
+	if err := s.state.Apply(bad); !errors.Is(err, ErrEntry) {
+		t.Fatalf("got %v", err)
+	}
+	if !reflect.DeepEqual(before, s.state.Snapshot()) {
+		t.Fatal("a refused entry changed the state")
+	}
+	if err := s.state.Apply(e); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.state.Apply(e); !errors.Is(err, ErrSequence) {
+		t.Fatalf("got %v", err)
+	}
+}
--- /dev/null
+++ b/lib/lacewire/ledger.go
@@ -0,0 +1,142 @@
+package lacewire
+
+import (
+	"encoding/hex"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"lacewingcove/lib/laceledger"
+	"lacewingcove/lib/laceunit"
+)
+
+// ErrMalformed means that a message can't be decoded into domain values.
+var ErrMalformed = errors.New("wire: malformed message")
+
+// names replaces repeated ids by indices; index zero stands for the empty id.
+type names struct {
+	list  []string
+	index map[string]uint32
+}
+
+func put[T ~string](n *names, id T) uint32 {
+	if id == "" {
+		return 0
+	}
+	if i, ok := n.index[string(id)]; ok {
+		return i
+	}
+	if n.index == nil {
+		n.index = map[string]uint32{}
+	}
+	n.list = append(n.list, string(id))
+	i := uint32(len(n.list))
+	n.index[string(id)] = i
+	return i
+}
+
+// reader resolves indices; the first index out of range sticks as its error.
+type reader struct {
+	list []string
+	err  error
+}
+
+func take[T ~string](r *reader, i uint32) T {
+	if i == 0 {
+		return ""
+	}
+	if int(i) > len(r.list) {
+		r.fail("name index out of range")
+		return ""
+	}
+	return T(r.list[i-1])
+}
+
+func (r *reader) fail(message string) {
+	if r.err == nil {
+		r.err = errors.Wrap(ErrMalformed, message)
+	}
+}
+
+func encode(m proto.Message) ([]byte, error) {
+	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
+	return b, errors.Wrap(err, "wire: encode")
+}
+
+func decode(b []byte, m proto.Message) error {
+	if err := proto.Unmarshal(b, m); err != nil {
+		return errors.Wrap(ErrMalformed, err.Error())
+	}
+	return nil
+}
+
+func fromHolder(h laceunit.Holder) *LedgerHolder {
+	return &LedgerHolder{
+		Instance:    string(h.Instance),
+		Incarnation: uint64(h.Incarnation),
+	}
+}
+
+func toHolder(m *LedgerHolder) laceunit.Holder {
+	return laceunit.Holder{
+		Instance:    laceunit.InstanceID(m.GetInstance()),
+		Incarnation: laceunit.Incarnation(m.GetIncarnation()),
+	}
+}
+
+func fromHolders(hs []laceunit.Holder) []*LedgerHolder {
+	var ms []*LedgerHolder
+	for _, h := range hs {
+		ms = append(ms, fromHolder(h))
+	}
+	return ms
+}
+
+func toHolders(ms []*LedgerHolder) []laceunit.Holder {
+	var hs []laceunit.Holder
+	for _, m := range ms {
+		hs = append(hs, toHolder(m))
+	}
+	return hs
+}
+
+// fromDigest halves a hexadecimal digest; other text and upper case are kept as text, so that nothing changes on the way.
+func fromDigest(d laceunit.Digest) *LedgerDigest {
+	if d == "" {
+		return nil
+	}
+	b, err := hex.DecodeString(string(d))
+	if err != nil || hex.EncodeToString(b) != string(d) {
+		return &LedgerDigest{Text: string(d)}
+	}
+	return &LedgerDigest{Binary: b}
+}
+
+func toDigest(m *LedgerDigest) laceunit.Digest {
+	if b := m.GetBinary(); len(b) > 0 {
+		return laceunit.Digest(hex.EncodeToString(b))
+	}
+	return laceunit.Digest(m.GetText())
+}
+
+func fromAnswer(a *laceledger.Answer) *LedgerAnswer {
+	if a == nil {
+		return nil
+	}
+	return &LedgerAnswer{
+		Status: int32(a.Status),
+		Type:   a.Type,
+		Body:   a.Body,
+	}
+}
+
+func toAnswer(m *LedgerAnswer) *laceledger.Answer {
+	if m == nil {
+		return nil
+	}
+	return &laceledger.Answer{
+		Status: int(m.GetStatus()),
+		Type:   m.GetType(),
+		Body:   m.GetBody(),
+	}
+}
--- /dev/null
+++ b/lib/lacewire/ledger_record.go
@@ -0,0 +1,308 @@
+package lacewire
+
+import (
+	"github.com/pkg/errors"
+
+	"lacewingcove/lib/laceledger"
+	"lacewingcove/lib/laceunit"
+)
+
+// EncodeEntry encodes a log entry.
+func EncodeEntry(e laceledger.Entry) ([]byte, error) {
+	rs, err := FromRecords(e.Records)
+	if err != nil {
+		return nil, err
+	}
+	return encode(&LedgerEntry{
+		Sequence:         uint64(e.Sequence),
+		Appender:         fromHolder(e.Appender),
+		Tag:              e.Tag,
+		At:               e.At,
+		ForgetIdempotent: e.Forget.Idempotent,
+		ForgetOther:      e.Forget.Other,
+		Records:          rs,
+	})
+}
+
+// DecodeEntry decodes a log entry; its errors wrap ErrMalformed.
+func DecodeEntry(b []byte) (laceledger.Entry, error) {
+	var m LedgerEntry
+	if err := decode(b, &m); err != nil {
+		return laceledger.Entry{}, err
+	}
+	if m.GetSequence() == 0 {
+		return laceledger.Entry{}, errors.Wrap(ErrMalformed, "entry without a sequence")
+	}
+	rs, err := ToRecords(m.GetRecords())
+	if err != nil {
+		return laceledger.Entry{}, err
+	}
+	return laceledger.Entry{
+		Sequence: laceunit.Sequence(m.GetSequence()),
+		Appender: toHolder(m.GetAppender()),
+		Tag:      m.GetTag(),
+		At:       m.GetAt(),
+		Forget: laceledger.Cutoff{
+			Idempotent: m.GetForgetIdempotent(),
+			Other:      m.GetForgetOther(),
+		},
+		Records: rs,
+	}, nil
+}
+
+// FromRecords maps records to their message.
+func FromRecords(rs []laceledger.Record) (*LedgerRecords, error) {
+	var n names
+	m := &LedgerRecords{Records: make([]*LedgerRecord, 0, len(rs))}
+	for _, r := range rs {
+		if r == nil {
+			return nil, errors.New("wire: nil record")
+		}
+		v, err := fromRecord(&n, r)
+		if err != nil {
+			return nil, err
+		}
+		m.Records = append(m.Records, v)
+	}
+	m.Names = n.list
+	return m, nil
+}
+
+func fromRecord(n *names, r laceledger.Record) (*LedgerRecord, error) {
+	m := &LedgerRecord{Budget: put(n, r.BudgetID())}
+	switch r := r.(type) {
+	case laceledger.TopUp:
+		m.Kind = &LedgerRecord_TopUp{TopUp: &LedgerTopUp{
+			Account: put(n, r.Account),
+			Id:      string(r.ID),
+			Tokens:  int64(r.Tokens),
+			Who:     r.Who,
+		}}
+	case laceledger.Open:
+		m.Kind = &LedgerRecord_Open{Open: &LedgerOpen{
+			Grant:     put(n, r.Grant),
+			Holder:    fromHolder(r.Holder),
+			Tokens:    int64(r.Tokens),
+			Least:     int64(r.Least),
+			Offline:   int64(r.Offline),
+			Witnesses: fromHolders(r.Witnesses),
+			Serial:    r.Serial,
+		}}
+	case laceledger.Return:
+		m.Kind = &LedgerRecord_Return{Return: &LedgerReturn{
+			Grant:   put(n, r.Grant),
+			Tokens:  int64(r.Tokens),
+			Offline: int64(r.Offline),
+			Serial:  r.Serial,
+		}}
+	case laceledger.Close:
+		m.Kind = &LedgerRecord_Close{Close: &LedgerClose{Grant: put(n, r.Grant)}}
+	case laceledger.Release:
+		m.Kind = &LedgerRecord_Release{Release: &LedgerRelease{
+			Grant: put(n, r.Grant),
+			Who:   r.Who,
+		}}
+	default:
+		return m, fromRun(m, n, r)
+	}
+	return m, nil
+}
+
+// fromRun maps the records of a request's life.
+func fromRun(m *LedgerRecord, n *names, r laceledger.Record) error {
+	switch r := r.(type) {
+	case laceledger.Intent:
+		m.Kind = &LedgerRecord_Intent{Intent: &LedgerIntent{
+			Account:    put(n, r.Request.Account),
+			Request:    string(r.Request.ID),
+			Digest:     fromDigest(r.Digest),
+			Grant:      put(n, r.Grant),
+			Ceiling:    int64(r.Ceiling),
+			Attempt:    string(r.Attempt),
+			Server:     put(n, r.Server),
+			Idempotent: r.Idempotent,
+			At:         r.At,
+		}}
+	case laceledger.Takeover:
+		m.Kind = &LedgerRecord_Takeover{Takeover: &LedgerTakeover{
+			Account: put(n, r.Request.Account),
+			Request: string(r.Request.ID),
+			From:    string(r.From),
+			Attempt: string(r.Attempt),
+			Grant:   put(n, r.Grant),
+			Server:  put(n, r.Server),
+			At:      r.At,
+		}}
+	case laceledger.Settle:
+		m.Kind = &LedgerRecord_Settle{Settle: &LedgerSettle{
+			Account: put(n, r.Request.Account),
+			Request: string(r.Request.ID),
+			Attempt: string(r.Attempt),
+			Tokens:  int64(r.Tokens),
+			Answer:  fromAnswer(r.Answer),
+			At:      r.At,
+		}}
+	case laceledger.Void:
+		m.Kind = &LedgerRecord_Void{Void: &LedgerVoid{
+			Account: put(n, r.Request.Account),
+			Request: string(r.Request.ID),
+			Attempt: string(r.Attempt),
+			At:      r.At,
+		}}
+	case laceledger.Offline:
+		m.Kind = &LedgerRecord_Offline{Offline: fromOffline(n, r)}
+	default:
+		return errors.Errorf("wire: unknown record type %T", r)
+	}
+	return nil
+}
+
+func fromOffline(n *names, r laceledger.Offline) *LedgerOffline {
+	return &LedgerOffline{
+		Account:    put(n, r.Request.Account),
+		Request:    string(r.Request.ID),
+		Digest:     fromDigest(r.Digest),
+		Grant:      put(n, r.Grant),
+		Attempt:    string(r.Attempt),
+		Server:     put(n, r.Server),
+		Tokens:     int64(r.Tokens),
+		Idempotent: r.Idempotent,
+		Finished:   r.Finished,
+		Answer:     fromAnswer(r.Answer),
+		At:         r.At,
+	}
+}
+
+// ToRecords maps a message to records; its errors wrap ErrMalformed.
+func ToRecords(m *LedgerRecords) ([]laceledger.Record, error) {
+	n := &reader{list: m.GetNames()}
+	var rs []laceledger.Record
+	for _, v := range m.GetRecords() {
+		r := toRecord(n, v)
+		if r == nil {
+			n.fail("record of unknown kind")
+		}
+		if n.err != nil {
+			return nil, n.err
+		}
+		rs = append(rs, r)
+	}
+	return rs, nil
+}
+
+func toRecord(n *reader, m *LedgerRecord) laceledger.Record {
+	budget := take[laceunit.BudgetID](n, m.GetBudget())
+	switch k := m.GetKind().(type) {
+	case *LedgerRecord_TopUp:
+		return laceledger.TopUp{
+			Budget:  budget,
+			Account: take[laceunit.AccountID](n, k.TopUp.GetAccount()),
+			ID:      laceunit.TopUpID(k.TopUp.GetId()),
+			Tokens:  laceunit.Tokens(k.TopUp.GetTokens()),
+			Who:     k.TopUp.GetWho(),
+		}
+	case *LedgerRecord_Open:
+		return laceledger.Open{
+			Budget:    budget,
+			Grant:     take[laceunit.GrantID](n, k.Open.GetGrant()),
+			Holder:    toHolder(k.Open.GetHolder()),
+			Tokens:    laceunit.Tokens(k.Open.GetTokens()),
+			Least:     laceunit.Tokens(k.Open.GetLeast()),
+			Offline:   laceunit.Tokens(k.Open.GetOffline()),
+			Witnesses: toHolders(k.Open.GetWitnesses()),
+			Serial:    k.Open.GetSerial(),
+		}
+	case *LedgerRecord_Return:
+		return laceledger.Return{
+			Budget:  budget,
+			Grant:   take[laceunit.GrantID](n, k.Return.GetGrant()),
+			Tokens:  laceunit.Tokens(k.Return.GetTokens()),
+			Offline: laceunit.Tokens(k.Return.GetOffline()),
+			Serial:  k.Return.GetSerial(),
+		}
+	case *LedgerRecord_Close:
+		return laceledger.Close{
+			Budget: budget,
+			Grant:  take[laceunit.GrantID](n, k.Close.GetGrant()),
+		}
+	case *LedgerRecord_Release:
+		return laceledger.Release{
+			Budget: budget,
+			Grant:  take[laceunit.GrantID](n, k.Release.GetGrant()),
+			Who:    k.Release.GetWho(),
+		}
+	default:
+		return toRun(n, m, budget)
+	}
+}
+
+// toRun maps the records of a request's life.
+func toRun(n *reader, m *LedgerRecord, budget laceunit.BudgetID) laceledger.Record {
+	switch k := m.GetKind().(type) {
+	case *LedgerRecord_Intent:
+		return laceledger.Intent{
+			Budget:     budget,
+			Request:    request(n, k.Intent.GetAccount(), k.Intent.GetRequest()),
+			Digest:     toDigest(k.Intent.GetDigest()),
+			Grant:      take[laceunit.GrantID](n, k.Intent.GetGrant()),
+			Ceiling:    laceunit.Tokens(k.Intent.GetCeiling()),
+			Attempt:    laceunit.AttemptID(k.Intent.GetAttempt()),
+			Server:     take[laceunit.ServerID](n, k.Intent.GetServer()),
+			Idempotent: k.Intent.GetIdempotent(),
+			At:         k.Intent.GetAt(),
+		}
+	case *LedgerRecord_Takeover:
+		return laceledger.Takeover{
+			Budget:  budget,
+			Request: request(n, k.Takeover.GetAccount(), k.Takeover.GetRequest()),
+			From:    laceunit.AttemptID(k.Takeover.GetFrom()),
+			Attempt: laceunit.AttemptID(k.Takeover.GetAttempt()),
+			Grant:   take[laceunit.GrantID](n, k.Takeover.GetGrant()),
+			Server:  take[laceunit.ServerID](n, k.Takeover.GetServer()),
+			At:      k.Takeover.GetAt(),
+		}
+	case *LedgerRecord_Settle:
+		return laceledger.Settle{
+			Budget:  budget,
+			Request: request(n, k.Settle.GetAccount(), k.Settle.GetRequest()),
+			Attempt: laceunit.AttemptID(k.Settle.GetAttempt()),
+			Tokens:  laceunit.Tokens(k.Settle.GetTokens()),
+			Answer:  toAnswer(k.Settle.GetAnswer()),
+			At:      k.Settle.GetAt(),
+		}
+	case *LedgerRecord_Void:
+		return laceledger.Void{
+			Budget:  budget,
+			Request: request(n, k.Void.GetAccount(), k.Void.GetRequest()),
+			Attempt: laceunit.AttemptID(k.Void.GetAttempt()),
+			At:      k.Void.GetAt(),
+		}
+	case *LedgerRecord_Offline:
+		return toOffline(n, k.Offline, budget)
+	default:
+		return nil
+	}
+}
+
+func toOffline(n *reader, m *LedgerOffline, budget laceunit.BudgetID) laceledger.Offline {
+	return laceledger.Offline{
+		Budget:     budget,
+		Request:    request(n, m.GetAccount(), m.GetRequest()),
+		Digest:     toDigest(m.GetDigest()),
+		Grant:      take[laceunit.GrantID](n, m.GetGrant()),
+		Attempt:    laceunit.AttemptID(m.GetAttempt()),
+		Server:     take[laceunit.ServerID](n, m.GetServer()),
+		Tokens:     laceunit.Tokens(m.GetTokens()),
+		Idempotent: m.GetIdempotent(),
+		Finished:   m.GetFinished(),
+		Answer:     toAnswer(m.GetAnswer()),
+		At:         m.GetAt(),
+	}
+}
+
+func request(n *reader, account uint32, id string) laceledger.Request {
+	return laceledger.Request{
+		Account: take[laceunit.AccountID](n, account),
+		ID:      laceunit.RequestID(id),
+	}
+}
--- /dev/null
+++ b/lib/lacewire/ledger_snapshot.go
@@ -0,0 +1,234 @@
+package lacewire
+
+import (
+	"github.com/pkg/errors"
+
+	"lacewingcove/lib/laceledger"
+	"lacewingcove/lib/laceunit"
+)
+
+// EncodeHead encodes the value of a snapshot key.
+func EncodeHead(m *LedgerHead) ([]byte, error) { return encode(m) }
+
+// DecodeHead decodes the value of a snapshot key; its errors wrap ErrMalformed.
+func DecodeHead(b []byte) (*LedgerHead, error) {
+	var m LedgerHead
+	if err := decode(b, &m); err != nil {
+		return nil, err
+	}
+	if len(m.GetCore()) == 0 && len(m.GetParts()) == 0 {
+		return nil, errors.Wrap(ErrMalformed, "snapshot head without content")
+	}
+	return &m, nil
+}
+
+// EncodeSnapshot encodes the state of a shard without its ended requests.
+func EncodeSnapshot(p laceledger.Snapshot) ([]byte, error) {
+	var n names
+	m := &LedgerSnapshot{
+		Sequence:         uint64(p.Sequence),
+		Now:              p.Now,
+		ForgetIdempotent: p.Forget.Idempotent,
+		ForgetOther:      p.Forget.Other,
+		Next:             p.Next[:],
+	}
+	for _, b := range p.Budgets {
+		m.Budgets = append(m.Budgets, fromBudget(&n, b))
+	}
+	for _, o := range p.Open {
+		r := fromExisting(&n, o.Existing)
+		r.Offline = o.Offline
+		m.Open = append(m.Open, r)
+	}
+	m.Names = n.list
+	return encode(m)
+}
+
+// DecodeSnapshot decodes the state of a shard without its ended requests; its errors wrap ErrMalformed.
+func DecodeSnapshot(b []byte) (laceledger.Snapshot, error) {
+	var m LedgerSnapshot
+	if err := decode(b, &m); err != nil {
+		return laceledger.Snapshot{}, err
+	}
+	p := laceledger.Snapshot{
+		Sequence: laceunit.Sequence(m.GetSequence()),
+		Now:      m.GetNow(),
+		Forget: laceledger.Cutoff{
+			Idempotent: m.GetForgetIdempotent(),
+			Other:      m.GetForgetOther(),
+		},
+	}
+	if len(m.GetNext()) != len(p.Next) {
+		return laceledger.Snapshot{}, errors.Wrapf(ErrMalformed, "snapshot with %d retention classes", len(m.GetNext()))
+	}
+	copy(p.Next[:], m.GetNext())
+	n := &reader{list: m.GetNames()}
+	for _, b := range m.GetBudgets() {
+		p.Budgets = append(p.Budgets, toBudget(n, b))
+	}
+	for _, r := range m.GetOpen() {
+		p.Open = append(p.Open, laceledger.OpenRequest{
+			Existing: toExisting(n, r),
+			Offline:  r.GetOffline(),
+		})
+	}
+	if n.err != nil {
+		return laceledger.Snapshot{}, n.err
+	}
+	return p, nil
+}
+
+func fromBudget(n *names, b laceledger.BudgetState) *LedgerBudget {
+	m := &LedgerBudget{
+		Budget:  put(n, b.ID),
+		Account: put(n, b.Account),
+		Paid:    int64(b.Paid),
+		Settled: int64(b.Settled),
+	}
+	for _, t := range b.TopUps {
+		m.TopUps = append(m.TopUps, &LedgerTopUpState{
+			Id:     string(t.ID),
+			Tokens: int64(t.Tokens),
+		})
+	}
+	for _, g := range b.Grants {
+		v := fromGrant(g.Grant)
+		v.Serial, v.Added, v.Released = g.Serial, int64(g.Added), g.Released
+		m.Grants = append(m.Grants, v)
+	}
+	return m
+}
+
+func toBudget(n *reader, m *LedgerBudget) laceledger.BudgetState {
+	b := laceledger.BudgetState{
+		ID:      take[laceunit.BudgetID](n, m.GetBudget()),
+		Account: take[laceunit.AccountID](n, m.GetAccount()),
+		Paid:    laceunit.Tokens(m.GetPaid()),
+		Settled: laceunit.Tokens(m.GetSettled()),
+	}
+	for _, t := range m.GetTopUps() {
+		b.TopUps = append(b.TopUps, laceledger.TopUpState{
+			ID:     laceunit.TopUpID(t.GetId()),
+			Tokens: laceunit.Tokens(t.GetTokens()),
+		})
+	}
+	for _, g := range m.GetGrants() {
+		b.Grants = append(b.Grants, laceledger.GrantState{
+			Grant:    toGrant(g),
+			Serial:   g.GetSerial(),
+			Added:    laceunit.Tokens(g.GetAdded()),
+			Released: g.GetReleased(),
+		})
+	}
+	return b
+}
+
+func fromGrant(g laceledger.Grant) *LedgerGrant {
+	return &LedgerGrant{
+		Id:        string(g.ID),
+		Holder:    fromHolder(g.Holder),
+		Tokens:    int64(g.Tokens),
+		Reserved:  int64(g.Reserved),
+		Offline:   int64(g.Offline),
+		Closed:    g.Closed,
+		Witnesses: fromHolders(g.Witnesses),
+	}
+}
+
+func toGrant(m *LedgerGrant) laceledger.Grant {
+	return laceledger.Grant{
+		ID:        laceunit.GrantID(m.GetId()),
+		Holder:    toHolder(m.GetHolder()),
+		Tokens:    laceunit.Tokens(m.GetTokens()),
+		Reserved:  laceunit.Tokens(m.GetReserved()),
+		Offline:   laceunit.Tokens(m.GetOffline()),
+		Closed:    m.GetClosed(),
+		Witnesses: toHolders(m.GetWitnesses()),
+	}
+}
+
+// EncodeSegment encodes ended requests.
+func EncodeSegment(g laceledger.Segment) ([]byte, error) {
+	var n names
+	m := &LedgerSegment{
+		Class: uint32(g.Class),
+		First: g.First,
+		Next:  g.Next,
+		Ended: make([]*LedgerRequest, 0, len(g.Ended)),
+	}
+	for _, e := range g.Ended {
+		r := fromExisting(&n, e.Existing)
+		r.Number = e.Number
+		m.Ended = append(m.Ended, r)
+	}
+	m.Names = n.list
+	return encode(m)
+}
+
+// DecodeSegment decodes ended requests; its errors wrap ErrMalformed.
+func DecodeSegment(b []byte) (laceledger.Segment, error) {
+	var m LedgerSegment
+	if err := decode(b, &m); err != nil {
+		return laceledger.Segment{}, err
+	}
+	g := laceledger.Segment{
+		Class: int(m.GetClass()),
+		First: m.GetFirst(),
+		Next:  m.GetNext(),
+	}
+	n := &reader{list: m.GetNames()}
+	for _, r := range m.GetEnded() {
+		g.Ended = append(g.Ended, laceledger.EndedRequest{
+			Number:   r.GetNumber(),
+			Existing: toExisting(n, r),
+		})
+	}
+	if n.err != nil {
+		return laceledger.Segment{}, n.err
+	}
+	return g, nil
+}
+
+func fromExisting(n *names, e laceledger.Existing) *LedgerRequest {
+	return &LedgerRequest{
+		Account:     put(n, e.Request.Account),
+		Request:     string(e.Request.ID),
+		Budget:      put(n, e.Budget),
+		Digest:      fromDigest(e.Digest),
+		Phase:       uint32(e.Phase),
+		Attempt:     string(e.Attempt),
+		Grant:       put(n, e.Grant),
+		Instance:    put(n, e.Holder.Instance),
+		Incarnation: uint64(e.Holder.Incarnation),
+		Server:      put(n, e.Server),
+		Ceiling:     int64(e.Ceiling),
+		Tokens:      int64(e.Tokens),
+		Idempotent:  e.Idempotent,
+		Answer:      fromAnswer(e.Answer),
+		At:          e.At,
+	}
+}
+
+func toExisting(n *reader, m *LedgerRequest) laceledger.Existing {
+	if p := m.GetPhase(); p < uint32(laceledger.PhaseOpen) || p > uint32(laceledger.PhaseVoid) {
+		n.fail("request in an unknown phase")
+	}
+	return laceledger.Existing{
+		Request: request(n, m.GetAccount(), m.GetRequest()),
+		Budget:  take[laceunit.BudgetID](n, m.GetBudget()),
+		Digest:  toDigest(m.GetDigest()),
+		Phase:   laceledger.Phase(m.GetPhase()),
+		Attempt: laceunit.AttemptID(m.GetAttempt()),
+		Grant:   take[laceunit.GrantID](n, m.GetGrant()),
+		Holder: laceunit.Holder{
+			Instance:    take[laceunit.InstanceID](n, m.GetInstance()),
+			Incarnation: laceunit.Incarnation(m.GetIncarnation()),
+		},
+		Server:     take[laceunit.ServerID](n, m.GetServer()),
+		Ceiling:    laceunit.Tokens(m.GetCeiling()),
+		Tokens:     laceunit.Tokens(m.GetTokens()),
+		Idempotent: m.GetIdempotent(),
+		Answer:     toAnswer(m.GetAnswer()),
+		At:         m.GetAt(),
+	}
+}
