lacemember: record, homes, promises, bindings and Authorize

Cause: non-idempotent requests in an outage need an authority that no member can contradict, and the request path needs one question to ask. Ruled out: releasing a silent home by time alone; a paused home could run a request after the time. Witnesses that sealed replace it. Change: the state machine without sockets, goroutines or clock, and the messages of the Peer service.

--- /dev/null
+++ b/lib/lacemember/join.go
@@ -0,0 +1,60 @@
+package lacemember
+
+import "time"
+
+// askAcks asks every other member, because a joiner doesn't know which of them are enabled.
+func (m *Machine) askAcks() {
+	if m.enabled || m.expelled || !m.record.Has(m.self) {
+		return
+	}
+	for _, o := range m.record.Members {
+		if o.Holder != m.self {
+			m.send(o, AckAsk{
+				From:   m.self,
+				Record: m.record,
+			})
+		}
+	}
+}
+
+// acknowledge adopts the joiner's epoch, so that no promise for an earlier one follows, and passes on what binds this
+// member, its own authority included. A member that is not enabled itself may lack bindings.
+func (m *Machine) acknowledge(now time.Duration, ask AckAsk) {
+	if ask.Record.Has(m.self) {
+		m.adopt(now, ask.Record)
+	}
+	joiner, ok := m.record.Find(ask.From)
+	if !ok || !m.enabled || m.expelled {
+		return
+	}
+	reply := AckReply{
+		From:  m.self,
+		Given: true,
+		Epoch: m.record.Epoch,
+	}
+	for _, h := range sortedHolders(m.bindings) {
+		reply.Bindings = append(reply.Bindings, m.bindings[h].binding)
+	}
+	if m.phase == phaseOutage || m.phase == phaseFlushing {
+		self, _ := m.authority.Find(m.self)
+		reply.Bindings = append(reply.Bindings, Binding{
+			Home:   self,
+			Round:  m.round,
+			Record: m.authority,
+		})
+	}
+	m.send(joiner, reply)
+}
+
+func (m *Machine) enable(now time.Duration, reply AckReply) {
+	self, ok := m.record.Find(m.self)
+	if !ok || m.enabled || !reply.Given || reply.Epoch < self.Joined {
+		return
+	}
+	for _, b := range reply.Bindings {
+		if b.Home.Holder != m.self && b.Round > m.released[b.Home.Holder] {
+			m.bind(now, b)
+		}
+	}
+	m.enabled = true
+}
