lacegrant: spend limits hold when verdicts are lost, late or repeated

Cause: a property test of two wallets against one ledger state found delivered spend that the ledger refused ("delivered offline spend of 3 was refused"). Ruled out: faults in the ledger state, whose own check passed at every step.

--- a/lib/lacegateway/driver.go
+++ b/lib/lacegateway/driver.go
@@ -169,10 +169,6 @@
 		g.metrics.refused(e.Fault)
 		d.task.sink.refuse(e.Fault)
 	case lacerequest.Release:
-		if e.Forfeit {
-			g.deps.Wallet.Forfeit(d.reservation)
-			return
-		}
 		g.deps.Wallet.Settle(d.reservation, e.Used)
 	case lacerequest.Resolve:
 		g.resolver.add(pending{
--- a/lib/lacegateway/metric.go
+++ b/lib/lacegateway/metric.go
@@ -67,11 +67,11 @@
 	return m
 }
 
-func (m *Metrics) begin()                        { m.running.Inc() }
-func (m *Metrics) end()                          { m.running.Dec() }
-func (m *Metrics) pending(n int)                 { m.open.Set(float64(n)) }
+func (m *Metrics) begin()                         { m.running.Inc() }
+func (m *Metrics) end()                           { m.running.Dec() }
+func (m *Metrics) pending(n int)                  { m.open.Set(float64(n)) }
 func (m *Metrics) overrun(tokens laceunit.Tokens) { m.overruns.Add(float64(tokens)) }
-func (m *Metrics) firstByte(d time.Duration)     { m.first.Observe(d.Seconds()) }
+func (m *Metrics) firstByte(d time.Duration)      { m.first.Observe(d.Seconds()) }
 
 func (m *Metrics) done(d time.Duration) {
 	m.finished.Inc()
--- a/lib/lacegateway/resolve.go
+++ b/lib/lacegateway/resolve.go
@@ -144,8 +144,8 @@
 		used = record.Tokens
 	}
 	if verdict.Result == laceledger.Superseded {
-		r.deps.Wallet.Forfeit(p.reservation)
-		return
+		// Another attempt was billed; the ledger gave the ceiling back to the grant.
+		used = 0
 	}
 	r.deps.Wallet.Settle(p.reservation, used)
 }
--- a/lib/lacegrant/service.go
+++ b/lib/lacegrant/service.go
@@ -174,6 +174,13 @@
 	return s.wallet.HandOver(budget, tokens)
 }
 
+// Flushed tells that offline spend was settled in the ledger.
+func (s *Service) Flushed(budget laceunit.BudgetID, grant laceunit.GrantID, tokens laceunit.Tokens) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.wallet.Flushed(budget, grant, tokens)
+}
+
 // SetInstances tells the wallet how many instances share the budgets.
 func (s *Service) SetInstances(n int) {
 	s.mu.Lock()
@@ -240,14 +247,31 @@
 	}
 	if open, need := s.wallet.Need(now, budget, ceiling); need {
 		open.Witnesses = s.witnesses()
-		s.waiting[budget] = make(chan struct{})
+		s.waiter(budget)
 		s.tasks.Add(1)
 		go s.open(open)
 	}
 	if ok {
 		return r, nil, nil
 	}
-	return Reservation{}, s.waiting[budget], nil
+	return Reservation{}, s.waiter(budget), nil
+}
+
+// waiter returns the channel that is closed when a record of the budget has been decided on.
+func (s *Service) waiter(budget laceunit.BudgetID) chan struct{} {
+	c, ok := s.waiting[budget]
+	if !ok {
+		c = make(chan struct{})
+		s.waiting[budget] = c
+	}
+	return c
+}
+
+func (s *Service) wake(budget laceunit.BudgetID) {
+	if c, ok := s.waiting[budget]; ok {
+		close(c)
+		delete(s.waiting, budget)
+	}
 }
 
 // open appends an Open and tells those who wait for it.
@@ -265,7 +289,7 @@
 	case errors.Is(err, laceplatform.ErrUnavailable):
 		s.wallet.OpenFailed(open.Budget)
 	default:
-		s.wallet.OpenLost(open)
+		s.wallet.OpenLost(open.Budget)
 	}
 	if reason != nil {
 		s.refusals[open.Budget] = refusal{
@@ -276,10 +300,7 @@
 	} else {
 		delete(s.refusals, open.Budget)
 	}
-	if c := s.waiting[open.Budget]; c != nil {
-		close(c)
-		delete(s.waiting, open.Budget)
-	}
+	s.wake(open.Budget)
 }
 
 // reason returns why an Open gave nothing, or nil.
@@ -312,7 +333,7 @@
 // tidy appends the records that give back idle and retired grants.
 func (s *Service) tidy(ctx context.Context) {
 	s.mu.Lock()
-	idle := s.wallet.Idle(s.now())
+	idle := append(s.wallet.Unreturned(), s.wallet.Idle(s.now())...)
 	ended := s.wallet.Retired()
 	s.mu.Unlock()
 	for _, r := range idle {
@@ -346,10 +367,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
+	case err == nil:
+		s.wallet.Returned(r, verdict)
 	case errors.Is(err, laceplatform.ErrUnavailable):
 		s.wallet.ReturnFailed(r)
-	case err == nil && verdict.Result == laceledger.Closed:
-		s.wallet.Drop(r.Budget, r.Grant)
+	default:
+		s.wallet.ReturnLost(r)
 	}
+	s.wake(r.Budget)
 	return errors.Wrap(err, "give back")
 }
--- a/lib/lacegrant/wallet.go
+++ b/lib/lacegrant/wallet.go
@@ -19,12 +19,24 @@
 
 // purse is what the instance holds of one budget.
 type purse struct {
-	grant   laceunit.GrantID
-	serial  int
-	free    laceunit.Tokens
-	offline laceunit.Tokens
-	live    int
-	opening bool
+	grant laceunit.GrantID
+	// names counts the grants opened for the budget, serial the Opens and Returns of the present one.
+	names  int
+	serial uint64
+	// free are the tokens outside reservations.
+	free laceunit.Tokens
+	// limit is the grant's offline part in the ledger, spent what was taken from it and is not settled there yet.
+	limit laceunit.Tokens
+	spent laceunit.Tokens
+	live  int
+	// open is the record under way, and repeat is true when it has to be sent again. After a lost answer the record is
+	// in doubt until there is a verdict: a later failure says nothing about the first try.
+	open    *laceledger.Open
+	repeat  bool
+	doubt   bool
+	flushed laceunit.Tokens
+	// back is the Return under way; Opens wait for it, because the ledger ignores records whose serial is too low.
+	back    *laceledger.Return
 	left    laceunit.Tokens
 	known   bool
 	demand  float64
@@ -32,11 +44,17 @@
 	sampled time.Time
 }
 
-// retired is a grant whose size the wallet no longer knows; it is closed when its last reservation ends.
+func (p *purse) offline() laceunit.Tokens {
+	return max(min(p.limit-p.spent, p.free), 0)
+}
+
+// retired is a grant that takes no new reservations; it is closed when its last one ends.
 type retired struct {
-	budget  laceunit.BudgetID
-	live    int
-	offline laceunit.Tokens
+	budget laceunit.BudgetID
+	serial uint64
+	live   int
+	// spent is the offline spend that is not settled in the ledger yet.
+	spent laceunit.Tokens
 }
 
 // Wallet holds the grants of one instance incarnation; it is not safe for concurrent use.
@@ -83,14 +101,14 @@
 // ReserveOffline takes a ceiling that may be spent without the platform.
 func (w *Wallet) ReserveOffline(now time.Time, budget laceunit.BudgetID, ceiling laceunit.Tokens) (Reservation, bool) {
 	p := w.purse(budget)
-	if p.offline < ceiling {
+	if p.offline() < ceiling {
 		return Reservation{}, false
 	}
 	r, ok := w.Reserve(now, budget, ceiling)
 	if !ok {
 		return Reservation{}, false
 	}
-	p.offline -= ceiling
+	p.spent += ceiling
 	r.Offline = true
 	return r, true
 }
@@ -101,10 +119,11 @@
 		return r, true
 	}
 	p := w.purse(r.Budget)
-	if p.grant != r.Grant || p.offline < r.Ceiling {
+	// The ceiling is already taken from the free tokens, so only the offline part bounds it.
+	if p.grant != r.Grant || p.limit-p.spent < r.Ceiling {
 		return r, false
 	}
-	p.offline -= r.Ceiling
+	p.spent += r.Ceiling
 	r.Offline = true
 	return r, true
 }
@@ -115,7 +134,7 @@
 	if old, ok := w.retired[r.Grant]; ok {
 		old.live--
 		if r.Offline {
-			old.offline += r.Ceiling - used
+			old.spent -= r.Ceiling - used
 		}
 		return
 	}
@@ -126,7 +145,25 @@
 	p.live--
 	p.free += r.Ceiling - used
 	if r.Offline {
-		p.offline += r.Ceiling - used
+		p.spent -= r.Ceiling - used
+	}
+}
+
+// Flushed tells that offline spend was settled in the ledger, which lowers the grant's offline part.
+func (w *Wallet) Flushed(budget laceunit.BudgetID, grant laceunit.GrantID, tokens laceunit.Tokens) {
+	if old, ok := w.retired[grant]; ok {
+		old.spent = max(old.spent-tokens, 0)
+		return
+	}
+	p := w.purse(budget)
+	if p.grant != grant {
+		return
+	}
+	p.spent = max(p.spent-tokens, 0)
+	p.limit = max(p.limit-tokens, 0)
+	if p.open != nil {
+		// The verdict under way may have been given before this settlement.
+		p.flushed += tokens
 	}
 }
 
@@ -135,8 +172,7 @@
 	w.Settle(r, 0)
 }
 
-// Forfeit ends a reservation whose tokens are no longer the wallet's: the request was taken over, or its state is
-// unknown. The ledger decides what becomes of them.
+// Forfeit ends a reservation whose request stays open in the ledger; its tokens don't come back to the wallet.
 func (w *Wallet) Forfeit(r Reservation) {
 	w.Settle(r, r.Ceiling)
 }
@@ -145,49 +181,61 @@
 // way or the grant is large enough.
 func (w *Wallet) Need(now time.Time, budget laceunit.BudgetID, ceiling laceunit.Tokens) (laceledger.Open, bool) {
 	p := w.purse(budget)
-	if p.opening {
+	if p.back != nil {
 		return laceledger.Open{}, false
 	}
+	if p.open != nil {
+		if !p.repeat {
+			return laceledger.Open{}, false
+		}
+		p.repeat = false
+		return *p.open, true
+	}
 	target := w.policy.size(p.rate(now), ceiling, p.left+p.free, p.known, w.instances)
 	// A grant is topped up at half its size, so that requests seldom wait for the ledger.
-	if p.grant != "" && p.free >= ceiling && p.free >= target/2 {
-		return laceledger.Open{}, false
-	}
-	if p.grant != "" && p.known && p.left == 0 && p.free >= ceiling {
+	if p.grant != "" && p.free >= ceiling && (p.free >= target/2 || p.known && p.left == 0) {
 		return laceledger.Open{}, false
 	}
-	p.opening = true
-	grant := p.grant
+	grant, serial := p.grant, p.serial+1
 	if grant == "" {
-		p.serial++
-		grant = w.name(budget, p.serial)
+		p.names++
+		grant, serial = w.name(budget, p.names), 1
 	}
 	least := max(ceiling-p.free, 0)
-	tokens := max(target-p.free, least)
-	return laceledger.Open{
+	tokens := max(target-p.free, least, 1)
+	p.open = &laceledger.Open{
 		Budget:  budget,
 		Grant:   grant,
 		Holder:  w.holder,
 		Tokens:  tokens,
 		Least:   least,
-		Offline: w.offlinePart(p.free + tokens),
-	}, true
+		Offline: w.offlinePart(p.free+tokens) + p.spent,
+		Serial:  serial,
+	}
+	p.flushed = 0
+	// An Open that lowers the offline part may take effect long before its verdict arrives.
+	p.limit = min(p.limit, p.open.Offline)
+	return *p.open, true
 }
 
 // Opened applies the verdict on an Open record.
 func (w *Wallet) Opened(open laceledger.Open, verdict laceledger.Verdict) {
 	p := w.purse(open.Budget)
-	p.opening = false
+	p.open, p.doubt = nil, false
 	switch verdict.Result {
 	case laceledger.Accepted, laceledger.Repeated:
 		p.left, p.known = verdict.Left, true
-		if p.grant == "" {
-			p.grant, p.free, p.live = open.Grant, 0, 0
+		// The verdict on an extension can arrive after the grant was dropped; only a first Open starts a grant.
+		if p.grant == "" && open.Serial == 1 {
+			p.grant, p.free, p.limit, p.spent, p.live = open.Grant, 0, 0, 0, 0
 		}
-		if p.grant == open.Grant && verdict.Result == laceledger.Accepted {
-			p.free += verdict.Granted
-			p.offline = min(w.offlinePart(p.free), verdict.Offline)
+		if p.grant != open.Grant {
+			return
 		}
+		p.serial = open.Serial
+		p.free += verdict.Granted
+		// The ledger's offline part is never below the limit known here.
+		p.limit = max(verdict.Offline-p.flushed, p.limit)
 	case laceledger.Short:
 		p.left, p.known = verdict.Left, true
 	case laceledger.Closed:
@@ -196,26 +244,24 @@
 	}
 }
 
-// OpenFailed tells that an Open was certainly not appended.
+// OpenFailed tells that this try of an Open was certainly not appended.
 func (w *Wallet) OpenFailed(budget laceunit.BudgetID) {
-	w.purse(budget).opening = false
+	p := w.purse(budget)
+	if p.doubt {
+		p.repeat = true
+		return
+	}
+	p.open = nil
 }
 
-// OpenLost tells that an Open may have been appended. The wallet can't know the grant's size any more, so the grant is
-// retired and a new one is opened for later requests.
-func (w *Wallet) OpenLost(open laceledger.Open) {
-	p := w.purse(open.Budget)
-	p.opening = false
-	old := &retired{budget: open.Budget}
-	if p.grant == open.Grant {
-		old.live, old.offline = p.live, p.offline
-		w.drop(p, open.Grant)
-	}
-	w.retired[open.Grant] = old
+// OpenLost tells that an Open may have been appended; Need returns it again, and its serial makes it count once.
+func (w *Wallet) OpenLost(budget laceunit.BudgetID) {
+	p := w.purse(budget)
+	p.repeat, p.doubt = p.open != nil, p.open != nil
 }
 
-// Retired returns the records that end the retired grants without reservations. The Return keeps the offline part that
-// was spent but not yet settled, so that the Close still holds it.
+// Retired returns the records that end the retired grants without reservations. The Return keeps the offline spend
+// that is not settled yet, so that the Close still holds it.
 func (w *Wallet) Retired() []laceledger.Record {
 	var records []laceledger.Record
 	for g, r := range w.retired {
@@ -226,7 +272,8 @@
 			laceledger.Return{
 				Budget:  r.budget,
 				Grant:   g,
-				Offline: r.offline,
+				Offline: r.spent,
+				Serial:  r.serial + 1,
 			},
 			laceledger.Close{
 				Budget: r.budget,
@@ -246,7 +293,7 @@
 func (w *Wallet) Idle(now time.Time) []laceledger.Return {
 	var records []laceledger.Return
 	for b, p := range w.purses {
-		if p.grant == "" || p.opening || p.free == 0 || now.Sub(p.touched) < w.policy.Idle {
+		if p.grant == "" || p.busy() || p.free == 0 || now.Sub(p.touched) < w.policy.Idle {
 			continue
 		}
 		records = append(records, w.giveBack(b, p, p.free))
@@ -257,7 +304,7 @@
 // Recall returns the record that gives back what the instance can spare of a budget for an instance in need.
 func (w *Wallet) Recall(now time.Time, budget laceunit.BudgetID) (laceledger.Return, bool) {
 	p, ok := w.purses[budget]
-	if !ok || p.grant == "" || p.opening || p.free == 0 {
+	if !ok || p.grant == "" || p.busy() || p.free == 0 {
 		return laceledger.Return{}, false
 	}
 	keep := laceunit.Tokens(math.Ceil(p.rate(now)))
@@ -275,35 +322,67 @@
 			continue
 		}
 		w.retired[p.grant] = &retired{
-			budget:  b,
-			live:    p.live,
-			offline: p.offline,
+			budget: b,
+			serial: p.serial,
+			live:   p.live,
+			spent:  p.spent,
 		}
 		w.drop(p, p.grant)
 	}
 }
 
-// ReturnFailed puts back the tokens of a Return that was certainly not appended.
+// Returned tells that the ledger has decided on a Return.
+func (w *Wallet) Returned(r laceledger.Return, verdict laceledger.Verdict) {
+	p := w.purse(r.Budget)
+	p.back, p.doubt = nil, false
+	if verdict.Result == laceledger.Closed {
+		w.drop(p, r.Grant)
+	}
+}
+
+// ReturnFailed tells that this try of a Return was certainly not appended.
 func (w *Wallet) ReturnFailed(r laceledger.Return) {
 	p := w.purse(r.Budget)
+	if p.doubt {
+		p.repeat = true
+		return
+	}
+	p.back = nil
 	if p.grant == r.Grant {
 		p.free += r.Tokens
-		p.offline += r.Offline
+		p.serial--
 	}
 }
 
+// Unreturned returns the Returns whose verdict was lost; they are sent again as they are.
+func (w *Wallet) Unreturned() []laceledger.Return {
+	var records []laceledger.Return
+	for _, p := range w.purses {
+		if p.back != nil && p.repeat {
+			p.repeat = false
+			records = append(records, *p.back)
+		}
+	}
+	return records
+}
+
+// ReturnLost tells that a Return may have been appended; Unreturned returns it again.
+func (w *Wallet) ReturnLost(r laceledger.Return) {
+	p := w.purse(r.Budget)
+	p.repeat, p.doubt = p.back != nil, p.back != nil
+}
+
 // HandOver deducts tokens of the offline part for another instance; the receiver spends them under this grant.
 func (w *Wallet) HandOver(budget laceunit.BudgetID, tokens laceunit.Tokens) (Reservation, bool) {
 	p, ok := w.purses[budget]
 	if !ok || p.grant == "" {
 		return Reservation{}, false
 	}
-	spare := min(p.offline, p.free) / 2
-	if spare < tokens {
+	if p.offline()/2 < tokens {
 		return Reservation{}, false
 	}
 	p.free -= tokens
-	p.offline -= tokens
+	p.spent += tokens
 	return Reservation{
 		Budget:  budget,
 		Grant:   p.grant,
@@ -318,7 +397,7 @@
 	if !ok {
 		return 0, 0
 	}
-	return p.free, min(p.offline, p.free)
+	return p.free, p.offline()
 }
 
 // Left returns what the budget had left for new grants at the last verdict.
@@ -329,21 +408,26 @@
 
 func (w *Wallet) giveBack(budget laceunit.BudgetID, p *purse, tokens laceunit.Tokens) laceledger.Return {
 	p.free -= tokens
-	offline := max(p.offline-w.offlinePart(p.free), 0)
-	p.offline -= offline
-	return laceledger.Return{
+	p.serial++
+	p.limit = min(p.limit, w.offlinePart(p.free)+p.spent)
+	p.back = &laceledger.Return{
 		Budget:  budget,
 		Grant:   p.grant,
 		Tokens:  tokens,
-		Offline: offline,
+		Offline: p.limit,
+		Serial:  p.serial,
 	}
+	return *p.back
 }
 
 func (w *Wallet) drop(p *purse, grant laceunit.GrantID) {
 	if p.grant != grant {
 		return
 	}
-	p.grant, p.free, p.offline, p.live = "", 0, 0, 0
+	p.grant, p.free, p.limit, p.spent, p.live, p.serial = "", 0, 0, 0, 0, 0
+	if p.back != nil && p.back.Grant == grant {
+		p.back, p.repeat, p.doubt = nil, false, false
+	}
 }
 
 func (w *Wallet) name(budget laceunit.BudgetID, serial int) laceunit.GrantID {
@@ -363,6 +447,10 @@
 	return p
 }
 
+func (p *purse) busy() bool {
+	return p.open != nil || p.back != nil
+}
+
 func (p *purse) touch(now time.Time, spend laceunit.Tokens) {
 	p.demand = p.rate(now) + float64(spend)/demandDecay.Seconds()
 	p.sampled, p.touched = now, now
--- a/lib/lacerequest/answer.go
+++ b/lib/lacerequest/answer.go
@@ -118,7 +118,7 @@
 	default:
 		m.done = true
 		return []Effect{
-			m.forfeit(),
+			m.release(0),
 			Refuse{Fault: m.superseded()},
 		}
 	}
--- a/lib/lacerequest/effect.go
+++ b/lib/lacerequest/effect.go
@@ -64,10 +64,10 @@
 // Refuse ends the request with a fault; it is the last word when no answer is whole.
 type Refuse struct{ Fault *lacefault.Fault }
 
-// Release ends the reservation. Forfeit is true when its tokens are no longer this instance's.
+// Release ends the reservation.
 type Release struct {
-	Used    laceunit.Tokens
-	Forfeit bool
+	// Used is what was billed; the rest is free again. After a takeover by another attempt nothing was used here.
+	Used laceunit.Tokens
 }
 
 // Resolve hands an open record and the reservation to the background: Record is tried until the ledger has decided on
--- a/lib/lacerequest/machine.go
+++ b/lib/lacerequest/machine.go
@@ -125,11 +125,6 @@
 	return Release{Used: used}
 }
 
-func (m *Machine) forfeit() Effect {
-	m.owned = false
-	return Release{Forfeit: true}
-}
-
 func (m *Machine) resolve(record laceledger.Record) Effect {
 	m.owned = false
 	return Resolve{Record: record}
