laceplatform: client of etcd v3 over JSON, with the emulator's server

Cause: instances reach the platform over HTTP and must know for each failed call whether it was certainly not carried out. Ruled out: counting every 503 as not carried out, since etcd also sends one after a proposal that timed out; deleterange for Delete, since it can't be conditional; failing over after a 429, since endpoints share the rate.

--- a/lib/laceemulator/call.go
+++ b/lib/laceemulator/call.go
@@ -12,9 +12,12 @@
 // errSilent means that the caller gets no answer; whether the call was carried out can't be seen from outside.
 var errSilent = errors.New("emulator: no answer")
 
+// errBusy means that a call was over the rate.
+var errBusy = errors.WithMessage(laceplatform.ErrUnavailable, "emulator: over the rate")
+
 // fate is what the faults decided for one call.
 type fate struct {
-	refused bool
+	refused error
 	dropped bool
 	lost    bool
 	hang    bool
@@ -25,8 +28,8 @@
 // call carries out one call of a client under the current faults.
 func (p *Platform) call(ctx context.Context, client string, kind laceplatform.Kind, run func(now time.Time) error) error {
 	f := p.decide(client, kind)
-	if f.refused {
-		return laceplatform.ErrUnavailable
+	if f.refused != nil {
+		return f.refused
 	}
 	if f.dropped {
 		return silence(ctx, f.hang)
@@ -70,9 +73,14 @@
 			hang:    f.Hang,
 		}
 	}
-	if f.Down || !p.admit(kind) {
+	if f.Down {
+		return fate{
+			refused: laceplatform.ErrUnavailable,
+		}
+	}
+	if !p.admit(kind) {
 		return fate{
-			refused: true,
+			refused: errBusy,
 		}
 	}
 	d := f.Latency
--- a/lib/laceemulator/feed.go
+++ b/lib/laceemulator/feed.go
@@ -44,3 +44,10 @@
 	f.after = through
 	return events, p.changed, err
 }
+
+// cut reports whether the client is cut off in either direction.
+func (f *feed) cut() bool {
+	f.platform.mu.Lock()
+	defer f.platform.mu.Unlock()
+	return f.platform.faults.Cuts[f.client] != ""
+}
--- /dev/null
+++ b/lib/laceplatform/client.go
@@ -0,0 +1,134 @@
+package laceplatform
+
+import (
+	"crypto/tls"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lacewingcove/lib/laceunit"
+)
+
+// Defaults of the client.
+const (
+	// DefaultTimeout bounds a call over all endpoints; the platform answers in milliseconds when it is well.
+	DefaultTimeout = 2 * time.Second
+	// DefaultIdle is how long a watch may stay silent before it is opened again. A connection that was cut without
+	// notice looks like a quiet one, and each reopening costs a call.
+	DefaultIdle = 30 * time.Second
+	// DefaultPause is the first wait before a broken watch is opened again.
+	DefaultPause = 50 * time.Millisecond
+)
+
+// ErrEndpoints means that a client was given no endpoint.
+var ErrEndpoints = errors.New("platform: no endpoints")
+
+var _ Store = (*Client)(nil)
+
+// Client is a Store over the JSON form of etcd v3.
+type Client struct {
+	endpoints []string
+	name      string
+	timeout   time.Duration
+	idle      time.Duration
+	pause     time.Duration
+	observer  Observer
+	tls       *tls.Config
+	transport *http.Transport
+	http      *http.Client
+	// preferred is the index of the endpoint that answered last.
+	preferred atomic.Int64
+}
+
+// Option changes a client at construction.
+type Option func(*Client)
+
+// WithTimeout sets the deadline of each call.
+func WithTimeout(timeout time.Duration) Option {
+	return func(c *Client) { c.timeout = timeout }
+}
+
+// WithIdle sets how long a watch may stay silent before it is opened again.
+func WithIdle(idle time.Duration) Option {
+	return func(c *Client) { c.idle = idle }
+}
+
+// WithPause sets the first wait before a broken watch is opened again.
+func WithPause(pause time.Duration) Option {
+	return func(c *Client) { c.pause = pause }
+}
+
+// WithObserver sets who is told of calls.
+func WithObserver(observer Observer) Option {
+	return func(c *Client) { c.observer = observer }
+}
+
+// WithName sets the name under which an emulated platform knows the client.
+func WithName(name string) Option {
+	return func(c *Client) { c.name = name }
+}
+
+// WithTLS sets the TLS configuration for https endpoints.
+func WithTLS(config *tls.Config) Option {
+	return func(c *Client) { c.tls = config }
+}
+
+// NewClient returns a client of the endpoints; an endpoint without a scheme is reached over http.
+func NewClient(endpoints []laceunit.Address, options ...Option) (*Client, error) {
+	if len(endpoints) == 0 {
+		return nil, ErrEndpoints
+	}
+	c := &Client{
+		timeout:  DefaultTimeout,
+		idle:     DefaultIdle,
+		pause:    DefaultPause,
+		observer: ObserverFunc(func(Call) {}),
+	}
+	for _, e := range endpoints {
+		url := strings.TrimSuffix(string(e), "/")
+		if !strings.Contains(url, "://") {
+			url = "http://" + url
+		}
+		c.endpoints = append(c.endpoints, url)
+	}
+	for _, o := range options {
+		o(c)
+	}
+	// The share of one endpoint, so that an address that swallows packets leaves time for the others.
+	dialer := &net.Dialer{
+		Timeout: c.timeout / time.Duration(len(c.endpoints)),
+	}
+	c.transport = &http.Transport{
+		DialContext:         dialer.DialContext,
+		TLSClientConfig:     c.tls,
+		TLSHandshakeTimeout: dialer.Timeout,
+		MaxIdleConns:        256,
+		MaxIdleConnsPerHost: 64,
+		IdleConnTimeout:     time.Minute,
+		DisableCompression:  true,
+	}
+	c.http = &http.Client{
+		Transport: c.transport,
+		// A redirected write may be carried out twice.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+	return c, nil
+}
+
+// Close drops the idle connections; watches are closed by their owners.
+func (c *Client) Close() error {
+	c.transport.CloseIdleConnections()
+	return nil
+}
+
+func (c *Client) observe(kind Kind, began time.Time, err error) {
+	c.observer.Observe(Call{
+		Kind:     kind,
+		Duration: time.Since(began),
+		Err:      err,
+	})
+}
--- /dev/null
+++ b/lib/laceplatform/exchange.go
@@ -0,0 +1,164 @@
+package laceplatform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// maxAnswer bounds an answer: a list of 512 slots with values of up to 64 KB, in base64.
+const maxAnswer = 64 << 20
+
+// errBusy is a refusal that another endpoint would repeat, since they share the rate.
+var errBusy = errors.WithMessage(ErrUnavailable, MessageBusy)
+
+// effect says what a repetition of a call would do.
+type effect int
+
+const (
+	// reads may be repeated; nothing is lost when the outcome of one is unknown.
+	reads effect = iota
+	// repeats changes something, but a second time changes nothing more.
+	repeats
+	// once must not be sent again unless it was certainly not carried out.
+	once
+)
+
+// request is one call before it is sent.
+type request struct {
+	kind   Kind
+	effect effect
+	path   string
+	body   any
+}
+
+// call sends a request, to one endpoint after the other while that is safe, and decodes the answer.
+func (c *Client) call(ctx context.Context, r request, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	first := int(c.preferred.Load())
+	last := ErrUnavailable
+	var maybe error
+	for i := range c.endpoints {
+		if ctx.Err() != nil {
+			break
+		}
+		at := (first + i) % len(c.endpoints)
+		began := time.Now()
+		err := c.attempt(ctx, c.endpoints[at], r, answer, len(c.endpoints)-i)
+		c.observe(r.kind, began, err)
+		if settled(err) {
+			c.preferred.Store(int64(at))
+			return err
+		}
+		last = err
+		if errors.Is(err, ErrUnknown) {
+			if r.effect == once {
+				return err
+			}
+			maybe = err
+		}
+	}
+	switch {
+	case maybe == nil:
+		return last
+	case r.effect == reads:
+		return errors.WithMessage(ErrUnavailable, maybe.Error())
+	default:
+		return maybe
+	}
+}
+
+// settled reports whether an error is an answer, so that another endpoint would say the same.
+func settled(err error) bool {
+	return err == nil || errors.Is(err, errBusy) || !errors.Is(err, ErrUnavailable) && !errors.Is(err, ErrUnknown)
+}
+
+// attempt sends a request to one endpoint. A request that may be repeated gets its share of the time that is left.
+func (c *Client) attempt(ctx context.Context, endpoint string, r request, answer any, shares int) error {
+	if deadline, ok := ctx.Deadline(); ok && r.effect != once {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, time.Until(deadline)/time.Duration(shares))
+		defer cancel()
+	}
+	response, err := c.send(ctx, endpoint, r)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
+	if err != nil {
+		return errors.WithMessage(ErrUnknown, err.Error())
+	}
+	if response.StatusCode != http.StatusOK {
+		return classify(response.StatusCode, body)
+	}
+	if err := json.Unmarshal(body, answer); err != nil {
+		return errors.WithMessage(ErrUnknown, err.Error())
+	}
+	return nil
+}
+
+// send posts a request and returns the response. The failure is ErrUnavailable only if no connection was there to
+// send on; once there was one, the request may have arrived.
+func (c *Client) send(ctx context.Context, endpoint string, r request) (*http.Response, error) {
+	body, err := json.Marshal(r.body)
+	if err != nil {
+		return nil, errors.WithMessage(ErrUnavailable, err.Error())
+	}
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	post, err := http.NewRequestWithContext(ctx, http.MethodPost, endpoint+r.path, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.WithMessage(ErrUnavailable, err.Error())
+	}
+	post.Header.Set("Content-Type", "application/json")
+	if c.name != "" {
+		post.Header.Set(ClientHeader, c.name)
+	}
+	response, err := c.http.Do(post)
+	switch {
+	case err == nil:
+		return response, nil
+	case connected.Load():
+		return nil, errors.WithMessage(ErrUnknown, err.Error())
+	default:
+		return nil, errors.WithMessage(ErrUnavailable, err.Error())
+	}
+}
+
+// classify turns an error response into an error of this layer. Only failures that are known to come before the
+// execution count as not carried out: a 503 may also follow a proposal that timed out.
+func classify(status int, body []byte) error {
+	var f Failure
+	if err := json.Unmarshal(body, &f); err != nil || f.Message == "" {
+		return errors.WithMessage(ErrUnknown, http.StatusText(status))
+	}
+	switch f.Message {
+	case MessageLeaseGone:
+		return ErrLeaseGone
+	case MessageTooLarge:
+		return ErrTooLarge
+	case MessageCompacted:
+		return ErrCompacted
+	case MessageBusy:
+		return errBusy
+	case MessageNoLeader, MessageNotStarted:
+		return errors.WithMessage(ErrUnavailable, f.Message)
+	}
+	switch f.Code {
+	case CodeInvalid, CodeDenied, CodeExhausted, CodeNotServed, CodeNoIdentity:
+		return errors.WithMessage(ErrUnavailable, f.Message)
+	default:
+		return errors.WithMessage(ErrUnknown, f.Message)
+	}
+}
--- /dev/null
+++ b/lib/laceplatform/watch.go
@@ -0,0 +1,240 @@
+package laceplatform
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// maxPause bounds the wait before a broken watch is opened again, since configuration has to arrive in seconds.
+const maxPause = time.Second
+
+// Watch implements Store. It fails when no endpoint can be reached; once open, the watch resumes after a broken
+// connection at the revision that it has delivered, until its context ends or that revision is compacted.
+func (c *Client) Watch(ctx context.Context, prefix Key, after Revision) (Watch, error) {
+	inner, cancel := context.WithCancel(ctx)
+	w := &watch{
+		client: c,
+		prefix: prefix,
+		after:  after,
+		events: make(chan Event),
+		done:   make(chan struct{}),
+		cancel: cancel,
+	}
+	s, err := w.open(inner)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	go w.run(inner, s)
+	return w, nil
+}
+
+// watch is a stream of changes that survives its connections.
+type watch struct {
+	client *Client
+	prefix Key
+	after  Revision
+	events chan Event
+	done   chan struct{}
+	cancel context.CancelFunc
+	err    error
+}
+
+// Events implements Watch.
+func (w *watch) Events() <-chan Event {
+	return w.events
+}
+
+// Err implements Watch; it is nil while the watch runs.
+func (w *watch) Err() error {
+	select {
+	case <-w.done:
+		return w.err
+	default:
+		return nil
+	}
+}
+
+// Close implements Watch.
+func (w *watch) Close() error {
+	w.cancel()
+	<-w.done
+	return nil
+}
+
+func (w *watch) run(ctx context.Context, s *stream) {
+	defer close(w.events) // Last, so that Err is set for whoever sees the channel closed.
+	defer close(w.done)
+	defer w.cancel()
+	for {
+		err := w.drain(ctx, s)
+		s.close()
+		if ctx.Err() != nil {
+			w.err = ctx.Err()
+			return
+		}
+		if errors.Is(err, ErrCompacted) {
+			w.err = err
+			return
+		}
+		s, w.err = w.reopen(ctx)
+		if w.err != nil {
+			return
+		}
+	}
+}
+
+// drain delivers the changes of one connection until it breaks.
+func (w *watch) drain(ctx context.Context, s *stream) error {
+	for {
+		m, err := s.read(w.client.idle)
+		if err != nil {
+			return err
+		}
+		for _, e := range m.Events {
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case w.events <- event(e):
+			}
+		}
+		w.advance(m)
+	}
+}
+
+// advance moves the position. The header's revision counts only without events: a message with events may be
+// one of several that lead up to it.
+func (w *watch) advance(m WatchResponse) {
+	through := m.Header.Revision
+	if n := len(m.Events); n > 0 {
+		through = m.Events[n-1].Pair.Mod
+	}
+	w.after = max(w.after, Revision(through))
+}
+
+// reopen tries until a connection stands, with a growing and random wait in between.
+func (w *watch) reopen(ctx context.Context) (*stream, error) {
+	for pause := w.client.pause; ; pause = min(2*pause, maxPause) {
+		t := time.NewTimer(pause/2 + rand.N(pause/2+1))
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return nil, ctx.Err()
+		case <-t.C:
+		}
+		s, err := w.open(ctx)
+		if err == nil || ctx.Err() != nil {
+			return s, err
+		}
+	}
+}
+
+// open opens a connection at the first endpoint that accepts it.
+func (w *watch) open(ctx context.Context) (*stream, error) {
+	c := w.client
+	first := int(c.preferred.Load())
+	var last error
+	for i := range c.endpoints {
+		at := (first + i) % len(c.endpoints)
+		began := time.Now()
+		s, err := w.connect(ctx, c.endpoints[at])
+		c.observe(KindWatch, began, err)
+		if err == nil {
+			c.preferred.Store(int64(at))
+			return s, nil
+		}
+		last = err
+	}
+	return nil, errors.WithMessage(ErrUnavailable, last.Error())
+}
+
+// connect opens a connection at one endpoint and waits for its first message.
+func (w *watch) connect(ctx context.Context, endpoint string) (*stream, error) {
+	c := w.client
+	inner, cancel := context.WithCancel(ctx)
+	s := &stream{
+		cancel: cancel,
+		timer:  time.AfterFunc(c.timeout, cancel),
+	}
+	response, err := c.send(inner, endpoint, request{ //nolint:bodyclose // stream.close closes the body.
+		path: PathWatch,
+		body: WatchRequest{
+			Create: WatchCreate{
+				Key:      rangeStart(w.prefix),
+				End:      RangeEnd([]byte(w.prefix)),
+				Start:    int64(w.after) + 1,
+				Progress: true,
+			},
+		},
+	})
+	if err != nil {
+		s.close()
+		return nil, err
+	}
+	s.response = response
+	s.decoder = json.NewDecoder(response.Body)
+	if response.StatusCode != http.StatusOK {
+		s.close()
+		return nil, errors.WithMessage(ErrUnavailable, response.Status)
+	}
+	if _, err := s.read(c.timeout); err != nil && !errors.Is(err, ErrCompacted) {
+		s.close()
+		return nil, err
+	}
+	return s, nil
+}
+
+// stream is one connection of a watch.
+type stream struct {
+	response *http.Response
+	decoder  *json.Decoder
+	cancel   context.CancelFunc
+	// timer ends the connection when it stays silent.
+	timer *time.Timer
+	// compacted is set when the platform ended the watch for good.
+	compacted bool
+}
+
+// read returns the next message, or fails when none comes within a time.
+func (s *stream) read(within time.Duration) (WatchResponse, error) {
+	if s.compacted {
+		return WatchResponse{}, ErrCompacted
+	}
+	s.timer.Reset(within)
+	defer s.timer.Stop() // A reader that is slow to take the changes is not a silent connection.
+	var m WatchResult
+	if err := s.decoder.Decode(&m); err != nil {
+		return WatchResponse{}, errors.WithMessage(ErrUnavailable, err.Error())
+	}
+	switch {
+	case len(m.Error) > 0:
+		return WatchResponse{}, errors.WithMessage(ErrUnavailable, string(m.Error))
+	case m.Result.Compacted > 0:
+		s.compacted = true
+		return WatchResponse{}, ErrCompacted
+	case m.Result.Canceled:
+		return WatchResponse{}, errors.WithMessage(ErrUnavailable, "watch canceled")
+	default:
+		return m.Result, nil
+	}
+}
+
+func (s *stream) close() {
+	s.timer.Stop()
+	s.cancel()
+	if s.response != nil {
+		_ = s.response.Body.Close()
+	}
+}
+
+func event(e WatchEvent) Event {
+	return Event{
+		Entry:   entry(e.Pair),
+		Deleted: e.Type == EventDelete,
+	}
+}
