lacefleet: join, alive key, membership and address list

Cause: the other services need a membership and an address list before the outage protocol is proven. Ruled out: the lease id as the incarnation; lease ids need not rise, and a later process at an address must be recognisable as later. The revision of the first write of the alive key rises and is unique. Ruled out: polling members and alive keys; two watches carry only changes.

--- /dev/null
+++ b/lib/lacefleet/fleet.go
@@ -0,0 +1,117 @@
+package lacefleet
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lacewingcove/lib/laceledger"
+	"lacewingcove/lib/lacemember"
+	"lacewingcove/lib/laceunit"
+)
+
+// Errors of the fleet.
+var (
+	// ErrClosed means that the service is closed or has not joined yet.
+	ErrClosed = errors.New("fleet: not joined")
+	// ErrExpelled means that the process was removed from the membership and must restart as a new incarnation.
+	ErrExpelled = errors.New("fleet: removed from the membership")
+	// ErrBusy means that outage work is not flushed yet.
+	ErrBusy = errors.New("fleet: outage work is not flushed")
+)
+
+// Fleet is what other services use of the membership.
+type Fleet interface {
+	// Self returns the own holder; it is zero before Join.
+	Self() laceunit.Holder
+	// Record returns the last agreed membership.
+	Record() lacemember.Record
+	// Peers returns the other members.
+	Peers() []lacemember.Member
+	// Addresses returns the list for callers and how long they may keep it.
+	Addresses() ([]lacemember.Member, time.Duration)
+	// Witnesses returns the members that hold copies of this instance's journal.
+	Witnesses() []lacemember.Member
+	// Authorize decides whether and how a request may run now.
+	Authorize(request laceledger.Request, idempotent bool) lacemember.Decision
+	// Abandon ends an authorization of a non-idempotent request that certainly did not run.
+	Abandon(request laceledger.Request)
+	// Flushed says that the ledger has taken the offline record of a request.
+	Flushed(request laceledger.Request)
+	// Reachable reports whether this instance reaches the platform directly.
+	Reachable() bool
+	// Contacts returns the peers that lately reported contact with the platform.
+	Contacts() []lacemember.Member
+	// Suspect asks for an early check of the platform after a call to it has failed.
+	Suspect()
+	// OnGone adds a function that is told of holders that were removed; it must not block.
+	OnGone(told func([]laceunit.Holder))
+	// Fresh reads the membership from the platform.
+	Fresh(ctx context.Context) (lacemember.Record, error)
+	// Drain takes this instance out of the address list; it then refuses new requests.
+	Drain(ctx context.Context) error
+	// Leave takes this instance out of the membership; ErrBusy while outage work is not flushed.
+	Leave(ctx context.Context) error
+	// Fence declares the process of a holder gone on an operator's word.
+	Fence(ctx context.Context, holder laceunit.Holder) error
+}
+
+// Transport carries messages to the process that a member entry names.
+type Transport interface {
+	// Call sends a message and returns the answer, which is nil where the message has none.
+	Call(ctx context.Context, to lacemember.Member, message lacemember.Message) (lacemember.Message, error)
+}
+
+// Journal is the offline journal of this instance.
+type Journal interface {
+	// Flush submits the own entries, through a peer if needed, and reports each by Fleet.Flushed.
+	Flush(ctx context.Context) error
+	// Seal refuses further copies for an owner, flushes the ones held, and reports whether the ledger has them all.
+	Seal(ctx context.Context, owner laceunit.Holder) (bool, error)
+}
+
+// History reads the ledger for outage authority.
+type History interface {
+	// Retained returns the non-idempotent requests that the ledger retains. It is complete only if, before the
+	// read, the ledger refuses every record of a holder outside members, new grants included.
+	Retained(ctx context.Context, members []laceunit.Holder) (requests []laceledger.Request, complete bool, err error)
+}
+
+// Settings are the process settings of the fleet; zero values take the defaults of design section 6.
+type Settings struct {
+	Instance laceunit.InstanceID
+	Address  laceunit.Address
+	Place    laceunit.Place
+	Lean     laceunit.Lean
+	// Fence is member.fence, 10 minutes by default.
+	Fence time.Duration
+	// Retain is ledger.retain for non-idempotent requests, 24 hours by default.
+	Retain time.Duration
+	// TTL and Renew are the time to live of the alive key (10 s) and the interval of its renewal (3 s).
+	TTL   time.Duration
+	Renew time.Duration
+	// Call is the deadline of one platform call, 1 s by default; a slower platform counts as failing.
+	Call time.Duration
+	// Lost is how long calls must have failed before the platform counts as lost, 1 s by default.
+	Lost time.Duration
+	// Probe is the interval between probes of other members, 1 s by default.
+	Probe time.Duration
+	// Keep is how long callers may keep the address list, 30 s by default.
+	Keep time.Duration
+}
+
+func (s Settings) withDefaults() Settings {
+	set := func(d *time.Duration, value time.Duration) {
+		if *d <= 0 {
+			*d = value
+		}
+	}
+	set(&s.TTL, 10*time.Second)
+	set(&s.Renew, 3*time.Second)
+	set(&s.Call, time.Second)
+	set(&s.Lost, time.Second)
+	set(&s.Probe, time.Second)
+	set(&s.Keep, 30*time.Second)
+	return s
+}
--- a/lib/lacemember/view.go
+++ b/lib/lacemember/view.go
@@ -59,3 +59,6 @@
 	}
 	return members
 }
+
+// Covered reports whether the machine knows every request that the ledger took from holders outside the membership.
+func (m *Machine) Covered() bool { return m.isCovered() }
