--- /dev/null
+++ b/lib/lacegateway/admitter.go
@@ -0,0 +1,113 @@
+package lacegateway
+
+import (
+	"context"
+	"time"
+
+	"lacewingcove/lib/laceconfig"
+	"lacewingcove/lib/lacefault"
+	"lacewingcove/lib/lacelimit"
+)
+
+// Admitter runs the admission limits of an instance; it implements Limiter.
+type Admitter struct {
+	board   *board[lacelimit.Ticket, lacelimit.Decision]
+	limiter *lacelimit.Limiter
+	now     func() time.Time
+}
+
+// NewAdmitter returns an admitter with the limits of a document.
+func NewAdmitter(limits laceconfig.Limits, now func() time.Time) *Admitter {
+	limiter := lacelimit.New(limits)
+	return &Admitter{
+		board: newBoard[lacelimit.Ticket, lacelimit.Decision](limiter, func(d lacelimit.Decision) lacelimit.Ticket {
+			return d.Ticket
+		}),
+		limiter: limiter,
+		now:     now,
+	}
+}
+
+// Configure takes over the limits of a new document.
+func (a *Admitter) Configure(limits laceconfig.Limits) {
+	a.board.mu.Lock()
+	defer a.board.mu.Unlock()
+	a.limiter.Configure(limits)
+}
+
+// Serve decides what time decides until the context ends.
+func (a *Admitter) Serve(ctx context.Context) error {
+	return serveTicks(ctx, a.now, a.board.tick)
+}
+
+// Admit implements Limiter.
+func (a *Admitter) Admit(ctx context.Context, admission Admission) (func(), *lacefault.Fault) {
+	b := a.board
+	b.mu.Lock()
+	decision, others := a.limiter.Admit(a.now(), lacelimit.Request{
+		Account:  admission.Account,
+		Priority: admission.Priority,
+		Tokens:   admission.Tokens,
+		Limits:   admission.Limits,
+	})
+	b.deliver(others)
+	if decision.Verdict == lacelimit.Waiting {
+		c := b.await(decision.Ticket)
+		b.mu.Unlock()
+		decision = a.wait(ctx, decision.Ticket, c)
+	} else {
+		b.mu.Unlock()
+	}
+	if decision.Verdict != lacelimit.Admitted {
+		return nil, &lacefault.Fault{
+			Outcome:    lacefault.NotRun,
+			Code:       decision.Code,
+			Message:    "the instance or the client account is at its limit",
+			RetryAfter: decision.RetryAfter,
+		}
+	}
+	return func() { a.done(decision.Ticket) }, nil
+}
+
+// wait returns the decision on a waiting request; a caller that leaves gives its place up.
+func (a *Admitter) wait(ctx context.Context, ticket lacelimit.Ticket, c <-chan lacelimit.Decision) lacelimit.Decision {
+	select {
+	case d := <-c:
+		return d
+	case <-ctx.Done():
+	}
+	b := a.board
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if a.limiter.Cancel(ticket) {
+		delete(b.waiting, ticket)
+		return lacelimit.Decision{
+			Ticket:  ticket,
+			Verdict: lacelimit.Refused,
+			Code:    lacefault.Overloaded,
+		}
+	}
+	// The decision was made while the caller left.
+	return <-c
+}
+
+func (a *Admitter) done(ticket lacelimit.Ticket) {
+	b := a.board
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.deliver(a.limiter.Done(a.now(), ticket, 0))
+}
+
+// serveTicks runs a board's tick until the context ends.
+func serveTicks(ctx context.Context, now func() time.Time, tick func(time.Time) time.Duration) error {
+	timer := time.NewTimer(idleTick)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-timer.C:
+			timer.Reset(tick(now()))
+		}
+	}
+}
--- /dev/null
+++ b/lib/lacegateway/board.go
@@ -0,0 +1,61 @@
+package lacegateway
+
+import (
+	"sync"
+	"time"
+)
+
+// idleTick is how often a core is ticked when it names no time, so that a missed wake-up can't stall a queue.
+const idleTick = 50 * time.Millisecond
+
+// core is a decision core whose later calls decide earlier requests.
+type core[D any] interface {
+	Tick(now time.Time) []D
+	Next() (time.Time, bool)
+}
+
+// board hands the decisions of a core to the requests that wait for them; its mutex also guards the core.
+type board[K comparable, D any] struct {
+	mu      sync.Mutex
+	core    core[D]
+	key     func(D) K
+	waiting map[K]chan D
+}
+
+func newBoard[K comparable, D any](c core[D], key func(D) K) *board[K, D] {
+	return &board[K, D]{
+		core:    c,
+		key:     key,
+		waiting: map[K]chan D{},
+	}
+}
+
+// await registers a waiting request; the mutex must be held.
+func (b *board[K, D]) await(key K) <-chan D {
+	c := make(chan D, 1)
+	b.waiting[key] = c
+	return c
+}
+
+// deliver hands decisions out; the mutex must be held.
+func (b *board[K, D]) deliver(decisions []D) {
+	for _, d := range decisions {
+		k := b.key(d)
+		if c, ok := b.waiting[k]; ok {
+			delete(b.waiting, k)
+			c <- d
+		}
+	}
+}
+
+// tick lets the core decide what time decides and returns how long it may sleep.
+func (b *board[K, D]) tick(now time.Time) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.deliver(b.core.Tick(now))
+	next, ok := b.core.Next()
+	if !ok {
+		return idleTick
+	}
+	return min(max(next.Sub(now), time.Millisecond), idleTick)
+}
--- a/lib/lacegateway/gateway.go
+++ b/lib/lacegateway/gateway.go
@@ -45,6 +45,8 @@
 	Prefer   laceunit.ServerID
 	// Retry is true when the pick counts against the retry budget.
 	Retry bool
+	// Once is true for a call that is not idempotent.
+	Once bool
 	// Cost is the expected work in tokens.
 	Cost laceunit.Tokens
 }
@@ -122,6 +124,8 @@
 	Account  laceunit.AccountID
 	Priority laceunit.Priority
 	Tokens   laceunit.Tokens
+	// Limits are the client account's own limits.
+	Limits laceconfig.AccountLimits
 }
 
 // Deps are the services that a gateway stands on.
--- a/lib/lacegateway/run.go
+++ b/lib/lacegateway/run.go
@@ -51,12 +51,14 @@
 		Account:  t.caller.id,
 		Priority: t.choice.Priority,
 		Tokens:   t.spec.Ceiling,
+		Limits:   t.caller.account.Limits,
 	})
 	if fault != nil {
 		g.refuse(w, fault)
 		return
 	}
 	defer release()
+	t.choice.Once = !t.spec.Idempotent
 	t.spec.Request = t.request()
 	t.spec.Budget = t.caller.budget
 	t.spec.Claim = laceunit.AttemptID(g.holder.String() + "/" + strconv.FormatUint(serial, 36))
--- a/lib/lacegrant/policy.go
+++ b/lib/lacegrant/policy.go
@@ -8,8 +8,10 @@
 
 // Policy sets the size and the life of grants.
 type Policy struct {
-	// Seconds of recent spend that a grant should cover.
-	Seconds float64
+	// Span is the stretch of recent spend that a grant should cover; the offline part has to last for an outage.
+	Span time.Duration
+	// Least is the size of a grant in ceilings when there is little demand.
+	Least int
 	// Idle is the time without a reservation after which a grant goes back.
 	Idle time.Duration
 	// Offline is the share of a grant that may be spent without the platform.
@@ -20,32 +22,44 @@
 
 // Defaults of the policy, see docs/design.md, section 4.
 const (
-	DefaultSeconds          = 10
-	DefaultIdle             = 30 * time.Second
-	DefaultShare            = 0.5
-	DefaultOfflineAvailable = 0.6
-	DefaultOfflineStrict    = 0.2
-	// demandDecay is the time constant of the moving average of spend; it is as long as a grant lasts.
-	demandDecay = DefaultSeconds * time.Second
+	// DefaultSpanAvailable lets the offline part cover an outage of five minutes, DefaultSpanStrict one of ten seconds.
+	DefaultSpanAvailable = 330 * time.Second
+	DefaultSpanStrict    = 20 * time.Second
+	DefaultIdle          = 30 * time.Second
+	DefaultShare         = 0.5
+
+	DefaultOfflineAvailable = 0.9
+	DefaultOfflineStrict    = 0.5
+
+	// DefaultLeastAvailable lets an instance with little traffic serve some requests during an outage.
+	DefaultLeastAvailable = 8
+	DefaultLeastStrict    = 2
+
+	// demandDecay is the time constant of the moving average of spend. A shorter one forgets sparse traffic between
+	// two requests, so that grants shrink and grow all the time.
+	demandDecay = time.Minute
 )
 
 // DefaultPolicy returns the policy of a lean.
 func DefaultPolicy(lean laceunit.Lean) Policy {
 	p := Policy{
-		Seconds: DefaultSeconds,
+		Span:    DefaultSpanAvailable,
+		Least:   DefaultLeastAvailable,
 		Idle:    DefaultIdle,
 		Offline: DefaultOfflineAvailable,
 		Share:   DefaultShare,
 	}
 	if lean == laceunit.LeanStrict {
 		p.Offline = DefaultOfflineStrict
+		p.Span = DefaultSpanStrict
+		p.Least = DefaultLeastStrict
 	}
 	return p
 }
 
 // size returns how many tokens an instance should hold of a budget.
 func (p Policy) size(demand float64, ceiling, left laceunit.Tokens, known bool, instances int) laceunit.Tokens {
-	want := max(laceunit.Tokens(demand*p.Seconds), 2*ceiling)
+	want := max(laceunit.Tokens(demand*p.Span.Seconds()), laceunit.Tokens(max(p.Least, 1))*ceiling)
 	if !known {
 		return want
 	}
--- a/lib/lacegrant/service.go
+++ b/lib/lacegrant/service.go
@@ -245,7 +245,7 @@
 			return Reservation{}, nil, old.err
 		}
 	}
-	if open, need := s.wallet.Need(now, budget, ceiling); need {
+	if open, need := s.wallet.Need(now, budget, ceiling, !ok); need {
 		open.Witnesses = s.witnesses()
 		s.waiter(budget)
 		s.tasks.Add(1)
@@ -312,6 +312,10 @@
 	case laceledger.Missing:
 		return ErrUnknownBudget
 	case laceledger.Short:
+		if open.Least == 0 {
+			// An early top-up found nothing left; nobody waits for it.
+			return nil
+		}
 		b, err := s.ledger.Balance(ctx, open.Budget)
 		if err == nil && b.Paid-b.Settled >= open.Least {
 			return ErrElsewhere
--- a/lib/lacegrant/wallet.go
+++ b/lib/lacegrant/wallet.go
@@ -178,8 +178,8 @@
 }
 
 // Need returns the record that the wallet wants appended so that a ceiling fits, or none when an append is under
-// way or the grant is large enough.
-func (w *Wallet) Need(now time.Time, budget laceunit.BudgetID, ceiling laceunit.Tokens) (laceledger.Open, bool) {
+// way or the grant is large enough. Without urgency nobody waits for the ceiling, and any amount is welcome.
+func (w *Wallet) Need(now time.Time, budget laceunit.BudgetID, ceiling laceunit.Tokens, urgent bool) (laceledger.Open, bool) {
 	p := w.purse(budget)
 	if p.back != nil {
 		return laceledger.Open{}, false
@@ -201,7 +201,10 @@
 		p.names++
 		grant, serial = w.name(budget, p.names), 1
 	}
-	least := max(ceiling-p.free, 0)
+	var least laceunit.Tokens
+	if urgent {
+		least = max(ceiling-p.free, 0)
+	}
 	tokens := max(target-p.free, least, 1)
 	p.open = &laceledger.Open{
 		Budget:  budget,
