--- a/lib/laceemulator/call.go
+++ b/lib/laceemulator/call.go
@@ -56,7 +56,7 @@
 	before := p.state.Revision()
 	err := run(now)
 	if p.state.Revision() != before {
-		p.wake()
+		p.changed.fire()
 	}
 	return err
 }
@@ -133,7 +133,7 @@
 func (p *Platform) renewable(ctx context.Context, client string) error {
 	for {
 		p.mu.Lock()
-		paused, changed := p.faults.PauseRenewals[client], p.changed
+		paused, changed := p.faults.PauseRenewals[client], p.changed.next()
 		p.mu.Unlock()
 		if !paused {
 			return nil
--- /dev/null
+++ b/lib/laceemulator/faulthandler.go
@@ -0,0 +1,172 @@
+package laceemulator
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// OutcomeHeader is "not_run" on an answer whose request certainly did not run.
+const OutcomeHeader = "Lace-Outcome"
+
+// refusal is the body of a request that was refused.
+type refusal struct {
+	Error string `json:"error"`
+}
+
+// refuse answers a request that did not run.
+func refuse(w http.ResponseWriter, status int, reason string) {
+	w.Header().Set(OutcomeHeader, "not_run")
+	writeJSON(w, status, refusal{
+		Error: reason,
+	})
+}
+
+// period is a duration in the JSON form of Go, such as "150ms".
+type period time.Duration
+
+// MarshalJSON implements json.Marshaler.
+func (p period) MarshalJSON() ([]byte, error) {
+	return json.Marshal(time.Duration(p).String())
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (p *period) UnmarshalJSON(raw []byte) error {
+	var text string
+	if err := json.Unmarshal(raw, &text); err != nil {
+		return errors.Wrap(err, "emulator: duration")
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		return errors.Wrap(err, "emulator: duration")
+	}
+	*p = period(d)
+	return nil
+}
+
+// serverFaults is the JSON form of ServerFaults.
+type serverFaults struct {
+	Down    bool    `json:"down"`
+	Refused float64 `json:"refused"`
+	Late    float64 `json:"late"`
+	LateBy  period  `json:"late_by"`
+	Crossed float64 `json:"crossed"`
+	Cut     float64 `json:"cut"`
+	Length  float64 `json:"length"`
+	Slow    period  `json:"slow"`
+}
+
+// withFaults adds GET and POST /faults to a server, and breaks its other connections while it is down. What a POST
+// leaves out is switched off.
+func withFaults(m *mishaps, next http.Handler) http.Handler {
+	h := http.NewServeMux()
+	h.HandleFunc("GET /faults", func(w http.ResponseWriter, _ *http.Request) {
+		f := m.Faults()
+		writeJSON(w, http.StatusOK, serverFaults{
+			Down:    f.Down,
+			Refused: f.Refused,
+			Late:    f.Late,
+			LateBy:  period(f.LateBy),
+			Crossed: f.Crossed,
+			Cut:     f.Cut,
+			Length:  f.Length,
+			Slow:    period(f.Slow),
+		})
+	})
+	h.HandleFunc("POST /faults", func(w http.ResponseWriter, r *http.Request) {
+		var f serverFaults
+		if !readJSON(w, r, &f) {
+			return
+		}
+		m.SetFaults(ServerFaults{
+			Down:    f.Down,
+			Refused: f.Refused,
+			Late:    f.Late,
+			LateBy:  time.Duration(f.LateBy),
+			Crossed: f.Crossed,
+			Cut:     f.Cut,
+			Length:  f.Length,
+			Slow:    time.Duration(f.Slow),
+		})
+		w.WriteHeader(http.StatusNoContent)
+	})
+	h.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		if m.Faults().Down {
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
+	return h
+}
+
+// platformFaults is the JSON form of PlatformFaults.
+type platformFaults struct {
+	Down          bool           `json:"down"`
+	Latency       period         `json:"latency"`
+	Jitter        period         `json:"jitter"`
+	Lost          float64        `json:"lost"`
+	LoseNext      int            `json:"lose_next"`
+	Cuts          map[string]Cut `json:"cuts,omitempty"`
+	Hang          bool           `json:"hang"`
+	PauseRenewals []string       `json:"pause_renewals,omitempty"`
+	HoldLeases    bool           `json:"hold_leases"`
+}
+
+func (s *platformServer) getFaults(w http.ResponseWriter, _ *http.Request) {
+	f := s.platform.Faults()
+	a := platformFaults{
+		Down:       f.Down,
+		Latency:    period(f.Latency),
+		Jitter:     period(f.Jitter),
+		Lost:       f.Lost,
+		LoseNext:   f.LoseNext,
+		Cuts:       f.Cuts,
+		Hang:       f.Hang,
+		HoldLeases: f.HoldLeases,
+	}
+	for client, paused := range f.PauseRenewals {
+		if paused {
+			a.PauseRenewals = append(a.PauseRenewals, client)
+		}
+	}
+	writeJSON(w, http.StatusOK, a)
+}
+
+// setFaults replaces all faults; what the body leaves out is switched off.
+func (s *platformServer) setFaults(w http.ResponseWriter, r *http.Request) {
+	var q platformFaults
+	if !readJSON(w, r, &q) {
+		return
+	}
+	f := PlatformFaults{
+		Down:          q.Down,
+		Latency:       time.Duration(q.Latency),
+		Jitter:        time.Duration(q.Jitter),
+		Lost:          q.Lost,
+		LoseNext:      q.LoseNext,
+		Cuts:          q.Cuts,
+		Hang:          q.Hang,
+		PauseRenewals: map[string]bool{},
+		HoldLeases:    q.HoldLeases,
+	}
+	for _, client := range q.PauseRenewals {
+		f.PauseRenewals[client] = true
+	}
+	s.platform.SetFaults(f)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// platformCounts is the JSON form of Counts.
+type platformCounts struct {
+	Reads   int64 `json:"reads"`
+	Writes  int64 `json:"writes"`
+	Leases  int64 `json:"leases"`
+	Watches int64 `json:"watches"`
+	Refused int64 `json:"refused"`
+}
+
+func (s *platformServer) getCounts(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, platformCounts(s.platform.Counts()))
+}
--- a/lib/laceemulator/feed.go
+++ b/lib/laceemulator/feed.go
@@ -34,15 +34,15 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.faults.Down {
-		return nil, p.changed, laceplatform.ErrUnavailable
+		return nil, p.changed.next(), laceplatform.ErrUnavailable
 	}
 	if p.faults.Cuts[f.client] != "" {
-		return nil, p.changed, nil
+		return nil, p.changed.next(), nil
 	}
 	p.tick(p.now())
 	events, through, err := p.state.Since(f.prefix, f.after)
 	f.after = through
-	return events, p.changed, err
+	return events, p.changed.next(), err
 }
 
 // cut reports whether the client is cut off in either direction.
--- a/lib/laceemulator/local.go
+++ b/lib/laceemulator/local.go
@@ -203,7 +203,7 @@
 func (p *Platform) up(ctx context.Context) error {
 	for {
 		p.mu.Lock()
-		down, changed := p.faults.Down, p.changed
+		down, changed := p.faults.Down, p.changed.next()
 		p.mu.Unlock()
 		if !down {
 			return nil
--- /dev/null
+++ b/lib/laceemulator/mishap.go
@@ -0,0 +1,94 @@
+package laceemulator
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// ServerFaults are the faults of one emulated server; shares are drawn anew for each request.
+type ServerFaults struct {
+	// Down breaks every connection without an answer.
+	Down bool
+	// Refused is the share of requests that are answered with 503 and do not run.
+	Refused float64
+	// Late is the share of answers that are complete but held back for LateBy.
+	Late   float64
+	LateBy time.Duration
+	// Crossed is the share of requests that get the answer of another request.
+	Crossed float64
+	// Cut is the share of answers that break off.
+	Cut float64
+	// Length is the share of answers whose length is not what they say.
+	Length float64
+	// Slow is added to each token of an engine and to each call of a service.
+	Slow time.Duration
+}
+
+// mishap is what the faults drew for one request.
+type mishap struct {
+	down    bool
+	refused bool
+	crossed bool
+	cut     bool
+	length  bool
+	late    time.Duration
+	slow    time.Duration
+	// place says where in the answer it goes wrong, from 0 up to 1.
+	place float64
+}
+
+// mishaps draws mishaps from faults that can be replaced at run time.
+type mishaps struct {
+	mu     sync.Mutex
+	faults ServerFaults
+	random *rand.Rand
+}
+
+func newMishaps(seed uint64, faults ServerFaults) *mishaps {
+	return &mishaps{
+		faults: faults,
+		random: rand.New(rand.NewPCG(seed, 1)),
+	}
+}
+
+// SetFaults replaces the faults.
+func (m *mishaps) SetFaults(faults ServerFaults) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.faults = faults
+}
+
+// Faults returns the faults.
+func (m *mishaps) Faults() ServerFaults {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.faults
+}
+
+// draw always takes the same number of random values, so that a seed gives the same run when one fault is changed.
+func (m *mishaps) draw() mishap {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	f := m.faults
+	d := mishap{
+		down:    f.Down,
+		refused: m.random.Float64() < f.Refused,
+		crossed: m.random.Float64() < f.Crossed,
+		cut:     m.random.Float64() < f.Cut,
+		length:  m.random.Float64() < f.Length,
+		slow:    f.Slow,
+	}
+	if m.random.Float64() < f.Late {
+		d.late = f.LateBy
+	}
+	d.place = m.random.Float64()
+	return d
+}
+
+// chance reports whether an event of a probability happens.
+func (m *mishaps) chance(probability float64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.random.Float64() < probability
+}
--- a/lib/laceemulator/platform.go
+++ b/lib/laceemulator/platform.go
@@ -1,7 +1,6 @@
 package laceemulator
 
 import (
-	"context"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -40,7 +39,7 @@
 	counts  Counts
 	writes  *rate.Limiter
 	reads   *rate.Limiter
-	changed chan struct{}
+	changed signal
 	stop    chan struct{}
 	stopped chan struct{}
 }
@@ -72,9 +71,7 @@
 
 // NewPlatform returns a running platform.
 func NewPlatform(options ...PlatformOption) *Platform {
-	p := &Platform{
-		changed: make(chan struct{}),
-	}
+	p := &Platform{}
 	WithRates(DefaultWrites, DefaultReads)(p)
 	WithSeed(1)(p)
 	for _, o := range options {
@@ -110,7 +107,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.faults = faults.clone()
-	p.wake()
+	p.changed.fire()
 }
 
 // Faults returns the faults; LoseNext is what is left of it.
@@ -132,7 +129,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.state.Compact(through)
-	p.wake()
+	p.changed.fire()
 }
 
 // Tick expires the leases that are due.
@@ -144,7 +141,7 @@
 
 func (p *Platform) tick(now time.Time) {
 	if !p.faults.HoldLeases && p.state.Expire(now) {
-		p.wake()
+		p.changed.fire()
 	}
 }
 
@@ -161,19 +158,3 @@
 		}
 	}
 }
-
-// wake tells everyone who waits for a change; the caller holds the lock.
-func (p *Platform) wake() {
-	close(p.changed)
-	p.changed = make(chan struct{})
-}
-
-// wait blocks until the next change after the channel was taken.
-func wait(ctx context.Context, changed <-chan struct{}) error {
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-changed:
-		return nil
-	}
-}
--- a/lib/laceemulator/server.go
+++ b/lib/laceemulator/server.go
@@ -41,6 +41,9 @@
 	m.Handle("POST "+laceplatform.PathRenew, s.pausable(serve(s, laceplatform.KindLease, s.renew)))
 	m.Handle("POST "+laceplatform.PathRevoke, serve(s, laceplatform.KindLease, s.revoke))
 	m.HandleFunc("POST "+laceplatform.PathWatch, s.watch)
+	m.HandleFunc("GET /faults", s.getFaults)
+	m.HandleFunc("POST /faults", s.setFaults)
+	m.HandleFunc("GET /v1/counts", s.getCounts)
 	return m
 }
 
