laceconfig: edits over the platform with compare-and-swap, records, history

Cause: operators edit at the same time, answers get lost, and an accepted change must have its audit record. Ruled out: one body a section (2.4 MB for 6,800 accounts, over the platform's 1 MB); a manifest body between head and parts, one more write an edit; deleting bodies by age, which needs a clock that all instances agree on. Change: a section is cut into parts by entry id, equal content has equal digests; an edit is accepted by the swap of the head, and only after the former change's record and edit mark are written; a body that is used again is written again, so a cleaner deletes only bodies older than the head it read. Seen failing: without the stamp check "8 edits of one state were accepted"; without finish "crash after write 2: version 2 has no record"; without the id lookup "repeat of an edit with accepted true: ... section limits is at 3-..."; without the doubt "fate 4 of write 3: reported as not done, but it was accepted"; without the age check of clean "too many concurrent edits"; without the whole check TestMergeIsValidatedAsWhole "got <nil>".

--- /dev/null
+++ b/lib/laceconfig/apply.go
@@ -0,0 +1,234 @@
+package laceconfig
+
+import (
+	"context"
+	"maps"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"lacewingcove/lib/laceplatform"
+	"lacewingcove/lib/laceunit"
+	"lacewingcove/lib/laceyaml"
+)
+
+// Result is an accepted edit.
+type Result struct {
+	// Version is the version that the edit made, or the current one when it changed nothing.
+	Version laceunit.Version
+	Changes []Change
+	// Repeated is true when an edit with the same id had been accepted before.
+	Repeated bool
+}
+
+// Plan returns what an edit would change now, or why it would not be accepted.
+func (s *Store) Plan(ctx context.Context, f File) (Plan, error) {
+	wanted, err := wantedContent(f)
+	if err != nil {
+		return Plan{}, err
+	}
+	snap, err := s.Snapshot(ctx)
+	if err != nil {
+		return Plan{}, err
+	}
+	p, err := propose(snap, f, wanted)
+	return p.plan, err
+}
+
+// Apply carries an edit out. It is accepted when the head has been swapped: its record is then certain,
+// because the next change is accepted only after the record of the last one has been written.
+func (s *Store) Apply(ctx context.Context, e Edit) (Result, error) {
+	if !laceyaml.IsID(e.ID) || strings.TrimSpace(e.Who) == "" || len(e.File.Present) == 0 {
+		return Result{}, ErrMalformed
+	}
+	wanted, err := wantedContent(e.File)
+	if err != nil {
+		return Result{}, err
+	}
+	a := attempt{
+		store:  s,
+		edit:   e,
+		wanted: wanted,
+		digest: e.digest(wanted),
+	}
+	for range tries {
+		r, done, err := a.once(ctx)
+		if done || err != nil {
+			return r, a.judge(err)
+		}
+	}
+	return Result{}, a.judge(ErrBusy)
+}
+
+func wantedContent(f File) (Content, error) {
+	c := Content{}
+	for _, n := range f.Present {
+		entries, err := splitSection(f.Document, n)
+		if err != nil {
+			return nil, err
+		}
+		c[n] = entries
+	}
+	return c, nil
+}
+
+// attempt is the state of one edit over its tries.
+type attempt struct {
+	store  *Store
+	edit   Edit
+	wanted Content
+	digest laceunit.Digest
+	// doubtful is true while a swap whose answer was lost may still take effect; it expected the revision at.
+	doubtful bool
+	at       laceplatform.Revision
+}
+
+// judge turns a failure into ErrUnknown while an earlier swap may still take effect.
+func (a *attempt) judge(err error) error {
+	if err != nil && a.doubtful {
+		return errors.Wrap(ErrUnknown, err.Error())
+	}
+	return err
+}
+
+// once tries the edit against the current head; it reports done when there is nothing left to try.
+func (a *attempt) once(ctx context.Context) (Result, bool, error) {
+	h, err := a.store.Head(ctx)
+	if err != nil {
+		return Result{}, false, err
+	}
+	err = a.store.finish(ctx, h)
+	if errors.Is(err, errMoved) {
+		return Result{}, false, nil
+	}
+	if err != nil {
+		return Result{}, false, err
+	}
+	r, known, err := a.earlier(ctx, h)
+	if known || err != nil {
+		a.doubtful = a.doubtful && !known
+		return r, known, err
+	}
+	if a.doubtful && h.Revision != a.at {
+		a.doubtful = false // the head has moved past the swap in doubt, so it failed
+	}
+	snap, err := a.store.Load(ctx, h)
+	if errors.Is(err, errMoved) {
+		return Result{}, false, nil
+	}
+	if err != nil {
+		return Result{}, false, err
+	}
+	p, err := propose(snap, a.edit.File, a.wanted)
+	if err != nil {
+		return Result{}, false, err
+	}
+	if len(p.plan.Changes) == 0 {
+		return Result{Version: h.Version}, true, nil
+	}
+	next, err := a.write(ctx, h, p, snap.Document.Audit)
+	if err != nil {
+		return Result{}, false, err
+	}
+	done, err := a.swap(ctx, next, h.Revision)
+	if !done || err != nil {
+		return Result{}, false, err
+	}
+	return Result{
+		Version: next.Version,
+		Changes: p.plan.Changes,
+	}, true, nil
+}
+
+// earlier looks for the same edit among those accepted before this head or by it.
+func (a *attempt) earlier(ctx context.Context, h Head) (Result, bool, error) {
+	if h.Version == 0 {
+		return Result{}, false, nil
+	}
+	e, err := a.store.platform.Get(ctx, editKey(a.edit.ID))
+	if errors.Is(err, laceplatform.ErrMissing) {
+		return Result{}, false, nil
+	}
+	if err != nil {
+		return Result{}, false, outside(err)
+	}
+	m, err := decodeMark(e.Value)
+	if err != nil {
+		return Result{}, false, err
+	}
+	if m.digest != a.digest {
+		a.doubtful = false
+		return Result{}, false, ErrReused
+	}
+	return Result{
+		Version:  m.version,
+		Repeated: true,
+	}, true, nil
+}
+
+// write puts the bodies of the changed sections and returns the head that refers to them.
+func (a *attempt) write(ctx context.Context, h Head, p proposal, keep Audit) (Head, error) {
+	next := Head{
+		Version:  h.Version + 1,
+		Sections: map[Section]Ref{},
+		Oldest:   a.store.expire(ctx, h, a.edit.At.Add(-keep.Keep)),
+		Last: Last{
+			Edit:   a.edit.ID,
+			Who:    a.edit.Who,
+			When:   a.edit.At.UTC(),
+			Digest: a.digest,
+			Before: map[Section]Ref{},
+		},
+	}
+	maps.Copy(next.Sections, h.Sections)
+	used := bodies(h.Sections)
+	for _, n := range p.plan.Sections {
+		cut, err := parts(n, p.content[n])
+		if err != nil {
+			return Head{}, err
+		}
+		for _, x := range cut {
+			if used[x.digest] {
+				continue
+			}
+			if err = a.store.put(ctx, x); err != nil {
+				return Head{}, err
+			}
+		}
+		next.Last.Before[n] = h.Sections[n]
+		next.Sections[n] = Ref{
+			Revision: next.Version,
+			Who:      next.Last.Who,
+			When:     next.Last.When,
+			Parts:    digestList(cut),
+		}
+	}
+	return next, nil
+}
+
+// swap makes the head current; it reports whether that is certain. A lost answer is settled by the next try.
+func (a *attempt) swap(ctx context.Context, next Head, expect laceplatform.Revision) (bool, error) {
+	text, err := next.encode()
+	if err != nil {
+		return false, err
+	}
+	next.Revision, err = a.store.platform.Swap(ctx, laceplatform.Swap{
+		Key:    HeadKey,
+		Value:  text,
+		Expect: expect,
+	})
+	switch {
+	case err == nil:
+		a.doubtful = false
+		// The edit is accepted; a record that can't be written now is written before the next change.
+		_ = a.store.finish(ctx, next)
+		return true, nil
+	case errors.Is(err, laceplatform.ErrConflict):
+		return false, nil
+	case errors.Is(err, laceplatform.ErrUnknown):
+		a.doubtful, a.at = true, expect
+		return false, nil
+	default:
+		return false, outside(err)
+	}
+}
--- a/lib/laceconfig/codec.go
+++ b/lib/laceconfig/codec.go
@@ -65,12 +65,12 @@
 	return fields
 }
 
-func fileFields(d *Document, version *int64, texts map[Section]*string) []laceyaml.Field {
+func fileFields(d *Document, version *laceunit.Version, texts map[Section]*string) []laceyaml.Field {
 	for _, s := range Sections() {
 		texts[s] = new(string)
 	}
 	head := []laceyaml.Field{
-		laceyaml.Integer("version", "Version that the file shows; it is ignored by an edit.", version, 0, 1<<62).Sparse(),
+		laceyaml.Unsigned("version", "Version that the file shows; it is ignored by an edit.", version, 0, maxVersion).Sparse(),
 		laceyaml.Group("base", "State of each section that an edit starts from, as printed by `lacectl config show`.",
 			stampFields(texts)...),
 	}
@@ -83,10 +83,8 @@
 		Document: Default(),
 		Base:     map[Section]Stamp{},
 	}
-	var version int64
 	texts := map[Section]*string{}
-	lines, faults := laceyaml.Read(text, fileFields(&f.Document, &version, texts))
-	f.Document.Version = laceunit.Version(version)
+	lines, faults := laceyaml.Read(text, fileFields(&f.Document, &f.Document.Version, texts))
 	f.Lines = lines
 	for _, s := range Sections() {
 		if _, ok := lines[string(s)]; ok {
@@ -122,9 +120,8 @@
 
 // EncodeFile writes a document with the state that an edit of it starts from.
 func EncodeFile(f File) ([]byte, error) {
-	version := int64(f.Document.Version)
 	texts := map[Section]*string{}
-	fields := fileFields(&f.Document, &version, texts)
+	fields := fileFields(&f.Document, &f.Document.Version, texts)
 	for s, stamp := range f.Base {
 		if t, ok := texts[s]; ok {
 			*t = stamp.String()
@@ -136,6 +133,5 @@
 // Reference returns the reference of the document in Markdown.
 func Reference() string {
 	d := Default()
-	var version int64
-	return laceyaml.Reference(fileFields(&d, &version, map[Section]*string{}))
+	return laceyaml.Reference(fileFields(&d, &d.Version, map[Section]*string{}))
 }
--- /dev/null
+++ b/lib/laceconfig/store_test.go
@@ -0,0 +1,370 @@
+package laceconfig
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lacewingcove/lib/laceunit"
+	"lacewingcove/lib/laceyaml"
+)
+
+func noon() time.Time { return time.Date(2026, 1, 2, 12, 0, 0, 0, time.UTC) }
+
+func file(t testing.TB, text string) File {
+	t.Helper()
+	f, err := DecodeFile([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+func edit(t testing.TB, id, text string) Edit {
+	return Edit{ID: id, Who: "op-" + id, At: noon(), File: file(t, text)}
+}
+
+// seeded returns a platform with the co-operative's document at version 1.
+func seeded(t testing.TB) (*fake, *Store) {
+	t.Helper()
+	f := newFake()
+	s := NewStore(f)
+	if _, err := s.Apply(context.Background(), edit(t, "seed", string(sample(t, "coop.yaml")))); err != nil {
+		t.Fatal(err)
+	}
+	return f, f.revive()
+}
+
+// base returns the text that an editor who saw the current state puts before an edit.
+func base(t testing.TB, s *Store) string {
+	t.Helper()
+	f, err := s.Show(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := "base:\n"
+	for _, n := range Sections() {
+		if stamp, ok := f.Base[n]; ok {
+			text += fmt.Sprintf("  %s: %s\n", n, stamp)
+		}
+	}
+	return text
+}
+
+// audited fails when an accepted version has no complete record of its own.
+func audited(t *testing.T, s *Store) []Record {
+	t.Helper()
+	all, err := s.History(context.Background(), 0, 1000)
+	if err != nil {
+		t.Fatal(err)
+	}
+	snap, err := s.Snapshot(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(all) != int(snap.Head.Version) {
+		t.Fatalf("%d records of %d accepted changes", len(all), snap.Head.Version)
+	}
+	for i, r := range all {
+		if r.Version != snap.Head.Version-laceunit.Version(i) || r.Who != "op-"+r.Edit || len(r.Changes) == 0 {
+			t.Fatalf("record %+v", r)
+		}
+	}
+	return all
+}
+
+// Guards against two operators who both believe that their edit of one section was accepted.
+func TestRaceOnSameSection(t *testing.T) {
+	f, s := seeded(t)
+	start := base(t, s)
+	var wg sync.WaitGroup
+	results := make([]error, 8)
+	for i := range results {
+		wg.Go(func() {
+			text := fmt.Sprintf("%slimits: {waiting: %d}\n", start, 100+i)
+			_, results[i] = NewStore(f).Apply(context.Background(), edit(t, fmt.Sprintf("e%d", i), text))
+		})
+	}
+	wg.Wait()
+	accepted := 0
+	for _, err := range results {
+		var c *Conflict
+		switch {
+		case err == nil:
+			accepted++
+		case !errors.As(err, &c) || !strings.Contains(err.Error(), "section limits is at 2-"):
+			t.Fatalf("got %v", err)
+		}
+	}
+	if accepted != 1 {
+		t.Fatalf("%d edits of one state were accepted", accepted)
+	}
+	audited(t, f.revive())
+}
+
+// Guards against an edit that is lost or refused because another operator edited another section.
+func TestRaceOnDifferentSections(t *testing.T) {
+	f, s := seeded(t)
+	start := base(t, s)
+	texts := map[string]string{
+		"a": "limits: {waiting: 7}", "b": "audit: {keep: 48h}", "c": "routing: {queue: 9}",
+		"d": "models: {assistant-large: {context: 9, output: 9}, assistant-small: {context: 8, output: 8}}",
+	}
+	var wg sync.WaitGroup
+	for id, text := range texts {
+		wg.Go(func() {
+			if _, err := NewStore(f).Apply(context.Background(), edit(t, id, start+text)); err != nil {
+				t.Errorf("%s: %v", id, err)
+			}
+		})
+	}
+	wg.Wait()
+	s = f.revive()
+	snap, err := s.Snapshot(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := snap.Document
+	if d.Version != 5 || d.Limits.Waiting != 7 || d.Audit.Keep != 48*time.Hour || d.Routing.Queue != 9 ||
+		d.Models["assistant-large"].Context != 9 || len(d.Accounts) != 10 {
+		t.Fatalf("merged document %+v", d)
+	}
+	audited(t, s)
+}
+
+// Guards against a merge that reverts what another operator changed in a section that this file repeats unchanged.
+func TestUnchangedSectionKeepsOthersEdit(t *testing.T) {
+	_, s := seeded(t)
+	shown, err := s.Show(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := EncodeFile(shown)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err = s.Apply(context.Background(), edit(t, "other", base(t, s)+"limits: {waiting: 7}")); err != nil {
+		t.Fatal(err)
+	}
+	mine := strings.Replace(string(text), "queue: 256", "queue: 9", 1)
+	if _, err = s.Apply(context.Background(), edit(t, "mine", mine)); err != nil {
+		t.Fatal(err)
+	}
+	shown, err = s.Show(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if d := shown.Document; d.Limits.Waiting != 7 || d.Routing.Queue != 9 {
+		t.Fatalf("limits %+v routing %+v", d.Limits, d.Routing)
+	}
+}
+
+// Guards against merges of valid edits that leave a reference without its target.
+func TestMergeIsValidatedAsWhole(t *testing.T) {
+	_, s := seeded(t)
+	start := base(t, s)
+	if _, err := s.Apply(context.Background(), edit(t, "a", start+"servers: {}")); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := s.Apply(context.Background(), edit(t, "b", start+"models: {}")); err != nil {
+		t.Fatal(err)
+	}
+	back := strings.Replace(base(t, s)+string(sample(t, "coop.yaml")), "models:\n  assistant-large", "models:\n  renamed", 1)
+	_, err := s.Apply(context.Background(), edit(t, "c", back))
+	var faults laceyaml.Faults
+	if !errors.As(err, &faults) || faults[0].Line == 0 {
+		t.Fatalf("got %v", err)
+	}
+}
+
+// Guards against an edit that is applied twice, or reported wrongly, when the answer of any of its writes is lost.
+func TestLostAnswers(t *testing.T) {
+	for _, end := range []fate{lost, dropped, down, dying} {
+		for n := 1; n < 12; n++ {
+			f, s := seeded(t)
+			e := edit(t, "mine", base(t, s)+"limits: {waiting: 7}\naudit: {keep: 48h}")
+			f.script = func(i int) fate {
+				if i == n {
+					return end
+				}
+				return passes
+			}
+			first, err := s.Apply(context.Background(), e)
+			if f.writes < n {
+				break
+			}
+			accepted := f.values[HeadKey].Revision > 0 && strings.Contains(string(f.values[HeadKey].Value), "version: 2\n")
+			switch {
+			case err == nil && (!accepted || first.Version != 2):
+				t.Fatalf("fate %d of write %d: reported version %d, accepted %v", end, n, first.Version, accepted)
+			case errors.Is(err, ErrUnavailable) && accepted:
+				t.Fatalf("fate %d of write %d: reported as not done, but it was accepted", end, n)
+			case err != nil && !errors.Is(err, ErrUnavailable) && !errors.Is(err, ErrUnknown):
+				t.Fatalf("fate %d of write %d: %v", end, n, err)
+			}
+			repeat(t, f, e, accepted)
+		}
+	}
+}
+
+// repeat sends an edit again after another operator's: an accepted one must neither be applied again nor conflict.
+func repeat(t *testing.T, f *fake, e Edit, accepted bool) {
+	t.Helper()
+	s := f.revive()
+	want := 7
+	if accepted {
+		want = 8
+		if _, err := s.Apply(context.Background(), edit(t, "other", base(t, s)+"limits: {waiting: 8}")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	r, err := s.Apply(context.Background(), e)
+	if err != nil || r.Version != 2 || r.Repeated != accepted {
+		t.Fatalf("repeat of an edit with accepted %v: %+v, %v", accepted, r, err)
+	}
+	snap, err := s.Snapshot(context.Background())
+	if err != nil || snap.Document.Limits.Waiting != want {
+		t.Fatalf("limits %+v, %v", snap.Document.Limits, err)
+	}
+}
+
+// Guards against an accepted change whose record is missing because the instance died before it wrote it.
+func TestCrashBetweenHeadAndRecord(t *testing.T) {
+	crashes := 0
+	for n := 1; n < 12; n++ {
+		f, s := seeded(t)
+		e := edit(t, "mine", base(t, s)+"limits: {waiting: 7}")
+		f.script = func(i int) fate {
+			if i == n {
+				return dying
+			}
+			return passes
+		}
+		_, _ = s.Apply(context.Background(), e)
+		if f.writes < n {
+			break
+		}
+		crashes++
+		s = f.revive()
+		if _, err := s.Apply(context.Background(), edit(t, "next", base(t, s)+"routing: {queue: 9}")); err != nil {
+			t.Fatal(err)
+		}
+		h, err := s.Head(context.Background())
+		if err != nil {
+			t.Fatal(err)
+		}
+		for v := laceunit.Version(1); v <= h.Version; v++ {
+			if _, ok := f.values[auditKey(v)]; !ok {
+				t.Fatalf("crash after write %d: version %d has no record", n, v)
+			}
+		}
+		audited(t, s)
+	}
+	if crashes < 4 {
+		t.Fatalf("only %d writes in an edit", crashes)
+	}
+}
+
+// Guards against an id that hides a different edit behind an earlier one.
+func TestReusedEditID(t *testing.T) {
+	_, s := seeded(t)
+	start := base(t, s)
+	if _, err := s.Apply(context.Background(), edit(t, "a", start+"limits: {waiting: 7}")); err != nil {
+		t.Fatal(err)
+	}
+	if r, err := s.Apply(context.Background(), edit(t, "a", start+"limits: {waiting: 7}")); err != nil || !r.Repeated {
+		t.Fatalf("got %+v, %v", r, err)
+	}
+	if _, err := s.Apply(context.Background(), edit(t, "a", start+"limits: {waiting: 8}")); !errors.Is(err, ErrReused) {
+		t.Fatalf("got %v", err)
+	}
+}
+
+// Guards against bodies that are deleted while the document needs them, and against ones that are never deleted.
+func TestBodiesFollowTheHead(t *testing.T) {
+	f, s := seeded(t)
+	for i, waiting := range []int{1, 2, 1, 2, 1} {
+		text := fmt.Sprintf("%slimits: {waiting: %d}", base(t, s), waiting)
+		if _, err := s.Apply(context.Background(), edit(t, fmt.Sprint(i), text)); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := NewStore(f).Snapshot(context.Background()); err != nil {
+			t.Fatalf("edit %d: %v", i, err)
+		}
+	}
+	_, _ = s.Apply(context.Background(), edit(t, "refused", base(t, s)+"models: {}"))
+	if err := s.put(context.Background(), part{digest: "orphan", text: []byte("x")}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := s.Apply(context.Background(), edit(t, "last", base(t, s)+"limits: {waiting: 3}")); err != nil {
+		t.Fatal(err)
+	}
+	if n, err := s.Sweep(context.Background()); err != nil || n != 1 {
+		t.Fatalf("swept %d, %v", n, err)
+	}
+	h, err := s.Head(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	all, _, _ := f.List(context.Background(), bodyPrefix)
+	if used := bodies(h.Sections); len(all) != len(used) {
+		t.Fatalf("%d bodies, %d in use", len(all), len(used))
+	}
+}
+
+// Guards against a body that a slow cleaner deletes after another edit has used it again.
+func TestCleanSparesBodiesInUseAgain(t *testing.T) {
+	f, s := seeded(t)
+	if _, err := s.Apply(context.Background(), edit(t, "a", base(t, s)+"limits: {waiting: 1}")); err != nil {
+		t.Fatal(err)
+	}
+	slow, err := s.Head(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := base(t, s) + "limits: {account: {requests: 50, tokens: 20000, concurrent: 100}}"
+	if _, err = s.Apply(context.Background(), edit(t, "b", text)); err != nil {
+		t.Fatal(err)
+	}
+	s.clean(context.Background(), slow)
+	if _, err = NewStore(f).Snapshot(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against records that show key hashes, and against ones that are kept beyond audit.keep.
+func TestRecordsAreRedactedAndExpire(t *testing.T) {
+	f, s := seeded(t)
+	for k, e := range f.values {
+		if strings.HasPrefix(string(k), "audit/") && strings.Contains(string(e.Value), hashOf(t)) {
+			t.Fatalf("%s shows a key hash", k)
+		}
+	}
+	for i, text := range []string{"audit: {keep: 24h}", "limits: {waiting: 1}"} {
+		e := edit(t, fmt.Sprint(i), base(t, s)+text)
+		e.At = noon().Add(time.Duration(i)*24*time.Hour + time.Minute)
+		if _, err := s.Apply(context.Background(), e); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, ok := f.values[auditKey(1)]; ok {
+		t.Fatal("record 1 is kept beyond audit.keep")
+	}
+	all, err := s.History(context.Background(), 0, 10)
+	if err != nil || len(all) != 2 {
+		t.Fatalf("%d records, %v", len(all), err)
+	}
+}
+
+func hashOf(t *testing.T) string {
+	d, err := Decode(sample(t, "coop.yaml"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d.Accounts["bakery"].Keys[0].Hash
+}
--- a/lib/laceyaml/scalar.go
+++ b/lib/laceyaml/scalar.go
@@ -16,6 +16,9 @@
 
 var idPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
 
+// IsID reports whether a text has the form of an id.
+func IsID(s string) bool { return idPattern.MatchString(s) }
+
 func index(i int) string { return "[" + strconv.Itoa(i) + "]" }
 
 // single builds the field of one value from its text form.
@@ -53,6 +56,29 @@
 	})
 }
 
+// Body binds text of any form, such as YAML inside YAML.
+func Body[T ~string](name, doc string, p *T) Field {
+	return Match(name, doc, "text", p, utf8.ValidString)
+}
+
+// Time binds a point in time.
+func Time(name, doc string, p *time.Time) Field {
+	text := func() string {
+		if p.IsZero() {
+			return ""
+		}
+		return p.UTC().Format(time.RFC3339Nano)
+	}
+	return single(name, doc, "a time such as 2026-01-02T15:04:05Z", text, func(s string) bool {
+		t, err := time.Parse(time.RFC3339Nano, s)
+		if err != nil {
+			return false
+		}
+		*p = t.UTC()
+		return true
+	})
+}
+
 // Match binds text that a function accepts.
 func Match[T ~string](name, doc, expect string, p *T, ok func(string) bool) Field {
 	f := single(name, doc, expect, func() string { return string(*p) }, func(s string) bool {
@@ -116,6 +142,19 @@
 	})
 }
 
+// Unsigned binds a whole number of an unsigned type within bounds.
+func Unsigned[T ~uint64](name, doc string, p *T, low, high T) Field {
+	expect := "a whole number from " + strconv.FormatUint(uint64(low), 10) + " to " + strconv.FormatUint(uint64(high), 10)
+	return single(name, doc, expect, func() string { return strconv.FormatUint(uint64(*p), 10) }, func(s string) bool {
+		v, err := strconv.ParseUint(s, 10, 64)
+		if err != nil || T(v) < low || T(v) > high {
+			return false
+		}
+		*p = T(v)
+		return true
+	})
+}
+
 // Number binds a decimal number within bounds.
 func Number(name, doc string, p *float64, low, high float64) Field {
 	expect := "a number from " + number(low) + " to " + number(high)
