lacewriter: log over the platform, group commit, writer election and ledger

Cause: routers need a Ledger whose appends survive lost answers, stale writers, dead writers and instances that are cut off from the platform. Ruled out: direct appends as soon as a writer is slow (a slow platform would turn every instance into a competing appender; the writer is asked whether it is there first); forwarding between peers (a record takes one detour at most); one allowance per instance (a fixed part per shard adds up to the same without messages).

--- a/lib/laceledger/request.go
+++ b/lib/laceledger/request.go
@@ -125,6 +125,19 @@
 	}
 }
 
+// slim drops an answer that the ledger doesn't store, so that it takes no space in the log.
+func slim(r Record) Record {
+	switch r := r.(type) {
+	case Settle:
+		r.Answer = kept(r.Answer, false)
+		return r
+	case Offline:
+		r.Answer = kept(r.Answer, r.Idempotent)
+		return r
+	}
+	return r
+}
+
 // kept returns the answer if it is one that the ledger stores.
 func kept(a *Answer, idempotent bool) *Answer {
 	if a == nil || idempotent || len(a.Body) > MaxAnswerBytes || len(a.Type) > MaxNameBytes {
--- a/lib/lacewire/ledger_message.go
+++ b/lib/lacewire/ledger_message.go
@@ -89,3 +89,20 @@
 	}
 	return b
 }
+
+// EncodeWriter encodes the value of a shard's writer key.
+func EncodeWriter(h laceunit.Holder, a laceunit.Address) ([]byte, error) {
+	return encode(&LedgerWriter{
+		Holder:  fromHolder(h),
+		Address: string(a),
+	})
+}
+
+// DecodeWriter decodes the value of a shard's writer key; its errors wrap ErrMalformed.
+func DecodeWriter(b []byte) (laceunit.Holder, laceunit.Address, error) {
+	var m LedgerWriter
+	if err := decode(b, &m); err != nil {
+		return laceunit.Holder{}, "", err
+	}
+	return toHolder(m.GetHolder()), laceunit.Address(m.GetAddress()), nil
+}
--- /dev/null
+++ b/lib/lacewriter/combiner.go
@@ -0,0 +1,314 @@
+package lacewriter
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
+
+	"lacewingcove/lib/laceledger"
+	"lacewingcove/lib/laceplatform"
+)
+
+const (
+	// lingerSoon is how long a record of urgency Soon waits for others when the write allowance is short.
+	lingerSoon = 20 * time.Millisecond
+	// lingerLazy is how long a record of urgency Lazy waits for others.
+	lingerLazy = 500 * time.Millisecond
+	// batchRecords bounds the records of one entry; the entry's bytes are bounded apart from that.
+	batchRecords = 256
+	// allowanceBurst lets a quiet shard answer a burst without lingering.
+	allowanceBurst = 5
+	// allowanceDebt bounds how far urgent writes overdraw the allowance, so that others linger for a second at most.
+	allowanceDebt = time.Second
+)
+
+// Combiner commits the records of one shard in batches, with at most one append in flight.
+type Combiner struct {
+	options
+	log     *Log
+	limiter *rate.Limiter
+
+	mu     sync.Mutex
+	queue  []*item
+	closed bool
+	wake   chan struct{}
+
+	cancel context.CancelFunc
+	done   chan struct{}
+	snaps  sync.WaitGroup
+	due    chan struct{}
+}
+
+// item is one record, or a read barrier when the record is nil.
+type item struct {
+	record  laceledger.Record
+	urgency laceledger.Urgency
+	since   time.Time
+	taken   bool
+	verdict laceledger.Verdict
+	err     error
+	done    chan struct{}
+}
+
+// NewCombiner starts the combiner of a log; Close stops it.
+func NewCombiner(log *Log, list ...Option) *Combiner {
+	o := newOptions(list)
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &Combiner{
+		options: o,
+		log:     log,
+		limiter: rate.NewLimiter(rate.Limit(o.writes), allowanceBurst),
+		wake:    make(chan struct{}, 1),
+		cancel:  cancel,
+		done:    make(chan struct{}),
+		due:     make(chan struct{}, 1),
+	}
+	c.snaps.Add(1)
+	go c.snapshots(ctx)
+	go c.run(ctx)
+	return c
+}
+
+// SetWrites changes the allowance of writes per second.
+func (c *Combiner) SetWrites(perSecond float64) {
+	c.limiter.SetLimit(rate.Limit(perSecond))
+}
+
+// Append commits a record and returns the verdict on it.
+func (c *Combiner) Append(ctx context.Context, record laceledger.Record, urgency laceledger.Urgency) (laceledger.Verdict, error) {
+	if record == nil {
+		return laceledger.Verdict{Result: laceledger.Invalid}, nil
+	}
+	it := &item{
+		record:  record,
+		urgency: urgency,
+	}
+	if err := c.submit(it); err != nil {
+		return laceledger.Verdict{}, err
+	}
+	return c.wait(ctx, it)
+}
+
+// Refresh returns when the log's state is as new as the platform was at some moment during the call.
+func (c *Combiner) Refresh(ctx context.Context) error {
+	it := &item{urgency: laceledger.Now}
+	if err := c.submit(it); err != nil {
+		return err
+	}
+	_, err := c.wait(ctx, it)
+	return err
+}
+
+func (c *Combiner) submit(it *item) error {
+	it.done = make(chan struct{})
+	it.since = time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return errors.Wrap(laceplatform.ErrUnavailable, "writer: combiner is closed")
+	}
+	if len(c.queue) >= c.options.queue {
+		return errors.Wrap(laceplatform.ErrUnavailable, "writer: queue is full")
+	}
+	c.queue = append(c.queue, it)
+	c.signal()
+	return nil
+}
+
+func (c *Combiner) signal() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// wait returns the verdict; a record that is given up while it is queued is certainly not appended.
+func (c *Combiner) wait(ctx context.Context, it *item) (laceledger.Verdict, error) {
+	select {
+	case <-it.done:
+		return it.verdict, it.err
+	case <-ctx.Done():
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	select {
+	case <-it.done:
+		return it.verdict, it.err
+	default:
+	}
+	if it.taken {
+		return laceledger.Verdict{}, errors.Wrap(laceplatform.ErrUnknown, ctx.Err().Error())
+	}
+	for i, q := range c.queue {
+		if q == it {
+			c.queue = append(c.queue[:i:i], c.queue[i+1:]...)
+			break
+		}
+	}
+	return laceledger.Verdict{}, errors.Wrap(laceplatform.ErrUnavailable, ctx.Err().Error())
+}
+
+// Close commits what is queued, as far as the platform answers, and waits.
+func (c *Combiner) Close() error {
+	c.mu.Lock()
+	c.closed = true
+	c.signal()
+	c.mu.Unlock()
+	<-c.done
+	c.cancel()
+	c.snaps.Wait()
+	return nil
+}
+
+func (c *Combiner) run(ctx context.Context) {
+	defer close(c.done)
+	for {
+		batch, wait, closed := c.next(time.Now())
+		switch {
+		case len(batch) > 0:
+			c.commit(ctx, batch)
+			continue
+		case closed:
+			return
+		}
+		var timer <-chan time.Time
+		if wait > 0 {
+			timer = time.After(wait)
+		}
+		select {
+		case <-c.wake:
+		case <-timer:
+		}
+	}
+}
+
+// next takes the batch that is to be committed now, or says how long to wait for one; zero means until a record arrives.
+func (c *Combiner) next(now time.Time) (batch []*item, wait time.Duration, closed bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.queue) == 0 {
+		return nil, 0, c.closed
+	}
+	if !c.closed {
+		if wait = c.linger(now); wait > 0 {
+			return nil, wait, false
+		}
+	}
+	n := min(len(c.queue), batchRecords)
+	batch = append(batch, c.queue[:n]...)
+	c.queue = append(c.queue[:0:0], c.queue[n:]...)
+	for _, it := range batch {
+		it.taken = true
+	}
+	return batch, 0, c.closed
+}
+
+// linger returns how long the queue may still wait for company.
+func (c *Combiner) linger(now time.Time) time.Duration {
+	short := c.limiter.TokensAt(now) < 1
+	if len(c.queue) >= batchRecords || (len(c.queue) == 1 && !short) {
+		return 0
+	}
+	wait := lingerLazy
+	for _, it := range c.queue {
+		age := now.Sub(it.since)
+		switch {
+		case it.urgency >= laceledger.Now:
+			return 0
+		case it.urgency == laceledger.Soon && !short:
+			return 0
+		case it.urgency == laceledger.Soon:
+			wait = min(wait, lingerSoon-age, c.refill(now))
+		default:
+			wait = min(wait, lingerLazy-age)
+		}
+	}
+	return wait
+}
+
+// refill returns the time until the allowance holds one write.
+func (c *Combiner) refill(now time.Time) time.Duration {
+	missing := 1 - c.limiter.TokensAt(now)
+	if missing <= 0 || c.limiter.Limit() <= 0 {
+		return lingerSoon
+	}
+	// A nanosecond more makes up for rounding down.
+	return time.Duration(missing/float64(c.limiter.Limit())*float64(time.Second)) + 1
+}
+
+// spend takes one write from the allowance, into debt if need be.
+func (c *Combiner) spend(now time.Time) {
+	r := c.limiter.ReserveN(now, 1)
+	if r.OK() && r.DelayFrom(now) > allowanceDebt {
+		r.CancelAt(now)
+	}
+}
+
+// commit appends a batch, in several entries if it is too large for one, and answers its items.
+func (c *Combiner) commit(ctx context.Context, batch []*item) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	var records []laceledger.Record
+	var items, barriers []*item
+	for _, it := range batch {
+		if it.record == nil {
+			barriers = append(barriers, it)
+			continue
+		}
+		records, items = append(records, it.record), append(items, it)
+	}
+	if len(items) == 0 {
+		c.answer(barriers, nil, c.log.Refresh(ctx))
+		return
+	}
+	var err error
+	for len(items) > 0 {
+		c.spend(time.Now())
+		var verdicts []laceledger.Verdict
+		if verdicts, err = c.log.Append(ctx, records); err != nil {
+			c.answer(items, nil, err)
+			break
+		}
+		n := len(verdicts)
+		c.answer(items[:n], verdicts, nil)
+		items, records = items[n:], records[n:]
+	}
+	c.answer(barriers, nil, err)
+	if c.log.Due() {
+		select {
+		case c.due <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (c *Combiner) answer(items []*item, verdicts []laceledger.Verdict, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i, it := range items {
+		it.err = err
+		if i < len(verdicts) {
+			it.verdict = verdicts[i]
+		}
+		close(it.done)
+	}
+}
+
+// snapshots writes snapshots beside the appends, so that no record waits for one before the ring is half full.
+func (c *Combiner) snapshots(ctx context.Context) {
+	defer c.snaps.Done()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.due:
+		}
+		// A failure is tried again after the next append.
+		one, cancel := context.WithTimeout(ctx, c.timeout)
+		_ = c.log.Snapshot(one)
+		cancel()
+	}
+}
--- /dev/null
+++ b/lib/lacewriter/ledger_test.go
@@ -0,0 +1,230 @@
+package lacewriter
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lacewingcove/lib/laceledger"
+	"lacewingcove/lib/laceplatform"
+	"lacewingcove/lib/laceunit"
+)
+
+// fleet is a set of instances on loopback that share a platform.
+type fleet struct {
+	t       *testing.T
+	store   *memory
+	list    []*instance
+	options []Option
+}
+
+type instance struct {
+	*Ledger
+	server *httptest.Server
+	store  *link
+	cancel context.CancelFunc
+	served chan struct{}
+}
+
+// link is one instance's path to the platform.
+type link struct {
+	laceplatform.Store
+	down atomic.Bool
+}
+
+func (l *link) Swap(ctx context.Context, s laceplatform.Swap) (laceplatform.Revision, error) {
+	if l.down.Load() {
+		return 0, laceplatform.ErrUnavailable
+	}
+	return l.Store.Swap(ctx, s)
+}
+
+func (l *link) Get(ctx context.Context, k laceplatform.Key) (laceplatform.Entry, error) {
+	if l.down.Load() {
+		return laceplatform.Entry{}, laceplatform.ErrUnavailable
+	}
+	return l.Store.Get(ctx, k)
+}
+
+func (f *fleet) Peers() []Peer {
+	var list []Peer
+	for _, i := range f.list {
+		list = append(list, i.self)
+	}
+	return list
+}
+
+func newFleet(t *testing.T, n, shards int, options ...Option) *fleet {
+	f := &fleet{t: t, store: newMemory(), options: options}
+	for k := range n {
+		mux := http.NewServeMux()
+		i := &instance{server: httptest.NewServer(mux), store: &link{Store: f.store}, served: make(chan struct{})}
+		self := Peer{Holder: laceunit.Holder{Instance: laceunit.InstanceID(fmt.Sprint("i", k)), Incarnation: 1}, Address: laceunit.Address(i.server.Listener.Addr().String())}
+		i.Ledger = New(i.store, self, shards, f, i.server.Client(), options...)
+		mux.Handle(i.Handler())
+		f.list = append(f.list, i)
+	}
+	t.Cleanup(func() {
+		for _, i := range f.list {
+			if err := i.Close(); err != nil {
+				t.Error(err)
+			}
+			if i.cancel != nil {
+				i.cancel()
+				<-i.served
+			}
+			i.server.Close()
+		}
+	})
+	return f
+}
+
+func (f *fleet) serve(i *instance) {
+	ctx, cancel := context.WithCancel(context.Background())
+	i.cancel = cancel
+	go func() {
+		defer close(i.served)
+		_ = i.Serve(ctx)
+	}()
+}
+
+// settled waits until every instance knows a writer for the shard and returns it.
+func (f *fleet) settled(shard laceunit.ShardID, not laceunit.Holder) *instance {
+	f.t.Helper()
+	deadline := time.After(10 * time.Second)
+	tick := time.NewTicker(time.Millisecond)
+	defer tick.Stop()
+	for {
+		w, agreed := Peer{}, true
+		for _, i := range f.list {
+			p, ok := i.writer(shard)
+			if i.closedNow() {
+				continue
+			}
+			agreed = agreed && ok && p.Holder != not && (w == Peer{} || w == p)
+			w = p
+		}
+		for _, i := range f.list {
+			if agreed && i.self == w {
+				return i
+			}
+		}
+		select {
+		case <-deadline:
+			f.t.Fatal("no writer agreed on")
+		case <-tick.C:
+		}
+	}
+}
+
+func (l *Ledger) closedNow() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.closed
+}
+
+func (i *instance) must(t *testing.T, r laceledger.Record, want ...laceledger.Result) laceledger.Verdict {
+	t.Helper()
+	v, err := i.Append(context.Background(), r, laceledger.Now)
+	if err != nil {
+		t.Fatalf("%T: %v", r, err)
+	}
+	for _, w := range want {
+		if v.Result == w {
+			return v
+		}
+	}
+	t.Fatalf("%T: result %d, want %v", r, v.Result, want)
+	return v
+}
+
+func topUp(id string, tokens laceunit.Tokens) laceledger.TopUp {
+	return laceledger.TopUp{Budget: "b", Account: "a", ID: laceunit.TopUpID(id), Tokens: tokens}
+}
+
+// Guards against a fleet in which records of other instances don't reach the writer, or a stopped writer is not replaced.
+func TestRecordsGoThroughTheWriter(t *testing.T) {
+	f := newFleet(t, 3, 1)
+	for _, i := range f.list {
+		f.serve(i)
+	}
+	w := f.settled(0, laceunit.Holder{})
+	for k, i := range f.list {
+		i.must(t, topUp(fmt.Sprint("t", k), 10), laceledger.Accepted)
+	}
+	for _, i := range f.list {
+		if i != w && len(i.units) != 0 {
+			t.Fatalf("%s appended directly", i.self.Holder)
+		}
+		b, err := i.Balance(context.Background(), "b")
+		if err != nil || b.Paid != 30 {
+			t.Fatalf("balance %+v, %v", b, err)
+		}
+		if _, err = i.Balance(context.Background(), "none"); !errors.Is(err, laceplatform.ErrMissing) {
+			t.Fatalf("got %v", err)
+		}
+		if list, err := i.Balances(context.Background()); err != nil || len(list) != 1 {
+			t.Fatalf("balances %v, %v", list, err)
+		}
+	}
+	if err := w.Close(); err != nil {
+		t.Fatal(err)
+	}
+	n := f.settled(0, w.self.Holder)
+	for _, i := range f.list {
+		if i != w {
+			i.must(t, topUp("t0", 10), laceledger.Repeated)
+		}
+	}
+	n.must(t, topUp("last", 1), laceledger.Accepted)
+}
+
+// Guards against records that are lost when the writer is dead, or when this instance does not reach the platform.
+func TestPathsAroundFailures(t *testing.T) {
+	f := newFleet(t, 3, 1)
+	for _, i := range f.list {
+		f.serve(i)
+	}
+	w := f.settled(0, laceunit.Holder{})
+	w.must(t, topUp("t", 10), laceledger.Accepted)
+	w.server.Close()
+	var rest []*instance
+	for _, i := range f.list {
+		if i != w {
+			rest = append(rest, i)
+		}
+	}
+	rest[0].must(t, topUp("direct", 1), laceledger.Accepted)
+	rest[1].store.down.Store(true)
+	rest[1].must(t, topUp("detour", 1), laceledger.Accepted)
+	if b, err := rest[1].Balance(context.Background(), "b"); err != nil || b.Paid != 12 {
+		t.Fatalf("balance %+v, %v", b, err)
+	}
+	rest[0].store.down.Store(true)
+	if _, err := rest[1].Append(context.Background(), topUp("none", 1), laceledger.Now); !errors.Is(err, laceplatform.ErrUnavailable) {
+		t.Fatalf("got %v", err)
+	}
+}
+
+// Guards against instances with different numbers of shards, which would look for a budget in different logs.
+func TestShapeIsAgreed(t *testing.T) {
+	f := newFleet(t, 1, 4)
+	f.list[0].must(t, topUp("t", 1), laceledger.Accepted)
+	err := Agree(context.Background(), f.store, 5)
+	if !errors.Is(err, ErrShape) {
+		t.Fatalf("got %v", err)
+	}
+	if err = Agree(context.Background(), f.store, 4); err != nil {
+		t.Fatal(err)
+	}
+	other := New(f.store, Peer{}, 5, f, http.DefaultClient)
+	if _, err = other.Append(context.Background(), topUp("u", 1), laceledger.Now); !errors.Is(err, ErrShape) {
+		t.Fatalf("got %v", err)
+	}
+}
