standin: one program for everything around the fleet, with samples

Cause: the sample deployments need 16 and 18 emulated servers on fixed loopback ports from one process. Ruled out: one settings entry per server, since the servers of a deployment are alike; groups with a count and consecutive ports keep the samples short.

--- /dev/null
+++ b/standin/standin_test.go
@@ -0,0 +1,117 @@
+package main
+
+import (
+	"context"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+
+	"lacewingcove/lib/lacekernel"
+)
+
+// Guards against sample files that do not decode, lack a server of the deployments or use a port twice.
+func TestSamples(t *testing.T) {
+	for path, servers := range map[string]int{
+		"../samples/coop-standin.yaml":     9 + 4,
+		"../samples/shrestha-standin.yaml": 12 + 3,
+	} {
+		s, err := load(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		a := &assembly{
+			setting: s,
+		}
+		ports := map[string]bool{s.Platform.Address: true, s.List.Address: true, s.Weights.Address: true}
+		note := func(_, address string) error {
+			ports[address] = true
+			return nil
+		}
+		for _, g := range s.Engines {
+			err = errors.Wrap(a.each(g.group, "engine", note), path)
+		}
+		for _, g := range s.Services {
+			err = errors.Wrap(a.each(g.group, "service", note), path)
+		}
+		if err != nil || len(a.listed) != servers || len(ports) != servers+3 {
+			t.Errorf("%s: %v, %d servers on %d ports, want %d", path, err, len(a.listed), len(ports), servers)
+		}
+	}
+}
+
+// small writes a settings file with everything on free ports.
+func small(t *testing.T) string {
+	t.Helper()
+	text := `
+seed: 1
+platform: {address: "127.0.0.1:0"}
+list: {address: "127.0.0.1:0", lag: 1s}
+weights: {address: "127.0.0.1:0", rate: 1}
+engines: [{name: e, address: "127.0.0.1:0", models: [m]}]
+services: [{name: s, address: "127.0.0.1:0", lookup: true, faults: {late: 0.5, late_by: 1s}}]
+`
+	path := t.TempDir() + "/standin.yaml"
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func assembled(t *testing.T, only string, faults ...string) (*lacekernel.Kernel, error) {
+	t.Helper()
+	s, err := load(small(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := s.override(7, only, faults); err != nil {
+		return nil, err
+	}
+	return assemble(s, logr.Discard())
+}
+
+// Guards against parts that are left out or run although they were not asked for, and a stop that hangs or fails.
+func TestPartsStartAndStop(t *testing.T) {
+	for only, names := range map[string]string{
+		"":              "platform weights e-1 s-1 list",
+		"platform,list": "platform list",
+	} {
+		k, err := assembled(t, only)
+		if err != nil {
+			t.Fatal(err)
+		}
+		k.Start(context.Background())
+		for _, name := range strings.Fields("platform weights e-1 s-1 list") {
+			_, err := lacekernel.Lookup[*server](k, lacekernel.Name(name))
+			if (err == nil) != strings.Contains(names, name) {
+				t.Errorf("-only %q: %s: %v", only, name, err)
+			}
+		}
+		if err := k.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// Guards against flags with a slip that start a run without the faults that were asked for.
+func TestFlagsThatNameNothing(t *testing.T) {
+	for _, c := range []struct{ only, fault string }{
+		{"engine", "e-1:cut=1"},
+		{"", "e-2:cut=1"},
+		{"", "e-1:cutt=1"},
+		{"", "cut=1"},
+	} {
+		if _, err := assembled(t, c.only, c.fault); err == nil {
+			t.Errorf("accepted -only %q -fault %q", c.only, c.fault)
+		}
+	}
+	k, err := assembled(t, "", "s-1:cut=1,late_by=2s")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := k.Close(); err != nil {
+		t.Fatal(err)
+	}
+}
