router: thin whole path, from caller to backend server and back

Cause: nothing ran end to end yet. Ruled out: one listener for callers and peers (mutual TLS is for peers only); budgets sharded by their own name, since request ids are scoped by client account and only one shard can tell them apart.

--- a/Makefile
+++ b/Makefile
@@ -15,8 +15,7 @@
 # Formatter and linter in one pass per module; a difference in format fails.
 lint:
 	@tool=$$(.ci/tools) && for m in $(MODULES); do \
-	  (cd $$m && out=$$($$tool fmt --config ../.golangci.yml --diff ./...) && { [ -z "$$out" ] || { echo "$$out"; exit 1; }; } && \
-	  $$tool run --config ../.golangci.yml ./...) || exit 1; done
+	  (cd $$m && $$tool fmt --config ../.golangci.yml --diff ./... && $$tool run --config ../.golangci.yml ./...) || exit 1; done
 
 format:
 	@tool=$$(.ci/tools) && for m in $(MODULES); do (cd $$m && $$tool fmt --config ../.golangci.yml ./...) || exit 1; done
--- a/lib/lacefleet/fleet.go
+++ b/lib/lacefleet/fleet.go
@@ -81,9 +81,11 @@
 // Settings are the process settings of the fleet; zero values take the defaults of design section 6.
 type Settings struct {
 	Instance laceunit.InstanceID
-	Address  laceunit.Address
-	Place    laceunit.Place
-	Lean     laceunit.Lean
+	// Address is where other instances reach this one, Caller where callers do.
+	Address laceunit.Address
+	Caller  laceunit.Address
+	Place   laceunit.Place
+	Lean    laceunit.Lean
 	// Fence is member.fence, 10 minutes by default.
 	Fence time.Duration
 	// Retain is ledger.retain for non-idempotent requests, 24 hours by default.
--- a/lib/lacefleet/lease.go
+++ b/lib/lacefleet/lease.go
@@ -65,6 +65,7 @@
 	member := lacemember.Member{
 		Holder:  s.Self(),
 		Address: s.settings.Address,
+		Caller:  s.settings.Caller,
 		Place:   s.settings.Place,
 	}
 	return s.change(ctx, func(r lacemember.Record) (lacemember.Record, error) {
--- a/lib/lacegateway/driver.go
+++ b/lib/lacegateway/driver.go
@@ -13,6 +13,7 @@
 	"lacewingcove/lib/laceledger"
 	"lacewingcove/lib/laceplatform"
 	"lacewingcove/lib/lacerequest"
+	"lacewingcove/lib/lacetrace"
 )
 
 // message is an input with what the driver notes when it takes it, or undoes when it came too late.
@@ -32,6 +33,7 @@
 	stop        chan struct{}
 	workers     sync.WaitGroup
 	started     time.Time
+	recording   *lacetrace.Recording
 
 	ticket  Ticket
 	picked  bool
@@ -48,6 +50,7 @@
 		inputs:      make(chan message, inputQueue),
 		stop:        make(chan struct{}),
 		started:     g.now(),
+		recording:   g.recorder.Begin(t.spec),
 	}
 }
 
@@ -63,7 +66,7 @@
 			d.step(m)
 		case <-gone:
 			gone = nil
-			d.do(machine.Step(lacerequest.Gone{}))
+			d.step(message{input: lacerequest.Gone{}})
 		}
 	}
 	if !machine.Owned() {
@@ -82,6 +85,9 @@
 
 // close stops the workers and waits for them.
 func (d *driver) close() {
+	if err := d.recording.End(); err != nil {
+		d.gateway.metrics.traceFailed()
+	}
 	close(d.stop)
 	if d.attempt != nil {
 		d.attempt()
@@ -101,6 +107,7 @@
 	if m.accept != nil {
 		m.accept()
 	}
+	d.recording.Add(m.input)
 	d.do(d.machine.Step(m.input))
 }
 
--- a/lib/lacegateway/fake_test.go
+++ b/lib/lacegateway/fake_test.go
@@ -257,7 +257,7 @@
 				Accounts: map[laceunit.AccountID]laceconfig.Account{
 					"acme": {
 						Keys:    []laceconfig.Key{{Hash: hex.EncodeToString(sum[:])}},
-						Budgets: []laceunit.BudgetID{testBudget},
+						Budgets: []laceunit.BudgetID{"main"},
 					},
 				},
 				Models:   map[laceunit.ModelID]laceconfig.Model{"m": {Context: 1000, Output: 50}},
--- a/lib/lacegateway/gateway.go
+++ b/lib/lacegateway/gateway.go
@@ -13,6 +13,7 @@
 	"lacewingcove/lib/lacefault"
 	"lacewingcove/lib/lacegrant"
 	"lacewingcove/lib/laceledger"
+	"lacewingcove/lib/lacetrace"
 	"lacewingcove/lib/laceunit"
 )
 
@@ -163,6 +164,11 @@
 	return func(g *Gateway) { g.holder = holder }
 }
 
+// WithRecorder writes a trace of every request that ends.
+func WithRecorder(recorder *lacetrace.Recorder) Option {
+	return func(g *Gateway) { g.recorder = recorder }
+}
+
 // Gateway serves callers.
 type Gateway struct {
 	deps     Deps
@@ -172,6 +178,7 @@
 	holder   laceunit.Holder
 	keys     keyring
 	resolver *Resolver
+	recorder *lacetrace.Recorder
 
 	mu       sync.Mutex
 	draining bool
--- a/lib/lacegateway/key.go
+++ b/lib/lacegateway/key.go
@@ -9,6 +9,7 @@
 
 	"lacewingcove/lib/laceconfig"
 	"lacewingcove/lib/lacefault"
+	"lacewingcove/lib/laceledger"
 	"lacewingcove/lib/laceunit"
 )
 
@@ -16,7 +17,8 @@
 type caller struct {
 	id      laceunit.AccountID
 	account laceconfig.Account
-	budget  laceunit.BudgetID
+	// budget is the ledger's id of the budget.
+	budget laceunit.BudgetID
 }
 
 // keyring maps key hashes to client accounts; it is rebuilt when a new document comes into force.
@@ -42,13 +44,16 @@
 	k.callers = make(map[string]caller, len(document.Accounts))
 	for id, a := range document.Accounts {
 		for _, key := range a.Keys {
+			name := key.Budget
+			if name == "" && len(a.Budgets) > 0 {
+				name = a.Budgets[0]
+			}
 			c := caller{
 				id:      id,
 				account: a,
-				budget:  key.Budget,
 			}
-			if c.budget == "" && len(a.Budgets) > 0 {
-				c.budget = a.Budgets[0]
+			if name != "" {
+				c.budget = laceledger.Scope(id, name)
 			}
 			k.callers[strings.ToLower(key.Hash)] = c
 		}
@@ -79,7 +84,7 @@
 		if !owns(c.account, name) {
 			return caller{}, nil, refusal(lacefault.Forbidden, "the client account has no such budget")
 		}
-		c.budget = name
+		c.budget = laceledger.Scope(c.id, name)
 	}
 	if c.budget == "" {
 		return caller{}, nil, refusal(lacefault.Forbidden, "the client account has no budget")
--- a/lib/lacegateway/metric.go
+++ b/lib/lacegateway/metric.go
@@ -18,6 +18,7 @@
 	attempts *prometheus.CounterVec
 	overruns prometheus.Counter
 	open     prometheus.Gauge
+	traces   prometheus.Counter
 	first    prometheus.Histogram
 	total    prometheus.Histogram
 }
@@ -50,6 +51,10 @@
 			Name: "lace_records_open",
 			Help: "Ledger records that the background still has to append.",
 		}),
+		traces: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "lace_traces_failed_total",
+			Help: "Request traces that could not be written.",
+		}),
 		first: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name:    "lace_first_byte_seconds",
 			Help:    "Time from admission to the first byte of a streamed answer.",
@@ -62,7 +67,7 @@
 		}),
 	}
 	if registerer != nil {
-		registerer.MustRegister(m.running, m.finished, m.refusals, m.attempts, m.overruns, m.open, m.first, m.total)
+		registerer.MustRegister(m.running, m.finished, m.refusals, m.attempts, m.overruns, m.open, m.traces, m.first, m.total)
 	}
 	return m
 }
@@ -73,6 +78,8 @@
 func (m *Metrics) overrun(tokens laceunit.Tokens) { m.overruns.Add(float64(tokens)) }
 func (m *Metrics) firstByte(d time.Duration)      { m.first.Observe(d.Seconds()) }
 
+func (m *Metrics) traceFailed() { m.traces.Inc() }
+
 func (m *Metrics) done(d time.Duration) {
 	m.finished.Inc()
 	m.total.Observe(d.Seconds())
--- /dev/null
+++ b/lib/lacegateway/selector.go
@@ -0,0 +1,179 @@
+package lacegateway
+
+import (
+	"context"
+	"time"
+
+	"lacewingcove/lib/lacebalancer"
+	"lacewingcove/lib/laceconfig"
+	"lacewingcove/lib/lacefault"
+	"lacewingcove/lib/laceunit"
+)
+
+// Selector runs the balancer of an instance; it implements Picker.
+type Selector struct {
+	board    *board[lacebalancer.Ticket, lacebalancer.Decision]
+	balancer *lacebalancer.Balancer
+	now      func() time.Time
+	// servers are the usable backend servers; the board's mutex guards them.
+	servers map[laceunit.ServerID]laceconfig.Server
+	left    map[laceunit.ServerID]bool
+}
+
+// NewSelector returns a selector over a balancer.
+func NewSelector(balancer *lacebalancer.Balancer, now func() time.Time) *Selector {
+	return &Selector{
+		board: newBoard[lacebalancer.Ticket, lacebalancer.Decision](balancer, func(d lacebalancer.Decision) lacebalancer.Ticket {
+			return d.Ticket
+		}),
+		balancer: balancer,
+		now:      now,
+	}
+}
+
+// Serve decides what time decides until the context ends.
+func (s *Selector) Serve(ctx context.Context) error {
+	return serveTicks(ctx, s.now, s.board.tick)
+}
+
+// Do runs a step on the balancer and delivers the decisions that it frees; feeds and new documents use it.
+func (s *Selector) Do(step func(b *lacebalancer.Balancer, now time.Time) []lacebalancer.Decision) {
+	s.board.mu.Lock()
+	defer s.board.mu.Unlock()
+	s.board.deliver(step(s.balancer, s.now()))
+}
+
+// Pick implements Picker.
+func (s *Selector) Pick(ctx context.Context, choice Choice) (Ticket, *lacefault.Fault) {
+	if t, ok := s.prefer(choice.Prefer); ok {
+		return t, nil
+	}
+	request := lacebalancer.Request{
+		Pool:     lacebalancer.ModelPool(choice.Model),
+		Account:  choice.Account,
+		Priority: choice.Priority,
+		Prefix:   uint64(choice.Prefix),
+		Exclude:  choice.Exclude,
+		Once:     choice.Once,
+		Retry:    choice.Retry,
+	}
+	if choice.Service != "" {
+		request.Pool = lacebalancer.ServicePool(choice.Service)
+	}
+	began := s.now()
+	b := s.board
+	b.mu.Lock()
+	decision, others := s.balancer.Pick(began, request)
+	b.deliver(others)
+	if decision.Verdict == lacebalancer.Waiting {
+		c := b.await(decision.Ticket)
+		b.mu.Unlock()
+		decision = s.wait(ctx, decision.Ticket, c)
+	} else {
+		b.mu.Unlock()
+	}
+	if decision.Verdict != lacebalancer.Sent {
+		return Ticket{}, selectFault(decision)
+	}
+	return s.ticket(decision), nil
+}
+
+// prefer returns a ticket for the server that already runs the request; the balancer counts it there once only.
+func (s *Selector) prefer(id laceunit.ServerID) (Ticket, bool) {
+	s.board.mu.Lock()
+	defer s.board.mu.Unlock()
+	server, ok := s.servers[id]
+	if !ok {
+		return Ticket{}, false
+	}
+	return Ticket{
+		Server:  id,
+		Address: server.Address,
+		Done:    func(Result) {},
+	}, true
+}
+
+func (s *Selector) ticket(decision lacebalancer.Decision) Ticket {
+	sent := s.now()
+	return Ticket{
+		Server:  decision.Server,
+		Address: decision.Address,
+		Done: func(result Result) {
+			s.Do(func(b *lacebalancer.Balancer, now time.Time) []lacebalancer.Decision {
+				if result == ResultSuspect {
+					b.Suspect(now, decision.Server)
+				}
+				return b.Done(now, decision.Ticket, balancerResult(result), now.Sub(sent))
+			})
+		},
+	}
+}
+
+// wait returns the decision on a waiting request; a caller that leaves gives its place up.
+func (s *Selector) wait(ctx context.Context, ticket lacebalancer.Ticket, c <-chan lacebalancer.Decision) lacebalancer.Decision {
+	select {
+	case d := <-c:
+		return d
+	case <-ctx.Done():
+	}
+	b := s.board
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s.balancer.Cancel(ticket) {
+		delete(b.waiting, ticket)
+		return lacebalancer.Decision{
+			Ticket:  ticket,
+			Verdict: lacebalancer.Refused,
+			Reason:  lacebalancer.Late,
+		}
+	}
+	// The decision was made while the caller left.
+	return <-c
+}
+
+func balancerResult(result Result) lacebalancer.Result {
+	switch result {
+	case ResultDone, ResultSuspect:
+		return lacebalancer.Success
+	case ResultFailed:
+		return lacebalancer.Failure
+	default:
+		return lacebalancer.Neutral
+	}
+}
+
+func selectFault(d lacebalancer.Decision) *lacefault.Fault {
+	f := refusal(lacefault.Overloaded, "no backend server has room for the request")
+	f.RetryAfter = d.RetryAfter
+	switch d.Reason {
+	case lacebalancer.NoServer:
+		f.Code, f.Message = lacefault.NoServer, "no backend server for the request is usable"
+	case lacebalancer.NoRetry:
+		f.Code, f.Message = lacefault.ServerFailed, "the backend server failed and the retry budget is spent"
+	}
+	return f
+}
+
+// Update takes over the backend servers of a document and the leaving ones of the instance list.
+func (s *Selector) Update(servers map[laceunit.ServerID]laceconfig.Server, leaving map[laceunit.ServerID]bool) {
+	s.Do(func(b *lacebalancer.Balancer, now time.Time) []lacebalancer.Decision {
+		s.servers, s.left = servers, leaving
+		return b.Update(now, servers, leaving)
+	})
+}
+
+func (s *Selector) leaving() map[laceunit.ServerID]bool {
+	s.board.mu.Lock()
+	defer s.board.mu.Unlock()
+	return s.left
+}
+
+// Configure takes over the routing settings and the backend servers of a document.
+func (s *Selector) Configure(d *laceconfig.Document) {
+	s.Do(func(b *lacebalancer.Balancer, _ time.Time) []lacebalancer.Decision {
+		// Documents are validated before they are accepted, so an unknown policy can't be in force.
+		_ = b.Configure(d.Routing)
+		return nil
+	})
+	s.Update(d.Servers, s.leaving())
+}
--- a/lib/lacemember/record.go
+++ b/lib/lacemember/record.go
@@ -8,8 +8,10 @@
 
 // Member is one process of the fleet as the membership record lists it.
 type Member struct {
-	Holder   laceunit.Holder
+	Holder laceunit.Holder
+	// Address is where other instances reach the process, Caller where callers do.
 	Address  laceunit.Address
+	Caller   laceunit.Address
 	Place    laceunit.Place
 	Draining bool
 	// Joined is the epoch at which this incarnation joined.
--- /dev/null
+++ b/lib/lacetrace/line.go
@@ -0,0 +1,122 @@
+package lacetrace
+
+import (
+	"lacewingcove/lib/lacefault"
+	"lacewingcove/lib/laceledger"
+	"lacewingcove/lib/lacerequest"
+)
+
+func specLine(s lacerequest.Spec) *wireSpec {
+	return &wireSpec{
+		Account:    string(s.Request.Account),
+		Request:    string(s.Request.ID),
+		Budget:     string(s.Budget),
+		Digest:     string(s.Digest),
+		Claim:      string(s.Claim),
+		Grant:      string(s.Grant),
+		Ceiling:    int64(s.Ceiling),
+		Prompt:     int64(s.Prompt),
+		Price:      int64(s.Price),
+		Idempotent: s.Idempotent,
+		Offline:    s.Offline,
+		Resume:     s.Resume,
+		Lookup:     s.Lookup,
+		Tries:      s.Tries,
+	}
+}
+
+func line(in lacerequest.Input) wireLine {
+	switch in := in.(type) {
+	case lacerequest.Picked:
+		return wireLine{Picked: &wirePicked{Server: string(in.Server)}}
+	case lacerequest.Unpicked:
+		return wireLine{Unpicked: faultLine(in.Fault)}
+	case lacerequest.Chunk:
+		return wireLine{Chunk: &wireChunk{
+			Attempt: string(in.Attempt),
+			Index:   in.Index,
+			Text:    in.Text,
+		}}
+	case lacerequest.Ended:
+		return wireLine{Ended: &wireEnded{
+			Attempt: string(in.Attempt),
+			Prompt:  int64(in.Prompt),
+			Output:  int64(in.Output),
+		}}
+	case lacerequest.Replied:
+		return wireLine{Replied: answerLine(&in.Answer, string(in.Attempt))}
+	case lacerequest.Failed:
+		ran := "maybe"
+		if in.Class == lacerequest.NotSent {
+			ran = "no"
+		}
+		return wireLine{Failed: &wireFailed{
+			Attempt: string(in.Attempt),
+			Ran:     ran,
+		}}
+	default:
+		return recordLine(in)
+	}
+}
+
+func recordLine(in lacerequest.Input) wireLine {
+	switch in := in.(type) {
+	case lacerequest.Durable:
+		w := verdictLine(in.Verdict)
+		w.Lost, w.Certain = in.Lost, in.Certain
+		return wireLine{Durable: w}
+	case lacerequest.Billed:
+		w := verdictLine(in.Verdict)
+		w.Lost = in.Lost
+		return wireLine{Billed: w}
+	case lacerequest.Voided:
+		return wireLine{Voided: &wireVerdict{Lost: in.Lost}}
+	case lacerequest.Copied:
+		return wireLine{Copied: &wireOK{OK: in.OK}}
+	case lacerequest.Regranted:
+		return wireLine{Regranted: &wireGrant{
+			Grant: string(in.Grant),
+			Fault: faultLine(in.Fault),
+		}}
+	case lacerequest.Found:
+		return wireLine{Found: &wireOK{OK: in.Ran}}
+	default:
+		return wireLine{Gone: &struct{}{}}
+	}
+}
+
+func verdictLine(v laceledger.Verdict) *wireVerdict {
+	w := &wireVerdict{Result: results().name(v.Result)}
+	if e := v.Existing; e != nil {
+		w.Existing = &wireExisting{
+			Phase:   phases().name(e.Phase),
+			Attempt: string(e.Attempt),
+			Server:  string(e.Server),
+			Answer:  answerLine(e.Answer, ""),
+		}
+	}
+	return w
+}
+
+func answerLine(a *laceledger.Answer, attempt string) *wireReplied {
+	if a == nil {
+		return nil
+	}
+	return &wireReplied{
+		Attempt: attempt,
+		Status:  a.Status,
+		Type:    a.Type,
+		Body:    string(a.Body),
+	}
+}
+
+func faultLine(f *lacefault.Fault) *wireFault {
+	if f == nil {
+		return nil
+	}
+	return &wireFault{
+		Outcome: string(f.Outcome),
+		Code:    string(f.Code),
+		Message: f.Message,
+	}
+}
--- /dev/null
+++ b/lib/lacetrace/replay.go
@@ -0,0 +1,79 @@
+package lacetrace
+
+import (
+	"fmt"
+	"strings"
+
+	"lacewingcove/lib/laceledger"
+	"lacewingcove/lib/lacerequest"
+)
+
+// Replay runs a trace through the request machine and returns one line for each input, followed by its effects.
+func Replay(t Trace) string {
+	var b strings.Builder
+	m, effects := lacerequest.New(t.Spec)
+	write(&b, "start", effects)
+	for _, in := range t.Inputs {
+		write(&b, strings.TrimPrefix(fmt.Sprintf("%T", in), "lacerequest."), m.Step(in))
+	}
+	fmt.Fprintf(&b, "done %v, reservation held %v\n", m.Done(), m.Owned())
+	return b.String()
+}
+
+func write(b *strings.Builder, title string, effects []lacerequest.Effect) {
+	fmt.Fprintln(b, title)
+	for _, e := range effects {
+		fmt.Fprintln(b, "  "+describe(e))
+	}
+}
+
+// describe names an effect in the words that the golden files use.
+func describe(e lacerequest.Effect) string {
+	switch e := e.(type) {
+	case lacerequest.Pick:
+		return fmt.Sprintf("pick exclude=%v prefer=%s retry=%v", e.Exclude, e.Prefer, e.Retry)
+	case lacerequest.Dispatch:
+		return fmt.Sprintf("dispatch attempt=%s server=%s resume=%d", e.Attempt, e.Server, e.Resume)
+	case lacerequest.Abort:
+		return fmt.Sprintf("abort attempt=%s server=%s", e.Attempt, e.Server)
+	case lacerequest.Append:
+		return "append " + describeRecord(e.Record)
+	case lacerequest.Copy:
+		return "copy " + describeRecord(e.Entry)
+	case lacerequest.Regrant:
+		return "regrant " + string(e.Grant)
+	case lacerequest.Lookup:
+		return "lookup " + string(e.Server)
+	case lacerequest.Emit:
+		return fmt.Sprintf("emit %q", e.Text)
+	case lacerequest.Reply:
+		return fmt.Sprintf("reply status=%d body=%q missing=%v", e.Answer.Status, e.Answer.Body, e.Missing)
+	case lacerequest.Finish:
+		return fmt.Sprintf("finish prompt=%d output=%d", e.Prompt, e.Output)
+	case lacerequest.Refuse:
+		return fmt.Sprintf("refuse outcome=%s code=%s", e.Fault.Outcome, e.Fault.Code)
+	case lacerequest.Release:
+		return fmt.Sprintf("release used=%d", e.Used)
+	case lacerequest.Resolve:
+		return fmt.Sprintf("resolve ask=%s %s", e.Server, describeRecord(e.Record))
+	default:
+		return fmt.Sprintf("%T", e)
+	}
+}
+
+func describeRecord(r laceledger.Record) string {
+	switch r := r.(type) {
+	case laceledger.Intent:
+		return fmt.Sprintf("intent attempt=%s grant=%s ceiling=%d server=%s", r.Attempt, r.Grant, r.Ceiling, r.Server)
+	case laceledger.Takeover:
+		return fmt.Sprintf("takeover from=%s attempt=%s server=%s", r.From, r.Attempt, r.Server)
+	case laceledger.Settle:
+		return fmt.Sprintf("settle attempt=%s tokens=%d answer=%v", r.Attempt, r.Tokens, r.Answer != nil)
+	case laceledger.Void:
+		return "void attempt=" + string(r.Attempt)
+	case laceledger.Offline:
+		return fmt.Sprintf("offline attempt=%s tokens=%d finished=%v", r.Attempt, r.Tokens, r.Finished)
+	default:
+		return fmt.Sprintf("%T", r)
+	}
+}
--- /dev/null
+++ b/lib/lacetrace/replay_test.go
@@ -0,0 +1,82 @@
+package lacetrace
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/pkg/errors"
+	"github.com/sebdah/goldie/v2"
+)
+
+// Guards against a change of a request's stated outcome in the situations that the traces record, and against a trace
+// that doesn't survive being written and read.
+func TestReplay(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.trace")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no traces: %v", err)
+	}
+	for _, f := range files {
+		name := strings.TrimSuffix(filepath.Base(f), ".trace")
+		t.Run(name, func(t *testing.T) {
+			text, err := os.ReadFile(f)
+			if err != nil {
+				t.Fatal(err)
+			}
+			trace, err := Decode(bytes.NewReader(text))
+			if err != nil {
+				t.Fatal(err)
+			}
+			var again bytes.Buffer
+			if err = Encode(&again, trace); err != nil {
+				t.Fatal(err)
+			}
+			second, err := Decode(&again)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if d := cmp.Diff(trace, second); d != "" {
+				t.Fatal(d)
+			}
+			goldie.New(t).Assert(t, name, []byte(Replay(trace)))
+		})
+	}
+}
+
+// Guards against a malformed trace that is replayed as if it were another one.
+func TestDecodeRefuses(t *testing.T) {
+	spec := `{"spec":{"claim":"c"}}` + "\n"
+	for name, text := range map[string]string{
+		"no spec":        `{"gone":{}}`,
+		"unknown field":  spec + `{"gone":{},"x":1}`,
+		"unknown result": spec + `{"durable":{"result":"maybe"}}`,
+		"unknown class":  spec + `{"failed":{"attempt":"c.1","ran":"often"}}`,
+		"no input":       spec + `{}`,
+		"not JSON":       spec + `{`,
+	} {
+		if _, err := Decode(strings.NewReader(text)); !errors.Is(err, ErrTrace) {
+			t.Errorf("%s: got %v", name, err)
+		}
+	}
+}
+
+// Guards against a panic on any text that is offered as a trace.
+func FuzzDecode(f *testing.F) {
+	files, _ := filepath.Glob("testdata/*.trace")
+	for _, name := range files {
+		text, err := os.ReadFile(name)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(text)
+	}
+	f.Fuzz(func(_ *testing.T, text []byte) {
+		trace, err := Decode(bytes.NewReader(text))
+		if err == nil {
+			Replay(trace)
+		}
+	})
+}
--- a/lib/lacewire/peermember.go
+++ b/lib/lacewire/peermember.go
@@ -41,6 +41,7 @@
 		Zone:     string(member.Place.Zone),
 		Draining: member.Draining,
 		Joined:   uint64(member.Joined),
+		Caller:   string(member.Caller),
 	}
 }
 
@@ -49,6 +50,7 @@
 	return lacemember.Member{
 		Holder:  ToHolder(member.GetHolder()),
 		Address: laceunit.Address(member.GetAddress()),
+		Caller:  laceunit.Address(member.GetCaller()),
 		Place: laceunit.Place{
 			Region: laceunit.RegionID(member.GetRegion()),
 			Zone:   laceunit.ZoneID(member.GetZone()),
--- a/lib/lacewriter/shape.go
+++ b/lib/lacewriter/shape.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
@@ -19,9 +20,11 @@
 
 const shapeKey laceplatform.Key = "ledger/shape"
 
-// Shard returns the shard of a budget.
+// Shard returns the shard of a budget. Budgets that share the part of their id before the first slash, which names the
+// client account, share a shard: request ids are scoped by client account, and only one shard can tell them apart.
 func Shard(budget laceunit.BudgetID, shards int) laceunit.ShardID {
-	return laceunit.ShardID(xxhash.Sum64String(string(budget)) % uint64(shards))
+	account, _, _ := strings.Cut(string(budget), "/")
+	return laceunit.ShardID(xxhash.Sum64String(account) % uint64(shards))
 }
 
 // Agree fixes the number of shards at the first start of a fleet and compares it afterwards.
--- a/router/main.go
+++ b/router/main.go
@@ -1,4 +1,12 @@
-// Command router is described in the README.
+// Command router runs one instance of the router fleet.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"lacewingcove/router/lacerouter"
+)
+
+func main() {
+	os.Exit(lacerouter.Run(os.Args[1:], os.Stderr))
+}
