--- a/lib/lacewriter/snapshot.go
+++ b/lib/lacewriter/snapshot.go
@@ -235,6 +235,9 @@
 }
 
 // swapHead replaces the head; after a lost answer it reads back and repeats the same swap.
+//
+// Once an answer was lost, the swap may take effect at any time and a newer head may build on its parts,
+// so every later failure is ErrUnknown as well.
 func (l *Log) swapHead(ctx context.Context, h head, value []byte) (head, error) {
 	unsure := false
 	for range loadTries {
@@ -246,24 +249,19 @@
 		if err == nil {
 			return head{revision: revision}, nil
 		}
-		if !errors.Is(err, laceplatform.ErrConflict) && !errors.Is(err, laceplatform.ErrUnknown) {
+		unsure = unsure || (!errors.Is(err, laceplatform.ErrConflict) && !errors.Is(err, laceplatform.ErrUnavailable))
+		if !unsure {
 			return head{}, err
 		}
 		kv, readErr := l.store.Get(ctx, l.headKey())
-		switch {
-		case readErr == nil && bytes.Equal(kv.Value, value):
+		if readErr == nil && bytes.Equal(kv.Value, value) {
 			return head{revision: kv.Revision}, nil
-		case errors.Is(err, laceplatform.ErrConflict) && !unsure:
-			return head{}, err
-		case errors.Is(err, laceplatform.ErrConflict):
-			// An earlier try may have taken effect, and a newer head may build on its parts.
-			return head{}, laceplatform.ErrUnknown
-		case readErr != nil && !errors.Is(readErr, laceplatform.ErrMissing):
-			return head{}, laceplatform.ErrUnknown
 		}
-		unsure = true
+		if !errors.Is(err, laceplatform.ErrUnknown) || (readErr != nil && !errors.Is(readErr, laceplatform.ErrMissing)) {
+			break
+		}
 	}
-	return head{}, laceplatform.ErrUnknown
+	return head{}, errors.Wrap(laceplatform.ErrUnknown, "writer: snapshot head may have been written")
 }
 
 // put writes a part; its key is drawn at random, so a key that exists is this part from a swap whose answer was lost.
