--- a/lib/laceplatform/conformance_test.go
+++ b/lib/laceplatform/conformance_test.go
@@ -23,14 +23,14 @@
 }
 
 // conform runs a case over the in-process store and over the client with the emulator's server.
-func conform(t *testing.T, run func(b *bench)) {
+func conform(t *testing.T, run func(b *bench), options ...laceemulator.PlatformOption) {
 	t.Run("local", func(t *testing.T) {
-		b := newBench(t)
+		b := newBench(t, options...)
 		b.store = b.platform.Local("client")
 		run(b)
 	})
 	t.Run("http", func(t *testing.T) {
-		b := newBench(t)
+		b := newBench(t, options...)
 		server := httptest.NewServer(b.platform.Handler())
 		t.Cleanup(server.Close)
 		b.store = connect(t, []string{server.URL})
@@ -38,12 +38,16 @@
 	})
 }
 
-func newBench(t *testing.T) *bench {
+// newBench returns a platform whose clock stands still and which has no rates, unless options set them.
+func newBench(t *testing.T, options ...laceemulator.PlatformOption) *bench {
 	b := &bench{
 		t:   t,
 		now: time.Unix(1000, 0),
 	}
-	b.platform = laceemulator.NewPlatform(laceemulator.WithClock(func() time.Time { return b.now }), laceemulator.WithRates(20, 0))
+	b.platform = laceemulator.NewPlatform(append([]laceemulator.PlatformOption{
+		laceemulator.WithClock(func() time.Time { return b.now }),
+		laceemulator.WithRates(0, 0),
+	}, options...)...)
 	t.Cleanup(func() { _ = b.platform.Close() })
 	return b
 }
@@ -258,5 +262,5 @@
 		b.want(err, laceplatform.ErrUnavailable)
 		_, err = b.store.Get(context.Background(), "over")
 		b.want(err, laceplatform.ErrMissing)
-	})
+	}, laceemulator.WithRates(20, 0))
 }
