--- a/lib/laceplatform/conformance_test.go
+++ b/lib/laceplatform/conformance_test.go
@@ -23,14 +23,14 @@
 }
 
 // conform runs a case over the in-process store and over the client with the emulator's server.
-func conform(t *testing.T, run func(b *bench)) {
+func conform(t *testing.T, run func(b *bench), options ...laceemulator.PlatformOption) {
 	t.Run("local", func(t *testing.T) {
-		b := newBench(t)
+		b := newBench(t, options...)
 		b.store = b.platform.Local("client")
 		run(b)
 	})
 	t.Run("http", func(t *testing.T) {
-		b := newBench(t)
+		b := newBench(t, options...)
 		server := httptest.NewServer(b.platform.Handler())
 		t.Cleanup(server.Close)
 		b.store = connect(t, []string{server.URL})
@@ -38,12 +38,16 @@
 	})
 }
 
-func newBench(t *testing.T) *bench {
+// newBench returns a platform whose clock stands still and which has no rates, unless options set them.
+func newBench(t *testing.T, options ...laceemulator.PlatformOption) *bench {
 	b := &bench{
 		t:   t,
 		now: time.Unix(1000, 0),
 	}
-	b.platform = laceemulator.NewPlatform(laceemulator.WithClock(func() time.Time { return b.now }), laceemulator.WithRates(20, 0))
+	b.platform = laceemulator.NewPlatform(append([]laceemulator.PlatformOption{
+		laceemulator.WithClock(func() time.Time { return b.now }),
+		laceemulator.WithRates(0, 0),
+	}, options...)...)
 	t.Cleanup(func() { _ = b.platform.Close() })
 	return b
 }
@@ -218,21 +222,60 @@
 	})
 }
 
+// faultCase is a fault with what a write and a read see of it, and what a read sees once it is over.
+type faultCase struct {
+	name   string
+	faults laceemulator.PlatformFaults
+	write  error
+	read   error
+	done   error
+}
+
+func faultCases() []faultCase {
+	cut := func(direction laceemulator.Cut) laceemulator.PlatformFaults {
+		return laceemulator.PlatformFaults{
+			Cuts: map[string]laceemulator.Cut{
+				"client": direction,
+			},
+		}
+	}
+	return []faultCase{
+		{
+			name: "down",
+			faults: laceemulator.PlatformFaults{
+				Down: true,
+			},
+			write: laceplatform.ErrUnavailable,
+			read:  laceplatform.ErrUnavailable,
+			done:  laceplatform.ErrMissing,
+		},
+		{
+			name: "lost",
+			faults: laceemulator.PlatformFaults{
+				LoseNext: 1,
+			},
+			write: laceplatform.ErrUnknown,
+			read:  laceplatform.ErrMissing,
+		},
+		{
+			name:   "cut requests",
+			faults: cut(laceemulator.CutRequests),
+			write:  laceplatform.ErrUnknown,
+			read:   laceplatform.ErrUnavailable,
+			done:   laceplatform.ErrMissing,
+		},
+		{
+			name:   "cut answers",
+			faults: cut(laceemulator.CutAnswers),
+			write:  laceplatform.ErrUnknown,
+			read:   laceplatform.ErrUnavailable,
+		},
+	}
+}
+
 // Guards against errors of the wrong class: a write without an answer that counts as not done invites a second one.
 func TestConformErrorClasses(t *testing.T) {
-	cases := []struct {
-		name   string
-		faults laceemulator.PlatformFaults
-		write  error
-		read   error
-		done   error
-	}{
-		{"down", laceemulator.PlatformFaults{Down: true}, laceplatform.ErrUnavailable, laceplatform.ErrUnavailable, laceplatform.ErrMissing},
-		{"lost", laceemulator.PlatformFaults{LoseNext: 1}, laceplatform.ErrUnknown, laceplatform.ErrMissing, nil},
-		{"cut requests", laceemulator.PlatformFaults{Cuts: map[string]laceemulator.Cut{"client": laceemulator.CutRequests}}, laceplatform.ErrUnknown, laceplatform.ErrUnavailable, laceplatform.ErrMissing},
-		{"cut answers", laceemulator.PlatformFaults{Cuts: map[string]laceemulator.Cut{"client": laceemulator.CutAnswers}}, laceplatform.ErrUnknown, laceplatform.ErrUnavailable, nil},
-	}
-	for _, c := range cases {
+	for _, c := range faultCases() {
 		t.Run(c.name, func(t *testing.T) {
 			conform(t, func(b *bench) {
 				b.platform.SetFaults(c.faults)
@@ -258,5 +301,5 @@
 		b.want(err, laceplatform.ErrUnavailable)
 		_, err = b.store.Get(context.Background(), "over")
 		b.want(err, laceplatform.ErrMissing)
-	})
+	}, laceemulator.WithRates(20, 0))
 }
