router: recovery service and failure tests with real processes

Cause: nobody closed the grants of instances that are gone, and no test killed, paused or stopped a router with open streams. Ruled out: closing by time; the membership, read after the balances, decides.

--- a/router/lacerouter/instance.go
+++ b/router/lacerouter/instance.go
@@ -36,6 +36,7 @@
 	nameAdmitter      lacekernel.Name = "admitter"
 	nameConfiguration lacekernel.Name = "configuration"
 	nameBackend       lacekernel.Name = "backend"
+	nameRecovery      lacekernel.Name = "recovery"
 	nameResolver      lacekernel.Name = "resolver"
 	nameCaller        lacekernel.Name = "caller"
 	nameGateway       lacekernel.Name = "gateway"
@@ -70,6 +71,7 @@
 		i.addWallet,
 		i.addBackends,
 		i.addConfiguration,
+		i.addRecovery,
 		i.addGateway,
 	}
 	for _, step := range steps {
@@ -230,6 +232,29 @@
 	})
 }
 
+func (i *Instance) addRecovery(context.Context) error {
+	ledger, err := lacekernel.Lookup[*lacewriter.Ledger](i.kernel, nameLedger)
+	if err != nil {
+		return err
+	}
+	backend, err := lacekernel.Lookup[lacebackend.Client](i.kernel, nameBackend)
+	if err != nil {
+		return err
+	}
+	configuration, err := lacekernel.Lookup[lacegateway.Configuration](i.kernel, nameConfiguration)
+	if err != nil {
+		return err
+	}
+	return i.kernel.Register(nameRecovery, &recovery{
+		ledger:        ledger,
+		fleet:         i.fleet,
+		backend:       backend,
+		configuration: configuration,
+		abandon:       i.settings.Ledger.Abandon,
+		logger:        i.logger,
+	})
+}
+
 func (i *Instance) addGateway(ctx context.Context) error {
 	deps, err := i.gatewayDeps()
 	if err != nil {
--- /dev/null
+++ b/router/lacerouter/world_test.go
@@ -0,0 +1,367 @@
+package lacerouter
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"lacewingcove/lib/laceconfig"
+	"lacewingcove/lib/laceemulator"
+	"lacewingcove/lib/laceledger"
+	"lacewingcove/lib/laceunit"
+	"lacewingcove/lib/lacewriter"
+)
+
+const (
+	testShards  = 2
+	testPaid    = laceunit.Tokens(1_000_000)
+	testKey     = "sample-bakery-key"
+	testPrompt  = "plan the menu for the week"
+	testTimeout = 60 * time.Second
+)
+
+var testBudget = laceledger.Scope("bakery", "main")
+
+// document is the configuration of the tests; the addresses of two engines and one order service fill it.
+const document = `
+accounts:
+  bakery:
+    name: Bakery
+    keys:
+      - name: main
+        hash: f157e47c442b459742f64892bdf74b481e3bbfd388b800387f9a462857747eeb
+    budgets: [main]
+servers:
+  engine-1: {kind: engine, address: %q, region: r, zone: a, models: [m], slots: 64, fencing: true}
+  engine-2: {kind: engine, address: %q, region: r, zone: a, models: [m], slots: 64, fencing: true}
+  order-1: {kind: service, address: %q, region: r, zone: a, services: [orders], slots: 64, fencing: false}
+models:
+  m: {context: 4096, output: 256, priority: 1}
+services:
+  orders: {priority: 3, price: 20, timeout: 5s, lookup: true}
+`
+
+// world is the platform and the backend servers in the test process, with routers as processes beside it.
+type world struct {
+	t        *testing.T
+	platform *laceemulator.Platform
+	local    *laceemulator.Local
+	url      string
+	engines  []*laceemulator.Engine
+	service  *httptest.Server
+	program  string
+	http     *http.Client
+}
+
+// buildRouter builds the router program once.
+func buildRouter(t *testing.T) string {
+	t.Helper()
+	program := filepath.Join(os.TempDir(), fmt.Sprintf("lacewingcove-router-%d", os.Getpid()))
+	if _, err := os.Stat(program); err == nil {
+		return program
+	}
+	out, err := exec.CommandContext(context.Background(), "go", "build", "-o", program, "..").CombinedOutput()
+	if err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return program
+}
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	_ = os.Remove(filepath.Join(os.TempDir(), fmt.Sprintf("lacewingcove-router-%d", os.Getpid())))
+	os.Exit(code)
+}
+
+func newWorld(t *testing.T) *world {
+	t.Helper()
+	w := &world{
+		t:        t,
+		platform: laceemulator.NewPlatform(laceemulator.WithSeed(7)),
+		program:  buildRouter(t),
+		http:     &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
+	}
+	w.local = w.platform.Local("test")
+	server := httptest.NewServer(w.platform.Handler())
+	w.url = server.URL
+	var addresses []any
+	for range 2 {
+		e := laceemulator.NewEngine(laceemulator.EngineSetting{
+			Models: []laceunit.ModelID{"m"},
+			Slots:  64,
+			Step:   20 * time.Millisecond,
+		})
+		s := httptest.NewServer(e.Handler())
+		w.engines = append(w.engines, e)
+		addresses = append(addresses, strings.TrimPrefix(s.URL, "http://"))
+		t.Cleanup(func() {
+			_ = e.Close()
+			s.CloseClientConnections()
+			s.Close()
+		})
+	}
+	service := laceemulator.NewService(laceemulator.ServiceSetting{
+		Work:   5 * time.Millisecond,
+		Lookup: true,
+	})
+	w.service = httptest.NewServer(service.Handler())
+	addresses = append(addresses, strings.TrimPrefix(w.service.URL, "http://"))
+	t.Cleanup(func() {
+		w.http.CloseIdleConnections()
+		w.service.CloseClientConnections()
+		w.service.Close()
+		_ = w.platform.Close()
+		server.CloseClientConnections()
+		server.Close()
+	})
+	w.configure(fmt.Sprintf(document, addresses...))
+	w.topUp("first", testPaid)
+	return w
+}
+
+func (w *world) configure(text string) {
+	w.t.Helper()
+	file, err := laceconfig.DecodeFile([]byte(text))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	_, err = laceconfig.NewStore(w.local).Apply(context.Background(), laceconfig.Edit{
+		ID:   "edit-1",
+		Who:  "test",
+		At:   time.Unix(1, 0),
+		File: file,
+	})
+	if err != nil {
+		w.t.Fatal(err)
+	}
+}
+
+type noPeers struct{}
+
+func (noPeers) Peers() []lacewriter.Peer { return nil }
+
+// ledger returns a direct view of the ledger.
+func (w *world) ledger() *lacewriter.Ledger {
+	return lacewriter.New(w.local, lacewriter.Peer{Holder: laceunit.Holder{Instance: "test", Incarnation: 1}}, testShards, noPeers{}, w.http)
+}
+
+func (w *world) topUp(id laceunit.TopUpID, tokens laceunit.Tokens) {
+	w.t.Helper()
+	l := w.ledger()
+	defer func() { _ = l.Close() }()
+	v, err := l.Append(context.Background(), laceledger.TopUp{
+		Budget:  testBudget,
+		Account: "bakery",
+		ID:      id,
+		Tokens:  tokens,
+	}, laceledger.Now)
+	if err != nil || v.Result != laceledger.Accepted {
+		w.t.Fatalf("top-up: %v, %v", v, err)
+	}
+}
+
+func (w *world) balance() laceledger.Balance {
+	w.t.Helper()
+	l := w.ledger()
+	defer func() { _ = l.Close() }()
+	b, err := l.Balance(context.Background(), testBudget)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	return b
+}
+
+// until waits for a state of the world, which only other processes can bring about.
+func (w *world) until(what string, reached func() bool) {
+	w.t.Helper()
+	deadline := time.After(testTimeout)
+	tick := time.NewTicker(20 * time.Millisecond)
+	defer tick.Stop()
+	for !reached() {
+		select {
+		case <-deadline:
+			w.t.Fatalf("not reached in %v: %s", testTimeout, what)
+		case <-tick.C:
+		}
+	}
+}
+
+// router is one router process.
+type router struct {
+	world   *world
+	name    string
+	address string
+	process *exec.Cmd
+	log     *bytes.Buffer
+	ended   chan struct{}
+}
+
+func freePort(t *testing.T) string {
+	t.Helper()
+	var config net.ListenConfig
+	l, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// start starts a router process and waits until it takes work.
+func (w *world) start(name string, flags ...string) *router {
+	w.t.Helper()
+	r := &router{
+		world:   w,
+		name:    name,
+		address: freePort(w.t),
+		log:     &bytes.Buffer{},
+		ended:   make(chan struct{}),
+	}
+	args := append([]string{
+		"-instance", name,
+		"-platform.endpoints", w.url,
+		"-caller.listen", r.address,
+		"-peer.listen", freePort(w.t),
+		"-admin.listen", freePort(w.t),
+		"-ledger.shards", fmt.Sprint(testShards),
+	}, flags...)
+	r.process = exec.CommandContext(context.Background(), w.program, args...)
+	r.process.Stderr = r.log
+	if err := r.process.Start(); err != nil {
+		w.t.Fatal(err)
+	}
+	go func() {
+		_ = r.process.Wait()
+		close(r.ended)
+	}()
+	w.t.Cleanup(func() {
+		_ = r.process.Process.Kill()
+		<-r.ended
+		if w.t.Failed() {
+			w.t.Logf("%s:\n%s", name, r.log)
+		}
+	})
+	w.until(name+" ready", func() bool {
+		status, _ := w.get("http://" + r.address + "/readyz")
+		return status == http.StatusOK
+	})
+	return r
+}
+
+func (r *router) signal(s syscall.Signal) {
+	r.world.t.Helper()
+	if err := r.process.Process.Signal(s); err != nil {
+		r.world.t.Fatal(err)
+	}
+}
+
+func (w *world) get(url string) (int, string) {
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodGet, url, nil)
+	if err != nil {
+		return 0, ""
+	}
+	return w.send(request)
+}
+
+func (w *world) send(request *http.Request) (int, string) {
+	response, err := w.http.Do(request)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return response.StatusCode, string(body)
+}
+
+// order places an order and returns status and body.
+func (r *router) order(id string) (int, string) {
+	request, _ := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+r.address+"/v1/services/orders/restock", strings.NewReader("boxes for "+id))
+	request.Header.Set("Authorization", "Bearer "+testKey)
+	request.Header.Set("Idempotency-Key", id)
+	return r.world.send(request)
+}
+
+// answer is what a caller has received of a streamed chat.
+type answer struct {
+	text   string
+	usage  laceunit.Tokens
+	whole  bool
+	status int
+	fault  string
+}
+
+// chat streams a chat; first is closed when the first part has arrived.
+func (r *router) chat(id string, most int, first chan<- struct{}) answer {
+	body := fmt.Sprintf(`{"model":"m","messages":[{"role":"user","content":%q}],"max_tokens":%d,"stream":true}`, testPrompt+" "+id, most)
+	request, _ := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+r.address+"/v1/chat/completions", strings.NewReader(body))
+	request.Header.Set("Authorization", "Bearer "+testKey)
+	request.Header.Set("Idempotency-Key", id)
+	response, err := r.world.http.Do(request)
+	if err != nil {
+		return answer{fault: err.Error()}
+	}
+	defer func() { _ = response.Body.Close() }()
+	a := answer{status: response.StatusCode}
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		switch {
+		case !ok && response.StatusCode != http.StatusOK:
+			a.fault = lines.Text()
+		case data == "[DONE]":
+			a.whole = true
+		case ok:
+			a.take(data)
+			if first != nil && a.text != "" {
+				close(first)
+				first = nil
+			}
+		}
+	}
+	return a
+}
+
+func (a *answer) take(data string) {
+	var chunk struct {
+		Choices []struct {
+			Delta struct{ Content string }
+		}
+		Usage *struct {
+			Total int64 `json:"total_tokens"`
+		}
+		Error *struct{ Message string }
+	}
+	if json.Unmarshal([]byte(data), &chunk) != nil {
+		return
+	}
+	for _, c := range chunk.Choices {
+		a.text += c.Delta.Content
+	}
+	if chunk.Usage != nil {
+		a.usage = laceunit.Tokens(chunk.Usage.Total)
+	}
+	if chunk.Error != nil {
+		a.fault = chunk.Error.Message
+	}
+}
+
+// want is the text that the engines give for a chat.
+func want(id string, most int) string {
+	return laceemulator.Answer("m", "user: "+testPrompt+" "+id, laceunit.Tokens(most))
+}
