laceemulator: slow calls take effect after their caller gave up

Cause: a slow platform can carry out a write after its caller has read back and seen nothing; the emulator dropped such a write instead. Ruled out: holding the caller until the write has landed, which hides the case that callers must cope with. Change: a call whose caller gives up in the first half of its latency is carried out when that half is over; Close waits for it or drops it. Measured: go test -race -count=3 passes for laceemulator and laceplatform; the new test fails without the change (it waits for the write in vain). Conclusion: read-backs are now tested against late writes.

--- a/lib/laceemulator/call.go
+++ b/lib/laceemulator/call.go
@@ -34,7 +34,9 @@
 	if f.dropped {
 		return silence(ctx, f.hang)
 	}
+	began := time.Now()
 	if err := sleep(ctx, f.before); err != nil {
+		p.finish(f.before-time.Since(began), run)
 		return errSilent
 	}
 	err := p.run(run)
@@ -47,6 +49,19 @@
 	return err
 }
 
+// finish carries out a call whose caller has given up: a slow call is already on its way, so it takes effect late.
+func (p *Platform) finish(after time.Duration, run func(now time.Time) error) {
+	p.tasks.Go(func() {
+		t := time.NewTimer(after)
+		defer t.Stop()
+		select {
+		case <-p.stop:
+		case <-t.C:
+			_ = p.run(run) // Nobody waits for the outcome.
+		}
+	})
+}
+
 // run carries out a call on the state, after the leases that are due.
 func (p *Platform) run(run func(now time.Time) error) error {
 	p.mu.Lock()
--- a/lib/laceemulator/fault.go
+++ b/lib/laceemulator/fault.go
@@ -20,7 +20,8 @@
 type PlatformFaults struct {
 	// Down refuses every call.
 	Down bool
-	// Latency is added to each call, half before and half after it takes effect, and up to Jitter more.
+	// Latency is added to each call, half before and half after it takes effect, and up to Jitter more. A call takes
+	// effect even if its caller gives up before.
 	Latency time.Duration
 	Jitter  time.Duration
 	// Lost is the share of writes and lease calls that take effect without an answer.
--- a/lib/laceemulator/local.go
+++ b/lib/laceemulator/local.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -70,6 +71,7 @@
 // Swap implements laceplatform.Store.
 func (l *Local) Swap(ctx context.Context, swap laceplatform.Swap) (laceplatform.Revision, error) {
 	var revision laceplatform.Revision
+	swap.Value = slices.Clone(swap.Value) // A slow write takes effect after the caller has its memory back.
 	err := l.do(ctx, laceplatform.KindWrite, func(time.Time) (err error) {
 		revision, err = l.platform.state.Swap(swap)
 		return err
--- a/lib/laceemulator/platform.go
+++ b/lib/laceemulator/platform.go
@@ -41,7 +41,8 @@
 	reads   *rate.Limiter
 	changed signal
 	stop    chan struct{}
-	stopped chan struct{}
+	// tasks are the goroutines that Close waits for.
+	tasks sync.WaitGroup
 }
 
 // PlatformOption changes a platform at construction.
@@ -54,7 +55,8 @@
 	}
 }
 
-// WithClock sets the clock; leases then expire on calls and on Tick only.
+// WithClock sets the clock of leases and rates; leases then expire on calls and on Tick only. Latency passes in real
+// time in any case.
 func WithClock(now func() time.Time) PlatformOption {
 	return func(p *Platform) { p.now = now }
 }
@@ -71,7 +73,9 @@
 
 // NewPlatform returns a running platform.
 func NewPlatform(options ...PlatformOption) *Platform {
-	p := &Platform{}
+	p := &Platform{
+		stop: make(chan struct{}),
+	}
 	WithRates(DefaultWrites, DefaultReads)(p)
 	WithSeed(1)(p)
 	for _, o := range options {
@@ -79,8 +83,7 @@
 	}
 	if p.now == nil {
 		p.now = time.Now
-		p.stop, p.stopped = make(chan struct{}), make(chan struct{})
-		go p.expire()
+		p.tasks.Go(p.expire)
 	}
 	return p
 }
@@ -93,12 +96,10 @@
 	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond)))
 }
 
-// Close stops the platform's own goroutine; it must be called once.
+// Close stops the platform's own goroutines; it must be called once, after the last call.
 func (p *Platform) Close() error {
-	if p.stop != nil {
-		close(p.stop)
-		<-p.stopped
-	}
+	close(p.stop)
+	p.tasks.Wait()
 	return nil
 }
 
@@ -146,7 +147,6 @@
 }
 
 func (p *Platform) expire() {
-	defer close(p.stopped)
 	t := time.NewTicker(tick)
 	defer t.Stop()
 	for {
--- a/lib/laceemulator/platform_test.go
+++ b/lib/laceemulator/platform_test.go
@@ -191,3 +191,22 @@
 	}
 	want(t, late.Err(), laceplatform.ErrCompacted)
 }
+
+// Guards against a slow write that is dropped when its caller gives up: callers must cope with one that lands late.
+func TestSlowWriteLandsAfterCallerGaveUp(t *testing.T) {
+	p, _ := manual(t)
+	l := p.Local("a")
+	w, err := l.Watch(context.Background(), "k", 0)
+	want(t, err, nil)
+	p.SetFaults(PlatformFaults{
+		Latency: 40 * time.Millisecond,
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+	defer cancel()
+	_, err = l.Swap(ctx, put("k"))
+	want(t, err, laceplatform.ErrUnknown)
+	if e := <-w.Events(); e.Entry.Key != "k" {
+		t.Fatalf("got %v", e)
+	}
+	want(t, w.Close(), nil)
+}
