standin: faults of the platform by flag

Cause: -fault could name engines and services but not the platform, whose latency and losses were settable in the file and over HTTP only. Ruled out: separate flags for the platform, since one form serves all. Change: platform faults have a section of their own in the settings file, and -fault platform:latency=5ms,lost=0.1 replaces it. Conclusion: done.

--- a/standin/assemble.go
+++ b/standin/assemble.go
@@ -78,7 +78,7 @@
 func (a *assembly) check() error {
 	for name := range a.setting.extra {
 		if !a.used[name] {
-			return errors.WithMessagef(errSetting, "fault for %q, which is no engine or service", name)
+			return errors.WithMessagef(errSetting, "fault for %q, which is not the platform, an engine or a service", name)
 		}
 	}
 	return nil
@@ -95,9 +95,10 @@
 		laceemulator.WithHistory(s.History),
 	)
 	p.SetFaults(laceemulator.PlatformFaults{
-		Latency: s.Latency,
-		Jitter:  s.Jitter,
-		Lost:    s.Lost,
+		Down:    s.Faults.Down,
+		Latency: s.Faults.Latency,
+		Jitter:  s.Faults.Jitter,
+		Lost:    s.Faults.Lost,
 	})
 	return a.add("platform", s.Address, p, p.Handler())
 }
--- a/standin/main.go
+++ b/standin/main.go
@@ -26,7 +26,7 @@
 	only := flags.String("only", "", "parts to run, of platform, list, weights, engines and services; empty means all")
 	seed := flags.Uint64("seed", 0, "seed of the random faults; 0 means the one of the settings file")
 	var faults texts
-	flags.Var(&faults, "fault", "faults of one server from the start, as server:name=value,...; may be repeated")
+	flags.Var(&faults, "fault", "faults of the platform or one server from the start, as server:name=value,...; may be repeated")
 	if err := flags.Parse(arguments); err != nil {
 		return err
 	}
--- a/standin/setting.go
+++ b/standin/setting.go
@@ -29,10 +29,16 @@
 
 // platformSetting describes the key-value service; a rate of zero means the default, a negative one no limit.
 type platformSetting struct {
-	Address string        `yaml:"address"`
-	Writes  float64       `yaml:"writes"`
-	Reads   float64       `yaml:"reads"`
-	History int           `yaml:"history"`
+	Address string               `yaml:"address"`
+	Writes  float64              `yaml:"writes"`
+	Reads   float64              `yaml:"reads"`
+	History int                  `yaml:"history"`
+	Faults  platformFaultSetting `yaml:"faults"`
+}
+
+// platformFaultSetting is the faults of the key-value service from the start.
+type platformFaultSetting struct {
+	Down    bool          `yaml:"down"`
 	Latency time.Duration `yaml:"latency"`
 	Jitter  time.Duration `yaml:"jitter"`
 	Lost    float64       `yaml:"lost"`
@@ -124,19 +130,32 @@
 	}
 	s.extra = map[string]faultSetting{}
 	for _, text := range faults {
-		name, list, ok := strings.Cut(text, ":")
-		if !ok {
-			return errors.WithMessagef(errSetting, "fault %q has no server", text)
-		}
-		var f faultSetting
-		if err := strict([]byte("{"+strings.ReplaceAll(list, "=", ": ")+"}"), &f); err != nil {
+		if err := s.fault(text); err != nil {
 			return errors.Wrapf(err, "standin: fault %q", text)
 		}
-		s.extra[name] = f
 	}
 	return nil
 }
 
+// fault replaces the faults of the platform or of one server.
+func (s *setting) fault(text string) error {
+	name, list, ok := strings.Cut(text, ":")
+	if !ok {
+		return errors.WithMessage(errSetting, "no server is named")
+	}
+	raw := []byte("{" + strings.ReplaceAll(list, "=", ": ") + "}")
+	if name == "platform" && s.Platform != nil {
+		s.Platform.Faults = platformFaultSetting{}
+		return strict(raw, &s.Platform.Faults)
+	}
+	var f faultSetting
+	if err := strict(raw, &f); err != nil {
+		return err
+	}
+	s.extra[name] = f
+	return nil
+}
+
 // restrict drops the parts that are not named.
 func (s *setting) restrict(only string) error {
 	if only == "" {
--- a/standin/standin_test.go
+++ b/standin/standin_test.go
@@ -5,10 +5,12 @@
 	"os"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
 
+	"lacewingcove/lib/laceemulator"
 	"lacewingcove/lib/lacekernel"
 )
 
@@ -100,16 +102,20 @@
 	if _, err := assembled(t, "engine"); err == nil {
 		t.Error("accepted -only engine")
 	}
-	for _, fault := range []string{"e-2:cut=1", "e-1:cutt=1", "cut=1"} {
+	for _, fault := range []string{"e-2:cut=1", "e-1:cutt=1", "cut=1", "platform:cut=1"} {
 		if _, err := assembled(t, "", fault); err == nil {
 			t.Errorf("accepted -fault %q", fault)
 		}
 	}
-	k, err := assembled(t, "", "s-1:cut=1,late_by=2s")
+	k, err := assembled(t, "", "s-1:cut=1,late_by=2s", "platform:latency=5ms")
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := k.Close(); err != nil {
+	if err = k.Close(); err != nil {
 		t.Fatal(err)
 	}
+	p, err := lacekernel.Lookup[*laceemulator.Platform](k, "platform state")
+	if err != nil || p.Faults().Latency != 5*time.Millisecond {
+		t.Fatalf("platform faults: %v", err)
+	}
 }
