--- a/lib/laceledger/state.go
+++ b/lib/laceledger/state.go
@@ -107,7 +107,7 @@
 	d := newDraft(s, e)
 	for i, r := range e.Records {
 		if v := d.apply(r); v.Result != Accepted {
-			return errors.Wrapf(ErrEntry, "entry %d, record %d (%T): result %d", e.Sequence, i, r, v.Result)
+			return errors.Wrapf(ErrEntry, "entry %d, record %d (%T): %s", e.Sequence, i, r, v.Result)
 		}
 	}
 	for _, b := range d.budgets {
--- a/lib/laceledger/verdict.go
+++ b/lib/laceledger/verdict.go
@@ -1,6 +1,10 @@
 package laceledger
 
-import "lacewingcove/lib/laceunit"
+import (
+	"strconv"
+
+	"lacewingcove/lib/laceunit"
+)
 
 // Result classifies what the ledger decided about a record.
 type Result uint8
@@ -65,3 +69,22 @@
 	Left     laceunit.Tokens
 	Existing *Existing
 }
+
+// String returns the result in lower case.
+func (r Result) String() string {
+	names := [...]string{
+		Accepted:   "accepted",
+		Repeated:   "repeated",
+		Duplicate:  "duplicate",
+		Conflict:   "conflict",
+		Closed:     "closed",
+		Short:      "short",
+		Superseded: "superseded",
+		Missing:    "missing",
+		Invalid:    "invalid",
+	}
+	if int(r) < len(names) && names[r] != "" {
+		return names[r]
+	}
+	return strconv.Itoa(int(r))
+}
--- /dev/null
+++ b/lib/lacewire/ledger_test.go
@@ -0,0 +1,202 @@
+package lacewire
+
+import (
+	"errors"
+	"reflect"
+	"testing"
+
+	"lacewingcove/lib/laceledger"
+	"lacewingcove/lib/laceunit"
+)
+
+func entry() laceledger.Entry {
+	h := laceunit.Holder{Instance: "i", Incarnation: 7}
+	r := laceledger.Request{Account: "a", ID: "r"}
+	answer := &laceledger.Answer{Status: 201, Type: "text/plain", Body: []byte{0, 255}}
+	return laceledger.Entry{
+		Sequence: 9, Appender: h, Tag: 1 << 63, At: 5, Forget: laceledger.Cutoff{Idempotent: -3, Other: 4},
+		Records: []laceledger.Record{
+			laceledger.TopUp{Budget: "b", Account: "a", ID: "t", Tokens: 1 << 40, Who: "w"},
+			laceledger.Open{Budget: "b", Grant: "g", Holder: h, Tokens: 9, Least: 3, Offline: 2, Witnesses: []laceunit.Holder{h, {}}, Serial: 1},
+			laceledger.Return{Budget: "b", Grant: "g", Tokens: 1, Offline: 1, Serial: 2},
+			laceledger.Close{Budget: "b", Grant: "g"},
+			laceledger.Release{Budget: "b", Grant: "g", Who: "w"},
+			laceledger.Intent{Budget: "b", Request: r, Digest: "00ff", Grant: "g", Ceiling: 3, Attempt: "1", Server: "s", Idempotent: true, At: 6},
+			laceledger.Takeover{Budget: "b", Request: r, From: "1", Attempt: "2", Grant: "h", Server: "s", At: 6},
+			laceledger.Settle{Budget: "b", Request: r, Attempt: "2", Tokens: 3, Answer: answer, At: 6},
+			laceledger.Void{Budget: "b", Request: r, Attempt: "2", At: 6},
+			laceledger.Offline{Budget: "c", Request: r, Digest: "00FF", Grant: "g", Attempt: "2", Server: "s", Tokens: 3, Idempotent: true, Finished: true, Answer: answer, At: 6},
+		},
+	}
+}
+
+// state returns a snapshot and segments with every field set.
+func state(t testing.TB) (laceledger.Snapshot, []laceledger.Segment) {
+	var s laceledger.State
+	h := laceunit.Holder{Instance: "i", Incarnation: 7}
+	request := func(id string) laceledger.Request {
+		return laceledger.Request{Account: "a", ID: laceunit.RequestID(id)}
+	}
+	e, vs := s.Propose([]laceledger.Record{
+		laceledger.TopUp{Budget: "b", Account: "a", ID: "t", Tokens: 100},
+		laceledger.Open{Budget: "b", Grant: "g", Holder: h, Tokens: 90, Offline: 20, Witnesses: []laceunit.Holder{h}, Serial: 1},
+		laceledger.Intent{Budget: "b", Request: request("open"), Digest: "ab", Grant: "g", Ceiling: 3, Attempt: "1", Server: "s"},
+		laceledger.Offline{Budget: "b", Request: request("offline"), Grant: "g", Attempt: "1", Tokens: 5, Idempotent: true},
+		laceledger.Intent{Budget: "b", Request: request("once"), Grant: "g", Ceiling: 4, Attempt: "1"},
+		laceledger.Settle{Budget: "b", Request: request("once"), Attempt: "1", Tokens: 2, Answer: &laceledger.Answer{Status: 200, Body: []byte("x")}},
+		laceledger.Offline{Budget: "b", Request: request("again"), Grant: "g", Attempt: "1", Tokens: 5, Idempotent: true, Finished: true},
+		laceledger.Close{Budget: "b", Grant: "g"},
+	}, 50, laceledger.Cutoff{Idempotent: 1, Other: 2})
+	for i, v := range vs {
+		if v.Result != laceledger.Accepted {
+			t.Fatalf("record %d: result %d", i, v.Result)
+		}
+	}
+	if err := s.Apply(e); err != nil {
+		t.Fatal(err)
+	}
+	return s.Snapshot(), []laceledger.Segment{s.Segment(0, 0, 10), s.Segment(1, 0, 10)}
+}
+
+// Guards against a field that is lost or changed on the way, and against decoders that accept truncated input silently.
+func TestRoundTrip(t *testing.T) {
+	e := entry()
+	b, err := EncodeEntry(e)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := DecodeEntry(b)
+	if err != nil || !reflect.DeepEqual(got, e) {
+		t.Fatalf("got %+v, %v\nwant %+v", got, err, e)
+	}
+	if _, err = DecodeEntry(b[:len(b)-1]); !errors.Is(err, ErrMalformed) {
+		t.Fatalf("truncated entry: %v", err)
+	}
+	p, segments := state(t)
+	if b, err = EncodeSnapshot(p); err != nil {
+		t.Fatal(err)
+	}
+	q, err := DecodeSnapshot(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var back []laceledger.Segment
+	for _, g := range segments {
+		if b, err = EncodeSegment(g); err != nil {
+			t.Fatal(err)
+		}
+		n, bad := DecodeSegment(b)
+		if bad != nil || !reflect.DeepEqual(n, g) || len(n.Ended) != 1 {
+			t.Fatalf("got %+v, %v\nwant %+v", n, bad, g)
+		}
+		back = append(back, n)
+	}
+	s, err := laceledger.Restore(q, back)
+	if err != nil || !reflect.DeepEqual(s.Snapshot(), p) {
+		t.Fatalf("got %+v, %v\nwant %+v", s.Snapshot(), err, p)
+	}
+}
+
+// Guards against verdicts and balances that lose a field between instances.
+func TestMessagesRoundTrip(t *testing.T) {
+	_, segments := state(t)
+	e := segments[1].Ended[0].Existing
+	v := laceledger.Verdict{Result: laceledger.Duplicate, Granted: 1, Offline: 2, Left: 3, Existing: &e}
+	if got, err := ToVerdict(FromVerdict(v)); err != nil || !reflect.DeepEqual(got, v) {
+		t.Fatalf("got %+v, %v", got, err)
+	}
+	if _, err := ToVerdict(&LedgerVerdict{Result: 99}); !errors.Is(err, ErrMalformed) {
+		t.Fatalf("got %v", err)
+	}
+	b := laceledger.Balance{Budget: "b", Account: "a", Paid: 3, Settled: 1, Outstanding: 2, Grants: []laceledger.Grant{{
+		ID: "g", Holder: e.Holder, Tokens: 2, Reserved: 1, Offline: 1, Closed: true, Witnesses: []laceunit.Holder{e.Holder},
+	}}}
+	if got := ToBalance(FromBalance(b)); !reflect.DeepEqual(got, b) {
+		t.Fatalf("got %+v", got)
+	}
+	w, err := EncodeWriter(e.Holder, "1.2.3.4:5")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if h, a, err := DecodeWriter(w); err != nil || h != e.Holder || a != "1.2.3.4:5" {
+		t.Fatalf("got %v, %v, %v", h, a, err)
+	}
+}
+
+// decoded checks that a decoder refuses input with ErrMalformed or accepts it with a value that survives another round.
+func decoded[T any](t *testing.T, b []byte, decode func([]byte) (T, error), encode func(T) ([]byte, error)) (T, bool) {
+	v, err := decode(b)
+	if err != nil {
+		if !errors.Is(err, ErrMalformed) {
+			t.Fatalf("error of another kind: %v", err)
+		}
+		return v, false
+	}
+	again, err := encode(v)
+	if err != nil {
+		t.Fatalf("can't encode what was decoded: %v", err)
+	}
+	if w, err := decode(again); err != nil || !reflect.DeepEqual(v, w) {
+		t.Fatalf("got %+v, %v\nwant %+v", w, err, v)
+	}
+	return v, true
+}
+
+// Guards against a panic on a damaged slot, and against a damaged entry that breaks the state.
+func FuzzDecodeEntry(f *testing.F) {
+	f.Fuzz(func(t *testing.T, b []byte) {
+		e, ok := decoded(t, b, DecodeEntry, EncodeEntry)
+		if !ok {
+			return
+		}
+		var s laceledger.State
+		e.Sequence = 1
+		if err := s.Apply(e); err == nil {
+			if err = s.Check(); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+}
+
+// Guards against a panic on a damaged snapshot, and against one that is restored although its figures contradict each other.
+func FuzzDecodeSnapshot(f *testing.F) {
+	f.Fuzz(func(t *testing.T, b []byte) {
+		p, ok := decoded(t, b, DecodeSnapshot, EncodeSnapshot)
+		if !ok {
+			return
+		}
+		if s, err := laceledger.Restore(p, nil); err == nil {
+			if err = s.Check(); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+}
+
+// Guards against a panic on a damaged segment.
+func FuzzDecodeSegment(f *testing.F) {
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if g, ok := decoded(t, b, DecodeSegment, EncodeSegment); ok {
+			_, _ = laceledger.Restore(laceledger.Snapshot{Next: [laceledger.Classes]uint64{g.Next, g.Next}}, []laceledger.Segment{g})
+		}
+	})
+}
+
+// Guards against a panic on a damaged snapshot head.
+func FuzzDecodeHead(f *testing.F) {
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if _, err := DecodeHead(b); err != nil && !errors.Is(err, ErrMalformed) {
+			t.Fatalf("error of another kind: %v", err)
+		}
+	})
+}
+
+// Guards against a panic on a damaged writer key.
+func FuzzDecodeWriter(f *testing.F) {
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if _, _, err := DecodeWriter(b); err != nil && !errors.Is(err, ErrMalformed) {
+			t.Fatalf("error of another kind: %v", err)
+		}
+	})
+}
--- a/lib/lacewriter/observer.go
+++ b/lib/lacewriter/observer.go
@@ -1,7 +1,6 @@
 package lacewriter
 
 import (
-	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -135,23 +134,5 @@
 
 // Verdict implements Observer.
 func (m *Metrics) Verdict(result laceledger.Result) {
-	m.verdicts.WithLabelValues(name(result)).Inc()
-}
-
-func name(r laceledger.Result) string {
-	names := [...]string{
-		laceledger.Accepted:   "accepted",
-		laceledger.Repeated:   "repeated",
-		laceledger.Duplicate:  "duplicate",
-		laceledger.Conflict:   "conflict",
-		laceledger.Closed:     "closed",
-		laceledger.Short:      "short",
-		laceledger.Superseded: "superseded",
-		laceledger.Missing:    "missing",
-		laceledger.Invalid:    "invalid",
-	}
-	if int(r) < len(names) && names[r] != "" {
-		return names[r]
-	}
-	return strconv.Itoa(int(r))
+	m.verdicts.WithLabelValues(result.String()).Inc()
 }
