--- a/lib/laceledger/state.go
+++ b/lib/laceledger/state.go
@@ -96,6 +96,13 @@
 			e.Records = append(e.Records, slim(r))
 		}
 	}
+	if d.check() != nil {
+		// An entry that doesn't apply would block the log for good, so a fault in a rule must not get that far.
+		e.Records = nil
+		for i := range verdicts {
+			verdicts[i] = Verdict{Result: Invalid}
+		}
+	}
 	return e, verdicts
 }
 
@@ -110,12 +117,28 @@
 			return errors.Wrapf(ErrEntry, "entry %d, record %d (%T): %s", e.Sequence, i, r, v.Result)
 		}
 	}
+	if err := d.check(); err != nil {
+		return err
+	}
+	d.merge()
+	return nil
+}
+
+// check verifies the budgets and grants that the draft has touched.
+func (d *draft) check() error {
 	for _, b := range d.budgets {
 		if err := b.check(); err != nil {
 			return err
 		}
 	}
-	d.merge()
+	for _, g := range d.grants {
+		if g == nil {
+			continue
+		}
+		if err := g.check(g.Reserved); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
--- a/lib/lacewriter/ledger_test.go
+++ b/lib/lacewriter/ledger_test.go
@@ -228,3 +228,96 @@
 		t.Fatalf("got %v", err)
 	}
 }
+
+// Guards against every instance appending by itself when the platform is slow, which only adds conflicts.
+func TestSlowPlatformKeepsTheWriter(t *testing.T) {
+	f := newFleet(t, 2, 1)
+	for _, i := range f.list {
+		f.serve(i)
+	}
+	w := f.settled(0, laceunit.Holder{})
+	w.must(t, topUp("t", 1), laceledger.Accepted)
+	f.store.mu.Lock()
+	f.store.latency = writerPatience + 200*time.Millisecond
+	f.store.mu.Unlock()
+	for _, i := range f.list {
+		if i != w {
+			i.must(t, topUp("slow", 1), laceledger.Accepted)
+			if len(i.units) != 0 {
+				t.Fatal("appended directly although the writer is there")
+			}
+		}
+	}
+}
+
+// Guards against a record without a serial that is sent twice after the writer's answer was lost.
+func TestUnnumberedGrantIsSentOnce(t *testing.T) {
+	f := newFleet(t, 2, 1)
+	for _, i := range f.list {
+		f.serve(i)
+	}
+	w := f.settled(0, laceunit.Holder{})
+	w.must(t, topUp("t", 100), laceledger.Accepted)
+	for _, i := range f.list {
+		if i == w {
+			continue
+		}
+		i.client = &http.Client{Transport: cut{}}
+		open := laceledger.Open{Budget: "b", Grant: "g", Holder: i.self.Holder, Tokens: 10}
+		if _, err := i.Append(context.Background(), open, laceledger.Now); !errors.Is(err, laceplatform.ErrUnknown) {
+			t.Fatalf("got %v", err)
+		}
+		i.avoid = map[laceunit.Address]time.Time{}
+		open.Grant, open.Serial = "h", 1
+		if v := i.must(t, open, laceledger.Repeated); v.Granted != 10 {
+			t.Fatalf("granted %d", v.Granted)
+		}
+	}
+	b, err := w.Balance(context.Background(), "b")
+	if err != nil || b.Outstanding != 20 {
+		t.Fatalf("balance %+v, %v", b, err)
+	}
+}
+
+// cut loses every answer.
+type cut struct{}
+
+func (cut) RoundTrip(r *http.Request) (*http.Response, error) {
+	a, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	_ = a.Body.Close()
+	return nil, errors.New("connection reset")
+}
+
+// Guards against grants of dead instances that stay open, and against another instance than the writer recovering them.
+func TestRecoverClosesGrantsOfGoneHolders(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := newFleet(t, 2, 1, WithClock(func() time.Time { return now }))
+	for _, i := range f.list {
+		f.serve(i)
+	}
+	w := f.settled(0, laceunit.Holder{})
+	dead := laceunit.Holder{Instance: "dead", Incarnation: 3}
+	request := func(id string) laceledger.Request {
+		return laceledger.Request{Account: "a", ID: laceunit.RequestID(id)}
+	}
+	w.must(t, topUp("t", 100), laceledger.Accepted)
+	w.must(t, laceledger.Open{Budget: "b", Grant: "g", Holder: dead, Tokens: 100, Offline: 20}, laceledger.Accepted)
+	w.must(t, laceledger.Intent{Budget: "b", Request: request("idem"), Grant: "g", Ceiling: 5, Attempt: "1", Idempotent: true}, laceledger.Accepted)
+	w.must(t, laceledger.Intent{Budget: "b", Request: request("once"), Grant: "g", Ceiling: 5, Attempt: "1"}, laceledger.Accepted)
+	for _, i := range f.list {
+		ask, err := i.Recover(context.Background(), nil, []laceunit.Holder{dead}, 0)
+		if err != nil || (len(ask) == 1) != (i == w) {
+			t.Fatalf("ask %+v, %v", ask, err)
+		}
+	}
+	b, err := w.Balance(context.Background(), "b")
+	if err != nil || b.Outstanding != 25 || !b.Grants[0].Closed {
+		t.Fatalf("balance %+v, %v", b, err)
+	}
+	if e, err := f.list[0].Find(context.Background(), "b", request("idem")); err != nil || e.Phase != laceledger.PhaseVoid {
+		t.Fatalf("request %+v, %v", e, err)
+	}
+}
--- a/lib/lacewriter/store_test.go
+++ b/lib/lacewriter/store_test.go
@@ -6,6 +6,7 @@
 	"sort"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"lacewingcove/lib/laceplatform"
@@ -26,8 +27,10 @@
 	faults int
 	// late holds swaps that have been answered with ErrUnknown and have yet to reach the store.
 	late []laceplatform.Swap
-	// latency is the time that a call takes.
+	// latency is the time that a call takes; jitter adds up to as much again.
 	latency time.Duration
+	jitter  bool
+	calls   atomic.Int64
 	// down makes every call fail.
 	down bool
 	// reads, writes and bytes count the calls and what they write.
@@ -45,12 +48,15 @@
 
 // enter waits for the latency and takes the lock; it reports whether the call is lost before or after it takes effect.
 func (m *memory) enter(ctx context.Context) (before, after bool, err error) {
-	if m.latency > 0 {
+	if latency := m.latency; latency > 0 {
+		if n := m.calls.Add(1); m.jitter {
+			latency += latency * time.Duration(n*7919%997) / 997
+		}
 		select {
 		case <-ctx.Done():
 			m.mu.Lock()
 			return false, false, laceplatform.ErrUnavailable
-		case <-time.After(m.latency):
+		case <-time.After(latency):
 		}
 	}
 	m.mu.Lock()
