--- a/lib/laceledger/draft.go
+++ b/lib/laceledger/draft.go
@@ -14,6 +14,20 @@
 	topUp  laceunit.TopUpID
 }
 
+func keyOf(b *budget, id laceunit.GrantID) grantKey {
+	return grantKey{
+		budget: b.id,
+		grant:  id,
+	}
+}
+
+func topUpKeyOf(b *budget, id laceunit.TopUpID) topUpKey {
+	return topUpKey{
+		budget: b.id,
+		topUp:  id,
+	}
+}
+
 // draft holds the changes of one entry apart from the state that they are based on.
 type draft struct {
 	state    *State
@@ -57,7 +71,7 @@
 }
 
 func (d *draft) topUp(b *budget, id laceunit.TopUpID) (laceunit.Tokens, bool) {
-	if t, ok := d.topups[topUpKey{budget: b.id, topUp: id}]; ok {
+	if t, ok := d.topups[topUpKeyOf(b, id)]; ok {
 		return t, true
 	}
 	t, ok := b.topups[id]
@@ -66,7 +80,7 @@
 
 // grant returns a copy that may be changed, or nil.
 func (d *draft) grant(b *budget, id laceunit.GrantID) *grant {
-	k := grantKey{budget: b.id, grant: id}
+	k := keyOf(b, id)
 	if g, ok := d.grants[k]; ok {
 		return g
 	}
@@ -111,7 +125,7 @@
 	}
 	g.Offline = min(g.Offline, g.Tokens)
 	if g.Closed && g.Tokens == 0 {
-		d.grants[grantKey{budget: b.id, grant: g.ID}] = nil
+		d.grants[keyOf(b, g.ID)] = nil
 	}
 }
 
--- a/lib/laceledger/grant.go
+++ b/lib/laceledger/grant.go
@@ -87,7 +87,7 @@
 	}
 	b.paid += r.Tokens
 	d.budgets[r.Budget] = b
-	d.topups[topUpKey{budget: b.id, topUp: r.ID}] = r.Tokens
+	d.topups[topUpKeyOf(b, r.ID)] = r.Tokens
 	return Verdict{
 		Result: Accepted,
 		Left:   b.left(),
@@ -112,7 +112,7 @@
 			ID:     r.Grant,
 			Holder: r.Holder,
 		}}
-		d.grants[grantKey{budget: b.id, grant: r.Grant}] = g
+		d.grants[keyOf(b, r.Grant)] = g
 	}
 	g.Tokens += added
 	b.outstanding += added
--- a/lib/laceledger/state.go
+++ b/lib/laceledger/state.go
@@ -154,7 +154,10 @@
 	reserved := map[grantKey]laceunit.Tokens{}
 	for _, r := range s.requests {
 		if r.Phase == PhaseOpen {
-			reserved[grantKey{budget: r.Budget, grant: r.Grant}] += r.Ceiling
+			reserved[grantKey{
+				budget: r.Budget,
+				grant:  r.Grant,
+			}] += r.Ceiling
 		}
 	}
 	for _, b := range s.budgets {
@@ -163,7 +166,7 @@
 		}
 		var sum laceunit.Tokens
 		for _, g := range b.grants {
-			k := grantKey{budget: b.id, grant: g.ID}
+			k := keyOf(b, g.ID)
 			if err := g.check(reserved[k]); err != nil {
 				return err
 			}
--- a/lib/lacewriter/combiner.go
+++ b/lib/lacewriter/combiner.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// lingerSoon is how long a record of urgency Soon waits for others when the write allowance is short.
+	// lingerSoon is the default of WithLinger: one shard then writes at most 50 times per second for Soon records.
 	lingerSoon = 20 * time.Millisecond
 	// lingerLazy is how long a record of urgency Lazy waits for others.
 	lingerLazy = 500 * time.Millisecond
@@ -221,7 +221,7 @@
 		case it.urgency == laceledger.Soon && !short:
 			return 0
 		case it.urgency == laceledger.Soon:
-			wait = min(wait, lingerSoon-age, c.refill(now))
+			wait = min(wait, c.options.linger-age, c.refill(now))
 		default:
 			wait = min(wait, lingerLazy-age)
 		}
@@ -233,7 +233,7 @@
 func (c *Combiner) refill(now time.Time) time.Duration {
 	missing := 1 - c.limiter.TokensAt(now)
 	if missing <= 0 || c.limiter.Limit() <= 0 {
-		return lingerSoon
+		return c.options.linger
 	}
 	// A nanosecond more makes up for rounding down.
 	return time.Duration(missing/float64(c.limiter.Limit())*float64(time.Second)) + 1
--- a/lib/lacewriter/log.go
+++ b/lib/lacewriter/log.go
@@ -44,6 +44,9 @@
 	// turn is held during one load, catch-up or append; pen during one snapshot.
 	turn chan struct{}
 	pen  chan struct{}
+	// parts holds what unfinished loads have read, so that a load that runs out of time goes on where it stopped.
+	// It belongs to the holder of turn.
+	parts map[string][]byte
 
 	// mu guards the fields below and is never held during a call to the platform.
 	mu        sync.Mutex
@@ -135,9 +138,11 @@
 
 // load reads the snapshot and the ring.
 func (l *Log) load(ctx context.Context) error {
-	parts := map[string][]byte{}
+	if l.parts == nil {
+		l.parts = map[string][]byte{}
+	}
 	for range loadTries {
-		h, s, err := l.loadSnapshot(ctx, parts)
+		h, s, err := l.loadSnapshot(ctx)
 		if errors.Is(err, laceplatform.ErrMissing) {
 			// A newer snapshot has replaced the parts of this one.
 			continue
@@ -159,6 +164,7 @@
 		l.mu.Lock()
 		l.state, l.revisions, l.head = s, revisions, h
 		l.mu.Unlock()
+		l.parts = nil
 		return nil
 	}
 	return errors.Wrapf(laceplatform.ErrUnavailable, "shard %d: snapshot kept moving during %d loads", l.shard, loadTries)
--- a/lib/lacewriter/option.go
+++ b/lib/lacewriter/option.go
@@ -18,6 +18,7 @@
 	partBytes int
 	queue     int
 	writes    float64
+	linger    time.Duration
 	timeout   time.Duration
 	lease     time.Duration
 }
@@ -45,6 +46,7 @@
 		partBytes: defaultPartBytes,
 		queue:     defaultQueue,
 		writes:    defaultWrites,
+		linger:    lingerSoon,
 		timeout:   defaultTimeout,
 		lease:     defaultLease,
 	}
@@ -89,6 +91,11 @@
 	return func(o *options) { o.writes = perSecond }
 }
 
+// WithLinger sets how long a record of urgency Soon waits for others when the write allowance is short.
+func WithLinger(linger time.Duration) Option {
+	return func(o *options) { o.linger = linger }
+}
+
 // WithTimeout bounds one append with its retries, and one call to a peer.
 func WithTimeout(timeout time.Duration) Option {
 	return func(o *options) { o.timeout = timeout }
--- a/lib/lacewriter/snapshot.go
+++ b/lib/lacewriter/snapshot.go
@@ -299,8 +299,8 @@
 	}
 }
 
-// loadSnapshot reads the newest snapshot; parts holds what earlier tries of the same load have read.
-func (l *Log) loadSnapshot(ctx context.Context, parts map[string][]byte) (head, *laceledger.State, error) {
+// loadSnapshot reads the newest snapshot.
+func (l *Log) loadSnapshot(ctx context.Context) (head, *laceledger.State, error) {
 	h, err := l.readHead(ctx)
 	if err != nil || h.message == nil {
 		return h, &laceledger.State{}, err
@@ -308,7 +308,7 @@
 	core := h.message.GetCore()
 	var b []byte
 	for _, k := range h.message.GetParts() {
-		if b, err = l.part(ctx, k, parts); err != nil {
+		if b, err = l.part(ctx, k); err != nil {
 			return h, nil, err
 		}
 		core = append(core, b...)
@@ -319,7 +319,7 @@
 	}
 	segments := make([]laceledger.Segment, len(h.message.GetSegments()))
 	for i, r := range h.message.GetSegments() {
-		if b, err = l.part(ctx, r.GetPart(), parts); err != nil {
+		if b, err = l.part(ctx, r.GetPart()); err != nil {
 			return h, nil, err
 		}
 		if segments[i], err = lacewire.DecodeSegment(b); err != nil {
@@ -333,14 +333,14 @@
 	return h, s, nil
 }
 
-func (l *Log) part(ctx context.Context, key string, parts map[string][]byte) ([]byte, error) {
-	if b, ok := parts[key]; ok {
+func (l *Log) part(ctx context.Context, key string) ([]byte, error) {
+	if b, ok := l.parts[key]; ok {
 		return b, nil
 	}
 	kv, err := l.store.Get(ctx, laceplatform.Key(key))
 	if err != nil {
 		return nil, err
 	}
-	parts[key] = kv.Value
+	l.parts[key] = kv.Value
 	return kv.Value, nil
 }
