--- a/lib/laceledger/offline.go
+++ b/lib/laceledger/offline.go
@@ -58,7 +58,7 @@
 	v := Verdict{Result: Accepted}
 	g.Offline = max(0, g.Offline-r.Tokens)
 	if r.Finished {
-		n.Phase, n.Tokens, n.Answer = PhaseSettled, r.Tokens, kept(r.Answer, r.Idempotent)
+		n.Phase, n.Tokens, n.Answer = PhaseSettled, r.Tokens, storedAnswer(r.Answer, r.Idempotent)
 		v.Granted = r.Tokens
 		d.charge(b, g, r.Tokens)
 	} else {
--- a/lib/laceledger/request.go
+++ b/lib/laceledger/request.go
@@ -123,7 +123,7 @@
 	billed := min(tokens, q.Ceiling)
 	d.bill(b, q, billed)
 	n := *q
-	n.Phase, n.Tokens, n.Answer = PhaseSettled, billed, kept(answer, q.Idempotent)
+	n.Phase, n.Tokens, n.Answer = PhaseSettled, billed, storedAnswer(answer, q.Idempotent)
 	n.offline = false
 	d.put(n)
 	return Verdict{
@@ -132,21 +132,21 @@
 	}
 }
 
-// slim drops an answer that the ledger doesn't store, so that it takes no space in the log.
-func slim(r Record) Record {
+// stripAnswer drops an answer that the ledger doesn't store, so that it takes no space in the log.
+func stripAnswer(r Record) Record {
 	switch r := r.(type) {
 	case Settle:
-		r.Answer = kept(r.Answer, false)
+		r.Answer = storedAnswer(r.Answer, false)
 		return r
 	case Offline:
-		r.Answer = kept(r.Answer, r.Idempotent)
+		r.Answer = storedAnswer(r.Answer, r.Idempotent)
 		return r
 	}
 	return r
 }
 
-// kept returns the answer if it is one that the ledger stores.
-func kept(a *Answer, idempotent bool) *Answer {
+// storedAnswer returns the answer if it is one that the ledger stores.
+func storedAnswer(a *Answer, idempotent bool) *Answer {
 	if a == nil || idempotent || len(a.Body) > MaxAnswerBytes || len(a.Type) > MaxNameBytes {
 		return nil
 	}
--- a/lib/laceledger/state.go
+++ b/lib/laceledger/state.go
@@ -93,7 +93,7 @@
 	for i, r := range records {
 		verdicts[i] = d.apply(r)
 		if verdicts[i].Result == Accepted {
-			e.Records = append(e.Records, slim(r))
+			e.Records = append(e.Records, stripAnswer(r))
 		}
 	}
 	if d.check() != nil {
--- a/lib/lacewire/ledger.go
+++ b/lib/lacewire/ledger.go
@@ -19,7 +19,7 @@
 	index map[string]uint32
 }
 
-func put[T ~string](n *names, id T) uint32 {
+func intern[T ~string](n *names, id T) uint32 {
 	if id == "" {
 		return 0
 	}
@@ -41,7 +41,7 @@
 	err  error
 }
 
-func take[T ~string](r *reader, i uint32) T {
+func lookup[T ~string](r *reader, i uint32) T {
 	if i == 0 {
 		return ""
 	}
--- a/lib/lacewire/ledger_record.go
+++ b/lib/lacewire/ledger_record.go
@@ -69,18 +69,18 @@
 }
 
 func fromRecord(n *names, r laceledger.Record) (*LedgerRecord, error) {
-	m := &LedgerRecord{Budget: put(n, r.BudgetID())}
+	m := &LedgerRecord{Budget: intern(n, r.BudgetID())}
 	switch r := r.(type) {
 	case laceledger.TopUp:
 		m.Kind = &LedgerRecord_TopUp{TopUp: &LedgerTopUp{
-			Account: put(n, r.Account),
+			Account: intern(n, r.Account),
 			Id:      string(r.ID),
 			Tokens:  int64(r.Tokens),
 			Who:     r.Who,
 		}}
 	case laceledger.Open:
 		m.Kind = &LedgerRecord_Open{Open: &LedgerOpen{
-			Grant:     put(n, r.Grant),
+			Grant:     intern(n, r.Grant),
 			Holder:    fromHolder(r.Holder),
 			Tokens:    int64(r.Tokens),
 			Least:     int64(r.Least),
@@ -90,16 +90,16 @@
 		}}
 	case laceledger.Return:
 		m.Kind = &LedgerRecord_Return{Return: &LedgerReturn{
-			Grant:   put(n, r.Grant),
+			Grant:   intern(n, r.Grant),
 			Tokens:  int64(r.Tokens),
 			Offline: int64(r.Offline),
 			Serial:  r.Serial,
 		}}
 	case laceledger.Close:
-		m.Kind = &LedgerRecord_Close{Close: &LedgerClose{Grant: put(n, r.Grant)}}
+		m.Kind = &LedgerRecord_Close{Close: &LedgerClose{Grant: intern(n, r.Grant)}}
 	case laceledger.Release:
 		m.Kind = &LedgerRecord_Release{Release: &LedgerRelease{
-			Grant: put(n, r.Grant),
+			Grant: intern(n, r.Grant),
 			Who:   r.Who,
 		}}
 	default:
@@ -113,29 +113,29 @@
 	switch r := r.(type) {
 	case laceledger.Intent:
 		m.Kind = &LedgerRecord_Intent{Intent: &LedgerIntent{
-			Account:    put(n, r.Request.Account),
+			Account:    intern(n, r.Request.Account),
 			Request:    string(r.Request.ID),
 			Digest:     fromDigest(r.Digest),
-			Grant:      put(n, r.Grant),
+			Grant:      intern(n, r.Grant),
 			Ceiling:    int64(r.Ceiling),
 			Attempt:    string(r.Attempt),
-			Server:     put(n, r.Server),
+			Server:     intern(n, r.Server),
 			Idempotent: r.Idempotent,
 			At:         r.At,
 		}}
 	case laceledger.Takeover:
 		m.Kind = &LedgerRecord_Takeover{Takeover: &LedgerTakeover{
-			Account: put(n, r.Request.Account),
+			Account: intern(n, r.Request.Account),
 			Request: string(r.Request.ID),
 			From:    string(r.From),
 			Attempt: string(r.Attempt),
-			Grant:   put(n, r.Grant),
-			Server:  put(n, r.Server),
+			Grant:   intern(n, r.Grant),
+			Server:  intern(n, r.Server),
 			At:      r.At,
 		}}
 	case laceledger.Settle:
 		m.Kind = &LedgerRecord_Settle{Settle: &LedgerSettle{
-			Account: put(n, r.Request.Account),
+			Account: intern(n, r.Request.Account),
 			Request: string(r.Request.ID),
 			Attempt: string(r.Attempt),
 			Tokens:  int64(r.Tokens),
@@ -144,7 +144,7 @@
 		}}
 	case laceledger.Void:
 		m.Kind = &LedgerRecord_Void{Void: &LedgerVoid{
-			Account: put(n, r.Request.Account),
+			Account: intern(n, r.Request.Account),
 			Request: string(r.Request.ID),
 			Attempt: string(r.Attempt),
 			At:      r.At,
@@ -159,12 +159,12 @@
 
 func fromOffline(n *names, r laceledger.Offline) *LedgerOffline {
 	return &LedgerOffline{
-		Account:    put(n, r.Request.Account),
+		Account:    intern(n, r.Request.Account),
 		Request:    string(r.Request.ID),
 		Digest:     fromDigest(r.Digest),
-		Grant:      put(n, r.Grant),
+		Grant:      intern(n, r.Grant),
 		Attempt:    string(r.Attempt),
-		Server:     put(n, r.Server),
+		Server:     intern(n, r.Server),
 		Tokens:     int64(r.Tokens),
 		Idempotent: r.Idempotent,
 		Finished:   r.Finished,
@@ -191,12 +191,12 @@
 }
 
 func toRecord(n *reader, m *LedgerRecord) laceledger.Record {
-	budget := take[laceunit.BudgetID](n, m.GetBudget())
+	budget := lookup[laceunit.BudgetID](n, m.GetBudget())
 	switch k := m.GetKind().(type) {
 	case *LedgerRecord_TopUp:
 		return laceledger.TopUp{
 			Budget:  budget,
-			Account: take[laceunit.AccountID](n, k.TopUp.GetAccount()),
+			Account: lookup[laceunit.AccountID](n, k.TopUp.GetAccount()),
 			ID:      laceunit.TopUpID(k.TopUp.GetId()),
 			Tokens:  laceunit.Tokens(k.TopUp.GetTokens()),
 			Who:     k.TopUp.GetWho(),
@@ -204,7 +204,7 @@
 	case *LedgerRecord_Open:
 		return laceledger.Open{
 			Budget:    budget,
-			Grant:     take[laceunit.GrantID](n, k.Open.GetGrant()),
+			Grant:     lookup[laceunit.GrantID](n, k.Open.GetGrant()),
 			Holder:    toHolder(k.Open.GetHolder()),
 			Tokens:    laceunit.Tokens(k.Open.GetTokens()),
 			Least:     laceunit.Tokens(k.Open.GetLeast()),
@@ -215,7 +215,7 @@
 	case *LedgerRecord_Return:
 		return laceledger.Return{
 			Budget:  budget,
-			Grant:   take[laceunit.GrantID](n, k.Return.GetGrant()),
+			Grant:   lookup[laceunit.GrantID](n, k.Return.GetGrant()),
 			Tokens:  laceunit.Tokens(k.Return.GetTokens()),
 			Offline: laceunit.Tokens(k.Return.GetOffline()),
 			Serial:  k.Return.GetSerial(),
@@ -223,12 +223,12 @@
 	case *LedgerRecord_Close:
 		return laceledger.Close{
 			Budget: budget,
-			Grant:  take[laceunit.GrantID](n, k.Close.GetGrant()),
+			Grant:  lookup[laceunit.GrantID](n, k.Close.GetGrant()),
 		}
 	case *LedgerRecord_Release:
 		return laceledger.Release{
 			Budget: budget,
-			Grant:  take[laceunit.GrantID](n, k.Release.GetGrant()),
+			Grant:  lookup[laceunit.GrantID](n, k.Release.GetGrant()),
 			Who:    k.Release.GetWho(),
 		}
 	default:
@@ -244,10 +244,10 @@
 			Budget:     budget,
 			Request:    request(n, k.Intent.GetAccount(), k.Intent.GetRequest()),
 			Digest:     toDigest(k.Intent.GetDigest()),
-			Grant:      take[laceunit.GrantID](n, k.Intent.GetGrant()),
+			Grant:      lookup[laceunit.GrantID](n, k.Intent.GetGrant()),
 			Ceiling:    laceunit.Tokens(k.Intent.GetCeiling()),
 			Attempt:    laceunit.AttemptID(k.Intent.GetAttempt()),
-			Server:     take[laceunit.ServerID](n, k.Intent.GetServer()),
+			Server:     lookup[laceunit.ServerID](n, k.Intent.GetServer()),
 			Idempotent: k.Intent.GetIdempotent(),
 			At:         k.Intent.GetAt(),
 		}
@@ -257,8 +257,8 @@
 			Request: request(n, k.Takeover.GetAccount(), k.Takeover.GetRequest()),
 			From:    laceunit.AttemptID(k.Takeover.GetFrom()),
 			Attempt: laceunit.AttemptID(k.Takeover.GetAttempt()),
-			Grant:   take[laceunit.GrantID](n, k.Takeover.GetGrant()),
-			Server:  take[laceunit.ServerID](n, k.Takeover.GetServer()),
+			Grant:   lookup[laceunit.GrantID](n, k.Takeover.GetGrant()),
+			Server:  lookup[laceunit.ServerID](n, k.Takeover.GetServer()),
 			At:      k.Takeover.GetAt(),
 		}
 	case *LedgerRecord_Settle:
@@ -289,9 +289,9 @@
 		Budget:     budget,
 		Request:    request(n, m.GetAccount(), m.GetRequest()),
 		Digest:     toDigest(m.GetDigest()),
-		Grant:      take[laceunit.GrantID](n, m.GetGrant()),
+		Grant:      lookup[laceunit.GrantID](n, m.GetGrant()),
 		Attempt:    laceunit.AttemptID(m.GetAttempt()),
-		Server:     take[laceunit.ServerID](n, m.GetServer()),
+		Server:     lookup[laceunit.ServerID](n, m.GetServer()),
 		Tokens:     laceunit.Tokens(m.GetTokens()),
 		Idempotent: m.GetIdempotent(),
 		Finished:   m.GetFinished(),
@@ -302,7 +302,7 @@
 
 func request(n *reader, account uint32, id string) laceledger.Request {
 	return laceledger.Request{
-		Account: take[laceunit.AccountID](n, account),
+		Account: lookup[laceunit.AccountID](n, account),
 		ID:      laceunit.RequestID(id),
 	}
 }
--- a/lib/lacewire/ledger_snapshot.go
+++ b/lib/lacewire/ledger_snapshot.go
@@ -80,8 +80,8 @@
 
 func fromBudget(n *names, b laceledger.BudgetState) *LedgerBudget {
 	m := &LedgerBudget{
-		Budget:  put(n, b.ID),
-		Account: put(n, b.Account),
+		Budget:  intern(n, b.ID),
+		Account: intern(n, b.Account),
 		Paid:    int64(b.Paid),
 		Settled: int64(b.Settled),
 	}
@@ -101,8 +101,8 @@
 
 func toBudget(n *reader, m *LedgerBudget) laceledger.BudgetState {
 	b := laceledger.BudgetState{
-		ID:      take[laceunit.BudgetID](n, m.GetBudget()),
-		Account: take[laceunit.AccountID](n, m.GetAccount()),
+		ID:      lookup[laceunit.BudgetID](n, m.GetBudget()),
+		Account: lookup[laceunit.AccountID](n, m.GetAccount()),
 		Paid:    laceunit.Tokens(m.GetPaid()),
 		Settled: laceunit.Tokens(m.GetSettled()),
 	}
@@ -191,16 +191,16 @@
 
 func fromExisting(n *names, e laceledger.Existing) *LedgerRequest {
 	return &LedgerRequest{
-		Account:     put(n, e.Request.Account),
+		Account:     intern(n, e.Request.Account),
 		Request:     string(e.Request.ID),
-		Budget:      put(n, e.Budget),
+		Budget:      intern(n, e.Budget),
 		Digest:      fromDigest(e.Digest),
 		Phase:       uint32(e.Phase),
 		Attempt:     string(e.Attempt),
-		Grant:       put(n, e.Grant),
-		Instance:    put(n, e.Holder.Instance),
+		Grant:       intern(n, e.Grant),
+		Instance:    intern(n, e.Holder.Instance),
 		Incarnation: uint64(e.Holder.Incarnation),
-		Server:      put(n, e.Server),
+		Server:      intern(n, e.Server),
 		Ceiling:     int64(e.Ceiling),
 		Tokens:      int64(e.Tokens),
 		Idempotent:  e.Idempotent,
@@ -215,16 +215,16 @@
 	}
 	return laceledger.Existing{
 		Request: request(n, m.GetAccount(), m.GetRequest()),
-		Budget:  take[laceunit.BudgetID](n, m.GetBudget()),
+		Budget:  lookup[laceunit.BudgetID](n, m.GetBudget()),
 		Digest:  toDigest(m.GetDigest()),
 		Phase:   laceledger.Phase(m.GetPhase()),
 		Attempt: laceunit.AttemptID(m.GetAttempt()),
-		Grant:   take[laceunit.GrantID](n, m.GetGrant()),
+		Grant:   lookup[laceunit.GrantID](n, m.GetGrant()),
 		Holder: laceunit.Holder{
-			Instance:    take[laceunit.InstanceID](n, m.GetInstance()),
+			Instance:    lookup[laceunit.InstanceID](n, m.GetInstance()),
 			Incarnation: laceunit.Incarnation(m.GetIncarnation()),
 		},
-		Server:     take[laceunit.ServerID](n, m.GetServer()),
+		Server:     lookup[laceunit.ServerID](n, m.GetServer()),
 		Ceiling:    laceunit.Tokens(m.GetCeiling()),
 		Tokens:     laceunit.Tokens(m.GetTokens()),
 		Idempotent: m.GetIdempotent(),
--- a/lib/lacewriter/append.go
+++ b/lib/lacewriter/append.go
@@ -32,10 +32,10 @@
 // It may return fewer verdicts than records when the entry would become too large; the others have not been looked at.
 // Its errors are laceplatform.ErrUnavailable (nothing appended), laceplatform.ErrUnknown and ErrDamaged.
 func (l *Log) Append(ctx context.Context, records []laceledger.Record) ([]laceledger.Verdict, error) {
-	if err := acquire(ctx, l.turn); err != nil {
+	if err := acquire(ctx, l.appendLock); err != nil {
 		return nil, err
 	}
-	defer func() { <-l.turn }()
+	defer func() { <-l.appendLock }()
 	if _, err := l.ensure(ctx); err != nil {
 		return nil, certain(err)
 	}
@@ -141,7 +141,7 @@
 		})
 		switch {
 		case err == nil:
-			return true, l.take(a.entry, revision)
+			return true, l.applyEntry(a.entry, revision)
 		case errors.Is(err, laceplatform.ErrConflict):
 			l.observer.Conflict(l.shard)
 		case errors.Is(err, laceplatform.ErrUnavailable) || errors.Is(err, laceplatform.ErrTooLarge):
--- a/lib/lacewriter/combiner_test.go
+++ b/lib/lacewriter/combiner_test.go
@@ -131,7 +131,7 @@
 	if err := log.Refresh(t.Context()); err != nil {
 		t.Fatal(err)
 	}
-	log.store = &lapping{memory: m, lap: func() {
+	log.store = &lapStore{memory: m, lap: func() {
 		for i := range Ring + 1 {
 			if _, err := other.Append(context.Background(), []laceledger.Record{topUp(fmt.Sprint("o", i), 1)}); err != nil {
 				t.Error(err)
@@ -143,13 +143,13 @@
 	}
 }
 
-// lapping loses the answer of its first swap and lets a whole lap of the ring pass before the read-back.
-type lapping struct {
+// lapStore loses the answer of its first swap and lets a whole lap of the ring pass before the read-back.
+type lapStore struct {
 	*memory
 	lap func()
 }
 
-func (l *lapping) Swap(ctx context.Context, s laceplatform.Swap) (laceplatform.Revision, error) {
+func (l *lapStore) Swap(ctx context.Context, s laceplatform.Swap) (laceplatform.Revision, error) {
 	_, err := l.memory.Swap(ctx, s)
 	if err == nil {
 		l.lap()
@@ -158,13 +158,13 @@
 	return 0, err
 }
 
-// tiring fails after some reads until it is given more.
-type tiring struct {
+// limitedReads fails after some reads until it is given more.
+type limitedReads struct {
 	*memory
 	each, left, tries int
 }
 
-func (s *tiring) Get(ctx context.Context, key laceplatform.Key) (laceplatform.Entry, error) {
+func (s *limitedReads) Get(ctx context.Context, key laceplatform.Key) (laceplatform.Entry, error) {
 	if s.left--; s.left < 0 {
 		return laceplatform.Entry{}, laceplatform.ErrUnavailable
 	}
@@ -198,11 +198,11 @@
 	if largest > 16<<10 {
 		t.Fatalf("a value of %d bytes", largest)
 	}
-	patient := &tiring{memory: m, each: 2}
-	again := NewLog(patient, 0, laceunit.Holder{Instance: "j"})
+	limited := &limitedReads{memory: m, each: 2}
+	again := NewLog(limited, 0, laceunit.Holder{Instance: "j"})
 	for again.Refresh(t.Context()) != nil {
-		patient.left, patient.tries = patient.each, patient.tries+1
-		if patient.tries > 20 {
+		limited.left, limited.tries = limited.each, limited.tries+1
+		if limited.tries > 20 {
 			t.Fatal("a load that is cut short starts from the beginning")
 		}
 	}
--- a/lib/lacewriter/election.go
+++ b/lib/lacewriter/election.go
@@ -86,7 +86,7 @@
 	defer func() { _ = w.Close() }()
 	beat := time.NewTicker(l.options.lease / 3)
 	defer beat.Stop()
-	l.stand(ctx)
+	l.claimVacant(ctx)
 	for {
 		select {
 		case <-ctx.Done():
@@ -97,11 +97,11 @@
 			}
 			l.learn(e)
 			if e.Deleted {
-				l.stand(ctx)
+				l.claimVacant(ctx)
 			}
 		case <-beat.C:
 			l.renew(ctx)
-			l.stand(ctx)
+			l.claimVacant(ctx)
 		}
 	}
 }
@@ -164,19 +164,19 @@
 	delete(l.writers, shard)
 }
 
-// stand claims the vacant shards that fall to this instance.
-func (l *Ledger) stand(ctx context.Context) {
+// claimVacant claims the vacant shards that fall to this instance.
+func (l *Ledger) claimVacant(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, l.timeout)
 	defer cancel()
-	for _, shard := range l.candidacies(time.Now()) {
+	for _, shard := range l.claimable(time.Now()) {
 		if err := l.claim(ctx, shard); err != nil && !errors.Is(err, laceplatform.ErrConflict) {
 			return
 		}
 	}
 }
 
-// candidacies returns the vacant shards for which this instance ranks first, or that stay vacant.
-func (l *Ledger) candidacies(now time.Time) []laceunit.ShardID {
+// claimable returns the vacant shards for which this instance ranks first, or that stay vacant.
+func (l *Ledger) claimable(now time.Time) []laceunit.ShardID {
 	peers := l.peers.Peers()
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/lib/lacewriter/ledger.go
+++ b/lib/lacewriter/ledger.go
@@ -45,8 +45,8 @@
 	vacant  map[laceunit.ShardID]vacancy
 	// avoid holds until when a peer that didn't answer is passed over.
 	avoid map[laceunit.Address]time.Time
-	// detour is until when peers are tried before the platform.
-	detour time.Time
+	// peersFirst is until when peers are tried before the platform.
+	peersFirst time.Time
 
 	lease laceplatform.LeaseID
 	stop  context.CancelFunc
@@ -125,9 +125,9 @@
 		return laceledger.Verdict{Result: laceledger.Invalid}, nil
 	}
 	return route(ctx, l, call[laceledger.Verdict]{
-		shard:    Shard(record.BudgetID(), l.shards),
-		again:    repeatable(record),
-		patience: patience(urgency),
+		shard:     Shard(record.BudgetID(), l.shards),
+		again:     repeatable(record),
+		pingDelay: pingDelay(urgency),
 		ask: func(ctx context.Context, p Peer, writer bool) (laceledger.Verdict, error) {
 			return l.askAppend(ctx, p, record, urgency, writer)
 		},
@@ -148,20 +148,20 @@
 	return true
 }
 
-// patience is how long the writer may take before the record is appended from here.
-func patience(urgency laceledger.Urgency) time.Duration {
+// pingDelay is how long the writer may take before it is asked whether it is there.
+func pingDelay(urgency laceledger.Urgency) time.Duration {
 	if urgency == laceledger.Lazy {
-		return writerPatience + lingerLazy
+		return pingAfter + lingerLazy
 	}
-	return writerPatience
+	return pingAfter
 }
 
 // Balance implements laceledger.Ledger.
 func (l *Ledger) Balance(ctx context.Context, budget laceunit.BudgetID) (laceledger.Balance, error) {
 	return route(ctx, l, call[laceledger.Balance]{
-		shard:    Shard(budget, l.shards),
-		again:    true,
-		patience: writerPatience,
+		shard:     Shard(budget, l.shards),
+		again:     true,
+		pingDelay: pingAfter,
 		ask: func(ctx context.Context, p Peer, writer bool) (laceledger.Balance, error) {
 			return l.askBalance(ctx, p, budget, writer)
 		},
@@ -176,9 +176,9 @@
 	var all []laceledger.Balance
 	for i := range l.shards {
 		list, err := route(ctx, l, call[[]laceledger.Balance]{
-			shard:    laceunit.ShardID(i),
-			again:    true,
-			patience: writerPatience,
+			shard:     laceunit.ShardID(i),
+			again:     true,
+			pingDelay: pingAfter,
 			ask: func(ctx context.Context, p Peer, writer bool) ([]laceledger.Balance, error) {
 				return l.askBalances(ctx, p, laceunit.ShardID(i), writer)
 			},
@@ -197,9 +197,9 @@
 // Find implements laceledger.Ledger.
 func (l *Ledger) Find(ctx context.Context, budget laceunit.BudgetID, request laceledger.Request) (laceledger.Existing, error) {
 	return route(ctx, l, call[laceledger.Existing]{
-		shard:    Shard(budget, l.shards),
-		again:    true,
-		patience: writerPatience,
+		shard:     Shard(budget, l.shards),
+		again:     true,
+		pingDelay: pingAfter,
 		ask: func(ctx context.Context, p Peer, writer bool) (laceledger.Existing, error) {
 			return l.askFind(ctx, p, budget, request, writer)
 		},
--- a/lib/lacewriter/ledger_test.go
+++ b/lib/lacewriter/ledger_test.go
@@ -95,8 +95,8 @@
 	}()
 }
 
-// settled waits until every instance knows a writer for the shard and returns it.
-func (f *fleet) settled(shard laceunit.ShardID, not laceunit.Holder) *instance {
+// writer waits until every instance knows a writer for the shard and returns it.
+func (f *fleet) writer(shard laceunit.ShardID, not laceunit.Holder) *instance {
 	f.t.Helper()
 	deadline := time.After(10 * time.Second)
 	tick := time.NewTicker(time.Millisecond)
@@ -155,7 +155,7 @@
 	for _, i := range f.list {
 		f.serve(i)
 	}
-	w := f.settled(0, laceunit.Holder{})
+	w := f.writer(0, laceunit.Holder{})
 	for k, i := range f.list {
 		i.must(t, topUp(fmt.Sprint("t", k), 10), laceledger.Accepted)
 	}
@@ -177,7 +177,7 @@
 	if err := w.Close(); err != nil {
 		t.Fatal(err)
 	}
-	n := f.settled(0, w.self.Holder)
+	n := f.writer(0, w.self.Holder)
 	for _, i := range f.list {
 		if i != w {
 			i.must(t, topUp("t0", 10), laceledger.Repeated)
@@ -192,11 +192,11 @@
 	for _, i := range f.list {
 		f.serve(i)
 	}
-	w := f.settled(0, laceunit.Holder{})
+	w := f.writer(0, laceunit.Holder{})
 	f.store.mu.Lock()
 	f.store.expire(f.store.entries[writerKey(0)].Lease)
 	f.store.mu.Unlock()
-	n := f.settled(0, w.self.Holder)
+	n := f.writer(0, w.self.Holder)
 	w.must(t, topUp("t", 1), laceledger.Accepted)
 	if len(w.units) != 0 || len(n.units) != 1 {
 		t.Fatal("the old writer appends by itself")
@@ -209,7 +209,7 @@
 	for _, i := range f.list {
 		f.serve(i)
 	}
-	w := f.settled(0, laceunit.Holder{})
+	w := f.writer(0, laceunit.Holder{})
 	w.must(t, topUp("t", 10), laceledger.Accepted)
 	w.server.Close()
 	var rest []*instance
@@ -280,10 +280,10 @@
 	for _, i := range f.list {
 		f.serve(i)
 	}
-	w := f.settled(0, laceunit.Holder{})
+	w := f.writer(0, laceunit.Holder{})
 	w.must(t, topUp("t", 1), laceledger.Accepted)
 	f.store.mu.Lock()
-	f.store.latency = writerPatience + 200*time.Millisecond
+	f.store.latency = pingAfter + 200*time.Millisecond
 	f.store.mu.Unlock()
 	for _, i := range f.list {
 		if i != w {
@@ -301,13 +301,13 @@
 	for _, i := range f.list {
 		f.serve(i)
 	}
-	w := f.settled(0, laceunit.Holder{})
+	w := f.writer(0, laceunit.Holder{})
 	w.must(t, topUp("t", 100), laceledger.Accepted)
 	for _, i := range f.list {
 		if i == w {
 			continue
 		}
-		i.client = &http.Client{Transport: cut{}}
+		i.client = &http.Client{Transport: dropAnswers{}}
 		open := laceledger.Open{Budget: "b", Grant: "g", Holder: i.self.Holder, Tokens: 10}
 		if _, err := i.Append(context.Background(), open, laceledger.Now); !errors.Is(err, laceplatform.ErrUnknown) {
 			t.Fatalf("got %v", err)
@@ -324,10 +324,10 @@
 	}
 }
 
-// cut loses every answer.
-type cut struct{}
+// dropAnswers loses every answer.
+type dropAnswers struct{}
 
-func (cut) RoundTrip(r *http.Request) (*http.Response, error) {
+func (dropAnswers) RoundTrip(r *http.Request) (*http.Response, error) {
 	a, err := http.DefaultTransport.RoundTrip(r)
 	if err != nil {
 		return nil, err
@@ -343,7 +343,7 @@
 	for _, i := range f.list {
 		f.serve(i)
 	}
-	w := f.settled(0, laceunit.Holder{})
+	w := f.writer(0, laceunit.Holder{})
 	dead := laceunit.Holder{Instance: "dead", Incarnation: 3}
 	request := func(id string) laceledger.Request {
 		return laceledger.Request{Account: "a", ID: laceunit.RequestID(id)}
--- a/lib/lacewriter/log.go
+++ b/lib/lacewriter/log.go
@@ -41,11 +41,11 @@
 	shard  laceunit.ShardID
 	holder laceunit.Holder
 
-	// turn is held during one load, catch-up or append; pen during one snapshot.
-	turn chan struct{}
-	pen  chan struct{}
+	// appendLock is held during one load, catch-up or append; snapshotLock during one snapshot.
+	appendLock   chan struct{}
+	snapshotLock chan struct{}
 	// parts holds what unfinished loads have read, so that a load that runs out of time goes on where it stopped.
-	// It belongs to the holder of turn.
+	// It belongs to the holder of appendLock.
 	parts map[string][]byte
 
 	// mu guards the fields below and is never held during a call to the platform.
@@ -68,12 +68,12 @@
 // NewLog returns the log of a shard; it is loaded by the first call that needs it.
 func NewLog(store laceplatform.Store, shard laceunit.ShardID, holder laceunit.Holder, list ...Option) *Log {
 	return &Log{
-		options: newOptions(list),
-		store:   store,
-		shard:   shard,
-		holder:  holder,
-		turn:    make(chan struct{}, 1),
-		pen:     make(chan struct{}, 1),
+		options:      newOptions(list),
+		store:        store,
+		shard:        shard,
+		holder:       holder,
+		appendLock:   make(chan struct{}, 1),
+		snapshotLock: make(chan struct{}, 1),
 	}
 }
 
@@ -91,9 +91,9 @@
 	return laceplatform.Key("snap/" + strconv.Itoa(int(l.shard)))
 }
 
-func acquire(ctx context.Context, turn chan struct{}) error {
+func acquire(ctx context.Context, lock chan struct{}) error {
 	select {
-	case turn <- struct{}{}:
+	case lock <- struct{}{}:
 		return nil
 	case <-ctx.Done():
 		return errors.Wrap(laceplatform.ErrUnavailable, ctx.Err().Error())
@@ -113,10 +113,10 @@
 
 // Refresh brings the state up to the platform's as of some moment during the call.
 func (l *Log) Refresh(ctx context.Context) error {
-	if err := acquire(ctx, l.turn); err != nil {
+	if err := acquire(ctx, l.appendLock); err != nil {
 		return err
 	}
-	defer func() { <-l.turn }()
+	defer func() { <-l.appendLock }()
 	loaded, err := l.ensure(ctx)
 	if err != nil || loaded {
 		return err
@@ -244,7 +244,7 @@
 			f.news = true
 			return f, l.load(ctx)
 		}
-		if err = l.take(e, kv.Revision); err != nil {
+		if err = l.applyEntry(e, kv.Revision); err != nil {
 			return f, err
 		}
 		f.note(e, own)
@@ -286,7 +286,7 @@
 			f.lapped, f.news = true, true
 			return f, l.load(ctx)
 		}
-		if err := l.take(e, bySequence[n].Revision); err != nil {
+		if err := l.applyEntry(e, bySequence[n].Revision); err != nil {
 			return f, err
 		}
 		f.note(e, own)
@@ -301,8 +301,8 @@
 	return n, l.revisions[slot(n)]
 }
 
-// take applies an entry that is on the platform.
-func (l *Log) take(e laceledger.Entry, revision laceplatform.Revision) error {
+// applyEntry applies an entry that is on the platform.
+func (l *Log) applyEntry(e laceledger.Entry, revision laceplatform.Revision) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err := l.state.Apply(e); err != nil {
--- a/lib/lacewriter/measure_test.go
+++ b/lib/lacewriter/measure_test.go
@@ -67,7 +67,7 @@
 
 // counts is an observer that adds up.
 type counts struct {
-	Quiet
+	Nop
 	mu                                       sync.Mutex
 	writes, records, bytes, snaps, snapBytes int
 }
@@ -124,7 +124,7 @@
 		f.serve(i)
 		i.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}
 	}
-	w := f.settled(0, laceunit.Holder{})
+	w := f.writer(0, laceunit.Holder{})
 	f.store.latency = 2 * time.Millisecond
 	l := &load{random: rand.New(rand.NewSource(1))}
 	for _, r := range l.open(0) {
--- a/lib/lacewriter/observer.go
+++ b/lib/lacewriter/observer.go
@@ -19,37 +19,37 @@
 	ReadBack(shard laceunit.ShardID)
 	// Direct reports a record that this instance appends although another one is the writer or none is known.
 	Direct(shard laceunit.ShardID)
-	// Detour reports a record that goes through a peer because this instance doesn't reach the platform.
-	Detour(shard laceunit.ShardID)
+	// ViaPeer reports a record that goes through a peer because this instance doesn't reach the platform.
+	ViaPeer(shard laceunit.ShardID)
 	// Snapshot reports one snapshot written, with the bytes of its keys.
 	Snapshot(shard laceunit.ShardID, bytes int)
 	// Verdict reports the decision about a record.
 	Verdict(result laceledger.Result)
 }
 
-// Quiet is an observer that drops everything.
-type Quiet struct{}
+// Nop is an observer that drops everything.
+type Nop struct{}
 
 // Write implements Observer.
-func (Quiet) Write(laceunit.ShardID, int, int, time.Duration) {}
+func (Nop) Write(laceunit.ShardID, int, int, time.Duration) {}
 
 // Conflict implements Observer.
-func (Quiet) Conflict(laceunit.ShardID) {}
+func (Nop) Conflict(laceunit.ShardID) {}
 
 // ReadBack implements Observer.
-func (Quiet) ReadBack(laceunit.ShardID) {}
+func (Nop) ReadBack(laceunit.ShardID) {}
 
 // Direct implements Observer.
-func (Quiet) Direct(laceunit.ShardID) {}
+func (Nop) Direct(laceunit.ShardID) {}
 
-// Detour implements Observer.
-func (Quiet) Detour(laceunit.ShardID) {}
+// ViaPeer implements Observer.
+func (Nop) ViaPeer(laceunit.ShardID) {}
 
 // Snapshot implements Observer.
-func (Quiet) Snapshot(laceunit.ShardID, int) {}
+func (Nop) Snapshot(laceunit.ShardID, int) {}
 
 // Verdict implements Observer.
-func (Quiet) Verdict(laceledger.Result) {}
+func (Nop) Verdict(laceledger.Result) {}
 
 // Metrics is the observer that counts for Prometheus.
 type Metrics struct {
@@ -59,7 +59,7 @@
 	conflicts prometheus.Counter
 	readBacks prometheus.Counter
 	directs   prometheus.Counter
-	detours   prometheus.Counter
+	viaPeers  prometheus.Counter
 	snapshots prometheus.Counter
 	stored    prometheus.Counter
 	verdicts  *prometheus.CounterVec
@@ -82,7 +82,7 @@
 		conflicts: counter("ledger_conflicts_total", "Swaps that found another entry in their slot."),
 		readBacks: counter("ledger_read_backs_total", "Swaps whose answer was lost."),
 		directs:   counter("ledger_direct_appends_total", "Records appended by an instance that is not the shard's writer."),
-		detours:   counter("ledger_detours_total", "Records sent through a peer because the platform was out of reach."),
+		viaPeers:  counter("ledger_peer_appends_total", "Records sent through a peer because the platform was out of reach."),
 		snapshots: counter("ledger_snapshots_total", "Snapshots written to the platform."),
 		stored:    counter("ledger_snapshot_bytes_total", "Bytes of the snapshots written to the platform."),
 		verdicts: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -91,7 +91,7 @@
 		}, []string{"result"}),
 	}
 	for _, c := range []prometheus.Collector{
-		m.records, m.bytes, m.duration, m.conflicts, m.readBacks, m.directs, m.detours, m.snapshots, m.stored, m.verdicts,
+		m.records, m.bytes, m.duration, m.conflicts, m.readBacks, m.directs, m.viaPeers, m.snapshots, m.stored, m.verdicts,
 	} {
 		if err := registry.Register(c); err != nil {
 			return nil, err
@@ -123,8 +123,8 @@
 // Direct implements Observer.
 func (m *Metrics) Direct(laceunit.ShardID) { m.directs.Inc() }
 
-// Detour implements Observer.
-func (m *Metrics) Detour(laceunit.ShardID) { m.detours.Inc() }
+// ViaPeer implements Observer.
+func (m *Metrics) ViaPeer(laceunit.ShardID) { m.viaPeers.Inc() }
 
 // Snapshot implements Observer.
 func (m *Metrics) Snapshot(_ laceunit.ShardID, bytes int) {
--- a/lib/lacewriter/option.go
+++ b/lib/lacewriter/option.go
@@ -42,7 +42,7 @@
 		clock:     time.Now,
 		random:    rand.Uint64,
 		retain:    laceledger.DefaultRetain(),
-		observer:  Quiet{},
+		observer:  Nop{},
 		partBytes: defaultPartBytes,
 		queue:     defaultQueue,
 		writes:    defaultWrites,
--- a/lib/lacewriter/route.go
+++ b/lib/lacewriter/route.go
@@ -11,15 +11,15 @@
 )
 
 const (
-	// writerPatience is how long the writer may take before it is asked whether it is there; a healthy one needs a few
+	// pingAfter is how long the writer may take before it is asked whether it is there; a healthy one needs a few
 	// milliseconds and its longest linger.
-	writerPatience = 400 * time.Millisecond
+	pingAfter = 400 * time.Millisecond
 	// pingTimeout is how long a writer that is there may take to say so.
 	pingTimeout = 200 * time.Millisecond
-	// avoidance is how long a peer that didn't answer, or the platform, is passed over.
-	avoidance = time.Second
-	// detourPeers bounds the peers that are tried for one call.
-	detourPeers = 3
+	// avoidPeriod is how long a peer that didn't answer, or the platform, is passed over.
+	avoidPeriod = time.Second
+	// maxPeers bounds the peers that are tried for one call.
+	maxPeers = 3
 )
 
 // errNotWriter means that the receiver is not the shard's writer.
@@ -29,14 +29,14 @@
 type call[T any] struct {
 	shard laceunit.ShardID
 	// again means that the operation may be repeated after an unknown outcome.
-	again    bool
-	patience time.Duration
-	ask      func(ctx context.Context, p Peer, writer bool) (T, error)
-	local    func(ctx context.Context, u *unit) (T, error)
+	again     bool
+	pingDelay time.Duration
+	ask       func(ctx context.Context, p Peer, writer bool) (T, error)
+	local     func(ctx context.Context, u *unit) (T, error)
 }
 
-// course is the way of one call through the fleet.
-type course[T any] struct {
+// routing is the way of one call through the fleet.
+type routing[T any] struct {
 	call[T]
 	ledger *Ledger
 	// unsure means that a try may have taken effect.
@@ -46,7 +46,7 @@
 
 // route carries a call out by the writer, from here, or through peers, in this order.
 func route[T any](ctx context.Context, l *Ledger, c call[T]) (T, error) {
-	r := &course[T]{
+	r := &routing[T]{
 		call:   c,
 		ledger: l,
 	}
@@ -59,10 +59,10 @@
 		}
 	}
 	steps := []func(context.Context) (T, bool, error){
-		func(ctx context.Context) (T, bool, error) { return r.here(ctx, !isSelf) },
-		r.through,
+		func(ctx context.Context) (T, bool, error) { return r.locally(ctx, !isSelf) },
+		r.viaPeers,
 	}
-	if l.cutOff(now) {
+	if l.preferPeers(now) {
 		steps[0], steps[1] = steps[1], steps[0]
 	}
 	for _, step := range steps {
@@ -74,8 +74,8 @@
 	return none, r.failure()
 }
 
-// settled reports whether a result ends the call, and notes what it means for the next try.
-func (r *course[T]) settled(err error) bool {
+// final reports whether a result ends the call, and notes what it means for the next try.
+func (r *routing[T]) final(err error) bool {
 	r.last = err
 	switch {
 	case err == nil, errors.Is(err, laceplatform.ErrMissing), errors.Is(err, ErrShape), errors.Is(err, ErrDamaged):
@@ -87,19 +87,19 @@
 	return false
 }
 
-func (r *course[T]) remote(ctx context.Context, p Peer, writer bool) (T, bool, error) {
-	v, err := r.patient(ctx, p, writer)
+func (r *routing[T]) remote(ctx context.Context, p Peer, writer bool) (T, bool, error) {
+	v, err := r.askWhileAlive(ctx, p, writer)
 	if err != nil && !errors.Is(err, laceplatform.ErrMissing) && ctx.Err() == nil {
-		r.ledger.pass(p)
+		r.ledger.avoidPeer(p)
 	}
-	return v, r.settled(err), err
+	return v, r.final(err), err
 }
 
-// patient waits for a peer as long as it is there.
+// askWhileAlive waits for a peer as long as it is there.
 //
 // A slow platform slows the writer down; appending from every instance instead would only add conflicts.
-func (r *course[T]) patient(ctx context.Context, p Peer, writer bool) (T, error) {
-	ctx, cancel := context.WithTimeout(ctx, r.ledger.timeout+r.patience)
+func (r *routing[T]) askWhileAlive(ctx context.Context, p Peer, writer bool) (T, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.ledger.timeout+r.pingDelay)
 	defer cancel()
 	type result struct {
 		value T
@@ -117,7 +117,7 @@
 		select {
 		case a := <-answer:
 			return a.value, a.err
-		case <-time.After(r.patience):
+		case <-time.After(r.pingDelay):
 		}
 		if !r.ledger.ping(ctx, p, r.shard, writer) {
 			cancel()
@@ -127,38 +127,38 @@
 	}
 }
 
-func (r *course[T]) here(ctx context.Context, direct bool) (T, bool, error) {
+func (r *routing[T]) locally(ctx context.Context, direct bool) (T, bool, error) {
 	var none T
 	u, err := r.ledger.unit(ctx, r.shard)
 	if err != nil {
-		return none, r.settled(err), err
+		return none, r.final(err), err
 	}
 	if direct {
 		r.ledger.observer.Direct(r.shard)
 	}
-	one, cancel := context.WithTimeout(ctx, 2*r.ledger.timeout+r.patience)
+	one, cancel := context.WithTimeout(ctx, 2*r.ledger.timeout+r.pingDelay)
 	defer cancel()
 	v, err := r.local(one, u)
 	if err != nil && ctx.Err() == nil && !errors.Is(err, laceplatform.ErrMissing) {
 		r.ledger.mu.Lock()
-		r.ledger.detour = time.Now().Add(avoidance)
+		r.ledger.peersFirst = time.Now().Add(avoidPeriod)
 		r.ledger.mu.Unlock()
 	}
-	return v, r.settled(err), err
+	return v, r.final(err), err
 }
 
-// through tries peers, which append directly.
-func (r *course[T]) through(ctx context.Context) (v T, done bool, err error) {
+// viaPeers tries peers, which append directly.
+func (r *routing[T]) viaPeers(ctx context.Context) (v T, done bool, err error) {
 	tried := 0
 	for _, p := range r.ledger.peers.Peers() {
-		if tried == detourPeers || ctx.Err() != nil {
+		if tried == maxPeers || ctx.Err() != nil {
 			break
 		}
 		if p.Holder == r.ledger.self.Holder || r.ledger.avoided(p.Address, time.Now()) {
 			continue
 		}
 		tried++
-		r.ledger.observer.Detour(r.shard)
+		r.ledger.observer.ViaPeer(r.shard)
 		if v, done, err = r.remote(ctx, p, false); done {
 			return v, true, err
 		}
@@ -166,7 +166,7 @@
 	return v, false, err
 }
 
-func (r *course[T]) failure() error {
+func (r *routing[T]) failure() error {
 	message := "writer: no path to the platform"
 	if r.last != nil {
 		message = r.last.Error()
@@ -190,14 +190,14 @@
 	return now.Before(l.avoid[a])
 }
 
-func (l *Ledger) cutOff(now time.Time) bool {
+func (l *Ledger) preferPeers(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return now.Before(l.detour)
+	return now.Before(l.peersFirst)
 }
 
-// pass notes that a peer didn't answer or is not the writer.
-func (l *Ledger) pass(p Peer) {
+// avoidPeer notes that a peer didn't answer or is not the writer.
+func (l *Ledger) avoidPeer(p Peer) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
@@ -206,5 +206,5 @@
 			delete(l.avoid, a)
 		}
 	}
-	l.avoid[p.Address] = now.Add(avoidance)
+	l.avoid[p.Address] = now.Add(avoidPeriod)
 }
--- a/lib/lacewriter/server.go
+++ b/lib/lacewriter/server.go
@@ -22,7 +22,7 @@
 // maxBodyBytes holds the largest batch of records.
 const maxBodyBytes = 2 << 20
 
-// server answers peers; it never passes a call on, so a call takes at most one detour.
+// server answers peers; it never passes a call on, so a call goes through at most one peer.
 type server struct {
 	ledger *Ledger
 }
--- a/lib/lacewriter/snapshot.go
+++ b/lib/lacewriter/snapshot.go
@@ -31,10 +31,10 @@
 
 // Snapshot writes a snapshot of the state as it is known here, unless a newer one exists.
 func (l *Log) Snapshot(ctx context.Context) error {
-	if err := acquire(ctx, l.pen); err != nil {
+	if err := acquire(ctx, l.snapshotLock); err != nil {
 		return err
 	}
-	defer func() { <-l.pen }()
+	defer func() { <-l.snapshotLock }()
 	for range loadTries {
 		// Another appender may have written one meanwhile.
 		h, err := l.readHead(ctx)
