--- a/lib/laceledger/offline.go
+++ b/lib/laceledger/offline.go
@@ -44,12 +44,12 @@
 		}
 	}
 	n := request{Existing: Existing{
-		Request:    r.Request,
+		Request:    b.request(r.Request),
 		Budget:     b.id,
 		Digest:     r.Digest,
 		Phase:      PhaseOpen,
 		Attempt:    r.Attempt,
-		Grant:      r.Grant,
+		Grant:      g.ID,
 		Holder:     g.Holder,
 		Server:     r.Server,
 		Ceiling:    r.Tokens,
@@ -58,7 +58,7 @@
 	v := Verdict{Result: Accepted}
 	g.Offline = max(0, g.Offline-r.Tokens)
 	if r.Finished {
-		n.Phase, n.Tokens, n.Answer = PhaseSettled, r.Tokens, kept(r.Answer, r.Idempotent)
+		n.Phase, n.Tokens, n.Answer = PhaseSettled, r.Tokens, storedAnswer(r.Answer, r.Idempotent)
 		v.Granted = r.Tokens
 		d.charge(b, g, r.Tokens)
 	} else {
--- a/lib/laceledger/request.go
+++ b/lib/laceledger/request.go
@@ -20,6 +20,13 @@
 	return r.Budget != b.id || r.Digest != digest || r.Idempotent != idempotent
 }
 
+// request returns a request's name with the budget's own string for the client account.
+// Decoded records have strings of their own, which would add up over the remembered requests.
+func (b *budget) request(r Request) Request {
+	r.Account = b.account
+	return r
+}
+
 func (d *draft) applyIntent(b *budget, r Intent) Verdict {
 	if r.Request.Account != b.account {
 		return Verdict{Result: Invalid}
@@ -46,12 +53,12 @@
 	}
 	g.Reserved += r.Ceiling
 	d.put(request{Existing: Existing{
-		Request:    r.Request,
+		Request:    b.request(r.Request),
 		Budget:     b.id,
 		Digest:     r.Digest,
 		Phase:      PhaseOpen,
 		Attempt:    r.Attempt,
-		Grant:      r.Grant,
+		Grant:      g.ID,
 		Holder:     g.Holder,
 		Server:     r.Server,
 		Ceiling:    r.Ceiling,
@@ -89,7 +96,7 @@
 	d.unreserve(b, q)
 	g.Reserved += q.Ceiling
 	n := *q
-	n.Attempt, n.Grant, n.Holder, n.Server = r.Attempt, r.Grant, g.Holder, r.Server
+	n.Attempt, n.Grant, n.Holder, n.Server = r.Attempt, g.ID, g.Holder, r.Server
 	n.offline = false
 	d.put(n)
 	return Verdict{
@@ -116,7 +123,7 @@
 	billed := min(tokens, q.Ceiling)
 	d.bill(b, q, billed)
 	n := *q
-	n.Phase, n.Tokens, n.Answer = PhaseSettled, billed, kept(answer, q.Idempotent)
+	n.Phase, n.Tokens, n.Answer = PhaseSettled, billed, storedAnswer(answer, q.Idempotent)
 	n.offline = false
 	d.put(n)
 	return Verdict{
@@ -125,21 +132,21 @@
 	}
 }
 
-// slim drops an answer that the ledger doesn't store, so that it takes no space in the log.
-func slim(r Record) Record {
+// stripAnswer drops an answer that the ledger doesn't store, so that it takes no space in the log.
+func stripAnswer(r Record) Record {
 	switch r := r.(type) {
 	case Settle:
-		r.Answer = kept(r.Answer, false)
+		r.Answer = storedAnswer(r.Answer, false)
 		return r
 	case Offline:
-		r.Answer = kept(r.Answer, r.Idempotent)
+		r.Answer = storedAnswer(r.Answer, r.Idempotent)
 		return r
 	}
 	return r
 }
 
-// kept returns the answer if it is one that the ledger stores.
-func kept(a *Answer, idempotent bool) *Answer {
+// storedAnswer returns the answer if it is one that the ledger stores.
+func storedAnswer(a *Answer, idempotent bool) *Answer {
 	if a == nil || idempotent || len(a.Body) > MaxAnswerBytes || len(a.Type) > MaxNameBytes {
 		return nil
 	}
--- a/lib/laceledger/state.go
+++ b/lib/laceledger/state.go
@@ -93,7 +93,14 @@
 	for i, r := range records {
 		verdicts[i] = d.apply(r)
 		if verdicts[i].Result == Accepted {
-			e.Records = append(e.Records, slim(r))
+			e.Records = append(e.Records, stripAnswer(r))
+		}
+	}
+	if d.check() != nil {
+		// An entry that doesn't apply would block the log for good, so a fault in a rule must not get that far.
+		e.Records = nil
+		for i := range verdicts {
+			verdicts[i] = Verdict{Result: Invalid}
 		}
 	}
 	return e, verdicts
@@ -107,15 +114,31 @@
 	d := newDraft(s, e)
 	for i, r := range e.Records {
 		if v := d.apply(r); v.Result != Accepted {
-			return errors.Wrapf(ErrEntry, "entry %d, record %d (%T): result %d", e.Sequence, i, r, v.Result)
+			return errors.Wrapf(ErrEntry, "entry %d, record %d (%T): %s", e.Sequence, i, r, v.Result)
 		}
 	}
+	if err := d.check(); err != nil {
+		return err
+	}
+	d.merge()
+	return nil
+}
+
+// check verifies the budgets and grants that the draft has touched.
+func (d *draft) check() error {
 	for _, b := range d.budgets {
 		if err := b.check(); err != nil {
 			return err
 		}
 	}
-	d.merge()
+	for _, g := range d.grants {
+		if g == nil {
+			continue
+		}
+		if err := g.check(g.Reserved); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
@@ -131,7 +154,10 @@
 	reserved := map[grantKey]laceunit.Tokens{}
 	for _, r := range s.requests {
 		if r.Phase == PhaseOpen {
-			reserved[grantKey{budget: r.Budget, grant: r.Grant}] += r.Ceiling
+			reserved[grantKey{
+				budget: r.Budget,
+				grant:  r.Grant,
+			}] += r.Ceiling
 		}
 	}
 	for _, b := range s.budgets {
@@ -140,7 +166,7 @@
 		}
 		var sum laceunit.Tokens
 		for _, g := range b.grants {
-			k := grantKey{budget: b.id, grant: g.ID}
+			k := keyOf(b, g.ID)
 			if err := g.check(reserved[k]); err != nil {
 				return err
 			}
--- a/lib/lacewriter/ledger_test.go
+++ b/lib/lacewriter/ledger_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"lacewingcove/lib/laceledger"
 	"lacewingcove/lib/laceplatform"
@@ -94,8 +95,8 @@
 	}()
 }
 
-// settled waits until every instance knows a writer for the shard and returns it.
-func (f *fleet) settled(shard laceunit.ShardID, not laceunit.Holder) *instance {
+// writer waits until every instance knows a writer for the shard and returns it.
+func (f *fleet) writer(shard laceunit.ShardID, not laceunit.Holder) *instance {
 	f.t.Helper()
 	deadline := time.After(10 * time.Second)
 	tick := time.NewTicker(time.Millisecond)
@@ -154,7 +155,7 @@
 	for _, i := range f.list {
 		f.serve(i)
 	}
-	w := f.settled(0, laceunit.Holder{})
+	w := f.writer(0, laceunit.Holder{})
 	for k, i := range f.list {
 		i.must(t, topUp(fmt.Sprint("t", k), 10), laceledger.Accepted)
 	}
@@ -176,7 +177,7 @@
 	if err := w.Close(); err != nil {
 		t.Fatal(err)
 	}
-	n := f.settled(0, w.self.Holder)
+	n := f.writer(0, w.self.Holder)
 	for _, i := range f.list {
 		if i != w {
 			i.must(t, topUp("t0", 10), laceledger.Repeated)
@@ -185,13 +186,30 @@
 	n.must(t, topUp("last", 1), laceledger.Accepted)
 }
 
+// Guards against a writer that goes on as such, or a shard that stays without one, after a pause beyond the lease.
+func TestLostLeaseElectsAnother(t *testing.T) {
+	f := newFleet(t, 3, 1)
+	for _, i := range f.list {
+		f.serve(i)
+	}
+	w := f.writer(0, laceunit.Holder{})
+	f.store.mu.Lock()
+	f.store.expire(f.store.entries[writerKey(0)].Lease)
+	f.store.mu.Unlock()
+	n := f.writer(0, w.self.Holder)
+	w.must(t, topUp("t", 1), laceledger.Accepted)
+	if len(w.units) != 0 || len(n.units) != 1 {
+		t.Fatal("the old writer appends by itself")
+	}
+}
+
 // Guards against records that are lost when the writer is dead, or when this instance does not reach the platform.
 func TestPathsAroundFailures(t *testing.T) {
 	f := newFleet(t, 3, 1)
 	for _, i := range f.list {
 		f.serve(i)
 	}
-	w := f.settled(0, laceunit.Holder{})
+	w := f.writer(0, laceunit.Holder{})
 	w.must(t, topUp("t", 10), laceledger.Accepted)
 	w.server.Close()
 	var rest []*instance
@@ -212,6 +230,33 @@
 	}
 }
 
+// Guards against metrics that are not registered or not counted.
+func TestMetrics(t *testing.T) {
+	registry := prometheus.NewRegistry()
+	m, err := NewMetrics(registry)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := newFleet(t, 1, 1, WithObserver(m))
+	f.list[0].must(t, topUp("t", 1), laceledger.Accepted)
+	f.list[0].must(t, topUp("t", 1), laceledger.Repeated)
+	families, err := registry.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := map[string]float64{}
+	for _, family := range families {
+		for _, v := range family.GetMetric() {
+			got[family.GetName()] += v.GetCounter().GetValue() + float64(v.GetHistogram().GetSampleCount())
+		}
+	}
+	for name, want := range map[string]float64{"ledger_verdicts_total": 2, "ledger_write_records": 1, "ledger_direct_appends_total": 2, "ledger_conflicts_total": 0} {
+		if v, ok := got[name]; v != want || !ok {
+			t.Errorf("%s is %v, want %v", name, v, want)
+		}
+	}
+}
+
 // Guards against instances with different numbers of shards, which would look for a budget in different logs.
 func TestShapeIsAgreed(t *testing.T) {
 	f := newFleet(t, 1, 4)
@@ -228,3 +273,96 @@
 		t.Fatalf("got %v", err)
 	}
 }
+
+// Guards against every instance appending by itself when the platform is slow, which only adds conflicts.
+func TestSlowPlatformKeepsTheWriter(t *testing.T) {
+	f := newFleet(t, 2, 1)
+	for _, i := range f.list {
+		f.serve(i)
+	}
+	w := f.writer(0, laceunit.Holder{})
+	w.must(t, topUp("t", 1), laceledger.Accepted)
+	f.store.mu.Lock()
+	f.store.latency = pingAfter + 200*time.Millisecond
+	f.store.mu.Unlock()
+	for _, i := range f.list {
+		if i != w {
+			i.must(t, topUp("slow", 1), laceledger.Accepted)
+			if len(i.units) != 0 {
+				t.Fatal("appended directly although the writer is there")
+			}
+		}
+	}
+}
+
+// Guards against a record without a serial that is sent twice after the writer's answer was lost.
+func TestUnnumberedGrantIsSentOnce(t *testing.T) {
+	f := newFleet(t, 2, 1)
+	for _, i := range f.list {
+		f.serve(i)
+	}
+	w := f.writer(0, laceunit.Holder{})
+	w.must(t, topUp("t", 100), laceledger.Accepted)
+	for _, i := range f.list {
+		if i == w {
+			continue
+		}
+		i.client = &http.Client{Transport: dropAnswers{}}
+		open := laceledger.Open{Budget: "b", Grant: "g", Holder: i.self.Holder, Tokens: 10}
+		if _, err := i.Append(context.Background(), open, laceledger.Now); !errors.Is(err, laceplatform.ErrUnknown) {
+			t.Fatalf("got %v", err)
+		}
+		i.avoid = map[laceunit.Address]time.Time{}
+		open.Grant, open.Serial = "h", 1
+		if v := i.must(t, open, laceledger.Repeated); v.Granted != 10 {
+			t.Fatalf("granted %d", v.Granted)
+		}
+	}
+	b, err := w.Balance(context.Background(), "b")
+	if err != nil || b.Outstanding != 20 {
+		t.Fatalf("balance %+v, %v", b, err)
+	}
+}
+
+// dropAnswers loses every answer.
+type dropAnswers struct{}
+
+func (dropAnswers) RoundTrip(r *http.Request) (*http.Response, error) {
+	a, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	_ = a.Body.Close()
+	return nil, errors.New("connection reset")
+}
+
+// Guards against grants of dead instances that stay open, and against another instance than the writer recovering them.
+func TestRecoverClosesGrantsOfGoneHolders(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := newFleet(t, 2, 1, WithClock(func() time.Time { return now }))
+	for _, i := range f.list {
+		f.serve(i)
+	}
+	w := f.writer(0, laceunit.Holder{})
+	dead := laceunit.Holder{Instance: "dead", Incarnation: 3}
+	request := func(id string) laceledger.Request {
+		return laceledger.Request{Account: "a", ID: laceunit.RequestID(id)}
+	}
+	w.must(t, topUp("t", 100), laceledger.Accepted)
+	w.must(t, laceledger.Open{Budget: "b", Grant: "g", Holder: dead, Tokens: 100, Offline: 20}, laceledger.Accepted)
+	w.must(t, laceledger.Intent{Budget: "b", Request: request("idem"), Grant: "g", Ceiling: 5, Attempt: "1", Idempotent: true}, laceledger.Accepted)
+	w.must(t, laceledger.Intent{Budget: "b", Request: request("once"), Grant: "g", Ceiling: 5, Attempt: "1"}, laceledger.Accepted)
+	for _, i := range f.list {
+		ask, err := i.Recover(context.Background(), nil, []laceunit.Holder{dead}, 0)
+		if err != nil || (len(ask) == 1) != (i == w) {
+			t.Fatalf("ask %+v, %v", ask, err)
+		}
+	}
+	b, err := w.Balance(context.Background(), "b")
+	if err != nil || b.Outstanding != 25 || !b.Grants[0].Closed {
+		t.Fatalf("balance %+v, %v", b, err)
+	}
+	if e, err := f.list[0].Find(context.Background(), "b", request("idem")); err != nil || e.Phase != laceledger.PhaseVoid {
+		t.Fatalf("request %+v, %v", e, err)
+	}
+}
