lacebalancer: choice of backend servers

Cause: seven instances choose engines from load reports that lag, without asking each other, and must keep prefixes where they are cached. Ruled out: own load alone (blind to the other instances); the report alone (counts what this instance sent since twice or not at all); consistent hashing on a ring, which needs virtual nodes and is no faster at 1,500 servers than one pass of rendezvous hashing. Change: Balancer (Pick, Done, Cancel, Report, Update, Cached, Forget, Suspect, Tick, Next), policies behind Policy[C], queue per pool, ejection with probes that double their rest, retry budget. Queue.Top lets an urgent request go to a server without taking a waiting one's place first, which a test found. Measured: go test -race passes.

--- /dev/null
+++ b/lib/lacebalancer/pick.go
@@ -0,0 +1,238 @@
+package lacebalancer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"lacewingcove/lib/lacelimit"
+	"lacewingcove/lib/laceunit"
+)
+
+// Pick decides where a request goes. Sent and Refused are final; Waiting is followed by a decision with the same
+// ticket out of Done, Report, Update or Tick, and possibly out of another Pick (see Displaced).
+func (b *Balancer) Pick(now time.Time, request Request) (Decision, []Decision) {
+	b.last++
+	ticket := b.last
+	p := b.pools[request.Pool]
+	if p == nil || !p.usable() {
+		return refusal(ticket, NoServer, b.routing.Probe), nil
+	}
+	if request.Retry {
+		if b.retries < 1 {
+			return refusal(ticket, NoRetry, b.retryAfter(p)), nil
+		}
+		b.retries--
+	} else {
+		b.retries = min(b.retries+b.routing.Retries, retryMost)
+	}
+	w := waiter{
+		ticket:  ticket,
+		request: request,
+	}
+	// A request must not overtake those that wait, unless it is more urgent. It must then not pass through the queue,
+	// where it would take another one's place before it leaves.
+	if top, ok := p.queue.Top(); !ok || request.Priority > top {
+		if d, ok := b.place(now, p, w); ok {
+			return d, nil
+		}
+	}
+	return b.enqueue(now, p, w)
+}
+
+func (b *Balancer) enqueue(now time.Time, p *pool, w waiter) (Decision, []Decision) {
+	deadline := w.request.Deadline
+	if latest := now.Add(b.routing.Wait); deadline.IsZero() || deadline.After(latest) {
+		deadline = latest
+	}
+	displaced, ok := p.queue.Push(lacelimit.Item[waiter]{
+		Account:  w.request.Account,
+		Priority: w.request.Priority,
+		Deadline: deadline,
+		Value:    w,
+	})
+	if !ok {
+		if w.request.Retry {
+			b.retries++
+		}
+		return refusal(w.ticket, QueueFull, b.retryAfter(p)), nil
+	}
+	b.waiting[w.ticket] = p
+	var others []Decision
+	if displaced != nil {
+		delete(b.waiting, displaced.Value.ticket)
+		others = append(others, refusal(displaced.Value.ticket, Displaced, b.retryAfter(p)))
+	}
+	decision := Decision{
+		Ticket:  w.ticket,
+		Verdict: Waiting,
+	}
+	for _, d := range b.drain(now, p) {
+		if d.Ticket == w.ticket {
+			decision = d
+			continue
+		}
+		others = append(others, d)
+	}
+	return decision, others
+}
+
+// drain decides as many waiting requests of a pool as it can.
+func (b *Balancer) drain(now time.Time, p *pool) []Decision {
+	if p.queue.Len() == 0 {
+		return nil
+	}
+	var decisions []Decision
+	refuse := func(items []lacelimit.Item[waiter], reason Reason) {
+		for _, i := range items {
+			delete(b.waiting, i.Value.ticket)
+			decisions = append(decisions, refusal(i.Value.ticket, reason, b.retryAfter(p)))
+		}
+	}
+	refuse(p.queue.Expire(now), Late)
+	if !p.usable() {
+		refuse(p.queue.Drop(func(lacelimit.Item[waiter]) bool { return true }), NoServer)
+		return decisions
+	}
+	// A request that finds no server shows that those of the same or a lower priority find none either. Without this
+	// an overloaded pool would scan its servers once per waiting account.
+	full := laceunit.Priority(-1)
+	for {
+		var decision Decision
+		_, ok := p.queue.Pop(func(w waiter) bool {
+			if w.request.Priority <= full {
+				return false
+			}
+			d, placed := b.place(now, p, w)
+			if !placed && len(w.request.Exclude) == 0 && !w.request.Once {
+				full = w.request.Priority
+			}
+			decision = d
+			return placed
+		})
+		if !ok {
+			return decisions
+		}
+		delete(b.waiting, decision.Ticket)
+		decisions = append(decisions, decision)
+	}
+}
+
+func (b *Balancer) drainAll(now time.Time, pools []*pool) []Decision {
+	var decisions []Decision
+	for _, p := range pools {
+		decisions = append(decisions, b.drain(now, p)...)
+	}
+	return decisions
+}
+
+// place sends a request if a server is open to it.
+func (b *Balancer) place(now time.Time, p *pool, w waiter) (Decision, bool) {
+	s, probe := b.choose(now, p, w.request)
+	if s == nil {
+		return Decision{}, false
+	}
+	s.count(now, 1)
+	if probe {
+		s.probing = true
+	}
+	b.flights[w.ticket] = flight{
+		server: s,
+		pool:   p,
+		probe:  probe,
+	}
+	return Decision{
+		Ticket:  w.ticket,
+		Verdict: Sent,
+		Server:  s.id,
+		Address: s.address,
+	}, true
+}
+
+// choose returns the server for a request and whether the request is a probe. An ejected server whose rest is over
+// gets the next request as its probe, so that it comes back even when the others have room.
+func (b *Balancer) choose(now time.Time, p *pool, r Request) (*server, bool) {
+	limit := depth + urgency*float64(max(r.Priority, laceunit.PriorityDraft))
+	mean := p.others / float64(len(p.servers))
+	exclude := r.Exclude
+	if p.excluded(exclude) {
+		exclude = nil
+	}
+	open := b.scratch[:0]
+	var suspects, healthy int
+	var rested *server
+	for _, s := range p.servers {
+		if s.leaving || slices.Contains(exclude, s.id) {
+			continue
+		}
+		if s.ejected {
+			if !s.probing && (rested == nil || s.until.Before(rested.until)) {
+				rested = s
+			}
+			continue
+		}
+		healthy++
+		s.weigh(now, mean)
+		if s.slots > 0 && s.estimate >= limit*float64(s.slots) {
+			continue
+		}
+		if now.Before(s.suspect) {
+			suspects++
+		}
+		open = append(open, s)
+	}
+	b.scratch = open
+	// With no healthy server left, waiting for the rest to end would only refuse what a probe might serve.
+	if rested != nil && (healthy == 0 || !r.Once && !now.Before(rested.until)) {
+		return rested, true
+	}
+	if suspects > 0 && suspects < len(open) {
+		open = slices.DeleteFunc(open, func(s *server) bool { return now.Before(s.suspect) })
+	}
+	if len(open) == 0 {
+		return nil, false
+	}
+	return p.policy.Choose(open, r.Prefix, b.random), false
+}
+
+// usable reports whether the pool has a server that is not leaving.
+func (p *pool) usable() bool {
+	return slices.ContainsFunc(p.servers, func(s *server) bool { return !s.leaving })
+}
+
+// excluded reports whether a list names every usable server.
+func (p *pool) excluded(list []laceunit.ServerID) bool {
+	return len(list) > 0 && !slices.ContainsFunc(p.servers, func(s *server) bool {
+		return !s.leaving && !slices.Contains(list, s.id)
+	})
+}
+
+// retryAfter estimates when a request has a chance again: the time the pool needs to serve what waits.
+func (b *Balancer) retryAfter(p *pool) time.Duration {
+	var slots float64
+	for _, s := range p.servers {
+		slots += s.Capacity()
+	}
+	wait := p.latency * float64(p.queue.Len()+1) / max(slots, 1)
+	return min(max(time.Duration(wait*float64(time.Second)), 100*time.Millisecond), 30*time.Second)
+}
+
+func refusal(ticket Ticket, reason Reason, after time.Duration) Decision {
+	return Decision{
+		Ticket:     ticket,
+		Verdict:    Refused,
+		Reason:     reason,
+		RetryAfter: after,
+	}
+}
+
+func sortedPools(m map[Pool]*pool) []Pool {
+	names := make([]Pool, 0, len(m))
+	for k := range m {
+		names = append(names, k)
+	}
+	slices.SortFunc(names, func(a, b Pool) int {
+		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
+	})
+	return names
+}
--- /dev/null
+++ b/lib/lacebalancer/server.go
@@ -0,0 +1,184 @@
+package lacebalancer
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lacewingcove/lib/laceconfig"
+	"lacewingcove/lib/laceunit"
+)
+
+const (
+	// horizon is the age at which a load report says nothing more about one server: requests run for a few seconds.
+	horizon = 10 * time.Second
+	// historyLength bounds the own starts and ends kept per server, enough for 50 requests/s within the horizon.
+	historyLength = 1024
+	// suspectTime is how long a server that reported impossible counts is used only when no other is open.
+	suspectTime = 30 * time.Second
+	// restFactor bounds the growth of the rest between failed probes.
+	restFactor = 16
+)
+
+// Load is what a server reports about itself.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+}
+
+type change struct {
+	at    time.Time
+	delta int
+}
+
+type server struct {
+	id      laceunit.ServerID
+	address laceunit.Address
+	seed    uint64
+	slots   int
+	leaving bool
+	gone    bool
+	pools   []*pool
+
+	local   int
+	history []change
+	// others is the load that other instances put on the server at the time of the last report.
+	others   float64
+	reported time.Time
+
+	failures int
+	ejected  bool
+	probing  bool
+	until    time.Time
+	rest     time.Duration
+	suspect  time.Time
+
+	held     map[uint64]struct{}
+	estimate float64
+}
+
+func newServer(id laceunit.ServerID) *server {
+	return &server{
+		id:   id,
+		seed: xxhash.Sum64String(string(id)),
+	}
+}
+
+func (s *server) configure(c laceconfig.Server, leaving bool) {
+	s.address = c.Address
+	s.leaving = leaving || c.Leaving
+	if c.Slots > 0 {
+		s.slots = c.Slots
+	}
+}
+
+// Seed implements Candidate.
+func (s *server) Seed() uint64 { return s.seed }
+
+// Load implements Candidate.
+func (s *server) Load() float64 { return s.estimate }
+
+// Capacity implements Candidate.
+func (s *server) Capacity() float64 { return float64(max(s.slots, 1)) }
+
+// Holds implements Candidate.
+func (s *server) Holds(prefix uint64) bool {
+	_, ok := s.held[prefix]
+	return ok
+}
+
+// count notes the start or the end of an own request.
+func (s *server) count(now time.Time, delta int) {
+	s.local += delta
+	if len(s.history) >= historyLength {
+		s.history = append(s.history[:0], s.history[historyLength/2:]...)
+	}
+	s.history = append(s.history, change{
+		at:    now,
+		delta: delta,
+	})
+}
+
+// report takes in a load report that was made at a time; older ones than the last are ignored.
+func (s *server) report(load Load, made time.Time) {
+	if made.Before(s.reported) {
+		return
+	}
+	own := s.local
+	kept := 0
+	for _, c := range s.history {
+		if c.at.After(made) {
+			own -= c.delta
+			s.history[kept] = c
+			kept++
+		}
+	}
+	s.history = s.history[:kept]
+	s.reported = made
+	s.setOthers(float64(max(0, load.Running+load.Waiting-own)))
+	if load.Slots > 0 && s.slots == 0 {
+		s.slots = load.Slots
+	}
+}
+
+func (s *server) setOthers(n float64) {
+	for _, p := range s.pools {
+		p.others += n - s.others
+	}
+	s.others = n
+}
+
+// weigh sets the estimate: what this instance has in flight, plus what others had at the last report. The latter
+// fades into the pool's mean as the report ages.
+func (s *server) weigh(now time.Time, mean float64) {
+	trust := 0.0
+	if age := now.Sub(s.reported); !s.reported.IsZero() && age < horizon {
+		trust = 1 - float64(age)/float64(horizon)
+	}
+	s.estimate = float64(s.local) + trust*s.others + (1-trust)*mean
+}
+
+// failed notes a failure and ejects the server after limit failures in a row or after a failed probe.
+func (s *server) failed(now time.Time, limit int, rest time.Duration, probe bool) {
+	s.failures++
+	if s.ejected && !probe {
+		return
+	}
+	if s.failures < limit && !probe {
+		return
+	}
+	if s.ejected {
+		s.rest = min(2*s.rest, restFactor*rest)
+	} else {
+		s.rest = rest
+	}
+	s.ejected = true
+	s.until = now.Add(s.rest)
+}
+
+func (s *server) succeeded(probe bool) {
+	// A request from before the ejection proves less than a probe.
+	if s.ejected && !probe {
+		return
+	}
+	s.failures, s.ejected, s.rest = 0, false, 0
+}
+
+// hold notes that the server has or has dropped a prefix, within a bound.
+func (s *server) hold(prefix uint64, stored bool, bound int) {
+	if !stored {
+		delete(s.held, prefix)
+		return
+	}
+	if s.held == nil {
+		s.held = map[uint64]struct{}{}
+	}
+	for p := range s.held {
+		if len(s.held) < bound {
+			break
+		}
+		delete(s.held, p)
+	}
+	s.held[prefix] = struct{}{}
+}
--- a/lib/lacelimit/queue.go
+++ b/lib/lacelimit/queue.go
@@ -51,6 +51,14 @@
 // Len returns the number of items.
 func (q *Queue[T]) Len() int { return q.length }
 
+// Top returns the highest priority in the queue, and false when the queue is empty.
+func (q *Queue[T]) Top() (laceunit.Priority, bool) {
+	if q.length == 0 {
+		return 0, false
+	}
+	return q.levels[0].priority, true
+}
+
 // SetBound changes the bound; items beyond it stay.
 func (q *Queue[T]) SetBound(bound int) { q.bound = bound }
 
