lacebackend: follow the published protocol of load, cache events and orders

Ruled out: taking any 404 of a lookup for a request that did not run; a server without the lookup answers 404 as well. The header Lace-Outcome: not_run marks the real one, and the former form, a 404 that names the request, is gone. Change: wire forms, PrefixOf names the first block of 256 bytes, a cancelled end is a cut answer, control calls are refused only with the header. An end marker without counts stays malformed: a missing count must not bill as zero.

--- a/lib/lacebackend/client.go
+++ b/lib/lacebackend/client.go
@@ -71,10 +71,12 @@
 // The states of a request at a backend server.
 const (
 	// StateAbsent means that the server has not seen the request; one that is still on its way can yet arrive.
-	StateAbsent  State = "absent"
-	StateRunning State = "running"
-	StateDone    State = "done"
-	StateFailed  State = "failed"
+	StateAbsent    State = "absent"
+	StateWaiting   State = "waiting"
+	StateRunning   State = "running"
+	StateDone      State = "done"
+	StateCancelled State = "cancelled"
+	StateFailed    State = "failed"
 )
 
 // Status is the state of a request at a backend server.
@@ -90,8 +92,8 @@
 	Running int
 	Waiting int
 	Slots   int
-	// Memory is the used share of the cache memory.
-	Memory float64
+	// Cached is how many prompt tokens the prefix cache holds.
+	Cached int
 	// Age is how old the figures were when the server sent them.
 	Age time.Duration
 }
--- a/lib/lacebackend/control.go
+++ b/lib/lacebackend/control.go
@@ -32,8 +32,8 @@
 	}, nil)
 }
 
-// Find implements Client. Only an answer that names the request counts, so that the 404 of a server without this
-// lookup is not taken for a request that did not run.
+// Find implements Client. A 404 counts as absent only with the header Lace-Outcome: not_run, so that the answer of a
+// server without this lookup is not taken for a request that did not run.
 func (h *HTTP) Find(ctx context.Context, server laceunit.Address, request Request) (Status, error) {
 	var w wireStatus
 	err := h.control(ctx, outgoing{
@@ -41,7 +41,11 @@
 		method: http.MethodGet,
 		path:   "/v1/requests/" + url.PathEscape(string(request)),
 	}, &w)
-	if err != nil {
+	var fault *Error
+	switch {
+	case errors.As(err, &fault) && fault.Effect == EffectNone && fault.Status == http.StatusNotFound:
+		return Status{State: StateAbsent}, nil
+	case err != nil:
 		return Status{}, err
 	}
 	s, ok := w.status()
@@ -88,7 +92,7 @@
 	return page, nil
 }
 
-// control makes a short call and parses the JSON answer, if one is wanted. A status 404 may carry an answer.
+// control makes a short call and parses the JSON answer, if one is wanted.
 func (h *HTTP) control(ctx context.Context, out outgoing, into any) error {
 	ctx, cancel := context.WithTimeout(ctx, h.bounds.Control)
 	defer cancel()
@@ -113,8 +117,8 @@
 		fault.Reason, fault.Cause = ErrTooLong, nil
 	case err != nil:
 		fault.Reason = ErrCut
-	case resp.StatusCode/100 != 2 && (into == nil || resp.StatusCode != http.StatusNotFound):
-		if resp.StatusCode/100 == 4 || resp.StatusCode == http.StatusServiceUnavailable {
+	case resp.StatusCode/100 != 2:
+		if resp.Header.Get(headerOutcome) == outcomeNotRun {
 			fault.Effect, fault.Reason = EffectNone, ErrRefused
 		}
 	case into == nil:
--- a/lib/lacebackend/decoder.go
+++ b/lib/lacebackend/decoder.go
@@ -70,6 +70,9 @@
 
 // end accepts the end marker only when nothing follows it, so that a caller never sees an end that is not the end.
 func (d *decoder) end(w wireChunk) (Chunk, error) {
+	if w.Cancelled {
+		return Chunk{}, errors.Wrap(ErrCut, "cancelled at the server")
+	}
 	if w.Tokens == nil || w.Prompt == nil || *w.Tokens < 0 || *w.Prompt < 0 || w.Text != nil {
 		return Chunk{}, ErrMalformed
 	}
--- a/lib/lacebackend/decoder_test.go
+++ b/lib/lacebackend/decoder_test.go
@@ -55,6 +55,7 @@
 		{"text after the end", first + end + second, 0, "one ", ErrTrailing},
 		{"second end", first + end + end, 0, "one ", ErrTrailing},
 		{"partial text after the end", first + end + "data: {", 0, "one ", ErrCut},
+		{"cancelled", first + strings.Replace(end, `"end"`, `"cancelled":true,"end"`, 1), 0, "one ", ErrCut},
 		{"text in the end", strings.Replace(end, `"end"`, `"text":"x","end"`, 1), 0, "", ErrMalformed},
 		{"no counts", first + `data: {"attempt":"a","end":true}` + "\n\n", 0, "one ", ErrMalformed},
 		{"no text", `data: {"attempt":"a","index":0}` + "\n\n" + end, 0, "", ErrMalformed},
@@ -131,11 +132,14 @@
 			t.Errorf("%q has %d tokens, want %d", prompt, got, want)
 		}
 	}
-	shared := strings.Repeat("rule ", prefixTokens)
-	if PrefixOf("m", shared+"x") != PrefixOf("m", shared+"y") {
+	shared := strings.Repeat("rule ", prefixBytes)
+	if PrefixOf("m", shared+"x") != PrefixOf("m", shared+"y") || PrefixOf("m", shared) == 0 {
 		t.Error("prompts with the same beginning have different prefixes")
 	}
-	if PrefixOf("m", shared) == PrefixOf("n", shared) || PrefixOf("m", "a b") == PrefixOf("m", "a c") {
+	if PrefixOf("m", shared) == PrefixOf("n", shared) || PrefixOf("m", shared) == PrefixOf("m", "x"+shared) {
 		t.Error("different beginnings have the same prefix")
 	}
+	if PrefixOf("m", shared[:prefixBytes-1]) != 0 {
+		t.Error("a prompt shorter than a block has a prefix")
+	}
 }
--- a/lib/lacebackend/http_test.go
+++ b/lib/lacebackend/http_test.go
@@ -217,31 +217,34 @@
 
 // Guards against a lookup that takes a server's 404 for a request that did not run, and against bad reports.
 func TestControlCalls(t *testing.T) {
-	status, answer := 0, ""
+	status, answer, outcome := 0, "", ""
 	h, server := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(headerOutcome, outcome)
 		w.WriteHeader(status)
 		_, _ = fmt.Fprintf(w, answer, strings.TrimPrefix(r.URL.Path, "/v1/requests/"))
 	})
 	ctx := context.Background()
 	for _, c := range []struct {
-		status int
-		answer string
-		state  State
+		status  int
+		answer  string
+		outcome string
+		state   State
 	}{
-		{200, `{"request":%q,"state":"running","attempt":"a"}`, StateRunning},
-		{404, `{"request":%q,"state":"absent"}`, StateAbsent},
-		{404, `{"request":"other%.0s","state":"absent"}`, ""},
-		{404, "not found: %s", ""},
-		{200, `{"request":%q,"state":"odd"}`, ""},
-		{503, `{"request":%q,"state":"absent"}`, ""},
+		{200, `{"request":%q,"state":"running","attempt":"a"}`, "", StateRunning},
+		{200, `{"request":%q,"state":"absent"}`, "", StateAbsent},
+		{200, `{"request":"other%.0s","state":"absent"}`, "", ""},
+		{200, `{"request":%q,"state":"odd"}`, "", ""},
+		{404, "%.0s", "not_run", StateAbsent},
+		{404, `{"request":%q,"state":"absent"}`, "", ""},
+		{503, "%.0s", "not_run", ""},
 	} {
-		status, answer = c.status, c.answer
+		status, answer, outcome = c.status, c.answer, c.outcome
 		s, err := h.Find(ctx, server, "acct/r %2F")
 		if s.State != c.state || (err == nil) != (c.state != "") {
 			t.Errorf("%d %s: got %+v, %v", c.status, c.answer, s, err)
 		}
 	}
-	status, answer = 200, `{"running":3,"waiting":1,"slots":8,"memory":0.5,"age_ms":900%.0s}`
+	status, answer, outcome = 200, `{"running":3,"waiting":1,"slots":8,"cached":64,"age":900%.0s}`, ""
 	if l, err := h.Load(ctx, server); err != nil || l.Running != 3 || l.Age != 900*time.Millisecond {
 		t.Errorf("got %+v, %v", l, err)
 	}
@@ -249,12 +252,16 @@
 	if _, err := h.Load(ctx, server); !errors.Is(err, ErrMalformed) {
 		t.Errorf("got %v", err)
 	}
-	answer = `{"events":[{"sequence":6,"prefix":"ff","stored":true},{"sequence":8,"prefix":"1"}]%.0s}`
-	if e, err := h.Events(ctx, server, 5); err != nil || !e.Gap || len(e.List) != 2 || e.List[0].Prefix != 255 {
+	answer = `{"events":[{"sequence":6,"kind":"stored","block":"ff"},{"sequence":8,"kind":"evicted","block":"1"}]%.0s}`
+	if e, err := h.Events(ctx, server, 5); err != nil || !e.Gap || len(e.List) != 2 || !e.List[0].Stored || e.List[0].Prefix != 255 {
 		t.Errorf("got %+v, %v", e, err)
 	}
-	status, answer = 409, "%.0s"
-	if err := h.Order(ctx, server, Order{Kind: OrderRole}); !errors.Is(err, ErrRefused) {
+	answer = `{"fence":7,"role":"draft","models":["m"],"versions":{"m":"2"}%.0s}`
+	if c, err := h.Condition(ctx, server); err != nil || c.Fence != 7 || c.Role != "draft" || c.Models[0] != "m" || c.Versions["m"] != "2" {
+		t.Errorf("got %+v, %v", c, err)
+	}
+	status, answer, outcome = 409, "%.0s", "not_run"
+	if err := h.Order(ctx, server, Order{Kind: OrderRole}); !errors.Is(err, ErrRefused) || EffectOf(err) != EffectNone {
 		t.Errorf("got %v", err)
 	}
 }
--- a/lib/lacebackend/order.go
+++ b/lib/lacebackend/order.go
@@ -13,7 +13,8 @@
 
 // The kinds of orders.
 const (
-	OrderModel   OrderKind = "model"
+	OrderLoad    OrderKind = "load"
+	OrderUnload  OrderKind = "unload"
 	OrderAdapter OrderKind = "adapter"
 	OrderVersion OrderKind = "version"
 	OrderRole    OrderKind = "role"
@@ -29,18 +30,13 @@
 	Role    string
 }
 
-// Loaded is a model that an engine holds.
-type Loaded struct {
-	Model   laceunit.ModelID
-	Adapter string
-	Version string
-}
-
-// Condition is what an engine holds and the highest fencing token it has seen; zero if it ignores tokens.
+// Condition is what an engine holds and the highest fencing token it has seen.
 type Condition struct {
-	Fence  laceunit.Fence
-	Role   string
-	Loaded []Loaded
+	Fence    laceunit.Fence
+	Role     string
+	Models   []laceunit.ModelID
+	Adapters []string
+	Versions map[laceunit.ModelID]string
 }
 
 // Commander sends orders to engines and reads their condition back.
@@ -61,13 +57,11 @@
 }
 
 type wireCondition struct {
-	Fence  uint64 `json:"fence"`
-	Role   string `json:"role"`
-	Loaded []struct {
-		Model   string `json:"model"`
-		Adapter string `json:"adapter"`
-		Version string `json:"version"`
-	} `json:"loaded"`
+	Fence    uint64            `json:"fence"`
+	Role     string            `json:"role"`
+	Models   []string          `json:"models"`
+	Adapters []string          `json:"adapters"`
+	Versions map[string]string `json:"versions"`
 }
 
 // Order implements Commander.
@@ -109,15 +103,16 @@
 		return Condition{}, err
 	}
 	c := Condition{
-		Fence: laceunit.Fence(w.Fence),
-		Role:  w.Role,
+		Fence:    laceunit.Fence(w.Fence),
+		Role:     w.Role,
+		Adapters: w.Adapters,
+		Versions: map[laceunit.ModelID]string{},
+	}
+	for _, m := range w.Models {
+		c.Models = append(c.Models, laceunit.ModelID(m))
 	}
-	for _, l := range w.Loaded {
-		c.Loaded = append(c.Loaded, Loaded{
-			Model:   laceunit.ModelID(l.Model),
-			Adapter: l.Adapter,
-			Version: l.Version,
-		})
+	for m, v := range w.Versions {
+		c.Versions[laceunit.ModelID(m)] = v
 	}
 	return c, nil
 }
--- a/lib/lacebackend/token.go
+++ b/lib/lacebackend/token.go
@@ -9,11 +9,11 @@
 	"lacewingcove/lib/laceunit"
 )
 
-// prefixTokens is how much of a prompt decides its prefix: engines cache whole blocks, and a shared instruction is
-// longer than this while two unrelated prompts rarely agree for as long.
-const prefixTokens = 32
+// prefixBytes is the length of the first block of an engine's prefix cache.
+const prefixBytes = 256
 
-// Prefix identifies the beginning of a prompt for one model.
+// Prefix identifies the first block of a prompt for one model, as engines name it in their cache events; zero means
+// that the prompt is shorter than a block, of which engines cache nothing.
 type Prefix uint64
 
 // CountTokens returns the tokens of a prompt as the engines count them: each maximal run of letters, digits, marks
@@ -29,20 +29,14 @@
 	}
 }
 
-// PrefixOf returns the prefix of a prompt: the hash of the model and of the first 32 tokens with their spacing.
+// PrefixOf returns the prefix of a prompt: the hash of the model, a line feed and the first 256 bytes.
 func PrefixOf(model laceunit.ModelID, prompt string) Prefix {
-	end := 0
-	for range prefixTokens {
-		size := nextToken(prompt[end:])
-		if size == 0 {
-			break
-		}
-		end += size
+	if len(prompt) < prefixBytes {
+		return 0
 	}
 	d := xxhash.New()
-	_, _ = d.WriteString(string(model))
-	_, _ = d.Write([]byte{0})
-	_, _ = d.WriteString(prompt[:end])
+	_, _ = d.WriteString(string(model) + "\n")
+	_, _ = d.WriteString(prompt[:prefixBytes])
 	return Prefix(d.Sum64())
 }
 
--- a/lib/lacebackend/wire.go
+++ b/lib/lacebackend/wire.go
@@ -16,6 +16,12 @@
 	outcomeNotRun = "not_run"
 )
 
+// The kinds of cache events.
+const (
+	eventStored  = "stored"
+	eventEvicted = "evicted"
+)
+
 type wireCall struct {
 	Request  string `json:"request"`
 	Attempt  string `json:"attempt"`
@@ -31,8 +37,10 @@
 	Index   *int    `json:"index"`
 	Text    *string `json:"text"`
 	End     bool    `json:"end"`
-	Tokens  *int64  `json:"tokens"`
-	Prompt  *int64  `json:"prompt"`
+	// Cancelled marks the end of an answer that was cancelled, which is not whole.
+	Cancelled bool   `json:"cancelled"`
+	Tokens    *int64 `json:"tokens"`
+	Prompt    *int64 `json:"prompt"`
 }
 
 type wireCancel struct {
@@ -48,11 +56,12 @@
 }
 
 type wireLoad struct {
-	Running int     `json:"running"`
-	Waiting int     `json:"waiting"`
-	Slots   int     `json:"slots"`
-	Memory  float64 `json:"memory"`
-	AgeMS   int64   `json:"age_ms"`
+	Running int `json:"running"`
+	Waiting int `json:"waiting"`
+	Slots   int `json:"slots"`
+	Cached  int `json:"cached"`
+	// Age is in milliseconds.
+	Age int64 `json:"age"`
 }
 
 type wireEvents struct {
@@ -61,8 +70,8 @@
 
 type wireEvent struct {
 	Sequence uint64 `json:"sequence"`
-	Prefix   string `json:"prefix"`
-	Stored   bool   `json:"stored"`
+	Kind     string `json:"kind"`
+	Block    string `json:"block"`
 }
 
 func (w wireCall) from(c Call) wireCall {
@@ -85,7 +94,7 @@
 		Prompt:  laceunit.Tokens(w.Prompt),
 	}
 	switch s.State {
-	case StateAbsent, StateRunning, StateDone, StateFailed:
+	case StateAbsent, StateWaiting, StateRunning, StateDone, StateCancelled, StateFailed:
 		return s, w.Tokens >= 0 && w.Prompt >= 0
 	}
 	return Status{}, false
@@ -96,10 +105,10 @@
 		Running: w.Running,
 		Waiting: w.Waiting,
 		Slots:   w.Slots,
-		Memory:  w.Memory,
-		Age:     time.Duration(w.AgeMS) * time.Millisecond,
+		Cached:  w.Cached,
+		Age:     time.Duration(w.Age) * time.Millisecond,
 	}
-	valid := w.Running >= 0 && w.Waiting >= 0 && w.Slots >= 0 && w.AgeMS >= 0 && w.Memory >= 0 && w.Memory <= 1
+	valid := w.Running >= 0 && w.Waiting >= 0 && w.Slots >= 0 && w.Age >= 0 && w.Cached >= 0
 	return l, valid
 }
 
@@ -107,8 +116,8 @@
 	var page Events
 	last := after
 	for _, e := range w.Events {
-		prefix, err := strconv.ParseUint(e.Prefix, 16, 64)
-		if err != nil || e.Sequence <= last {
+		prefix, err := strconv.ParseUint(e.Block, 16, 64)
+		if err != nil || e.Sequence <= last || (e.Kind != eventStored && e.Kind != eventEvicted) {
 			return Events{}, false
 		}
 		if e.Sequence != last+1 {
@@ -118,7 +127,7 @@
 		page.List = append(page.List, Event{
 			Sequence: e.Sequence,
 			Prefix:   Prefix(prefix),
-			Stored:   e.Stored,
+			Stored:   e.Kind == eventStored,
 		})
 	}
 	return page, true
