lacefeed: instance list, load reports and cache events for the balancer

Cause: a leaving server must get no new work 3 s after the list says so, and the balancer needs reports without asking 1,500 servers each second. Ruled out: one loop for list and reports (slow servers would delay a mark); dropping a mark when the entry vanishes, since the list drops what has left; skipping entries in an unknown state, which would be a guess. Change: Feed (Serve, Refresh) with the list each second by ETag, a random sample of 12 engines per second with jitter and at most 4 polls at a time. The time to a mark follows from the period (two polls, three when one fails) and was not measured end to end. An engine that restarts and numbers its events from 1 again is not noticed.

--- /dev/null
+++ b/lib/lacefeed/feed.go
@@ -0,0 +1,166 @@
+package lacefeed
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"lacewingcove/lib/lacebackend"
+	"lacewingcove/lib/lacebalancer"
+	"lacewingcove/lib/laceconfig"
+	"lacewingcove/lib/laceunit"
+)
+
+// Sink runs a step on the balancer and delivers the decisions that come out of it.
+type Sink interface {
+	Do(step func(b *lacebalancer.Balancer, now time.Time) []lacebalancer.Decision)
+}
+
+// Reporter asks servers for their reports; lacebackend.Client is one.
+type Reporter interface {
+	Load(ctx context.Context, server laceunit.Address) (lacebackend.Load, error)
+	Events(ctx context.Context, server laceunit.Address, after uint64) (lacebackend.Events, error)
+}
+
+// Servers returns the servers of the configuration that is in force.
+type Servers func() map[laceunit.ServerID]laceconfig.Server
+
+// Setting configures a feed; zero fields take their defaults.
+type Setting struct {
+	// List is the base URL of the instance list; without one only the configuration tells what is leaving.
+	List laceunit.Address
+	// Period is the time between polls, and bounds one poll. A mark is seen after two periods at the latest, or three
+	// when one poll fails, which keeps to the 3 s of guarantee 6.
+	Period time.Duration
+	// Subset is how many servers are asked for their load in one period; a larger fleet is sampled.
+	Subset int
+	// Parallel bounds the polls at one time.
+	Parallel int
+}
+
+const (
+	defaultPeriod = time.Second
+	// defaultSubset covers today's 12 engines each second. More would exceed the 4 KB/s of control traffic per node,
+	// at an estimated 350 bytes for a request and its answer.
+	defaultSubset   = 12
+	defaultParallel = 4
+)
+
+// Option changes a feed at construction.
+type Option func(*Feed)
+
+// WithSetting sets the setting.
+func WithSetting(setting Setting) Option {
+	return func(f *Feed) { f.setting = setting }
+}
+
+// WithRandom sets the source of randomness for sampling and jitter.
+func WithRandom(random *rand.Rand) Option {
+	return func(f *Feed) { f.random = random }
+}
+
+// Feed polls the instance list and the servers and tells the balancer.
+type Feed struct {
+	setting  Setting
+	servers  Servers
+	reporter Reporter
+	sink     Sink
+	client   *http.Client
+	random   *rand.Rand
+
+	mu    sync.Mutex
+	marks marks
+	tag   string
+	// sequences are the last cache events seen, by server.
+	sequences map[laceunit.ServerID]uint64
+}
+
+// New returns a feed; Serve runs it.
+func New(servers Servers, reporter Reporter, sink Sink, options ...Option) *Feed {
+	f := &Feed{
+		servers:   servers,
+		reporter:  reporter,
+		sink:      sink,
+		client:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
+		marks:     marks{},
+		sequences: map[laceunit.ServerID]uint64{},
+	}
+	for _, o := range options {
+		o(f)
+	}
+	if f.random == nil {
+		f.random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	if f.setting.Period <= 0 {
+		f.setting.Period = defaultPeriod
+	}
+	if f.setting.Subset <= 0 {
+		f.setting.Subset = defaultSubset
+	}
+	if f.setting.Parallel <= 0 {
+		f.setting.Parallel = defaultParallel
+	}
+	return f
+}
+
+// Serve polls until the context ends, and returns when all its goroutines have.
+func (f *Feed) Serve(ctx context.Context) error {
+	f.Refresh()
+	var wg sync.WaitGroup
+	defer f.client.CloseIdleConnections()
+	// The list has its own loop, so that slow servers can't delay a leaving mark.
+	wg.Go(func() { f.every(ctx, f.pollList) })
+	wg.Go(func() { f.every(ctx, f.pollLoads) })
+	wg.Wait()
+	return ctx.Err()
+}
+
+// Refresh gives the servers and the leaving marks to the balancer; call it when a new configuration is in force.
+func (f *Feed) Refresh() {
+	servers := f.servers()
+	f.mu.Lock()
+	leaving := maps.Clone(f.marks)
+	f.mu.Unlock()
+	f.sink.Do(func(b *lacebalancer.Balancer, now time.Time) []lacebalancer.Decision {
+		return b.Update(now, servers, leaving)
+	})
+}
+
+// every runs a poll once per period; the first one at once.
+func (f *Feed) every(ctx context.Context, poll func(context.Context)) {
+	t := time.NewTicker(f.setting.Period)
+	defer t.Stop()
+	for ctx.Err() == nil {
+		inner, cancel := context.WithTimeout(ctx, f.setting.Period)
+		poll(inner)
+		cancel()
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+	}
+}
+
+func (f *Feed) pollList(ctx context.Context) {
+	if f.setting.List == "" {
+		return
+	}
+	list, tag, err := fetch(ctx, f.client, f.setting.List, f.tag)
+	if err != nil {
+		return
+	}
+	servers := f.servers()
+	f.mu.Lock()
+	f.tag = tag
+	f.marks.apply(list, servers)
+	for id := range f.sequences {
+		if _, ok := servers[id]; !ok {
+			delete(f.sequences, id)
+		}
+	}
+	f.mu.Unlock()
+	f.Refresh()
+}
