--- a/lib/lacebackend/order.go
+++ b/lib/lacebackend/order.go
@@ -5,52 +5,12 @@
 	"encoding/json"
 	"net/http"
 
-	"lacewingcove/lib/laceunit"
-)
+	"github.com/pkg/errors"
 
-// OrderKind says what an order asks for.
-type OrderKind string
-
-// The kinds of orders.
-const (
-	OrderModel   OrderKind = "model"
-	OrderAdapter OrderKind = "adapter"
-	OrderVersion OrderKind = "version"
-	OrderRole    OrderKind = "role"
+	"lacewingcove/lib/laceorder"
+	"lacewingcove/lib/laceunit"
 )
 
-// Order tells an engine what to load or which role to take.
-type Order struct {
-	Fence   laceunit.Fence
-	Kind    OrderKind
-	Model   laceunit.ModelID
-	Adapter string
-	Version string
-	Role    string
-}
-
-// Loaded is a model that an engine holds.
-type Loaded struct {
-	Model   laceunit.ModelID
-	Adapter string
-	Version string
-}
-
-// Condition is what an engine holds and the highest fencing token it has seen; zero if it ignores tokens.
-type Condition struct {
-	Fence  laceunit.Fence
-	Role   string
-	Loaded []Loaded
-}
-
-// Commander sends orders to engines and reads their condition back.
-type Commander interface {
-	// Order sends one order; ErrRefused stands for an old fencing token among other refusals.
-	Order(ctx context.Context, server laceunit.Address, order Order) error
-	// Condition reads back what the engine holds.
-	Condition(ctx context.Context, server laceunit.Address) (Condition, error)
-}
-
 type wireOrder struct {
 	Fence   uint64 `json:"fence"`
 	Kind    string `json:"kind"`
@@ -61,17 +21,15 @@
 }
 
 type wireCondition struct {
-	Fence  uint64 `json:"fence"`
-	Role   string `json:"role"`
-	Loaded []struct {
-		Model   string `json:"model"`
-		Adapter string `json:"adapter"`
-		Version string `json:"version"`
-	} `json:"loaded"`
+	Fence    uint64            `json:"fence"`
+	Role     string            `json:"role"`
+	Models   []string          `json:"models"`
+	Adapters []string          `json:"adapters"`
+	Versions map[string]string `json:"versions"`
 }
 
-// Order implements Commander.
-func (h *HTTP) Order(ctx context.Context, server laceunit.Address, order Order) error {
+// Order implements laceorder.Commander. A server refuses an old fencing token with status 409.
+func (h *HTTP) Order(ctx context.Context, server laceunit.Address, order laceorder.Order) (laceorder.Outcome, error) {
 	body, err := json.Marshal(wireOrder{
 		Fence:   uint64(order.Fence),
 		Kind:    string(order.Kind),
@@ -81,24 +39,35 @@
 		Role:    order.Role,
 	})
 	if err != nil {
-		return &Error{
+		return laceorder.OutcomeRefused, &Error{
 			Effect: EffectNone,
 			Reason: ErrRequest,
 			Server: server,
 			Cause:  err,
 		}
 	}
-	return h.control(ctx, outgoing{
-		server: server,
-		method: http.MethodPost,
-		path:   "/v1/orders",
-		header: http.Header{"Content-Type": {"application/json"}},
-		body:   body,
+	err = h.control(ctx, outgoing{
+		server:  server,
+		method:  http.MethodPost,
+		path:    "/v1/orders",
+		header:  http.Header{"Content-Type": {"application/json"}},
+		body:    body,
+		patient: true,
 	}, nil)
+	var fault *Error
+	switch {
+	case err == nil:
+		return laceorder.OutcomeApplied, nil
+	case errors.As(err, &fault) && fault.Status == http.StatusConflict:
+		return laceorder.OutcomeStale, err
+	case EffectOf(err) == EffectNone:
+		return laceorder.OutcomeRefused, err
+	}
+	return laceorder.OutcomeUnknown, err
 }
 
-// Condition implements Commander.
-func (h *HTTP) Condition(ctx context.Context, server laceunit.Address) (Condition, error) {
+// Condition implements laceorder.Commander.
+func (h *HTTP) Condition(ctx context.Context, server laceunit.Address) (laceorder.Condition, error) {
 	var w wireCondition
 	err := h.control(ctx, outgoing{
 		server: server,
@@ -106,18 +75,19 @@
 		path:   "/v1/orders",
 	}, &w)
 	if err != nil {
-		return Condition{}, err
+		return laceorder.Condition{}, err
+	}
+	c := laceorder.Condition{
+		Fence:    laceunit.Fence(w.Fence),
+		Role:     w.Role,
+		Adapters: w.Adapters,
+		Versions: map[laceunit.ModelID]string{},
 	}
-	c := Condition{
-		Fence: laceunit.Fence(w.Fence),
-		Role:  w.Role,
+	for _, m := range w.Models {
+		c.Models = append(c.Models, laceunit.ModelID(m))
 	}
-	for _, l := range w.Loaded {
-		c.Loaded = append(c.Loaded, Loaded{
-			Model:   laceunit.ModelID(l.Model),
-			Adapter: l.Adapter,
-			Version: l.Version,
-		})
+	for m, v := range w.Versions {
+		c.Versions[laceunit.ModelID(m)] = v
 	}
 	return c, nil
 }
