laceconfig: replica whose version only goes up, deltas by entry, freshness

Cause: every instance must hold the accepted document within 7 s, never revert, and refuse new work when a newer version may be in force elsewhere. Ruled out: sections as the unit of distribution (2.4 MB for one account); taking a peer's age from a notice, whose time on the way is unknown; versions of last change taken over from a full delta, which the property test refuted. Change: Replica (messages and monotonic times in, effects out), Delta with gaps, Fresh. A replica that skips versions can't see an entry that changed and changed back, so ranges that were skipped are answered with a full delta. Seen failing: without the version check "node 2 went from version 3 down to 1"; without the delta's gaps "node 0 holds map[m0:context: 1"; with a full delta's marks "node 1 holds map[m1:context: 1"; without the gap check in since "node 2 stays at version 30 of 31 as stale"; without the peer's age "node 0 takes work as confirmed"; with fewer than all members "node 0 takes work as unanimous".

--- /dev/null
+++ b/lib/laceconfig/replica.go
@@ -0,0 +1,322 @@
+package laceconfig
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"lacewingcove/lib/laceunit"
+)
+
+// Period is how often a replica is ticked.
+const Period = time.Second
+
+// Status is what an instance says of its configuration.
+type Status struct {
+	From    laceunit.Holder
+	Version laceunit.Version
+	// Confirmed is true when the platform has ever confirmed the version; Age is then the time since the
+	// moment up to which every accepted change is contained in Version.
+	Confirmed bool
+	Age       time.Duration
+	// Contact is false when the instance's last attempt to read the platform failed.
+	Contact bool
+}
+
+// Message is an answer to a question, or a notice.
+type Message struct {
+	Status Status
+	Delta  *Delta
+}
+
+// Member is another instance of the last agreed membership.
+type Member struct {
+	Holder laceunit.Holder
+	Region laceunit.RegionID
+	// Watcher is true for the instances that follow the platform on behalf of their region.
+	Watcher bool
+}
+
+// View is the membership as an instance knows it; Others leaves the instance out.
+type View struct {
+	// Agreed is true once a membership has been agreed on; before that an empty Others proves nothing.
+	Agreed  bool
+	Region  laceunit.RegionID
+	Watcher bool
+	Others  []Member
+}
+
+// Effect is something that the shell of a replica has to do; the types below are the closed set.
+type Effect interface{ effect() }
+
+// Ask sends the replica's status to a member and feeds the answer back.
+type Ask struct {
+	To laceunit.Holder
+}
+
+// Read reads the head, and the bodies when its version is new, and feeds the result back.
+type Read struct{}
+
+// Push sends a notice to members.
+type Push struct {
+	To      []laceunit.Holder
+	Message Message
+}
+
+// Install puts a document in force.
+type Install struct {
+	Document Document
+}
+
+// Reject reports a message that could not be used.
+type Reject struct {
+	From laceunit.Holder
+	Err  error
+}
+
+func (Ask) effect()     {}
+func (Read) effect()    {}
+func (Push) effect()    {}
+func (Install) effect() {}
+func (Reject) effect()  {}
+
+// Rule are the settings of a replica.
+type Rule struct {
+	Self  laceunit.Holder
+	Lean  laceunit.Lean
+	Fresh time.Duration
+}
+
+// heard is the last answer of a member; asked is when the question was sent.
+type heard struct {
+	asked  time.Duration
+	status Status
+}
+
+// Replica is the state machine of an instance's configuration: its version only goes up.
+// Times are monotonic, counted from the start of the process.
+type Replica struct {
+	rule    Rule
+	random  *rand.Rand
+	entries entries
+	view    View
+	// confirmed is the moment up to which every accepted change is contained in the version.
+	confirmed time.Duration
+	known     bool
+	lost      bool
+	reading   bool
+	asking    map[laceunit.Holder]bool
+	heard     map[laceunit.Holder]heard
+}
+
+// NewReplica returns a replica without a document; random decides only which peers are asked.
+func NewReplica(rule Rule, random *rand.Rand) *Replica {
+	return &Replica{
+		rule:    rule,
+		random:  random,
+		entries: emptyEntries(),
+		asking:  map[laceunit.Holder]bool{},
+		heard:   map[laceunit.Holder]heard{},
+	}
+}
+
+// Document returns the document in force.
+func (r *Replica) Document() Document { return r.entries.document }
+
+// Version returns the version in force; zero before the first document.
+func (r *Replica) Version() laceunit.Version { return r.entries.version }
+
+// Status returns what the replica says of itself.
+func (r *Replica) Status(now time.Duration) Status {
+	return Status{
+		From:      r.rule.Self,
+		Version:   r.entries.version,
+		Confirmed: r.known,
+		Age:       now - r.confirmed,
+		Contact:   !r.lost,
+	}
+}
+
+func (r *Replica) older(now, than time.Duration) bool {
+	return !r.known || now-r.confirmed > than
+}
+
+// Tick advances time; it is called each Period.
+func (r *Replica) Tick(now time.Duration, view View) []Effect {
+	r.view = view
+	current := map[laceunit.Holder]bool{}
+	for _, m := range view.Others {
+		current[m.Holder] = true
+	}
+	for h := range r.heard {
+		if !current[h] {
+			delete(r.heard, h)
+		}
+	}
+	var effects []Effect
+	// Random exchanges alone take about as many seconds as the logarithm of the region's size, so a watcher is
+	// asked at half of Rule.Fresh, and the platform and everyone else before the confirmation gets too old.
+	worried := r.older(now, r.rule.Fresh*7/10)
+	if view.Watcher || worried {
+		effects = r.read(effects)
+	}
+	effects = r.ask(effects, r.pick(func(m Member) bool { return m.Region == view.Region || r.random.IntN(8) == 0 }))
+	if !view.Watcher && r.older(now, r.rule.Fresh/2) {
+		effects = r.ask(effects, r.pick(func(m Member) bool { return m.Watcher && m.Region == view.Region }))
+	}
+	if worried {
+		effects = r.canvass(effects, now)
+	}
+	return effects
+}
+
+// canvass asks for what the decision of Fresh needs: everyone under strict, a few under available.
+func (r *Replica) canvass(effects []Effect, now time.Duration) []Effect {
+	if r.rule.Lean != laceunit.LeanStrict {
+		for range 3 {
+			effects = r.ask(effects, r.pick(func(Member) bool { return true }))
+		}
+		return effects
+	}
+	for _, m := range r.view.Others {
+		if h, ok := r.heard[m.Holder]; !ok || now-h.asked > r.rule.Fresh/3 {
+			effects = r.ask(effects, m.Holder)
+		}
+	}
+	return effects
+}
+
+func (r *Replica) read(effects []Effect) []Effect {
+	if r.reading {
+		return effects
+	}
+	r.reading = true
+	return append(effects, Read{})
+}
+
+func (r *Replica) ask(effects []Effect, to laceunit.Holder) []Effect {
+	if to.IsZero() || r.asking[to] {
+		return effects
+	}
+	r.asking[to] = true
+	return append(effects, Ask{To: to})
+}
+
+func (r *Replica) pick(ok func(Member) bool) laceunit.Holder {
+	var chosen laceunit.Holder
+	count := 0
+	for _, m := range r.view.Others {
+		if !ok(m) {
+			continue
+		}
+		count++
+		if r.random.IntN(count) == 0 {
+			chosen = m.Holder
+		}
+	}
+	return chosen
+}
+
+// Learned takes the result of a Read whose head was asked for at a time.
+func (r *Replica) Learned(asked time.Duration, version laceunit.Version, content Content) []Effect {
+	r.reading, r.lost = false, false
+	if version < r.entries.version {
+		return nil // a head that went backwards confirms nothing
+	}
+	var effects []Effect
+	if version > r.entries.version {
+		before := r.entries.version
+		if err := r.entries.jump(version, content); err != nil {
+			return []Effect{Reject{From: r.rule.Self, Err: err}}
+		}
+		effects = append(effects, Install{Document: r.entries.document})
+		effects = r.push(effects, before)
+	}
+	r.confirm(asked)
+	return effects
+}
+
+// push tells the region of a new version; only watchers do, so that one change is not told by everyone.
+func (r *Replica) push(effects []Effect, before laceunit.Version) []Effect {
+	var to []laceunit.Holder
+	for _, m := range r.view.Others {
+		if m.Region == r.view.Region {
+			to = append(to, m.Holder)
+		}
+	}
+	if !r.view.Watcher || len(to) == 0 || before == 0 {
+		return effects
+	}
+	return append(effects, Push{
+		To: to,
+		Message: Message{
+			Status: Status{
+				From:    r.rule.Self,
+				Version: r.entries.version,
+				Contact: true,
+			},
+			Delta: r.entries.since(before),
+		},
+	})
+}
+
+func (r *Replica) confirm(moment time.Duration) {
+	if !r.known || moment > r.confirmed {
+		r.known, r.confirmed = true, moment
+	}
+}
+
+// Unread reports that a Read failed.
+func (r *Replica) Unread() { r.reading, r.lost = false, true }
+
+// Unheard reports that an Ask failed.
+func (r *Replica) Unheard(from laceunit.Holder) { delete(r.asking, from) }
+
+// Answer takes the answer to a question that was sent at a time.
+func (r *Replica) Answer(asked time.Duration, from laceunit.Holder, m Message) []Effect {
+	delete(r.asking, from)
+	if m.Status.From != from {
+		return nil // another incarnation listens at that address now
+	}
+	effects := r.take(m)
+	r.heard[from] = heard{
+		asked:  asked,
+		status: m.Status,
+	}
+	// The peer's age counts from a moment after the question was sent, so the difference is never too late.
+	if m.Status.Confirmed && m.Status.Age >= 0 && m.Status.Version <= r.entries.version {
+		r.confirm(asked - m.Status.Age)
+	}
+	return effects
+}
+
+// Notice takes a message that nobody asked for. Its time on the way is not known, so it confirms nothing.
+func (r *Replica) Notice(m Message) []Effect {
+	effects := r.take(m)
+	if m.Status.Version > r.entries.version {
+		effects = r.ask(effects, m.Status.From)
+	}
+	return effects
+}
+
+// Question answers a member's question.
+func (r *Replica) Question(now time.Duration, q Status) (Message, []Effect) {
+	var effects []Effect
+	if q.Version > r.entries.version {
+		effects = r.ask(effects, q.From)
+	}
+	return Message{
+		Status: r.Status(now),
+		Delta:  r.entries.since(q.Version),
+	}, effects
+}
+
+func (r *Replica) take(m Message) []Effect {
+	moved, err := r.entries.apply(m.Delta)
+	if err != nil {
+		return []Effect{Reject{From: m.Status.From, Err: err}}
+	}
+	if !moved {
+		return nil
+	}
+	return []Effect{Install{Document: r.entries.document}}
+}
