lacereplica, lacewire, lacetls: distribution between instances, certificates

Cause: the replica needs its timer, its reads and its twirp calls, and instances need mutual TLS whose files change without a restart. Ruled out: a watch on the head beside the read each second, since freshness needs the read anyway and it bounds news to one second; crypto/tls's own chain check, which holds a fixed pool of authorities over a reload. Change: lacewire.Config (Exchange, Notify) with generated code and hand mapping; lacereplica.Service runs a Replica over a Fleet, a Source and an HTTP client, Close waits; lacetls.Source reloads on a timer or by Reload and keeps the former files when the new ones can't be used. Measured: go test -race -count=5 lacereplica and -count=3 lacetls pass. Seen failing: without Notify "version 2 was not installed"; without the wait "closed with a read in progress"; without the chain check "wrong authority: let in", "expired: let in"; without the name check "got <nil>"; without Reload in Check "serial 1, <nil>".

--- /dev/null
+++ b/lib/lacereplica/effect.go
@@ -0,0 +1,102 @@
+package lacereplica
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"lacewingcove/lib/laceconfig"
+	"lacewingcove/lib/laceunit"
+	"lacewingcove/lib/lacewire"
+)
+
+// do changes the replica and starts the calls that follow from it.
+func (s *Service) do(change func() []laceconfig.Effect) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return
+	}
+	for _, e := range change() {
+		switch e := e.(type) {
+		case laceconfig.Install:
+			// The replica's lock is held, so documents come into force in the order of their versions.
+			s.document.Store(&e.Document)
+			s.install(e.Document)
+		case laceconfig.Reject:
+			s.reject(e.From, e.Err)
+		case laceconfig.Read:
+			s.spawn(loadTimeout, s.read, s.replica.Unread)
+		case laceconfig.Ask:
+			p, status := s.peers[e.To], s.replica.Status(s.now())
+			s.spawn(callTimeout, func(ctx context.Context) { s.ask(ctx, e.To, p, status) }, func() { s.replica.Unheard(e.To) })
+		case laceconfig.Push:
+			m := lacewire.FromMessage(e.Message)
+			for _, to := range e.To {
+				p := s.peers[to]
+				s.spawn(callTimeout, func(ctx context.Context) { s.notify(ctx, p, m) }, func() {})
+			}
+		}
+	}
+}
+
+// spawn runs a call in its own goroutine within the bound; refused is told, under the lock, that there is no room.
+func (s *Service) spawn(timeout time.Duration, call func(context.Context), refused func()) {
+	select {
+	case s.slots <- struct{}{}:
+	default:
+		refused()
+		return
+	}
+	s.calls.Add(1)
+	go func() {
+		defer s.calls.Done()
+		defer func() { <-s.slots }()
+		ctx, cancel := context.WithTimeout(s.ctx, timeout)
+		defer cancel()
+		call(ctx)
+	}()
+}
+
+func (s *Service) read(ctx context.Context) {
+	asked := s.now()
+	brief, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	head, err := s.source.Head(brief)
+	var snap laceconfig.Snapshot
+	if err == nil && head.Version > s.Document().Version {
+		snap, err = s.source.Load(ctx, head)
+	}
+	s.do(func() []laceconfig.Effect {
+		if err != nil || (snap.Content == nil && head.Version > s.replica.Version()) {
+			s.replica.Unread()
+			return nil
+		}
+		return s.replica.Learned(asked, head.Version, snap.Content)
+	})
+}
+
+func (s *Service) ask(ctx context.Context, to laceunit.Holder, p Peer, status laceconfig.Status) {
+	asked := s.now()
+	m, err := s.dial(p).Exchange(ctx, lacewire.FromStatus(status))
+	s.do(func() []laceconfig.Effect {
+		if err != nil {
+			s.replica.Unheard(to)
+			return nil
+		}
+		return s.replica.Answer(asked, to, lacewire.ToMessage(m))
+	})
+}
+
+// notify ignores failures: whoever misses a notice hears of the version by an exchange.
+func (s *Service) notify(ctx context.Context, p Peer, m *lacewire.ConfigMessage) {
+	_, _ = s.dial(p).Notify(ctx, m)
+}
+
+func (s *Service) dial(p Peer) lacewire.Config {
+	base := string(p.Address)
+	if !strings.Contains(base, "://") {
+		base = s.scheme + "://" + base
+	}
+	return lacewire.NewConfigProtobufClient(base, s.client)
+}
--- /dev/null
+++ b/lib/lacereplica/service.go
@@ -0,0 +1,218 @@
+package lacereplica
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lacewingcove/lib/laceconfig"
+	"lacewingcove/lib/laceunit"
+	"lacewingcove/lib/lacewire"
+)
+
+// Watchers is how many instances of a region follow the platform: the lowest-ranked live ones.
+const Watchers = 2
+
+// callTimeout bounds one call to a peer or the platform, so that the answer counts before config.fresh is over.
+const callTimeout = time.Second
+
+// loadTimeout bounds the read of a new version's bodies.
+const loadTimeout = 10 * time.Second
+
+// parallel bounds the calls in progress.
+const parallel = 64
+
+// ErrClosed means that the service has been closed.
+var ErrClosed = errors.New("replica: closed")
+
+// Peer is an instance as the membership knows it.
+type Peer struct {
+	Holder  laceunit.Holder
+	Address laceunit.Address
+	Region  laceunit.RegionID
+	// Rank orders the live instances of a region, from 0.
+	Rank int
+}
+
+// Fleet tells the last agreed membership; ok is false until there is one. Peers leaves the instance itself out.
+type Fleet interface {
+	Self() Peer
+	Peers() (peers []Peer, ok bool)
+}
+
+// Source reads accepted documents from the platform; laceconfig.Store is one.
+type Source interface {
+	Head(ctx context.Context) (laceconfig.Head, error)
+	Load(ctx context.Context, head laceconfig.Head) (laceconfig.Snapshot, error)
+}
+
+// Option changes a service at construction.
+type Option func(*Service)
+
+// WithInstall sets the function that is told of each document that comes into force.
+func WithInstall(f func(laceconfig.Document)) Option {
+	return func(s *Service) { s.install = f }
+}
+
+// WithReject sets the function that is told of messages that could not be used.
+func WithReject(f func(laceunit.Holder, error)) Option {
+	return func(s *Service) { s.reject = f }
+}
+
+// WithScheme sets the scheme of peers' addresses that have none.
+func WithScheme(scheme string) Option {
+	return func(s *Service) { s.scheme = scheme }
+}
+
+// Service runs a replica; it serves lacewire.Config to peers.
+type Service struct {
+	source  Source
+	fleet   Fleet
+	client  *http.Client
+	install func(laceconfig.Document)
+	reject  func(laceunit.Holder, error)
+	scheme  string
+	start   time.Time
+
+	mu       sync.Mutex
+	replica  *laceconfig.Replica
+	peers    map[laceunit.Holder]Peer
+	closed   bool
+	document atomic.Pointer[laceconfig.Document]
+	slots    chan struct{}
+	ctx      context.Context
+	cancel   context.CancelFunc
+	calls    sync.WaitGroup
+}
+
+// New returns a service; client makes the calls to peers.
+func New(source Source, fleet Fleet, client *http.Client, rule laceconfig.Rule, options ...Option) *Service {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Service{
+		source:  source,
+		fleet:   fleet,
+		client:  client,
+		install: func(laceconfig.Document) {},
+		reject:  func(laceunit.Holder, error) {},
+		scheme:  "http",
+		start:   time.Now(),
+		replica: laceconfig.NewReplica(rule, rand.New(rand.NewPCG(uint64(rule.Self.Incarnation), uint64(time.Now().UnixNano())))),
+		peers:   map[laceunit.Holder]Peer{},
+		slots:   make(chan struct{}, parallel),
+		ctx:     ctx,
+		cancel:  cancel,
+	}
+	for _, o := range options {
+		o(s)
+	}
+	d := s.replica.Document()
+	s.document.Store(&d)
+	return s
+}
+
+// Document returns the document in force; its version is 0 before the first one.
+func (s *Service) Document() laceconfig.Document { return *s.document.Load() }
+
+// Fresh decides whether new work is taken now.
+func (s *Service) Fresh() laceconfig.Basis {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.replica.Fresh(s.now())
+}
+
+// Status returns the version in force and the age of its confirmation.
+func (s *Service) Status() laceconfig.Status {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.replica.Status(s.now())
+}
+
+func (s *Service) now() time.Duration { return time.Since(s.start) }
+
+// Serve ticks the replica until the context ends.
+func (s *Service) Serve(ctx context.Context) error {
+	t := time.NewTicker(laceconfig.Period)
+	defer t.Stop()
+	for {
+		s.Tick()
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-s.ctx.Done():
+			return ErrClosed
+		case <-t.C:
+		}
+	}
+}
+
+// Tick advances the replica once; Serve calls it each laceconfig.Period.
+func (s *Service) Tick() {
+	view := s.view()
+	s.do(func() []laceconfig.Effect { return s.replica.Tick(s.now(), view) })
+}
+
+// Learn reads the platform now; the instance that has accepted an edit calls it.
+func (s *Service) Learn() {
+	s.do(func() []laceconfig.Effect { return []laceconfig.Effect{laceconfig.Read{}} })
+}
+
+// Close ends the calls in progress and waits for them.
+func (s *Service) Close() error {
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
+	s.cancel()
+	s.calls.Wait()
+	return nil
+}
+
+// Exchange implements lacewire.Config.
+func (s *Service) Exchange(_ context.Context, q *lacewire.ConfigStatus) (*lacewire.ConfigMessage, error) {
+	var m laceconfig.Message
+	s.do(func() []laceconfig.Effect {
+		var effects []laceconfig.Effect
+		m, effects = s.replica.Question(s.now(), lacewire.ToStatus(q))
+		return effects
+	})
+	return lacewire.FromMessage(m), nil
+}
+
+// Notify implements lacewire.Config.
+func (s *Service) Notify(_ context.Context, m *lacewire.ConfigMessage) (*lacewire.ConfigReceipt, error) {
+	s.do(func() []laceconfig.Effect { return s.replica.Notice(lacewire.ToMessage(m)) })
+	return &lacewire.ConfigReceipt{}, nil
+}
+
+// Handler returns the HTTP handler for peers, and the path that it serves.
+func (s *Service) Handler() (path string, handler http.Handler) {
+	h := lacewire.NewConfigServer(s)
+	return h.PathPrefix(), h
+}
+
+func (s *Service) view() laceconfig.View {
+	self := s.fleet.Self()
+	peers, ok := s.fleet.Peers()
+	v := laceconfig.View{
+		Agreed:  ok,
+		Region:  self.Region,
+		Watcher: self.Rank < Watchers,
+	}
+	known := make(map[laceunit.Holder]Peer, len(peers))
+	for _, p := range peers {
+		known[p.Holder] = p
+		v.Others = append(v.Others, laceconfig.Member{
+			Holder:  p.Holder,
+			Region:  p.Region,
+			Watcher: p.Rank < Watchers,
+		})
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.peers = known
+	return v
+}
--- /dev/null
+++ b/lib/lacetls/config.go
@@ -0,0 +1,86 @@
+package lacetls
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+
+	"github.com/pkg/errors"
+)
+
+// Server returns the configuration of a listener that asks callers for no certificate.
+func (s *Source) Server() *tls.Config {
+	return &tls.Config{
+		MinVersion:     tls.VersionTLS13,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return s.certificate() },
+		NextProtos:     []string{"h2", "http/1.1"},
+	}
+}
+
+// Client returns the configuration of a client that checks the server's name against the authority,
+// or against the system's authorities when the source has none.
+func (s *Source) Client() *tls.Config {
+	c := &tls.Config{
+		MinVersion: tls.VersionTLS13,
+	}
+	if s.files.Certificate != "" {
+		c.GetClientCertificate = func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return s.certificate() }
+	}
+	if s.files.Authority != "" {
+		c.InsecureSkipVerify = true //nolint:gosec // VerifyConnection checks against the current authority instead
+		c.VerifyConnection = func(state tls.ConnectionState) error {
+			return s.verify(state, x509.ExtKeyUsageServerAuth, state.ServerName)
+		}
+	}
+	return c
+}
+
+// MutualServer returns the configuration of a listener for instances: it refuses a connection without a certificate
+// of the authority.
+func (s *Source) MutualServer() *tls.Config {
+	c := s.Server()
+	// The authority may be reloaded, so the chain is checked against the current one and not a fixed pool.
+	c.ClientAuth = tls.RequireAnyClientCert
+	c.VerifyConnection = func(state tls.ConnectionState) error {
+		return s.verify(state, x509.ExtKeyUsageClientAuth, "")
+	}
+	// A resumed session would skip the check against the current authority.
+	c.SessionTicketsDisabled = true
+	return c
+}
+
+// MutualClient returns the configuration of a client to instances.
+func (s *Source) MutualClient() *tls.Config { return s.Client() }
+
+func (s *Source) certificate() (*tls.Certificate, error) {
+	c := s.current.Load()
+	if c == nil || c.certificate == nil {
+		return nil, errors.Wrap(ErrFiles, "no certificate")
+	}
+	return c.certificate, nil
+}
+
+// verify checks the other side's chain; an empty name is not checked.
+func (s *Source) verify(state tls.ConnectionState, usage x509.ExtKeyUsage, name string) error {
+	c := s.current.Load()
+	if c == nil || c.authority == nil {
+		return errors.Wrap(ErrPeer, "no authority")
+	}
+	if len(state.PeerCertificates) == 0 {
+		return errors.Wrap(ErrPeer, "no certificate")
+	}
+	between := x509.NewCertPool()
+	for _, x := range state.PeerCertificates[1:] {
+		between.AddCert(x)
+	}
+	_, err := state.PeerCertificates[0].Verify(x509.VerifyOptions{
+		DNSName:       name,
+		Roots:         c.authority,
+		Intermediates: between,
+		CurrentTime:   s.now(),
+		KeyUsages:     []x509.ExtKeyUsage{usage},
+	})
+	if err != nil {
+		return errors.Wrap(ErrPeer, err.Error())
+	}
+	return nil
+}
