--- /dev/null
+++ b/lib/laceadmin/fault.go
@@ -0,0 +1,119 @@
+package laceadmin
+
+import (
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"lacewingcove/lib/laceconfig"
+	"lacewingcove/lib/laceplatform"
+	"lacewingcove/lib/laceyaml"
+)
+
+// Code is a stable reason that programs can switch on.
+type Code string
+
+// The closed set of codes.
+const (
+	BadRequest   Code = "bad_request"
+	Unauthorized Code = "unauthorized"
+	Forbidden    Code = "forbidden"
+	NotFound     Code = "not_found"
+	// Invalid means that a document has the faults that are listed with it.
+	Invalid Code = "invalid"
+	// Conflict means that something else was accepted first; look again and repeat with a new id.
+	Conflict Code = "conflict"
+	// Reused means that the id was used for another request.
+	Reused Code = "id_reused"
+	// Unavailable means that nothing was done.
+	Unavailable Code = "unavailable"
+	// Unknown means that it may have been done; repeat with the same id.
+	Unknown  Code = "unknown"
+	Internal Code = "internal"
+)
+
+// Status returns the HTTP status of a code.
+func (c Code) Status() int {
+	switch c {
+	case BadRequest:
+		return http.StatusBadRequest
+	case Unauthorized:
+		return http.StatusUnauthorized
+	case Forbidden:
+		return http.StatusForbidden
+	case NotFound:
+		return http.StatusNotFound
+	case Invalid, Reused:
+		return http.StatusUnprocessableEntity
+	case Conflict:
+		return http.StatusConflict
+	case Unavailable, Unknown:
+		return http.StatusServiceUnavailable
+	default:
+		return http.StatusInternalServerError
+	}
+}
+
+// Fault is an error as the API returns it.
+type Fault struct {
+	Code    Code    `json:"code"`
+	Message string  `json:"message"`
+	Faults  []Place `json:"faults,omitempty"`
+}
+
+// Place is one fault of a document.
+type Place struct {
+	Line     int    `json:"line,omitempty"`
+	Path     string `json:"path,omitempty"`
+	Expected string `json:"expected"`
+	Found    string `json:"found,omitempty"`
+}
+
+// Error implements error.
+func (f *Fault) Error() string {
+	text := string(f.Code) + ": " + f.Message
+	for _, p := range f.Faults {
+		text += "\n" + laceyaml.Fault(p).String()
+	}
+	return text
+}
+
+func fault(code Code, message string) *Fault {
+	return &Fault{
+		Code:    code,
+		Message: message,
+	}
+}
+
+// asFault converts the errors of the layers below.
+func asFault(err error) *Fault {
+	var f *Fault
+	var faults laceyaml.Faults
+	var conflict *laceconfig.Conflict
+	switch {
+	case errors.As(err, &f):
+		return f
+	case errors.As(err, &faults):
+		f = fault(Invalid, "the document has faults")
+		for _, x := range faults {
+			f.Faults = append(f.Faults, Place(x))
+		}
+		return f
+	case errors.As(err, &conflict):
+		return fault(Conflict, conflict.Error())
+	case errors.Is(err, laceconfig.ErrBusy):
+		return fault(Conflict, err.Error())
+	case errors.Is(err, laceconfig.ErrReused):
+		return fault(Reused, err.Error())
+	case errors.Is(err, laceconfig.ErrMalformed):
+		return fault(BadRequest, err.Error())
+	case errors.Is(err, laceconfig.ErrUnknown), errors.Is(err, laceplatform.ErrUnknown):
+		return fault(Unknown, "it may have been done; repeat with the same id")
+	case errors.Is(err, laceconfig.ErrUnavailable), errors.Is(err, laceplatform.ErrUnavailable):
+		return fault(Unavailable, "the platform is out of reach; nothing was done")
+	case errors.Is(err, laceplatform.ErrMissing):
+		return fault(NotFound, "no such thing")
+	default:
+		return fault(Internal, "internal error")
+	}
+}
--- a/lib/laceconfig/apply.go
+++ b/lib/laceconfig/apply.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"maps"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -51,6 +54,41 @@
 		wanted: wanted,
 		digest: e.digest(wanted),
 	}
+	return a.run(ctx)
+}
+
+// Amendment is an edit that follows from the current state, such as a key added to a client account.
+type Amendment struct {
+	ID  string
+	Who string
+	At  time.Time
+	// Asks tells one request from another under the same id.
+	Asks    string
+	Section Section
+	// Change returns the document after the change; it must not modify the one it is given.
+	Change func(Document) (Document, error)
+}
+
+// Amend carries an amendment out against the state of the moment, so it conflicts with nobody.
+func (s *Store) Amend(ctx context.Context, m Amendment) (Result, error) {
+	if !laceyaml.IsID(m.ID) || strings.TrimSpace(m.Who) == "" || !m.Section.Known() {
+		return Result{}, ErrMalformed
+	}
+	sum := sha256.Sum256([]byte(m.Asks))
+	a := attempt{
+		store: s,
+		edit: Edit{
+			ID:  m.ID,
+			Who: m.Who,
+			At:  m.At,
+		},
+		amendment: &m,
+		digest:    laceunit.Digest(hex.EncodeToString(sum[:])),
+	}
+	return a.run(ctx)
+}
+
+func (a *attempt) run(ctx context.Context) (Result, error) {
 	for range tries {
 		r, done, err := a.once(ctx)
 		if done || err != nil {
@@ -72,12 +110,32 @@
 	return c, nil
 }
 
+// derive makes the edit of an amendment from the current state.
+func (a *attempt) derive(snap Snapshot) error {
+	if a.amendment == nil {
+		return nil
+	}
+	d, err := a.amendment.Change(snap.Document)
+	if err != nil {
+		return err
+	}
+	a.edit.File = File{
+		Document: d,
+		Present:  []Section{a.amendment.Section},
+		Base:     snap.Stamps(),
+	}
+	a.wanted, err = wantedContent(a.edit.File)
+	return err
+}
+
 // attempt is the state of one edit over its tries.
 type attempt struct {
 	store  *Store
 	edit   Edit
 	wanted Content
 	digest laceunit.Digest
+	// amendment replaces the edit's file at each try; nil for plain edits.
+	amendment *Amendment
 	// doubtful is true while a swap whose answer was lost may still take effect; it expected the revision at.
 	doubtful bool
 	at       laceplatform.Revision
@@ -119,6 +177,9 @@
 	if err != nil {
 		return Result{}, false, err
 	}
+	if err = a.derive(snap); err != nil {
+		return Result{}, false, err
+	}
 	p, err := propose(snap, a.edit.File, a.wanted)
 	if err != nil {
 		return Result{}, false, err
--- a/lib/laceconfig/edit.go
+++ b/lib/laceconfig/edit.go
@@ -166,3 +166,16 @@
 		to.Audit = from.Audit
 	}
 }
+
+// Untouched reports whether a file holds a section as the editor saw it.
+func Untouched(f File, s Section) (bool, error) {
+	entries, err := splitSection(f.Document, s)
+	if err != nil {
+		return false, err
+	}
+	if f.Base[s].Revision > 0 {
+		return untouched(s, entries, f.Base[s])
+	}
+	standard, err := splitSection(Default(), s)
+	return maps.Equal(entries, standard), err
+}
