lacectl: operators' command line with diff, dry runs and exit codes

Cause: operators need one command for the configuration, keys, budgets, grants, instances, backend servers and a check of settings files. Ruled out: a command library, because flag is the house's choice; a key made by the instance, whose lost answer would lose it; sending a repeated edit through the plan first, which conflicts with itself. Change: the subcommands with help and an example each, -output, -dry, -id, a diff before an apply, three tries under one id while the outcome is unknown.

--- /dev/null
+++ b/lacectl/account.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"lacewingcove/lib/laceadmin"
+)
+
+func accountCommands() []command {
+	var name, budget, drop string
+	return []command{
+		{
+			name: "accounts list", run: listAccounts,
+			short:   "lists client accounts with their keys and budgets",
+			example: "lacectl accounts list -output json",
+		},
+		{
+			name: "accounts rotate", args: "ACCOUNT", count: 1, changing: true,
+			flags: func(set *flag.FlagSet, _ *job) {
+				set.StringVar(&name, "name", "", "name of the new key")
+				set.StringVar(&budget, "budget", "", "budget that the new key draws on; the client account's first without it")
+				set.StringVar(&drop, "drop", "", "names of keys to drop in the same change, separated by commas")
+			},
+			run: func(ctx context.Context, j *job) error {
+				r := laceadmin.Rotation{
+					Name:   name,
+					Budget: budget,
+				}
+				if drop != "" {
+					r.Drop = strings.Split(drop, ",")
+				}
+				return rotate(ctx, j, r)
+			},
+			short:   "adds an API key, prints it once, and may drop former keys",
+			example: "lacectl accounts rotate bakery -name summer -drop main",
+		},
+	}
+}
+
+func listAccounts(ctx context.Context, j *job) error {
+	c, err := j.client()
+	if err != nil {
+		return err
+	}
+	all, err := c.Accounts(ctx)
+	if err != nil {
+		return err
+	}
+	var rows [][]string
+	for _, a := range all.Accounts {
+		var keys []string
+		for _, k := range a.Keys {
+			keys = append(keys, k.Name+":"+k.Hash)
+		}
+		rows = append(rows, []string{a.ID, a.Name, strings.Join(keys, ","), strings.Join(a.Budgets, ",")})
+	}
+	return j.show(all, []string{"ACCOUNT", "NAME", "KEYS", "BUDGETS"}, rows)
+}
+
+// rotate makes the key here and sends its hash, so that a lost answer loses no key.
+func rotate(ctx context.Context, j *job, r laceadmin.Rotation) error {
+	if r.Name == "" {
+		return usage("-name is needed: the name of the new key")
+	}
+	c, err := j.client()
+	if err != nil {
+		return err
+	}
+	if j.dry {
+		return j.print(fmt.Sprintf("would add key %s to client account %s and drop [%s]\n",
+			r.Name, j.args[0], strings.Join(r.Drop, ",")))
+	}
+	key, err := laceadmin.NewKey()
+	if err != nil {
+		return err
+	}
+	if r.ID, err = j.change(); err != nil {
+		return err
+	}
+	r.Hash = laceadmin.Hash(key)
+	done, err := repeat(&j.options, func() (laceadmin.Rotated, error) { return c.Rotate(ctx, j.args[0], r) })
+	if exitOf(err) == exitUnavailable {
+		return errors.Wrapf(err, "the key %s of %s may or may not be in force; accounts list shows it, and -drop replaces it",
+			r.Name, j.args[0])
+	}
+	if err != nil {
+		return err
+	}
+	done.Key = key
+	return j.show(done, []string{"ACCOUNT", "NAME", "KEY"}, [][]string{{j.args[0], r.Name, key}})
+}
--- /dev/null
+++ b/lacectl/fleet.go
@@ -0,0 +1,93 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"lacewingcove/lib/laceadmin"
+)
+
+func fleetCommands() []command {
+	return []command{
+		{
+			name: "members list", run: listMembers,
+			short:   "lists the instances of the membership",
+			example: "lacectl members list",
+		},
+		{
+			name: "members fence", args: "INSTANCE INCARNATION", count: 2, changing: true, run: fence,
+			short:   "declares that an instance's process is gone for good; only when it is certain that it does not run",
+			example: "lacectl members fence router-3 7587862345",
+		},
+		{
+			name: "servers list", run: listServers,
+			short:   "lists the backend servers of the document",
+			example: "lacectl servers list",
+		},
+		{
+			name: "drain", changing: true, run: drain,
+			short:   "starts the planned stop of the one instance that -address names",
+			example: "lacectl drain -address 10.0.0.3:8082",
+		},
+	}
+}
+
+func listMembers(ctx context.Context, j *job) error {
+	c, err := j.client()
+	if err != nil {
+		return err
+	}
+	all, err := c.Instances(ctx)
+	if err != nil {
+		return err
+	}
+	var rows [][]string
+	for _, i := range all.Instances {
+		rows = append(rows, []string{i.ID, i.Incarnation, i.Address, i.Region, i.Zone, i.State})
+	}
+	return j.show(all, []string{"INSTANCE", "INCARNATION", "ADDRESS", "REGION", "ZONE", "STATE"}, rows)
+}
+
+func fence(ctx context.Context, j *job) error {
+	if _, err := strconv.ParseUint(j.args[1], 10, 64); err != nil {
+		return usage("INCARNATION is a whole number; members list shows it")
+	}
+	return j.act(ctx, fmt.Sprintf("fence incarnation %s of instance %s", j.args[1], j.args[0]),
+		func(c *laceadmin.Client, id string) (laceadmin.Done, error) {
+			return c.Fence(ctx, j.args[0], j.args[1], laceadmin.Order{
+				ID: id,
+			})
+		})
+}
+
+func listServers(ctx context.Context, j *job) error {
+	c, err := j.client()
+	if err != nil {
+		return err
+	}
+	all, err := c.Servers(ctx)
+	if err != nil {
+		return err
+	}
+	var rows [][]string
+	for _, s := range all.Servers {
+		rows = append(rows, []string{
+			s.ID, s.Kind, s.Address, s.Zone, strings.Join(append(s.Models, s.Services...), ","),
+			strconv.Itoa(s.Slots), strconv.FormatBool(s.Fencing), strconv.FormatBool(s.Leaving),
+		})
+	}
+	return j.show(all, []string{"SERVER", "KIND", "ADDRESS", "ZONE", "OFFERS", "SLOTS", "FENCING", "LEAVING"}, rows)
+}
+
+func drain(ctx context.Context, j *job) error {
+	if strings.Contains(j.addresses, ",") {
+		return usage("-address must name exactly the instance to drain")
+	}
+	return j.act(ctx, "drain "+j.addresses, func(c *laceadmin.Client, id string) (laceadmin.Done, error) {
+		return c.Drain(ctx, laceadmin.Order{
+			ID: id,
+		})
+	})
+}
--- a/lib/laceconfig/edit.go
+++ b/lib/laceconfig/edit.go
@@ -51,8 +51,12 @@
 func (c *Conflict) Error() string {
 	lines := make([]string, len(c.Clashes))
 	for i, x := range c.Clashes {
-		lines[i] = fmt.Sprintf("section %s is at %s since %s by %s, the edit started from %s; show it and edit again",
-			x.Section, x.Current.Stamp(), x.Current.When.UTC().Format(time.RFC3339), x.Current.Who, x.Seen)
+		seen := "started from " + x.Seen.String()
+		if x.Seen == (Stamp{}) {
+			seen = "names no base"
+		}
+		lines[i] = fmt.Sprintf("section %s is at %s since %s by %s, the edit %s; show it and edit again",
+			x.Section, x.Current.Stamp(), x.Current.When.UTC().Format(time.RFC3339), x.Current.Who, seen)
 	}
 	return strings.Join(lines, "\n")
 }
