--- a/lib/laceconfig/edit.go
+++ b/lib/laceconfig/edit.go
@@ -51,8 +51,12 @@
 func (c *Conflict) Error() string {
 	lines := make([]string, len(c.Clashes))
 	for i, x := range c.Clashes {
-		lines[i] = fmt.Sprintf("section %s is at %s since %s by %s, the edit started from %s; show it and edit again",
-			x.Section, x.Current.Stamp(), x.Current.When.UTC().Format(time.RFC3339), x.Current.Who, x.Seen)
+		seen := "started from " + x.Seen.String()
+		if x.Seen == (Stamp{}) {
+			seen = "names no base"
+		}
+		lines[i] = fmt.Sprintf("section %s is at %s since %s by %s, the edit %s; show it and edit again",
+			x.Section, x.Current.Stamp(), x.Current.When.UTC().Format(time.RFC3339), x.Current.Who, seen)
 	}
 	return strings.Join(lines, "\n")
 }
@@ -166,3 +170,16 @@
 		to.Audit = from.Audit
 	}
 }
+
+// Untouched reports whether a file holds a section as the editor saw it.
+func Untouched(f File, s Section) (bool, error) {
+	entries, err := splitSection(f.Document, s)
+	if err != nil {
+		return false, err
+	}
+	if f.Base[s].Revision > 0 {
+		return untouched(s, entries, f.Base[s])
+	}
+	standard, err := splitSection(Default(), s)
+	return maps.Equal(entries, standard), err
+}
