--- a/lib/lacemember/authorize.go
+++ b/lib/lacemember/authorize.go
@@ -89,7 +89,7 @@
 	switch {
 	case home.Holder != m.self:
 		return m.refuse(now, lacefault.WrongInstance, home.Address)
-	case !outage:
+	case !outage || !m.isCovered():
 		return m.refuse(now, lacefault.PlatformDown, "")
 	case m.ran(key):
 		return Decision{Verdict: Known}
--- a/lib/lacemember/binding.go
+++ b/lib/lacemember/binding.go
@@ -46,11 +46,23 @@
 		return
 	}
 	m.released[home] = max(m.released[home], round)
-	if b := m.bindings[home]; b != nil && b.binding.Round <= round {
+	switch b := m.bindings[home]; {
+	case b == nil || b.binding.Round > round:
+	case m.record.Has(home):
+		// The home lists its requests in its next promise.
 		delete(m.bindings, home)
+	default:
+		m.drop(home)
 	}
 }
 
+// drop ends a binding. A home outside the membership was not asked for a promise, and its records may have reached the
+// ledger after the last read, so the ledger must be read again before any run in an outage.
+func (m *Machine) drop(home laceunit.Holder) {
+	delete(m.bindings, home)
+	m.uncover()
+}
+
 // watchBindings asks silent homes for their release and seals the witnesses of homes that are gone.
 func (m *Machine) watchBindings(now time.Duration) {
 	for _, h := range sortedHolders(m.bindings) {
@@ -111,9 +123,7 @@
 	enough := len(b.seals) >= b.binding.Record.Seals(home) ||
 		(m.operatorFenced(b) && !slices.ContainsFunc(witnesses, waiting))
 	if enough {
-		delete(m.bindings, home)
-		// The ledger holds requests of that home now that an earlier read of the ledger has missed.
-		m.uncover()
+		m.drop(home)
 	}
 }
 
--- a/lib/lacemember/promise.go
+++ b/lib/lacemember/promise.go
@@ -5,9 +5,11 @@
 )
 
 // mayAsk reports whether outage authority is possible: a joiner lacks the bindings of the others, a home that has
-// not read the ledger since the last removal doesn't know which requests have run, and nobody can witness for one alone.
+// not read the ledger since the last removal doesn't know which requests have run, and a fleet with too few witnesses
+// would forget a run with the loss of the home and one other.
 func (m *Machine) mayAsk() bool {
-	return m.enabled && !m.expelled && m.isCovered() && len(m.record.Members) > 1 && m.floor <= m.record.Epoch
+	return m.enabled && !m.expelled && m.isCovered() && m.floor <= m.record.Epoch &&
+		m.record.Copies(m.self) == copyCount
 }
 
 func (m *Machine) ask(now time.Duration) {
