--- a/lib/lacefleet/dispatch.go
+++ b/lib/lacefleet/dispatch.go
@@ -93,6 +93,25 @@
 	})
 }
 
+// flush submits what the journal holds whenever there is a way to the ledger.
+func (s *Service) flush(ctx context.Context) {
+	if s.journal == nil {
+		return
+	}
+	ticker := time.NewTicker(s.settings.Probe)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if s.Reachable() || len(s.Contacts()) > 0 {
+			s.carry(ctx, lacemember.FlushJournal{})
+		}
+	}
+}
+
 func (s *Service) tick(ctx context.Context) {
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
--- a/lib/lacefleet/fleet.go
+++ b/lib/lacefleet/fleet.go
@@ -69,6 +69,10 @@
 	Flush(ctx context.Context) error
 	// Seal refuses further copies for an owner, flushes the ones held, and reports whether the ledger has them all.
 	Seal(ctx context.Context, owner laceunit.Holder) (bool, error)
+	// Gone seals holders that were removed from the membership and submits their copies in the background.
+	Gone(holders []laceunit.Holder)
+	// Handback submits all copies, so that this instance may leave.
+	Handback(ctx context.Context) error
 }
 
 // History reads the ledger for outage authority.
--- a/lib/lacefleet/record.go
+++ b/lib/lacefleet/record.go
@@ -110,6 +110,15 @@
 
 // Leave implements Fleet.
 func (s *Service) Leave(ctx context.Context) error {
+	if s.journal != nil {
+		s.with(func(m *lacemember.Machine) { m.Drain() })
+		if err := s.journal.Flush(ctx); err != nil {
+			return errors.Wrap(err, "fleet: flush journal")
+		}
+		if err := s.journal.Handback(ctx); err != nil {
+			return errors.Wrap(err, "fleet: flush copies")
+		}
+	}
 	idle := false
 	s.with(func(m *lacemember.Machine) { m.Drain(); idle = m.Idle() })
 	if !idle {
--- a/lib/lacefleet/service.go
+++ b/lib/lacefleet/service.go
@@ -28,9 +28,6 @@
 // WithTransport sets the way to other instances.
 func WithTransport(transport Transport) Option { return func(s *Service) { s.transport = transport } }
 
-// WithJournal sets the offline journal.
-func WithJournal(journal Journal) Option { return func(s *Service) { s.journal = journal } }
-
 // WithHistory sets the reader of the ledger; without it the instance never runs non-idempotent requests in an outage.
 func WithHistory(history History) Option { return func(s *Service) { s.history = history } }
 
@@ -103,6 +100,12 @@
 	return s
 }
 
+// Attach sets the offline journal, which needs the service itself; it must be called before Join.
+func (s *Service) Attach(journal Journal) {
+	s.journal = journal
+	s.OnGone(journal.Gone)
+}
+
 // Join draws an incarnation, joins the membership and starts the background work; it retries until ctx ends.
 func (s *Service) Join(ctx context.Context) error {
 	if err := s.enter(ctx); err != nil {
@@ -110,7 +113,7 @@
 	}
 	inner, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
-	loops := []func(context.Context){s.keep, s.follow, s.followAlive, s.sweep, s.tick, s.probe}
+	loops := []func(context.Context){s.keep, s.follow, s.followAlive, s.sweep, s.tick, s.probe, s.flush}
 	for range senders {
 		loops = append(loops, s.dispatch)
 	}
--- /dev/null
+++ b/lib/lacepeer/doc.go
@@ -0,0 +1,2 @@
+// Package lacepeer carries calls between instances over twirp.
+package lacepeer
--- /dev/null
+++ b/lib/lacepeer/server.go
@@ -0,0 +1,209 @@
+package lacepeer
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/pkg/errors"
+	"github.com/twitchtv/twirp"
+
+	"lacewingcove/lib/lacejournal"
+	"lacewingcove/lib/lacemember"
+	"lacewingcove/lib/laceunit"
+	"lacewingcove/lib/lacewire"
+)
+
+const (
+	// PathPrefix is where the handler is to be mounted.
+	PathPrefix = lacewire.PeerPathPrefix
+	// maxBody bounds a request; a batch of 64 entries with answers of 1 KiB takes about 100 KiB, a record of
+	// 340 members about 25 KiB.
+	maxBody = 4 << 20
+	// maxServing bounds the calls that are served at once.
+	maxServing = 1024
+	// maxEntries bounds the entries of one call.
+	maxEntries = 1024
+)
+
+// Refusals of copies on the wire.
+const (
+	refusedSealed  = "sealed"
+	refusedFull    = "full"
+	refusedMissing = "missing"
+)
+
+// Server answers other instances.
+type Server struct {
+	fleet   Fleet
+	journal Journal
+	wallet  Wallet
+	slots   chan struct{}
+}
+
+var _ lacewire.Peer = (*Server)(nil)
+
+// NewHandler returns the handler of an instance; wallet may be nil.
+func NewHandler(fleet Fleet, journal Journal, wallet Wallet) http.Handler {
+	s := &Server{
+		fleet:   fleet,
+		journal: journal,
+		wallet:  wallet,
+		slots:   make(chan struct{}, maxServing),
+	}
+	return http.MaxBytesHandler(s.bounded(lacewire.NewPeerServer(s)), maxBody)
+}
+
+func (s *Server) bounded(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case s.slots <- struct{}{}:
+			defer func() { <-s.slots }()
+			next.ServeHTTP(w, r)
+		default:
+			_ = twirp.WriteError(w, twirp.NewError(twirp.ResourceExhausted, "too many calls"))
+		}
+	})
+}
+
+// Probe implements lacewire.Peer.
+func (s *Server) Probe(ctx context.Context, request *lacewire.ProbeRequest) (*lacewire.ProbeReply, error) {
+	r, err := receive[lacemember.ProbeReply](ctx, s, request.GetTo(), lacewire.ToProbeAsk(request))
+	return lacewire.FromProbeReply(r), err
+}
+
+// Promise implements lacewire.Peer.
+func (s *Server) Promise(ctx context.Context, request *lacewire.PromiseRequest) (*lacewire.PromiseReply, error) {
+	r, err := receive[lacemember.PromiseReply](ctx, s, request.GetTo(), lacewire.ToPromiseAsk(request))
+	return lacewire.FromPromiseReply(r), err
+}
+
+// Acknowledge implements lacewire.Peer.
+func (s *Server) Acknowledge(
+	ctx context.Context,
+	request *lacewire.AcknowledgeRequest,
+) (*lacewire.AcknowledgeReply, error) {
+	r, err := receive[lacemember.AckReply](ctx, s, request.GetTo(), lacewire.ToAckAsk(request))
+	return lacewire.FromAckReply(r), err
+}
+
+// Release implements lacewire.Peer.
+func (s *Server) Release(ctx context.Context, request *lacewire.ReleaseRequest) (*lacewire.ReleaseReply, error) {
+	_, err := s.fleet.Receive(ctx, lacemember.ReleaseNote{
+		Home:  lacewire.ToHolder(request.GetFrom()),
+		Round: request.GetRound(),
+	})
+	return &lacewire.ReleaseReply{}, err
+}
+
+// Seal implements lacewire.Peer.
+func (s *Server) Seal(ctx context.Context, request *lacewire.SealRequest) (*lacewire.SealReply, error) {
+	owner := lacewire.ToHolder(request.GetOwner())
+	r, err := receive[lacemember.SealReply](ctx, s, request.GetTo(), lacemember.SealAsk{Home: owner})
+	return &lacewire.SealReply{
+		From:    lacewire.FromHolder(r.From),
+		Sealed:  true,
+		Flushed: r.Flushed,
+	}, err
+}
+
+// Copy implements lacewire.Peer.
+func (s *Server) Copy(_ context.Context, request *lacewire.CopyRequest) (*lacewire.CopyReply, error) {
+	if err := s.meant(request.GetTo()); err != nil {
+		return nil, err
+	}
+	if len(request.GetEntries()) > maxEntries {
+		return &lacewire.CopyReply{Refused: refusedFull}, nil
+	}
+	s.journal.Forget(lacewire.ToDrops(request.GetDrops()))
+	switch err := s.journal.Accept(lacewire.ToEntries(request.GetEntries())); {
+	case err == nil:
+		return &lacewire.CopyReply{}, nil
+	case errors.Is(err, lacejournal.ErrSealed):
+		return &lacewire.CopyReply{Refused: refusedSealed}, nil
+	case errors.Is(err, lacejournal.ErrMissing):
+		return &lacewire.CopyReply{Refused: refusedMissing}, nil
+	default:
+		return &lacewire.CopyReply{Refused: refusedFull}, nil
+	}
+}
+
+// Flush implements lacewire.Peer. Entries that could not be appended have the result zero.
+func (s *Server) Flush(ctx context.Context, request *lacewire.FlushRequest) (*lacewire.FlushReply, error) {
+	if len(request.GetEntries()) > maxEntries {
+		return nil, twirp.NewError(twirp.ResourceExhausted, "too many entries")
+	}
+	results, _ := s.journal.Submit(ctx, lacewire.ToEntries(request.GetEntries()))
+	reply := &lacewire.FlushReply{}
+	for _, r := range results {
+		reply.Results = append(reply.Results, uint32(r))
+	}
+	return reply, nil
+}
+
+// Handover implements lacewire.Peer.
+func (s *Server) Handover(ctx context.Context, request *lacewire.HandoverRequest) (*lacewire.HandoverReply, error) {
+	if err := s.meant(request.GetTo()); err != nil {
+		return nil, err
+	}
+	if s.wallet == nil {
+		return &lacewire.HandoverReply{}, nil
+	}
+	gift, err := s.wallet.Give(ctx, Plea{
+		From:   lacewire.ToHolder(request.GetFrom()),
+		Budget: laceunit.BudgetID(request.GetBudget()),
+		Tokens: laceunit.Tokens(request.GetTokens()),
+		ID:     request.GetId(),
+	})
+	if err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, "no tokens given")
+	}
+	return &lacewire.HandoverReply{
+		Grant:     string(gift.Grant),
+		Tokens:    int64(gift.Tokens),
+		Holder:    lacewire.FromHolder(gift.Holder),
+		Witnesses: lacewire.FromHolders(gift.Witnesses),
+	}, nil
+}
+
+// meant refuses calls for an earlier process at this address: this one doesn't know what that one has promised.
+func (s *Server) meant(to *lacewire.PeerHolder) error {
+	if lacewire.ToHolder(to) != s.fleet.Self() {
+		return twirp.NewError(twirp.NotFound, "another process is at this address")
+	}
+	return nil
+}
+
+func receive[R lacemember.Message](
+	ctx context.Context,
+	s *Server,
+	to *lacewire.PeerHolder,
+	message lacemember.Message,
+) (R, error) {
+	var none R
+	if err := s.meant(to); err != nil {
+		return none, err
+	}
+	answer, err := s.fleet.Receive(ctx, message)
+	if err != nil {
+		return none, twirp.NewError(twirp.Unavailable, "not answered")
+	}
+	r, ok := answer.(R)
+	if !ok {
+		return none, twirp.NewError(twirp.FailedPrecondition, "not a member")
+	}
+	return r, nil
+}
+
+// refusal maps a refusal on the wire to the journal's error.
+func refusal(refused string) error {
+	switch refused {
+	case "":
+		return nil
+	case refusedSealed:
+		return lacejournal.ErrSealed
+	case refusedMissing:
+		return lacejournal.ErrMissing
+	default:
+		return lacejournal.ErrFull
+	}
+}
