loadgen: play a workload against instances and check every answer and bill

Cause: the guarantees had no check from the outside with callers that look for addresses and retry as real ones do. Ruled out: closed-loop load, which hides queueing; one shared address list, as each client account's programs keep their own; judging a request as not run after a later refusal while an earlier attempt of it is in doubt. Change: packages laceworkload (file and seeded source), lacecaller (address list, retries, states) and laceload (run, checks, report); workloads for both samples.

--- /dev/null
+++ b/loadgen/lacecaller/call.go
@@ -0,0 +1,82 @@
+package lacecaller
+
+import (
+	"time"
+
+	"lacewingcove/lib/lacefault"
+	"lacewingcove/lib/laceunit"
+)
+
+// Call is one request of a client account.
+type Call struct {
+	Key        string
+	Budget     laceunit.BudgetID
+	ID         laceunit.RequestID
+	Method     string
+	Path       string
+	Body       []byte
+	Chat       bool
+	Stream     bool
+	Idempotent bool
+}
+
+// Reply is a whole answer as the instance passed it on.
+type Reply struct {
+	Status int
+	Text   string
+	// Output and Total are the usage of a chat.
+	Output laceunit.Tokens
+	Total  laceunit.Tokens
+	// Finished is false when a chat that ended has no usage or no finish reason.
+	Finished bool
+	// Missing means that a call ran and that its answer was not kept.
+	Missing bool
+}
+
+// Refusal is an answer that is a fault, or a broken connection.
+type Refusal struct {
+	Outcome lacefault.Outcome
+	// Code is CodeCut or CodeUnreachable when no fault was received.
+	Code       lacefault.Code
+	RetryAfter time.Duration
+	Instance   laceunit.Address
+}
+
+const (
+	// CodeCut stands for an answer that broke off or could not be understood.
+	CodeCut lacefault.Code = "cut"
+	// CodeUnreachable stands for a connection that could not be made.
+	CodeUnreachable lacefault.Code = "unreachable"
+)
+
+// Result is how a request ended for its caller.
+type Result struct {
+	Outcome lacefault.Outcome
+	Reply   Reply
+	// Last is the last refusal.
+	Last     Refusal
+	Attempts int
+	// First is the time from the begin of the request to the first byte of the answer that was used.
+	First time.Duration
+	Took  time.Duration
+	// Address is the instance of the last attempt.
+	Address laceunit.Address
+	// Asked means that the outcome comes from GET /v1/requests/{id}.
+	Asked bool
+}
+
+// State is what an instance knows of a request id.
+type State struct {
+	Known   bool
+	Outcome lacefault.Outcome
+	State   string
+	Tokens  laceunit.Tokens
+}
+
+// Observer hears what happens while a request runs; it must be safe for concurrent use.
+type Observer interface {
+	// Gap reports the time between two chunks of a stream.
+	Gap(d time.Duration)
+	// Refused reports one refused or broken attempt.
+	Refused(call Call, refusal Refusal)
+}
--- /dev/null
+++ b/loadgen/lacecommand/command.go
@@ -0,0 +1,90 @@
+package lacecommand
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/pkg/errors"
+
+	"lacewingcove/lib/laceconfig"
+	"lacewingcove/lib/laceunit"
+)
+
+// The exit codes.
+const (
+	exitOK     = 0
+	exitBroken = 1
+	exitFailed = 2
+)
+
+const usage = `usage: loadgen COMMAND [FLAGS]
+
+commands:
+  run         play a workload against instances and check every answer
+`
+
+// errBroken means that the run went through and a promise was broken.
+var errBroken = errors.New("loadgen: a promise was broken")
+
+// streams are where a command writes.
+type streams struct {
+	out io.Writer
+	err io.Writer
+}
+
+type command func(ctx context.Context, args []string, s streams) error
+
+// Run carries out a command line and returns the exit code.
+func Run(args []string, stdout, stderr io.Writer) int {
+	commands := map[string]command{
+		"run": play,
+	}
+	if len(args) == 0 || commands[args[0]] == nil {
+		_, _ = io.WriteString(stderr, usage)
+		return exitFailed
+	}
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	err := commands[args[0]](ctx, args[1:], streams{
+		out: stdout,
+		err: stderr,
+	})
+	switch {
+	case err == nil, errors.Is(err, flag.ErrHelp):
+		return exitOK
+	case errors.Is(err, errBroken):
+		return exitBroken
+	}
+	_, _ = fmt.Fprintln(stderr, "loadgen:", err)
+	return exitFailed
+}
+
+// addresses is a flag of host:port pairs with commas between them.
+type addresses []laceunit.Address
+
+// String implements flag.Value.
+func (a *addresses) String() string {
+	parts := make([]string, 0, len(*a))
+	for _, x := range *a {
+		parts = append(parts, string(x))
+	}
+	return strings.Join(parts, ",")
+}
+
+// Set implements flag.Value.
+func (a *addresses) Set(text string) error {
+	*a = nil
+	for _, part := range strings.Split(text, ",") {
+		if !laceconfig.IsHostPort(part) {
+			return errors.Errorf("%q is not host:port", part)
+		}
+		*a = append(*a, laceunit.Address(part))
+	}
+	return nil
+}
--- /dev/null
+++ b/loadgen/lacecommand/play.go
@@ -0,0 +1,82 @@
+package lacecommand
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"os"
+	"path/filepath"
+
+	"github.com/pkg/errors"
+
+	"lacewingcove/loadgen/laceload"
+	"lacewingcove/loadgen/laceworkload"
+)
+
+// play runs a workload once.
+func play(ctx context.Context, args []string, s streams) error {
+	flags := flag.NewFlagSet("loadgen run", flag.ContinueOnError)
+	flags.SetOutput(s.err)
+	path := flags.String("workload", "samples/coop-load.yaml", "workload file")
+	seed := flags.Uint64("seed", 1, "seed of arrivals and requests")
+	duration := flags.Duration("duration", 0, "how long requests arrive; 0 means as the workload says")
+	out := flags.String("out", "", "directory for report.json and report.txt; empty means none")
+	var list addresses
+	flags.Var(&list, "addresses", "addresses of instances that are asked first, host:port with commas between them")
+	if err := flags.Parse(args); err != nil {
+		return err
+	}
+	w, err := readWorkload(*path)
+	if err != nil {
+		return err
+	}
+	if *duration > 0 {
+		w.Duration = *duration
+	}
+	report, err := laceload.New(w, *seed, list, laceload.WithProgress(s.err)).Do(ctx)
+	if err != nil {
+		return err
+	}
+	if err = report.Print(s.out); err != nil {
+		return errors.Wrap(err, "report")
+	}
+	if err = save(*out, &report); err != nil {
+		return err
+	}
+	if report.Broken.Any() {
+		return errBroken
+	}
+	return nil
+}
+
+func readWorkload(path string) (laceworkload.Workload, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return laceworkload.Workload{}, errors.Wrap(err, "workload")
+	}
+	w, err := laceworkload.Decode(text)
+	return w, errors.Wrap(err, path)
+}
+
+// save writes the report as JSON and as a table.
+func save(dir string, report *laceload.Report) error {
+	if dir == "" {
+		return nil
+	}
+	if err := os.MkdirAll(dir, 0o750); err != nil {
+		return errors.Wrap(err, "report")
+	}
+	raw, err := json.MarshalIndent(report, "", "  ")
+	if err != nil {
+		return errors.Wrap(err, "report")
+	}
+	var table bytes.Buffer
+	if err := report.Print(&table); err != nil {
+		return errors.Wrap(err, "report")
+	}
+	if err := os.WriteFile(filepath.Join(dir, "report.json"), append(raw, '\n'), 0o600); err != nil {
+		return errors.Wrap(err, "report")
+	}
+	return errors.Wrap(os.WriteFile(filepath.Join(dir, "report.txt"), table.Bytes(), 0o600), "report")
+}
--- a/loadgen/main.go
+++ b/loadgen/main.go
@@ -1,4 +1,13 @@
-// Command loadgen is described in the README.
+// Command loadgen plays workloads against a fleet of instances, checks every answer and every bill, and runs
+// experiments.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"lacewingcove/loadgen/lacecommand"
+)
+
+func main() {
+	os.Exit(lacecommand.Run(os.Args[1:], os.Stdout, os.Stderr))
+}
