--- a/loadgen/lacecaller/attempt.go
+++ b/loadgen/lacecaller/attempt.go
@@ -57,14 +57,16 @@
 }
 
 func (c *Caller) request(ctx context.Context, address laceunit.Address, method, path string, call Call) (*http.Request, error) {
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+string(address)+path, bytes.NewReader(call.Body))
+	// net/http repeats a request with an Idempotency-Key by itself when it can read the body again or there is none.
+	// A refusal of the repeat would then hide that the first try may have run, so the body can be read only once.
+	body := struct{ io.Reader }{Reader: bytes.NewReader(call.Body)}
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+string(address)+path, body)
 	if err != nil {
 		return nil, errors.Wrap(err, "caller")
 	}
+	r.ContentLength = int64(len(call.Body))
 	r.Header.Set("Authorization", "Bearer "+call.Key)
 	r.Header.Set("Lace-Budget", string(call.Budget))
-	// The request id alone makes a repeat safe; the transport must not repeat by itself, since each try is counted.
-	r.GetBody = nil
 	if method == call.Method {
 		r.Header.Set("Idempotency-Key", string(call.ID))
 	}
--- /dev/null
+++ b/loadgen/laceload/run_test.go
@@ -0,0 +1,168 @@
+package laceload
+
+import (
+	"bytes"
+	"context"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+
+	"lacewingcove/lib/laceunit"
+)
+
+// Guards against a tool that does not see a broken promise, takes it for another one, or sees one that is none.
+func TestBrokenPromises(t *testing.T) {
+	for fault, count := range map[string]func(Broken) *int64{
+		"cut":                func(b Broken) *int64 { return &b.Cut },
+		"crossed":            func(b Broken) *int64 { return &b.Crossed },
+		"unfinished":         func(b Broken) *int64 { return &b.Cut },
+		"miscounted":         func(b Broken) *int64 { return &b.Miscounted },
+		"billed twice":       func(b Broken) *int64 { return &b.BilledOther },
+		"billed never":       func(b Broken) *int64 { return &b.BilledNever },
+		"not run but billed": func(b Broken) *int64 { return &b.BilledRefused },
+		"not run but ran":    func(b Broken) *int64 { return &b.RanRefused },
+		"ran twice":          func(b Broken) *int64 { return &b.RanAgain },
+		"never ran":          func(b Broken) *int64 { return &b.NeverRan },
+	} {
+		t.Run(fault, func(t *testing.T) {
+			r := play(t, newFake(t, fault))
+			if got := *count(r.Broken); got == 0 {
+				t.Errorf("not reported: %+v", r.Broken)
+			}
+			if len(r.Examples) == 0 {
+				t.Error("no example of a request that it happened to")
+			}
+		})
+	}
+}
+
+// Guards against promises that are reported as broken although the fleet kept them.
+func TestKeptPromises(t *testing.T) {
+	for _, fault := range []string{"", "breaks once", "answer lost", "answers lost", "another instance", "spent", "lost, then refused"} {
+		t.Run(fault, func(t *testing.T) {
+			f := newFake(t, fault)
+			f.other = string(newFake(t, "").address())
+			r := play(t, f)
+			if r.Broken.Any() {
+				t.Errorf("reported %+v, %v", r.Broken, r.Examples)
+			}
+			if r.Requests.Sent == 0 || r.Billing.Verified == 0 || len(r.Unchecked) > 0 {
+				t.Errorf("not checked: %+v, %v", r.Requests, r.Unchecked)
+			}
+		})
+	}
+}
+
+// Guards against callers that change the request id on a retry, give up early, or stay at the instance that refused.
+func TestRetries(t *testing.T) {
+	f := newFake(t, "breaks once")
+	r := play(t, f)
+	if r.Requests.Done != r.Requests.Sent {
+		t.Errorf("%d of %d done after one cut each", r.Requests.Done, r.Requests.Sent)
+	}
+	if int64(len(f.tries)) != r.Requests.Sent || r.Requests.Attempts <= r.Requests.Sent {
+		t.Errorf("%d ids in %d attempts of %d requests", len(f.tries), r.Requests.Attempts, r.Requests.Sent)
+	}
+	other := newFake(t, "")
+	f = newFake(t, "another instance")
+	f.other = string(other.address())
+	r = play(t, f)
+	chats := r.Classes["chats"].Sent
+	if int64(len(other.tries)) != chats || chats == 0 {
+		t.Errorf("%d of %d chats came to the instance that the refusal named", len(other.tries), chats)
+	}
+}
+
+// Guards against calls with a lost answer that are given up without asking for their state.
+func TestLostAnswersAreAskedFor(t *testing.T) {
+	r := play(t, newFake(t, "answers lost"))
+	if r.Broken.Any() || r.Requests.Unknown > 0 || r.Requests.Done != r.Requests.Sent {
+		t.Errorf("%+v", r.Requests)
+	}
+}
+
+// Guards against refusals of accounts with enough left that are not counted, and true ones that are.
+func TestFalseRefusals(t *testing.T) {
+	r := play(t, newFake(t, "spent"))
+	chats := r.Classes["chats"].Sent
+	if r.False.Final != chats || r.False.Comfortable != chats || chats == 0 {
+		t.Errorf("%+v of %d refused chats", r.False, chats)
+	}
+	r = play(t, newFake(t, "spent"), WithBalances(&figures{
+		paid: 1,
+	}))
+	if r.False.Final != 0 {
+		t.Errorf("%+v with nothing left", r.False)
+	}
+}
+
+// figures are balances that some administration reports: first none settled, then so many tokens.
+type figures struct {
+	paid, settled laceunit.Tokens
+	asked         bool
+}
+
+func (*figures) Name() string { return "figures" }
+
+func (f *figures) Read(context.Context) (map[laceunit.BudgetID]Balance, error) {
+	b := Balance{Paid: f.paid}
+	if f.asked {
+		b.Settled = f.settled
+	}
+	f.asked = true
+	return map[laceunit.BudgetID]Balance{"a/b": b}, nil
+}
+
+// Guards against sums that are not compared: overspend, and a total that the callers' usage does not explain.
+func TestBalances(t *testing.T) {
+	usage := play(t, newFake(t, "")).Billing.Usage
+	for _, c := range []struct {
+		paid, settled, overspend, excess, shortfall laceunit.Tokens
+	}{
+		{paid: usage, settled: usage},
+		{paid: usage - 1, settled: usage, overspend: 1},
+		{paid: 2 * usage, settled: usage + 3, excess: 3},
+		{paid: 2 * usage, settled: usage - 2, shortfall: 2},
+	} {
+		got := play(t, newFake(t, ""), WithBalances(&figures{
+			paid:    c.paid,
+			settled: c.settled,
+		}), WithTag("same")).Broken
+		want := Broken{
+			Overspend: c.overspend,
+			Excess:    c.excess,
+			Shortfall: c.shortfall,
+		}
+		if got != want {
+			t.Errorf("%+v: reported %+v", c, got)
+		}
+	}
+}
+
+// Guards against unwanted changes of the table that people read.
+func TestTable(t *testing.T) {
+	r := Report{
+		Workload: "small",
+		Seed:     7,
+		Seconds:  1.25,
+		Requests: Requests{
+			Sent:     10,
+			Done:     8,
+			NotRun:   1,
+			Unknown:  1,
+			Attempts: 12,
+			Peak:     3,
+		},
+		Classes:   map[classID]ClassCount{"chats": {Sent: 10, Done: 8}},
+		Refused:   map[string]int64{"budget_spent/not_run": 1, "cut/unknown": 1},
+		Broken:    Broken{RanAgain: 1},
+		Billing:   Billing{Source: "callers", Usage: 100, Settled: 100, Paid: 1000, Verified: 10},
+		Unchecked: []string{"runs: the workload names no services"},
+		Examples:  []string{"ran more than once: a/1"},
+	}
+	var b bytes.Buffer
+	if err := r.Print(&b); err != nil {
+		t.Fatal(err)
+	}
+	goldie.New(t).Assert(t, "table", b.Bytes())
+}
