loadgen: overhead of an instance over direct calls, and requests it carries per core

Cause: the targets for added latency and the cost of an instance had no measurement. Ruled out: two separate runs, whose difference is mostly the machine's other work; equal prompts in a pair, since the second call would find the first one's prefix in the engine's cache. Change: alternating pairs of a routed and a direct call for each kind, a platform round trip beside them, and closed loops of small chats over the processor time of one instance.

--- a/loadgen/lacecaller/call.go
+++ b/loadgen/lacecaller/call.go
@@ -5,6 +5,7 @@
 
 	"lacewingcove/lib/lacefault"
 	"lacewingcove/lib/laceunit"
+	"lacewingcove/loadgen/laceworkload"
 )
 
 // Call is one request of a client account.
@@ -80,3 +81,18 @@
 	// Refused reports one refused or broken attempt.
 	Refused(call Call, refusal Refusal)
 }
+
+// CallOf returns the call that sends a request of a workload.
+func CallOf(q *laceworkload.Request) Call {
+	return Call{
+		Key:        q.Key,
+		Budget:     q.Budget,
+		ID:         q.ID,
+		Method:     q.Method,
+		Path:       q.Path,
+		Body:       q.Body,
+		Chat:       q.Kind == laceworkload.KindChat,
+		Stream:     q.Stream,
+		Idempotent: q.Idempotent,
+	}
+}
--- a/loadgen/lacecaller/caller.go
+++ b/loadgen/lacecaller/caller.go
@@ -63,6 +63,29 @@
 	return p.result
 }
 
+// Once tries a request once at one instance.
+func (c *Caller) Once(ctx context.Context, address laceunit.Address, call Call) Result {
+	began := time.Now()
+	a := &attempt{
+		caller: c,
+		call:   call,
+	}
+	reply, refusal := a.run(ctx, address)
+	r := Result{
+		Outcome:  lacefault.Done,
+		Reply:    reply,
+		Attempts: 1,
+		Took:     time.Since(began),
+		Address:  address,
+	}
+	if refusal != nil {
+		r.Outcome, r.Last = refusal.Outcome, *refusal
+		return r
+	}
+	r.First = a.first.Sub(began)
+	return r
+}
+
 // attempts returns false when the request was given up.
 func (p *progress) attempts(ctx context.Context, began time.Time) bool {
 	for p.result.Attempts < p.caller.retry.Tries && ctx.Err() == nil {
--- a/loadgen/lacecommand/command.go
+++ b/loadgen/lacecommand/command.go
@@ -27,6 +27,7 @@
 
 commands:
   run         play a workload against instances and check every answer
+  overhead    measure what an instance adds to direct calls of a backend server
 `
 
 // errBroken means that the run went through and a promise was broken.
@@ -43,7 +44,8 @@
 // Run carries out a command line and returns the exit code.
 func Run(args []string, stdout, stderr io.Writer) int {
 	commands := map[string]command{
-		"run": play,
+		"run":      play,
+		"overhead": overhead,
 	}
 	if len(args) == 0 || commands[args[0]] == nil {
 		_, _ = io.WriteString(stderr, usage)
--- a/loadgen/lacecommand/play.go
+++ b/loadgen/lacecommand/play.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"flag"
+	"io"
 	"os"
 	"path/filepath"
 
@@ -59,8 +60,13 @@
 	return w, errors.Wrap(err, path)
 }
 
+// printer is a report that has a table form.
+type printer interface {
+	Print(w io.Writer) error
+}
+
 // save writes the report as JSON and as a table.
-func save(dir string, report *laceload.Report) error {
+func save(dir string, report printer) error {
 	if dir == "" {
 		return nil
 	}
--- a/loadgen/laceload/run.go
+++ b/loadgen/laceload/run.go
@@ -188,21 +188,7 @@
 		go func() {
 			defer requests.Done()
 			defer func() { <-slots }()
-			r.tally.end(&q, r.callers[q.Account].Do(ctx, callOf(&q), began.Add(q.At)))
+			r.tally.end(&q, r.callers[q.Account].Do(ctx, lacecaller.CallOf(&q), began.Add(q.At)))
 		}()
 	}
 }
-
-func callOf(q *laceworkload.Request) lacecaller.Call {
-	return lacecaller.Call{
-		Key:        q.Key,
-		Budget:     q.Budget,
-		ID:         q.ID,
-		Method:     q.Method,
-		Path:       q.Path,
-		Body:       q.Body,
-		Chat:       q.Kind == laceworkload.KindChat,
-		Stream:     q.Stream,
-		Idempotent: q.Idempotent,
-	}
-}
--- /dev/null
+++ b/loadgen/laceoverhead/measure_test.go
@@ -0,0 +1,86 @@
+package laceoverhead
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"lacewingcove/lib/laceemulator"
+	"lacewingcove/lib/laceunit"
+	"lacewingcove/loadgen/laceworkload"
+)
+
+const orders = `
+name: orders
+accounts: {a: {key: k, budgets: [{name: b, paid: 1000}]}}
+classes:
+  orders: {kind: service, rate: 1, service: orders, path: /restock, price: 1, accounts: [{account: a, weight: 1}]}
+  quotes: {kind: service, rate: 1, service: orders, path: /quotes, price: 1, idempotent: true, accounts: [{account: a, weight: 1}]}
+`
+
+func serve(t *testing.T, h http.Handler) laceunit.Address {
+	t.Helper()
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return laceunit.Address(strings.TrimPrefix(s.URL, "http://"))
+}
+
+// Guards against refused calls that are measured as fast ones, kinds that are left out, and pairs that are lost.
+func TestRefusedCallsAreNoFigures(t *testing.T) {
+	w, err := laceworkload.Decode([]byte(orders))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var calls atomic.Int64
+	instance := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Lace-Outcome", "done")
+		if calls.Add(1)%2 == 0 {
+			w.Header().Set("Lace-Outcome", "not_run")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			_, _ = w.Write([]byte(`{"error":{"code":"overloaded","outcome":"not_run"}}`))
+		}
+	}
+	m, err := New(Setting{
+		Workload: w,
+		Seed:     1,
+		Instance: serve(t, http.HandlerFunc(instance)),
+		Service:  serve(t, laceemulator.NewService(laceemulator.ServiceSetting{}).Handler()),
+		Pairs:    10,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := m.Do(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(r.Calls) != 2 || r.Calls[0].Idempotent || !r.Calls[1].Idempotent {
+		t.Fatalf("%+v", r.Calls)
+	}
+	for _, c := range r.Calls {
+		if c.Failed != (10+warm)/2 || c.Pairs != 10/2 || !strings.Contains(c.Failure, "overloaded") {
+			t.Errorf("%+v", c)
+		}
+		if c.Direct.P50 <= 0 || c.Added != c.Routed.minus(c.Direct) {
+			t.Errorf("%+v", c)
+		}
+	}
+}
+
+// Guards against quantiles in another unit and processor times that can't be read.
+func TestUnits(t *testing.T) {
+	if s := spread([]time.Duration{2 * time.Millisecond, 2 * time.Millisecond}); s != (Spread{P50: 2, P95: 2, P99: 2}) {
+		t.Errorf("%+v", s)
+	}
+	if _, err := processor(os.Getpid()); err != nil {
+		t.Error(err)
+	}
+	if d, err := processor(0); d != 0 || err != nil {
+		t.Error(d, err)
+	}
+}
--- a/loadgen/laceworkload/source.go
+++ b/loadgen/laceworkload/source.go
@@ -32,6 +32,12 @@
 	Body       []byte
 	Stream     bool
 	Idempotent bool
+	// Model, Prompt and Most are what an engine gets for a chat.
+	Model  laceunit.ModelID
+	Prompt string
+	Most   laceunit.Tokens
+	// Target is what a plain service gets as the path of a call.
+	Target string
 	// Ceiling is what an instance reserves for it.
 	Ceiling laceunit.Tokens
 	// Text is the text of a chat's answer, or the body of a service's answer.
@@ -178,6 +184,7 @@
 		lines = append(lines, m.Role+": "+m.Content)
 	}
 	prompt := strings.Join(lines, "\n")
+	r.Model, r.Prompt, r.Most = c.Model, prompt, most
 	r.Ceiling = lacebackend.CountTokens(prompt) + most
 	r.Text = laceemulator.Answer(c.Model, prompt, most)
 	r.Output = laceemulator.AnswerTokens(c.Model, prompt, most)
@@ -190,6 +197,7 @@
 	if c.Body.High > 0 {
 		r.Body = fmt.Appendf(nil, `{"number":%d,"text":%q}`, r.Sequence, text(random, c.Body.draw(random)))
 	}
+	r.Target = path
 	r.Idempotent = c.Idempotent
 	r.Ceiling, r.Output = c.Price, c.Price
 	r.Text = string(laceemulator.ServiceAnswer(c.Method, path, r.Body, 0))
