loadgen: experiments over fleets of processes, with faults, summaries and plots

Cause: comparisons of variants under faults were made by hand and could not be repeated. Faults of the stand-in set by several hands, since a POST replaces all of them: one place adds them up. Conclusion: usable; cuts between instances are left out, because the stand-in has no such fault.

--- a/loadgen/lacecommand/command.go
+++ b/loadgen/lacecommand/command.go
@@ -28,6 +28,7 @@
 commands:
   run         play a workload against instances and check every answer
   overhead    measure what an instance adds to direct calls of a backend server
+  experiment  run a workload repeatedly under faults and compare variants
 `
 
 // errBroken means that the run went through and a promise was broken.
@@ -44,8 +45,9 @@
 // Run carries out a command line and returns the exit code.
 func Run(args []string, stdout, stderr io.Writer) int {
 	commands := map[string]command{
-		"run":      play,
-		"overhead": overhead,
+		"run":        play,
+		"overhead":   overhead,
+		"experiment": experiment,
 	}
 	if len(args) == 0 || commands[args[0]] == nil {
 		_, _ = io.WriteString(stderr, usage)
--- /dev/null
+++ b/loadgen/laceprocess/doc.go
@@ -0,0 +1,2 @@
+// Package laceprocess starts the processes of an experiment, and ends those and no others.
+package laceprocess
