router: the whole instance; merge config

Cause: offline work, certificates, the administration API, the spread of the configuration, the instance list and recalls of grants were not wired in. Ruled out: counting prompt tokens by words: engines here count one token for each 4 bytes begun, so ceilings by words were exceeded. Ruled out as cause of a hang: the router; the test looked for answers of a length that the emulated engine never gives. Received hand-overs of offline tokens are not wired yet.

--- a/lib/lacebackend/token.go
+++ b/lib/lacebackend/token.go
@@ -16,17 +16,13 @@
 // that the prompt is shorter than a block, of which engines cache nothing.
 type Prefix uint64
 
-// CountTokens returns the tokens of a prompt as the engines count them: each maximal run of letters, digits, marks
-// and underscores is one token, each other rune that is not white space is one token.
+// bytesPerToken is what engines count for a prompt: one token for each 4 bytes begun.
+const bytesPerToken = 4
+
+// CountTokens returns the tokens of a prompt as the engines count them. Reservations rest on it, so it must not be
+// less than what they report: a rule that counted words gave ceilings that long words exceeded.
 func CountTokens(prompt string) laceunit.Tokens {
-	var n laceunit.Tokens
-	for rest := prompt; ; n++ {
-		size := nextToken(rest)
-		if size == 0 {
-			return n
-		}
-		rest = rest[size:]
-	}
+	return max(1, laceunit.Tokens((len(prompt)+bytesPerToken-1)/bytesPerToken))
 }
 
 // PrefixOf returns the prefix of a prompt: the hash of the model, a line feed and the first 256 bytes.
--- a/lib/lacegateway/driver.go
+++ b/lib/lacegateway/driver.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"lacewingcove/lib/lacebackend"
+	"lacewingcove/lib/lacefault"
 	"lacewingcove/lib/lacegrant"
 	"lacewingcove/lib/laceledger"
 	"lacewingcove/lib/laceplatform"
@@ -40,6 +41,8 @@
 	attempt context.CancelFunc
 	header  http.Header
 	first   bool
+	// copied is true once a journal entry may exist.
+	copied bool
 }
 
 func newDriver(g *Gateway, t task, r lacegrant.Reservation) *driver {
@@ -173,11 +176,17 @@
 		g.metrics.done(g.now().Sub(d.started))
 		d.task.sink.finish(e.Prompt, e.Output)
 	case lacerequest.Refuse:
+		if e.Fault.Outcome == lacefault.NotRun {
+			g.abandon(d.task)
+		}
 		g.metrics.refused(e.Fault)
 		d.task.sink.refuse(e.Fault)
 	case lacerequest.Release:
 		g.deps.Wallet.Settle(d.reservation, e.Used)
 	case lacerequest.Resolve:
+		if _, void := e.Record.(laceledger.Void); void && d.copied {
+			g.deps.Journal.Abandon(d.task.spec.Request)
+		}
 		g.resolver.add(pending{
 			record:      d.stamp(e.Record),
 			reservation: d.reservation,
@@ -298,10 +307,11 @@
 		d.reservation = r
 	}
 	entry.At = d.gateway.now().Unix()
+	d.copied = true
 	d.work(func() {
 		ctx, cancel := d.context(recordTimeout)
 		defer cancel()
-		d.post(lacerequest.Copied{OK: d.gateway.deps.Journal.Copy(ctx, entry) == nil})
+		d.post(lacerequest.Copied{OK: d.gateway.deps.Journal.Copy(ctx, entry, d.task.decision) == nil})
 	})
 }
 
--- a/lib/lacegateway/gateway.go
+++ b/lib/lacegateway/gateway.go
@@ -13,6 +13,7 @@
 	"lacewingcove/lib/lacefault"
 	"lacewingcove/lib/lacegrant"
 	"lacewingcove/lib/laceledger"
+	"lacewingcove/lib/lacemember"
 	"lacewingcove/lib/lacetrace"
 	"lacewingcove/lib/laceunit"
 )
@@ -76,23 +77,12 @@
 	Pick(ctx context.Context, choice Choice) (Ticket, *lacefault.Fault)
 }
 
-// Mode tells how a request may run.
-type Mode uint8
-
-// The modes of a request.
-const (
-	// ModeOnline means with a durable intent.
-	ModeOnline Mode = iota + 1
-	// ModeOffline means from the offline part of a grant, with a journal copy.
-	ModeOffline
-	// ModeRefuse means that it may not run here.
-	ModeRefuse
-)
-
 // Members knows the other instances.
 type Members interface {
-	// Authorize decides how a request may run; the fault is set for ModeRefuse.
-	Authorize(ctx context.Context, request laceledger.Request, idempotent bool) (Mode, *lacefault.Fault)
+	// Authorize decides whether and how a request may run now.
+	Authorize(request laceledger.Request, idempotent bool) lacemember.Decision
+	// Abandon ends the authorization of a call that is not idempotent and certainly did not run.
+	Abandon(request laceledger.Request)
 	// Addresses returns the addresses that callers may use, best first, and for how long.
 	Addresses() ([]AddressEntry, time.Duration)
 	// Other returns the address of another instance that takes new work, or nothing.
@@ -108,8 +98,10 @@
 
 // Journal keeps the records of offline work.
 type Journal interface {
-	// Copy stores the entry and returns once another instance has a copy.
-	Copy(ctx context.Context, entry laceledger.Offline) error
+	// Copy stores the entry and returns once the instances that the decision asks for have copies.
+	Copy(ctx context.Context, entry laceledger.Offline, decision lacemember.Decision) error
+	// Abandon drops the entry of a request whose call was certainly not sent or whose answer nobody received.
+	Abandon(request laceledger.Request)
 	// Find returns what this instance's journal knows of a request.
 	Find(request laceledger.Request) (laceledger.Offline, bool)
 }
@@ -220,11 +212,16 @@
 	return mux
 }
 
-// Drain refuses new work from now on and waits until every running request has its final answer.
-func (g *Gateway) Drain(ctx context.Context) error {
+// Refuse refuses new work from now on.
+func (g *Gateway) Refuse() {
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.draining = true
-	g.mu.Unlock()
+}
+
+// Drain refuses new work from now on and waits until every running request has its final answer.
+func (g *Gateway) Drain(ctx context.Context) error {
+	g.Refuse()
 	done := make(chan struct{})
 	go func() {
 		g.running.Wait()
--- a/lib/lacegateway/resolve.go
+++ b/lib/lacegateway/resolve.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"lacewingcove/lib/lacebackend"
 	"lacewingcove/lib/lacegrant"
 	"lacewingcove/lib/laceledger"
@@ -102,6 +104,23 @@
 	r.metrics.pending(len(r.queue))
 }
 
+// Drain tries the open records until none is left or the context ends.
+func (r *Resolver) Drain(ctx context.Context) error {
+	ticker := time.NewTicker(resolveInterval)
+	defer ticker.Stop()
+	for {
+		r.Round(ctx)
+		if r.Len() == 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "resolver")
+		case <-ticker.C:
+		}
+	}
+}
+
 // Len returns how many records are open.
 func (r *Resolver) Len() int {
 	r.mu.Lock()
--- a/lib/lacegateway/run.go
+++ b/lib/lacegateway/run.go
@@ -10,6 +10,7 @@
 	"lacewingcove/lib/lacefault"
 	"lacewingcove/lib/lacegrant"
 	"lacewingcove/lib/laceledger"
+	"lacewingcove/lib/lacemember"
 	"lacewingcove/lib/lacerequest"
 	"lacewingcove/lib/laceunit"
 )
@@ -35,6 +36,7 @@
 	invocation *lacebackend.Invocation
 	timeout    time.Duration
 	sink       sink
+	decision   lacemember.Decision
 }
 
 // run admits a request, reserves its ceiling and drives its machine to the final answer.
@@ -62,31 +64,30 @@
 	t.spec.Request = t.request()
 	t.spec.Budget = t.caller.budget
 	t.spec.Claim = laceunit.AttemptID(g.holder.String() + "/" + strconv.FormatUint(serial, 36))
-	mode, fault := g.deps.Members.Authorize(r.Context(), t.spec.Request, t.spec.Idempotent)
-	if mode == ModeRefuse {
-		g.refuse(w, fault)
+	t.decision = g.deps.Members.Authorize(t.spec.Request, t.spec.Idempotent)
+	switch t.decision.Verdict {
+	case lacemember.Refuse:
+		g.refuse(w, refusedBy(t.decision))
+		return
+	case lacemember.Known:
+		g.repeat(t)
 		return
 	}
-	if mode == ModeOffline && !t.spec.Idempotent {
-		if old, known := g.deps.Journal.Find(t.spec.Request); known {
-			g.repeat(t, old)
-			return
-		}
-	}
-	reservation, fault := g.reserve(r.Context(), t, mode)
+	reservation, fault := g.reserve(r.Context(), t)
 	if fault != nil {
+		g.abandon(t)
 		g.refuse(w, fault)
 		return
 	}
-	t.spec.Offline = mode == ModeOffline
+	t.spec.Offline = t.decision.Verdict == lacemember.Offline
 	t.spec.Grant = reservation.Grant
 	d := newDriver(g, t, reservation)
 	d.loop(r.Context())
 }
 
 // reserve takes the ceiling from the wallet.
-func (g *Gateway) reserve(ctx context.Context, t task, mode Mode) (lacegrant.Reservation, *lacefault.Fault) {
-	if mode == ModeOffline {
+func (g *Gateway) reserve(ctx context.Context, t task) (lacegrant.Reservation, *lacefault.Fault) {
+	if t.decision.Verdict == lacemember.Offline {
 		r, err := g.deps.Wallet.ReserveOffline(t.spec.Budget, t.spec.Ceiling)
 		if err != nil {
 			return r, walletFault(err)
@@ -103,13 +104,14 @@
 }
 
 // repeat answers a call that is not idempotent and that this instance's journal knows: it never runs again.
-func (g *Gateway) repeat(t task, old laceledger.Offline) {
+func (g *Gateway) repeat(t task) {
+	old, ok := g.deps.Journal.Find(t.spec.Request)
 	switch {
-	case old.Digest != t.spec.Digest:
+	case ok && old.Digest != t.spec.Digest:
 		t.sink.refuse(refusal(lacefault.IDReused, "the request id was used before with another body"))
-	case old.Finished && old.Answer != nil:
+	case ok && old.Finished && old.Answer != nil:
 		t.sink.reply(*old.Answer, nil, false)
-	case old.Finished:
+	case ok && old.Finished:
 		t.sink.reply(laceledger.Answer{}, nil, true)
 	default:
 		t.sink.refuse(&lacefault.Fault{
@@ -121,6 +123,23 @@
 	}
 }
 
+// abandon ends the authorization of a call that is not idempotent and certainly did not run.
+func (g *Gateway) abandon(t task) {
+	if !t.spec.Idempotent {
+		g.deps.Members.Abandon(t.spec.Request)
+	}
+}
+
+func refusedBy(d lacemember.Decision) *lacefault.Fault {
+	return &lacefault.Fault{
+		Outcome:    lacefault.NotRun,
+		Code:       d.Code,
+		Message:    "this instance may not run the request now",
+		RetryAfter: d.RetryAfter,
+		Instance:   d.Instance,
+	}
+}
+
 // refuse sends a refusal that was decided before the request had a machine.
 func (g *Gateway) refuse(w http.ResponseWriter, fault *lacefault.Fault) {
 	g.metrics.refused(fault)
--- a/lib/lacegateway/selector.go
+++ b/lib/lacegateway/selector.go
@@ -17,7 +17,6 @@
 	now      func() time.Time
 	// servers are the usable backend servers; the board's mutex guards them.
 	servers map[laceunit.ServerID]laceconfig.Server
-	left    map[laceunit.ServerID]bool
 }
 
 // NewSelector returns a selector over a balancer.
@@ -154,26 +153,13 @@
 	return f
 }
 
-// Update takes over the backend servers of a document and the leaving ones of the instance list.
-func (s *Selector) Update(servers map[laceunit.ServerID]laceconfig.Server, leaving map[laceunit.ServerID]bool) {
-	s.Do(func(b *lacebalancer.Balancer, now time.Time) []lacebalancer.Decision {
-		s.servers, s.left = servers, leaving
-		return b.Update(now, servers, leaving)
-	})
-}
-
-func (s *Selector) leaving() map[laceunit.ServerID]bool {
-	s.board.mu.Lock()
-	defer s.board.mu.Unlock()
-	return s.left
-}
-
-// Configure takes over the routing settings and the backend servers of a document.
+// Configure takes over the routing settings and the addresses of a document. The feed tells the balancer about the
+// servers themselves, because it knows which of them are leaving.
 func (s *Selector) Configure(d *laceconfig.Document) {
 	s.Do(func(b *lacebalancer.Balancer, _ time.Time) []lacebalancer.Decision {
+		s.servers = d.Servers
 		// Documents are validated before they are accepted, so an unknown policy can't be in force.
 		_ = b.Configure(d.Routing)
 		return nil
 	})
-	s.Update(d.Servers, s.leaving())
 }
--- a/lib/lacegrant/service.go
+++ b/lib/lacegrant/service.go
@@ -47,6 +47,11 @@
 	return func(s *Service) { s.witnesses = witnesses }
 }
 
+// WithInstances sets how many instances share the budgets.
+func WithInstances(instances func() int) Option {
+	return func(s *Service) { s.instances = instances }
+}
+
 const (
 	// openTimeout bounds one Open; the ledger reads back a lost answer within it.
 	openTimeout = 3 * time.Second
@@ -63,6 +68,7 @@
 	recaller  Recaller
 	now       func() time.Time
 	witnesses func() []laceunit.Holder
+	instances func() int
 
 	mu       sync.Mutex
 	wallet   *Wallet
@@ -86,6 +92,7 @@
 		ledger:    ledger,
 		now:       time.Now,
 		witnesses: func() []laceunit.Holder { return nil },
+		instances: func() int { return 1 },
 		wallet:    wallet,
 		waiting:   map[laceunit.BudgetID]chan struct{}{},
 		refusals:  map[laceunit.BudgetID]refusal{},
@@ -181,11 +188,11 @@
 	s.wallet.Flushed(budget, grant, tokens)
 }
 
-// SetInstances tells the wallet how many instances share the budgets.
-func (s *Service) SetInstances(n int) {
+// Witnesses returns the instances that a grant names as holders of journal copies.
+func (s *Service) Witnesses(budget laceunit.BudgetID, grant laceunit.GrantID) []laceunit.Holder {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.wallet.SetInstances(n)
+	return s.wallet.Witnesses(budget, grant)
 }
 
 // GiveBack returns the spare tokens of a budget to the ledger for an instance in need.
@@ -239,14 +246,14 @@
 		return Reservation{}, nil, errors.Wrap(ErrUnreachable, "draining")
 	}
 	now := s.now()
+	s.wallet.SetInstances(s.instances())
 	r, ok := s.wallet.Reserve(now, budget, ceiling)
 	if !ok {
 		if old, refused := s.refusals[budget]; refused && now.Sub(old.at) < refusalLife && old.left < ceiling {
 			return Reservation{}, nil, old.err
 		}
 	}
-	if open, need := s.wallet.Need(now, budget, ceiling, !ok); need {
-		open.Witnesses = s.witnesses()
+	if open, need := s.wallet.Need(now, budget, ceiling, !ok, s.witnesses()); need {
 		s.waiter(budget)
 		s.tasks.Add(1)
 		go s.open(open)
--- a/lib/lacegrant/wallet.go
+++ b/lib/lacegrant/wallet.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"lacewingcove/lib/laceledger"
@@ -28,7 +29,9 @@
 	// limit is the grant's offline part in the ledger, spent what was taken from it and is not settled there yet.
 	limit laceunit.Tokens
 	spent laceunit.Tokens
-	live  int
+	// witnesses are those that the grant names in the ledger.
+	witnesses []laceunit.Holder
+	live      int
 	// open is the record under way, and repeat is true when it has to be sent again. After a lost answer the record is
 	// in doubt until there is a verdict: a later failure says nothing about the first try.
 	open    *laceledger.Open
@@ -44,7 +47,12 @@
 	sampled time.Time
 }
 
+// offline returns what may be spent without the platform. While an Open with other witnesses is under way it is not
+// known which of them the ledger will ask, so nothing may be.
 func (p *purse) offline() laceunit.Tokens {
+	if p.open != nil && !slices.Equal(p.open.Witnesses, p.witnesses) {
+		return 0
+	}
 	return max(min(p.limit-p.spent, p.free), 0)
 }
 
@@ -54,7 +62,8 @@
 	serial uint64
 	live   int
 	// spent is the offline spend that is not settled in the ledger yet.
-	spent laceunit.Tokens
+	spent     laceunit.Tokens
+	witnesses []laceunit.Holder
 }
 
 // Wallet holds the grants of one instance incarnation; it is not safe for concurrent use.
@@ -120,7 +129,7 @@
 	}
 	p := w.purse(r.Budget)
 	// The ceiling is already taken from the free tokens, so only the offline part bounds it.
-	if p.grant != r.Grant || p.limit-p.spent < r.Ceiling {
+	if p.grant != r.Grant || p.limit-p.spent < r.Ceiling || p.open != nil && !slices.Equal(p.open.Witnesses, p.witnesses) {
 		return r, false
 	}
 	p.spent += r.Ceiling
@@ -179,7 +188,9 @@
 
 // Need returns the record that the wallet wants appended so that a ceiling fits, or none when an append is under
 // way or the grant is large enough. Without urgency nobody waits for the ceiling, and any amount is welcome.
-func (w *Wallet) Need(now time.Time, budget laceunit.BudgetID, ceiling laceunit.Tokens, urgent bool) (laceledger.Open, bool) {
+//
+// The witnesses hold copies of the instance's journal; the grant names them.
+func (w *Wallet) Need(now time.Time, budget laceunit.BudgetID, ceiling laceunit.Tokens, urgent bool, witnesses []laceunit.Holder) (laceledger.Open, bool) {
 	p := w.purse(budget)
 	if p.back != nil {
 		return laceledger.Open{}, false
@@ -207,13 +218,14 @@
 	}
 	tokens := max(target-p.free, least, 1)
 	p.open = &laceledger.Open{
-		Budget:  budget,
-		Grant:   grant,
-		Holder:  w.holder,
-		Tokens:  tokens,
-		Least:   least,
-		Offline: w.offlinePart(p.free+tokens) + p.spent,
-		Serial:  serial,
+		Budget:    budget,
+		Grant:     grant,
+		Holder:    w.holder,
+		Tokens:    tokens,
+		Least:     least,
+		Offline:   w.offlinePart(p.free+tokens) + p.spent,
+		Serial:    serial,
+		Witnesses: witnesses,
 	}
 	p.flushed = 0
 	// An Open that lowers the offline part may take effect long before its verdict arrives.
@@ -236,6 +248,7 @@
 			return
 		}
 		p.serial = open.Serial
+		p.witnesses = open.Witnesses
 		p.free += verdict.Granted
 		// The ledger's offline part is never below the limit known here.
 		p.limit = max(verdict.Offline-p.flushed, p.limit)
@@ -325,10 +338,11 @@
 			continue
 		}
 		w.retired[p.grant] = &retired{
-			budget: b,
-			serial: p.serial,
-			live:   p.live,
-			spent:  p.spent,
+			budget:    b,
+			serial:    p.serial,
+			live:      p.live,
+			spent:     p.spent,
+			witnesses: p.witnesses,
 		}
 		w.drop(p, p.grant)
 	}
@@ -403,6 +417,17 @@
 	return p.free, p.offline()
 }
 
+// Witnesses returns the instances that a grant names as holders of journal copies.
+func (w *Wallet) Witnesses(budget laceunit.BudgetID, grant laceunit.GrantID) []laceunit.Holder {
+	if p, ok := w.purses[budget]; ok && p.grant == grant {
+		return p.witnesses
+	}
+	if old, ok := w.retired[grant]; ok {
+		return old.witnesses
+	}
+	return nil
+}
+
 // Left returns what the budget had left for new grants at the last verdict.
 func (w *Wallet) Left(budget laceunit.BudgetID) (laceunit.Tokens, bool) {
 	p := w.purse(budget)
@@ -427,7 +452,7 @@
 	if p.grant != grant {
 		return
 	}
-	p.grant, p.free, p.limit, p.spent, p.live, p.serial = "", 0, 0, 0, 0, 0
+	p.grant, p.free, p.limit, p.spent, p.live, p.serial, p.witnesses = "", 0, 0, 0, 0, 0, nil
 	if p.back != nil && p.back.Grant == grant {
 		p.back, p.repeat, p.doubt = nil, false, false
 	}
--- a/lib/lacereplica/service.go
+++ b/lib/lacereplica/service.go
@@ -118,6 +118,15 @@
 // Document returns the document in force; its version is 0 before the first one.
 func (s *Service) Document() laceconfig.Document { return *s.document.Load() }
 
+// Current returns the document in force, or nil before the first one. The pointer changes only with the document.
+func (s *Service) Current() *laceconfig.Document {
+	d := s.document.Load()
+	if d.Version == 0 {
+		return nil
+	}
+	return d
+}
+
 // Fresh decides whether new work is taken now.
 func (s *Service) Fresh() laceconfig.Basis {
 	s.mu.Lock()
--- a/lib/lacewire/ledger.twirp.go
+++ b/lib/lacewire/ledger.twirp.go
@@ -1340,7 +1340,7 @@
 }
 
 func (s *ledgerServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor1, 0
+	return twirpFileDescriptor2, 0
 }
 
 func (s *ledgerServer) ProtocGenTwirpVersion() string {
@@ -1354,7 +1354,7 @@
 	return baseServicePath(s.pathPrefix, "lacewingcove", "Ledger")
 }
 
-var twirpFileDescriptor1 = []byte{
+var twirpFileDescriptor2 = []byte{
 	// 1905 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xc4, 0x59, 0xcf, 0x6f, 0xdc, 0x4e,
 	0x15, 0xcf, 0xae, 0xbd, 0x5e, 0xef, 0xec, 0xa6, 0xa4, 0x43, 0xa8, 0xfc, 0xcd, 0xb7, 0x2a, 0x5b,
--- a/lib/lacewriter/recovery.go
+++ b/lib/lacewriter/recovery.go
@@ -56,3 +56,28 @@
 	}
 	return v.Ask, err
 }
+
+// Retained returns the non-idempotent requests that the ledger remembers, in all shards and as of now; it is complete
+// only when no holder outside the members has an open grant.
+func (l *Ledger) Retained(ctx context.Context, members []laceunit.Holder) ([]laceledger.Request, bool, error) {
+	var all []laceledger.Request
+	for shard := range l.shards {
+		u, err := l.unit(ctx, laceunit.ShardID(shard))
+		if err != nil {
+			return nil, false, err
+		}
+		if err = u.combiner.Refresh(ctx); err != nil {
+			return nil, false, errors.Wrapf(err, "shard %d", shard)
+		}
+		complete := false
+		u.log.View(func(s *laceledger.State) {
+			var list []laceledger.Request
+			list, complete = s.Retained(members)
+			all = append(all, list...)
+		})
+		if !complete {
+			return nil, false, nil
+		}
+	}
+	return all, true, nil
+}
--- /dev/null
+++ b/router/lacerouter/assemble.go
@@ -0,0 +1,213 @@
+package lacerouter
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lacewingcove/lib/lacebackend"
+	"lacewingcove/lib/lacebalancer"
+	"lacewingcove/lib/laceconfig"
+	"lacewingcove/lib/lacefleet"
+	"lacewingcove/lib/lacegateway"
+	"lacewingcove/lib/lacegrant"
+	"lacewingcove/lib/lacejournal"
+	"lacewingcove/lib/lacekernel"
+	"lacewingcove/lib/laceledger"
+	"lacewingcove/lib/lacepeer"
+	"lacewingcove/lib/laceplatform"
+	"lacewingcove/lib/lacewire"
+	"lacewingcove/lib/lacewriter"
+)
+
+// peerMux is the handler of the peer listener; services add their paths as they are assembled.
+type peerMux struct {
+	*http.ServeMux
+}
+
+func (i *Instance) addPlatform(context.Context) error {
+	if err := i.kernel.Register(nameMetrics, i.registry); err != nil {
+		return err
+	}
+	source, err := certificates(i.settings.Platform.TLS, i.logger)
+	if err != nil {
+		return err
+	}
+	options := []laceplatform.Option{
+		laceplatform.WithTimeout(i.settings.Platform.Timeout),
+		laceplatform.WithName(string(i.settings.Instance)),
+		laceplatform.WithObserver(newPlatformMetrics(i.registry)),
+	}
+	if source != nil {
+		options = append(options, laceplatform.WithTLS(source.Client()))
+	}
+	client, err := laceplatform.NewClient(i.settings.Platform.Endpoints, options...)
+	if err != nil {
+		return err
+	}
+	return i.kernel.Register(namePlatform, client)
+}
+
+func (i *Instance) addTransport(ctx context.Context) error {
+	source, err := certificates(i.settings.Peer.TLS, i.logger)
+	if err != nil {
+		return err
+	}
+	transport := newPeerTransport(source)
+	if source != nil {
+		if err = i.kernel.Register(nameTransport+"-certificates", source); err != nil {
+			return err
+		}
+	}
+	if err = i.kernel.Register(nameTransport, transport); err != nil {
+		return err
+	}
+	mux := peerMux{ServeMux: http.NewServeMux()}
+	server, err := listen(ctx, i.settings.Peer.Listen, mux, transport.server, i.logger)
+	if err != nil {
+		return err
+	}
+	if err = i.kernel.Register(namePeer+"-mux", mux); err != nil {
+		return err
+	}
+	return i.kernel.Register(namePeer, server)
+}
+
+// peers returns what the services between instances stand on.
+func (i *Instance) peers() (peerMux, peerTransport, error) {
+	mux, err := lacekernel.Lookup[peerMux](i.kernel, namePeer+"-mux")
+	if err != nil {
+		return mux, peerTransport{}, err
+	}
+	transport, err := lacekernel.Lookup[peerTransport](i.kernel, nameTransport)
+	return mux, transport, err
+}
+
+func (i *Instance) addFleet(ctx context.Context) error {
+	store, err := lacekernel.Lookup[laceplatform.Store](i.kernel, namePlatform)
+	if err != nil {
+		return err
+	}
+	mux, transport, err := i.peers()
+	if err != nil {
+		return err
+	}
+	peer := lacepeer.NewClient(i.settings.Instance,
+		lacepeer.WithHTTP(transport.client),
+		lacepeer.WithScheme(transport.scheme))
+	i.fleet = lacefleet.New(store, lacefleet.Settings{
+		Instance: i.settings.Instance,
+		Address:  i.settings.Peer.Public,
+		Caller:   i.settings.Caller.Public,
+		Place:    i.settings.Place,
+		Lean:     i.settings.Lean,
+		Fence:    i.settings.Member.Fence,
+		Retain:   i.settings.Ledger.Retain,
+	},
+		lacefleet.WithLogger(i.logger),
+		lacefleet.WithRegisterer(i.registry),
+		lacefleet.WithTransport(peer),
+		lacefleet.WithHistory(i.ledger))
+	i.journal = &journal{
+		Service: i.fleet,
+		spent:   map[laceledger.Request]laceledger.Offline{},
+	}
+	i.book = lacejournal.New(i.journal, peer, i.ledger, lacejournal.Limits{}, i.registry)
+	i.journal.book = i.book
+	i.fleet.Attach(i.book)
+	mux.Handle("/", lacepeer.NewHandler(i.fleet, i.book, nil))
+	if err = i.fleet.Join(ctx); err != nil {
+		return errors.Wrap(err, "join")
+	}
+	if err = i.kernel.Register(nameJournal, i.book); err != nil {
+		return err
+	}
+	return i.kernel.Register(nameFleet, member{Service: i.fleet})
+}
+
+func (i *Instance) addLedger(context.Context) error {
+	store, err := lacekernel.Lookup[laceplatform.Store](i.kernel, namePlatform)
+	if err != nil {
+		return err
+	}
+	mux, transport, err := i.peers()
+	if err != nil {
+		return err
+	}
+	metrics, err := lacewriter.NewMetrics(i.registry)
+	if err != nil {
+		return err
+	}
+	others := members{
+		fleet:  i.fleet,
+		scheme: transport.scheme,
+	}
+	self := lacewriter.Peer{
+		Holder:  i.fleet.Self(),
+		Address: i.settings.Peer.Public,
+	}
+	self.Address = others.url(self.Address)
+	ledger := lacewriter.New(store, self, i.settings.Ledger.Shards, others, transport.client,
+		lacewriter.WithObserver(metrics),
+		lacewriter.WithWrites(i.settings.Platform.Writes),
+		lacewriter.WithRetain(laceledger.Retain{
+			Idempotent: i.settings.Ledger.Idempotent,
+			Other:      i.settings.Ledger.Retain,
+		}))
+	mux.Handle(ledger.Handler())
+	i.ledger.ledger.Store(ledger)
+	return i.kernel.Register(nameLedger, ledger)
+}
+
+func (i *Instance) addWallet(context.Context) error {
+	ledger, err := lacekernel.Lookup[laceledger.Ledger](i.kernel, nameLedger)
+	if err != nil {
+		return err
+	}
+	mux, transport, err := i.peers()
+	if err != nil {
+		return err
+	}
+	policy := lacegrant.DefaultPolicy(i.settings.Lean)
+	if g := i.settings.Grant; g.Span > 0 {
+		policy.Span = g.Span
+	}
+	if g := i.settings.Grant; g.Idle > 0 {
+		policy.Idle = g.Idle
+	}
+	if g := i.settings.Grant; g.Offline > 0 {
+		policy.Offline = g.Offline
+	}
+	wallet := lacegrant.NewService(lacegrant.NewWallet(i.fleet.Self(), policy), ledger,
+		lacegrant.WithWitnesses(witnesses(i.fleet)),
+		lacegrant.WithInstances(func() int { return len(i.fleet.Record().Members) }),
+		lacegrant.WithRecaller(&recaller{
+			ledger: ledger,
+			fleet:  i.fleet,
+			client: transport.client,
+			scheme: transport.scheme,
+		}))
+	i.journal.wallet = wallet
+	server := lacewire.NewGrantServer(recallServer{wallet: wallet})
+	mux.Handle(server.PathPrefix(), server)
+	return i.kernel.Register(nameWallet, wallet)
+}
+
+func (i *Instance) addBackends(context.Context) error {
+	document := laceconfig.Default()
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	balancer, err := lacebalancer.New(document.Routing, random.IntN)
+	if err != nil {
+		return err
+	}
+	if err := i.kernel.Register(nameBackend, lacebackend.New()); err != nil {
+		return err
+	}
+	if err := i.kernel.Register(nameSelector, lacegateway.NewSelector(balancer, time.Now)); err != nil {
+		return err
+	}
+	return i.kernel.Register(nameAdmitter, lacegateway.NewAdmitter(document.Limits, time.Now))
+}
--- /dev/null
+++ b/router/lacerouter/assemble_service.go
@@ -0,0 +1,232 @@
+package lacerouter
+
+import (
+	"context"
+	"crypto/tls"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"lacewingcove/lib/laceadmin"
+	"lacewingcove/lib/lacebackend"
+	"lacewingcove/lib/laceconfig"
+	"lacewingcove/lib/lacefeed"
+	"lacewingcove/lib/lacegateway"
+	"lacewingcove/lib/lacekernel"
+	"lacewingcove/lib/laceledger"
+	"lacewingcove/lib/laceplatform"
+	"lacewingcove/lib/lacereplica"
+	"lacewingcove/lib/lacesetting"
+	"lacewingcove/lib/laceunit"
+	"lacewingcove/lib/lacewriter"
+)
+
+func (i *Instance) addConfiguration(context.Context) error {
+	store, err := lacekernel.Lookup[laceplatform.Store](i.kernel, namePlatform)
+	if err != nil {
+		return err
+	}
+	selector, err := lacekernel.Lookup[*lacegateway.Selector](i.kernel, nameSelector)
+	if err != nil {
+		return err
+	}
+	admitter, err := lacekernel.Lookup[*lacegateway.Admitter](i.kernel, nameAdmitter)
+	if err != nil {
+		return err
+	}
+	backend, err := lacekernel.Lookup[lacebackend.Client](i.kernel, nameBackend)
+	if err != nil {
+		return err
+	}
+	mux, transport, err := i.peers()
+	if err != nil {
+		return err
+	}
+	var feed *lacefeed.Feed
+	replica := lacereplica.New(laceconfig.NewStore(store), replicaFleet{fleet: i.fleet}, transport.client, laceconfig.Rule{
+		Self:  i.fleet.Self(),
+		Lean:  i.settings.Lean,
+		Fresh: i.settings.Config.Fresh,
+	},
+		lacereplica.WithScheme(transport.scheme),
+		lacereplica.WithInstall(func(d laceconfig.Document) {
+			i.logger.Info("configuration in force", "version", d.Version)
+			admitter.Configure(d.Limits)
+			selector.Configure(&d)
+			feed.Refresh()
+		}),
+		lacereplica.WithReject(func(from laceunit.Holder, err error) {
+			i.logger.Error(err, "configuration message not used", "from", from.String())
+		}))
+	feed = lacefeed.New(func() map[laceunit.ServerID]laceconfig.Server {
+		return replica.Document().Servers
+	}, backend, selector, lacefeed.WithSetting(lacefeed.Setting{List: i.settings.List}))
+	mux.Handle(replica.Handler())
+	if err = i.kernel.Register(nameReplica, replica); err != nil {
+		return err
+	}
+	if err = i.kernel.Register(nameFeed, feed); err != nil {
+		return err
+	}
+	// The view has no Serve of its own; the replica is supervised under its own name.
+	return i.kernel.Register(nameConfiguration, view{configuration: configuration{Service: replica}})
+}
+
+// view hides the lifetime of the replica from the kernel, which would otherwise run and close it twice.
+type view struct {
+	configuration configuration
+}
+
+// Current implements lacegateway.Configuration.
+func (v view) Current() *laceconfig.Document { return v.configuration.Current() }
+
+// Fresh implements lacegateway.Configuration.
+func (v view) Fresh() bool { return v.configuration.Fresh() }
+
+func (i *Instance) addRecovery(context.Context) error {
+	ledger, err := lacekernel.Lookup[*lacewriter.Ledger](i.kernel, nameLedger)
+	if err != nil {
+		return err
+	}
+	backend, err := lacekernel.Lookup[lacebackend.Client](i.kernel, nameBackend)
+	if err != nil {
+		return err
+	}
+	configuration, err := lacekernel.Lookup[lacegateway.Configuration](i.kernel, nameConfiguration)
+	if err != nil {
+		return err
+	}
+	return i.kernel.Register(nameRecovery, &recovery{
+		ledger:        ledger,
+		fleet:         i.fleet,
+		book:          i.book,
+		backend:       backend,
+		configuration: configuration,
+		abandon:       i.settings.Ledger.Abandon,
+		logger:        i.logger,
+	})
+}
+
+// addAdmin opens the operators' listener. Without a file of operators there is nobody to serve.
+func (i *Instance) addAdmin(ctx context.Context) error {
+	if i.settings.Admin.Operators == "" {
+		return nil
+	}
+	store, err := lacekernel.Lookup[laceplatform.Store](i.kernel, namePlatform)
+	if err != nil {
+		return err
+	}
+	ledger, err := lacekernel.Lookup[laceledger.Ledger](i.kernel, nameLedger)
+	if err != nil {
+		return err
+	}
+	replica, err := lacekernel.Lookup[*lacereplica.Service](i.kernel, nameReplica)
+	if err != nil {
+		return err
+	}
+	operators, err := laceadmin.NewOperators(i.settings.Admin.Operators)
+	if err != nil {
+		return err
+	}
+	config, err := i.serverTLS(i.settings.Admin.TLS)
+	if err != nil {
+		return err
+	}
+	handler := laceadmin.NewServer(laceadmin.Parts{
+		Configuration: laceconfig.NewStore(store),
+		Ledger: adminLedger{
+			ledger:  ledger,
+			account: func(b laceunit.BudgetID) laceunit.AccountID { return accountOf(replica.Document(), b) },
+		},
+		Members:   adminMembers{fleet: i.fleet},
+		Drainer:   drainer{stop: i.stop},
+		Trail:     laceadmin.NewTrail(store),
+		Operators: operators,
+		Accepted:  replica.Learn,
+		Now:       time.Now,
+	})
+	server, err := listen(ctx, i.settings.Admin.Listen, handler, config, i.logger)
+	if err != nil {
+		return err
+	}
+	return i.kernel.Register(nameAdmin, server)
+}
+
+// accountOf returns the client account that a document lists a budget under.
+func accountOf(d laceconfig.Document, budget laceunit.BudgetID) laceunit.AccountID {
+	for id, a := range d.Accounts {
+		for _, b := range a.Budgets {
+			if b == budget {
+				return id
+			}
+		}
+	}
+	return ""
+}
+
+// serverTLS returns the TLS configuration of a listener, or nothing for plain text.
+func (i *Instance) serverTLS(files lacesetting.TLS) (*tls.Config, error) {
+	source, err := certificates(files, i.logger)
+	if err != nil || source == nil {
+		return nil, err
+	}
+	if err := i.kernel.Register(lacekernel.Name("certificates "+files.Certificate), source); err != nil {
+		return nil, err
+	}
+	return source.Server(), nil
+}
+
+func (i *Instance) addGateway(ctx context.Context) error {
+	deps, err := i.gatewayDeps()
+	if err != nil {
+		return err
+	}
+	i.gateway = lacegateway.New(deps,
+		lacegateway.WithHolder(i.fleet.Self()),
+		lacegateway.WithLogger(i.logger),
+		lacegateway.WithMetrics(lacegateway.NewMetrics(i.registry)))
+	if err = i.kernel.Register(nameResolver, i.gateway.Resolver()); err != nil {
+		return err
+	}
+	config, err := i.serverTLS(i.settings.Caller.TLS)
+	if err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/", i.gateway.Handler())
+	mux.Handle("GET /metrics", promhttp.HandlerFor(i.registry, promhttp.HandlerOpts{}))
+	server, err := listen(ctx, i.settings.Caller.Listen, mux, config, i.logger)
+	if err != nil {
+		return err
+	}
+	if err := i.kernel.Register(nameCaller, server); err != nil {
+		return err
+	}
+	return i.kernel.Register(nameGateway, i.gateway)
+}
+
+func (i *Instance) gatewayDeps() (lacegateway.Deps, error) {
+	deps := lacegateway.Deps{
+		Members: members{fleet: i.fleet},
+		Journal: i.journal,
+	}
+	var err error
+	if deps.Configuration, err = lacekernel.Lookup[lacegateway.Configuration](i.kernel, nameConfiguration); err != nil {
+		return deps, err
+	}
+	if deps.Wallet, err = lacekernel.Lookup[lacegateway.Wallet](i.kernel, nameWallet); err != nil {
+		return deps, err
+	}
+	if deps.Ledger, err = lacekernel.Lookup[laceledger.Ledger](i.kernel, nameLedger); err != nil {
+		return deps, err
+	}
+	if deps.Picker, err = lacekernel.Lookup[lacegateway.Picker](i.kernel, nameSelector); err != nil {
+		return deps, err
+	}
+	if deps.Backend, err = lacekernel.Lookup[lacebackend.Client](i.kernel, nameBackend); err != nil {
+		return deps, err
+	}
+	deps.Limiter, err = lacekernel.Lookup[lacegateway.Limiter](i.kernel, nameAdmitter)
+	return deps, err
+}
--- a/router/lacerouter/configuration.go
+++ b/router/lacerouter/configuration.go
@@ -1,102 +1,68 @@
 package lacerouter
 
 import (
-	"context"
-	"sync"
-	"time"
-
-	"github.com/go-logr/logr"
-
 	"lacewingcove/lib/laceconfig"
+	"lacewingcove/lib/lacefleet"
+	"lacewingcove/lib/lacemember"
+	"lacewingcove/lib/lacereplica"
 	"lacewingcove/lib/laceunit"
 )
 
-// configurationInterval is how often the head is read; two reads a second stay far below the platform's rate.
-const configurationInterval = 500 * time.Millisecond
-
-// configuration follows the document in the platform.
+// configuration shows the replica to the gateway.
 type configuration struct {
-	store   *laceconfig.Store
-	fresh   time.Duration
-	logger  logr.Logger
-	changed func(*laceconfig.Document)
-
-	mu        sync.Mutex
-	document  *laceconfig.Document
-	confirmed time.Time
+	*lacereplica.Service
 }
 
 // Current implements lacegateway.Configuration.
-func (c *configuration) Current() *laceconfig.Document {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.document
+func (c configuration) Current() *laceconfig.Document {
+	return c.Service.Current()
 }
 
 // Fresh implements lacegateway.Configuration.
-func (c *configuration) Fresh() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.document != nil
+func (c configuration) Fresh() bool {
+	return c.Service.Fresh().Takes()
 }
 
-// Serve follows the head until the context ends.
-func (c *configuration) Serve(ctx context.Context) error {
-	ticker := time.NewTicker(configurationInterval)
-	defer ticker.Stop()
-	for {
-		c.refresh(ctx)
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
-	}
+// replicaFleet shows the membership to the replica.
+type replicaFleet struct {
+	fleet lacefleet.Fleet
 }
 
-func (c *configuration) refresh(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, time.Second)
-	defer cancel()
-	asked := time.Now()
-	head, err := c.store.Head(ctx)
-	if err != nil || head.Version == 0 {
-		return
-	}
-	if head.Version == c.version() {
-		c.confirm(asked)
-		return
+// Self implements lacereplica.Fleet.
+func (f replicaFleet) Self() lacereplica.Peer {
+	record := f.fleet.Record()
+	self, ok := record.Find(f.fleet.Self())
+	if !ok {
+		return lacereplica.Peer{Holder: f.fleet.Self()}
 	}
-	snapshot, err := c.store.Load(ctx, head)
-	if err != nil {
-		c.logger.Error(err, "configuration not loaded", "version", head.Version)
-		return
-	}
-	c.install(&snapshot.Document, asked)
+	return replicaPeer(record, self)
 }
 
-func (c *configuration) version() laceunit.Version {
-	d := c.Current()
-	if d == nil {
-		return 0
+// Peers implements lacereplica.Fleet.
+func (f replicaFleet) Peers() ([]lacereplica.Peer, bool) {
+	record := f.fleet.Record()
+	var peers []lacereplica.Peer
+	for _, m := range f.fleet.Peers() {
+		peers = append(peers, replicaPeer(record, m))
 	}
-	return d.Version
-}
-
-func (c *configuration) confirm(at time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.confirmed = at
+	return peers, record.Epoch > 0
 }
 
-// install puts a document in force; versions only go up.
-func (c *configuration) install(d *laceconfig.Document, at time.Time) {
-	c.mu.Lock()
-	if c.document != nil && d.Version <= c.document.Version {
-		c.mu.Unlock()
-		return
+// replicaPeer ranks a member among those of its region that are not draining, in the order of the record.
+func replicaPeer(record lacemember.Record, member lacemember.Member) lacereplica.Peer {
+	rank := 0
+	for _, m := range record.Members {
+		if m.Holder == member.Holder {
+			break
+		}
+		if m.Place.Region == member.Place.Region && !m.Draining {
+			rank++
+		}
+	}
+	return lacereplica.Peer{
+		Holder:  member.Holder,
+		Address: member.Address,
+		Region:  laceunit.RegionID(member.Place.Region),
+		Rank:    rank,
 	}
-	c.document, c.confirmed = d, at
-	c.mu.Unlock()
-	c.logger.Info("configuration in force", "version", d.Version)
-	c.changed(d)
 }
--- a/router/lacerouter/member.go
+++ b/router/lacerouter/member.go
@@ -1,10 +1,8 @@
 package lacerouter
 
 import (
-	"context"
 	"time"
 
-	"lacewingcove/lib/lacefault"
 	"lacewingcove/lib/lacefleet"
 	"lacewingcove/lib/lacegateway"
 	"lacewingcove/lib/laceledger"
@@ -15,25 +13,20 @@
 
 // members shows the fleet to the gateway and to the ledger.
 type members struct {
-	fleet lacefleet.Fleet
+	fleet  lacefleet.Fleet
+	scheme string
 }
 
-// Authorize implements lacegateway.Members.
-func (m members) Authorize(_ context.Context, request laceledger.Request, idempotent bool) (lacegateway.Mode, *lacefault.Fault) {
+// Authorize implements lacegateway.Members. The machine names peers' addresses; callers need their own.
+func (m members) Authorize(request laceledger.Request, idempotent bool) lacemember.Decision {
 	d := m.fleet.Authorize(request, idempotent)
-	switch d.Verdict {
-	case lacemember.Online:
-		return lacegateway.ModeOnline, nil
-	case lacemember.Offline, lacemember.Known:
-		return lacegateway.ModeOffline, nil
-	}
-	return lacegateway.ModeRefuse, &lacefault.Fault{
-		Outcome:    lacefault.NotRun,
-		Code:       d.Code,
-		Message:    "this instance may not run the request now",
-		RetryAfter: d.RetryAfter,
-		Instance:   m.caller(d.Instance),
-	}
+	d.Instance = m.caller(d.Instance)
+	return d
+}
+
+// Abandon implements lacegateway.Members.
+func (m members) Abandon(request laceledger.Request) {
+	m.fleet.Abandon(request)
 }
 
 // caller returns the address for callers of the member with a peer address.
@@ -72,6 +65,11 @@
 	return ""
 }
 
+// url returns the base URL of a peer address.
+func (m members) url(address laceunit.Address) laceunit.Address {
+	return laceunit.Address(m.scheme) + "://" + address
+}
+
 // Peers implements lacewriter.Peers.
 func (m members) Peers() []lacewriter.Peer {
 	list := m.fleet.Peers()
@@ -79,7 +77,7 @@
 	for _, x := range list {
 		peers = append(peers, lacewriter.Peer{
 			Holder:  x.Holder,
-			Address: x.Address,
+			Address: m.url(x.Address),
 		})
 	}
 	return peers
--- a/router/lacerouter/recovery.go
+++ b/router/lacerouter/recovery.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -11,6 +12,7 @@
 	"lacewingcove/lib/laceconfig"
 	"lacewingcove/lib/lacefleet"
 	"lacewingcove/lib/lacegateway"
+	"lacewingcove/lib/lacejournal"
 	"lacewingcove/lib/laceledger"
 	"lacewingcove/lib/laceunit"
 	"lacewingcove/lib/lacewriter"
@@ -27,6 +29,7 @@
 type recovery struct {
 	ledger        *lacewriter.Ledger
 	fleet         lacefleet.Fleet
+	book          *lacejournal.Service
 	backend       lacebackend.Client
 	configuration lacegateway.Configuration
 	abandon       time.Duration
@@ -81,9 +84,31 @@
 	for _, e := range ask {
 		r.ask(ctx, e)
 	}
+	r.release(ctx, balances, gone)
 	return err
 }
 
+// release gives back what the closed grants of gone instances hold, once their witnesses have reported every journal
+// entry.
+func (r *recovery) release(ctx context.Context, balances []laceledger.Balance, gone []laceunit.Holder) {
+	for _, b := range balances {
+		for _, g := range b.Grants {
+			if !g.Closed || g.Tokens == g.Reserved || !slices.Contains(gone, g.Holder) {
+				continue
+			}
+			if ok, err := r.book.MayRelease(ctx, g); err != nil || !ok {
+				continue
+			}
+			// A failed release is tried again in the next round.
+			_, _ = r.ledger.Append(ctx, laceledger.Release{
+				Budget: b.Budget,
+				Grant:  g.ID,
+				Who:    "recovery",
+			}, laceledger.Lazy)
+		}
+	}
+}
+
 // ask settles an open non-idempotent request that its backend server has run. A request that the server does not know
 // stays open: a paused instance may yet send it.
 func (r *recovery) ask(ctx context.Context, e laceledger.Existing) {
--- a/router/lacerouter/run.go
+++ b/router/lacerouter/run.go
@@ -42,7 +42,8 @@
 	code := exitOK
 	select {
 	case <-ctx.Done():
-	case <-instance.fleet.Expelled():
+	case <-instance.Stopping():
+	case <-instance.Expelled():
 		// The membership has removed this incarnation; the process manager starts a new one.
 		logger.Info("removed from the membership")
 		code = exitFailed
--- a/router/lacerouter/server.go
+++ b/router/lacerouter/server.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
 
 	"lacewingcove/lib/laceunit"
@@ -23,42 +25,49 @@
 // listener is an HTTP server on one address.
 type listener struct {
 	server *http.Server
-	socket net.Listener
+	ended  chan struct{}
 }
 
-// listen opens the address at once, so that a taken port is a start error and not a log line.
-func listen(ctx context.Context, address laceunit.Address, handler http.Handler) (*listener, error) {
-	var config net.ListenConfig
-	socket, err := config.Listen(ctx, "tcp", string(address))
+// listen opens an address and serves it until Close; a taken port is a start error and not a log line.
+func listen(ctx context.Context, address laceunit.Address, handler http.Handler, config *tls.Config, logger logr.Logger) (*listener, error) {
+	var opener net.ListenConfig
+	socket, err := opener.Listen(ctx, "tcp", string(address))
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
-	return &listener{
+	l := &listener{
 		server: &http.Server{
 			Handler:           handler,
 			ReadHeaderTimeout: headerTimeout,
 			IdleTimeout:       idleTimeout,
+			TLSConfig:         config,
 		},
-		socket: socket,
-	}, nil
+		ended: make(chan struct{}),
+	}
+	go func() {
+		defer close(l.ended)
+		if err := l.serve(socket); !errors.Is(err, http.ErrServerClosed) {
+			logger.Error(err, "listener ended", "address", address)
+		}
+	}()
+	return l, nil
 }
 
-// Serve answers requests until Close.
-func (l *listener) Serve(ctx context.Context) error {
-	err := l.server.Serve(l.socket)
-	if errors.Is(err, http.ErrServerClosed) {
-		<-ctx.Done()
-		return ctx.Err()
+func (l *listener) serve(socket net.Listener) error {
+	if l.server.TLSConfig != nil {
+		return l.server.ServeTLS(socket, "", "")
 	}
-	return err
+	return l.server.Serve(socket)
 }
 
 // Close waits for the requests under way and closes the address.
 func (l *listener) Close() error {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
-	if err := l.server.Shutdown(ctx); err != nil {
-		return l.server.Close()
+	err := l.server.Shutdown(ctx)
+	if err != nil {
+		err = l.server.Close()
 	}
-	return nil
+	<-l.ended
+	return err
 }
