--- a/lib/lacebalancer/balancer.go
+++ b/lib/lacebalancer/balancer.go
@@ -21,6 +21,9 @@
 	retryMost  = 100
 	// prefixesHeld bounds the known prefixes over all servers, about 4 MB.
 	prefixesHeld = 1 << 16
+	// orders is how many rendezvous orders the instances of a fleet use when they can't see the servers' load. One
+	// order would send all of them to the same servers, one each would spread a prefix over too many caches.
+	orders = 64
 )
 
 // Balancer chooses servers.
@@ -34,6 +37,8 @@
 	last    Ticket
 	retries float64
 	scratch []*server
+	// salt picks this instance's rendezvous order while a pool is blind.
+	salt uint64
 }
 
 type flight struct {
@@ -54,6 +59,10 @@
 	queue   *lacelimit.Queue[waiter]
 	// others is the sum of the servers' others.
 	others float64
+	// local is the sum of what this instance has in flight at the servers.
+	local int
+	// blind is true while less than half of the servers have a fresh report.
+	blind bool
 	// latency is the moving average of successful requests in seconds.
 	latency float64
 }
@@ -67,6 +76,7 @@
 		flights: map[Ticket]flight{},
 		waiting: map[Ticket]*pool{},
 		retries: retryBurst,
+		salt:    mix(uint64(random(orders) + 1)),
 	}
 	return b, b.Configure(routing)
 }
@@ -113,12 +123,12 @@
 func (b *Balancer) Update(now time.Time, servers map[laceunit.ServerID]laceconfig.Server, leaving map[laceunit.ServerID]bool) []Decision {
 	for id, s := range b.servers {
 		if _, ok := servers[id]; !ok {
-			s.gone = true
+			s.gone, s.pools = true, nil
 			delete(b.servers, id)
 		}
 	}
 	for _, p := range b.pools {
-		p.servers, p.others = nil, 0
+		p.servers, p.others, p.local = nil, 0, 0
 	}
 	for _, id := range sortedKeys(servers) {
 		s := b.servers[id]
@@ -151,6 +161,7 @@
 	for _, p := range s.pools {
 		p.servers = append(p.servers, s)
 		p.others += s.others
+		p.local += s.local
 	}
 }
 
@@ -160,6 +171,7 @@
 		p = &pool{
 			name:  name,
 			queue: lacelimit.NewQueue[waiter](0),
+			blind: true,
 		}
 		b.equip(p)
 		b.pools[name] = p
@@ -224,7 +236,7 @@
 		s.succeeded(f.probe)
 		// The server is full whatever its last report said; the next report corrects this.
 		if !s.gone {
-			s.reported = now
+			s.reported, s.then = now, s.local
 			s.setOthers(max(s.others, depth*s.Capacity()-float64(s.local)))
 		}
 	case Neutral:
--- a/lib/lacebalancer/pick.go
+++ b/lib/lacebalancer/pick.go
@@ -153,13 +153,17 @@
 // gets the next request as its probe, so that it comes back even when the others have room.
 func (b *Balancer) choose(now time.Time, p *pool, r Request) (*server, bool) {
 	limit := depth + urgency*float64(max(r.Priority, laceunit.PriorityDraft))
-	mean := p.others / float64(len(p.servers))
+	mean := p.view()
 	exclude := r.Exclude
 	if p.excluded(exclude) {
 		exclude = nil
 	}
 	open := b.scratch[:0]
-	var suspects, healthy int
+	var suspects, healthy, reported int
+	salt := uint64(0)
+	if p.blind {
+		salt = b.salt
+	}
 	var rested *server
 	for _, s := range p.servers {
 		if s.leaving || slices.Contains(exclude, s.id) {
@@ -172,6 +176,10 @@
 			continue
 		}
 		healthy++
+		if now.Sub(s.reported) < fresh {
+			reported++
+		}
+		s.salt = salt
 		s.weigh(now, mean)
 		if s.slots > 0 && s.estimate >= limit*float64(s.slots) {
 			continue
@@ -182,6 +190,7 @@
 		open = append(open, s)
 	}
 	b.scratch = open
+	p.blind = 2*reported < healthy
 	// With no healthy server left, waiting for the rest to end would only refuse what a probe might serve.
 	if rested != nil && (healthy == 0 || !r.Once && !now.Before(rested.until)) {
 		return rested, true
@@ -195,6 +204,14 @@
 	return p.policy.Choose(open, r.Prefix, b.random), false
 }
 
+func (p *pool) view() view {
+	n := float64(len(p.servers))
+	return view{
+		local:  float64(p.local) / n,
+		others: p.others / n,
+	}
+}
+
 // usable reports whether the pool has a server that is not leaving.
 func (p *pool) usable() bool {
 	return slices.ContainsFunc(p.servers, func(s *server) bool { return !s.leaving })
--- a/lib/lacebalancer/policy.go
+++ b/lib/lacebalancer/policy.go
@@ -85,7 +85,11 @@
 	return candidates[a]
 }
 
-// Affinity takes the first server of the prefix's rendezvous order that is below Bound times the mean load. A server
+// headroom is the share of a server's slots up to which affinity fills it. Beyond that a request may have to wait for
+// a slot, which costs more than the prefix that is not cached.
+const headroom = 0.9
+
+// Affinity takes the first server of the prefix's rendezvous order that is below Bound times the mean load and has headroom. A server
 // that holds the prefix comes before all others; a request without a prefix goes to the less loaded of two.
 type Affinity[C Candidate] struct {
 	Bound float64
@@ -107,7 +111,8 @@
 	mean := (load + 1) / capacity
 	best, rank, held := -1, uint64(0), false
 	for i, c := range candidates {
-		if c.Load()+1 > math.Ceil(a.Bound*mean*c.Capacity()) {
+		// The bound counts whole requests; a capacity of 1 stands for an unknown one and has no headroom to keep.
+		if n := c.Load() + 1; n > math.Ceil(a.Bound*mean*c.Capacity()) || (c.Capacity() > 1 && n > headroom*c.Capacity()) {
 			continue
 		}
 		holds := c.Holds(prefix)
--- a/lib/lacebalancer/server.go
+++ b/lib/lacebalancer/server.go
@@ -14,6 +14,11 @@
 	horizon = 10 * time.Second
 	// historyLength bounds the own starts and ends kept per server, enough for 50 requests/s within the horizon.
 	historyLength = 1024
+	// fresh is the age up to which a report shows where load stands, with a lag of 1 s and a poll each second.
+	fresh = 3 * time.Second
+	// growth is how far other instances are taken to follow this one since the last report. They get the same kinds of
+	// requests and choose by the same rule, but each has its own sample; half served best in docs/routing.md.
+	growth = 0.5
 	// suspectTime is how long a server that reported impossible counts is used only when no other is open.
 	suspectTime = 30 * time.Second
 	// restFactor bounds the growth of the rest between failed probes.
@@ -46,6 +51,8 @@
 	// others is the load that other instances put on the server at the time of the last report.
 	others   float64
 	reported time.Time
+	// then is what this instance had in flight at that time.
+	then int
 
 	failures int
 	ejected  bool
@@ -56,6 +63,7 @@
 
 	held     map[uint64]struct{}
 	estimate float64
+	salt     uint64
 }
 
 func newServer(id laceunit.ServerID) *server {
@@ -74,7 +82,7 @@
 }
 
 // Seed implements Candidate.
-func (s *server) Seed() uint64 { return s.seed }
+func (s *server) Seed() uint64 { return s.seed ^ s.salt }
 
 // Load implements Candidate.
 func (s *server) Load() float64 { return s.estimate }
@@ -91,6 +99,9 @@
 // count notes the start or the end of an own request.
 func (s *server) count(now time.Time, delta int) {
 	s.local += delta
+	for _, p := range s.pools {
+		p.local += delta
+	}
 	if len(s.history) >= historyLength {
 		s.history = append(s.history[:0], s.history[historyLength/2:]...)
 	}
@@ -116,6 +127,7 @@
 	}
 	s.history = s.history[:kept]
 	s.reported = made
+	s.then = own
 	s.setOthers(float64(max(0, load.Running+load.Waiting-own)))
 	if load.Slots > 0 && s.slots == 0 {
 		s.slots = load.Slots
@@ -129,14 +141,26 @@
 	s.others = n
 }
 
-// weigh sets the estimate: what this instance has in flight, plus what others had at the last report. The latter
-// fades into the pool's mean as the report ages.
-func (s *server) weigh(now time.Time, mean float64) {
+// view holds the means of a pool's servers: what this instance and what the others have in flight at one.
+type view struct {
+	local, others float64
+}
+
+// weigh sets the estimate: what this instance has in flight, plus what others had at the last report, corrected for
+// what this one has started and ended there since. As the report ages, it fades into what the others have if they
+// prefer the same servers as this instance does.
+func (s *server) weigh(now time.Time, v view) {
 	trust := 0.0
 	if age := now.Sub(s.reported); !s.reported.IsZero() && age < horizon {
 		trust = 1 - float64(age)/float64(horizon)
 	}
-	s.estimate = float64(s.local) + trust*s.others + (1-trust)*mean
+	known := s.others
+	if v.local > 0 {
+		known = max(0, known+growth*v.others/v.local*float64(s.local-s.then))
+	}
+	// The half keeps an instance with few requests from taking a server without any for empty.
+	unknown := v.others * (float64(s.local) + 0.5) / (v.local + 0.5)
+	s.estimate = float64(s.local) + trust*known + (1-trust)*unknown
 }
 
 // failed notes a failure and ejects the server after limit failures in a row or after a failed probe.
