--- a/lib/laceconfig/codec.go
+++ b/lib/laceconfig/codec.go
@@ -129,9 +129,3 @@
 	}
 	return laceyaml.Write(fields)
 }
-
-// Reference returns the reference of the document in Markdown.
-func Reference() string {
-	d := Default()
-	return laceyaml.Reference(fileFields(&d, &d.Version, map[Section]*string{}))
-}
--- a/lib/lacereplica/service.go
+++ b/lib/lacereplica/service.go
@@ -25,7 +25,7 @@
 const loadTimeout = 10 * time.Second
 
 // parallel bounds the calls in progress.
-const parallel = 64
+const parallel = 256
 
 // ErrClosed means that the service has been closed.
 var ErrClosed = errors.New("replica: closed")
--- a/lib/lacesetting/load.go
+++ b/lib/lacesetting/load.go
@@ -122,12 +122,6 @@
 	return laceyaml.Write(fields(&s))
 }
 
-// Reference returns the reference of the settings in Markdown.
-func Reference() string {
-	s := Default()
-	return laceyaml.Reference(fields(&s))
-}
-
 func decode(text []byte, given overrides) (Settings, laceyaml.Faults) {
 	s := Default()
 	lines, faults := laceyaml.Read(text, fields(&s))
--- a/lib/lacesetting/table.go
+++ b/lib/lacesetting/table.go
@@ -4,7 +4,10 @@
 	"net"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
+	"unicode"
+	"unicode/utf8"
 
 	"lacewingcove/lib/laceunit"
 	"lacewingcove/lib/laceyaml"
@@ -100,7 +103,9 @@
 }
 
 func file(name, doc string, p *string) laceyaml.Field {
-	return laceyaml.String(name, doc, p)
+	return laceyaml.Match(name, doc, "a path of at most 1024 characters", p, func(s string) bool {
+		return len(s) <= 1024 && utf8.ValidString(s) && strings.IndexFunc(s, unicode.IsControl) < 0
+	})
 }
 
 const urlExpect = "a base URL such as http://127.0.0.1:2379"
--- a/lib/laceyaml/field.go
+++ b/lib/laceyaml/field.go
@@ -134,7 +134,7 @@
 			*p = map[K]T{}
 			r.pairs(n, path, func(k, v *yaml.Node, at string) {
 				if !idPattern.MatchString(k.Value) {
-					r.Fail(k, path, "an id: "+idExpect, k.Value)
+					r.Fail(k, path, "an id: "+IDForm, k.Value)
 					return
 				}
 				x := fresh()
--- a/lib/laceyaml/reference.go
+++ b/lib/laceyaml/reference.go
@@ -39,6 +39,7 @@
 func row(b *strings.Builder, cells ...string) {
 	cells[0] = "`" + cells[0] + "`"
 	for _, c := range cells {
+		c = strings.ReplaceAll(c, "an id: "+IDForm, "an id")
 		b.WriteString("| " + strings.ReplaceAll(c, "|", `\|`) + " ")
 	}
 	b.WriteString("|\n")
--- a/lib/laceyaml/scalar.go
+++ b/lib/laceyaml/scalar.go
@@ -12,7 +12,8 @@
 	"go.yaml.in/yaml/v3"
 )
 
-const idExpect = "1 to 64 letters, digits, '.', '_' or '-', the first a letter or digit"
+// IDForm says what an id looks like.
+const IDForm = "1 to 64 letters, digits, '.', '_' or '-', the first a letter or digit"
 
 var idPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
 
@@ -98,7 +99,7 @@
 
 // ID binds an identifier.
 func ID[T ~string](name, doc string, p *T) Field {
-	return Match(name, doc, "an id: "+idExpect, p, idPattern.MatchString)
+	return Match(name, doc, "an id: "+IDForm, p, idPattern.MatchString)
 }
 
 // Choice binds one of several words.
@@ -287,5 +288,5 @@
 
 // IDs binds a list of identifiers.
 func IDs[T ~string](name, doc string, p *[]T) Field {
-	return Strings(name, doc, "an id: "+idExpect, p, idPattern.MatchString)
+	return Strings(name, doc, "an id: "+IDForm, p, idPattern.MatchString)
 }
