--- a/lacectl/exit.go
+++ b/lacectl/exit.go
@@ -18,18 +18,18 @@
 	exitUnavailable exit = 4
 )
 
-// misuse means that the command line is wrong.
-type misuse string
+// usageError means that the command line is wrong.
+type usageError string
 
 // Error implements error.
-func (m misuse) Error() string { return string(m) }
+func (m usageError) Error() string { return string(m) }
 
-func usage(text string) error { return misuse(text) }
+func usage(text string) error { return usageError(text) }
 
 // exitOf maps an error to the exit code.
 func exitOf(err error) exit {
 	var f *laceadmin.Fault
-	var m misuse
+	var m usageError
 	switch {
 	case err == nil:
 		return exitOK
--- a/lacectl/lacectl_test.go
+++ b/lacectl/lacectl_test.go
@@ -88,16 +88,16 @@
 func (b *backend) Fence(context.Context, laceunit.Holder) error { return nil }
 func (b *backend) Drain(context.Context) error                  { return nil }
 
-// rig is an instance with an empty document, and the files of an operator.
-type rig struct {
+// fixture is an instance with an empty document, and the files of an operator.
+type fixture struct {
 	dir     string
 	address string
 	backend *backend
 }
 
-func newRig(t *testing.T) *rig {
+func newFixture(t *testing.T) *fixture {
 	t.Helper()
-	r := &rig{dir: t.TempDir(), backend: &backend{}}
+	r := &fixture{dir: t.TempDir(), backend: &backend{}}
 	r.write(t, "token", "chief-token\n")
 	r.write(t, "operators.yaml", "operators: {chief: {token: "+laceadmin.Hash("chief-token")+
 		", may: [accounts, servers, models, services, routing, limits, audit, budgets, members]}}")
@@ -116,7 +116,7 @@
 	return r
 }
 
-func (r *rig) write(t *testing.T, name, text string) string {
+func (r *fixture) write(t *testing.T, name, text string) string {
 	t.Helper()
 	path := filepath.Join(r.dir, name)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
@@ -128,7 +128,7 @@
 var freshText = regexp.MustCompile(`(lace-|ctl-|summer:|summer\n\+? +hash: )[A-Za-z0-9_-]+`)
 
 // try runs a command line and returns its exit code and what it printed, without what differs from run to run.
-func (r *rig) try(line ...string) (exit, string) {
+func (r *fixture) try(line ...string) (exit, string) {
 	var out bytes.Buffer
 	code := run(context.Background(), environment{
 		in: strings.NewReader(""), out: &out, err: &out,
@@ -142,7 +142,7 @@
 
 // Guards against commands whose output or exit code changes unnoticed.
 func TestCommands(t *testing.T) {
-	r := newRig(t)
+	r := newFixture(t)
 	limits := r.write(t, "limits.yaml", "limits:\n  waiting: 7\n")
 	stale := r.write(t, "stale.yaml", "limits:\n  waiting: 9\n")
 	broken := r.write(t, "broken.yaml", "limits:\n  waiting: -1\nmodel: {}\n")
@@ -203,7 +203,7 @@
 
 // Guards against a change whose answer is lost being reported as failed, or repeated under another id.
 func TestLostAnswerIsRepeated(t *testing.T) {
-	r := newRig(t)
+	r := newFixture(t)
 	if code, text := r.try("config", "apply", filepath.Join("..", "samples", "coop.yaml")); code != exitOK {
 		t.Fatal(text)
 	}
@@ -220,7 +220,7 @@
 
 // Guards against an edited output of config show that can't be applied, and against an edit that is not shown first.
 func TestShowEditApply(t *testing.T) {
-	r := newRig(t)
+	r := newFixture(t)
 	if code, text := r.try("config", "apply", filepath.Join("..", "samples", "coop.yaml")); code != exitOK {
 		t.Fatal(text)
 	}
--- a/lib/laceadmin/admin_test.go
+++ b/lib/laceadmin/admin_test.go
@@ -24,7 +24,7 @@
 
 // Guards against changes by someone without a token or without the right for them.
 func TestRights(t *testing.T) {
-	r, ctx := newRig(t), context.Background()
+	r, ctx := newFixture(t), context.Background()
 	stranger := &Client{Addresses: []string{r.address}, Token: "guess", HTTP: http.DefaultClient}
 	for name, f := range map[string]func(c *Client) error{
 		"apply":   func(c *Client) error { _, err := c.Apply(ctx, Proposal{ID: "x", Text: "models: {}"}); return err },
@@ -51,7 +51,7 @@
 
 // Guards against a file whose unchanged foreign sections are refused, and a foreign change that is not.
 func TestApplyWithinRights(t *testing.T) {
-	r, ctx := newRig(t), context.Background()
+	r, ctx := newFixture(t), context.Background()
 	d, err := r.reader.Show(ctx)
 	if err != nil {
 		t.Fatal(err)
@@ -82,7 +82,7 @@
 
 // Guards against a key that is stored, kept out of force, shown twice or added twice.
 func TestRotate(t *testing.T) {
-	r, ctx := newRig(t), context.Background()
+	r, ctx := newFixture(t), context.Background()
 	first, err := r.operator.Rotate(ctx, "bakery", Rotation{ID: "r1", Name: "second"})
 	if err != nil || first.Key == "" {
 		t.Fatalf("%+v, %v", first, err)
@@ -127,7 +127,7 @@
 		"every write forgotten": func(int) (bool, error) { return false, laceplatform.ErrUnknown },
 	} {
 		for _, after := range []error{nil, laceplatform.ErrUnknown} {
-			r, ctx := newRig(t), context.Background()
+			r, ctx := newFixture(t), context.Background()
 			r.ledger.before = func(laceledger.Record) error {
 				if _, ok := r.platform.values[actionKey("t1")]; !ok {
 					t.Errorf("%s: the ledger is told before the record is written", name)
@@ -169,7 +169,7 @@
 
 // Guards against fences, drains and releases that go to the wrong target or lose their numbers on the way.
 func TestOtherCalls(t *testing.T) {
-	r, ctx := newRig(t), context.Background()
+	r, ctx := newFixture(t), context.Background()
 	if _, err := r.operator.Fence(ctx, "i", "18446744073709551615", Order{ID: "f"}); err != nil || len(r.fleet.fenced) != 1 ||
 		r.fleet.fenced[0].Incarnation != 1<<64-1 {
 		t.Fatalf("%v, %v", r.fleet.fenced, err)
@@ -204,7 +204,7 @@
 
 // Guards against a client that gives up at the first instance, or reports a lost answer as not done.
 func TestClientTriesInOrder(t *testing.T) {
-	r, ctx := newRig(t), context.Background()
+	r, ctx := newFixture(t), context.Background()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/lib/laceadmin/fake_test.go
+++ b/lib/laceadmin/fake_test.go
@@ -114,7 +114,7 @@
 	return nil
 }
 
-type rig struct {
+type fixture struct {
 	platform *platform
 	ledger   *ledger
 	fleet    *fleet
@@ -138,10 +138,10 @@
 	readerHash = "ba5005a40cf5212e4ac0190104cc127edab013294bb71279a975b27a80982d45"
 )
 
-// newRig serves the API over the co-operative's sample document.
-func newRig(t *testing.T) *rig {
+// newFixture serves the API over the co-operative's sample document.
+func newFixture(t *testing.T) *fixture {
 	t.Helper()
-	r := &rig{
+	r := &fixture{
 		platform: &platform{values: map[laceplatform.Key]laceplatform.Entry{}},
 		ledger:   &ledger{paid: map[laceunit.TopUpID]laceunit.Tokens{}, before: func(laceledger.Record) error { return nil }},
 		fleet:    &fleet{},
--- a/lib/laceadmin/member.go
+++ b/lib/laceadmin/member.go
@@ -63,7 +63,7 @@
 	a := Action{
 		ID:     o.ID,
 		Kind:   "drain",
-		Target: c.Host,
+		Target: string(s.parts.Instance),
 	}
 	return s.act(c, a, func(ctx context.Context) (int64, bool, error) { return 0, false, s.parts.Drainer.Drain(ctx) })
 }
--- a/lib/laceadmin/server.go
+++ b/lib/laceadmin/server.go
@@ -57,7 +57,10 @@
 	Members       Members
 	Drainer       Drainer
 	Trail         Trail
-	Operators     *Operators
+	// Operators may be nil; every call is then refused.
+	Operators *Operators
+	// Instance is the one that serves the API; records of its drain name it.
+	Instance laceunit.InstanceID
 	// Accepted is told after each accepted edit, so that the instance reads it at once; nil is allowed.
 	Accepted func()
 	// Now is the wall clock of records.
@@ -78,6 +81,9 @@
 	if parts.Accepted == nil {
 		parts.Accepted = func() {}
 	}
+	if parts.Operators == nil {
+		parts.Operators = &Operators{}
+	}
 	if parts.Now == nil {
 		parts.Now = time.Now
 	}
--- a/lib/laceconfig/amend_test.go
+++ b/lib/laceconfig/amend_test.go
@@ -56,10 +56,10 @@
 
 // Guards against an amendment that is made twice, or refused as another one, after its answer was lost.
 func TestAmendmentRepeated(t *testing.T) {
-	for _, end := range []fate{lost, dropped, dying} {
+	for _, end := range []outcome{lost, dropped, crashAfter} {
 		for n := 1; n < 8; n++ {
 			f, s := seeded(t)
-			f.script = func(i int) fate {
+			f.script = func(i int) outcome {
 				if i == n {
 					return end
 				}
@@ -70,18 +70,18 @@
 				break
 			}
 			if err != nil && !errors.Is(err, ErrUnknown) && !errors.Is(err, ErrUnavailable) {
-				t.Fatalf("fate %d of write %d: %v", end, n, err)
+				t.Fatalf("outcome %d of write %d: %v", end, n, err)
 			}
 			s = f.revive()
 			r, err := s.Amend(context.Background(), rename("mine", "bakery", "new"))
 			if err != nil || r.Version != 2 {
-				t.Fatalf("fate %d of write %d: repeat %+v, %v", end, n, r, err)
+				t.Fatalf("outcome %d of write %d: repeat %+v, %v", end, n, r, err)
 			}
 			if _, err = s.Amend(context.Background(), rename("then", "bakery", "later")); err != nil {
 				t.Fatal(err)
 			}
 			if r, err = s.Amend(context.Background(), rename("mine", "bakery", "new")); err != nil || !r.Repeated || r.Version != 2 {
-				t.Fatalf("fate %d of write %d: repeat after another change %+v, %v", end, n, r, err)
+				t.Fatalf("outcome %d of write %d: repeat after another change %+v, %v", end, n, r, err)
 			}
 			if _, err = s.Amend(context.Background(), rename("mine", "bakery", "other")); !errors.Is(err, ErrReused) {
 				t.Fatalf("got %v", err)
--- a/lib/laceconfig/apply.go
+++ b/lib/laceconfig/apply.go
@@ -92,10 +92,10 @@
 	for range tries {
 		r, done, err := a.once(ctx)
 		if done || err != nil {
-			return r, a.judge(err)
+			return r, a.classify(err)
 		}
 	}
-	return Result{}, a.judge(ErrBusy)
+	return Result{}, a.classify(ErrBusy)
 }
 
 func wantedContent(f File) (Content, error) {
@@ -136,14 +136,14 @@
 	digest laceunit.Digest
 	// amendment replaces the edit's file at each try; nil for plain edits.
 	amendment *Amendment
-	// doubtful is true while a swap whose answer was lost may still take effect; it expected the revision at.
-	doubtful bool
-	at       laceplatform.Revision
+	// unresolved is true while a swap whose answer was lost may still take effect; it expected the revision at.
+	unresolved bool
+	at         laceplatform.Revision
 }
 
-// judge turns a failure into ErrUnknown while an earlier swap may still take effect.
-func (a *attempt) judge(err error) error {
-	if err != nil && a.doubtful {
+// classify turns a failure into ErrUnknown while an earlier swap may still take effect.
+func (a *attempt) classify(err error) error {
+	if err != nil && a.unresolved {
 		return errors.Wrap(ErrUnknown, err.Error())
 	}
 	return err
@@ -164,11 +164,11 @@
 	}
 	r, known, err := a.earlier(ctx, h)
 	if known || err != nil {
-		a.doubtful = a.doubtful && !known
+		a.unresolved = a.unresolved && !known
 		return r, known, err
 	}
-	if a.doubtful && h.Revision != a.at {
-		a.doubtful = false // the head has moved past the swap in doubt, so it failed
+	if a.unresolved && h.Revision != a.at {
+		a.unresolved = false // the head has moved past the swap in doubt, so it failed
 	}
 	snap, err := a.store.Load(ctx, h)
 	if errors.Is(err, errMoved) {
@@ -218,7 +218,7 @@
 		return Result{}, false, err
 	}
 	if m.digest != a.digest {
-		a.doubtful = false
+		a.unresolved = false
 		return Result{}, false, ErrReused
 	}
 	return Result{
@@ -280,14 +280,14 @@
 	})
 	switch {
 	case err == nil:
-		a.doubtful = false
+		a.unresolved = false
 		// The edit is accepted; a record that can't be written now is written before the next change.
 		_ = a.store.finish(ctx, next)
 		return true, nil
 	case errors.Is(err, laceplatform.ErrConflict):
 		return false, nil
 	case errors.Is(err, laceplatform.ErrUnknown):
-		a.doubtful, a.at = true, expect
+		a.unresolved, a.at = true, expect
 		return false, nil
 	default:
 		return false, outside(err)
--- a/lib/laceconfig/audit.go
+++ b/lib/laceconfig/audit.go
@@ -74,18 +74,18 @@
 	if h.Version == 0 {
 		return nil
 	}
-	done, err := s.sealed(ctx, h)
+	done, err := s.hasRecord(ctx, h)
 	if done || err != nil {
 		return err
 	}
-	if err = s.seal(ctx, h); err != nil {
+	if err = s.writeRecord(ctx, h); err != nil {
 		return err
 	}
 	s.clean(ctx, h)
 	return nil
 }
 
-func (s *Store) sealed(ctx context.Context, h Head) (bool, error) {
+func (s *Store) hasRecord(ctx context.Context, h Head) (bool, error) {
 	_, err := s.platform.Get(ctx, auditKey(h.Version))
 	if errors.Is(err, laceplatform.ErrMissing) {
 		return false, nil
@@ -96,15 +96,15 @@
 	return true, nil
 }
 
-// seal writes the pieces and the edit's mark first and the record last: a record that is there is complete.
-func (s *Store) seal(ctx context.Context, h Head) error {
+// writeRecord writes the pieces and the edit's mark first and the record last: a record that is there is complete.
+func (s *Store) writeRecord(ctx context.Context, h Head) error {
 	if h.Version == 0 {
 		return nil
 	}
 	r, err := s.record(ctx, h)
 	if errors.Is(err, errMoved) {
 		// The bodies of the former state are deleted only once the record is there.
-		if done, again := s.sealed(ctx, h); done || again != nil {
+		if done, again := s.hasRecord(ctx, h); done || again != nil {
 			return again
 		}
 		return err
--- a/lib/laceconfig/delta.go
+++ b/lib/laceconfig/delta.go
@@ -110,8 +110,8 @@
 	return false
 }
 
-// jump moves to a whole content.
-func (e *entries) jump(to laceunit.Version, content Content) error {
+// replace moves to a whole content.
+func (e *entries) replace(to laceunit.Version, content Content) error {
 	return e.move(to, Diff(e.content, content), nil, e.skipped(to))
 }
 
--- a/lib/laceconfig/fake_test.go
+++ b/lib/laceconfig/fake_test.go
@@ -10,21 +10,21 @@
 	"lacewingcove/lib/laceplatform"
 )
 
-// fate is what happens to one write of the fake platform.
-type fate int
+// outcome is what happens to one write of the fake platform.
+type outcome int
 
 const (
-	passes fate = iota
+	passes outcome = iota
 	// lost writes take effect, their answer is ErrUnknown; dropped ones answer the same without effect.
 	lost
 	dropped
 	// down fails the write and every call after it.
-	down
-	// dying lets the write take effect and fails every call after it.
-	dying
+	crashBefore
+	// crashAfter lets the write take effect and fails every call after it.
+	crashAfter
 )
 
-// fake is a platform in memory; script decides the fate of the n-th write, counted from 1.
+// fake is a platform in memory; script decides the outcome of the n-th write, counted from 1.
 type fake struct {
 	mu       sync.Mutex
 	values   map[laceplatform.Key]laceplatform.Entry
@@ -33,7 +33,7 @@
 	keys     []laceplatform.Key
 	largest  int
 	dead     bool
-	script   func(n int) fate
+	script   func(n int) outcome
 }
 
 func newFake() *fake {
@@ -82,7 +82,7 @@
 	switch end {
 	case dropped:
 		return laceplatform.ErrUnknown
-	case down:
+	case crashBefore:
 		f.dead = true
 		return laceplatform.ErrUnavailable
 	}
@@ -91,8 +91,8 @@
 	}
 	f.revision++
 	change()
-	f.dead = end == dying
-	if end == lost || end == dying {
+	f.dead = end == crashAfter
+	if end == lost || end == crashAfter {
 		return laceplatform.ErrUnknown
 	}
 	return nil
--- a/lib/laceconfig/replica.go
+++ b/lib/laceconfig/replica.go
@@ -155,22 +155,22 @@
 	var effects []Effect
 	// Random exchanges alone take about as many seconds as the logarithm of the region's size, so a watcher is
 	// asked at half of Rule.Fresh, and the platform and everyone else before the confirmation gets too old.
-	worried := r.older(now, r.rule.Fresh*7/10)
-	if view.Watcher || worried {
+	nearStale := r.older(now, r.rule.Fresh*7/10)
+	if view.Watcher || nearStale {
 		effects = r.read(effects)
 	}
 	effects = r.ask(effects, r.pick(func(m Member) bool { return m.Region == view.Region || r.random.IntN(8) == 0 }))
 	if !view.Watcher && r.older(now, r.rule.Fresh/2) {
 		effects = r.ask(effects, r.pick(func(m Member) bool { return m.Watcher && m.Region == view.Region }))
 	}
-	if worried {
-		effects = r.canvass(effects, now)
+	if nearStale {
+		effects = r.askMembers(effects, now)
 	}
 	return effects
 }
 
-// canvass asks for what the decision of Fresh needs: everyone under strict, a few under available.
-func (r *Replica) canvass(effects []Effect, now time.Duration) []Effect {
+// askMembers asks for what the decision of Fresh needs: everyone under strict, a few under available.
+func (r *Replica) askMembers(effects []Effect, now time.Duration) []Effect {
 	if r.rule.Lean != laceunit.LeanStrict {
 		for range 3 {
 			effects = r.ask(effects, r.pick(func(Member) bool { return true }))
@@ -225,7 +225,7 @@
 	var effects []Effect
 	if version > r.entries.version {
 		before := r.entries.version
-		if err := r.entries.jump(version, content); err != nil {
+		if err := r.entries.replace(version, content); err != nil {
 			return []Effect{Reject{From: r.rule.Self, Err: err}}
 		}
 		effects = append(effects, Install{Document: r.entries.document})
--- a/lib/laceconfig/replica_test.go
+++ b/lib/laceconfig/replica_test.go
@@ -20,8 +20,8 @@
 	gopterSeed = 7310
 )
 
-// parcel is a message on its way.
-type parcel struct {
+// packet is a message on its way.
+type packet struct {
 	deliver func()
 	drop    func()
 }
@@ -35,7 +35,7 @@
 	reach    []bool
 	ticked   []time.Duration
 	versions []laceunit.Version
-	network  []parcel
+	network  []packet
 }
 
 func holder(i int) laceunit.Holder {
@@ -76,7 +76,7 @@
 	return -1
 }
 
-func (w *world) send(p parcel) { w.network = append(w.network, p) }
+func (w *world) send(p packet) { w.network = append(w.network, p) }
 
 // run carries out the effects of a node.
 func (w *world) run(i int, effects []Effect) {
@@ -84,27 +84,27 @@
 	for _, e := range effects {
 		switch e := e.(type) {
 		case Read:
-			w.send(parcel{drop: r.Unread, deliver: func() {
+			w.send(packet{drop: r.Unread, deliver: func() {
 				if !w.reach[i] {
 					r.Unread()
 					return
 				}
 				v := laceunit.Version(len(w.history) - 1)
 				content := w.history[v]
-				w.send(parcel{drop: r.Unread, deliver: func() { w.run(i, r.Learned(asked, v, content)) }})
+				w.send(packet{drop: r.Unread, deliver: func() { w.run(i, r.Learned(asked, v, content)) }})
 			}})
 		case Ask:
 			j, q := w.index(e.To), r.Status(w.now)
 			fail := func() { r.Unheard(e.To) }
-			w.send(parcel{drop: fail, deliver: func() {
+			w.send(packet{drop: fail, deliver: func() {
 				m, more := w.fleet[j].Question(w.now, q)
 				w.run(j, more)
-				w.send(parcel{drop: fail, deliver: func() { w.run(i, r.Answer(asked, e.To, m)) }})
+				w.send(packet{drop: fail, deliver: func() { w.run(i, r.Answer(asked, e.To, m)) }})
 			}})
 		case Push:
 			for _, h := range e.To {
 				j := w.index(h)
-				w.send(parcel{drop: func() {}, deliver: func() { w.run(j, w.fleet[j].Notice(e.Message)) }})
+				w.send(packet{drop: func() {}, deliver: func() { w.run(j, w.fleet[j].Notice(e.Message)) }})
 			}
 		case Reject:
 			panic(e.Err)
--- a/lib/laceconfig/store.go
+++ b/lib/laceconfig/store.go
@@ -243,7 +243,7 @@
 	if err != nil {
 		return 0, err
 	}
-	if err = s.seal(ctx, h); err != nil {
+	if err = s.writeRecord(ctx, h); err != nil {
 		return 0, err
 	}
 	all, _, err := s.platform.List(ctx, bodyPrefix)
--- a/lib/laceconfig/store_test.go
+++ b/lib/laceconfig/store_test.go
@@ -184,11 +184,11 @@
 
 // Guards against an edit that is applied twice, or reported wrongly, when the answer of any of its writes is lost.
 func TestLostAnswers(t *testing.T) {
-	for _, end := range []fate{lost, dropped, down, dying} {
+	for _, end := range []outcome{lost, dropped, crashBefore, crashAfter} {
 		for n := 1; n < 12; n++ {
 			f, s := seeded(t)
 			e := edit(t, "mine", base(t, s)+"limits: {waiting: 7}\naudit: {keep: 48h}")
-			f.script = func(i int) fate {
+			f.script = func(i int) outcome {
 				if i == n {
 					return end
 				}
@@ -201,11 +201,11 @@
 			accepted := f.values[HeadKey].Revision > 0 && strings.Contains(string(f.values[HeadKey].Value), "version: 2\n")
 			switch {
 			case err == nil && (!accepted || first.Version != 2):
-				t.Fatalf("fate %d of write %d: reported version %d, accepted %v", end, n, first.Version, accepted)
+				t.Fatalf("outcome %d of write %d: reported version %d, accepted %v", end, n, first.Version, accepted)
 			case errors.Is(err, ErrUnavailable) && accepted:
-				t.Fatalf("fate %d of write %d: reported as not done, but it was accepted", end, n)
+				t.Fatalf("outcome %d of write %d: reported as not done, but it was accepted", end, n)
 			case err != nil && !errors.Is(err, ErrUnavailable) && !errors.Is(err, ErrUnknown):
-				t.Fatalf("fate %d of write %d: %v", end, n, err)
+				t.Fatalf("outcome %d of write %d: %v", end, n, err)
 			}
 			repeat(t, f, e, accepted)
 		}
@@ -239,9 +239,9 @@
 	for n := 1; n < 12; n++ {
 		f, s := seeded(t)
 		e := edit(t, "mine", base(t, s)+"limits: {waiting: 7}")
-		f.script = func(i int) fate {
+		f.script = func(i int) outcome {
 			if i == n {
-				return dying
+				return crashAfter
 			}
 			return passes
 		}
--- a/lib/lacereplica/effect.go
+++ b/lib/lacereplica/effect.go
@@ -58,6 +58,15 @@
 	}()
 }
 
+// sweep lets the first instance of a region sweep the source now and then; a sweep that fails is made up for by the next.
+func (s *Service) sweep(rank int) {
+	sweeper, ok := s.source.(Sweeper)
+	if ok && s.ticks%sweepTicks == 0 && rank == 0 {
+		s.spawn(loadTimeout, func(ctx context.Context) { _, _ = sweeper.Sweep(ctx) }, func() {})
+	}
+	s.ticks++
+}
+
 func (s *Service) read(ctx context.Context) {
 	asked := s.now()
 	brief, cancel := context.WithTimeout(ctx, callTimeout)
--- a/lib/lacereplica/service.go
+++ b/lib/lacereplica/service.go
@@ -51,6 +51,14 @@
 	Load(ctx context.Context, head laceconfig.Head) (laceconfig.Snapshot, error)
 }
 
+// Sweeper is a source that can delete what no document refers to any more.
+type Sweeper interface {
+	Sweep(ctx context.Context) (int, error)
+}
+
+// sweepTicks is how many ticks lie between two sweeps; a sweep lists every body, 3 MB at the design scale.
+const sweepTicks = 3600
+
 // Option changes a service at construction.
 type Option func(*Service)
 
@@ -83,6 +91,7 @@
 	replica  *laceconfig.Replica
 	peers    map[laceunit.Holder]Peer
 	closed   bool
+	ticks    int
 	document atomic.Pointer[laceconfig.Document]
 	slots    chan struct{}
 	ctx      context.Context
@@ -152,8 +161,11 @@
 
 // Tick advances the replica once; Serve calls it each laceconfig.Period.
 func (s *Service) Tick() {
-	view := s.view()
-	s.do(func() []laceconfig.Effect { return s.replica.Tick(s.now(), view) })
+	view, rank := s.view(), s.fleet.Self().Rank
+	s.do(func() []laceconfig.Effect {
+		s.sweep(rank)
+		return s.replica.Tick(s.now(), view)
+	})
 }
 
 // Learn reads the platform now; the instance that has accepted an edit calls it.
--- a/lib/lacereplica/service_test.go
+++ b/lib/lacereplica/service_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -147,6 +148,32 @@
 	})
 }
 
+// Guards against bodies that nobody deletes, and against every instance listing them.
+func TestFirstInstanceSweeps(t *testing.T) {
+	for rank, want := range []int{1, 0} {
+		p := &sweeping{}
+		s := New(p, &fleet{self: Peer{Rank: rank}}, http.DefaultClient, laceconfig.Rule{Fresh: time.Second})
+		s.Tick()
+		s.Tick()
+		if err := s.Close(); err != nil {
+			t.Fatal(err)
+		}
+		if n := int(p.count.Load()); n != want {
+			t.Errorf("rank %d swept %d times", rank, n)
+		}
+	}
+}
+
+type sweeping struct {
+	platform
+	count atomic.Int32
+}
+
+func (s *sweeping) Sweep(context.Context) (int, error) {
+	s.count.Add(1)
+	return 0, nil
+}
+
 // Guards against a Close that returns while calls are in progress, and a Serve that outlives it.
 func TestCloseWaits(t *testing.T) {
 	entered, left := make(chan struct{}), make(chan struct{})
--- a/lib/lacetls/tls_test.go
+++ b/lib/lacetls/tls_test.go
@@ -92,8 +92,8 @@
 	return s
 }
 
-// meet connects both sides over loopback and returns what each of them says, after the server's serial number.
-func meet(t *testing.T, server, client *tls.Config) (serial int64, serverErr, clientErr error) {
+// handshake connects both sides over loopback and returns what each of them says, after the server's serial number.
+func handshake(t *testing.T, server, client *tls.Config) (serial int64, serverErr, clientErr error) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -136,16 +136,16 @@
 		c.VerifyConnection = nil
 		return c
 	}
-	if _, s, c := meet(t, good.MutualServer(), good.MutualClient()); s != nil || c != nil {
+	if _, s, c := handshake(t, good.MutualServer(), good.MutualClient()); s != nil || c != nil {
 		t.Fatalf("valid pair refused: %v, %v", s, c)
 	}
 	for name, client := range map[string]*Source{"no certificate": bare, "wrong authority": foreign, "expired": expired} {
-		if _, s, c := meet(t, good.MutualServer(), trusting(client)); s == nil || c == nil {
+		if _, s, c := handshake(t, good.MutualServer(), trusting(client)); s == nil || c == nil {
 			t.Errorf("%s: let in (server %v, client %v)", name, s, c)
 		}
 	}
 	for name, server := range map[string]*Source{"wrong authority": foreign, "expired": expired} {
-		if _, _, c := meet(t, server.Server(), good.MutualClient()); !errors.Is(c, ErrPeer) {
+		if _, _, c := handshake(t, server.Server(), good.MutualClient()); !errors.Is(c, ErrPeer) {
 			t.Errorf("server with %s: got %v", name, c)
 		}
 	}
@@ -157,7 +157,7 @@
 	s := source(t, a.issue(t, t.TempDir(), 1, time.Now().Add(time.Hour)))
 	c := s.Client()
 	c.ServerName = "elsewhere.example"
-	if _, _, err := meet(t, s.Server(), c); !errors.Is(err, ErrPeer) {
+	if _, _, err := handshake(t, s.Server(), c); !errors.Is(err, ErrPeer) {
 		t.Fatalf("got %v", err)
 	}
 }
@@ -178,7 +178,7 @@
 	}
 	cancel()
 	<-done
-	if serial, _, err := meet(t, server, client); err != nil || serial != 22 {
+	if serial, _, err := handshake(t, server, client); err != nil || serial != 22 {
 		t.Fatalf("serial %d, %v", serial, err)
 	}
 	if err := os.WriteFile(f.Key, []byte("broken"), 0o600); err != nil {
@@ -187,7 +187,7 @@
 	if err := s.Reload(); !errors.Is(err, ErrFiles) {
 		t.Fatalf("got %v", err)
 	}
-	if serial, _, err := meet(t, server, client); err != nil || serial != 22 {
+	if serial, _, err := handshake(t, server, client); err != nil || serial != 22 {
 		t.Fatalf("after a broken file: serial %d, %v", serial, err)
 	}
 }
