loadgen: experiments compare bills with the ledger itself

Cause: the sums of the callers' own knowledge can't disagree with themselves, so overspend and bills beyond the usage were hardly checked in experiments. Ruled out: balances read every second, whose platform calls would spoil the measured calls a request. Change: experiments read the balances from the ledger before and after a run; a run waits for settlements under way before it calls them missing; balances of the administration API are read every two seconds, samples show the callers' sums; a source that does not answer leaves the sums unchecked and says so.

--- a/loadgen/lacecommand/play.go
+++ b/loadgen/lacecommand/play.go
@@ -22,6 +22,9 @@
 // adminTimeout bounds one question for balances.
 const adminTimeout = 5 * time.Second
 
+// balancesEvery is the number of seconds between two reads of the balances; top-ups show with that delay.
+const balancesEvery = 2
+
 // play runs a workload once.
 func play(ctx context.Context, args []string, s streams) error {
 	flags := flag.NewFlagSet("loadgen run", flag.ContinueOnError)
@@ -50,7 +53,7 @@
 		if berr != nil {
 			return berr
 		}
-		options = append(options, laceload.WithBalances(balances))
+		options = append(options, laceload.WithBalances(balances, balancesEvery))
 	}
 	report, err := laceload.New(w, *seed, list, options...).Do(ctx)
 	if err != nil {
--- a/loadgen/laceexperiment/fleet.go
+++ b/loadgen/laceexperiment/fleet.go
@@ -37,6 +37,7 @@
 	dir        string
 	client     *http.Client
 	standin    *laceprocess.Process
+	operator   *operator
 
 	mu        sync.Mutex
 	instances []*laceprocess.Process
@@ -79,20 +80,23 @@
 	if err != nil {
 		return err
 	}
-	if err := f.ready(ctx, f.standin, "http://"+platform+"/v1/counts"); err != nil {
+	if err = f.ready(ctx, f.standin, "http://"+platform+"/v1/counts"); err != nil {
 		return err
 	}
-	if err := (operator{platform: laceunit.Address(platform)}).prepare(ctx, in.configuration, f.workload); err != nil {
+	if f.operator, err = newOperator(laceunit.Address(platform)); err != nil {
+		return err
+	}
+	if err = f.operator.prepare(ctx, in.configuration, f.workload); err != nil {
 		return err
 	}
 	f.instances = make([]*laceprocess.Process, f.experiment.Instances)
 	for i := range f.instances {
-		if err := f.launch(i); err != nil {
+		if err = f.launch(i); err != nil {
 			return err
 		}
 	}
 	for i, p := range f.instances {
-		if err := f.ready(ctx, p, "http://"+string(f.address(i))+"/readyz"); err != nil {
+		if err = f.ready(ctx, p, "http://"+string(f.address(i))+"/readyz"); err != nil {
 			return err
 		}
 	}
@@ -232,6 +236,9 @@
 		}()
 	}
 	all.Wait()
+	if f.operator != nil {
+		f.operator.close()
+	}
 	if f.standin != nil {
 		f.standin.Stop(stopPatience)
 	}
--- a/loadgen/laceexperiment/operator.go
+++ b/loadgen/laceexperiment/operator.go
@@ -13,29 +13,69 @@
 	"lacewingcove/lib/laceplatform"
 	"lacewingcove/lib/laceunit"
 	"lacewingcove/lib/lacewriter"
+	"lacewingcove/loadgen/laceload"
 	"lacewingcove/loadgen/laceworkload"
 )
 
 // shards is the number of shards of the settings' default, which every instance and the operator must share.
 const shards = 16
 
+// ledgerBalances reads balances from the platform, whichever instances are left.
+type ledgerBalances struct {
+	ledger *lacewriter.Ledger
+}
+
+// Name implements laceload.Balances.
+func (ledgerBalances) Name() string { return "ledger" }
+
+// Read implements laceload.Balances.
+func (l ledgerBalances) Read(ctx context.Context) (map[laceunit.BudgetID]laceload.Balance, error) {
+	all, err := l.ledger.Balances(ctx)
+	if err != nil {
+		return nil, errors.Wrap(err, "experiment: balances")
+	}
+	out := make(map[laceunit.BudgetID]laceload.Balance, len(all))
+	for _, b := range all {
+		out[b.Budget] = laceload.Balance{
+			Paid:    b.Paid,
+			Settled: b.Settled,
+		}
+	}
+	return out, nil
+}
+
 // operator sets a fleet up straight through the platform: it needs no operator token, and a top-up is as safe from
 // here as from an instance, since the platform's compare-and-swap decides.
 type operator struct {
-	platform laceunit.Address
+	store  laceplatform.Store
+	ledger *lacewriter.Ledger
 }
 
+// newOperator returns an operator that must be closed.
+func newOperator(platform laceunit.Address) (*operator, error) {
+	client, err := laceplatform.NewClient([]laceunit.Address{"http://" + platform}, laceplatform.WithName("loadgen"))
+	if err != nil {
+		return nil, errors.Wrap(err, "experiment")
+	}
+	self := lacewriter.Peer{Holder: laceunit.Holder{
+		Instance:    "loadgen",
+		Incarnation: 1,
+	}}
+	return &operator{
+		store:  client,
+		ledger: lacewriter.New(client, self, shards, alone{}, &http.Client{}),
+	}, nil
+}
+
+func (o *operator) close() { _ = o.ledger.Close() }
+
 type alone struct{}
 
 // Peers implements lacewriter.Peers.
 func (alone) Peers() []lacewriter.Peer { return nil }
 
 // prepare applies a configuration and pays for the workload's budgets.
-func (o operator) prepare(ctx context.Context, configuration string, w laceworkload.Workload) error {
-	client, err := laceplatform.NewClient([]laceunit.Address{"http://" + o.platform}, laceplatform.WithName("loadgen"))
-	if err != nil {
-		return errors.Wrap(err, "experiment")
-	}
+func (o *operator) prepare(ctx context.Context, configuration string, w laceworkload.Workload) error {
 	text, err := os.ReadFile(configuration)
 	if err != nil {
 		return errors.Wrap(err, "experiment")
@@ -44,7 +84,7 @@
 	if err != nil {
 		return errors.Wrap(err, configuration)
 	}
-	_, err = laceconfig.NewStore(client).Apply(ctx, laceconfig.Edit{
+	_, err = laceconfig.NewStore(o.store).Apply(ctx, laceconfig.Edit{
 		ID:   "experiment",
 		Who:  "loadgen",
 		At:   time.Now(),
@@ -53,19 +93,13 @@
 	if err != nil {
 		return errors.Wrap(err, "experiment: configuration")
 	}
-	return o.pay(ctx, client, w)
+	return o.pay(ctx, w)
 }
 
-func (o operator) pay(ctx context.Context, client laceplatform.Store, w laceworkload.Workload) error {
-	self := lacewriter.Peer{Holder: laceunit.Holder{
-		Instance:    "loadgen",
-		Incarnation: 1,
-	}}
-	ledger := lacewriter.New(client, self, shards, alone{}, &http.Client{})
-	defer func() { _ = ledger.Close() }()
+func (o *operator) pay(ctx context.Context, w laceworkload.Workload) error {
 	for account, a := range w.Accounts {
 		for _, b := range a.Budgets {
-			verdict, err := ledger.Append(ctx, laceledger.TopUp{
+			verdict, err := o.ledger.Append(ctx, laceledger.TopUp{
 				Budget:  laceledger.Scope(account, b.Name),
 				Account: account,
 				ID:      "experiment",
--- a/loadgen/laceexperiment/runner.go
+++ b/loadgen/laceexperiment/runner.go
@@ -97,7 +97,8 @@
 	if !v.Without {
 		defer r.disturb(ctx, s)()
 	}
-	o.Report, err = laceload.New(w, number, f.addresses(), laceload.WithProgress(r.progress)).Do(ctx)
+	o.Report, err = laceload.New(w, number, f.addresses(), laceload.WithProgress(r.progress),
+		laceload.WithBalances(ledgerBalances{ledger: f.operator.ledger}, 0)).Do(ctx)
 	if err != nil {
 		return Outcome{}, err
 	}
--- a/loadgen/laceload/run.go
+++ b/loadgen/laceload/run.go
@@ -32,9 +32,11 @@
 	progress  io.Writer
 	client    *http.Client
 	balances  Balances
-	tally     *tally
-	callers   map[laceunit.AccountID]*lacecaller.Caller
-	tag       string
+	// every is how many samples lie between two reads of the balances; 0 means none while requests arrive.
+	every   int
+	tally   *tally
+	callers map[laceunit.AccountID]*lacecaller.Caller
+	tag     string
 	// before are the balances at the start.
 	before   map[laceunit.BudgetID]Balance
 	platform wirePlatform
@@ -49,9 +51,10 @@
 	return func(r *Run) { r.progress = w }
 }
 
-// WithBalances reads balances from a source other than the callers' own knowledge.
-func WithBalances(b Balances) Option {
-	return func(r *Run) { r.balances = b }
+// WithBalances reads balances from a source other than the callers' own knowledge, before and after the run and once
+// every so many samples; 0 means not in between. Reads cost platform calls, which the run counts.
+func WithBalances(b Balances, every int) Option {
+	return func(r *Run) { r.balances, r.every = b, every }
 }
 
 // WithTag sets the begin of the request ids; without it each run has its own.
--- a/loadgen/laceload/run_test.go
+++ b/loadgen/laceload/run_test.go
@@ -94,7 +94,7 @@
 	}
 	r = play(t, newFake(t, "spent"), WithBalances(&figures{
 		paid: 1,
-	}))
+	}, 0))
 	if r.False.Final != 0 {
 		t.Errorf("%+v with nothing left", r.False)
 	}
@@ -131,7 +131,7 @@
 		got := play(t, newFake(t, ""), WithBalances(&figures{
 			paid:    c.paid,
 			settled: c.settled,
-		}), WithTag("same")).Broken
+		}, 0), WithTag("same")).Broken
 		want := Broken{
 			Overspend: c.overspend,
 			Excess:    c.excess,
--- a/loadgen/laceload/verify.go
+++ b/loadgen/laceload/verify.go
@@ -213,26 +213,47 @@
 	}
 }
 
-// checkBalances compares what was settled with what was paid and used.
+// checkBalances compares what was settled with what was paid and used. Settlements that are still on their way get the
+// time of an unknown outcome to arrive.
 func (r *Run) checkBalances(ctx context.Context) {
+	waiting, cancel := context.WithTimeout(ctx, r.workload.Retry.Ask)
+	defer cancel()
+	for r.compareBalances(ctx) {
+		timer := time.NewTimer(settleEvery)
+		select {
+		case <-waiting.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
+		}
+	}
+}
+
+// compareBalances returns true while less was settled than used.
+func (r *Run) compareBalances(ctx context.Context) bool {
 	t := r.tally
-	known, _ := knownBalances{tally: t}.Read(ctx) // Never fails.
-	r.report.Billing.Source = r.balances.Name()
+	bill := Billing{
+		Source:     r.balances.Name(),
+		Verified:   r.report.Billing.Verified,
+		Unanswered: r.report.Billing.Unanswered,
+	}
 	now, err := r.balances.Read(ctx)
 	if err != nil {
 		r.unchecked(err)
-		now = known
-		r.report.Billing.Source = knownBalances{}.Name()
+		return false
 	}
-	r.report.Billing.Paid, r.report.Billing.Settled = total(now, r.before)
+	bill.Paid, bill.Settled = total(now, r.before)
+	t.faults.Overspend, t.faults.Excess, t.faults.Shortfall = 0, 0, 0
 	for id, b := range t.budgets {
 		balance := now[id]
 		t.faults.Overspend += max(0, balance.Settled-balance.Paid)
 		settled := balance.Settled - r.before[id].Settled
-		r.report.Billing.Usage += b.billed
+		bill.Usage += b.billed
 		t.faults.Excess += max(0, settled-b.billed-b.doubtful)
 		t.faults.Shortfall += max(0, b.billed-settled)
 	}
+	r.report.Billing = bill
+	return t.faults.Shortfall > 0
 }
 
 // fill copies the tally into the report.
--- a/loadgen/laceload/watch.go
+++ b/loadgen/laceload/watch.go
@@ -39,6 +39,9 @@
 			case <-ticker.C:
 			}
 			r.sample(ctx, began)
+			if r.every > 0 && n%r.every == 0 {
+				r.refresh(ctx)
+			}
 			if n%progressEvery == 0 {
 				r.line()
 			}
@@ -71,11 +74,7 @@
 	s := Sample{Second: time.Since(began).Seconds()}
 	if n := len(r.report.Samples); n > 0 {
 		last := r.report.Samples[n-1]
-		s.Paid, s.Spent, s.Platform, s.Writes = last.Paid, last.Spent, last.Platform, last.Writes
-	}
-	if balances, err := r.balances.Read(ctx); err == nil {
-		r.tally.paid(balances, r.before)
-		s.Paid, s.Spent = total(balances, r.before)
+		s.Platform, s.Writes = last.Platform, last.Writes
 	}
 	if address := r.workload.Standin.Platform; address != "" {
 		var now wirePlatform
@@ -86,12 +85,23 @@
 	}
 	r.tally.mu.Lock()
 	s.Running, s.Done, s.NotRun = r.tally.running, r.tally.counts.Done, r.tally.counts.NotRun
+	for _, b := range r.tally.budgets {
+		s.Paid += b.paid
+		s.Spent += b.billed
+	}
 	r.tally.mu.Unlock()
 	if ctx.Err() == nil {
 		r.report.Samples = append(r.report.Samples, s)
 	}
 }
 
+// refresh takes over what was paid meanwhile; what can't be read now keeps its last value.
+func (r *Run) refresh(ctx context.Context) {
+	if balances, err := r.balances.Read(ctx); err == nil {
+		r.tally.paid(balances, r.before)
+	}
+}
+
 // total returns what was paid and spent, counted from the balances before.
 func total(now, before map[laceunit.BudgetID]Balance) (paid, spent laceunit.Tokens) {
 	for id, b := range now {
