laceledger: an offline call keeps its id when its grant is gone

Cause: a free call, or one whose grant an operator had released too early, was refused by the ledger after it had run offline, so a retry ran it again. Change: the record of a non-idempotent call is always taken; it bills what the grant still holds and never more. Measured: TestOfflineCallOfAGoneGrantKeepsItsID; without the change it fails with "finished false: {Result:closed ...}".

--- a/lib/laceledger/offline.go
+++ b/lib/laceledger/offline.go
@@ -34,15 +34,20 @@
 // addOffline reserves or bills against the grant that the record names; open is another attempt's reservation, which ends.
 func (d *draft) addOffline(b *budget, r Offline, open *request) Verdict {
 	g := d.grant(b, r.Grant)
-	if g == nil {
+	switch {
+	case g == nil && r.Idempotent:
 		return Verdict{Result: Closed}
-	}
-	if g.free() < r.Tokens {
+	case g == nil:
+		// The grant was released too early, or the call costs nothing. The id must be known all the same, because the
+		// call has run; nothing can be billed any more.
+		g = &grant{}
+	case g.free() < r.Tokens && r.Idempotent:
 		return Verdict{
 			Result:  Short,
 			Offline: g.Offline,
 		}
 	}
+	r.Tokens = min(r.Tokens, g.free())
 	n := request{Existing: Existing{
 		Request:    b.request(r.Request),
 		Budget:     b.id,
