--- a/lib/lacebackend/http_test.go
+++ b/lib/lacebackend/http_test.go
@@ -261,7 +261,16 @@
 	if c, err := h.Condition(ctx, server); err != nil || c.Fence != 7 || c.Role != "draft" || c.Models[0] != "m" || c.Versions["m"] != "2" {
 		t.Errorf("got %+v, %v", c, err)
 	}
-	status, answer, outcome = 409, "%.0s", "not_run"
+}
+
+// Guards against an order that counts as refused or applied when its outcome is not known.
+func TestOrderOutcomes(t *testing.T) {
+	status, outcome := 409, "not_run"
+	h, server := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(headerOutcome, outcome)
+		w.WriteHeader(status)
+	})
+	ctx := context.Background()
 	if o, err := h.Order(ctx, server, laceorder.Order{Kind: laceorder.KindRole}); !errors.Is(err, ErrRefused) || o != laceorder.OutcomeStale {
 		t.Errorf("got %v, %v", o, err)
 	}
--- a/lib/lacebackend/invoke.go
+++ b/lib/lacebackend/invoke.go
@@ -48,49 +48,26 @@
 // checkReply reads the whole answer and returns it only when it is this attempt's and complete.
 func checkReply(resp *http.Response, invocation Invocation, maximum int64) (Reply, *Error) {
 	if resp.Header.Get(headerAttempt) != string(invocation.Attempt) {
-		return Reply{}, &Error{
-			Effect: EffectUnknown,
-			Reason: ErrAttempt,
-		}
+		return Reply{}, unusable(EffectUnknown, ErrAttempt, nil)
 	}
 	if resp.Header.Get(headerOutcome) == outcomeNotRun && resp.StatusCode >= http.StatusBadRequest {
-		return Reply{}, &Error{
-			Effect: EffectNone,
-			Reason: ErrRefused,
-		}
+		return Reply{}, unusable(EffectNone, ErrRefused, nil)
 	}
 	// An answer that ends with the connection can't be told from a cut one.
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
-		return Reply{}, &Error{
-			Effect: EffectRan,
-			Reason: ErrLength,
-		}
+		return Reply{}, unusable(EffectRan, ErrLength, nil)
 	}
 	if resp.ContentLength > maximum {
-		return Reply{}, &Error{
-			Effect: EffectRan,
-			Reason: ErrTooLong,
-		}
+		return Reply{}, unusable(EffectRan, ErrTooLong, nil)
 	}
 	body, err := readBounded(resp.Body, maximum)
 	switch {
 	case errors.Is(err, ErrTooLong):
-		return Reply{}, &Error{
-			Effect: EffectRan,
-			Reason: ErrTooLong,
-		}
+		return Reply{}, unusable(EffectRan, ErrTooLong, nil)
 	case errors.Is(err, io.ErrUnexpectedEOF):
-		return Reply{}, &Error{
-			Effect: EffectRan,
-			Reason: ErrLength,
-			Cause:  err,
-		}
+		return Reply{}, unusable(EffectRan, ErrLength, err)
 	case err != nil:
-		return Reply{}, &Error{
-			Effect: EffectRan,
-			Reason: ErrCut,
-			Cause:  err,
-		}
+		return Reply{}, unusable(EffectRan, ErrCut, err)
 	}
 	return Reply{
 		Status: resp.StatusCode,
@@ -99,6 +76,14 @@
 	}, nil
 }
 
+func unusable(effect Effect, reason, cause error) *Error {
+	return &Error{
+		Effect: effect,
+		Reason: reason,
+		Cause:  cause,
+	}
+}
+
 // forwarded copies a header without the fields that belong to one connection, to the caller's key or to this
 // protocol. Idempotency-Key is among them because the transport repeats a request that carries it.
 func forwarded(header http.Header) http.Header {
--- a/lib/lacebalancer/balancer_test.go
+++ b/lib/lacebalancer/balancer_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"syscall"
 	"testing"
 	"time"
 
@@ -207,11 +206,10 @@
 		if deadline > 0 {
 			r.Deadline = at(deadline)
 		}
-		d := pick(b, start(), r)
-		if d.Verdict != Waiting {
-			t.Fatalf("got %+v", d)
+		waiting = append(waiting, pick(b, start(), r))
+		if waiting[len(waiting)-1].Verdict != Waiting {
+			t.Fatalf("got %+v", waiting)
 		}
-		waiting = append(waiting, d)
 	}
 	if d := pick(b, start(), request()); d.Reason != QueueFull || d.RetryAfter <= 0 {
 		t.Fatalf("got %+v", d)
@@ -291,113 +289,3 @@
 		t.Errorf("an older report replaced a newer one: %v", s.others)
 	}
 }
-
-// Guards against a hot prefix that overloads its server, a prefix without a home, excluded and suspect servers that
-// are used while others are open.
-func TestAffinityIsBounded(t *testing.T) {
-	b := balancer(t, laceconfig.Routing{Bound: 1.25}, engines(10, 1000))
-	hot, homes := request(), map[laceunit.ServerID]int{}
-	hot.Prefix = 42
-	for range 400 {
-		homes[pick(b, start(), hot).Server]++
-	}
-	for id, n := range homes {
-		if n > 51 {
-			t.Errorf("%s holds %d of 400 requests", id, n)
-		}
-	}
-	b = balancer(t, laceconfig.Routing{}, engines(10, 1000))
-	home := pick(b, start(), hot)
-	for range 20 {
-		b.Done(start(), home.Ticket, Success, 0)
-		if d := pick(b, start(), hot); d.Server != home.Server {
-			t.Fatal("a prefix moved without need")
-		} else {
-			home = d
-		}
-	}
-	// s0 comes late in the rendezvous order of the prefix, and other servers follow it in the list.
-	b.Cached("s0", 42, true)
-	b.Cached("s4", 42, true)
-	b.Cached("s4", 42, false)
-	if d := pick(b, start(), hot); d.Server != "s0" {
-		t.Errorf("got %s and not the server that holds the prefix", d.Server)
-	}
-	b.Suspect(start(), "s0")
-	hot.Exclude = []laceunit.ServerID{home.Server}
-	for range 20 {
-		if d := pick(b, start(), hot); d.Server == "s0" || d.Server == home.Server {
-			t.Fatalf("got %s", d.Server)
-		}
-	}
-	b.Update(start(), engines(1, 9), nil)
-	hot.Exclude = []laceunit.ServerID{"s0"}
-	if d := pick(b, start(), hot); d.Server != "s0" {
-		t.Errorf("the only server is not used for a retry: %+v", d)
-	}
-	if d := pick(b, start(), Request{Pool: ModelPool("other")}); d.Reason != NoServer {
-		t.Errorf("got %+v", d)
-	}
-}
-
-// Guards against a prefix that fills its server to the last slot, and against instances without reports that all fill
-// the same server.
-func TestAffinityKeepsHeadroomAndSpreadsWhenBlind(t *testing.T) {
-	b := balancer(t, laceconfig.Routing{Bound: 100}, engines(2, 10))
-	r := request()
-	r.Prefix = 42
-	homes := map[laceunit.ServerID]int{}
-	for range 10 {
-		homes[pick(b, start(), r).Server]++
-	}
-	if homes["s0"] != 9 && homes["s1"] != 9 {
-		t.Errorf("got %v, want 9 of 10 slots used", homes)
-	}
-	for _, c := range []struct {
-		reports  bool
-		min, max int
-	}{{false, 10, 64}, {true, 1, 1}} {
-		seen := map[laceunit.ServerID]bool{}
-		for n := range uint64(64) {
-			one, _ := New(laceconfig.Routing{}, rand.New(rand.NewPCG(seed, n)).IntN)
-			f := engines(50, 10)
-			one.Update(start(), f, nil)
-			for id := range f {
-				if c.reports {
-					one.Report(start(), id, Load{}, 0)
-				}
-			}
-			one.Done(start(), pick(one, start(), r).Ticket, Success, 0)
-			seen[pick(one, start(), r).Server] = true
-		}
-		if len(seen) < c.min || len(seen) > c.max {
-			t.Errorf("reports %v: 64 instances use %d servers for a prefix", c.reports, len(seen))
-		}
-	}
-}
-
-// cpu returns the processor time of the process, which other load on the machine leaves alone.
-func cpu() time.Duration {
-	var u syscall.Rusage
-	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
-}
-
-// BenchmarkPick measures one choice and its end.
-func BenchmarkPick(b *testing.B) {
-	for _, policy := range []string{PolicyRoundRobin, PolicyLeast, PolicyAffinity} {
-		for _, n := range []int{10, 150, 1500} {
-			b.Run(fmt.Sprintf("%s/%d", policy, n), func(b *testing.B) {
-				l := balancer(b, laceconfig.Routing{Policy: policy}, engines(n, 64))
-				r := request()
-				before := cpu()
-				for i := 0; b.Loop(); i++ {
-					r.Prefix = mix(uint64(i%1000)) | 1
-					d, _ := l.Pick(start(), r)
-					l.Done(start(), d.Ticket, Success, time.Second)
-				}
-				b.ReportMetric(float64(cpu()-before)/float64(b.N), "cpu-ns/op")
-			})
-		}
-	}
-}
--- a/lib/lacebalancer/pick.go
+++ b/lib/lacebalancer/pick.go
@@ -160,10 +160,6 @@
 	}
 	open := b.scratch[:0]
 	var suspects, healthy, reported int
-	salt := uint64(0)
-	if p.blind {
-		salt = b.salt
-	}
 	var rested *server
 	for _, s := range p.servers {
 		if s.leaving || slices.Contains(exclude, s.id) {
@@ -179,7 +175,7 @@
 		if now.Sub(s.reported) < fresh {
 			reported++
 		}
-		s.salt = salt
+		s.salt = p.order(b.salt)
 		s.weigh(now, mean)
 		if s.slots > 0 && s.estimate >= limit*float64(s.slots) {
 			continue
@@ -204,6 +200,14 @@
 	return p.policy.Choose(open, r.Prefix, b.random), false
 }
 
+// order returns the salt of the rendezvous order that the pool uses.
+func (p *pool) order(salt uint64) uint64 {
+	if p.blind {
+		return salt
+	}
+	return 0
+}
+
 func (p *pool) view() view {
 	n := float64(len(p.servers))
 	return view{
