demo: runs against the administration API; experiments take the shards from the settings

Cause: instances serve the administration API now, balances are listed by account and budget, and the default number of shards has changed, which the experiments' top-ups had as a constant. Ruled out: the shard number in the experiment file, since the instances' settings and the variant's flags decide it. Change: the operator of an experiment reads the shards from the same settings and flags; the test of the balances follows the new form; the scarce budgets of the demo are small enough to run out before their top-up.

--- a/loadgen/laceexperiment/fleet.go
+++ b/loadgen/laceexperiment/fleet.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"lacewingcove/lib/lacesetting"
 	"lacewingcove/lib/laceunit"
 	"lacewingcove/loadgen/laceprocess"
 	"lacewingcove/loadgen/laceworkload"
@@ -83,7 +84,11 @@
 	if err = f.ready(ctx, f.standin, "http://"+platform+"/v1/counts"); err != nil {
 		return err
 	}
-	if f.operator, err = newOperator(laceunit.Address(platform)); err != nil {
+	settings, _, err := lacesetting.Load("loadgen", append([]string{"-settings", f.experiment.Settings}, f.variant.Flags...), io.Discard)
+	if err != nil {
+		return errors.Wrap(err, "experiment: settings of the instances")
+	}
+	if f.operator, err = newOperator(laceunit.Address(platform), settings.Ledger.Shards); err != nil {
 		return err
 	}
 	if err = f.operator.prepare(ctx, in.configuration, f.workload); err != nil {
--- a/loadgen/laceexperiment/operator.go
+++ b/loadgen/laceexperiment/operator.go
@@ -17,9 +17,6 @@
 	"lacewingcove/loadgen/laceworkload"
 )
 
-// shards is the number of shards of the settings' default, which every instance and the operator must share.
-const shards = 16
-
 // ledgerBalances reads balances from the platform, whichever instances are left.
 type ledgerBalances struct {
 	ledger *lacewriter.Ledger
@@ -52,7 +49,7 @@
 }
 
 // newOperator returns an operator that must be closed.
-func newOperator(platform laceunit.Address) (*operator, error) {
+func newOperator(platform laceunit.Address, shards int) (*operator, error) {
 	client, err := laceplatform.NewClient([]laceunit.Address{"http://" + platform}, laceplatform.WithName("loadgen"))
 	if err != nil {
 		return nil, errors.Wrap(err, "experiment")
--- a/loadgen/laceload/run_test.go
+++ b/loadgen/laceload/run_test.go
@@ -150,7 +150,7 @@
 			http.NotFound(w, r)
 			return
 		}
-		_, _ = w.Write([]byte(`{"budgets":[{"id":"a/b","account":"a","paid":9,"settled":4,"outstanding":2,"left":3}]}`))
+		_, _ = w.Write([]byte(`{"budgets":[{"id":"b","account":"a","paid":9,"settled":4,"outstanding":2,"left":3}]}`))
 	}))
 	defer s.Close()
 	b := NewAdminBalances(&laceadmin.Client{
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -168,8 +168,8 @@
 for which in "${@:-coop shrestha}"; do
   for d in $which; do
     case $d in
-    coop) deployment coop 7300 8000 available training 3000 'coop-a coop-b coop-c coop-d' ;;
-    shrestha) deployment shrestha 7400 8100 strict public 100 'shrestha-a shrestha-b shrestha-c' ;;
+    coop) deployment coop 7300 8000 available training 300 'coop-a coop-b coop-c coop-d' ;;
+    shrestha) deployment shrestha 7400 8100 strict public 30 'shrestha-a shrestha-b shrestha-c' ;;
     *) fail "no deployment is called $d" ;;
     esac
   done
