lacegateway: bounds for slow callers; token rate charged by use

Cause: a caller that read nothing held its reservation and an engine slot; a body could be sent for ever; the token rate of a client account was charged the whole ceiling, so long max_tokens met the limit long before the use did. Ruled out: http.Server.ReadTimeout, which ends the watch for disconnects and would cut streams longer than the timeout. Change: read deadline for the body, write deadline for stream parts, a failed write counts as a disconnect; prompt at admission, output at the end. Measured: TestDeafCallerEndsItsRequest; without the Gone input it hangs until the test's timeout.

--- a/lib/lacegateway/admitter.go
+++ b/lib/lacegateway/admitter.go
@@ -7,6 +7,7 @@
 	"lacewingcove/lib/laceconfig"
 	"lacewingcove/lib/lacefault"
 	"lacewingcove/lib/lacelimit"
+	"lacewingcove/lib/laceunit"
 )
 
 // Admitter runs the admission limits of an instance; it implements Limiter.
@@ -41,7 +42,7 @@
 }
 
 // Admit implements Limiter.
-func (a *Admitter) Admit(ctx context.Context, admission Admission) (func(), *lacefault.Fault) {
+func (a *Admitter) Admit(ctx context.Context, admission Admission) (func(laceunit.Tokens), *lacefault.Fault) {
 	b := a.board
 	b.mu.Lock()
 	decision, others := a.limiter.Admit(a.now(), lacelimit.Request{
@@ -66,7 +67,7 @@
 			RetryAfter: decision.RetryAfter,
 		}
 	}
-	return func() { a.done(decision.Ticket) }, nil
+	return func(output laceunit.Tokens) { a.done(decision.Ticket, output) }, nil
 }
 
 // wait returns the decision on a waiting request; a caller that leaves gives its place up.
@@ -91,11 +92,11 @@
 	return <-c
 }
 
-func (a *Admitter) done(ticket lacelimit.Ticket) {
+func (a *Admitter) done(ticket lacelimit.Ticket, output laceunit.Tokens) {
 	b := a.board
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.deliver(a.limiter.Done(a.now(), ticket, 0))
+	b.deliver(a.limiter.Done(a.now(), ticket, output))
 }
 
 // serveTicks runs a board's tick until the context ends.
--- a/lib/lacegateway/chat.go
+++ b/lib/lacegateway/chat.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/oklog/ulid/v2"
 	"github.com/pkg/errors"
@@ -25,6 +26,9 @@
 // defaultBody is the body limit in bytes when the document sets none.
 const defaultBody = 4 << 20
 
+// bodyTimeout bounds the time in which a caller may send its body.
+const bodyTimeout = 30 * time.Second
+
 type wireMessage struct {
 	Role    string          `json:"role"`
 	Content json.RawMessage `json:"content"`
@@ -186,7 +190,11 @@
 	if limit <= 0 {
 		limit = defaultBody
 	}
+	// The deadline is taken back after the body: it would end the watch for callers that disconnect.
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
--- a/lib/lacegateway/driver.go
+++ b/lib/lacegateway/driver.go
@@ -15,6 +15,7 @@
 	"lacewingcove/lib/laceplatform"
 	"lacewingcove/lib/lacerequest"
 	"lacewingcove/lib/lacetrace"
+	"lacewingcove/lib/laceunit"
 )
 
 // message is an input with what the driver notes when it takes it, or undoes when it came too late.
@@ -41,6 +42,8 @@
 	attempt context.CancelFunc
 	header  http.Header
 	first   bool
+	// output is what the caller's rate limit is charged at the end.
+	output laceunit.Tokens
 	// copied is true once a journal entry may exist.
 	copied bool
 }
@@ -168,11 +171,14 @@
 		d.lookup()
 	case lacerequest.Emit:
 		d.noteFirst()
-		d.task.sink.chunk(e.Text)
+		if err := d.task.sink.chunk(e.Text); err != nil {
+			d.work(func() { d.post(lacerequest.Gone{}) })
+		}
 	case lacerequest.Reply:
 		g.metrics.done(g.now().Sub(d.started))
 		d.task.sink.reply(e.Answer, d.header, e.Missing)
 	case lacerequest.Finish:
+		d.output = e.Output
 		g.metrics.done(g.now().Sub(d.started))
 		d.task.sink.finish(e.Prompt, e.Output)
 	case lacerequest.Refuse:
--- a/lib/lacegateway/fake_test.go
+++ b/lib/lacegateway/fake_test.go
@@ -239,8 +239,8 @@
 	}, nil
 }
 
-func (f *fakeWorld) Admit(context.Context, Admission) (func(), *lacefault.Fault) {
-	return func() {}, nil
+func (f *fakeWorld) Admit(context.Context, Admission) (func(laceunit.Tokens), *lacefault.Fault) {
+	return func(laceunit.Tokens) {}, nil
 }
 
 // fixture is a gateway over fakes.
--- a/lib/lacegateway/gateway.go
+++ b/lib/lacegateway/gateway.go
@@ -108,15 +108,16 @@
 
 // Limiter admits requests.
 type Limiter interface {
-	// Admit returns a function to call when the request ends, or the refusal.
-	Admit(ctx context.Context, admission Admission) (func(), *lacefault.Fault)
+	// Admit returns a function to call when the request ends, with the tokens of its output, or the refusal.
+	Admit(ctx context.Context, admission Admission) (func(output laceunit.Tokens), *lacefault.Fault)
 }
 
 // Admission is what the limiter has to know of a request.
 type Admission struct {
 	Account  laceunit.AccountID
 	Priority laceunit.Priority
-	Tokens   laceunit.Tokens
+	// Tokens are due at once: the prompt, or the price of a service call.
+	Tokens laceunit.Tokens
 	// Limits are the client account's own limits.
 	Limits laceconfig.AccountLimits
 }
--- a/lib/lacegateway/gateway_test.go
+++ b/lib/lacegateway/gateway_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"testing"
 
+	"github.com/pkg/errors"
+
 	"lacewingcove/lib/lacebackend"
 	"lacewingcove/lib/lacefault"
 	"lacewingcove/lib/laceledger"
@@ -148,6 +150,29 @@
 	}
 }
 
+// deafWriter fails every write, as a connection does whose caller reads nothing until the write deadline.
+type deafWriter struct {
+	*httptest.ResponseRecorder
+}
+
+func (w deafWriter) Write([]byte) (int, error) {
+	return 0, errors.New("write deadline exceeded")
+}
+
+// Guards against a caller that reads nothing and holds its reservation until the engine has ended.
+func TestDeafCallerEndsItsRequest(t *testing.T) {
+	f := newFixture()
+	f.backend.hold = make(chan struct{})
+	w := deafWriter{ResponseRecorder: httptest.NewRecorder()}
+	f.gateway.Handler().ServeHTTP(w, request(http.MethodPost, "/v1/chat/completions", "r7", chatBody))
+	if err := f.gateway.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if b, _ := f.ledger.Balance(context.Background(), testBudget); b.Grants[0].Reserved != 0 {
+		t.Fatalf("%+v", b.Grants)
+	}
+}
+
 // cutWriter disconnects after the first bytes.
 type cutWriter struct {
 	*httptest.ResponseRecorder
--- a/lib/lacegateway/run.go
+++ b/lib/lacegateway/run.go
@@ -52,14 +52,15 @@
 	release, fault := g.deps.Limiter.Admit(r.Context(), Admission{
 		Account:  t.caller.id,
 		Priority: t.choice.Priority,
-		Tokens:   t.spec.Ceiling,
+		Tokens:   t.due(),
 		Limits:   t.caller.account.Limits,
 	})
 	if fault != nil {
 		g.refuse(w, fault)
 		return
 	}
-	defer release()
+	var output laceunit.Tokens
+	defer func() { release(output) }()
 	t.choice.Once = !t.spec.Idempotent
 	t.spec.Request = t.request()
 	t.spec.Budget = t.caller.budget
@@ -83,6 +84,15 @@
 	t.spec.Grant = reservation.Grant
 	d := newDriver(g, t, reservation)
 	d.loop(r.Context())
+	output = d.output
+}
+
+// due is what the rate limit of the client account is charged at admission; the output follows when it is known.
+func (t *task) due() laceunit.Tokens {
+	if t.invocation != nil {
+		return t.spec.Price
+	}
+	return t.spec.Prompt
 }
 
 // reserve takes the ceiling from the wallet.
--- a/lib/lacegateway/sink.go
+++ b/lib/lacegateway/sink.go
@@ -5,15 +5,22 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"time"
+
+	"github.com/pkg/errors"
 
 	"lacewingcove/lib/lacefault"
 	"lacewingcove/lib/laceledger"
 	"lacewingcove/lib/laceunit"
 )
 
+// writeTimeout bounds the wait for a caller that does not read its stream.
+const writeTimeout = 30 * time.Second
+
 // sink writes one answer to the caller.
 type sink interface {
-	chunk(text string)
+	// chunk sends a part of the answer; an error means that the caller can't be reached any more.
+	chunk(text string) error
 	finish(prompt, output laceunit.Tokens)
 	reply(answer laceledger.Answer, header http.Header, missing bool)
 	refuse(fault *lacefault.Fault)
@@ -64,16 +71,16 @@
 	}
 }
 
-func (s *chatSink) chunk(text string) {
+func (s *chatSink) chunk(text string) error {
 	if !s.stream {
 		s.text.WriteString(text)
-		return
+		return nil
 	}
 	delta := &wireDelta{Content: text}
 	if !s.begun {
 		delta.Role = "assistant"
 	}
-	s.event(wireChoice{Delta: delta}, nil)
+	return s.event(wireChoice{Delta: delta}, nil)
 }
 
 func (s *chatSink) finish(prompt, output laceunit.Tokens) {
@@ -84,7 +91,8 @@
 	}
 	stop := "stop"
 	if s.stream {
-		s.event(wireChoice{
+		// Whether the end arrives is the caller's to see: without it the caller asks again with the same id.
+		_ = s.event(wireChoice{
 			Delta:  &wireDelta{},
 			Finish: &stop,
 		}, usage)
@@ -119,7 +127,7 @@
 	s.flush()
 }
 
-func (s *chatSink) event(choice wireChoice, usage *wireUsage) {
+func (s *chatSink) event(choice wireChoice, usage *wireUsage) error {
 	if !s.begun {
 		s.begun = true
 		h := s.w.Header()
@@ -127,10 +135,15 @@
 		h.Set("Cache-Control", "no-store")
 		h.Set(headerID, string(s.id))
 	}
+	// A caller that reads nothing for that long has left; its reservation must not stay.
+	_ = http.NewResponseController(s.w).SetWriteDeadline(time.Now().Add(writeTimeout))
 	// A struct of strings and numbers always encodes.
 	b, _ := json.Marshal(s.completion("chat.completion.chunk", choice, usage))
-	_, _ = fmt.Fprintf(s.w, "data: %s\n\n", b)
+	if _, err := fmt.Fprintf(s.w, "data: %s\n\n", b); err != nil {
+		return errors.Wrap(err, "caller")
+	}
 	s.flush()
+	return nil
 }
 
 func (s *chatSink) completion(object string, choice wireChoice, usage *wireUsage) wireCompletion {
@@ -155,7 +168,7 @@
 	id laceunit.RequestID
 }
 
-func (s *serviceSink) chunk(string) {}
+func (s *serviceSink) chunk(string) error { return nil }
 
 func (s *serviceSink) finish(_, _ laceunit.Tokens) {}
 
