lacegateway: one wait for both queues

Cause: duplicates showed the same wait in the admitter and the selector. Ruled out: leaving it; a fix in one would miss the other. Change: board.wait takes the cancellation and the refusal. Measured: go test ./lacegateway passes.

--- a/lib/lacegateway/admitter.go
+++ b/lib/lacegateway/admitter.go
@@ -55,7 +55,11 @@
 	if decision.Verdict == lacelimit.Waiting {
 		c := b.await(decision.Ticket)
 		b.mu.Unlock()
-		decision = a.wait(ctx, decision.Ticket, c)
+		decision = b.wait(ctx, decision.Ticket, c, a.limiter.Cancel, lacelimit.Decision{
+			Ticket:  decision.Ticket,
+			Verdict: lacelimit.Refused,
+			Code:    lacefault.Overloaded,
+		})
 	} else {
 		b.mu.Unlock()
 	}
@@ -70,28 +74,6 @@
 	return func(output laceunit.Tokens) { a.done(decision.Ticket, output) }, nil
 }
 
-// wait returns the decision on a waiting request; a caller that leaves gives its place up.
-func (a *Admitter) wait(ctx context.Context, ticket lacelimit.Ticket, c <-chan lacelimit.Decision) lacelimit.Decision {
-	select {
-	case d := <-c:
-		return d
-	case <-ctx.Done():
-	}
-	b := a.board
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if a.limiter.Cancel(ticket) {
-		delete(b.waiting, ticket)
-		return lacelimit.Decision{
-			Ticket:  ticket,
-			Verdict: lacelimit.Refused,
-			Code:    lacefault.Overloaded,
-		}
-	}
-	// The decision was made while the caller left.
-	return <-c
-}
-
 func (a *Admitter) done(ticket lacelimit.Ticket, output laceunit.Tokens) {
 	b := a.board
 	b.mu.Lock()
--- a/lib/lacegateway/board.go
+++ b/lib/lacegateway/board.go
@@ -1,6 +1,7 @@
 package lacegateway
 
 import (
+	"context"
 	"sync"
 	"time"
 )
@@ -37,6 +38,23 @@
 	return c
 }
 
+// wait returns the decision on a waiting request; a caller that leaves gives its place up and gets the refusal.
+func (b *board[K, D]) wait(ctx context.Context, key K, c <-chan D, cancel func(K) bool, refused D) D {
+	select {
+	case d := <-c:
+		return d
+	case <-ctx.Done():
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if cancel(key) {
+		delete(b.waiting, key)
+		return refused
+	}
+	// The decision was made while the caller left.
+	return <-c
+}
+
 // deliver hands decisions out; the mutex must be held.
 func (b *board[K, D]) deliver(decisions []D) {
 	for _, d := range decisions {
--- a/lib/lacegateway/selector.go
+++ b/lib/lacegateway/selector.go
@@ -67,7 +67,11 @@
 	if decision.Verdict == lacebalancer.Waiting {
 		c := b.await(decision.Ticket)
 		b.mu.Unlock()
-		decision = s.wait(ctx, decision.Ticket, c)
+		decision = b.wait(ctx, decision.Ticket, c, s.balancer.Cancel, lacebalancer.Decision{
+			Ticket:  decision.Ticket,
+			Verdict: lacebalancer.Refused,
+			Reason:  lacebalancer.Late,
+		})
 	} else {
 		b.mu.Unlock()
 	}
@@ -108,28 +112,6 @@
 	}
 }
 
-// wait returns the decision on a waiting request; a caller that leaves gives its place up.
-func (s *Selector) wait(ctx context.Context, ticket lacebalancer.Ticket, c <-chan lacebalancer.Decision) lacebalancer.Decision {
-	select {
-	case d := <-c:
-		return d
-	case <-ctx.Done():
-	}
-	b := s.board
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if s.balancer.Cancel(ticket) {
-		delete(b.waiting, ticket)
-		return lacebalancer.Decision{
-			Ticket:  ticket,
-			Verdict: lacebalancer.Refused,
-			Reason:  lacebalancer.Late,
-		}
-	}
-	// The decision was made while the caller left.
-	return <-c
-}
-
 func balancerResult(result Result) lacebalancer.Result {
 	switch result {
 	case ResultDone, ResultSuspect:
