lacemember, lacefleet: bound the messages of an outage, measure rates and times

Cause: at 340 members in one process outage mode was not reached within 60 s. The profile showed each bound member probing each home every second, one call for each pair of members. Ruled out: the record in each request for a promise; its size grows with the members, so each instance would send it once for each other one. Only a member that is behind gets it. Change: at most 64 open requests for promises, at most 8 questions about lost releases a second and none while the platform is lost, four acknowledgement requests at a time, one probe in 4 s while nothing fails (was one a second); a joiner asks at once instead of at the next timer; an ended watch is a sign of an outage; the confirming read of a removal corrects the alive view.

--- a/lib/lacefleet/dispatch.go
+++ b/lib/lacefleet/dispatch.go
@@ -14,6 +14,9 @@
 	tickEvery = 250 * time.Millisecond
 	// lostProbes is how many members are probed in each interval while the platform is lost.
 	lostProbes = 4
+	// calmProbe is how many intervals pass between probes while the platform is within reach. The watch carries the
+	// same news then, and one probe a second would take a fifth of the 4 KB/s that a node has.
+	calmProbe = 4
 	// workDeadline bounds one flush of the journal and one read of the ledger.
 	workDeadline = 30 * time.Second
 )
@@ -125,12 +128,12 @@
 	}
 }
 
-// probe asks a bounded number of random members in each interval: one while the platform is within reach, which
-// spreads epochs and releases, and a few while it is lost, which finds a peer with contact.
+// probe asks a bounded number of random members: one in each few intervals while the platform is within reach, which
+// spreads epochs and releases, and a few in each while it is lost, which finds a peer with contact.
 func (s *Service) probe(ctx context.Context) {
 	ticker := time.NewTicker(s.settings.Probe)
 	defer ticker.Stop()
-	for {
+	for turn := 0; ; turn++ {
 		changed := s.Changed()
 		select {
 		case <-ctx.Done():
@@ -145,6 +148,8 @@
 		count := 1
 		if !s.Reachable() {
 			count = lostProbes
+		} else if turn%calmProbe > 0 {
+			continue
 		}
 		for _, i := range s.random.Perm(len(peers))[:min(count, len(peers))] {
 			s.enqueue(lacemember.Send{
--- a/lib/lacefleet/fleet.go
+++ b/lib/lacefleet/fleet.go
@@ -11,15 +11,8 @@
 	"lacewingcove/lib/laceunit"
 )
 
-// Errors of the fleet.
-var (
-	// ErrClosed means that the service is closed or has not joined yet.
-	ErrClosed = errors.New("fleet: not joined")
-	// ErrExpelled means that the process was removed from the membership and must restart as a new incarnation.
-	ErrExpelled = errors.New("fleet: removed from the membership")
-	// ErrBusy means that outage work is not flushed yet.
-	ErrBusy = errors.New("fleet: outage work is not flushed")
-)
+// ErrBusy means that outage work is not flushed yet.
+var ErrBusy = errors.New("fleet: outage work is not flushed")
 
 // Fleet is what other services use of the membership.
 type Fleet interface {
--- a/lib/lacefleet/follow.go
+++ b/lib/lacefleet/follow.go
@@ -108,7 +108,8 @@
 // repeat runs a step again after a pause of about a second, which bounds the rate of platform calls.
 func (s *Service) repeat(ctx context.Context, step func() error) {
 	for ctx.Err() == nil {
-		if err := step(); errors.Is(err, laceplatform.ErrUnavailable) {
+		// A watch that ends is the first sign of an outage.
+		if step() != nil {
 			s.Suspect()
 		}
 		select {
@@ -181,6 +182,10 @@
 		cancel()
 		if errors.Is(err, laceplatform.ErrMissing) || (err == nil && incarnationOf(e) != h.Incarnation) {
 			confirmed = append(confirmed, h)
+		} else if err == nil {
+			s.mu.Lock()
+			s.see(e, false)
+			s.mu.Unlock()
 		}
 	}
 	if len(confirmed) == 0 {
--- a/lib/lacefleet/service.go
+++ b/lib/lacefleet/service.go
@@ -132,7 +132,7 @@
 	return nil
 }
 
-// Expelled is closed when the process was removed from the membership and must restart.
+// Expelled is closed when the process is no longer a member: it has left, or it was removed and must restart.
 func (s *Service) Expelled() <-chan struct{} { return s.expelled }
 
 // Changed returns a channel that is closed at the next change of the record or the mode.
--- a/lib/lacefleet/service_test.go
+++ b/lib/lacefleet/service_test.go
@@ -132,7 +132,7 @@
 		at.address = laceunit.Address(server.Listener.Addr().String())
 	}
 	settings.Address = at.address
-	peer := lacepeer.NewClient(settings.Instance, lacepeer.WithHTTP(&http.Client{Transport: b.network}))
+	peer := lacepeer.NewClient(settings.Instance, lacepeer.WithHTTP(&http.Client{Transport: slow{RoundTripper: b.network}}))
 	s := New(c, settings, WithTransport(peer), WithHistory(b.ledger))
 	j := lacejournal.New(s, peer, b.ledger, lacejournal.Limits{}, nil)
 	s.Attach(j)
--- a/lib/lacefleet/store_test.go
+++ b/lib/lacefleet/store_test.go
@@ -19,6 +19,8 @@
 	leases   map[laceplatform.LeaseID]bool
 	entries  map[laceplatform.Key]laceplatform.Entry
 	watches  []*watch
+	history  []laceplatform.Event
+	at       []laceplatform.Revision
 	calls    atomic.Int64
 }
 
@@ -54,6 +56,8 @@
 }
 
 func (p *platform) emit(e laceplatform.Event) {
+	p.history = append(p.history, e)
+	p.at = append(p.at, p.revision)
 	for _, w := range p.watches {
 		if strings.HasPrefix(string(e.Entry.Key), w.prefix) && !w.owner.down.Load() {
 			w.events <- e
@@ -151,7 +155,7 @@
 
 func (c *client) Revoke(context.Context, laceplatform.LeaseID) error { return c.ready() }
 
-func (c *client) Watch(_ context.Context, prefix laceplatform.Key, _ laceplatform.Revision) (laceplatform.Watch, error) {
+func (c *client) Watch(_ context.Context, prefix laceplatform.Key, after laceplatform.Revision) (laceplatform.Watch, error) {
 	if err := c.ready(); err != nil {
 		return nil, err
 	}
@@ -159,9 +163,14 @@
 	defer c.mu.Unlock()
 	w := &watch{
 		prefix: string(prefix),
-		events: make(chan laceplatform.Event, 1024),
+		events: make(chan laceplatform.Event, 4096),
 		owner:  c,
 	}
+	for i, e := range c.history {
+		if c.at[i] > after && strings.HasPrefix(string(e.Entry.Key), w.prefix) {
+			w.events <- e
+		}
+	}
 	c.watches = append(c.watches, w)
 	return w, nil
 }
--- a/lib/lacemember/binding.go
+++ b/lib/lacemember/binding.go
@@ -1,12 +1,16 @@
 package lacemember
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
 	"lacewingcove/lib/laceunit"
 )
 
+// maxReleaseAsks bounds the homes asked in each interval. Asking all would be a call for each pair of members at once.
+const maxReleaseAsks = 8
+
 // Binding forbids a member to run the requests of a home until the home has released the round.
 type Binding struct {
 	Home  Member
@@ -63,31 +67,46 @@
 	m.uncover()
 }
 
-// watchBindings asks silent homes for their release and seals the witnesses of homes that are gone.
+// watchBindings seals the witnesses of homes that are gone, and asks a few homes whether the release was lost.
 func (m *Machine) watchBindings(now time.Duration) {
-	for _, h := range sortedHolders(m.bindings) {
-		b := m.bindings[h]
-		if now-b.asked < repeatEvery {
-			continue
+	if now-m.watched < repeatEvery {
+		return
+	}
+	m.watched = now
+	homes := sortedHolders(m.bindings)
+	for _, h := range homes {
+		if b := m.bindings[h]; m.fencing(now, b) {
+			m.fence(h, b)
 		}
+	}
+	homes = sortedHolders(m.bindings)
+	if m.lost {
+		// Homes release after their own contact is back; until then the probes of random members are enough.
+		return
+	}
+	slices.SortStableFunc(homes, func(a, b laceunit.Holder) int {
+		return cmp.Compare(m.bindings[a].asked, m.bindings[b].asked)
+	})
+	for _, h := range homes[:min(len(homes), maxReleaseAsks)] {
+		b := m.bindings[h]
 		b.asked = now
 		m.send(b.binding.Home, ProbeAsk{
 			From:  m.self,
 			Epoch: m.record.Epoch,
 		})
-		if !m.fencing(now, b) {
-			continue
-		}
-		m.unbind(h, b)
-		for _, w := range b.binding.Record.Witnesses(h) {
-			if !b.seals[w.Holder] {
-				m.send(w, SealAsk{
-					From: m.self,
-					Home: h,
-				})
-			}
+	}
+}
+
+func (m *Machine) fence(home laceunit.Holder, b *bound) {
+	for _, w := range b.binding.Record.Witnesses(home) {
+		if !b.seals[w.Holder] {
+			m.send(w, SealAsk{
+				From: m.self,
+				Home: home,
+			})
 		}
 	}
+	m.unbind(home, b)
 }
 
 // fencing reports whether a home may be treated as gone. Time alone never frees a request: the sealed witnesses do.
--- a/lib/lacemember/join.go
+++ b/lib/lacemember/join.go
@@ -2,12 +2,15 @@
 
 import "time"
 
-// askAcks asks every other member, because a joiner doesn't know which of them are enabled.
+// askAcks asks a few members, other ones each time, because a joiner doesn't know which of them are enabled and live.
 func (m *Machine) askAcks() {
 	if m.enabled || m.expelled || !m.record.Has(m.self) {
 		return
 	}
-	for _, o := range m.record.Members {
+	members := m.record.Members
+	for range min(firstAsks, len(members)) {
+		o := members[m.ackTurn%len(members)]
+		m.ackTurn++
 		if o.Holder != m.self {
 			m.send(o, AckAsk{
 				From:   m.self,
--- a/lib/lacemember/machine.go
+++ b/lib/lacemember/machine.go
@@ -14,6 +14,8 @@
 	// firstAsks is how many members are asked for promises at first. An instance that is cut off alone learns
 	// from any one of them that the platform is up, so it need not ask the whole fleet.
 	firstAsks = 4
+	// maxAsks bounds the unanswered requests for promises, and so what is sent again each second.
+	maxAsks = 64
 	// maxSeen bounds the remembered requests; a member that had to forget some can't promise any more.
 	maxSeen = 1 << 20
 )
@@ -70,7 +72,11 @@
 	lost     bool
 	since    time.Duration
 	heard    map[laceunit.Holder]sighting
+	lately   sighting
+	source   laceunit.Holder
+	watched  time.Duration
 	asked    time.Duration
+	ackTurn  int
 
 	phase     phase
 	round     uint64
@@ -78,6 +84,8 @@
 	authority Record
 	window    int
 	promises  map[laceunit.Holder]map[Key]struct{}
+	asks      map[laceunit.Holder]bool
+	behind    map[laceunit.Holder]bool
 	offline   map[Key]bool
 	flushAt   time.Duration
 
@@ -117,6 +125,8 @@
 		self:     self,
 		heard:    map[laceunit.Holder]sighting{},
 		promises: map[laceunit.Holder]map[Key]struct{}{},
+		asks:     map[laceunit.Holder]bool{},
+		behind:   map[laceunit.Holder]bool{},
 		offline:  map[Key]bool{},
 		seen:     map[Key]started{},
 		known:    map[Key]struct{}{},
@@ -215,6 +225,9 @@
 	if member && !m.enabled && !record.senior(self) {
 		m.enabled = true
 	}
+	if member && !old.Has(m.self) {
+		m.askAcks()
+	}
 	if m.phase == phaseAsking {
 		m.free()
 	}
@@ -257,7 +270,7 @@
 		m.asked = now
 		m.askAcks()
 		if m.phase == phaseAsking {
-			m.sendAsks()
+			m.repeatAsks()
 		}
 	}
 	if m.phase == phaseFlushing && now-m.flushAt >= repeatEvery {
@@ -270,15 +283,7 @@
 
 // contact reports whether records reach the ledger, directly or through a peer.
 func (m *Machine) contact(now time.Duration) bool {
-	if !m.lost {
-		return true
-	}
-	for _, s := range m.heard {
-		if s.platform && now-s.at <= heardFresh {
-			return true
-		}
-	}
-	return false
+	return !m.lost || (m.lately.platform && now-m.lately.at <= heardFresh)
 }
 
 func (m *Machine) sight(now time.Duration, from laceunit.Holder, platform bool) {
@@ -287,6 +292,9 @@
 			at:       now,
 			platform: platform,
 		}
+		if platform || from == m.source {
+			m.lately, m.source = m.heard[from], from
+		}
 	}
 	if b := m.bindings[from]; b != nil {
 		b.heard = now
--- a/lib/lacemember/machine_test.go
+++ b/lib/lacemember/machine_test.go
@@ -40,7 +40,7 @@
 }
 
 func askOf(r Record, i int, round uint64) Received {
-	return Received{Message: PromiseAsk{Home: memberOf(i).Holder, Record: r, Round: round}}
+	return Received{Message: PromiseAsk{Home: memberOf(i).Holder, Epoch: r.Epoch, Round: round}}
 }
 
 func given(effects []Effect) bool {
--- a/lib/lacemember/message.go
+++ b/lib/lacemember/message.go
@@ -7,9 +7,12 @@
 
 // PromiseAsk asks a member to refuse the requests of the asking home until it releases the round.
 type PromiseAsk struct {
-	Home   laceunit.Holder
+	Home  laceunit.Holder
+	Epoch laceunit.Epoch
+	Round uint64
+	// Record is the membership of the epoch for a member that is known to be behind. Sending it to everyone would
+	// cost megabytes at the design scale.
 	Record Record
-	Round  uint64
 }
 
 // PromiseReply answers a PromiseAsk.
@@ -18,8 +21,10 @@
 	Given bool
 	// Platform says that the member was refused because the member has contact with the platform.
 	Platform bool
-	Epoch    laceunit.Epoch
-	Round    uint64
+	// Behind says that the member needs the record of the epoch first.
+	Behind bool
+	Epoch  laceunit.Epoch
+	Round  uint64
 	// Seen lists the non-idempotent requests of the home that the member has started itself.
 	Seen []Key
 	// Record is the member's record when it is newer than the asker's.
--- a/lib/lacemember/promise.go
+++ b/lib/lacemember/promise.go
@@ -19,11 +19,14 @@
 	m.window = firstAsks
 	m.asked = now
 	clear(m.promises)
+	clear(m.behind)
+	clear(m.asks)
 	m.sendAsks()
 }
 
+// sendAsks fills the window of members that have not answered yet.
 func (m *Machine) sendAsks() {
-	left := m.window
+	free := m.window - (len(m.asks) - len(m.promises))
 	// Starts behind the own place in the list, so that the askers spread over the members.
 	start := 0
 	for i, o := range m.authority.Members {
@@ -33,38 +36,58 @@
 	}
 	for i := range m.authority.Members {
 		o := m.authority.Members[(start+i)%len(m.authority.Members)]
-		if _, ok := m.promises[o.Holder]; ok || o.Holder == m.self {
-			continue
-		}
-		if left--; left < 0 {
+		if free <= 0 {
 			return
 		}
-		m.send(o, PromiseAsk{
-			Home:   m.self,
-			Record: m.authority,
-			Round:  m.round,
-		})
+		if !m.asks[o.Holder] && o.Holder != m.self {
+			m.asks[o.Holder] = true
+			m.sendAsk(o)
+			free--
+		}
 	}
 }
 
+// repeatAsks asks those again that have not promised.
+func (m *Machine) repeatAsks() {
+	for _, o := range m.authority.Members {
+		if _, ok := m.promises[o.Holder]; m.asks[o.Holder] && !ok {
+			m.sendAsk(o)
+		}
+	}
+}
+
+func (m *Machine) sendAsk(to Member) {
+	ask := PromiseAsk{
+		Home:  m.self,
+		Epoch: m.authority.Epoch,
+		Round: m.round,
+	}
+	if m.behind[to.Holder] {
+		ask.Record = m.authority
+	}
+	m.send(to, ask)
+}
+
 // promise binds this member to a home. The binding is recorded before the reply leaves.
 func (m *Machine) promise(now time.Duration, ask PromiseAsk) {
-	home, ok := ask.Record.Find(ask.Home)
-	if !ok || ask.Home == m.self {
-		return
-	}
 	reply := PromiseReply{
 		From:  m.self,
-		Epoch: ask.Record.Epoch,
+		Epoch: ask.Epoch,
 		Round: ask.Round,
 	}
 	if ask.Record.Has(m.self) {
 		m.adopt(now, ask.Record)
 	}
+	home, ok := m.record.Find(ask.Home)
+	if !ok {
+		home.Holder = ask.Home
+	}
 	switch b := m.bindings[ask.Home]; {
-	case ask.Record.Epoch < m.record.Epoch:
+	case ask.Epoch < m.record.Epoch:
 		reply.Record = m.record
-	case ask.Record.Epoch > m.record.Epoch || ask.Record.Epoch < m.floor:
+	case ask.Epoch > m.record.Epoch:
+		reply.Behind = true
+	case ask.Epoch < m.floor || !ok || ask.Home == m.self:
 	case ask.Round <= m.released[ask.Home] || (b != nil && b.binding.Round > ask.Round):
 	case m.overflowed(now) || m.expelled:
 	case !m.lost:
@@ -73,11 +96,11 @@
 		m.bind(now, Binding{
 			Home:   home,
 			Round:  ask.Round,
-			Record: ask.Record,
+			Record: m.record,
 		})
 		reply.Given = true
 		for k := range m.seen {
-			if h, _ := ask.Record.Home(k); h.Holder == ask.Home {
+			if h, _ := m.record.Home(k); h.Holder == ask.Home {
 				reply.Seen = append(reply.Seen, k)
 			}
 		}
@@ -99,12 +122,14 @@
 	if ok && reply.Given && m.phase == phaseAsking && reply.Round == m.round && reply.Epoch == m.authority.Epoch {
 		if _, again := m.promises[reply.From]; !again {
 			m.promises[reply.From] = keySet(reply.Seen)
-			if len(m.promises) == m.window {
-				m.window *= 2
-				m.sendAsks()
-			}
+			m.window = min(m.window+1, maxAsks)
+			m.sendAsks()
 		}
 	}
+	if ok && reply.Behind && m.phase == phaseAsking && reply.Round == m.round && !m.behind[reply.From] {
+		m.behind[reply.From] = true
+		m.sendAsk(from)
+	}
 	m.adopt(now, reply.Record)
 }
 
@@ -118,25 +143,25 @@
 	return true
 }
 
-// free ends the round for good and tells the members that may have promised.
+// free ends the round for good and tells the members that may be bound to it. While the home is still asking, only
+// those that were asked can be; after that, joiners may have taken over the binding.
 func (m *Machine) free() {
+	asking := m.phase == phaseAsking
 	m.phase = phaseIdle
 	m.freed = m.round
 	clear(m.offline)
+	note := ReleaseNote{
+		Home:  m.self,
+		Round: m.freed,
+	}
 	for _, o := range m.authority.Members {
-		if o.Holder != m.self {
-			m.send(o, ReleaseNote{
-				Home:  m.self,
-				Round: m.freed,
-			})
+		if m.asks[o.Holder] {
+			m.send(o, note)
 		}
 	}
 	for _, o := range m.record.Members {
-		if o.Holder != m.self && !m.authority.Has(o.Holder) {
-			m.send(o, ReleaseNote{
-				Home:  m.self,
-				Round: m.freed,
-			})
+		if !asking && o.Holder != m.self && !m.authority.Has(o.Holder) {
+			m.send(o, note)
 		}
 	}
 	clear(m.promises)
--- a/lib/lacewire/peermessage.go
+++ b/lib/lacewire/peermessage.go
@@ -12,6 +12,7 @@
 		To:     FromHolder(to),
 		Record: FromRecord(ask.Record),
 		Round:  ask.Round,
+		Epoch:  uint64(ask.Epoch),
 	}
 }
 
@@ -21,6 +22,7 @@
 		Home:   ToHolder(ask.GetFrom()),
 		Record: ToRecord(ask.GetRecord()),
 		Round:  ask.GetRound(),
+		Epoch:  laceunit.Epoch(ask.GetEpoch()),
 	}
 }
 
@@ -30,6 +32,7 @@
 		From:     FromHolder(reply.From),
 		Given:    reply.Given,
 		Platform: reply.Platform,
+		Behind:   reply.Behind,
 		Epoch:    uint64(reply.Epoch),
 		Round:    reply.Round,
 		Seen:     mapped(reply.Seen, func(k lacemember.Key) uint64 { return uint64(k) }),
@@ -43,6 +46,7 @@
 		From:     ToHolder(reply.GetFrom()),
 		Given:    reply.GetGiven(),
 		Platform: reply.GetPlatform(),
+		Behind:   reply.GetBehind(),
 		Epoch:    laceunit.Epoch(reply.GetEpoch()),
 		Round:    reply.GetRound(),
 		Seen:     mapped(reply.GetSeen(), func(k uint64) lacemember.Key { return lacemember.Key(k) }),
