lacereplica: benchmark of the spread of changes to 34 to 340 instances

Ruled out: real processes, because 340 of them do not fit the machine. Change: a benchmark with simulated time and fixed seeds that counts the bytes of every message at both ends.

--- /dev/null
+++ b/lib/lacereplica/capacity_test.go
@@ -0,0 +1,257 @@
+package lacereplica
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"lacewingcove/lib/laceconfig"
+	"lacewingcove/lib/laceunit"
+	"lacewingcove/lib/lacewire"
+)
+
+const (
+	spreadRegions = 4
+	spreadSeed    = 5100
+	// callBytes is the assumed size of the HTTP headers and frames of one call and its answer.
+	callBytes = 350
+)
+
+type event struct {
+	at  time.Duration
+	run func()
+}
+
+type events []event
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(i, j int) bool { return e[i].at < e[j].at }
+func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// spread is a fleet of replicas in simulated time: 2 ms to the platform, 1 ms within a region, 75 ms between regions.
+type spread struct {
+	now      time.Duration
+	queue    events
+	nodes    []*laceconfig.Replica
+	views    []laceconfig.View
+	bytes    []int
+	content  laceconfig.Content
+	version  laceunit.Version
+	accepted map[laceunit.Version]time.Duration
+	installs map[laceunit.Version]int
+	slowest  time.Duration
+}
+
+func spreadHolder(i int) laceunit.Holder {
+	return laceunit.Holder{Instance: laceunit.InstanceID(fmt.Sprintf("router-%03d", i)), Incarnation: laceunit.Incarnation(i + 1)}
+}
+
+func spreadRegion(i int) laceunit.RegionID {
+	return laceunit.RegionID(fmt.Sprint("region-", i%spreadRegions))
+}
+
+func spreadAccount(name string) string {
+	return fmt.Sprintf("name: %s\nkeys:\n  - name: main\n    hash: %064x\n  - name: next\n    hash: %064x\n"+
+		"budgets: [%s-day, %s-night, %s-trial]\n", name, 2*len(name), 2*len(name)+1, name, name, name)
+}
+
+func newSpread(nodes int) *spread {
+	s := &spread{
+		bytes:    make([]int, nodes),
+		accepted: map[laceunit.Version]time.Duration{},
+		installs: map[laceunit.Version]int{},
+		content:  laceconfig.Content{},
+	}
+	var members []laceconfig.Member
+	for i := range nodes {
+		members = append(members, laceconfig.Member{Holder: spreadHolder(i), Region: spreadRegion(i), Watcher: i < Watchers*spreadRegions})
+	}
+	for i := range nodes {
+		rule := laceconfig.Rule{Self: spreadHolder(i), Lean: laceunit.LeanAvailable, Fresh: 5 * time.Second}
+		s.nodes = append(s.nodes, laceconfig.NewReplica(rule, rand.New(rand.NewPCG(uint64(i), spreadSeed))))
+		others := append(append([]laceconfig.Member{}, members[:i]...), members[i+1:]...)
+		s.views = append(s.views, laceconfig.View{Agreed: true, Region: members[i].Region, Watcher: members[i].Watcher, Others: others})
+	}
+	return s
+}
+
+func (s *spread) after(d time.Duration, run func()) {
+	heap.Push(&s.queue, event{at: s.now + d, run: run})
+}
+
+func (s *spread) delay(i, j int) time.Duration {
+	if i%spreadRegions == j%spreadRegions {
+		return time.Millisecond
+	}
+	return 75 * time.Millisecond
+}
+
+// charge counts a message at both its ends.
+func (s *spread) charge(i, j, n int) {
+	s.bytes[i] += n
+	s.bytes[j] += n
+}
+
+func (s *spread) index(h laceunit.Holder) int { return int(h.Incarnation) - 1 }
+
+func (s *spread) change(n int) {
+	s.version++
+	next := laceconfig.Content{}
+	for k, v := range s.content {
+		next[k] = v
+	}
+	accounts := map[string]string{}
+	for k, v := range next[laceconfig.SectionAccounts] {
+		accounts[k] = v
+	}
+	accounts[fmt.Sprintf("account-%02d", n%50)] = spreadAccount(fmt.Sprint("n", n))
+	next[laceconfig.SectionAccounts] = accounts
+	s.content = next
+	s.accepted[s.version] = s.now
+}
+
+func (s *spread) run(i int, effects []laceconfig.Effect) {
+	asked, r := s.now, s.nodes[i]
+	for _, e := range effects {
+		switch e := e.(type) {
+		case laceconfig.Read:
+			s.after(2*time.Millisecond, func() {
+				version, content := s.version, s.content
+				s.after(2*time.Millisecond, func() { s.run(i, r.Learned(asked, version, content)) })
+			})
+		case laceconfig.Ask:
+			s.ask(i, asked, e.To)
+		case laceconfig.Push:
+			for _, h := range e.To {
+				j := s.index(h)
+				s.charge(i, j, callBytes+proto.Size(lacewire.FromMessage(e.Message)))
+				s.after(s.delay(i, j), func() { s.run(j, s.nodes[j].Notice(e.Message)) })
+			}
+		case laceconfig.Install:
+			s.installed(e.Document.Version)
+		case laceconfig.Reject:
+			panic(e.Err)
+		}
+	}
+}
+
+func (s *spread) ask(i int, asked time.Duration, to laceunit.Holder) {
+	j, q := s.index(to), s.nodes[i].Status(s.now)
+	s.charge(i, j, callBytes+proto.Size(lacewire.FromStatus(q)))
+	s.after(s.delay(i, j), func() {
+		m, more := s.nodes[j].Question(s.now, q)
+		s.run(j, more)
+		s.charge(i, j, proto.Size(lacewire.FromMessage(m)))
+		s.after(s.delay(i, j), func() { s.run(i, s.nodes[i].Answer(asked, to, m)) })
+	})
+}
+
+// installed notes how long each version up to this one took; a replica may skip versions.
+func (s *spread) installed(version laceunit.Version) {
+	if at, ok := s.accepted[version]; ok {
+		s.installs[version]++
+		s.slowest = max(s.slowest, s.now-at)
+	}
+}
+
+func (s *spread) tick(i int) {
+	s.run(i, s.nodes[i].Tick(s.now, s.views[i]))
+	s.after(laceconfig.Period, func() { s.tick(i) })
+}
+
+func (s *spread) until(end time.Duration) {
+	for len(s.queue) > 0 && s.queue[0].at <= end {
+		e := heap.Pop(&s.queue).(event)
+		s.now = e.at
+		e.run()
+	}
+	s.now = end
+}
+
+// BenchmarkSpread measures the traffic of configuration changes and the time until each is in force on every node.
+func BenchmarkSpread(b *testing.B) {
+	for _, nodes := range []int{34, 85, 170, 340} {
+		for _, every := range []time.Duration{17 * time.Second, 1700 * time.Millisecond} {
+			b.Run(fmt.Sprintf("nodes=%d/every=%s", nodes, every), func(b *testing.B) {
+				for b.Loop() {
+					measureSpread(b, nodes, every)
+				}
+			})
+		}
+	}
+}
+
+func measureSpread(b *testing.B, nodes int, every time.Duration) {
+	const warm, period = 10 * time.Second, 60 * time.Second
+	s := newSpread(nodes)
+	s.change(0)
+	random := rand.New(rand.NewPCG(spreadSeed, uint64(nodes)))
+	for i := range nodes {
+		s.after(time.Duration(random.Int64N(int64(laceconfig.Period))), func() { s.tick(i) })
+	}
+	s.until(warm)
+	s.bytes, s.slowest = make([]int, nodes), 0
+	start := time.Now()
+	changes := 0
+	for at := warm; at < warm+period; at += every {
+		changes++
+		s.change(changes)
+		s.until(min(at+every, warm+period))
+	}
+	took := time.Since(start)
+	s.until(warm + period + 10*time.Second)
+	for i, n := range s.nodes {
+		if n.Version() != s.version {
+			b.Fatalf("node %d is at version %d of %d", i, n.Version(), s.version)
+		}
+	}
+	total, most := 0, 0
+	for _, n := range s.bytes {
+		total, most = total+n, max(most, n)
+	}
+	b.ReportMetric(s.slowest.Seconds(), "s/change")
+	b.ReportMetric(float64(total)/float64(nodes)/70, "B/s/node")
+	b.ReportMetric(float64(most)/70, "B/s/busiest")
+	b.ReportMetric(took.Seconds()*1e6/float64(nodes)/period.Seconds(), "us/s/node")
+}
+
+// BenchmarkChange measures the time and memory that one changed client account costs an instance.
+func BenchmarkChange(b *testing.B) {
+	for _, accounts := range []int{1000, 3400, 6800} {
+		b.Run(fmt.Sprint(accounts), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			texts := map[string]string{}
+			for i := range accounts {
+				id := fmt.Sprintf("account-%04d", i)
+				texts[id] = spreadAccount(id)
+			}
+			r := laceconfig.NewReplica(laceconfig.Rule{Self: spreadHolder(0), Fresh: time.Hour}, rand.New(rand.NewPCG(1, 1)))
+			r.Learned(0, 1, laceconfig.Content{laceconfig.SectionAccounts: texts})
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			b.ReportAllocs()
+			for b.Loop() {
+				v := r.Version()
+				item := laceconfig.Item{Section: laceconfig.SectionAccounts, Entry: "account-0001", Body: spreadAccount("x"), Version: v + 1}
+				r.Notice(laceconfig.Message{Delta: &laceconfig.Delta{From: v, To: v + 1, Items: []laceconfig.Item{item}}})
+				if r.Version() != v+1 {
+					b.Fatal("the change was not taken")
+				}
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(accounts), "B/account")
+		})
+	}
+}
