loadgen: experiments set up the ledger with the instances' shards

Cause: the operator of an experiment had 16 shards built in while the settings' default became 1. It fixed 16 on the platform before the first instance started, and every instance then refused all requests as platform_down. Ruled out: overload by 300 requests/s; the platform's count stayed at 0 writes and the logs named the two numbers. Change: the operator reads the number of shards from the experiment's settings file. Conclusion: experiments work again; TestOperatorUsesTheInstancesShards guards against the difference.

--- a/loadgen/laceexperiment/experiment_test.go
+++ b/loadgen/laceexperiment/experiment_test.go
@@ -199,3 +199,15 @@
 		}
 	}
 }
+
+// Guards against an operator that fixes another number of ledger shards than the instances use: they would refuse
+// every request.
+func TestOperatorUsesTheInstancesShards(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "router.yaml")
+	if err := os.WriteFile(file, []byte("ledger:\n  shards: 3\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if n, err := readShards(file); err != nil || n != 3 {
+		t.Errorf("%d shards, %v", n, err)
+	}
+}
--- a/loadgen/laceexperiment/fleet.go
+++ b/loadgen/laceexperiment/fleet.go
@@ -83,7 +83,11 @@
 	if err = f.ready(ctx, f.standin, "http://"+platform+"/v1/counts"); err != nil {
 		return err
 	}
-	if f.operator, err = newOperator(laceunit.Address(platform)); err != nil {
+	shards, err := readShards(f.experiment.Settings)
+	if err != nil {
+		return err
+	}
+	if f.operator, err = newOperator(laceunit.Address(platform), shards); err != nil {
 		return err
 	}
 	if err = f.operator.prepare(ctx, in.configuration, f.workload); err != nil {
--- a/loadgen/laceexperiment/operator.go
+++ b/loadgen/laceexperiment/operator.go
@@ -11,15 +11,13 @@
 	"lacewingcove/lib/laceconfig"
 	"lacewingcove/lib/laceledger"
 	"lacewingcove/lib/laceplatform"
+	"lacewingcove/lib/lacesetting"
 	"lacewingcove/lib/laceunit"
 	"lacewingcove/lib/lacewriter"
 	"lacewingcove/loadgen/laceload"
 	"lacewingcove/loadgen/laceworkload"
 )
 
-// shards is the number of shards of the settings' default, which every instance and the operator must share.
-const shards = 16
-
 // ledgerBalances reads balances from the platform, whichever instances are left.
 type ledgerBalances struct {
 	ledger *lacewriter.Ledger
@@ -51,8 +49,22 @@
 	ledger *lacewriter.Ledger
 }
 
+// readShards returns the number of ledger shards of a settings file. An operator with another number than the
+// instances' would fix it on the platform first, and every instance would then refuse to use the ledger.
+func readShards(settings string) (int, error) {
+	text, err := os.ReadFile(settings)
+	if err != nil {
+		return 0, errors.Wrap(err, "experiment")
+	}
+	s, err := lacesetting.Decode(text)
+	if err != nil {
+		return 0, errors.Wrapf(err, "experiment: %s", settings)
+	}
+	return s.Ledger.Shards, nil
+}
+
 // newOperator returns an operator that must be closed.
-func newOperator(platform laceunit.Address) (*operator, error) {
+func newOperator(platform laceunit.Address, shards int) (*operator, error) {
 	client, err := laceplatform.NewClient([]laceunit.Address{"http://" + platform}, laceplatform.WithName("loadgen"))
 	if err != nil {
 		return nil, errors.Wrap(err, "experiment")
