--- a/loadgen/laceexperiment/operator.go
+++ b/loadgen/laceexperiment/operator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"os"
 	"time"
@@ -11,6 +12,7 @@
 	"lacewingcove/lib/laceconfig"
 	"lacewingcove/lib/laceledger"
 	"lacewingcove/lib/laceplatform"
+	"lacewingcove/lib/lacesetting"
 	"lacewingcove/lib/laceunit"
 	"lacewingcove/lib/lacewriter"
 	"lacewingcove/loadgen/laceload"
@@ -48,6 +50,16 @@
 	ledger *lacewriter.Ledger
 }
 
+// readShards returns the number of ledger shards of a settings file. An operator with another number than the
+// instances' would fix it on the platform first, and every instance would then refuse to use the ledger.
+func readShards(settings string, flags ...string) (int, error) {
+	s, _, err := lacesetting.Load("loadgen", append([]string{"-settings", settings}, flags...), io.Discard)
+	if err != nil {
+		return 0, errors.Wrap(err, "experiment: settings of the instances")
+	}
+	return s.Ledger.Shards, nil
+}
+
 // newOperator returns an operator that must be closed.
 func newOperator(platform laceunit.Address, shards int) (*operator, error) {
 	client, err := laceplatform.NewClient([]laceunit.Address{"http://" + platform}, laceplatform.WithName("loadgen"))
