laceledger: fence against removed holders; history for outage authority

Cause: a home needs all non-idempotent requests that the ledger remembers, at a time when removed processes can't add to them (docs/membership.md, section 1, "covered"). A removed, paused process could still open a grant on waking. Ruled out: closing its grants only, since it may open new ones; a list of removed holders, which nobody has complete; epochs carried in every Open, which refuse members that learn of an epoch late. Change: a Fence record for each shard, ordered by epoch, with the platform's revision as the bound on incarnations; Retained appends it before it reads. Measured: TestFenceShutsOutRemovedHolders; with one guard removed each it fails with "result 1, want 5" (twice) and "result 5, want 1". The process tests pass (11.8 s).

--- a/lib/lacegrant/service.go
+++ b/lib/lacegrant/service.go
@@ -328,6 +328,12 @@
 			return ErrElsewhere
 		}
 		return ErrSpent
+	case laceledger.Closed:
+		if open.Serial > 1 {
+			// The grant was closed behind this instance; a new one may be opened.
+			return nil
+		}
+		return errors.Wrap(ErrUnreachable, "this instance is shut out of the ledger")
 	case laceledger.Invalid, laceledger.Conflict:
 		return errors.Wrap(ErrUnreachable, "ledger refused the grant")
 	default:
--- a/lib/laceledger/draft.go
+++ b/lib/laceledger/draft.go
@@ -1,6 +1,8 @@
 package laceledger
 
 import (
+	"cmp"
+
 	"lacewingcove/lib/laceunit"
 )
 
@@ -9,6 +11,10 @@
 	grant  laceunit.GrantID
 }
 
+func (k grantKey) compare(o grantKey) int {
+	return cmp.Or(cmp.Compare(k.budget, o.budget), cmp.Compare(k.grant, o.grant))
+}
+
 type topUpKey struct {
 	budget laceunit.BudgetID
 	topUp  laceunit.TopUpID
@@ -33,6 +39,7 @@
 	state    *State
 	now      int64
 	forget   Cutoff
+	fence    Fence
 	sequence laceunit.Sequence
 	budgets  map[laceunit.BudgetID]*budget
 	topups   map[topUpKey]laceunit.Tokens
@@ -48,6 +55,7 @@
 		state:    s,
 		now:      max(s.now, e.At),
 		forget:   s.forget.later(e.Forget),
+		fence:    s.fence,
 		sequence: e.Sequence,
 		budgets:  map[laceunit.BudgetID]*budget{},
 		topups:   map[topUpKey]laceunit.Tokens{},
@@ -166,7 +174,7 @@
 
 func (d *draft) merge() {
 	s := d.state
-	s.sequence, s.now, s.forget = d.sequence, d.now, d.forget
+	s.sequence, s.now, s.forget, s.fence = d.sequence, d.now, d.forget, d.fence
 	if s.budgets == nil {
 		s.budgets = map[laceunit.BudgetID]*budget{}
 		s.requests = map[Request]*request{}
--- a/lib/laceledger/grant.go
+++ b/lib/laceledger/grant.go
@@ -15,6 +15,9 @@
 
 // apply decides on one record and notes its effect.
 func (d *draft) apply(r Record) Verdict {
+	if f, ok := r.(Fence); ok {
+		return d.applyFence(f)
+	}
 	if !valid(r) {
 		return Verdict{Result: Invalid}
 	}
@@ -95,6 +98,9 @@
 }
 
 func (d *draft) applyOpen(b *budget, r Open) Verdict {
+	if d.fence.bars(r.Holder) {
+		return Verdict{Result: Closed}
+	}
 	g := d.grant(b, r.Grant)
 	if v, ok := checkOpen(g, r); !ok {
 		return v
--- a/lib/laceledger/recover.go
+++ b/lib/laceledger/recover.go
@@ -75,20 +75,13 @@
 	return 0
 }
 
-// Retained returns the non-idempotent requests that the state remembers. It is complete only when no holder outside the
-// given ones has an open grant, because such a holder could still declare further requests.
-func (s *State) Retained(members []laceunit.Holder) (requests []Request, complete bool) {
-	for _, b := range s.budgets {
-		for _, g := range b.grants {
-			if !g.Closed && !slices.Contains(members, g.Holder) {
-				return nil, false
-			}
-		}
-	}
+// Retained returns the non-idempotent requests that the state remembers.
+func (s *State) Retained() []Request {
+	var requests []Request
 	for id, r := range s.requests {
 		if !r.Idempotent {
 			requests = append(requests, id)
 		}
 	}
-	return requests, true
+	return requests
 }
--- a/lib/laceledger/snapshot.go
+++ b/lib/laceledger/snapshot.go
@@ -14,6 +14,7 @@
 	Sequence laceunit.Sequence
 	Now      int64
 	Forget   Cutoff
+	Fence    Fence
 	Budgets  []BudgetState
 	Open     []OpenRequest
 	// Next numbers the next ended request of each class.
@@ -71,6 +72,7 @@
 		Sequence: s.sequence,
 		Now:      s.now,
 		Forget:   s.forget,
+		Fence:    s.fence,
 	}
 	for c := range classes {
 		p.Next[c] = s.done[c].next
@@ -166,6 +168,7 @@
 		sequence: p.Sequence,
 		now:      p.Now,
 		forget:   p.Forget,
+		fence:    p.Fence,
 		budgets:  map[laceunit.BudgetID]*budget{},
 		requests: map[Request]*request{},
 	}
--- a/lib/laceledger/state.go
+++ b/lib/laceledger/state.go
@@ -26,6 +26,7 @@
 	sequence laceunit.Sequence
 	now      int64
 	forget   Cutoff
+	fence    Fence
 	budgets  map[laceunit.BudgetID]*budget
 	requests map[Request]*request
 	done     [classes]queue
--- a/lib/lacewire/ledger_record.go
+++ b/lib/lacewire/ledger_record.go
@@ -151,6 +151,8 @@
 		}}
 	case laceledger.Offline:
 		m.Kind = &LedgerRecord_Offline{Offline: fromOffline(n, r)}
+	case laceledger.Fence:
+		m.Kind = &LedgerRecord_Fence{Fence: fromFence(r)}
 	default:
 		return errors.Errorf("wire: unknown record type %T", r)
 	}
@@ -279,6 +281,8 @@
 		}
 	case *LedgerRecord_Offline:
 		return toOffline(n, k.Offline, budget)
+	case *LedgerRecord_Fence:
+		return toFence(k.Fence)
 	default:
 		return nil
 	}
--- a/lib/lacewire/ledger_snapshot.go
+++ b/lib/lacewire/ledger_snapshot.go
@@ -32,6 +32,9 @@
 		ForgetOther:      p.Forget.Other,
 		Next:             p.Next[:],
 	}
+	if p.Fence.Epoch > 0 {
+		m.Fence = fromFence(p.Fence)
+	}
 	for _, b := range p.Budgets {
 		m.Budgets = append(m.Budgets, fromBudget(&n, b))
 	}
@@ -62,6 +65,7 @@
 		return laceledger.Snapshot{}, errors.Wrapf(ErrMalformed, "snapshot with %d retention classes", len(m.GetNext()))
 	}
 	copy(p.Next[:], m.GetNext())
+	p.Fence = toFence(m.GetFence())
 	n := &reader{list: m.GetNames()}
 	for _, b := range m.GetBudgets() {
 		p.Budgets = append(p.Budgets, toBudget(n, b))
--- a/lib/lacewriter/recovery.go
+++ b/lib/lacewriter/recovery.go
@@ -57,9 +57,9 @@
 	return v.Ask, err
 }
 
-// Retained returns the non-idempotent requests that the ledger remembers, in all shards and as of now; it is complete
-// only when no holder outside the members has an open grant.
-func (l *Ledger) Retained(ctx context.Context, members []laceunit.Holder) ([]laceledger.Request, bool, error) {
+// Retained fences every shard and returns the non-idempotent requests that the ledger remembers. It is complete only
+// when each shard has taken this fence: then no holder that the membership has removed can add to it.
+func (l *Ledger) Retained(ctx context.Context, fence laceledger.Fence) ([]laceledger.Request, bool, error) {
 	var all []laceledger.Request
 	for shard := range l.shards {
 		u, err := l.unit(ctx, laceunit.ShardID(shard))
@@ -69,15 +69,28 @@
 		if err = u.combiner.Refresh(ctx); err != nil {
 			return nil, false, errors.Wrapf(err, "shard %d", shard)
 		}
-		complete := false
+		if err = u.fence(ctx, fence); err != nil {
+			return nil, false, errors.Wrapf(err, "shard %d", shard)
+		}
+		var epoch laceunit.Epoch
 		u.log.View(func(s *laceledger.State) {
-			var list []laceledger.Request
-			list, complete = s.Retained(members)
-			all = append(all, list...)
+			epoch = s.Fence().Epoch
+			all = append(all, s.Retained()...)
 		})
-		if !complete {
+		if epoch != fence.Epoch {
 			return nil, false, nil
 		}
 	}
 	return all, true, nil
 }
+
+// fence appends a fence unless the shard has it.
+func (u *unit) fence(ctx context.Context, fence laceledger.Fence) error {
+	var epoch laceunit.Epoch
+	u.log.View(func(s *laceledger.State) { epoch = s.Fence().Epoch })
+	if epoch >= fence.Epoch {
+		return nil
+	}
+	_, err := u.combiner.Append(ctx, fence, laceledger.Now)
+	return err
+}
--- a/router/lacerouter/assemble.go
+++ b/router/lacerouter/assemble.go
@@ -98,6 +98,10 @@
 	peer := lacepeer.NewClient(i.settings.Instance,
 		lacepeer.WithHTTP(transport.client),
 		lacepeer.WithScheme(transport.scheme))
+	past := &history{
+		ledger: i.ledger,
+		store:  store,
+	}
 	i.fleet = lacefleet.New(store, lacefleet.Settings{
 		Instance: i.settings.Instance,
 		Address:  i.settings.Peer.Public,
@@ -110,7 +114,8 @@
 		lacefleet.WithLogger(i.logger),
 		lacefleet.WithRegisterer(i.registry),
 		lacefleet.WithTransport(peer),
-		lacefleet.WithHistory(i.ledger))
+		lacefleet.WithHistory(past))
+	past.fleet = i.fleet
 	i.journal = &journal{
 		Service: i.fleet,
 		spent:   map[laceledger.Request]laceledger.Offline{},
--- a/router/lacerouter/history.go
+++ b/router/lacerouter/history.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 
 	"github.com/pkg/errors"
 
+	"lacewingcove/lib/lacefleet"
 	"lacewingcove/lib/laceledger"
 	"lacewingcove/lib/laceplatform"
 	"lacewingcove/lib/laceunit"
@@ -62,11 +64,38 @@
 	return ledger.Find(ctx, budget, request)
 }
 
-// Retained implements lacefleet.History.
-func (l *lateLedger) Retained(ctx context.Context, members []laceunit.Holder) ([]laceledger.Request, bool, error) {
-	ledger, err := l.get()
+// history reads the ledger for outage authority.
+type history struct {
+	ledger *lateLedger
+	store  laceplatform.Store
+	fleet  lacefleet.Fleet
+}
+
+// Retained implements lacefleet.History. The platform's revision is read before the membership, so that every process
+// with a lower incarnation is either in that membership or removed, or it joins later and brings a newer fence.
+func (h *history) Retained(ctx context.Context, members []laceunit.Holder) ([]laceledger.Request, bool, error) {
+	ledger, err := h.ledger.get()
 	if err != nil {
 		return nil, false, err
 	}
-	return ledger.Retained(ctx, members)
+	_, revision, err := h.store.List(ctx, "ledger/shape")
+	if err != nil {
+		return nil, false, errors.Wrap(err, "revision")
+	}
+	record, err := h.fleet.Fresh(ctx)
+	if err != nil {
+		return nil, false, errors.Wrap(err, "membership")
+	}
+	if !sameHolders(record.Holders(), members) {
+		return nil, false, nil
+	}
+	return ledger.Retained(ctx, laceledger.Fence{
+		Epoch:   record.Epoch,
+		Members: record.Holders(),
+		Newest:  laceunit.Incarnation(revision),
+	})
+}
+
+func sameHolders(a, b []laceunit.Holder) bool {
+	return len(a) == len(b) && !slices.ContainsFunc(a, func(h laceunit.Holder) bool { return !slices.Contains(b, h) })
 }
