--- a/lib/lacegrant/wallet.go
+++ b/lib/lacegrant/wallet.go
@@ -207,6 +207,10 @@
 	if p.grant != "" && p.free >= ceiling && (p.free >= target/2 || p.known && p.left == 0) {
 		return laceledger.Open{}, false
 	}
+	if p.grant != "" && p.spent > 0 {
+		// Entries that the ledger lacks have their copies at the present witnesses, which have to be asked about them.
+		witnesses = p.witnesses
+	}
 	grant, serial := p.grant, p.serial+1
 	if grant == "" {
 		p.names++
