lacemember, lacefleet: tests for the guards that schedules miss

Cause: with one guard removed at a time, 1,000 schedules did not notice the loss of several guards, and an old process whose lease had ended took the alive key back from a later process of its instance. Ruled out: more schedules in the test; 40,000 find more of them but take minutes under the race detector.

--- a/lib/lacefleet/lease.go
+++ b/lib/lacefleet/lease.go
@@ -20,6 +20,9 @@
 	retryEvery = 300 * time.Millisecond
 )
 
+// errSuperseded means that a later process of the same instance has the alive key.
+var errSuperseded = errors.New("fleet: a later process has the alive key")
+
 func aliveKey(instance laceunit.InstanceID) laceplatform.Key {
 	return alivePrefix + laceplatform.Key(instance)
 }
@@ -88,6 +91,8 @@
 	key := aliveKey(s.settings.Instance)
 	var expect laceplatform.Revision
 	switch e, e2 := s.store.Get(call, key); {
+	case e2 == nil && incarnation != 0 && incarnationOf(e) > incarnation:
+		return 0, errSuperseded
 	case e2 == nil:
 		expect = e.Revision
 	case !errors.Is(e2, laceplatform.ErrMissing):
@@ -168,6 +173,10 @@
 	err := s.store.Renew(call, lease)
 	if errors.Is(err, laceplatform.ErrLeaseGone) {
 		_, err = s.takeKey(ctx, holder.Incarnation)
+	}
+	if errors.Is(err, errSuperseded) {
+		// The record soon tells that this process was removed.
+		_, _, err = s.read(ctx)
 		return err
 	}
 	if err == nil {
--- a/lib/lacefleet/service_test.go
+++ b/lib/lacefleet/service_test.go
@@ -229,6 +229,23 @@
 	})
 }
 
+// Guards against an old process that takes the alive key back from a later one of its instance.
+func TestLaterProcessKeepsTheKey(t *testing.T) {
+	b, ctx := start(t, 2, fast())
+	old := b.order[0]
+	b.join(ctx, t, "i0", nil)
+	b.platform.mu.Lock()
+	delete(b.platform.leases, 1)
+	b.platform.mu.Unlock()
+	old.Suspect()
+	<-old.Expelled()
+	later := b.order[2]
+	e, err := b.clients[2].Get(ctx, aliveKey("i0"))
+	if err != nil || incarnationOf(e) != later.Self().Incarnation || !later.Record().Has(later.Self()) {
+		t.Fatalf("%v, %+v, %+v", err, e, later.Record())
+	}
+}
+
 // Guards against a fleet that never reaches outage mode, runs a request at two homes, or doesn't come back.
 func TestOutageAndReturn(t *testing.T) {
 	b, ctx := start(t, 4, fast())
--- a/lib/lacemember/machine_test.go
+++ b/lib/lacemember/machine_test.go
@@ -113,7 +113,7 @@
 	m.settings.Lean = laceunit.LeanAvailable
 	m.Step(2*time.Second, askOf(r, 1, 1))
 	m.Step(3*time.Second, PlatformBack{})
-	key := requestOf(t, r, 1)
+	key := requestOf(t, r, 1, 0)
 	for now := 4 * time.Second; now < 20*time.Minute; now += time.Second {
 		m.Step(now, Tick{})
 	}
@@ -156,9 +156,10 @@
 	}
 }
 
-func requestOf(t *testing.T, r Record, home int) laceledger.Request {
+// requestOf returns a request with the given home whose id is at least from.
+func requestOf(t *testing.T, r Record, home, from int) laceledger.Request {
 	t.Helper()
-	for i := range 1000 {
+	for i := from; i < from+1000; i++ {
 		q := laceledger.Request{ID: laceunit.RequestID(fmt.Sprint(i))}
 		if h, _ := r.Home(KeyOf(q)); h.Holder == memberOf(home).Holder {
 			return q
