settings: 50 ledger writes a second

Cause: at 300 requests/s 2650 of 2829 platform writes were ledger entries of 2.9 records each; the allowance of 300 writes/s never ran short, so records never waited for company.

--- a/lib/lacesetting/setting.go
+++ b/lib/lacesetting/setting.go
@@ -150,7 +150,8 @@
 		Platform: Platform{
 			Endpoints: []laceunit.Address{"http://127.0.0.1:2379"},
 			Timeout:   2 * time.Second,
-			Writes:    300,
+			// The target of 0.2 platform writes a request leaves 60 a second at 300 requests/s.
+			Writes: 50,
 		},
 		List: "http://127.0.0.1:2380",
 		Lean: laceunit.LeanAvailable,
