lacegateway: the state of a request that ran without the platform

Cause: GET /v1/requests/{id} answered 503 in an outage at the very instance that had run the request, and named budgets as the ledger does. Ruled out: nothing. Measured: TestOfflineOrderRunsOnce asks for the state; it fails without the change with status 503.

--- a/lib/lacegateway/find.go
+++ b/lib/lacegateway/find.go
@@ -32,6 +32,10 @@
 		Account: c.id,
 		ID:      laceunit.RequestID(r.PathValue("id")),
 	}
+	if local, ok := g.deps.Journal.Find(request); ok {
+		writeState(w, journalState(request, local))
+		return
+	}
 	old, err := g.deps.Ledger.Find(r.Context(), c.budget, request)
 	switch {
 	case errors.Is(err, laceplatform.ErrMissing):
@@ -46,19 +50,42 @@
 		})
 		return
 	}
+	writeState(w, stateOf(request, old))
+}
+
+func writeState(w http.ResponseWriter, state wireState) {
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
-	state := stateOf(request, old)
 	h.Set(headerOutcome, state.Outcome)
 	_ = json.NewEncoder(w).Encode(state)
 }
 
+// journalState is the state of a request that ran here without the platform and that the ledger does not know yet.
+func journalState(request laceledger.Request, record laceledger.Offline) wireState {
+	s := wireState{
+		Request: string(request.ID),
+		Outcome: string(lacefault.Unknown),
+		State:   "open",
+		Budget:  budgetName(record.Budget),
+	}
+	if record.Finished {
+		s.Outcome, s.State, s.Tokens = string(lacefault.Done), "settled", int64(record.Tokens)
+	}
+	return s
+}
+
+// budgetName returns the name that callers use for a budget of the ledger.
+func budgetName(budget laceunit.BudgetID) string {
+	_, name := laceledger.Unscope(budget)
+	return string(name)
+}
+
 func stateOf(request laceledger.Request, old laceledger.Existing) wireState {
 	s := wireState{
 		Request: string(request.ID),
 		Outcome: string(lacefault.Unknown),
 		State:   "open",
-		Budget:  string(old.Budget),
+		Budget:  budgetName(old.Budget),
 	}
 	switch old.Phase {
 	case laceledger.PhaseSettled:
--- a/lib/lacegateway/gateway_test.go
+++ b/lib/lacegateway/gateway_test.go
@@ -287,6 +287,10 @@
 	if n := f.backend.count("acme/o5"); n != 1 {
 		t.Fatalf("ran %d times", n)
 	}
+	w := f.do(request(http.MethodGet, "/v1/requests/o5", "", ""))
+	if expect(t, w, http.StatusOK, lacefault.Done); !strings.Contains(w.Body.String(), `"tokens":10`) {
+		t.Fatalf("state %s", w.Body)
+	}
 	var last laceledger.Offline
 	if last = f.world.copies[len(f.world.copies)-1]; !last.Finished || last.Tokens != 10 {
 		t.Fatalf("journal %+v", last)
