--- a/lib/lacewire/ledger_test.go
+++ b/lib/lacewire/ledger_test.go
@@ -20,7 +20,7 @@
 			laceledger.Open{Budget: "b", Grant: "g", Holder: h, Tokens: 9, Least: 3, Offline: 2, Witnesses: []laceunit.Holder{h, {}}, Serial: 1},
 			laceledger.Return{Budget: "b", Grant: "g", Tokens: 1, Offline: 1, Serial: 2},
 			laceledger.Close{Budget: "b", Grant: "g"},
-		laceledger.Fence{Epoch: 4, Members: []laceunit.Holder{h}, Newest: 9},
+			laceledger.Fence{Epoch: 4, Members: []laceunit.Holder{h}, Newest: 9},
 			laceledger.Release{Budget: "b", Grant: "g", Who: "w"},
 			laceledger.Intent{Budget: "b", Request: r, Digest: "00ff", Grant: "g", Ceiling: 3, Attempt: "1", Server: "s", Idempotent: true, At: 6},
 			laceledger.Takeover{Budget: "b", Request: r, From: "1", Attempt: "2", Grant: "h", Server: "s", At: 6},
