lacegateway: an id that is not known is not called not run

Cause: GET /v1/requests/{id} answered 404 with outcome not_run, although the request may have run at another instance during an outage. Ruled out: asking all instances; some may be out of reach, which proves nothing. Change: outcome unknown with a Retry-After. Measured: TestUnknownIDIsNotCalledNotRun; before, the outcome was not_run.

--- a/lib/lacegateway/find.go
+++ b/lib/lacegateway/find.go
@@ -39,7 +39,13 @@
 	old, err := g.deps.Ledger.Find(r.Context(), c.budget, request)
 	switch {
 	case errors.Is(err, laceplatform.ErrMissing):
-		g.refuse(w, refusal(lacefault.NotFound, "no request with this id is known"))
+		// The id can be on its way, or have run at another instance during an outage, or be older than the retention.
+		g.refuse(w, &lacefault.Fault{
+			Outcome:    lacefault.Unknown,
+			Code:       lacefault.NotFound,
+			Message:    "no request with this id is known",
+			RetryAfter: time.Second,
+		})
 		return
 	case err != nil:
 		g.refuse(w, &lacefault.Fault{
--- a/lib/lacegateway/gateway_test.go
+++ b/lib/lacegateway/gateway_test.go
@@ -211,6 +211,12 @@
 	}
 }
 
+// Guards against a caller that takes "not known here" for "not run": another instance may have run it in an outage.
+func TestUnknownIDIsNotCalledNotRun(t *testing.T) {
+	f := newFixture()
+	expect(t, f.do(request(http.MethodGet, "/v1/requests/nobody", "", "")), http.StatusNotFound, lacefault.Unknown)
+}
+
 // Guards against spend beyond the paid tokens, however small the rest.
 func TestSpentBudgetIsRefused(t *testing.T) {
 	f := newFixture()
