--- a/lib/lacewriter/measure_test.go
+++ b/lib/lacewriter/measure_test.go
@@ -177,6 +177,13 @@
 		{300, 1, 10, 50},
 		{300, 2, 10, 30},
 		{300, 2, 10, 50},
+		{2100, 1, 5, 20},
+		{2100, 4, 5, 20},
+		{2100, 8, 5, 20},
+		{2100, 16, 5, 20},
+		{2100, 64, 5, 20},
+		{2100, 1, 100, 20},
+		{2100, 8, 100, 20},
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			measureWrites(t, c.rate, c.shards, c.once, time.Duration(c.linger)*time.Millisecond)
