loadgen: experiments start instances again that ended by themselves

Cause: an instance that the membership removed while it was cut off ends with code 1 and relies on a process manager; experiments had none, so cut instances stayed away for the rest of a run. Ruled out: a restart of killed instances by the same rule, because the fault has its own time for that. Change: each process is minded until the run ends; at most 100 starts a run, their number is in the result; a test with a program that ends at once.

--- a/loadgen/laceexperiment/experiment_test.go
+++ b/loadgen/laceexperiment/experiment_test.go
@@ -199,3 +199,47 @@
 		}
 	}
 }
+
+// Guards against instances that stay away after they ended by themselves, and killed ones that are started twice.
+func TestExitedInstancesAreStartedAgain(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "router")
+	// The first instance ends at once, the others stay.
+	script := "#!/bin/sh\ncase \"$*\" in *router-1*) exit 1;; esac\nexec sleep 60\n"
+	if err := os.WriteFile(program, []byte(script), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	f := &fleet{
+		experiment: Experiment{
+			Instances: 2,
+			Zones:     []laceunit.ZoneID{"z"},
+			Programs:  Programs{Router: program},
+		},
+		dir:    t.TempDir(),
+		client: &http.Client{},
+		killed: map[int]bool{},
+		pause:  10 * time.Millisecond,
+		ending: make(chan struct{}),
+	}
+	f.workload.Standin.Platform = "127.0.0.1:1"
+	started, err := f.launchAll()
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.kill(1)
+	// The killed instance would be started before the other one has ended three times.
+	deadline := time.Now().Add(20 * time.Second)
+	for ticker := time.NewTicker(time.Millisecond); f.exited() < 3; <-ticker.C {
+		if time.Now().After(deadline) {
+			t.Fatal("not started again")
+		}
+	}
+	f.mu.Lock()
+	if f.instances[1] != started[1] {
+		t.Error("a killed instance was started by itself")
+	}
+	f.mu.Unlock()
+	f.stop()
+	if err := f.restart(0); err != nil || f.instances[0].PID() == 0 {
+		t.Error(err)
+	}
+}
--- a/loadgen/laceexperiment/fleet.go
+++ b/loadgen/laceexperiment/fleet.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -26,6 +27,10 @@
 	readyEvery = 50 * time.Millisecond
 	// stopPatience bounds the stop of a process before it is killed.
 	stopPatience = 5 * time.Second
+	// relaunchAfter is the pause before an instance that ended by itself is started again.
+	relaunchAfter = time.Second
+	// maxExits bounds these starts, so that a program that ends at once does not fill the disk with logs.
+	maxExits = 100
 	// portsEach is the distance of two instances' ports.
 	portsEach = 10
 )
@@ -42,7 +47,13 @@
 
 	mu        sync.Mutex
 	instances []*laceprocess.Process
-	stopped   bool
+	// killed are the instances that were ended on purpose.
+	killed  map[int]bool
+	exits   int
+	pause   time.Duration
+	stopped bool
+	ending  chan struct{}
+	minders sync.WaitGroup
 }
 
 // files are the inputs of a run, copied into its directory with the ports moved.
@@ -59,6 +70,9 @@
 		workload:   w,
 		dir:        dir,
 		client:     &http.Client{Timeout: standinTimeout},
+		killed:     map[int]bool{},
+		pause:      relaunchAfter,
+		ending:     make(chan struct{}),
 	}
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
@@ -94,13 +108,11 @@
 	if err = f.operator.prepare(ctx, in.configuration, f.workload); err != nil {
 		return err
 	}
-	f.instances = make([]*laceprocess.Process, f.experiment.Instances)
-	for i := range f.instances {
-		if err = f.launch(i); err != nil {
-			return err
-		}
+	started, err := f.launchAll()
+	if err != nil {
+		return err
 	}
-	for i, p := range f.instances {
+	for i, p := range started {
 		if err = f.ready(ctx, p, "http://"+string(f.address(i))+"/readyz"); err != nil {
 			return err
 		}
@@ -108,6 +120,19 @@
 	return nil
 }
 
+// launchAll starts every instance for the first time.
+func (f *fleet) launchAll() ([]*laceprocess.Process, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.instances = make([]*laceprocess.Process, f.experiment.Instances)
+	for i := range f.instances {
+		if err := f.launch(i); err != nil {
+			return nil, err
+		}
+	}
+	return slices.Clone(f.instances), nil
+}
+
 // free fails when something answers at the platform's address: a run must not mix with another one's stand-ins.
 func (f *fleet) free(ctx context.Context, platform string) error {
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+platform+"/v1/counts", http.NoBody)
@@ -139,7 +164,7 @@
 	return out
 }
 
-// launch starts an instance.
+// launch starts an instance; the mutex must be held.
 func (f *fleet) launch(i int) error {
 	e := f.experiment
 	program := e.Programs.Router
@@ -167,9 +192,40 @@
 		return err
 	}
 	f.instances[i] = p
+	f.minders.Add(1)
+	go f.mind(i, p)
 	return nil
 }
 
+// mind starts an instance again that ended by itself, as a process manager does; one that the membership removed while
+// it was cut off ends so.
+func (f *fleet) mind(i int, p *laceprocess.Process) {
+	defer f.minders.Done()
+	<-p.Ended()
+	timer := time.NewTimer(f.pause)
+	defer timer.Stop()
+	select {
+	case <-f.ending:
+		return
+	case <-timer.C:
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.stopped || f.killed[i] || f.instances[i] != p || f.exits >= maxExits {
+		return
+	}
+	f.exits++
+	// A program that can't be started shows as an instance that is missing, with the reason in its log.
+	_ = f.launch(i)
+}
+
+// exited returns how many instances ended by themselves and were started again.
+func (f *fleet) exited() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.exits
+}
+
 // listOf returns the address of the instance list, which the samples put on the port after the platform's.
 func listOf(platform laceunit.Address) (string, error) {
 	var port int
@@ -210,6 +266,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !f.stopped {
+		f.killed[i] = true
 		f.instances[i].Kill()
 	}
 }
@@ -221,6 +278,7 @@
 	if f.stopped {
 		return nil
 	}
+	f.killed[i] = false
 	return f.launch(i)
 }
 
@@ -228,6 +286,7 @@
 func (f *fleet) stop() {
 	f.mu.Lock()
 	f.stopped = true
+	close(f.ending)
 	f.mu.Unlock()
 	var all sync.WaitGroup
 	for _, p := range f.instances {
@@ -241,6 +300,7 @@
 		}()
 	}
 	all.Wait()
+	f.minders.Wait()
 	if f.operator != nil {
 		f.operator.close()
 	}
--- a/loadgen/laceexperiment/runner.go
+++ b/loadgen/laceexperiment/runner.go
@@ -19,10 +19,12 @@
 
 // Outcome is one run of one variant.
 type Outcome struct {
-	Variant string          `json:"variant"`
-	Seed    string          `json:"seed"`
-	Faults  []string        `json:"faults"`
-	Report  laceload.Report `json:"report"`
+	Variant string   `json:"variant"`
+	Seed    string   `json:"seed"`
+	Faults  []string `json:"faults"`
+	// Exits is how many instances ended by themselves and were started again.
+	Exits  int             `json:"exits"`
+	Report laceload.Report `json:"report"`
 }
 
 // Runner runs an experiment.
@@ -102,6 +104,7 @@
 	if err != nil {
 		return Outcome{}, err
 	}
+	o.Exits = f.exited()
 	s.mu.Lock()
 	o.Faults = append(o.Faults, s.noted...)
 	s.mu.Unlock()
