laceledger, lacegrant: late intents are refused, mismatched grants are ended

Cause: an append that was given up could still arrive after its Void had found nothing; the intent then stayed open and answered every retry with "unknown". An intent refused as short dropped the grant from the wallet while it stayed open in the ledger, so its tokens were lost to the fleet until the restart. Ruled out: waiting for the append, which has no bound in an outage. Change: a Void carries digest and class and is remembered when the request is not known; Regrant tells closed from short, and a short grant is retired.

--- a/lib/lacegateway/driver.go
+++ b/lib/lacegateway/driver.go
@@ -322,7 +322,13 @@
 }
 
 func (d *driver) regrant(e lacerequest.Regrant) {
-	d.gateway.deps.Wallet.Drop(d.task.spec.Budget, e.Grant)
+	if e.Closed {
+		d.gateway.deps.Wallet.Drop(d.task.spec.Budget, e.Grant)
+	} else {
+		// The reservation ends here; a new one is made under another grant.
+		d.gateway.deps.Wallet.Settle(d.reservation, 0)
+		d.gateway.deps.Wallet.Retire(d.task.spec.Budget, e.Grant)
+	}
 	d.work(func() {
 		ctx, cancel := d.context(reserveTimeout)
 		defer cancel()
--- a/lib/lacegateway/gateway.go
+++ b/lib/lacegateway/gateway.go
@@ -34,6 +34,7 @@
 	Settle(r lacegrant.Reservation, used laceunit.Tokens)
 	Forfeit(r lacegrant.Reservation)
 	Drop(budget laceunit.BudgetID, grant laceunit.GrantID)
+	Retire(budget laceunit.BudgetID, grant laceunit.GrantID)
 }
 
 // Choice is what the picker has to know of a request.
--- a/lib/lacegrant/service.go
+++ b/lib/lacegrant/service.go
@@ -174,6 +174,13 @@
 	s.wallet.Drop(budget, grant)
 }
 
+// Retire ends a grant whose size in the ledger differs from the wallet's; it is closed when its reservations end.
+func (s *Service) Retire(budget laceunit.BudgetID, grant laceunit.GrantID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.wallet.Retire(budget, grant)
+}
+
 // HandOver deducts tokens of the offline part for another instance.
 func (s *Service) HandOver(budget laceunit.BudgetID, tokens laceunit.Tokens) (Reservation, bool) {
 	s.mu.Lock()
--- a/lib/lacegrant/wallet.go
+++ b/lib/lacegrant/wallet.go
@@ -293,7 +293,8 @@
 				Budget:  r.budget,
 				Grant:   g,
 				Offline: r.spent,
-				Serial:  r.serial + 1,
+				// An Open with the next serial may still be under way.
+				Serial: r.serial + 2,
 			},
 			laceledger.Close{
 				Budget: r.budget,
@@ -338,18 +339,24 @@
 // Drain retires every grant; Retired then returns the records that end them.
 func (w *Wallet) Drain() {
 	for b, p := range w.purses {
-		if p.grant == "" {
-			continue
-		}
-		w.retired[p.grant] = &retired{
-			budget:    b,
-			serial:    p.serial,
-			live:      p.live,
-			spent:     p.spent,
-			witnesses: p.witnesses,
-		}
-		w.drop(p, p.grant)
+		w.Retire(b, p.grant)
+	}
+}
+
+// Retire takes no new reservations from a grant and ends it when its last one has ended.
+func (w *Wallet) Retire(budget laceunit.BudgetID, grant laceunit.GrantID) {
+	p := w.purse(budget)
+	if grant == "" || p.grant != grant {
+		return
+	}
+	w.retired[grant] = &retired{
+		budget:    budget,
+		serial:    p.serial,
+		live:      p.live,
+		spent:     p.spent,
+		witnesses: p.witnesses,
 	}
+	w.drop(p, grant)
 }
 
 // Returned tells that the ledger has decided on a Return.
--- a/lib/laceledger/record.go
+++ b/lib/laceledger/record.go
@@ -106,7 +106,11 @@
 	Budget  laceunit.BudgetID
 	Request Request
 	Attempt laceunit.AttemptID
-	At      int64
+	// Digest and Idempotent are those of the intent. With them the ledger remembers the void of a request that it does
+	// not know, so that an intent of the same attempt that arrives later is refused.
+	Digest     laceunit.Digest
+	Idempotent bool
+	At         int64
 }
 
 // Offline bills a request that ran while the platform was out of reach, against the offline part of a grant.
--- a/lib/laceledger/request.go
+++ b/lib/laceledger/request.go
@@ -156,6 +156,8 @@
 func (d *draft) applyVoid(b *budget, r Void) Verdict {
 	q := d.request(r.Request)
 	switch {
+	case q == nil && r.Digest != "" && r.Request.Account == b.account:
+		return d.preempt(b, r)
 	case q == nil || q.Budget != b.id:
 		return Verdict{Result: Missing}
 	case q.Attempt != r.Attempt || q.Phase == PhaseSettled:
@@ -170,3 +172,16 @@
 	d.put(n)
 	return Verdict{Result: Accepted}
 }
+
+// preempt remembers the void of a request whose intent has not arrived and may still be on its way.
+func (d *draft) preempt(b *budget, r Void) Verdict {
+	d.put(request{Existing: Existing{
+		Request:    r.Request,
+		Budget:     b.id,
+		Digest:     r.Digest,
+		Phase:      PhaseVoid,
+		Attempt:    r.Attempt,
+		Idempotent: r.Idempotent,
+	}})
+	return Verdict{Result: Accepted}
+}
--- a/lib/laceledger/state_test.go
+++ b/lib/laceledger/state_test.go
@@ -70,6 +70,21 @@
 	return Offline{Budget: "b", Request: req(id), Digest: "d", Grant: laceunit.GrantID(grant), Attempt: laceunit.AttemptID(attempt), Tokens: tokens, Finished: finished, Idempotent: true}
 }
 
+// Guards against an intent that arrives after its request was given up: it would stay open for ever and answer every
+// retry with "unknown".
+func TestLateIntentIsRefused(t *testing.T) {
+	s := newShard(t, 100)
+	s.expect(open("g", 50, 0), Accepted)
+	v := void("r", "1")
+	v.Digest, v.Idempotent = "d", true
+	s.expect(v, Accepted)
+	s.expect(v, Repeated)
+	s.expect(intent("r", "1", "g", 10), Superseded)
+	s.expect(intent("r", "2", "g", 10), Accepted)
+	s.expect(settle("r", "2", 7), Accepted)
+	s.balance(7, 43)
+}
+
 // Guards against top-ups counted twice and ids reused for another amount or another client account.
 func TestTopUpCountsOnce(t *testing.T) {
 	s := newShard(t, 10)
--- a/lib/laceledger/valid.go
+++ b/lib/laceledger/valid.go
@@ -25,7 +25,7 @@
 	case Settle:
 		return r.Request.valid() && named(r.Attempt) && sized(r.Tokens)
 	case Void:
-		return r.Request.valid() && named(r.Attempt)
+		return r.Request.valid() && named(r.Attempt) && short(r.Digest)
 	case Offline:
 		return r.Request.valid() && named(r.Grant) && named(r.Attempt) && short(r.Digest) && short(r.Server) && sized(r.Tokens)
 	}
--- a/lib/lacerequest/effect.go
+++ b/lib/lacerequest/effect.go
@@ -40,8 +40,13 @@
 // Copy writes the journal entry and copies it to another instance; the answer is Copied.
 type Copy struct{ Entry laceledger.Offline }
 
-// Regrant drops a closed grant and reserves again; the answer is Regranted.
-type Regrant struct{ Grant laceunit.GrantID }
+// Regrant replaces a grant that the ledger has closed or holds for smaller than the wallet does, and reserves again;
+// the answer is Regranted.
+type Regrant struct {
+	Grant laceunit.GrantID
+	// Closed is false when the grant is still open in the ledger and has to be ended there.
+	Closed bool
+}
 
 // Lookup asks the backend server about the request id; the answer is Found.
 type Lookup struct{ Server laceunit.ServerID }
--- a/lib/lacerequest/machine.go
+++ b/lib/lacerequest/machine.go
@@ -248,9 +248,11 @@
 
 func (m *Machine) void() laceledger.Void {
 	return laceledger.Void{
-		Budget:  m.spec.Budget,
-		Request: m.spec.Request,
-		Attempt: m.spec.Claim,
+		Budget:     m.spec.Budget,
+		Request:    m.spec.Request,
+		Attempt:    m.spec.Claim,
+		Digest:     m.spec.Digest,
+		Idempotent: m.spec.Idempotent,
 	}
 }
 
--- a/lib/lacerequest/proof.go
+++ b/lib/lacerequest/proof.go
@@ -29,7 +29,7 @@
 	case laceledger.Duplicate:
 		return m.duplicate(in.Verdict.Existing)
 	case laceledger.Closed, laceledger.Short:
-		return m.regrant()
+		return m.regrant(in.Verdict.Result == laceledger.Closed)
 	case laceledger.Conflict:
 		m.proof = proofNone
 		return m.refuse(&lacefault.Fault{
@@ -129,14 +129,17 @@
 	}})
 }
 
-// regrant replaces a grant that was closed while the request was under way.
-func (m *Machine) regrant() []Effect {
+// regrant replaces a grant that was closed while the request was under way, or is too small in the ledger.
+func (m *Machine) regrant(closed bool) []Effect {
 	m.regrants++
 	if m.regrants > maxRegrants {
 		m.proof = proofNone
 		return m.refuse(m.blocked())
 	}
-	return []Effect{Regrant{Grant: m.spec.Grant}}
+	return []Effect{Regrant{
+		Grant:  m.spec.Grant,
+		Closed: closed,
+	}}
 }
 
 func (m *Machine) regranted(in Regranted) []Effect {
--- a/lib/lacetrace/replay.go
+++ b/lib/lacetrace/replay.go
@@ -41,7 +41,7 @@
 	case lacerequest.Copy:
 		return "copy " + describeRecord(e.Entry)
 	case lacerequest.Regrant:
-		return "regrant " + string(e.Grant)
+		return fmt.Sprintf("regrant %s closed=%v", e.Grant, e.Closed)
 	case lacerequest.Lookup:
 		return "lookup " + string(e.Server)
 	case lacerequest.Emit:
--- a/lib/lacewire/ledger_record.go
+++ b/lib/lacewire/ledger_record.go
@@ -144,10 +144,12 @@
 		}}
 	case laceledger.Void:
 		m.Kind = &LedgerRecord_Void{Void: &LedgerVoid{
-			Account: intern(n, r.Request.Account),
-			Request: string(r.Request.ID),
-			Attempt: string(r.Attempt),
-			At:      r.At,
+			Account:    intern(n, r.Request.Account),
+			Request:    string(r.Request.ID),
+			Attempt:    string(r.Attempt),
+			At:         r.At,
+			Digest:     fromDigest(r.Digest),
+			Idempotent: r.Idempotent,
 		}}
 	case laceledger.Offline:
 		m.Kind = &LedgerRecord_Offline{Offline: fromOffline(n, r)}
@@ -274,10 +276,12 @@
 		}
 	case *LedgerRecord_Void:
 		return laceledger.Void{
-			Budget:  budget,
-			Request: request(n, k.Void.GetAccount(), k.Void.GetRequest()),
-			Attempt: laceunit.AttemptID(k.Void.GetAttempt()),
-			At:      k.Void.GetAt(),
+			Budget:     budget,
+			Request:    request(n, k.Void.GetAccount(), k.Void.GetRequest()),
+			Attempt:    laceunit.AttemptID(k.Void.GetAttempt()),
+			At:         k.Void.GetAt(),
+			Digest:     toDigest(k.Void.GetDigest()),
+			Idempotent: k.Void.GetIdempotent(),
 		}
 	case *LedgerRecord_Offline:
 		return toOffline(n, k.Offline, budget)
--- a/lib/lacewire/ledger_test.go
+++ b/lib/lacewire/ledger_test.go
@@ -25,7 +25,7 @@
 			laceledger.Intent{Budget: "b", Request: r, Digest: "00ff", Grant: "g", Ceiling: 3, Attempt: "1", Server: "s", Idempotent: true, At: 6},
 			laceledger.Takeover{Budget: "b", Request: r, From: "1", Attempt: "2", Grant: "h", Server: "s", At: 6},
 			laceledger.Settle{Budget: "b", Request: r, Attempt: "2", Tokens: 3, Answer: answer, At: 6},
-			laceledger.Void{Budget: "b", Request: r, Attempt: "2", At: 6},
+			laceledger.Void{Budget: "b", Request: r, Attempt: "2", Digest: "00ff", Idempotent: true, At: 6},
 			laceledger.Offline{Budget: "c", Request: r, Digest: "00FF", Grant: "g", Attempt: "2", Server: "s", Tokens: 3, Idempotent: true, Finished: true, Answer: answer, At: 6},
 			laceledger.Fence{Epoch: 4, Members: []laceunit.Holder{{Instance: "i", Incarnation: 2}}, Newest: 9},
 		},
