lacekernel: one loop for periodic work

Ruled out: leaving the loops; a wait added in one would miss the others. Change: lacekernel.Every, used by the wallet, recovery and the fleet.

--- a/lib/lacefleet/dispatch.go
+++ b/lib/lacefleet/dispatch.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"lacewingcove/lib/lacekernel"
 	"lacewingcove/lib/lacemember"
 )
 
@@ -101,31 +102,17 @@
 	if s.journal == nil {
 		return
 	}
-	ticker := time.NewTicker(s.settings.Probe)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	_ = lacekernel.Every(ctx, s.settings.Probe, func(ctx context.Context) {
 		if s.Reachable() || len(s.Contacts()) > 0 {
 			s.carry(ctx, lacemember.FlushJournal{})
 		}
-	}
+	})
 }
 
 func (s *Service) tick(ctx context.Context) {
-	ticker := time.NewTicker(tickEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			s.run(lacemember.Tick{})
-		}
-	}
+	_ = lacekernel.Every(ctx, tickEvery, func(context.Context) {
+		s.run(lacemember.Tick{})
+	})
 }
 
 // probe asks a bounded number of random members: one in each few intervals while the platform is within reach, which
--- a/lib/lacefleet/follow.go
+++ b/lib/lacefleet/follow.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"lacewingcove/lib/lacekernel"
 	"lacewingcove/lib/lacemember"
 	"lacewingcove/lib/laceplatform"
 	"lacewingcove/lib/laceunit"
@@ -121,18 +122,11 @@
 
 // sweep removes the members whose alive key is gone.
 func (s *Service) sweep(ctx context.Context) {
-	ticker := time.NewTicker(rankDelay)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	_ = lacekernel.Every(ctx, rankDelay, func(ctx context.Context) {
 		if gone := s.dead(); len(gone) > 0 {
 			_ = s.remove(ctx, gone)
 		}
-	}
+	})
 }
 
 // dead returns the members whose key has been missing for long enough to be removed by this instance.
--- a/lib/lacegrant/service.go
+++ b/lib/lacegrant/service.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"lacewingcove/lib/lacekernel"
 	"lacewingcove/lib/laceledger"
 	"lacewingcove/lib/laceplatform"
 	"lacewingcove/lib/laceunit"
@@ -215,16 +216,7 @@
 
 // Serve returns idle grants until the context ends.
 func (s *Service) Serve(ctx context.Context) error {
-	ticker := time.NewTicker(idleInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-			s.tidy(ctx)
-		}
-	}
+	return lacekernel.Every(ctx, idleInterval, s.tidy)
 }
 
 // Drain gives every grant back; grants with reservations are closed when those end, by Close at the latest.
--- a/router/lacerouter/recovery.go
+++ b/router/lacerouter/recovery.go
@@ -13,6 +13,7 @@
 	"lacewingcove/lib/lacefleet"
 	"lacewingcove/lib/lacegateway"
 	"lacewingcove/lib/lacejournal"
+	"lacewingcove/lib/lacekernel"
 	"lacewingcove/lib/laceledger"
 	"lacewingcove/lib/laceunit"
 	"lacewingcove/lib/lacewriter"
@@ -38,18 +39,11 @@
 
 // Serve looks for left-over grants and requests until the context ends.
 func (r *recovery) Serve(ctx context.Context) error {
-	ticker := time.NewTicker(recoveryInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
+	return lacekernel.Every(ctx, recoveryInterval, func(ctx context.Context) {
 		if err := r.round(ctx); err != nil && ctx.Err() == nil {
 			r.logger.V(1).Info("recovery postponed", "cause", err.Error())
 		}
-	}
+	})
 }
 
 func (r *recovery) round(ctx context.Context) error {
