lacegrant: early top-ups share platform writes

Change: an Open without a least amount has the urgency soon; an Open that a request waits for stays urgent.

--- a/lib/lacegrant/service.go
+++ b/lib/lacegrant/service.go
@@ -286,7 +286,7 @@
 	defer s.tasks.Done()
 	ctx, cancel := context.WithTimeout(context.Background(), openTimeout)
 	defer cancel()
-	verdict, err := s.ledger.Append(ctx, open, laceledger.Now)
+	verdict, err := s.ledger.Append(ctx, open, urgency(open))
 	reason := s.reason(ctx, open, verdict, err)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -310,6 +310,15 @@
 	s.wake(open.Budget)
 }
 
+// urgency returns Now for an Open that a request waits for. An early top-up shares the write of other records: the
+// rest of the grant lasts much longer than they linger.
+func urgency(open laceledger.Open) laceledger.Urgency {
+	if open.Least > 0 {
+		return laceledger.Now
+	}
+	return laceledger.Soon
+}
+
 // reason returns why an Open gave nothing, or nil.
 func (s *Service) reason(ctx context.Context, open laceledger.Open, verdict laceledger.Verdict, err error) error {
 	if err != nil {
