tls: hosts named by IP address are checked; certificates and operators reload on SIGHUP

Cause: a TLS client sends no server name for an IP address, and the check used the name of the connection state, so any certificate of the authority passed for any IP address. The certificate of the platform client was never reloaded, operator tokens were never reloaded, SIGHUP ended the process, and a caller and an admin listener that named the same certificate collided in the kernel, so that the router did not start. Any client could cause a log line per connection. Ruled out: a fixed pool in tls.Config.RootCAs, which would not follow a reloaded authority; a ServerName in the shared configuration, which has no one host. Change: lacetls.Source.Client takes the host and Source.Dialer serves http.Transport.DialTLSContext, with a bound on the dial; laceplatform.WithTLS takes a dial function. The router keeps one source per set of files, supervises all of them and reloads them and the operators on SIGHUP. Handshake errors are logged at debug level. Conclusion: instances that address each other by IP address now check whom they reach.

--- a/lacectl/option.go
+++ b/lacectl/option.go
@@ -79,7 +79,7 @@
 		if err != nil {
 			return nil, err
 		}
-		transport.TLSClientConfig = source.Client()
+		transport.DialTLSContext = source.Dialer(o.timeout)
 	}
 	c := &laceadmin.Client{
 		Token: strings.TrimSpace(string(token)),
--- a/lib/laceplatform/client.go
+++ b/lib/laceplatform/client.go
@@ -1,7 +1,7 @@
 package laceplatform
 
 import (
-	"crypto/tls"
+	"context"
 	"net"
 	"net/http"
 	"strings"
@@ -37,7 +37,7 @@
 	idle      time.Duration
 	pause     time.Duration
 	observer  Observer
-	tls       *tls.Config
+	tls       DialTLS
 	transport *http.Transport
 	http      *http.Client
 	// preferred is the index of the endpoint that answered last.
@@ -72,9 +72,12 @@
 	return func(c *Client) { c.name = name }
 }
 
-// WithTLS sets the TLS configuration for https endpoints.
-func WithTLS(config *tls.Config) Option {
-	return func(c *Client) { c.tls = config }
+// DialTLS connects to an https endpoint and checks its certificate.
+type DialTLS func(ctx context.Context, network, address string) (net.Conn, error)
+
+// WithTLS sets how https endpoints are connected to.
+func WithTLS(dial DialTLS) Option {
+	return func(c *Client) { c.tls = dial }
 }
 
 // NewClient returns a client of the endpoints; an endpoint without a scheme is reached over http.
@@ -104,7 +107,7 @@
 	}
 	c.transport = &http.Transport{
 		DialContext:         dialer.DialContext,
-		TLSClientConfig:     c.tls,
+		DialTLSContext:      c.tls.within(dialer.Timeout),
 		TLSHandshakeTimeout: dialer.Timeout,
 		MaxIdleConns:        256,
 		MaxIdleConnsPerHost: 64,
@@ -119,6 +122,18 @@
 	return c, nil
 }
 
+// within bounds the time of a connection; nil leaves https to the transport.
+func (d DialTLS) within(timeout time.Duration) DialTLS {
+	if d == nil {
+		return nil
+	}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		return d(ctx, network, address)
+	}
+}
+
 // Close drops the idle connections; watches are closed by their owners.
 func (c *Client) Close() error {
 	c.transport.CloseIdleConnections()
--- a/lib/lacetls/config.go
+++ b/lib/lacetls/config.go
@@ -1,8 +1,11 @@
 package lacetls
 
 import (
+	"context"
 	"crypto/tls"
 	"crypto/x509"
+	"net"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -16,11 +19,12 @@
 	}
 }
 
-// Client returns the configuration of a client that checks the server's name against the authority,
-// or against the system's authorities when the source has none.
-func (s *Source) Client() *tls.Config {
+// Client returns the configuration of a client of one host, which is a name or an IP address. The host's certificate is
+// checked against the authority, or against the system's authorities when the source has none.
+func (s *Source) Client(host string) *tls.Config {
 	c := &tls.Config{
 		MinVersion: tls.VersionTLS13,
+		ServerName: host,
 	}
 	if s.files.Certificate != "" {
 		c.GetClientCertificate = func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return s.certificate() }
@@ -28,12 +32,28 @@
 	if s.files.Authority != "" {
 		c.InsecureSkipVerify = true //nolint:gosec // VerifyConnection checks against the current authority instead
 		c.VerifyConnection = func(state tls.ConnectionState) error {
-			return s.verify(state, x509.ExtKeyUsageServerAuth, state.ServerName)
+			// The name in the state is empty for an IP address, because a client hello never names one.
+			return s.verify(state, x509.ExtKeyUsageServerAuth, host)
 		}
 	}
 	return c
 }
 
+// Dialer returns a function for http.Transport.DialTLSContext; timeout bounds connection and handshake together.
+func (s *Source) Dialer(timeout time.Duration) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		host, _, err := net.SplitHostPort(address)
+		if err != nil {
+			return nil, errors.Wrap(err, "tls")
+		}
+		d := tls.Dialer{
+			NetDialer: &net.Dialer{Timeout: timeout},
+			Config:    s.Client(host),
+		}
+		return d.DialContext(ctx, network, address)
+	}
+}
+
 // MutualServer returns the configuration of a listener for instances: it refuses a connection without a certificate
 // of the authority.
 func (s *Source) MutualServer() *tls.Config {
@@ -48,9 +68,6 @@
 	return c
 }
 
-// MutualClient returns the configuration of a client to instances.
-func (s *Source) MutualClient() *tls.Config { return s.Client() }
-
 func (s *Source) certificate() (*tls.Certificate, error) {
 	c := s.current.Load()
 	if c == nil || c.certificate == nil {
--- a/lib/lacetls/tls_test.go
+++ b/lib/lacetls/tls_test.go
@@ -132,11 +132,11 @@
 	expired := source(t, a.issue(t, t.TempDir(), 3, time.Now().Add(-time.Hour)))
 	bare := source(t, Files{Authority: a.file})
 	trusting := func(s *Source) *tls.Config { // a client that accepts any server, so that only the server decides
-		c := s.MutualClient()
+		c := s.Client("127.0.0.1")
 		c.VerifyConnection = nil
 		return c
 	}
-	if _, s, c := handshake(t, good.MutualServer(), good.MutualClient()); s != nil || c != nil {
+	if _, s, c := handshake(t, good.MutualServer(), good.Client("127.0.0.1")); s != nil || c != nil {
 		t.Fatalf("valid pair refused: %v, %v", s, c)
 	}
 	for name, client := range map[string]*Source{"no certificate": bare, "wrong authority": foreign, "expired": expired} {
@@ -145,20 +145,21 @@
 		}
 	}
 	for name, server := range map[string]*Source{"wrong authority": foreign, "expired": expired} {
-		if _, _, c := handshake(t, server.Server(), good.MutualClient()); !errors.Is(c, ErrPeer) {
+		if _, _, c := handshake(t, server.Server(), good.Client("127.0.0.1")); !errors.Is(c, ErrPeer) {
 			t.Errorf("server with %s: got %v", name, c)
 		}
 	}
 }
 
-// Guards against a server certificate for another host.
+// Guards against a server certificate for another host, which has to be checked for IP addresses as well: instances
+// address each other by IP, and a TLS client sends no server name for one.
 func TestClientChecksName(t *testing.T) {
 	a := newAuthority(t)
 	s := source(t, a.issue(t, t.TempDir(), 1, time.Now().Add(time.Hour)))
-	c := s.Client()
-	c.ServerName = "elsewhere.example"
-	if _, _, err := handshake(t, s.Server(), c); !errors.Is(err, ErrPeer) {
-		t.Fatalf("got %v", err)
+	for _, host := range []string{"elsewhere.example", "127.0.0.2"} {
+		if _, _, err := handshake(t, s.Server(), s.Client(host)); !errors.Is(err, ErrPeer) {
+			t.Errorf("%s: got %v", host, err)
+		}
 	}
 }
 
@@ -168,7 +169,7 @@
 	end := time.Now().Add(time.Hour)
 	notices := make(chan error, 10)
 	s := source(t, a.issue(t, dir, 1, end), WithInterval(time.Millisecond), WithNotice(func(err error) { notices <- err }))
-	server, client := s.MutualServer(), s.MutualClient()
+	server, client := s.MutualServer(), s.Client("127.0.0.1")
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- s.Serve(ctx) }()
--- a/router/lacerouter/assemble.go
+++ b/router/lacerouter/assemble.go
@@ -32,7 +32,7 @@
 	if err := i.kernel.Register(nameMetrics, i.registry); err != nil {
 		return err
 	}
-	source, err := certificates(i.settings.Platform.TLS, i.logger)
+	source, err := i.certificates(i.settings.Platform.TLS)
 	if err != nil {
 		return err
 	}
@@ -42,7 +42,7 @@
 		laceplatform.WithObserver(newPlatformMetrics(i.registry)),
 	}
 	if source != nil {
-		options = append(options, laceplatform.WithTLS(source.Client()))
+		options = append(options, laceplatform.WithTLS(source.Dialer(i.settings.Platform.Timeout)))
 	}
 	client, err := laceplatform.NewClient(i.settings.Platform.Endpoints, options...)
 	if err != nil {
@@ -52,16 +52,11 @@
 }
 
 func (i *Instance) addTransport(ctx context.Context) error {
-	source, err := certificates(i.settings.Peer.TLS, i.logger)
+	source, err := i.certificates(i.settings.Peer.TLS)
 	if err != nil {
 		return err
 	}
 	transport := newPeerTransport(source)
-	if source != nil {
-		if err = i.kernel.Register(nameTransport+"-certificates", source); err != nil {
-			return err
-		}
-	}
 	if err = i.kernel.Register(nameTransport, transport); err != nil {
 		return err
 	}
--- a/router/lacerouter/assemble_service.go
+++ b/router/lacerouter/assemble_service.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"net/http"
 	"time"
 
@@ -17,7 +16,6 @@
 	"lacewingcove/lib/laceledger"
 	"lacewingcove/lib/laceplatform"
 	"lacewingcove/lib/lacereplica"
-	"lacewingcove/lib/lacesetting"
 	"lacewingcove/lib/laceunit"
 	"lacewingcove/lib/lacewriter"
 )
@@ -129,6 +127,10 @@
 	if err != nil {
 		return err
 	}
+	i.reloaders = append(i.reloaders, reloader{
+		name:   "operators",
+		reload: operators.Reload,
+	})
 	config, err := i.serverTLS(i.settings.Admin.TLS)
 	if err != nil {
 		return err
@@ -165,18 +167,6 @@
 	return ""
 }
 
-// serverTLS returns the TLS configuration of a listener, or nothing for plain text.
-func (i *Instance) serverTLS(files lacesetting.TLS) (*tls.Config, error) {
-	source, err := certificates(files, i.logger)
-	if err != nil || source == nil {
-		return nil, err
-	}
-	if err := i.kernel.Register(lacekernel.Name("certificates "+files.Certificate), source); err != nil {
-		return nil, err
-	}
-	return source.Server(), nil
-}
-
 func (i *Instance) addGateway(ctx context.Context) error {
 	deps, err := i.gatewayDeps()
 	if err != nil {
--- a/router/lacerouter/instance.go
+++ b/router/lacerouter/instance.go
@@ -11,11 +11,13 @@
 	"lacewingcove/lib/lacejournal"
 	"lacewingcove/lib/lacekernel"
 	"lacewingcove/lib/lacesetting"
+	"lacewingcove/lib/lacetls"
 )
 
 // The names under which the services find each other in the kernel.
 const (
 	nameMetrics       lacekernel.Name = "metrics"
+	nameCertificates  lacekernel.Name = "certificates-"
 	namePlatform      lacekernel.Name = "platform"
 	nameTransport     lacekernel.Name = "transport"
 	namePeer          lacekernel.Name = "peer"
@@ -48,6 +50,9 @@
 	ledger   *lateLedger
 	gateway  *lacegateway.Gateway
 	stop     chan struct{}
+	// sources and reloaders are complete when Start returns.
+	sources   map[lacesetting.TLS]*lacetls.Source
+	reloaders []reloader
 }
 
 // New returns an instance that has not started.
@@ -59,6 +64,7 @@
 		registry: prometheus.NewRegistry(),
 		ledger:   &lateLedger{},
 		stop:     make(chan struct{}, 1),
+		sources:  map[lacesetting.TLS]*lacetls.Source{},
 	}
 }
 
--- a/router/lacerouter/server.go
+++ b/router/lacerouter/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"log/slog"
 	"net"
 	"net/http"
 	"time"
@@ -41,6 +42,8 @@
 			ReadHeaderTimeout: headerTimeout,
 			IdleTimeout:       idleTimeout,
 			TLSConfig:         config,
+			// Anybody can cause a line for each connection, so these lines are for debugging only.
+			ErrorLog: slog.NewLogLogger(logr.ToSlogHandler(logger.WithValues("address", address)), slog.LevelDebug),
 		},
 		ended: make(chan struct{}),
 	}
--- a/router/lacerouter/transport.go
+++ b/router/lacerouter/transport.go
@@ -5,9 +5,6 @@
 	"net/http"
 	"time"
 
-	"github.com/go-logr/logr"
-
-	"lacewingcove/lib/lacesetting"
 	"lacewingcove/lib/lacetls"
 )
 
@@ -15,26 +12,10 @@
 	// peerConnections keeps enough idle connections to the writer of a shard for a full instance.
 	peerConnections = 64
 	peerIdle        = 2 * time.Minute
+	// peerDial bounds connection and handshake: a dial goes on after the call that asked for it has been given up.
+	peerDial = 5 * time.Second
 )
 
-// certificates returns the source of a set of TLS files, or nothing when none are named.
-func certificates(files lacesetting.TLS, logger logr.Logger) (*lacetls.Source, error) {
-	if files.IsZero() {
-		return nil, nil //nolint:nilnil // no files means plain text, which is not an error
-	}
-	return lacetls.New(lacetls.Files{
-		Certificate: files.Certificate,
-		Key:         files.Key,
-		Authority:   files.Authority,
-	}, lacetls.WithNotice(func(err error) {
-		if err != nil {
-			logger.Error(err, "certificates not reloaded")
-			return
-		}
-		logger.Info("certificates reloaded")
-	}))
-}
-
 // peerTransport is how this instance talks to others.
 type peerTransport struct {
 	client *http.Client
@@ -52,7 +33,7 @@
 		scheme: "http",
 	}
 	if source != nil {
-		transport.TLSClientConfig = source.MutualClient()
+		transport.DialTLSContext = source.Dialer(peerDial)
 		p.server = source.MutualServer()
 		p.scheme = "https"
 	}
