--- a/router/lacerouter/world_test.go
+++ b/router/lacerouter/world_test.go
@@ -64,6 +64,7 @@
 	service  *httptest.Server
 	program  string
 	http     *http.Client
+	scheme   string
 }
 
 // buildRouter builds the router program once.
@@ -93,6 +94,7 @@
 		platform: laceemulator.NewPlatform(laceemulator.WithSeed(7)),
 		program:  buildRouter(t),
 		http:     &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
+		scheme:   "http",
 	}
 	w.local = w.platform.Local("test")
 	server := httptest.NewServer(w.platform.Handler())
@@ -255,7 +257,7 @@
 		}
 	})
 	w.until(name+" ready", func() bool {
-		status, _ := w.get("http://" + r.address + "/readyz")
+		status, _ := w.get(w.scheme + "://" + r.address + "/readyz")
 		return status == http.StatusOK
 	})
 	return r
@@ -291,7 +293,7 @@
 
 // order places an order and returns status and body.
 func (r *router) order(id string) (int, string) {
-	request, _ := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+r.address+"/v1/services/orders/restock", strings.NewReader("boxes for "+id))
+	request, _ := http.NewRequestWithContext(context.Background(), http.MethodPost, r.world.scheme+"://"+r.address+"/v1/services/orders/restock", strings.NewReader("boxes for "+id))
 	request.Header.Set("Authorization", "Bearer "+testKey)
 	request.Header.Set("Idempotency-Key", id)
 	return r.world.send(request)
@@ -309,7 +311,7 @@
 // chat streams a chat; first is closed when the first part has arrived.
 func (r *router) chat(id string, most int, first chan<- struct{}) answer {
 	body := fmt.Sprintf(`{"model":"m","messages":[{"role":"user","content":%q}],"max_tokens":%d,"stream":true}`, testPrompt+" "+id, most)
-	request, _ := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+r.address+"/v1/chat/completions", strings.NewReader(body))
+	request, _ := http.NewRequestWithContext(context.Background(), http.MethodPost, r.world.scheme+"://"+r.address+"/v1/chat/completions", strings.NewReader(body))
 	request.Header.Set("Authorization", "Bearer "+testKey)
 	request.Header.Set("Idempotency-Key", id)
 	response, err := r.world.http.Do(request)
