lacebackend: cancel names the attempt

Cause: an instance whose attempt was taken over could cancel the run that the new attempt had resumed, because the cancellation named the request only. Ruled out: not canceling after a takeover, which leaves engines busy. Change: the attempt goes along; engines ignore a cancellation of an older one.

--- a/lib/lacebackend/client.go
+++ b/lib/lacebackend/client.go
@@ -115,8 +115,8 @@
 type Client interface {
 	// Generate starts or resumes a request at a model engine.
 	Generate(ctx context.Context, server laceunit.Address, call Call) (Stream, error)
-	// Cancel ends a request at a model engine.
-	Cancel(ctx context.Context, server laceunit.Address, request Request) error
+	// Cancel ends an attempt at a model engine; an engine that has started a later attempt of the request ignores it.
+	Cancel(ctx context.Context, server laceunit.Address, request Request, attempt laceunit.AttemptID) error
 	// Find returns what a backend server knows of a request.
 	Find(ctx context.Context, server laceunit.Address, request Request) (Status, error)
 	// Invoke calls a plain service and returns the whole checked answer.
--- a/lib/lacebackend/control.go
+++ b/lib/lacebackend/control.go
@@ -13,8 +13,11 @@
 )
 
 // Cancel implements Client.
-func (h *HTTP) Cancel(ctx context.Context, server laceunit.Address, request Request) error {
-	body, err := json.Marshal(wireCancel{Request: string(request)})
+func (h *HTTP) Cancel(ctx context.Context, server laceunit.Address, request Request, attempt laceunit.AttemptID) error {
+	body, err := json.Marshal(wireCancel{
+		Request: string(request),
+		Attempt: string(attempt),
+	})
 	if err != nil {
 		return &Error{
 			Effect: EffectNone,
--- a/lib/lacebackend/wire.go
+++ b/lib/lacebackend/wire.go
@@ -45,6 +45,7 @@
 
 type wireCancel struct {
 	Request string `json:"request"`
+	Attempt string `json:"attempt"`
 }
 
 type wireStatus struct {
--- a/lib/lacegateway/driver.go
+++ b/lib/lacegateway/driver.go
@@ -262,7 +262,7 @@
 		ctx, cancel := d.context(recordTimeout)
 		defer cancel()
 		// A run that can't be canceled ends by itself at its token limit.
-		_ = d.gateway.deps.Backend.Cancel(ctx, address, d.scoped())
+		_ = d.gateway.deps.Backend.Cancel(ctx, address, d.scoped(), e.Attempt)
 	})
 }
 
--- a/lib/lacegateway/fake_test.go
+++ b/lib/lacegateway/fake_test.go
@@ -161,7 +161,7 @@
 	}, nil
 }
 
-func (b *fakeBackend) Cancel(context.Context, laceunit.Address, lacebackend.Request) error {
+func (b *fakeBackend) Cancel(context.Context, laceunit.Address, lacebackend.Request, laceunit.AttemptID) error {
 	return nil
 }
 
