--- a/lib/lacefleet/service_test.go
+++ b/lib/lacefleet/service_test.go
@@ -132,7 +132,7 @@
 		at.address = laceunit.Address(server.Listener.Addr().String())
 	}
 	settings.Address = at.address
-	peer := lacepeer.NewClient(settings.Instance, lacepeer.WithHTTP(&http.Client{Transport: b.network}))
+	peer := lacepeer.NewClient(settings.Instance, lacepeer.WithHTTP(&http.Client{Transport: slow{RoundTripper: b.network}}))
 	s := New(c, settings, WithTransport(peer), WithHistory(b.ledger))
 	j := lacejournal.New(s, peer, b.ledger, lacejournal.Limits{}, nil)
 	s.Attach(j)
@@ -229,6 +229,23 @@
 	})
 }
 
+// Guards against an old process that takes the alive key back from a later one of its instance.
+func TestLaterProcessKeepsTheKey(t *testing.T) {
+	b, ctx := start(t, 2, fast())
+	old := b.order[0]
+	b.join(ctx, t, "i0", nil)
+	b.platform.mu.Lock()
+	delete(b.platform.leases, 1)
+	b.platform.mu.Unlock()
+	old.Suspect()
+	<-old.Expelled()
+	later := b.order[2]
+	e, err := b.clients[2].Get(ctx, aliveKey("i0"))
+	if err != nil || incarnationOf(e) != later.Self().Incarnation || !later.Record().Has(later.Self()) {
+		t.Fatalf("%v, %+v, %+v", err, e, later.Record())
+	}
+}
+
 // Guards against a fleet that never reaches outage mode, runs a request at two homes, or doesn't come back.
 func TestOutageAndReturn(t *testing.T) {
 	b, ctx := start(t, 4, fast())
--- a/lib/lacegateway/gateway_test.go
+++ b/lib/lacegateway/gateway_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"testing"
 
+	"github.com/pkg/errors"
+
 	"lacewingcove/lib/lacebackend"
 	"lacewingcove/lib/lacefault"
 	"lacewingcove/lib/laceledger"
@@ -148,6 +150,29 @@
 	}
 }
 
+// deafWriter fails every write, as a connection does whose caller reads nothing until the write deadline.
+type deafWriter struct {
+	*httptest.ResponseRecorder
+}
+
+func (w deafWriter) Write([]byte) (int, error) {
+	return 0, errors.New("write deadline exceeded")
+}
+
+// Guards against a caller that reads nothing and holds its reservation until the engine has ended.
+func TestDeafCallerEndsItsRequest(t *testing.T) {
+	f := newFixture()
+	f.backend.hold = make(chan struct{})
+	w := deafWriter{ResponseRecorder: httptest.NewRecorder()}
+	f.gateway.Handler().ServeHTTP(w, request(http.MethodPost, "/v1/chat/completions", "r7", chatBody))
+	if err := f.gateway.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if b, _ := f.ledger.Balance(context.Background(), testBudget); b.Grants[0].Reserved != 0 {
+		t.Fatalf("%+v", b.Grants)
+	}
+}
+
 // cutWriter disconnects after the first bytes.
 type cutWriter struct {
 	*httptest.ResponseRecorder
@@ -186,6 +211,12 @@
 	}
 }
 
+// Guards against a caller that takes "not known here" for "not run": another instance may have run it in an outage.
+func TestUnknownIDIsNotCalledNotRun(t *testing.T) {
+	f := newFixture()
+	expect(t, f.do(request(http.MethodGet, "/v1/requests/nobody", "", "")), http.StatusNotFound, lacefault.Unknown)
+}
+
 // Guards against spend beyond the paid tokens, however small the rest.
 func TestSpentBudgetIsRefused(t *testing.T) {
 	f := newFixture()
@@ -262,6 +293,10 @@
 	if n := f.backend.count("acme/o5"); n != 1 {
 		t.Fatalf("ran %d times", n)
 	}
+	w := f.do(request(http.MethodGet, "/v1/requests/o5", "", ""))
+	if expect(t, w, http.StatusOK, lacefault.Done); !strings.Contains(w.Body.String(), `"tokens":10`) {
+		t.Fatalf("state %s", w.Body)
+	}
 	var last laceledger.Offline
 	if last = f.world.copies[len(f.world.copies)-1]; !last.Finished || last.Tokens != 10 {
 		t.Fatalf("journal %+v", last)
