trace: instances record their requests, loadgen replays them

Cause: the gateway could record requests, but no setting turned it on, and a file with more than one trace was decoded as one request with the last spec. Ruled out: lacectl replay, because lacectl is the operators' client of the administration API, while replay is a check of the program's decisions like the rest of loadgen; rotation by size, because SIGHUP and any log rotation do it. Change: setting `trace` (a file, 0600, appended, opened again on SIGHUP); lacetrace.Decoder reads many traces, Decode refuses more than one; a trace is one write; lines up to 64 MiB, because the answer of a plain service may be 8 MiB and JSON takes up to 6 bytes for one; Replay reports whether the request ended; loadgen replay FILE exits with 1 otherwise.

--- a/lib/lacesetting/setting.go
+++ b/lib/lacesetting/setting.go
@@ -23,6 +23,8 @@
 	Config Config
 	Member Member
 	Log    Log
+	// Trace is the file that traces of requests are appended to; empty means none.
+	Trace string
 	// Drain bounds a planned stop.
 	Drain time.Duration
 }
--- a/lib/lacesetting/table.go
+++ b/lib/lacesetting/table.go
@@ -48,6 +48,8 @@
 		laceyaml.Group("log", "Process log.",
 			laceyaml.Choice("level", "Least severity that is logged.", &s.Log.Level, LevelError, LevelInfo, LevelDebug),
 			laceyaml.Choice("format", "Form of the lines.", &s.Log.Format, FormatText, FormatJSON)),
+		file("trace", "File that a trace of each request is appended to, for loadgen replay; it holds callers' answers. "+
+			"SIGHUP opens it again. Empty: off.", &s.Trace),
 		laceyaml.Duration("drain", "Longest wait for requests in progress at a planned stop.", &s.Drain, time.Second, day),
 	}
 }
--- a/lib/lacetrace/codec.go
+++ b/lib/lacetrace/codec.go
@@ -17,8 +17,9 @@
 // ErrTrace means that a trace can't be read.
 var ErrTrace = errors.New("trace: malformed")
 
-// maxLine bounds a line; the largest input is the answer of a plain service.
-const maxLine = 8 << 20
+// maxLine bounds a line; the largest input is the answer of a plain service, 8 MiB whose bytes take up to 6 each in
+// JSON.
+const maxLine = 64 << 20
 
 // Trace is the record of one request.
 type Trace struct {
@@ -26,37 +27,86 @@
 	Inputs []lacerequest.Input
 }
 
-// Decode reads a trace.
-func Decode(r io.Reader) (Trace, error) {
+// Decoder reads the traces of a text one after the other.
+type Decoder struct {
+	scanner *bufio.Scanner
+	line    int
+	// next is the spec line of the trace after the one that was read.
+	next *wireSpec
+}
+
+// NewDecoder returns a decoder.
+func NewDecoder(r io.Reader) *Decoder {
+	d := &Decoder{scanner: bufio.NewScanner(r)}
+	d.scanner.Buffer(nil, maxLine)
+	return d
+}
+
+// Next returns the next trace, or io.EOF after the last one. The text of a killed process may end within a line; the
+// trace is then reported as malformed like any other.
+func (d *Decoder) Next() (Trace, error) {
 	var t Trace
-	scanner := bufio.NewScanner(r)
-	scanner.Buffer(nil, maxLine)
-	for n := 1; scanner.Scan(); n++ {
-		line := bytes.TrimSpace(scanner.Bytes())
-		if len(line) == 0 {
-			continue
-		}
-		var w wireLine
-		decoder := json.NewDecoder(bytes.NewReader(line))
-		decoder.DisallowUnknownFields()
-		if err := decoder.Decode(&w); err != nil {
-			return t, errors.Wrapf(ErrTrace, "line %d: %v", n, err)
-		}
-		if w.Spec != nil {
-			t.Spec = w.Spec.domain()
+	for {
+		w, end, err := d.read()
+		switch {
+		case err != nil:
+			return t, err
+		case d.next == nil && end:
+			return t, io.EOF
+		case d.next == nil && w.Spec == nil:
+			return t, errors.Wrapf(ErrTrace, "line %d: no spec line before it", d.line)
+		case d.next == nil:
+			d.next = w.Spec
 			continue
+		case end || w.Spec != nil:
+			t.Spec = d.next.domain()
+			d.next = w.Spec
+			if t.Spec.Claim == "" {
+				return t, errors.Wrapf(ErrTrace, "line %d: a spec without a claim ends here", d.line)
+			}
+			return t, nil
 		}
 		in, err := w.input()
 		if err != nil {
-			return t, errors.Wrapf(ErrTrace, "line %d: %v", n, err)
+			return t, errors.Wrapf(ErrTrace, "line %d: %v", d.line, err)
 		}
 		t.Inputs = append(t.Inputs, in)
 	}
-	if err := scanner.Err(); err != nil {
-		return t, errors.Wrap(ErrTrace, err.Error())
+}
+
+// read returns the next line that is not empty; end is true after the last one.
+func (d *Decoder) read() (w wireLine, end bool, err error) {
+	for d.scanner.Scan() {
+		d.line++
+		text := bytes.TrimSpace(d.scanner.Bytes())
+		if len(text) == 0 {
+			continue
+		}
+		decoder := json.NewDecoder(bytes.NewReader(text))
+		decoder.DisallowUnknownFields()
+		if err = decoder.Decode(&w); err != nil {
+			return w, false, errors.Wrapf(ErrTrace, "line %d: %v", d.line, err)
+		}
+		return w, false, nil
+	}
+	if err = d.scanner.Err(); err != nil {
+		return w, false, errors.Wrap(ErrTrace, err.Error())
+	}
+	return w, true, nil
+}
+
+// Decode reads a text that holds exactly one trace.
+func Decode(r io.Reader) (Trace, error) {
+	d := NewDecoder(r)
+	t, err := d.Next()
+	if errors.Is(err, io.EOF) {
+		return t, errors.Wrap(ErrTrace, "no trace")
+	}
+	if err != nil {
+		return t, err
 	}
-	if t.Spec.Claim == "" {
-		return t, errors.Wrap(ErrTrace, "no spec line with a claim")
+	if d.next != nil {
+		return t, errors.Wrap(ErrTrace, "more than one trace")
 	}
 	return t, nil
 }
--- a/lib/lacetrace/recorder.go
+++ b/lib/lacetrace/recorder.go
@@ -1,9 +1,12 @@
 package lacetrace
 
 import (
+	"bytes"
 	"io"
 	"sync"
 
+	"github.com/pkg/errors"
+
 	"lacewingcove/lib/lacerequest"
 )
 
@@ -50,7 +53,13 @@
 	if r == nil || len(r.trace.Inputs) > maxInputs {
 		return nil
 	}
+	var text bytes.Buffer
+	if err := Encode(&text, r.trace); err != nil {
+		return err
+	}
+	// One write for the whole trace, so that a file keeps whole traces whatever else appends to it.
 	r.recorder.mu.Lock()
 	defer r.recorder.mu.Unlock()
-	return Encode(r.recorder.out, r.trace)
+	_, err := r.recorder.out.Write(text.Bytes())
+	return errors.Wrap(err, "trace")
 }
--- a/lib/lacetrace/replay.go
+++ b/lib/lacetrace/replay.go
@@ -8,8 +8,9 @@
 	"lacewingcove/lib/lacerequest"
 )
 
-// Replay runs a trace through the request machine and returns one line for each input, followed by its effects.
-func Replay(t Trace) string {
+// Replay runs a trace through the request machine and returns one line for each input, followed by its effects. Ended
+// reports whether the machine has ended, which that of every recorded request had.
+func Replay(t Trace) (text string, ended bool) {
 	var b strings.Builder
 	m, effects := lacerequest.New(t.Spec)
 	write(&b, "start", effects)
@@ -17,7 +18,7 @@
 		write(&b, strings.TrimPrefix(fmt.Sprintf("%T", in), "lacerequest."), m.Step(in))
 	}
 	fmt.Fprintf(&b, "done %v, reservation held %v\n", m.Done(), m.Owned())
-	return b.String()
+	return b.String(), m.Done() && !m.Owned()
 }
 
 func write(b *strings.Builder, title string, effects []lacerequest.Effect) {
--- a/lib/lacetrace/replay_test.go
+++ b/lib/lacetrace/replay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"os"
 	"path/filepath"
 	"strings"
@@ -10,6 +11,9 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/pkg/errors"
 	"github.com/sebdah/goldie/v2"
+
+	"lacewingcove/lib/lacerequest"
+	"lacewingcove/lib/laceunit"
 )
 
 // Guards against a change of a request's stated outcome in the situations that the traces record, and against a trace
@@ -41,7 +45,8 @@
 			if d := cmp.Diff(trace, second); d != "" {
 				t.Fatal(d)
 			}
-			goldie.New(t).Assert(t, name, []byte(Replay(trace)))
+			replayed, _ := Replay(trace)
+			goldie.New(t).Assert(t, name, []byte(replayed))
 		})
 	}
 }
@@ -56,6 +61,9 @@
 		"unknown class":  spec + `{"failed":{"attempt":"c.1","ran":"often"}}`,
 		"no input":       spec + `{}`,
 		"not JSON":       spec + `{`,
+		"no claim":       `{"spec":{}}`,
+		"two traces":     spec + spec,
+		"empty":          "",
 	} {
 		if _, err := Decode(strings.NewReader(text)); !errors.Is(err, ErrTrace) {
 			t.Errorf("%s: got %v", name, err)
@@ -63,6 +71,48 @@
 	}
 }
 
+// Guards against traces of one file that run into each other or get lost, and against a cut one that counts as whole.
+func TestDecoderReadsManyTraces(t *testing.T) {
+	var file bytes.Buffer
+	recorder := NewRecorder(&file)
+	var want []Trace
+	for _, claim := range []string{"a", "b", "c"} {
+		x := recorder.Begin(lacerequest.Spec{Claim: laceunit.AttemptID(claim)})
+		for range len(want) {
+			x.Add(lacerequest.Gone{})
+		}
+		want = append(want, x.trace)
+		if err := x.End(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	text := file.String()
+	decoder := NewDecoder(&file)
+	var got []Trace
+	for {
+		trace, err := decoder.Next()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		got = append(got, trace)
+	}
+	if d := cmp.Diff(want, got); d != "" {
+		t.Fatal(d)
+	}
+	decoder = NewDecoder(strings.NewReader(text[:len(text)-3]))
+	for range 2 {
+		if _, err := decoder.Next(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := decoder.Next(); !errors.Is(err, ErrTrace) {
+		t.Fatalf("cut trace: %v", err)
+	}
+}
+
 // Guards against a panic on any text that is offered as a trace.
 func FuzzDecode(f *testing.F) {
 	files, _ := filepath.Glob("testdata/*.trace")
--- a/loadgen/lacecommand/command.go
+++ b/loadgen/lacecommand/command.go
@@ -29,6 +29,7 @@
   run         play a workload against instances and check every answer
   overhead    measure what an instance adds to direct calls of a backend server
   experiment  run a workload repeatedly under faults and compare variants
+  replay      run a file of recorded requests through the request machine and print its effects
 `
 
 // errBroken means that the run went through and a promise was broken.
@@ -48,6 +49,7 @@
 		"run":        play,
 		"overhead":   overhead,
 		"experiment": experiment,
+		"replay":     replay,
 	}
 	if len(args) == 0 || commands[args[0]] == nil {
 		_, _ = io.WriteString(stderr, usage)
--- a/loadgen/lacecommand/command_test.go
+++ b/loadgen/lacecommand/command_test.go
@@ -54,6 +54,10 @@
 	if err := os.WriteFile(file, []byte(lookups), 0o600); err != nil {
 		t.Fatal(err)
 	}
+	cut := filepath.Join(dir, "cut.trace")
+	if err := os.WriteFile(cut, []byte(`{"spec":{"claim":"c"}}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
 	good, bad := instance(t, false), instance(t, true)
 	for line, want := range map[string]int{
 		"":                   exitFailed,
@@ -67,6 +71,10 @@
 		"overhead -workload " + file + " -instance x":                   exitFailed,
 		"experiment":         exitFailed,
 		"experiment " + file: exitFailed,
+		"replay":             exitFailed,
+		"replay " + file:     exitFailed,
+		"replay ../../lib/lacetrace/testdata/chat_whole.trace": exitOK,
+		"replay " + cut: exitBroken,
 	} {
 		var out, errs bytes.Buffer
 		if got := Run(strings.Fields(line), &out, &errs); got != want {
--- a/router/lacerouter/assemble_service.go
+++ b/router/lacerouter/assemble_service.go
@@ -16,6 +16,7 @@
 	"lacewingcove/lib/laceledger"
 	"lacewingcove/lib/laceplatform"
 	"lacewingcove/lib/lacereplica"
+	"lacewingcove/lib/lacetrace"
 	"lacewingcove/lib/laceunit"
 	"lacewingcove/lib/lacewriter"
 )
@@ -172,9 +173,14 @@
 	if err != nil {
 		return err
 	}
+	recorder, err := i.recorder()
+	if err != nil {
+		return err
+	}
 	i.gateway = lacegateway.New(deps,
 		lacegateway.WithHolder(i.fleet.Self()),
 		lacegateway.WithLogger(i.logger),
+		lacegateway.WithRecorder(recorder),
 		lacegateway.WithMetrics(lacegateway.NewMetrics(i.registry)))
 	if err = i.kernel.Register(nameResolver, i.gateway.Resolver()); err != nil {
 		return err
@@ -196,6 +202,22 @@
 	return i.kernel.Register(nameGateway, i.gateway)
 }
 
+// recorder returns the recorder of requests, or nothing when traces are off.
+func (i *Instance) recorder() (*lacetrace.Recorder, error) {
+	if i.settings.Trace == "" {
+		return nil, nil //nolint:nilnil // a nil recorder records nothing
+	}
+	file, err := newTraceFile(i.settings.Trace)
+	if err != nil {
+		return nil, err
+	}
+	i.reloaders = append(i.reloaders, reloader{
+		name:   "trace",
+		reload: file.reopen,
+	})
+	return lacetrace.NewRecorder(file), i.kernel.Register(nameTrace, file)
+}
+
 func (i *Instance) gatewayDeps() (lacegateway.Deps, error) {
 	deps := lacegateway.Deps{
 		Members: members{fleet: i.fleet},
--- a/router/lacerouter/instance.go
+++ b/router/lacerouter/instance.go
@@ -36,6 +36,7 @@
 	nameResolver      lacekernel.Name = "resolver"
 	nameCaller        lacekernel.Name = "caller"
 	nameGateway       lacekernel.Name = "gateway"
+	nameTrace         lacekernel.Name = "trace"
 )
 
 // Instance is one router instance.
