laceorder: callers wait for their orders by id and may give up

Cause: an order was submitted and forgotten, so an administration call could not tell what became of it, and an order that an engine refuses for good blocked the engine's queue for ever. Ruled out: a queue in the platform, which costs several writes an order and needs its own bounds and cleaning. Change: Service.Do waits for an order by id; callers with the same id share it, and it is withdrawn when the last one gives up. Withdraw tells whether it may have been carried out. The planner compares the number of an order before it takes an outcome, because the order under way may have been withdrawn. Measured: go test -race ./laceorder passes (5.1 s), with the property test as it was. Conclusion: an order ends as carried out, certainly not, or unknown.

--- a/lib/laceorder/planner.go
+++ b/lib/laceorder/planner.go
@@ -16,8 +16,12 @@
 // ErrFull means that too many orders wait for the server.
 var ErrFull = errors.New("order: too many orders wait for the server")
 
+// ID names an order that was asked for, so that asking again does not queue it twice; empty names none.
+type ID string
+
 // Job is an order for a server.
 type Job struct {
+	ID      ID
 	Server  laceunit.ServerID
 	Address laceunit.Address
 	// Fencing is true when the server refuses old fencing tokens.
@@ -25,6 +29,10 @@
 	Order   Order
 	// Cost is what a load takes from the weight store, in the unit of its rate; zero for other orders.
 	Cost int
+
+	number uint64
+	// tried is true while the order may have been carried out.
+	tried bool
 }
 
 // Step says what a holder does next.
@@ -54,6 +62,7 @@
 	store   *rate.Limiter
 	servers map[laceunit.ServerID]*target
 	order   []laceunit.ServerID
+	number  uint64
 }
 
 type target struct {
@@ -77,7 +86,7 @@
 	}
 }
 
-// Submit adds an order.
+// Submit adds an order, unless one with the same id waits for the server.
 func (p *Planner) Submit(job Job) error {
 	t := p.servers[job.Server]
 	if t == nil {
@@ -85,13 +94,41 @@
 		p.servers[job.Server] = t
 		p.order = append(p.order, job.Server)
 	}
+	if p.Waits(job.Server, job.ID) {
+		return nil
+	}
 	if len(t.jobs) >= maxJobs {
 		return errors.Wrap(ErrFull, string(job.Server))
 	}
+	p.number++
+	job.number, job.tried = p.number, false
 	t.jobs = append(t.jobs, job)
 	return nil
 }
 
+// Waits reports whether an order with the id waits for the server.
+func (p *Planner) Waits(server laceunit.ServerID, id ID) bool {
+	t := p.servers[server]
+	return t != nil && id != "" && t.find(id) >= 0
+}
+
+// Withdraw drops an order. It reports whether the order may have been carried out, now or later within the delivery
+// bound.
+func (p *Planner) Withdraw(server laceunit.ServerID, id ID) (tried bool) {
+	if !p.Waits(server, id) {
+		return true
+	}
+	t := p.servers[server]
+	at := t.find(id)
+	tried = t.jobs[at].tried
+	t.jobs = slices.Delete(t.jobs, at, at+1)
+	return tried
+}
+
+func (t *target) find(id ID) int {
+	return slices.IndexFunc(t.jobs, func(j Job) bool { return j.ID == id })
+}
+
 // Pending returns how many orders wait.
 func (p *Planner) Pending() int {
 	n := 0
@@ -149,6 +186,7 @@
 	if after := p.pace(now, job.Cost); after > 0 {
 		return Action{At: now.Add(after)}
 	}
+	t.jobs[0].tried = true
 	return Action{
 		Step: StepSend,
 		Job:  job,
@@ -182,6 +220,10 @@
 	for len(t.jobs) > 0 && condition.Meets(t.jobs[0].Order) {
 		t.jobs = t.jobs[1:]
 	}
+	if len(t.jobs) > 0 {
+		// No earlier sending can still take effect when a condition is read, so the order was not carried out.
+		t.jobs[0].tried = false
+	}
 }
 
 // Unread notes that a read-back failed; the server rests before the next one.
@@ -195,12 +237,19 @@
 // when the order can no longer arrive.
 func (p *Planner) Sent(now time.Time, job Job, outcome Outcome) {
 	t := p.servers[job.Server]
-	if t == nil || len(t.jobs) == 0 {
+	if t == nil {
 		return
 	}
+	// The order may have been withdrawn while it was under way; the next one must not take its outcome.
+	waits := len(t.jobs) > 0 && t.jobs[0].number == job.number
+	if waits && (outcome == OutcomeRefused || outcome == OutcomeStale) {
+		t.jobs[0].tried = false
+	}
 	switch outcome {
 	case OutcomeApplied:
-		t.jobs = t.jobs[1:]
+		if waits {
+			t.jobs = t.jobs[1:]
+		}
 	case OutcomeStale:
 		if job.Order.Fence == p.fence {
 			p.Lost()
--- a/lib/laceorder/service.go
+++ b/lib/laceorder/service.go
@@ -38,6 +38,7 @@
 
 	mu      sync.Mutex
 	planner *Planner
+	waits   map[waitKey]*wait
 	wake    chan struct{}
 }
 
@@ -49,6 +50,7 @@
 		holder:    holder,
 		timing:    DefaultTiming(),
 		burst:     1,
+		waits:     map[waitKey]*wait{},
 		wake:      make(chan struct{}, 1),
 	}
 	for _, o := range options {
@@ -61,13 +63,17 @@
 // Submit adds an order; it is sent while this instance is the holder.
 func (s *Service) Submit(job Job) error {
 	s.mu.Lock()
-	err := s.planner.Submit(job)
-	s.mu.Unlock()
+	defer s.mu.Unlock()
+	s.rouse()
+	return s.planner.Submit(job)
+}
+
+// rouse ends a rest.
+func (s *Service) rouse() {
 	select {
 	case s.wake <- struct{}{}:
 	default:
 	}
-	return err
 }
 
 // Pending returns how many orders wait.
@@ -192,6 +198,7 @@
 			return
 		}
 		s.planner.Read(id, fence, c)
+		s.settle()
 		return
 	}
 	outcome, err := s.commander.Order(inner, a.Job.Address, a.Job.Order)
@@ -201,6 +208,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.planner.Sent(time.Now(), a.Job, outcome)
+	s.settle()
 }
 
 // rest waits for a time, a new order or the end of the context.
