orders: operators order engines through any instance

Cause: the service for orders to backend servers was not part of the router. Ruled out: answering before the order was carried out, because the order would be lost with the instance; repeating an order that is done under its id, because that would undo a later one (the test shows "a b a" without the check). Change: kernel service "orders" after the backend; settings orders.drift (0.01), orders.pause (3s) and orders.weights (1 load a second); POST servers/{server}/orders with the right of the section servers, audited; lacectl servers order.

--- a/lacectl/fleet.go
+++ b/lacectl/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"strconv"
 	"strings"
@@ -10,6 +11,7 @@
 )
 
 func fleetCommands() []command {
+	var order laceadmin.ServerOrder
 	return []command{
 		{
 			name: "members list", run: listMembers,
@@ -26,6 +28,18 @@
 			short:   "lists the backend servers of the document",
 			example: "lacectl servers list",
 		},
+		{
+			name: "servers order", args: "SERVER KIND", count: 2, changing: true,
+			flags: func(set *flag.FlagSet, _ *job) {
+				set.StringVar(&order.Model, "model", "", "model of a load or a version")
+				set.StringVar(&order.Adapter, "adapter", "", "adapter of an adapter order")
+				set.StringVar(&order.Version, "version", "", "version of a version order")
+				set.StringVar(&order.Role, "role", "", "role of a role order")
+			},
+			run:     func(ctx context.Context, j *job) error { return orderServer(ctx, j, order) },
+			short:   "tells a model engine to load a model, an adapter or a version, or to change its role, and waits for it",
+			example: "lacectl servers order engine-1 load -model draft-small",
+		},
 		{
 			name: "drain", changing: true, run: drain,
 			short:   "starts the planned stop of the one instance that -address names",
@@ -81,6 +95,20 @@
 	return j.show(all, []string{"SERVER", "KIND", "ADDRESS", "ZONE", "OFFERS", "SLOTS", "FENCING", "LEAVING"}, rows)
 }
 
+func orderServer(ctx context.Context, j *job, o laceadmin.ServerOrder) error {
+	o.Kind = j.args[1]
+	what := "order " + j.args[0] + " to " + o.Kind
+	for _, x := range []string{o.Model, o.Adapter, o.Version, o.Role} {
+		if x != "" {
+			what += " " + x
+		}
+	}
+	return j.act(ctx, what, func(c *laceadmin.Client, id string) (laceadmin.Done, error) {
+		o.ID = id
+		return c.Order(ctx, j.args[0], o)
+	})
+}
+
 func drain(ctx context.Context, j *job) error {
 	if strings.Contains(j.addresses, ",") {
 		return usage("-address must name exactly the instance to drain")
--- a/lacectl/lacectl_test.go
+++ b/lacectl/lacectl_test.go
@@ -18,6 +18,7 @@
 	"lacewingcove/lib/laceadmin"
 	"lacewingcove/lib/laceconfig"
 	"lacewingcove/lib/laceledger"
+	"lacewingcove/lib/laceorder"
 	"lacewingcove/lib/laceplatform"
 	"lacewingcove/lib/laceunit"
 )
@@ -95,6 +96,9 @@
 	backend *backend
 }
 
+// Do implements laceadmin.Orders.
+func (b *backend) Do(context.Context, laceorder.Job) error { return nil }
+
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
 	r := &fixture{dir: t.TempDir(), backend: &backend{}}
@@ -107,7 +111,7 @@
 	}
 	p := &platform{values: map[laceplatform.Key]laceplatform.Entry{}}
 	server := httptest.NewServer(laceadmin.NewServer(laceadmin.Parts{
-		Configuration: laceconfig.NewStore(p), Ledger: r.backend, Members: r.backend, Drainer: r.backend,
+		Configuration: laceconfig.NewStore(p), Ledger: r.backend, Members: r.backend, Drainer: r.backend, Orders: r.backend,
 		Trail: laceadmin.NewTrail(p), Operators: o,
 		Now: func() time.Time { return time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC) },
 	}))
@@ -173,6 +177,11 @@
 		{want: exitOK, line: "config history -full -limit 1"},
 		{want: exitOK, line: "accounts list"},
 		{want: exitOK, line: "servers list"},
+		{want: exitOK, line: "servers order assistant-1 version -model assistant-small -version 3 -dry"},
+		{want: exitOK, line: "servers order assistant-1 version -model assistant-small -version 3 -id order-1"},
+		{want: exitConflict, line: "servers order assistant-1 role -role prefill -id order-1"},
+		{want: exitFailed, line: "servers order assistant-1 role -model assistant-small"},
+		{want: exitFailed, line: "servers order nowhere load -model assistant-small"},
 		{want: exitOK, line: "members list"},
 		{want: exitOK, line: "members fence router-1 42 -id fence-1"},
 		{want: exitUsage, line: "members fence router-1 first"},
--- a/lib/laceadmin/client.go
+++ b/lib/laceadmin/client.go
@@ -101,6 +101,11 @@
 	return get[Servers](ctx, c, "servers")
 }
 
+// Order sends an order to a model engine and waits until it has been carried out.
+func (c *Client) Order(ctx context.Context, server string, o ServerOrder) (Done, error) {
+	return post[Done](ctx, c, "servers/"+url.PathEscape(server)+"/orders", o)
+}
+
 func get[T any](ctx context.Context, c *Client, path string) (T, error) {
 	return send[T](ctx, c, http.MethodGet, path, nil)
 }
--- a/lib/laceadmin/fault.go
+++ b/lib/laceadmin/fault.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 
 	"lacewingcove/lib/laceconfig"
+	"lacewingcove/lib/laceorder"
 	"lacewingcove/lib/laceplatform"
 	"lacewingcove/lib/laceyaml"
 )
@@ -111,6 +112,10 @@
 		return fault(Unknown, "it may have been done; repeat with the same id")
 	case errors.Is(err, laceconfig.ErrUnavailable), errors.Is(err, laceplatform.ErrUnavailable):
 		return fault(Unavailable, "the platform is out of reach; nothing was done")
+	case errors.Is(err, laceorder.ErrUnknown):
+		return fault(Unknown, "the order may have been carried out; repeat it with the same id")
+	case errors.Is(err, laceorder.ErrExpired), errors.Is(err, laceorder.ErrFull):
+		return fault(Unavailable, err.Error()+"; nothing was done")
 	case errors.Is(err, laceplatform.ErrMissing):
 		return fault(NotFound, "no such thing")
 	default:
--- a/lib/laceadmin/server.go
+++ b/lib/laceadmin/server.go
@@ -56,7 +56,9 @@
 	Ledger        Ledger
 	Members       Members
 	Drainer       Drainer
-	Trail         Trail
+	// Orders may be nil; orders are then refused.
+	Orders Orders
+	Trail  Trail
 	// Operators may be nil; every call is then refused.
 	Operators *Operators
 	// Instance is the one that serves the API; records of its drain name it.
@@ -106,6 +108,7 @@
 	s.handle("POST instances/{instance}/{incarnation}/fence", s.fence)
 	s.handle("POST drain", s.drain)
 	s.handle("GET servers", s.servers)
+	s.handle("POST servers/{server}/orders", s.order)
 	return s
 }
 
@@ -180,7 +183,8 @@
 }
 
 // act records an action, carries it out and records its result. A known id is carried out again, which is safe
-// because every act is idempotent, so a lost answer can't leave it half done.
+// because every act is idempotent, so a lost answer can't leave it half done. An order that is done is not carried out
+// again: it would undo a later one.
 func (s *Server) act(c call, a Action, f func(context.Context) (int64, bool, error)) (any, error) {
 	if err := needID(a.ID); err != nil {
 		return nil, err
@@ -193,6 +197,12 @@
 	if known && (former.Kind != a.Kind || former.Target != a.Target || former.Tokens != a.Tokens) {
 		return nil, fault(Reused, "the id was used for another request")
 	}
+	if known && former.Result == resultDone && a.Kind == actionOrder {
+		return Done{
+			ID:       a.ID,
+			Repeated: true,
+		}, nil
+	}
 	tokens, repeated, err := f(c.Context())
 	if err != nil {
 		if code := asFault(err).Code; code == NotFound || code == Conflict || code == BadRequest {
--- a/lib/laceadmin/shape.go
+++ b/lib/laceadmin/shape.go
@@ -134,7 +134,17 @@
 	ID string `json:"id"`
 }
 
-// Done is the outcome of a top-up, a release, a fence or a drain.
+// ServerOrder tells a model engine what to load or which role to take; Kind says which of the others count.
+type ServerOrder struct {
+	ID      string `json:"id"`
+	Kind    string `json:"kind"`
+	Model   string `json:"model,omitempty"`
+	Adapter string `json:"adapter,omitempty"`
+	Version string `json:"version,omitempty"`
+	Role    string `json:"role,omitempty"`
+}
+
+// Done is the outcome of a top-up, a release, a fence, a drain or an order.
 type Done struct {
 	ID       string `json:"id"`
 	Repeated bool   `json:"repeated,omitempty"`
--- a/lib/lacesetting/setting.go
+++ b/lib/lacesetting/setting.go
@@ -22,6 +22,7 @@
 	Grant  Grant
 	Config Config
 	Member Member
+	Orders Orders
 	Log    Log
 	// Trace is the file that traces of requests are appended to; empty means none.
 	Trace string
@@ -107,6 +108,16 @@
 	Fence time.Duration
 }
 
+// Orders bounds the orders to backend servers.
+type Orders struct {
+	// Drift is how far any clock may run fast or slow, as a share of the time that passes.
+	Drift float64
+	// Pause is the longest time that a process may stand still between a check and what follows it.
+	Pause time.Duration
+	// Weights is the rate of loads a second that the weight store allows.
+	Weights float64
+}
+
 // Log sets the process log.
 type Log struct {
 	Level  Level
@@ -173,6 +184,11 @@
 		Member: Member{
 			Fence: 10 * time.Minute,
 		},
+		Orders: Orders{
+			Drift:   0.01,
+			Pause:   3 * time.Second,
+			Weights: 1,
+		},
 		Log: Log{
 			Level:  LevelInfo,
 			Format: FormatText,
--- a/lib/lacesetting/table.go
+++ b/lib/lacesetting/table.go
@@ -45,6 +45,7 @@
 		laceyaml.Group("member", "Membership.",
 			laceyaml.Duration("fence", "Time after which an unreachable home of non-idempotent work is fenced; "+
 				"it has no effect when lean is strict.", &s.Member.Fence, time.Minute, day)),
+		laceyaml.Group("orders", "Orders to backend servers.", orderFields(&s.Orders)...),
 		laceyaml.Group("log", "Process log.",
 			laceyaml.Choice("level", "Least severity that is logged.", &s.Log.Level, LevelError, LevelInfo, LevelDebug),
 			laceyaml.Choice("format", "Form of the lines.", &s.Log.Format, FormatText, FormatJSON)),
@@ -83,6 +84,16 @@
 	}
 }
 
+func orderFields(o *Orders) []laceyaml.Field {
+	return []laceyaml.Field{
+		laceyaml.Number("drift", "How far any clock may run fast or slow, as a share of the time that passes.", &o.Drift, 0, 0.1),
+		// The lease lives for 10 s; a longer pause would leave less than a renewal's interval for sending.
+		laceyaml.Duration("pause", "Longest time that a process may stand still and go on; a backend server that ignores "+
+			"fencing tokens relies on it.", &o.Pause, 100*time.Millisecond, 5*time.Second),
+		laceyaml.Number("weights", "Loads a second that the weight store allows.", &o.Weights, 0.01, 1000),
+	}
+}
+
 func listen(p *laceunit.Address) laceyaml.Field {
 	return laceyaml.Match("listen", "Address to listen on.", "host:port with a numeric port; 0 picks a free one", p, isListen)
 }
--- a/router/lacerouter/assemble_service.go
+++ b/router/lacerouter/assemble_service.go
@@ -14,6 +14,7 @@
 	"lacewingcove/lib/lacegateway"
 	"lacewingcove/lib/lacekernel"
 	"lacewingcove/lib/laceledger"
+	"lacewingcove/lib/laceorder"
 	"lacewingcove/lib/laceplatform"
 	"lacewingcove/lib/lacereplica"
 	"lacewingcove/lib/lacetrace"
@@ -107,6 +108,22 @@
 	})
 }
 
+func (i *Instance) addOrders(context.Context) error {
+	store, err := lacekernel.Lookup[laceplatform.Store](i.kernel, namePlatform)
+	if err != nil {
+		return err
+	}
+	commander, err := lacekernel.Lookup[laceorder.Commander](i.kernel, nameBackend)
+	if err != nil {
+		return err
+	}
+	timing := laceorder.DefaultTiming()
+	timing.Drift, timing.Pause = i.settings.Orders.Drift, i.settings.Orders.Pause
+	return i.kernel.Register(nameOrders, laceorder.New(store, commander, i.fleet.Self(),
+		laceorder.WithTiming(timing),
+		laceorder.WithWeights(i.settings.Orders.Weights, 1)))
+}
+
 // addAdmin opens the operators' listener. Without a file of operators there is nobody to serve.
 func (i *Instance) addAdmin(ctx context.Context) error {
 	if i.settings.Admin.Operators == "" {
@@ -124,6 +141,10 @@
 	if err != nil {
 		return err
 	}
+	orders, err := lacekernel.Lookup[laceadmin.Orders](i.kernel, nameOrders)
+	if err != nil {
+		return err
+	}
 	operators, err := laceadmin.NewOperators(i.settings.Admin.Operators)
 	if err != nil {
 		return err
@@ -144,6 +165,7 @@
 		},
 		Members:   adminMembers{fleet: i.fleet},
 		Drainer:   drainer{stop: i.stop},
+		Orders:    orders,
 		Trail:     laceadmin.NewTrail(store),
 		Operators: operators,
 		Accepted:  replica.Learn,
--- a/router/lacerouter/instance.go
+++ b/router/lacerouter/instance.go
@@ -32,6 +32,7 @@
 	nameReplica       lacekernel.Name = "replica"
 	nameBackend       lacekernel.Name = "backend"
 	nameRecovery      lacekernel.Name = "recovery"
+	nameOrders        lacekernel.Name = "orders"
 	nameAdmin         lacekernel.Name = "admin"
 	nameResolver      lacekernel.Name = "resolver"
 	nameCaller        lacekernel.Name = "caller"
@@ -80,6 +81,7 @@
 		i.addBackends,
 		i.addConfiguration,
 		i.addRecovery,
+		i.addOrders,
 		i.addAdmin,
 		i.addGateway,
 	}
