router: offline tokens are handed over between instances

Cause: an instance without tokens refused work in an outage although other instances held some. In a fleet of two the receiver is the only witness, and nothing is given.

--- a/router/lacerouter/assemble.go
+++ b/router/lacerouter/assemble.go
@@ -90,7 +90,7 @@
 	if err != nil {
 		return err
 	}
-	peer := lacepeer.NewClient(i.settings.Instance,
+	i.peer = lacepeer.NewClient(i.settings.Instance,
 		lacepeer.WithHTTP(transport.client),
 		lacepeer.WithScheme(transport.scheme))
 	i.fleet = lacefleet.New(store, lacefleet.Settings{
@@ -104,16 +104,16 @@
 	},
 		lacefleet.WithLogger(i.logger),
 		lacefleet.WithRegisterer(i.registry),
-		lacefleet.WithTransport(peer),
+		lacefleet.WithTransport(i.peer),
 		lacefleet.WithHistory(i.ledger))
 	i.journal = &journal{
 		Service: i.fleet,
 		spent:   map[laceledger.Request]laceledger.Offline{},
 	}
-	i.book = lacejournal.New(i.journal, peer, i.ledger, lacejournal.Limits{}, i.registry)
+	i.book = lacejournal.New(i.journal, i.peer, i.ledger, lacejournal.Limits{}, i.registry)
 	i.journal.book = i.book
 	i.fleet.Attach(i.book)
-	mux.Handle("/", lacepeer.NewHandler(i.fleet, i.book, nil))
+	mux.Handle("/", lacepeer.NewHandler(i.fleet, i.book, i.giver))
 	if err = i.fleet.Join(ctx); err != nil {
 		return errors.Wrap(err, "join")
 	}
@@ -179,6 +179,10 @@
 	wallet := lacegrant.NewService(lacegrant.NewWallet(i.fleet.Self(), policy), ledger,
 		lacegrant.WithWitnesses(witnesses(i.fleet)),
 		lacegrant.WithInstances(func() int { return len(i.fleet.Record().Members) }),
+		lacegrant.WithPleader(pleader{
+			fleet: i.fleet,
+			peer:  i.peer,
+		}),
 		lacegrant.WithRecaller(&recaller{
 			ledger: ledger,
 			fleet:  i.fleet,
@@ -186,6 +190,7 @@
 			scheme: transport.scheme,
 		}))
 	i.journal.wallet = wallet
+	i.giver.wallet.Store(wallet)
 	server := lacewire.NewGrantServer(recallServer{wallet: wallet})
 	mux.Handle(server.PathPrefix(), server)
 	return i.kernel.Register(nameWallet, wallet)
--- a/router/lacerouter/instance.go
+++ b/router/lacerouter/instance.go
@@ -10,6 +10,7 @@
 	"lacewingcove/lib/lacegateway"
 	"lacewingcove/lib/lacejournal"
 	"lacewingcove/lib/lacekernel"
+	"lacewingcove/lib/lacepeer"
 	"lacewingcove/lib/lacesetting"
 	"lacewingcove/lib/lacetls"
 )
@@ -49,6 +50,8 @@
 	fleet    *lacefleet.Service
 	book     *lacejournal.Service
 	journal  *journal
+	peer     *lacepeer.Client
+	giver    *giver
 	ledger   *lateLedger
 	gateway  *lacegateway.Gateway
 	stop     chan struct{}
@@ -65,6 +68,7 @@
 		kernel:   lacekernel.New(),
 		registry: prometheus.NewRegistry(),
 		ledger:   &lateLedger{},
+		giver:    &giver{},
 		stop:     make(chan struct{}, 1),
 		sources:  map[lacesetting.TLS]*lacetls.Source{},
 	}
--- a/router/lacerouter/journal.go
+++ b/router/lacerouter/journal.go
@@ -37,11 +37,16 @@
 	} else {
 		j.begin(record)
 	}
+	holder, targets := j.Self(), j.targets(decision)
+	if giver, witnesses, ok := j.wallet.Giver(record.Budget, record.Grant); ok {
+		// The giver's witnesses decide what is left of its grant, so they need the copies of what is spent under it.
+		holder, targets = giver, among(j.Record().Members, witnesses, j.Self())
+	}
 	return j.book.Start(ctx, lacejournal.Entry{
 		Owner:  j.Self(),
-		Holder: j.Self(),
+		Holder: holder,
 		Record: record,
-	}, j.quorum(record, decision), j.targets(decision))
+	}, j.quorum(record, decision), targets)
 }
 
 // Abandon implements lacegateway.Journal.
