--- a/lib/lacegrant/gift.go
+++ b/lib/lacegrant/gift.go
@@ -92,6 +92,26 @@
 	return g, true
 }
 
+// HandOver deducts tokens of the offline part for another instance; the receiver spends them under this grant.
+func (w *Wallet) HandOver(budget laceunit.BudgetID, tokens laceunit.Tokens) (Reservation, bool) {
+	p, ok := w.purses[budget]
+	if !ok || p.grant == "" {
+		return Reservation{}, false
+	}
+	if p.offline()/2 < tokens {
+		return Reservation{}, false
+	}
+	p.free -= tokens
+	p.spent += tokens
+	p.gave = true
+	return Reservation{
+		Budget:  budget,
+		Grant:   p.grant,
+		Ceiling: tokens,
+		Offline: true,
+	}, true
+}
+
 // Plead returns the plea with which a ceiling can be reserved offline, or none when no plea may be made now. One plea
 // of a budget is under way at a time, until Received or Refused.
 func (w *Wallet) Plead(now time.Time, budget laceunit.BudgetID, ceiling laceunit.Tokens) (Plea, bool) {
--- a/lib/lacegrant/wallet.go
+++ b/lib/lacegrant/wallet.go
@@ -64,16 +64,6 @@
 	return max(min(p.limit-p.spent, p.free), 0)
 }
 
-// retired is a grant that takes no new reservations; it is closed when its last one ends.
-type retired struct {
-	budget laceunit.BudgetID
-	serial uint64
-	live   int
-	// spent is the offline spend that is not settled in the ledger yet.
-	spent     laceunit.Tokens
-	witnesses []laceunit.Holder
-}
-
 // Wallet holds the grants of one instance incarnation; it is not safe for concurrent use.
 type Wallet struct {
 	holder    laceunit.Holder
@@ -295,144 +285,11 @@
 	p.repeat, p.doubt = p.open != nil, p.open != nil
 }
 
-// Retired returns the records that end the retired grants without reservations. The Return keeps the offline spend
-// that is not settled yet, so that the Close still holds it.
-func (w *Wallet) Retired() []laceledger.Record {
-	var records []laceledger.Record
-	for g, r := range w.retired {
-		if r.live > 0 {
-			continue
-		}
-		records = append(records,
-			laceledger.Return{
-				Budget:  r.budget,
-				Grant:   g,
-				Offline: r.spent,
-				Serial:  r.serial + 1,
-			},
-			laceledger.Close{
-				Budget: r.budget,
-				Grant:  g,
-			})
-		delete(w.retired, g)
-	}
-	return records
-}
-
 // Drop forgets a grant that the ledger has closed.
 func (w *Wallet) Drop(budget laceunit.BudgetID, grant laceunit.GrantID) {
 	w.drop(w.purse(budget), grant)
 }
 
-// Idle returns the records that give back what has not been used for the idle time.
-func (w *Wallet) Idle(now time.Time) []laceledger.Return {
-	var records []laceledger.Return
-	for b, p := range w.purses {
-		if p.grant == "" || p.busy() || p.free == 0 || now.Sub(p.touched) < w.policy.Idle {
-			continue
-		}
-		records = append(records, w.giveBack(b, p, p.free))
-	}
-	return records
-}
-
-// Recall returns the record that gives back what the instance can spare of a budget for an instance in need.
-func (w *Wallet) Recall(now time.Time, budget laceunit.BudgetID) (laceledger.Return, bool) {
-	p, ok := w.purses[budget]
-	if !ok || p.grant == "" || p.busy() || p.free == 0 {
-		return laceledger.Return{}, false
-	}
-	keep := laceunit.Tokens(math.Ceil(p.rate(now)))
-	spare := p.free - min(keep, p.free/2)
-	if spare <= 0 {
-		return laceledger.Return{}, false
-	}
-	return w.giveBack(budget, p, spare), true
-}
-
-// Drain retires every grant; Retired then returns the records that end them.
-func (w *Wallet) Drain() {
-	for b, p := range w.purses {
-		if p.grant == "" {
-			continue
-		}
-		w.retire(b, p)
-	}
-}
-
-// retire ends the use of a grant; Retired returns the records that end it in the ledger.
-func (w *Wallet) retire(budget laceunit.BudgetID, p *purse) {
-	w.retired[p.grant] = &retired{
-		budget:    budget,
-		serial:    p.serial,
-		live:      p.live,
-		spent:     p.spent,
-		witnesses: p.witnesses,
-	}
-	w.drop(p, p.grant)
-}
-
-// Returned tells that the ledger has decided on a Return.
-func (w *Wallet) Returned(r laceledger.Return, verdict laceledger.Verdict) {
-	p := w.purse(r.Budget)
-	p.back, p.doubt = nil, false
-	if verdict.Result == laceledger.Closed {
-		w.drop(p, r.Grant)
-	}
-}
-
-// ReturnFailed tells that this try of a Return was certainly not appended.
-func (w *Wallet) ReturnFailed(r laceledger.Return) {
-	p := w.purse(r.Budget)
-	if p.doubt {
-		p.repeat = true
-		return
-	}
-	p.back = nil
-	if p.grant == r.Grant {
-		p.free += r.Tokens
-		p.serial--
-	}
-}
-
-// Unreturned returns the Returns whose verdict was lost; they are sent again as they are.
-func (w *Wallet) Unreturned() []laceledger.Return {
-	var records []laceledger.Return
-	for _, p := range w.purses {
-		if p.back != nil && p.repeat {
-			p.repeat = false
-			records = append(records, *p.back)
-		}
-	}
-	return records
-}
-
-// ReturnLost tells that a Return may have been appended; Unreturned returns it again.
-func (w *Wallet) ReturnLost(r laceledger.Return) {
-	p := w.purse(r.Budget)
-	p.repeat, p.doubt = p.back != nil, p.back != nil
-}
-
-// HandOver deducts tokens of the offline part for another instance; the receiver spends them under this grant.
-func (w *Wallet) HandOver(budget laceunit.BudgetID, tokens laceunit.Tokens) (Reservation, bool) {
-	p, ok := w.purses[budget]
-	if !ok || p.grant == "" {
-		return Reservation{}, false
-	}
-	if p.offline()/2 < tokens {
-		return Reservation{}, false
-	}
-	p.free -= tokens
-	p.spent += tokens
-	p.gave = true
-	return Reservation{
-		Budget:  budget,
-		Grant:   p.grant,
-		Ceiling: tokens,
-		Offline: true,
-	}, true
-}
-
 // Free returns what the wallet holds of a budget outside reservations, and the offline part of it.
 func (w *Wallet) Free(budget laceunit.BudgetID) (free, offline laceunit.Tokens) {
 	p, ok := w.purses[budget]
@@ -460,20 +317,6 @@
 	return p.left, p.known
 }
 
-func (w *Wallet) giveBack(budget laceunit.BudgetID, p *purse, tokens laceunit.Tokens) laceledger.Return {
-	p.free -= tokens
-	p.serial++
-	p.limit = min(p.limit, w.offlinePart(p.free)+p.spent)
-	p.back = &laceledger.Return{
-		Budget:  budget,
-		Grant:   p.grant,
-		Tokens:  tokens,
-		Offline: p.limit,
-		Serial:  p.serial,
-	}
-	return *p.back
-}
-
 func (w *Wallet) drop(p *purse, grant laceunit.GrantID) {
 	p.dropGifts(grant)
 	if p.grant != grant {
