merge wire; ports of process tests below the ephemeral range

Cause of the test change: one run in 33 failed with "listen tcp: address already in use": another connection had taken the port between its choice and the start of the router. Ruled out: a fault of the router; its log names the port. Change: fixed range, each port once a run; merge of orders and traces. Measured: process tests pass (23.5 s).

--- a/lib/lacegrant/wallet.go
+++ b/lib/lacegrant/wallet.go
@@ -16,6 +16,8 @@
 	Ceiling laceunit.Tokens
 	// Offline is true when the ceiling was also taken from the offline part.
 	Offline bool
+
+	gift *gift
 }
 
 // purse is what the instance holds of one budget.
@@ -32,6 +34,12 @@
 	// witnesses are those that the grant names in the ledger.
 	witnesses []laceunit.Holder
 	live      int
+	// gave is true when other instances may spend tokens of the grant.
+	gave bool
+	// gifts are what other instances have given, plea the id of the plea under way, and plead when the next one may go.
+	gifts []*gift
+	plea  string
+	plead time.Time
 	// open is the record under way, and repeat is true when it has to be sent again. After a lost answer the record is
 	// in doubt until there is a verdict: a later failure says nothing about the first try.
 	open    *laceledger.Open
@@ -56,16 +64,6 @@
 	return max(min(p.limit-p.spent, p.free), 0)
 }
 
-// retired is a grant that takes no new reservations; it is closed when its last one ends.
-type retired struct {
-	budget laceunit.BudgetID
-	serial uint64
-	live   int
-	// spent is the offline spend that is not settled in the ledger yet.
-	spent     laceunit.Tokens
-	witnesses []laceunit.Holder
-}
-
 // Wallet holds the grants of one instance incarnation; it is not safe for concurrent use.
 type Wallet struct {
 	holder    laceunit.Holder
@@ -73,6 +71,8 @@
 	instances int
 	purses    map[laceunit.BudgetID]*purse
 	retired   map[laceunit.GrantID]*retired
+	given     given
+	pleas     uint64
 }
 
 // NewWallet returns an empty wallet.
@@ -107,11 +107,12 @@
 	}, true
 }
 
-// ReserveOffline takes a ceiling that may be spent without the platform.
+// ReserveOffline takes a ceiling that may be spent without the platform, from the own grant or from a gift.
 func (w *Wallet) ReserveOffline(now time.Time, budget laceunit.BudgetID, ceiling laceunit.Tokens) (Reservation, bool) {
 	p := w.purse(budget)
 	if p.offline() < ceiling {
-		return Reservation{}, false
+		p.touch(now, ceiling)
+		return p.reserveGift(budget, ceiling)
 	}
 	r, ok := w.Reserve(now, budget, ceiling)
 	if !ok {
@@ -140,6 +141,10 @@
 // Settle ends a reservation of which some tokens were spent.
 func (w *Wallet) Settle(r Reservation, used laceunit.Tokens) {
 	used = min(max(used, 0), r.Ceiling)
+	if r.gift != nil {
+		w.purse(r.Budget).settleGift(r, used)
+		return
+	}
 	if old, ok := w.retired[r.Grant]; ok {
 		old.live--
 		if r.Offline {
@@ -202,6 +207,10 @@
 		p.repeat = false
 		return *p.open, true
 	}
+	if p.gave && p.grant != "" && !slices.Equal(p.witnesses, witnesses) {
+		// Receivers copy their spend to the witnesses that they were told, so the grant ends with these.
+		w.retire(budget, p)
+	}
 	target := w.policy.size(p.rate(now), ceiling, p.left+p.free, p.known, w.instances)
 	// A grant is topped up at half its size, so that requests seldom wait for the ledger.
 	if p.grant != "" && p.free >= ceiling && (p.free >= target/2 || p.known && p.left == 0) {
@@ -280,145 +289,11 @@
 	p.repeat, p.doubt = p.open != nil, p.open != nil
 }
 
-// Retired returns the records that end the retired grants without reservations. The Return keeps the offline spend
-// that is not settled yet, so that the Close still holds it.
-func (w *Wallet) Retired() []laceledger.Record {
-	var records []laceledger.Record
-	for g, r := range w.retired {
-		if r.live > 0 {
-			continue
-		}
-		records = append(records,
-			laceledger.Return{
-				Budget:  r.budget,
-				Grant:   g,
-				Offline: r.spent,
-				// An Open with the next serial may still be under way.
-				Serial: r.serial + 2,
-			},
-			laceledger.Close{
-				Budget: r.budget,
-				Grant:  g,
-			})
-		delete(w.retired, g)
-	}
-	return records
-}
-
 // Drop forgets a grant that the ledger has closed.
 func (w *Wallet) Drop(budget laceunit.BudgetID, grant laceunit.GrantID) {
 	w.drop(w.purse(budget), grant)
 }
 
-// Idle returns the records that give back what has not been used for the idle time.
-func (w *Wallet) Idle(now time.Time) []laceledger.Return {
-	var records []laceledger.Return
-	for b, p := range w.purses {
-		if p.grant == "" || p.busy() || p.free == 0 || now.Sub(p.touched) < w.policy.Idle {
-			continue
-		}
-		records = append(records, w.giveBack(b, p, p.free))
-	}
-	return records
-}
-
-// Recall returns the record that gives back what the instance can spare of a budget for an instance in need.
-func (w *Wallet) Recall(now time.Time, budget laceunit.BudgetID) (laceledger.Return, bool) {
-	p, ok := w.purses[budget]
-	if !ok || p.grant == "" || p.busy() || p.free == 0 {
-		return laceledger.Return{}, false
-	}
-	keep := laceunit.Tokens(math.Ceil(p.rate(now)))
-	spare := p.free - min(keep, p.free/2)
-	if spare <= 0 {
-		return laceledger.Return{}, false
-	}
-	return w.giveBack(budget, p, spare), true
-}
-
-// Drain retires every grant; Retired then returns the records that end them.
-func (w *Wallet) Drain() {
-	for b, p := range w.purses {
-		w.Retire(b, p.grant)
-	}
-}
-
-// Retire takes no new reservations from a grant and ends it when its last one has ended.
-func (w *Wallet) Retire(budget laceunit.BudgetID, grant laceunit.GrantID) {
-	p := w.purse(budget)
-	if grant == "" || p.grant != grant {
-		return
-	}
-	w.retired[grant] = &retired{
-		budget:    budget,
-		serial:    p.serial,
-		live:      p.live,
-		spent:     p.spent,
-		witnesses: p.witnesses,
-	}
-	w.drop(p, grant)
-}
-
-// Returned tells that the ledger has decided on a Return.
-func (w *Wallet) Returned(r laceledger.Return, verdict laceledger.Verdict) {
-	p := w.purse(r.Budget)
-	p.back, p.doubt = nil, false
-	if verdict.Result == laceledger.Closed {
-		w.drop(p, r.Grant)
-	}
-}
-
-// ReturnFailed tells that this try of a Return was certainly not appended.
-func (w *Wallet) ReturnFailed(r laceledger.Return) {
-	p := w.purse(r.Budget)
-	if p.doubt {
-		p.repeat = true
-		return
-	}
-	p.back = nil
-	if p.grant == r.Grant {
-		p.free += r.Tokens
-		p.serial--
-	}
-}
-
-// Unreturned returns the Returns whose verdict was lost; they are sent again as they are.
-func (w *Wallet) Unreturned() []laceledger.Return {
-	var records []laceledger.Return
-	for _, p := range w.purses {
-		if p.back != nil && p.repeat {
-			p.repeat = false
-			records = append(records, *p.back)
-		}
-	}
-	return records
-}
-
-// ReturnLost tells that a Return may have been appended; Unreturned returns it again.
-func (w *Wallet) ReturnLost(r laceledger.Return) {
-	p := w.purse(r.Budget)
-	p.repeat, p.doubt = p.back != nil, p.back != nil
-}
-
-// HandOver deducts tokens of the offline part for another instance; the receiver spends them under this grant.
-func (w *Wallet) HandOver(budget laceunit.BudgetID, tokens laceunit.Tokens) (Reservation, bool) {
-	p, ok := w.purses[budget]
-	if !ok || p.grant == "" {
-		return Reservation{}, false
-	}
-	if p.offline()/2 < tokens {
-		return Reservation{}, false
-	}
-	p.free -= tokens
-	p.spent += tokens
-	return Reservation{
-		Budget:  budget,
-		Grant:   p.grant,
-		Ceiling: tokens,
-		Offline: true,
-	}, true
-}
-
 // Free returns what the wallet holds of a budget outside reservations, and the offline part of it.
 func (w *Wallet) Free(budget laceunit.BudgetID) (free, offline laceunit.Tokens) {
 	p, ok := w.purses[budget]
@@ -436,7 +311,8 @@
 	if old, ok := w.retired[grant]; ok {
 		return old.witnesses
 	}
-	return nil
+	_, witnesses, _ := w.Giver(budget, grant)
+	return witnesses
 }
 
 // Left returns what the budget had left for new grants at the last verdict.
@@ -445,25 +321,12 @@
 	return p.left, p.known
 }
 
-func (w *Wallet) giveBack(budget laceunit.BudgetID, p *purse, tokens laceunit.Tokens) laceledger.Return {
-	p.free -= tokens
-	p.serial++
-	p.limit = min(p.limit, w.offlinePart(p.free)+p.spent)
-	p.back = &laceledger.Return{
-		Budget:  budget,
-		Grant:   p.grant,
-		Tokens:  tokens,
-		Offline: p.limit,
-		Serial:  p.serial,
-	}
-	return *p.back
-}
-
 func (w *Wallet) drop(p *purse, grant laceunit.GrantID) {
+	p.dropGifts(grant)
 	if p.grant != grant {
 		return
 	}
-	p.grant, p.free, p.limit, p.spent, p.live, p.serial, p.witnesses = "", 0, 0, 0, 0, 0, nil
+	p.grant, p.free, p.limit, p.spent, p.live, p.serial, p.witnesses, p.gave = "", 0, 0, 0, 0, 0, nil, false
 	if p.back != nil && p.back.Grant == grant {
 		p.back, p.repeat, p.doubt = nil, false, false
 	}
--- a/router/lacerouter/assemble_service.go
+++ b/router/lacerouter/assemble_service.go
@@ -14,8 +14,10 @@
 	"lacewingcove/lib/lacegateway"
 	"lacewingcove/lib/lacekernel"
 	"lacewingcove/lib/laceledger"
+	"lacewingcove/lib/laceorder"
 	"lacewingcove/lib/laceplatform"
 	"lacewingcove/lib/lacereplica"
+	"lacewingcove/lib/lacetrace"
 	"lacewingcove/lib/laceunit"
 	"lacewingcove/lib/lacewriter"
 )
@@ -106,6 +108,22 @@
 	})
 }
 
+func (i *Instance) addOrders(context.Context) error {
+	store, err := lacekernel.Lookup[laceplatform.Store](i.kernel, namePlatform)
+	if err != nil {
+		return err
+	}
+	commander, err := lacekernel.Lookup[laceorder.Commander](i.kernel, nameBackend)
+	if err != nil {
+		return err
+	}
+	timing := laceorder.DefaultTiming()
+	timing.Drift, timing.Pause = i.settings.Orders.Drift, i.settings.Orders.Pause
+	return i.kernel.Register(nameOrders, laceorder.New(store, commander, i.fleet.Self(),
+		laceorder.WithTiming(timing),
+		laceorder.WithWeights(i.settings.Orders.Weights, 1)))
+}
+
 // addAdmin opens the operators' listener. Without a file of operators there is nobody to serve.
 func (i *Instance) addAdmin(ctx context.Context) error {
 	if i.settings.Admin.Operators == "" {
@@ -123,6 +141,10 @@
 	if err != nil {
 		return err
 	}
+	orders, err := lacekernel.Lookup[laceadmin.Orders](i.kernel, nameOrders)
+	if err != nil {
+		return err
+	}
 	operators, err := laceadmin.NewOperators(i.settings.Admin.Operators)
 	if err != nil {
 		return err
@@ -143,6 +165,7 @@
 		},
 		Members:   adminMembers{fleet: i.fleet},
 		Drainer:   drainer{stop: i.stop},
+		Orders:    orders,
 		Trail:     laceadmin.NewTrail(store),
 		Operators: operators,
 		Accepted:  replica.Learn,
@@ -172,9 +195,14 @@
 	if err != nil {
 		return err
 	}
+	recorder, err := i.recorder()
+	if err != nil {
+		return err
+	}
 	i.gateway = lacegateway.New(deps,
 		lacegateway.WithHolder(i.fleet.Self()),
 		lacegateway.WithLogger(i.logger),
+		lacegateway.WithRecorder(recorder),
 		lacegateway.WithMetrics(lacegateway.NewMetrics(i.registry)))
 	if err = i.kernel.Register(nameResolver, i.gateway.Resolver()); err != nil {
 		return err
@@ -196,6 +224,22 @@
 	return i.kernel.Register(nameGateway, i.gateway)
 }
 
+// recorder returns the recorder of requests, or nothing when traces are off.
+func (i *Instance) recorder() (*lacetrace.Recorder, error) {
+	if i.settings.Trace == "" {
+		return nil, nil //nolint:nilnil // a nil recorder records nothing
+	}
+	file, err := newTraceFile(i.settings.Trace)
+	if err != nil {
+		return nil, err
+	}
+	i.reloaders = append(i.reloaders, reloader{
+		name:   "trace",
+		reload: file.reopen,
+	})
+	return lacetrace.NewRecorder(file), i.kernel.Register(nameTrace, file)
+}
+
 func (i *Instance) gatewayDeps() (lacegateway.Deps, error) {
 	deps := lacegateway.Deps{
 		Members: members{fleet: i.fleet},
--- a/router/lacerouter/instance.go
+++ b/router/lacerouter/instance.go
@@ -10,6 +10,7 @@
 	"lacewingcove/lib/lacegateway"
 	"lacewingcove/lib/lacejournal"
 	"lacewingcove/lib/lacekernel"
+	"lacewingcove/lib/lacepeer"
 	"lacewingcove/lib/lacesetting"
 	"lacewingcove/lib/lacetls"
 )
@@ -32,10 +33,12 @@
 	nameReplica       lacekernel.Name = "replica"
 	nameBackend       lacekernel.Name = "backend"
 	nameRecovery      lacekernel.Name = "recovery"
+	nameOrders        lacekernel.Name = "orders"
 	nameAdmin         lacekernel.Name = "admin"
 	nameResolver      lacekernel.Name = "resolver"
 	nameCaller        lacekernel.Name = "caller"
 	nameGateway       lacekernel.Name = "gateway"
+	nameTrace         lacekernel.Name = "trace"
 )
 
 // Instance is one router instance.
@@ -47,6 +50,8 @@
 	fleet    *lacefleet.Service
 	book     *lacejournal.Service
 	journal  *journal
+	peer     *lacepeer.Client
+	giver    *giver
 	ledger   *lateLedger
 	gateway  *lacegateway.Gateway
 	stop     chan struct{}
@@ -63,6 +68,7 @@
 		kernel:   lacekernel.New(),
 		registry: prometheus.NewRegistry(),
 		ledger:   &lateLedger{},
+		giver:    &giver{},
 		stop:     make(chan struct{}, 1),
 		sources:  map[lacesetting.TLS]*lacetls.Source{},
 	}
@@ -79,6 +85,7 @@
 		i.addBackends,
 		i.addConfiguration,
 		i.addRecovery,
+		i.addOrders,
 		i.addAdmin,
 		i.addGateway,
 	}
--- a/router/lacerouter/world_test.go
+++ b/router/lacerouter/world_test.go
@@ -14,6 +14,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -211,15 +212,29 @@
 	ended   chan struct{}
 }
 
+// The ports for processes lie below those that the system gives to outgoing connections, because such a connection can
+// take a port between its choice and the start of the process. Another run on the machine begins at another port.
+const (
+	firstPort = 12000
+	lastPort  = 32000
+)
+
+var nextPort atomic.Int64 //nolint:gochecknoglobals // parallel tests share the ports of the machine
+
+// freePort returns an address that no test of this run uses and nobody listens on.
 func freePort(t *testing.T) string {
 	t.Helper()
 	var config net.ListenConfig
-	l, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range lastPort - firstPort {
+		n := (int64(os.Getpid())*97 + nextPort.Add(1)) % (lastPort - firstPort)
+		address := fmt.Sprint("127.0.0.1:", firstPort+n)
+		if l, err := config.Listen(context.Background(), "tcp", address); err == nil {
+			_ = l.Close()
+			return address
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	t.Fatal("no free port")
+	return ""
 }
 
 // start starts a router process and waits until it takes work.
