lacegrant: grants are topped up at nine tenths of the span

Cause: a grant was topped up at half its target, so that its offline part lasted 207 s at its smallest instead of 300 s. Ruled out: budgets that are too small (3.8 of 104 million tokens used) and shares of the budget (1/14 of it exceeds the span). Change: a grant is topped up at nine tenths of the tokens of the span; one that is set by its least number of ceilings at half as before, so that sparse traffic does not cost a record for each request.

--- a/lib/lacegrant/policy.go
+++ b/lib/lacegrant/policy.go
@@ -57,6 +57,17 @@
 	return p
 }
 
+// lowPart is the share of the recent spend's span at which a grant is topped up. At half of the span a platform outage
+// could begin with a grant that lasts half as long as it should.
+const lowPart = 0.9
+
+// low returns the size below which a grant of a target size is topped up. A grant that is small because there is
+// little demand is topped up at half its size, so that not every request costs a record.
+func (p Policy) low(demand float64, target laceunit.Tokens) laceunit.Tokens {
+	span := min(demand*p.Span.Seconds(), float64(target))
+	return max(target/2, laceunit.Tokens(span*lowPart))
+}
+
 // size returns how many tokens an instance should hold of a budget.
 func (p Policy) size(demand float64, ceiling, left laceunit.Tokens, known bool, instances int) laceunit.Tokens {
 	want := max(laceunit.Tokens(demand*p.Span.Seconds()), laceunit.Tokens(max(p.Least, 1))*ceiling)
--- a/lib/lacegrant/wallet.go
+++ b/lib/lacegrant/wallet.go
@@ -203,8 +203,8 @@
 		return *p.open, true
 	}
 	target := w.policy.size(p.rate(now), ceiling, p.left+p.free, p.known, w.instances)
-	// A grant is topped up at half its size, so that requests seldom wait for the ledger.
-	if p.grant != "" && p.free >= ceiling && (p.free >= target/2 || p.known && p.left == 0) {
+	// A grant is topped up early, so that requests seldom wait for the ledger and an outage finds enough.
+	if p.grant != "" && p.free >= ceiling && (p.free >= w.policy.low(p.rate(now), target) || p.known && p.left == 0) {
 		return laceledger.Open{}, false
 	}
 	grant, serial := p.grant, p.serial+1
