lacewriter: a record lingers only when company is likely

Change: the linger applies only if at least five records are expected within it, by a decaying count of arrivals. TestLoneCallerDoesNotLinger failed before the change.

--- a/lib/lacewriter/combiner.go
+++ b/lib/lacewriter/combiner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -24,6 +25,12 @@
 	allowanceBurst = 5
 	// allowanceDebt bounds how far urgent writes overdraw the allowance, so that others linger for a second at most.
 	allowanceDebt = time.Second
+	// lingerCompany is how many records have to be expected within one linger for it to be worth its delay. Without
+	// it a single caller that sends one request after the other waits for others that do not come.
+	lingerCompany = 5
+	// arrivalDecay is the time constant of the rate of arrivals: long against the gaps at the rates that matter, short
+	// enough to notice a burst.
+	arrivalDecay = 50 * time.Millisecond
 )
 
 // Combiner commits the records of one shard in batches, with at most one append in flight.
@@ -35,7 +42,10 @@
 	mu     sync.Mutex
 	queue  []*item
 	closed bool
-	wake   chan struct{}
+	// arrivals is the decaying number of records that have arrived, as of the time arrived.
+	arrivals float64
+	arrived  time.Time
+	wake     chan struct{}
 
 	cancel context.CancelFunc
 	done   chan struct{}
@@ -115,6 +125,7 @@
 		return errors.Wrap(laceplatform.ErrUnavailable, "writer: queue is full")
 	}
 	c.queue = append(c.queue, it)
+	c.arrivals, c.arrived = c.recent(it.since)+1, it.since
 	c.signal()
 	return nil
 }
@@ -207,9 +218,20 @@
 	return batch, 0, c.closed
 }
 
+// recent returns the decayed number of arrivals at a time.
+func (c *Combiner) recent(now time.Time) float64 {
+	return c.arrivals * math.Exp(-now.Sub(c.arrived).Seconds()/arrivalDecay.Seconds())
+}
+
+// short reports whether the allowance is short and a linger is likely to save writes.
+func (c *Combiner) short(now time.Time) bool {
+	expected := c.recent(now) * c.options.linger.Seconds() / arrivalDecay.Seconds()
+	return c.limiter.TokensAt(now) < 1 && expected >= lingerCompany
+}
+
 // linger returns how long the queue may still wait for company.
 func (c *Combiner) linger(now time.Time) time.Duration {
-	short := c.limiter.TokensAt(now) < 1
+	short := c.short(now)
 	if len(c.queue) >= batchRecords || (len(c.queue) == 1 && !short) {
 		return 0
 	}
--- a/lib/lacewriter/combiner_test.go
+++ b/lib/lacewriter/combiner_test.go
@@ -217,3 +217,16 @@
 		}
 	}
 }
+
+// Guards against a single caller whose records wait for company that does not come once it has used the allowance up.
+func TestLoneCallerDoesNotLinger(t *testing.T) {
+	bench(t, func(_ *memory, c *Combiner) {
+		for i := range 20 {
+			if d := send(c, 1, laceledger.Soon, fmt.Sprint("lone", i))[0]; d != 2*time.Millisecond {
+				t.Errorf("record %d took %v", i, d)
+			}
+			// The caller's next record comes after its backend server has answered.
+			<-time.After(20 * time.Millisecond)
+		}
+	}, WithWrites(1))
+}
