--- a/lib/lacefleet/follow.go
+++ b/lib/lacefleet/follow.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"lacewingcove/lib/lacekernel"
 	"lacewingcove/lib/lacemember"
 	"lacewingcove/lib/laceplatform"
 	"lacewingcove/lib/laceunit"
@@ -108,7 +109,8 @@
 // repeat runs a step again after a pause of about a second, which bounds the rate of platform calls.
 func (s *Service) repeat(ctx context.Context, step func() error) {
 	for ctx.Err() == nil {
-		if err := step(); errors.Is(err, laceplatform.ErrUnavailable) {
+		// A watch that ends is the first sign of an outage.
+		if step() != nil {
 			s.Suspect()
 		}
 		select {
@@ -120,18 +122,11 @@
 
 // sweep removes the members whose alive key is gone.
 func (s *Service) sweep(ctx context.Context) {
-	ticker := time.NewTicker(rankDelay)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	_ = lacekernel.Every(ctx, rankDelay, func(ctx context.Context) {
 		if gone := s.dead(); len(gone) > 0 {
 			_ = s.remove(ctx, gone)
 		}
-	}
+	})
 }
 
 // dead returns the members whose key has been missing for long enough to be removed by this instance.
@@ -181,6 +176,10 @@
 		cancel()
 		if errors.Is(err, laceplatform.ErrMissing) || (err == nil && incarnationOf(e) != h.Incarnation) {
 			confirmed = append(confirmed, h)
+		} else if err == nil {
+			s.mu.Lock()
+			s.see(e, false)
+			s.mu.Unlock()
 		}
 	}
 	if len(confirmed) == 0 {
--- a/lib/lacegateway/driver.go
+++ b/lib/lacegateway/driver.go
@@ -262,7 +262,7 @@
 		ctx, cancel := d.context(recordTimeout)
 		defer cancel()
 		// A run that can't be canceled ends by itself at its token limit.
-		_ = d.gateway.deps.Backend.Cancel(ctx, address, d.scoped())
+		_ = d.gateway.deps.Backend.Cancel(ctx, address, d.scoped(), e.Attempt)
 	})
 }
 
@@ -297,10 +297,10 @@
 }
 
 func (d *driver) urgency(record laceledger.Record) laceledger.Urgency {
-	if _, void := record.(laceledger.Void); void || d.task.spec.Idempotent {
-		return laceledger.Soon
+	if _, intent := record.(laceledger.Intent); intent && !d.task.spec.Idempotent {
+		return laceledger.Now
 	}
-	return laceledger.Now
+	return laceledger.Soon
 }
 
 func (d *driver) copy(entry laceledger.Offline) {
@@ -322,7 +322,13 @@
 }
 
 func (d *driver) regrant(e lacerequest.Regrant) {
-	d.gateway.deps.Wallet.Drop(d.task.spec.Budget, e.Grant)
+	if e.Closed {
+		d.gateway.deps.Wallet.Drop(d.task.spec.Budget, e.Grant)
+	} else {
+		// The reservation ends here; a new one is made under another grant.
+		d.gateway.deps.Wallet.Settle(d.reservation, 0)
+		d.gateway.deps.Wallet.Retire(d.task.spec.Budget, e.Grant)
+	}
 	d.work(func() {
 		ctx, cancel := d.context(reserveTimeout)
 		defer cancel()
--- a/lib/lacegateway/gateway_test.go
+++ b/lib/lacegateway/gateway_test.go
@@ -96,6 +96,21 @@
 	}
 }
 
+// Guards against an order that waits for other records before it is sent, and against settlements that each cost a
+// platform write of their own.
+func TestOnlyTheIntentOfAnOrderIsUrgent(t *testing.T) {
+	f := newFixture()
+	expect(t, f.do(request(http.MethodPost, "/v1/services/orders/a", "o4", "x")), http.StatusCreated, lacefault.Done)
+	for kind, want := range map[string]laceledger.Urgency{
+		"laceledger.Intent": laceledger.Now,
+		"laceledger.Settle": laceledger.Soon,
+	} {
+		if got, ok := f.ledger.urgencies[kind]; !ok || got != want {
+			t.Errorf("%s: urgency %d, want %d", kind, got, want)
+		}
+	}
+}
+
 // Guards against a retry that runs again after the answer of the first run was lost.
 func TestOrderWithLostAnswerIsSettledByLookup(t *testing.T) {
 	f := newFixture()
@@ -211,6 +226,12 @@
 	}
 }
 
+// Guards against a caller that takes "not known here" for "not run": another instance may have run it in an outage.
+func TestUnknownIDIsNotCalledNotRun(t *testing.T) {
+	f := newFixture()
+	expect(t, f.do(request(http.MethodGet, "/v1/requests/nobody", "", "")), http.StatusNotFound, lacefault.Unknown)
+}
+
 // Guards against spend beyond the paid tokens, however small the rest.
 func TestSpentBudgetIsRefused(t *testing.T) {
 	f := newFixture()
@@ -287,6 +308,10 @@
 	if n := f.backend.count("acme/o5"); n != 1 {
 		t.Fatalf("ran %d times", n)
 	}
+	w := f.do(request(http.MethodGet, "/v1/requests/o5", "", ""))
+	if expect(t, w, http.StatusOK, lacefault.Done); !strings.Contains(w.Body.String(), `"tokens":10`) {
+		t.Fatalf("state %s", w.Body)
+	}
 	var last laceledger.Offline
 	if last = f.world.copies[len(f.world.copies)-1]; !last.Finished || last.Tokens != 10 {
 		t.Fatalf("journal %+v", last)
--- a/lib/lacegrant/service.go
+++ b/lib/lacegrant/service.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"lacewingcove/lib/lacekernel"
 	"lacewingcove/lib/laceledger"
 	"lacewingcove/lib/laceplatform"
 	"lacewingcove/lib/laceunit"
@@ -174,6 +175,13 @@
 	s.wallet.Drop(budget, grant)
 }
 
+// Retire ends a grant whose size in the ledger differs from the wallet's; it is closed when its reservations end.
+func (s *Service) Retire(budget laceunit.BudgetID, grant laceunit.GrantID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.wallet.Retire(budget, grant)
+}
+
 // HandOver deducts tokens of the offline part for another instance.
 func (s *Service) HandOver(budget laceunit.BudgetID, tokens laceunit.Tokens) (Reservation, bool) {
 	s.mu.Lock()
@@ -208,16 +216,7 @@
 
 // Serve returns idle grants until the context ends.
 func (s *Service) Serve(ctx context.Context) error {
-	ticker := time.NewTicker(idleInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-			s.tidy(ctx)
-		}
-	}
+	return lacekernel.Every(ctx, idleInterval, s.tidy)
 }
 
 // Drain gives every grant back; grants with reservations are closed when those end, by Close at the latest.
@@ -286,7 +285,7 @@
 	defer s.tasks.Done()
 	ctx, cancel := context.WithTimeout(context.Background(), openTimeout)
 	defer cancel()
-	verdict, err := s.ledger.Append(ctx, open, laceledger.Now)
+	verdict, err := s.ledger.Append(ctx, open, urgency(open))
 	reason := s.reason(ctx, open, verdict, err)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -310,6 +309,15 @@
 	s.wake(open.Budget)
 }
 
+// urgency returns Now for an Open that a request waits for. An early top-up shares the write of other records: the
+// rest of the grant lasts much longer than they linger.
+func urgency(open laceledger.Open) laceledger.Urgency {
+	if open.Least > 0 {
+		return laceledger.Now
+	}
+	return laceledger.Soon
+}
+
 // reason returns why an Open gave nothing, or nil.
 func (s *Service) reason(ctx context.Context, open laceledger.Open, verdict laceledger.Verdict, err error) error {
 	if err != nil {
@@ -328,6 +336,12 @@
 			return ErrElsewhere
 		}
 		return ErrSpent
+	case laceledger.Closed:
+		if open.Serial > 1 {
+			// The grant was closed behind this instance; a new one may be opened.
+			return nil
+		}
+		return errors.Wrap(ErrUnreachable, "this instance is shut out of the ledger")
 	case laceledger.Invalid, laceledger.Conflict:
 		return errors.Wrap(ErrUnreachable, "ledger refused the grant")
 	default:
--- a/lib/lacewriter/recovery.go
+++ b/lib/lacewriter/recovery.go
@@ -27,6 +27,22 @@
 	return ask, first
 }
 
+// Written returns the budgets of the shards that this instance writes, as of now.
+func (l *Ledger) Written(ctx context.Context) ([]laceledger.Balance, error) {
+	var all []laceledger.Balance
+	for _, shard := range l.Writers() {
+		u, err := l.unit(ctx, shard)
+		if err != nil {
+			return nil, err
+		}
+		if err = u.combiner.Refresh(ctx); err != nil {
+			return nil, errors.Wrapf(err, "shard %d", shard)
+		}
+		u.log.View(func(s *laceledger.State) { all = append(all, s.Balances()...) })
+	}
+	return all, nil
+}
+
 func (l *Ledger) recoverShard(ctx context.Context, shard laceunit.ShardID, live, gone []laceunit.Holder, abandon time.Duration) ([]laceledger.Existing, error) {
 	u, err := l.unit(ctx, shard)
 	if err != nil {
@@ -57,9 +73,9 @@
 	return v.Ask, err
 }
 
-// Retained returns the non-idempotent requests that the ledger remembers, in all shards and as of now; it is complete
-// only when no holder outside the members has an open grant.
-func (l *Ledger) Retained(ctx context.Context, members []laceunit.Holder) ([]laceledger.Request, bool, error) {
+// Retained fences every shard and returns the non-idempotent requests that the ledger remembers. It is complete only
+// when each shard has taken this fence: then no holder that the membership has removed can add to it.
+func (l *Ledger) Retained(ctx context.Context, fence laceledger.Fence) ([]laceledger.Request, bool, error) {
 	var all []laceledger.Request
 	for shard := range l.shards {
 		u, err := l.unit(ctx, laceunit.ShardID(shard))
@@ -69,15 +85,28 @@
 		if err = u.combiner.Refresh(ctx); err != nil {
 			return nil, false, errors.Wrapf(err, "shard %d", shard)
 		}
-		complete := false
+		if err = u.fence(ctx, fence); err != nil {
+			return nil, false, errors.Wrapf(err, "shard %d", shard)
+		}
+		var epoch laceunit.Epoch
 		u.log.View(func(s *laceledger.State) {
-			var list []laceledger.Request
-			list, complete = s.Retained(members)
-			all = append(all, list...)
+			epoch = s.Fence().Epoch
+			all = append(all, s.Retained()...)
 		})
-		if !complete {
+		if epoch != fence.Epoch {
 			return nil, false, nil
 		}
 	}
 	return all, true, nil
 }
+
+// fence appends a fence unless the shard has it.
+func (u *unit) fence(ctx context.Context, fence laceledger.Fence) error {
+	var epoch laceunit.Epoch
+	u.log.View(func(s *laceledger.State) { epoch = s.Fence().Epoch })
+	if epoch >= fence.Epoch {
+		return nil
+	}
+	_, err := u.combiner.Append(ctx, fence, laceledger.Now)
+	return err
+}
