router: metric of the configuration version in force

Cause: nothing an instance serves told which version is in force, so neither operators nor tests could compare instances. Ruled out: reading it from the log, which names changes only, and from the administration API, which reads the platform and not the instance. Change: gauge lace_configuration_version reads the replica's document.

--- a/router/lacerouter/metric.go
+++ b/router/lacerouter/metric.go
@@ -5,6 +5,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"lacewingcove/lib/laceplatform"
+	"lacewingcove/lib/laceunit"
 )
 
 // newPlatformMetrics counts the platform calls of this instance by kind and result.
@@ -25,6 +26,14 @@
 	})
 }
 
+// newVersionMetric shows the version of the configuration in force, which operators compare between instances.
+func newVersionMetric(registerer prometheus.Registerer, version func() laceunit.Version) {
+	registerer.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "lace_configuration_version",
+		Help: "Version of the configuration in force; 0 before the first one.",
+	}, func() float64 { return float64(version()) }))
+}
+
 // callResult maps an error of a platform call to the closed set of label values.
 func callResult(err error) string {
 	switch {
