lacereplica: a closed replica is not started again

Ruled out: a failure of the replica itself; it had served until Close. Change: ErrClosed wraps suture.ErrDoNotRestart, as lacewriter's Serve returns. Measured: TestCloseWaits fails without the change with 'service_test.go:194: got replica: closed' and passes with it (-count=2). Conclusion: a stop reports only failures that happened.

--- a/lib/lacereplica/service.go
+++ b/lib/lacereplica/service.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/thejerf/suture/v4"
 
 	"lacewingcove/lib/laceconfig"
 	"lacewingcove/lib/laceunit"
@@ -27,8 +28,8 @@
 // parallel bounds the calls in progress.
 const parallel = 256
 
-// ErrClosed means that the service has been closed.
-var ErrClosed = errors.New("replica: closed")
+// ErrClosed means that the service has been closed. It tells a supervisor not to start the service again.
+var ErrClosed = errors.WithMessage(suture.ErrDoNotRestart, "replica: closed")
 
 // Peer is an instance as the membership knows it.
 type Peer struct {
--- a/lib/lacereplica/service_test.go
+++ b/lib/lacereplica/service_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/thejerf/suture/v4"
 	"go.uber.org/goleak"
 
 	"lacewingcove/lib/laceconfig"
@@ -174,7 +175,8 @@
 	return 0, nil
 }
 
-// Guards against a Close that returns while calls are in progress, and a Serve that outlives it.
+// Guards against a Close that returns while calls are in progress, a Serve that outlives it, and a supervisor that starts
+// the closed service again until it backs off, which a planned stop then reports as failures.
 func TestCloseWaits(t *testing.T) {
 	entered, left := make(chan struct{}), make(chan struct{})
 	s := New(blocking{entered: entered, left: left}, &fleet{}, http.DefaultClient, laceconfig.Rule{Fresh: time.Second})
@@ -189,7 +191,7 @@
 	default:
 		t.Fatal("closed with a read in progress")
 	}
-	if err := <-done; !errors.Is(err, ErrClosed) {
+	if err := <-done; !errors.Is(err, ErrClosed) || !errors.Is(err, suture.ErrDoNotRestart) {
 		t.Fatalf("got %v", err)
 	}
 }
