--- a/router/lacerouter/order_test.go
+++ b/router/lacerouter/order_test.go
@@ -1,234 +1,216 @@
 package lacerouter
 
 import (
-	"bytes"
-	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
-	"net/http/httptest"
-	"os"
-	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 
-	"lacewingcove/lib/laceadmin"
-	"lacewingcove/lib/laceconfig"
 	"lacewingcove/lib/laceemulator"
-	"lacewingcove/lib/laceunit"
+	"lacewingcove/lib/lacefault"
 )
 
-// gate holds the first order to an engine back until it is opened, as a network may.
-type gate struct {
-	next   http.Handler
-	closed atomic.Bool
-	held   chan struct{}
-	open   chan struct{}
-	status chan int
+// orderCall is one answer to a caller who placed an order.
+type orderCall struct {
+	status int
+	body   string
+	refusal
 }
 
-// ServeHTTP implements http.Handler.
-func (g *gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.Method != http.MethodPost || r.URL.Path != "/v1/orders" || g.closed.Swap(true) {
-		g.next.ServeHTTP(w, r)
-		return
-	}
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		panic(http.ErrAbortHandler)
-	}
-	close(g.held)
-	<-g.open
-	answer := httptest.NewRecorder()
-	late := r.Clone(context.Background())
-	late.Body = io.NopCloser(bytes.NewReader(body))
-	g.next.ServeHTTP(answer, late)
-	g.status <- answer.Code
-	w.WriteHeader(answer.Code)
+// orderBook collects the answers of all callers by order.
+type orderBook struct {
+	mu    sync.Mutex
+	calls map[string][]orderCall
 }
 
-// ordered is a world with an engine that checks fencing tokens behind a gate, engine-1, and one that ignores them,
-// engine-2.
-type ordered struct {
-	*world
-	gate      *gate
-	urls      map[string]string
-	operators string
+func (o *orderBook) place(r *router, id string) orderCall {
+	status, body := r.order(id)
+	c := orderCall{
+		status:  status,
+		body:    body,
+		refusal: refused(body),
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.calls == nil {
+		o.calls = map[string][]orderCall{}
+	}
+	o.calls[id] = append(o.calls[id], c)
+	return c
 }
 
-func newOrdered(t *testing.T) *ordered {
-	t.Helper()
-	o := &ordered{
-		world: newWorld(t),
-		gate: &gate{
-			held:   make(chan struct{}),
-			open:   make(chan struct{}),
-			status: make(chan int, 1),
-		},
-		urls:      map[string]string{},
-		operators: filepath.Join(t.TempDir(), "operators.yaml"),
-	}
-	store := laceconfig.NewStore(o.local)
-	file, err := store.Show(context.Background())
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, name := range []string{"engine-1", "engine-2"} {
-		fencing := name == "engine-1"
-		e := laceemulator.NewEngine(laceemulator.EngineSetting{
-			Models:  []laceunit.ModelID{"m"},
-			Slots:   4,
-			Fencing: fencing,
-		})
-		handler := e.Handler()
-		if fencing {
-			o.gate.next = handler
-			handler = o.gate
+// placeAll places n orders at every router at once, rounds times.
+func (o *orderBook) placeAll(routers []*router, prefix string, n, rounds int) {
+	var all sync.WaitGroup
+	for range rounds {
+		for i := range n {
+			for _, r := range routers {
+				all.Go(func() { o.place(r, fmt.Sprint(prefix, "-", i)) })
+			}
 		}
-		server := httptest.NewServer(handler)
-		t.Cleanup(func() {
-			_ = e.Close()
-			server.CloseClientConnections()
-			server.Close()
-		})
-		o.urls[name] = server.URL
-		x := file.Document.Servers[laceunit.ServerID(name)]
-		x.Address, x.Fencing = laceunit.Address(strings.TrimPrefix(server.URL, "http://")), fencing
-		file.Document.Servers[laceunit.ServerID(name)] = x
-	}
-	if _, err = store.Apply(context.Background(), laceconfig.Edit{ID: "edit-2", Who: "test", File: file}); err != nil {
-		t.Fatal(err)
 	}
-	text := "operators: {chief: {token: " + laceadmin.Hash(chiefToken) + ", may: [servers]}, reader: {token: " + laceadmin.Hash(readerToken) + "}}"
-	if err = os.WriteFile(o.operators, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	return o
+	all.Wait()
 }
 
-// run starts a router and returns it with a client of its administration API.
-func (o *ordered) run(name string) (*router, *laceadmin.Client) {
-	o.t.Helper()
-	admin := freePort(o.t)
-	r := o.start(name, "-admin.listen", admin, "-admin.operators", o.operators)
-	return r, &laceadmin.Client{
-		Addresses: []string{admin},
-		Token:     chiefToken,
-		HTTP:      &http.Client{Timeout: testTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
+// finish retries every order until it is answered; those whose outcome stays unknown may end that way.
+func (o *orderBook) finish(t *testing.T, routers []*router) {
+	t.Helper()
+	var all sync.WaitGroup
+	for id := range o.calls {
+		all.Go(func() {
+			var last orderCall
+			if !tries(routers, 0, func(r *router) bool {
+				last = o.place(r, id)
+				return answered(last.status)
+			}) {
+				t.Errorf("%s: not answered in the end, last %+v", id, last)
+			}
+		})
 	}
+	all.Wait()
 }
 
-// version orders a version of the model; the id of the order is the version.
-func version(c *laceadmin.Client, server, name string) error {
-	_, err := c.Order(context.Background(), server, laceadmin.ServerOrder{
-		ID:      name,
-		Kind:    "version",
-		Model:   "m",
-		Version: name,
-	})
-	return err
-}
+func answered(status int) bool { return status == http.StatusOK || status == http.StatusNoContent }
 
-// log returns the orders that an engine has carried out.
-func (o *ordered) log(server string) (versions []string, fences []uint64) {
-	o.t.Helper()
-	_, text := o.get(o.urls[server] + "/v1/orders")
-	var answer struct {
-		Orders []struct {
-			Fence   uint64
-			Version string
+// check compares the answers with what the service has run.
+func (o *orderBook) check(w *world) {
+	w.t.Helper()
+	runs, logged := w.runs(), false
+	for id, calls := range o.calls {
+		var body string
+		certain, done := true, false
+		for _, c := range calls {
+			switch {
+			case c.status == http.StatusOK && body != "" && c.body != body:
+				w.t.Errorf("%s: answered %q and %q", id, body, c.body)
+			case c.status == http.StatusOK:
+				body = c.body
+			}
+			done = done || answered(c.status)
+			certain = certain && c.Outcome == lacefault.NotRun
+		}
+		switch {
+		case runs[id] > 1:
+			w.t.Errorf("%s: ran %d times", id, runs[id])
+		case certain && runs[id] > 0:
+			w.t.Errorf("%s: ran, but every answer was not_run", id)
+		case done && runs[id] == 0:
+			w.t.Errorf("%s: answered, but did not run", id)
+		}
+		if w.t.Failed() && !logged {
+			logged = true
+			w.t.Logf("%s: %d runs, answers %+v", id, runs[id], calls)
 		}
 	}
-	if err := json.Unmarshal([]byte(text), &answer); err != nil {
-		o.t.Fatal(err)
-	}
-	for _, x := range answer.Orders {
-		versions, fences = append(versions, x.Version), append(fences, x.Fence)
-	}
-	return versions, fences
 }
 
-// inOrder checks that no order under an old fencing token was carried out after one under a newer token.
-func (o *ordered) inOrder(server string) {
-	o.t.Helper()
-	versions, fences := o.log(server)
-	for i := 1; i < len(fences); i++ {
-		if fences[i] < fences[i-1] {
-			o.t.Errorf("%s: order of fence %d after one of %d: %v %v", server, fences[i], fences[i-1], versions, fences)
+// outage takes the platform away from all routers and waits until they work in outage mode.
+func (w *world) outage(routers []*router, probe string) {
+	w.t.Helper()
+	w.platform.SetFaults(laceemulator.PlatformFaults{Down: true})
+	i := 0
+	w.until("orders run in the outage", func() bool {
+		i++
+		status, _ := routers[i%len(routers)].order(fmt.Sprint(probe, "-", i))
+		return status == http.StatusOK
+	})
+}
+
+// Guards against an order that runs again when callers retry it at other instances while it still runs, when the
+// answers of platform writes are lost, the platform is slow, and its instance is killed.
+func TestRetriedOrdersRunOnce(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	routers, _ := w.fleet(3)
+	w.platform.SetFaults(laceemulator.PlatformFaults{Lost: 0.2, Latency: 20 * time.Millisecond})
+	w.orders.SetFaults(laceemulator.ServerFaults{Slow: 300 * time.Millisecond})
+	var o orderBook
+	o.placeAll(routers, "running", 8, 2)
+	ended := play([]step{{after: 150 * time.Millisecond, do: func() { routers[0].signal(syscall.SIGKILL) }}})
+	o.placeAll(routers[:1], "killed", 8, 1)
+	<-ended
+	o.placeAll(routers[1:], "killed", 8, 1)
+	w.platform.SetFaults(laceemulator.PlatformFaults{})
+	o.finish(t, routers[1:])
+	o.check(w)
+	for i := range 8 {
+		if n := w.runs()[fmt.Sprint("killed-", i)]; n != 1 {
+			t.Errorf("killed-%d ran %d times", i, n)
 		}
 	}
 }
 
-// Guards against a paused holder whose orders mix with those of its successor when it wakes: at an engine that checks
-// fencing tokens, where its late order must be refused, and at one that ignores them, where it must not be sent.
-func TestPausedHolderOfOrders(t *testing.T) {
+// Guards against orders that run at two instances, or at another than their home, while the platform is down for all,
+// and against orders that run again after the outage, in the next outage, or after their home was killed in it.
+func TestOrdersInOutagesRunOnce(t *testing.T) {
 	t.Parallel()
-	o := newOrdered(t)
-	first, one := o.run("router-1")
-	_, two := o.run("router-2")
-	const n = 5
-	var old sync.WaitGroup
-	old.Go(func() { _ = version(one, "engine-1", "old") })
-	<-o.gate.held
-	// These wait behind the order that is held back, or are under way, when the holder stops.
-	for i := range n {
-		old.Go(func() { _ = version(one, "engine-2", fmt.Sprint("old-", i)) })
-	}
-	first.signal(syscall.SIGSTOP)
-	if err := version(two, "engine-1", "new"); err != nil {
-		t.Fatalf("the successor: %v", err)
-	}
-	close(o.gate.open)
-	if status := <-o.gate.status; status != http.StatusConflict {
-		t.Errorf("the late order of the former holder: status %d", status)
-	}
-	for i := range n {
-		if i == 1 {
-			first.signal(syscall.SIGCONT)
+	w := newWorld(t)
+	routers, _ := w.fleet(3)
+	var o orderBook
+	o.placeAll(routers, "before", 6, 1)
+	w.outage(routers, "probe")
+	o.placeAll(routers, "before", 6, 1)
+	o.placeAll(routers, "outage", 12, 2)
+	for id, calls := range o.calls {
+		if !strings.HasPrefix(id, "outage") {
+			continue
 		}
-		if err := version(two, "engine-2", fmt.Sprint("new-", i)); err != nil {
-			t.Fatalf("the successor: %v", err)
+		homes := map[string]bool{}
+		for _, c := range calls {
+			if c.Code == lacefault.WrongInstance {
+				homes[c.Instance] = true
+			}
 		}
-	}
-	old.Wait()
-	for server := range o.urls {
-		o.inOrder(server)
-	}
-	versions, _ := o.log("engine-2")
-	for i := range n {
-		name := fmt.Sprint("new-", i)
-		if c := strings.Count(strings.Join(versions, " ")+" ", name+" "); c != 1 {
-			t.Errorf("%s was carried out %d times", name, c)
+		if len(homes) != 1 || homes[""] {
+			t.Errorf("%s: homes named %v", id, homes)
 		}
 	}
+	w.platform.SetFaults(laceemulator.PlatformFaults{})
+	o.finish(t, routers)
+	w.outage(routers, "again")
+	o.placeAll(routers, "outage", 12, 1)
+	o.placeAll(routers, "second", 12, 1)
+	routers[0].signal(syscall.SIGKILL)
+	o.placeAll(routers[1:], "second", 12, 1)
+	w.platform.SetFaults(laceemulator.PlatformFaults{})
+	// Only a newer process at the same address proves that the killed home is gone; until then its orders are refused.
+	routers[0] = w.restart(routers[0])
+	o.finish(t, routers)
+	o.check(w)
 }
 
-// Guards against an order that is carried out again under its id after a later one, that lacks its audit record, or
-// that an operator without the right gives.
-func TestOrdersOnceById(t *testing.T) {
+// Guards against orders that run twice when one instance is cut off from the platform, with and without a partition
+// between the instances in one direction or both, and when the platform fails for all during such a partition.
+func TestOrdersInPartitionsRunOnce(t *testing.T) {
 	t.Parallel()
-	o := newOrdered(t)
-	close(o.gate.open)
-	_, c := o.run("router-1")
-	for _, name := range []string{"a", "b", "a"} {
-		if err := version(c, "engine-1", name); err != nil {
-			t.Fatalf("%s: %v", name, err)
+	w := newWorld(t)
+	routers, relays := w.fleet(3)
+	partition := func(cut ...direction) {
+		for _, r := range relays {
+			r.set(cut...)
 		}
 	}
-	if versions, _ := o.log("engine-1"); strings.Join(versions, " ") != "a b" {
-		t.Errorf("carried out: %v", versions)
-	}
-	record, err := o.local.Get(context.Background(), "audit/action/a")
-	if text := string(record.Value); err != nil || !strings.Contains(text, "engine-1 version model=m version=a") ||
-		!strings.Contains(text, "who: chief") || !strings.Contains(text, "result: done") {
-		t.Errorf("audit record: %v %s", err, record.Value)
-	}
-	c.Token = readerToken
-	if err := version(c, "engine-1", "c"); err == nil || !strings.Contains(err.Error(), string(laceadmin.Forbidden)) {
-		t.Errorf("without the right: %v", err)
-	}
+	alone := laceemulator.PlatformFaults{Cuts: map[string]laceemulator.Cut{"router-1": laceemulator.CutRequests}}
+	deaf := laceemulator.PlatformFaults{Cuts: map[string]laceemulator.Cut{"router-1": laceemulator.CutAnswers}}
+	var o orderBook
+	round := func(name string, f laceemulator.PlatformFaults, cut ...direction) {
+		w.platform.SetFaults(f)
+		partition(cut...)
+		o.placeAll(routers, name, 6, 1)
+	}
+	round("warm", laceemulator.PlatformFaults{})
+	round("partition", laceemulator.PlatformFaults{}, requests, answers)
+	round("deafpeers", laceemulator.PlatformFaults{}, answers)
+	round("alone", alone)
+	round("deaf", deaf)
+	round("isolated", alone, requests)
+	round("down", laceemulator.PlatformFaults{Down: true}, answers)
+	round("mixed", deaf, answers)
+	w.platform.SetFaults(laceemulator.PlatformFaults{})
+	partition()
+	o.finish(t, routers)
+	o.check(w)
 }
