--- a/router/lacerouter/world_test.go
+++ b/router/lacerouter/world_test.go
@@ -2,19 +2,16 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
@@ -62,8 +59,14 @@
 	url      string
 	engines  []*laceemulator.Engine
 	service  *httptest.Server
-	program  string
-	http     *http.Client
+	orders   *laceemulator.Service
+	list     *laceemulator.InstanceList
+	listURL  string
+	// arrived are the times at which generate calls reached an engine.
+	arrived   [2]arrivals
+	operators string
+	program   string
+	http      *http.Client
 }
 
 // buildRouter builds the router program once.
@@ -86,25 +89,30 @@
 	os.Exit(code)
 }
 
-func newWorld(t *testing.T) *world {
+func newWorld(t *testing.T) *world { return newFundedWorld(t, testPaid) }
+
+// newFundedWorld returns a world whose budget has so many tokens.
+func newFundedWorld(t *testing.T, paid laceunit.Tokens) *world {
 	t.Helper()
 	w := &world{
-		t:        t,
-		platform: laceemulator.NewPlatform(laceemulator.WithSeed(7)),
-		program:  buildRouter(t),
-		http:     &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
+		t:         t,
+		platform:  laceemulator.NewPlatform(laceemulator.WithSeed(7)),
+		operators: writeOperators(t),
+		program:   buildRouter(t),
+		http:      &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
 	}
 	w.local = w.platform.Local("test")
 	server := httptest.NewServer(w.platform.Handler())
 	w.url = server.URL
 	var addresses []any
-	for range 2 {
+	for i := range w.arrived {
 		e := laceemulator.NewEngine(laceemulator.EngineSetting{
 			Models: []laceunit.ModelID{"m"},
 			Slots:  64,
 			Step:   20 * time.Millisecond,
+			Seed:   uint64(11 + i),
 		})
-		s := httptest.NewServer(e.Handler())
+		s := httptest.NewServer(w.arrived[i].observe(e.Handler()))
 		w.engines = append(w.engines, e)
 		addresses = append(addresses, strings.TrimPrefix(s.URL, "http://"))
 		t.Cleanup(func() {
@@ -113,12 +121,13 @@
 			s.Close()
 		})
 	}
-	service := laceemulator.NewService(laceemulator.ServiceSetting{
+	w.orders = laceemulator.NewService(laceemulator.ServiceSetting{
 		Work:   5 * time.Millisecond,
 		Lookup: true,
 	})
-	w.service = httptest.NewServer(service.Handler())
+	w.service = httptest.NewServer(w.orders.Handler())
 	addresses = append(addresses, strings.TrimPrefix(w.service.URL, "http://"))
+	w.listServers(addresses)
 	t.Cleanup(func() {
 		w.http.CloseIdleConnections()
 		w.service.CloseClientConnections()
@@ -128,7 +137,7 @@
 		server.Close()
 	})
 	w.configure(fmt.Sprintf(document, addresses...))
-	w.topUp("first", testPaid)
+	w.topUp("first", paid)
 	return w
 }
 
@@ -199,75 +208,6 @@
 	}
 }
 
-// router is one router process.
-type router struct {
-	world   *world
-	name    string
-	address string
-	process *exec.Cmd
-	log     *bytes.Buffer
-	ended   chan struct{}
-}
-
-func freePort(t *testing.T) string {
-	t.Helper()
-	var config net.ListenConfig
-	l, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
-// start starts a router process and waits until it takes work.
-func (w *world) start(name string, flags ...string) *router {
-	w.t.Helper()
-	r := &router{
-		world:   w,
-		name:    name,
-		address: freePort(w.t),
-		log:     &bytes.Buffer{},
-		ended:   make(chan struct{}),
-	}
-	args := append([]string{
-		"-instance", name,
-		"-platform.endpoints", w.url,
-		"-caller.listen", r.address,
-		"-peer.listen", freePort(w.t),
-		"-admin.listen", freePort(w.t),
-		"-ledger.shards", fmt.Sprint(testShards),
-	}, flags...)
-	r.process = exec.CommandContext(context.Background(), w.program, args...)
-	r.process.Stderr = r.log
-	if err := r.process.Start(); err != nil {
-		w.t.Fatal(err)
-	}
-	go func() {
-		_ = r.process.Wait()
-		close(r.ended)
-	}()
-	w.t.Cleanup(func() {
-		_ = r.process.Process.Kill()
-		<-r.ended
-		if w.t.Failed() {
-			w.t.Logf("%s:\n%s", name, r.log)
-		}
-	})
-	w.until(name+" ready", func() bool {
-		status, _ := w.get("http://" + r.address + "/readyz")
-		return status == http.StatusOK
-	})
-	return r
-}
-
-func (r *router) signal(s syscall.Signal) {
-	r.world.t.Helper()
-	if err := r.process.Process.Signal(s); err != nil {
-		r.world.t.Fatal(err)
-	}
-}
-
 func (w *world) get(url string) (int, string) {
 	request, err := http.NewRequestWithContext(context.Background(), http.MethodGet, url, nil)
 	if err != nil {
