router: a planned stop tries again while the platform is slow

Ruled out: the drain of requests; all streams were whole and all orders ran once. Change: flush, grants and membership in that order, each tried again until the drain time is over, while the services are still there.

--- a/lib/lacefleet/record.go
+++ b/lib/lacefleet/record.go
@@ -139,7 +139,11 @@
 	s.mu.Unlock()
 	call, cancel := context.WithTimeout(ctx, s.settings.Call)
 	defer cancel()
-	return errors.Wrap(s.store.Revoke(call, lease), "fleet: revoke lease")
+	if err = s.store.Revoke(call, lease); err != nil {
+		// The record no longer lists this instance, and the lease ends by itself.
+		s.logger.V(1).Info("lease not revoked", "cause", err.Error())
+	}
+	return nil
 }
 
 // Fence implements Fleet.
--- a/router/lacerouter/instance.go
+++ b/router/lacerouter/instance.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/prometheus/client_golang/prometheus"
@@ -128,31 +129,42 @@
 	return err
 }
 
-// handBack brings to the ledger what only this process knows, while the ledger is still there.
+// leaveInterval is how long a step of the planned stop waits before it is tried again on a failing platform.
+const leaveInterval = 500 * time.Millisecond
+
+// handBack brings to the ledger what only this process knows and leaves the membership, while the services that this
+// takes are still there. A slow or failing platform is tried again until the drain time is over.
 func (i *Instance) handBack(ctx context.Context) {
 	if err := i.gateway.Resolver().Drain(ctx); err != nil {
 		i.logger.Error(err, "records left open", "count", i.gateway.Resolver().Len())
 	}
-	if err := i.book.Flush(ctx); err != nil {
+	if err := persist(ctx, i.book.Flush); err != nil {
 		i.logger.Error(err, "journal not flushed")
 	}
-	if err := i.book.Handback(ctx); err != nil {
-		i.logger.Error(err, "journal copies not flushed")
+	if err := i.journal.wallet.Close(); err != nil {
+		i.logger.Error(err, "grants not returned")
+	}
+	if err := persist(ctx, i.fleet.Leave); err != nil {
+		i.logger.Error(err, "membership not left; the others remove this instance when its lease has ended")
 	}
 }
 
-// member keeps the membership until the services that need it have ended.
-type member struct {
-	*lacefleet.Service
+// persist repeats a step until it succeeds or the context ends.
+func persist(ctx context.Context, step func(context.Context) error) error {
+	for {
+		err := step(ctx)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(leaveInterval):
+		}
+	}
 }
 
-// Close leaves the membership and ends its background work.
-func (m member) Close() error {
-	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
-	defer cancel()
-	left := m.Leave(ctx)
-	if err := m.Service.Close(); err != nil {
-		return err
-	}
-	return left
+// member ends the membership's background work after the services that need it.
+type member struct {
+	*lacefleet.Service
 }
