--- a/lib/lacewriter/combiner.go
+++ b/lib/lacewriter/combiner.go
@@ -329,6 +329,10 @@
 			return
 		case <-c.due:
 		}
+		if !c.log.Due() {
+			// The snapshot before this one was still being written when the append asked for it.
+			continue
+		}
 		// A failure is tried again after the next append.
 		one, cancel := context.WithTimeout(ctx, c.timeout)
 		_ = c.log.Snapshot(one)
--- a/lib/lacewriter/combiner_test.go
+++ b/lib/lacewriter/combiner_test.go
@@ -230,3 +230,25 @@
 		}
 	}, WithWrites(1))
 }
+
+// snapshotCount counts snapshots; it is read after Close.
+type snapshotCount struct {
+	Nop
+	n int
+}
+
+func (s *snapshotCount) Snapshot(laceunit.ShardID, int) { s.n++ }
+
+// Guards against a second snapshot right after the first, which appends during the first one had asked for.
+func TestSnapshotsAreNotRepeated(t *testing.T) {
+	const laps = 3
+	count := &snapshotCount{}
+	bench(t, func(_ *memory, c *Combiner) {
+		for i := range laps*snapshotEvery + snapshotEvery/2 {
+			send(c, 1, laceledger.Now, fmt.Sprint("t", i))
+		}
+	}, WithObserver(count))
+	if count.n > laps {
+		t.Errorf("%d snapshots for %d entries", count.n, laps*snapshotEvery+snapshotEvery/2)
+	}
+}
