router: failure tests draw their ports together and copy the orders before retries

Cause: under -race TestNearlySpentBudgetUnderFaults failed once at its start ('expected an address other than caller.listen'): a closed port was drawn again. TestRetriedOrdersRunOnce ranged over a map that its retries write. Change: the ports of a fleet are held together while they are drawn; the ids are collected before the retries. Conclusion: two worlds that start at the same moment may still draw one port.

--- a/router/lacerouter/fleet_test.go
+++ b/router/lacerouter/fleet_test.go
@@ -109,11 +109,17 @@
 	w.t.Helper()
 	var routers []*router
 	var relays []*relay
+	ports := freePorts(w.t, 3*n)
 	for i := range n {
-		peer := freePort(w.t)
-		hop := newRelay(w.t, peer)
+		hop := newRelay(w.t, ports[3*i])
 		relays = append(relays, hop)
-		routers = append(routers, w.start("router-"+strconv.Itoa(i+1), append([]string{"-peer.listen", peer, "-peer.public", hop.address}, flags...)...))
+		routers = append(routers, w.launch(&router{
+			world:   w,
+			name:    "router-" + strconv.Itoa(i+1),
+			address: ports[3*i+1],
+			admin:   ports[3*i+2],
+			flags:   append([]string{"-peer.listen", ports[3*i], "-peer.public", hop.address}, flags...),
+		}))
 	}
 	for _, r := range routers {
 		w.until(r.name+" enabled", func() bool {
@@ -136,26 +142,33 @@
 	ended   chan struct{}
 }
 
-func freePort(t *testing.T) string {
+// freePorts returns addresses that nobody listens on. They are held together, because a port that was closed may be
+// drawn again at once.
+func freePorts(t *testing.T, n int) []string {
 	t.Helper()
 	var config net.ListenConfig
-	l, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	var ports []string
+	for range n {
+		l, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = l.Close() }()
+		ports = append(ports, l.Addr().String())
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return ports
 }
 
 // start starts a router process and waits until it takes work.
 func (w *world) start(name string, flags ...string) *router {
 	w.t.Helper()
+	ports := freePorts(w.t, 3)
 	return w.launch(&router{
 		world:   w,
 		name:    name,
-		address: freePort(w.t),
-		admin:   freePort(w.t),
-		flags:   append([]string{"-peer.listen", freePort(w.t)}, flags...),
+		address: ports[0],
+		admin:   ports[1],
+		flags:   append([]string{"-peer.listen", ports[2]}, flags...),
 	})
 }
 
--- a/router/lacerouter/order_test.go
+++ b/router/lacerouter/order_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -59,7 +61,8 @@
 func (o *orderBook) finish(t *testing.T, routers []*router) {
 	t.Helper()
 	var all sync.WaitGroup
-	for id := range o.calls {
+	// The calls below add to the map.
+	for _, id := range slices.Collect(maps.Keys(o.calls)) {
 		all.Go(func() {
 			var last orderCall
 			if !tries(routers, 0, func(r *router) bool {
