gateway: readiness waits until the instance may run every call

Ruled out: the configuration, which is confirmed by then. Change: /readyz answers 503 "joining" until then.

--- a/lib/lacefleet/fleet.go
+++ b/lib/lacefleet/fleet.go
@@ -32,6 +32,8 @@
 	Abandon(request laceledger.Request)
 	// Flushed says that the ledger has taken the offline record of a request.
 	Flushed(request laceledger.Request)
+	// Enabled reports whether another member has acknowledged this instance, so that it may run every request.
+	Enabled() bool
 	// Reachable reports whether this instance reaches the platform directly.
 	Reachable() bool
 	// Contacts returns the peers that lately reported contact with the platform.
--- a/lib/lacegateway/fake_test.go
+++ b/lib/lacegateway/fake_test.go
@@ -196,6 +196,7 @@
 	document *laceconfig.Document
 	verdict  lacemember.Verdict
 	stale    bool
+	joining  bool
 
 	mu     sync.Mutex
 	copies []laceledger.Offline
@@ -215,6 +216,8 @@
 	return lacemember.Decision{Verdict: f.verdict}
 }
 
+func (f *fakeWorld) Enabled() bool { return !f.joining }
+
 func (f *fakeWorld) Abandon(laceledger.Request) {}
 
 func (f *fakeWorld) Copy(_ context.Context, entry laceledger.Offline, _ lacemember.Decision) error {
--- a/lib/lacegateway/find.go
+++ b/lib/lacegateway/find.go
@@ -150,6 +150,8 @@
 		http.Error(w, "no configuration", http.StatusServiceUnavailable)
 	case !g.deps.Configuration.Fresh():
 		http.Error(w, "configuration not confirmed", http.StatusServiceUnavailable)
+	case !g.deps.Members.Enabled():
+		http.Error(w, "joining", http.StatusServiceUnavailable)
 	default:
 		_, _ = w.Write([]byte("ready\n"))
 	}
--- a/lib/lacegateway/gateway.go
+++ b/lib/lacegateway/gateway.go
@@ -84,6 +84,9 @@
 	Authorize(request laceledger.Request, idempotent bool) lacemember.Decision
 	// Abandon ends the authorization of a call that is not idempotent and certainly did not run.
 	Abandon(request laceledger.Request)
+	// Enabled reports whether another member has acknowledged this instance; before that it runs no call that is not
+	// idempotent.
+	Enabled() bool
 	// Addresses returns the addresses that callers may use, best first, and for how long.
 	Addresses() ([]AddressEntry, time.Duration)
 	// Other returns the address of another instance that takes new work, or nothing.
--- a/lib/lacegateway/gateway_test.go
+++ b/lib/lacegateway/gateway_test.go
@@ -232,6 +232,20 @@
 	expect(t, f.do(request(http.MethodGet, "/v1/requests/nobody", "", "")), http.StatusNotFound, lacefault.Unknown)
 }
 
+// Guards against an instance that says it is ready while it has no confirmed configuration or may not run every call.
+func TestReadinessTellsWhyNot(t *testing.T) {
+	f := newFixture()
+	expect(t, f.do(request(http.MethodGet, "/readyz", "", "")), http.StatusOK, "")
+	f.world.joining = true
+	if w := f.do(request(http.MethodGet, "/readyz", "", "")); w.Code != http.StatusServiceUnavailable || w.Body.String() != "joining\n" {
+		t.Fatalf("%d %s", w.Code, w.Body)
+	}
+	f.world.stale = true
+	if w := f.do(request(http.MethodGet, "/readyz", "", "")); w.Body.String() != "configuration not confirmed\n" {
+		t.Fatalf("%d %s", w.Code, w.Body)
+	}
+}
+
 // Guards against spend beyond the paid tokens, however small the rest.
 func TestSpentBudgetIsRefused(t *testing.T) {
 	f := newFixture()
--- a/router/lacerouter/member.go
+++ b/router/lacerouter/member.go
@@ -24,6 +24,9 @@
 	return d
 }
 
+// Enabled implements lacegateway.Members.
+func (m members) Enabled() bool { return m.fleet.Enabled() }
+
 // Abandon implements lacegateway.Members.
 func (m members) Abandon(request laceledger.Request) {
 	m.fleet.Abandon(request)
