lacegrant, lacerequest: usual names for transfers, holdings and record states

Cause: read as a newcomer, plea, gift, purse, proof and honest are figures of speech; the field says transfer request, transfer, holding, state of a record. Ruled out: renaming the wallet, which is the usual word.

--- a/lib/lacegrant/property_test.go
+++ b/lib/lacegrant/property_test.go
@@ -22,7 +22,7 @@
 )
 
 // bench drives two wallets against one ledger state: records may be lost before or after they take effect, grants are
-// closed under their holders, offline spend is settled late, and the wallets plead with each other.
+// closed under their holders, offline spend is settled late, and the wallets requestTransfer with each other.
 type bench struct {
 	random  *rand.Rand
 	now     time.Time
@@ -33,12 +33,12 @@
 	unsettled [2][]laceledger.Offline
 	// delayed is the verdict on an Open that is still on its way to the holder.
 	delayed [2]func()
-	// late are answers to pleas that are still on their way, or that arrive again.
+	// late are answers to transfer requests that are still on their way, or that arrive again.
 	late [2][]func()
-	// gifts counts the offline reservations of tokens that the other wallet gave.
-	gifts  int
-	serial int
-	broken string
+	// transfers counts the offline reservations of tokens that the other wallet gave.
+	transfers int
+	serial    int
+	broken    string
 }
 
 func (b *bench) failf(format string, args ...any) {
@@ -73,7 +73,7 @@
 	ceiling := laceunit.Tokens(1 + b.random.Intn(60))
 	switch b.random.Intn(10) {
 	case 8, 9:
-		b.plead(i, ceiling)
+		b.requestTransfer(i, ceiling)
 	case 0, 1:
 		b.reserve(i, ceiling)
 	case 2:
@@ -120,48 +120,49 @@
 	}}
 }
 
-// plead asks the other wallet. The plea may arrive twice, its answer may be lost, and any answer may arrive late.
-func (b *bench) plead(i int, ceiling laceunit.Tokens) {
+// requestTransfer asks the other wallet. The transfer request may arrive twice, its answer may be lost, and any answer
+// may arrive late.
+func (b *bench) requestTransfer(i int, ceiling laceunit.Tokens) {
 	w := b.wallets[i]
 	for _, f := range b.late[i] {
 		f()
 	}
 	b.late[i] = nil
-	plea, ok := w.Plead(b.now, testBudget, ceiling)
+	transferRequest, ok := w.RequestTransfer(b.now, testBudget, ceiling)
 	if !ok {
 		return
 	}
-	gift, ok := b.wallets[1-i].Give(plea)
-	if again, known := b.wallets[1-i].Give(plea); b.random.Intn(3) == 0 && ok && (!known || again.Tokens != gift.Tokens || again.Grant != gift.Grant) {
-		b.failf("a repeated plea got %+v after %+v", again, gift)
+	transfer, ok := b.wallets[1-i].Give(transferRequest)
+	if again, known := b.wallets[1-i].Give(transferRequest); b.random.Intn(3) == 0 && ok && (!known || again.Tokens != transfer.Tokens || again.Grant != transfer.Grant) {
+		b.failf("a repeated transfer request got %+v after %+v", again, transfer)
 	}
 	if !ok || b.random.Intn(5) == 0 {
-		w.Refused(b.now, plea)
+		w.Refused(b.now, transferRequest)
 	}
 	if !ok {
 		return
 	}
-	arrive := func() { w.Received(plea, gift) }
+	arrive := func() { w.Received(transferRequest, transfer) }
 	if b.random.Intn(2) == 0 {
 		arrive()
 	}
 	if b.random.Intn(2) == 0 {
 		b.late[i] = append(b.late[i], arrive)
 	} else {
-		w.Refused(b.now, plea)
+		w.Refused(b.now, transferRequest)
 	}
 }
 
-// witnessed checks that the ledger would ask the witnesses that a spender of a gift copies its entries to.
+// witnessed checks that the ledger would ask the witnesses that a spender of a transfer copies its entries to.
 func (b *bench) witnessed(i int, r Reservation) {
-	_, told, gift := b.wallets[i].Giver(testBudget, r.Grant)
-	if gift {
-		b.gifts++
+	_, told, transfer := b.wallets[i].Giver(testBudget, r.Grant)
+	if transfer {
+		b.transfers++
 	}
 	balance, _ := b.state.Balance(testBudget)
 	for _, g := range balance.Grants {
-		if gift && g.ID == r.Grant && !slices.Equal(told, g.Witnesses) {
-			b.failf("gift under %s spent with the witnesses %v, the ledger names %v", g.ID, told, g.Witnesses)
+		if transfer && g.ID == r.Grant && !slices.Equal(told, g.Witnesses) {
+			b.failf("transfer under %s spent with the witnesses %v, the ledger names %v", g.ID, told, g.Witnesses)
 		}
 	}
 }
@@ -297,7 +298,7 @@
 	}
 }
 
-func play(seed int64) (broken string, gifts int) {
+func play(seed int64) (broken string, transfers int) {
 	b := &bench{
 		random: rand.New(rand.NewSource(seed)),
 		now:    time.Unix(1000, 0),
@@ -321,7 +322,7 @@
 	for i := range b.wallets {
 		b.settle(i)
 	}
-	return b.broken, b.gifts
+	return b.broken, b.transfers
 }
 
 // Guards against a wallet that spends more than the ledger holds for it: with lost verdicts, grants closed behind its
@@ -330,18 +331,18 @@
 	parameters := gopter.DefaultTestParametersWithSeed(20261204)
 	parameters.MinSuccessfulTests = 3000
 	properties := gopter.NewProperties(parameters)
-	gifts := 0
+	transfers := 0
 	properties.Property("delivered spend fits the grants", prop.ForAll(func(seed int64) string {
 		broken, n := play(seed)
-		gifts += n
+		transfers += n
 		if broken != "" {
 			return fmt.Sprintf("seed %d: %s", seed, broken)
 		}
 		return ""
 	}, gen.Int64()))
 	properties.TestingRun(t)
-	if gifts == 0 {
-		t.Error("no gift was spent")
+	if transfers == 0 {
+		t.Error("no transfer was spent")
 	}
-	t.Logf("%d reservations from gifts", gifts)
+	t.Logf("%d reservations from transfers", transfers)
 }
--- a/lib/lacegrant/return.go
+++ b/lib/lacegrant/return.go
@@ -46,7 +46,7 @@
 // Idle returns the records that give back what has not been used for the idle time.
 func (w *Wallet) Idle(now time.Time) []laceledger.Return {
 	var records []laceledger.Return
-	for b, p := range w.purses {
+	for b, p := range w.holdings {
 		if p.grant == "" || p.busy() || p.free == 0 || now.Sub(p.touched) < w.policy.Idle {
 			continue
 		}
@@ -57,7 +57,7 @@
 
 // Recall returns the record that gives back what the instance can spare of a budget for an instance in need.
 func (w *Wallet) Recall(now time.Time, budget laceunit.BudgetID) (laceledger.Return, bool) {
-	p, ok := w.purses[budget]
+	p, ok := w.holdings[budget]
 	if !ok || p.grant == "" || p.busy() || p.free == 0 {
 		return laceledger.Return{}, false
 	}
@@ -71,7 +71,7 @@
 
 // Drain retires every grant; Retired then returns the records that end them.
 func (w *Wallet) Drain() {
-	for b, p := range w.purses {
+	for b, p := range w.holdings {
 		if p.grant == "" {
 			continue
 		}
@@ -81,13 +81,13 @@
 
 // Retire takes no new reservations from a grant and ends it when its last one has ended.
 func (w *Wallet) Retire(budget laceunit.BudgetID, grant laceunit.GrantID) {
-	if p := w.purse(budget); grant != "" && p.grant == grant {
+	if p := w.holding(budget); grant != "" && p.grant == grant {
 		w.retire(budget, p)
 	}
 }
 
 // retire ends the use of a grant; Retired returns the records that end it in the ledger.
-func (w *Wallet) retire(budget laceunit.BudgetID, p *purse) {
+func (w *Wallet) retire(budget laceunit.BudgetID, p *holding) {
 	w.retired[p.grant] = &retired{
 		budget:    budget,
 		serial:    p.serial,
@@ -100,7 +100,7 @@
 
 // Returned tells that the ledger has decided on a Return.
 func (w *Wallet) Returned(r laceledger.Return, verdict laceledger.Verdict) {
-	p := w.purse(r.Budget)
+	p := w.holding(r.Budget)
 	p.back, p.doubt = nil, false
 	if verdict.Result == laceledger.Closed {
 		w.drop(p, r.Grant)
@@ -109,7 +109,7 @@
 
 // ReturnFailed tells that this try of a Return was certainly not appended.
 func (w *Wallet) ReturnFailed(r laceledger.Return) {
-	p := w.purse(r.Budget)
+	p := w.holding(r.Budget)
 	if p.doubt {
 		p.repeat = true
 		return
@@ -124,7 +124,7 @@
 // Unreturned returns the Returns whose verdict was lost; they are sent again as they are.
 func (w *Wallet) Unreturned() []laceledger.Return {
 	var records []laceledger.Return
-	for _, p := range w.purses {
+	for _, p := range w.holdings {
 		if p.back != nil && p.repeat {
 			p.repeat = false
 			records = append(records, *p.back)
@@ -135,11 +135,11 @@
 
 // ReturnLost tells that a Return may have been appended; Unreturned returns it again.
 func (w *Wallet) ReturnLost(r laceledger.Return) {
-	p := w.purse(r.Budget)
+	p := w.holding(r.Budget)
 	p.repeat, p.doubt = p.back != nil, p.back != nil
 }
 
-func (w *Wallet) giveBack(budget laceunit.BudgetID, p *purse, tokens laceunit.Tokens) laceledger.Return {
+func (w *Wallet) giveBack(budget laceunit.BudgetID, p *holding, tokens laceunit.Tokens) laceledger.Return {
 	p.free -= tokens
 	p.serial++
 	p.limit = min(p.limit, w.offlinePart(p.free)+p.spent)
--- a/lib/lacegrant/service.go
+++ b/lib/lacegrant/service.go
@@ -65,21 +65,21 @@
 
 // Service runs a wallet over the ledger.
 type Service struct {
-	ledger    laceledger.Ledger
-	recaller  Recaller
-	pleader   Pleader
-	now       func() time.Time
-	witnesses func() []laceunit.Holder
-	instances func() int
+	ledger         laceledger.Ledger
+	recaller       Recaller
+	transferSource TransferSource
+	now            func() time.Time
+	witnesses      func() []laceunit.Holder
+	instances      func() int
 
 	mu       sync.Mutex
 	wallet   *Wallet
 	waiting  map[laceunit.BudgetID]chan struct{}
 	refusals map[laceunit.BudgetID]refusal
-	// pleading is closed when the plea of a budget has its answer.
-	pleading map[laceunit.BudgetID]chan struct{}
-	closed   bool
-	tasks    sync.WaitGroup
+	// requesting is closed when the transfer request of a budget has its answer.
+	requesting map[laceunit.BudgetID]chan struct{}
+	closed     bool
+	tasks      sync.WaitGroup
 }
 
 // refusal remembers why and when an Open failed.
@@ -93,14 +93,14 @@
 // NewService returns a service over a wallet.
 func NewService(wallet *Wallet, ledger laceledger.Ledger, options ...Option) *Service {
 	s := &Service{
-		ledger:    ledger,
-		now:       time.Now,
-		witnesses: func() []laceunit.Holder { return nil },
-		instances: func() int { return 1 },
-		wallet:    wallet,
-		waiting:   map[laceunit.BudgetID]chan struct{}{},
-		refusals:  map[laceunit.BudgetID]refusal{},
-		pleading:  map[laceunit.BudgetID]chan struct{}{},
+		ledger:     ledger,
+		now:        time.Now,
+		witnesses:  func() []laceunit.Holder { return nil },
+		instances:  func() int { return 1 },
+		wallet:     wallet,
+		waiting:    map[laceunit.BudgetID]chan struct{}{},
+		refusals:   map[laceunit.BudgetID]refusal{},
+		requesting: map[laceunit.BudgetID]chan struct{}{},
 	}
 	for _, o := range options {
 		o(s)
--- a/lib/lacegrant/wallet.go
+++ b/lib/lacegrant/wallet.go
@@ -17,11 +17,11 @@
 	// Offline is true when the ceiling was also taken from the offline part.
 	Offline bool
 
-	gift *gift
+	transfer *transfer
 }
 
-// purse is what the instance holds of one budget.
-type purse struct {
+// holding is what the instance holds of one budget.
+type holding struct {
 	grant laceunit.GrantID
 	// names counts the grants opened for the budget, serial the Opens and Returns of the present one.
 	names  int
@@ -36,10 +36,11 @@
 	live      int
 	// gave is true when other instances may spend tokens of the grant.
 	gave bool
-	// gifts are what other instances have given, plea the id of the plea under way, and plead when the next one may go.
-	gifts []*gift
-	plea  string
-	plead time.Time
+	// transfers are what other instances have given, transfer request the id of the transfer request under way, and
+	// nextTransfer when the next one may go.
+	transfers       []*transfer
+	transferRequest string
+	nextTransfer    time.Time
 	// open is the record under way, and repeat is true when it has to be sent again. After a lost answer the record is
 	// in doubt until there is a verdict: a later failure says nothing about the first try.
 	open    *laceledger.Open
@@ -57,7 +58,7 @@
 
 // offline returns what may be spent without the platform. While an Open with other witnesses is under way it is not
 // known which of them the ledger will ask, so nothing may be.
-func (p *purse) offline() laceunit.Tokens {
+func (p *holding) offline() laceunit.Tokens {
 	if p.open != nil && !slices.Equal(p.open.Witnesses, p.witnesses) {
 		return 0
 	}
@@ -66,13 +67,13 @@
 
 // Wallet holds the grants of one instance incarnation; it is not safe for concurrent use.
 type Wallet struct {
-	holder    laceunit.Holder
-	policy    Policy
-	instances int
-	purses    map[laceunit.BudgetID]*purse
-	retired   map[laceunit.GrantID]*retired
-	given     given
-	pleas     uint64
+	holder           laceunit.Holder
+	policy           Policy
+	instances        int
+	holdings         map[laceunit.BudgetID]*holding
+	retired          map[laceunit.GrantID]*retired
+	given            given
+	transferRequests uint64
 }
 
 // NewWallet returns an empty wallet.
@@ -81,7 +82,7 @@
 		holder:    holder,
 		policy:    policy,
 		instances: 1,
-		purses:    map[laceunit.BudgetID]*purse{},
+		holdings:  map[laceunit.BudgetID]*holding{},
 		retired:   map[laceunit.GrantID]*retired{},
 	}
 }
@@ -93,7 +94,7 @@
 
 // Reserve takes a ceiling from the grant of a budget; it fails when the grant is too small.
 func (w *Wallet) Reserve(now time.Time, budget laceunit.BudgetID, ceiling laceunit.Tokens) (Reservation, bool) {
-	p := w.purse(budget)
+	p := w.holding(budget)
 	p.touch(now, ceiling)
 	if p.grant == "" || p.free < ceiling {
 		return Reservation{}, false
@@ -107,12 +108,12 @@
 	}, true
 }
 
-// ReserveOffline takes a ceiling that may be spent without the platform, from the own grant or from a gift.
+// ReserveOffline takes a ceiling that may be spent without the platform, from the own grant or from a transfer.
 func (w *Wallet) ReserveOffline(now time.Time, budget laceunit.BudgetID, ceiling laceunit.Tokens) (Reservation, bool) {
-	p := w.purse(budget)
+	p := w.holding(budget)
 	if p.offline() < ceiling {
 		p.touch(now, ceiling)
-		return p.reserveGift(budget, ceiling)
+		return p.reserveTransfer(budget, ceiling)
 	}
 	r, ok := w.Reserve(now, budget, ceiling)
 	if !ok {
@@ -128,7 +129,7 @@
 	if r.Offline {
 		return r, true
 	}
-	p := w.purse(r.Budget)
+	p := w.holding(r.Budget)
 	// The ceiling is already taken from the free tokens, so only the offline part bounds it.
 	if p.grant != r.Grant || p.limit-p.spent < r.Ceiling || p.open != nil && !slices.Equal(p.open.Witnesses, p.witnesses) {
 		return r, false
@@ -141,8 +142,8 @@
 // Settle ends a reservation of which some tokens were spent.
 func (w *Wallet) Settle(r Reservation, used laceunit.Tokens) {
 	used = min(max(used, 0), r.Ceiling)
-	if r.gift != nil {
-		w.purse(r.Budget).settleGift(r, used)
+	if r.transfer != nil {
+		w.holding(r.Budget).settleTransfer(r, used)
 		return
 	}
 	if old, ok := w.retired[r.Grant]; ok {
@@ -152,7 +153,7 @@
 		}
 		return
 	}
-	p := w.purse(r.Budget)
+	p := w.holding(r.Budget)
 	if p.grant != r.Grant {
 		return
 	}
@@ -169,7 +170,7 @@
 		old.spent = max(old.spent-tokens, 0)
 		return
 	}
-	p := w.purse(budget)
+	p := w.holding(budget)
 	if p.grant != grant {
 		return
 	}
@@ -196,7 +197,7 @@
 //
 // The witnesses hold copies of the instance's journal; the grant names them.
 func (w *Wallet) Need(now time.Time, budget laceunit.BudgetID, ceiling laceunit.Tokens, urgent bool, witnesses []laceunit.Holder) (laceledger.Open, bool) {
-	p := w.purse(budget)
+	p := w.holding(budget)
 	if p.back != nil {
 		return laceledger.Open{}, false
 	}
@@ -248,7 +249,7 @@
 
 // Opened applies the verdict on an Open record.
 func (w *Wallet) Opened(open laceledger.Open, verdict laceledger.Verdict) {
-	p := w.purse(open.Budget)
+	p := w.holding(open.Budget)
 	p.open, p.doubt = nil, false
 	switch verdict.Result {
 	case laceledger.Accepted, laceledger.Repeated:
@@ -275,7 +276,7 @@
 
 // OpenFailed tells that this try of an Open was certainly not appended.
 func (w *Wallet) OpenFailed(budget laceunit.BudgetID) {
-	p := w.purse(budget)
+	p := w.holding(budget)
 	if p.doubt {
 		p.repeat = true
 		return
@@ -285,18 +286,18 @@
 
 // OpenLost tells that an Open may have been appended; Need returns it again, and its serial makes it count once.
 func (w *Wallet) OpenLost(budget laceunit.BudgetID) {
-	p := w.purse(budget)
+	p := w.holding(budget)
 	p.repeat, p.doubt = p.open != nil, p.open != nil
 }
 
 // Drop forgets a grant that the ledger has closed.
 func (w *Wallet) Drop(budget laceunit.BudgetID, grant laceunit.GrantID) {
-	w.drop(w.purse(budget), grant)
+	w.drop(w.holding(budget), grant)
 }
 
 // Free returns what the wallet holds of a budget outside reservations, and the offline part of it.
 func (w *Wallet) Free(budget laceunit.BudgetID) (free, offline laceunit.Tokens) {
-	p, ok := w.purses[budget]
+	p, ok := w.holdings[budget]
 	if !ok {
 		return 0, 0
 	}
@@ -305,7 +306,7 @@
 
 // Witnesses returns the instances that a grant names as holders of journal copies.
 func (w *Wallet) Witnesses(budget laceunit.BudgetID, grant laceunit.GrantID) []laceunit.Holder {
-	if p, ok := w.purses[budget]; ok && p.grant == grant {
+	if p, ok := w.holdings[budget]; ok && p.grant == grant {
 		return p.witnesses
 	}
 	if old, ok := w.retired[grant]; ok {
@@ -317,12 +318,12 @@
 
 // Left returns what the budget had left for new grants at the last verdict.
 func (w *Wallet) Left(budget laceunit.BudgetID) (laceunit.Tokens, bool) {
-	p := w.purse(budget)
+	p := w.holding(budget)
 	return p.left, p.known
 }
 
-func (w *Wallet) drop(p *purse, grant laceunit.GrantID) {
-	p.dropGifts(grant)
+func (w *Wallet) drop(p *holding, grant laceunit.GrantID) {
+	p.dropTransfers(grant)
 	if p.grant != grant {
 		return
 	}
@@ -340,26 +341,26 @@
 	return laceunit.Tokens(float64(tokens) * w.policy.Offline)
 }
 
-func (w *Wallet) purse(budget laceunit.BudgetID) *purse {
-	p, ok := w.purses[budget]
+func (w *Wallet) holding(budget laceunit.BudgetID) *holding {
+	p, ok := w.holdings[budget]
 	if !ok {
-		p = &purse{}
-		w.purses[budget] = p
+		p = &holding{}
+		w.holdings[budget] = p
 	}
 	return p
 }
 
-func (p *purse) busy() bool {
+func (p *holding) busy() bool {
 	return p.open != nil || p.back != nil
 }
 
-func (p *purse) touch(now time.Time, spend laceunit.Tokens) {
+func (p *holding) touch(now time.Time, spend laceunit.Tokens) {
 	p.demand = p.rate(now) + float64(spend)/demandDecay.Seconds()
 	p.sampled, p.touched = now, now
 }
 
 // rate returns the moving average of reserved tokens per second.
-func (p *purse) rate(now time.Time) float64 {
+func (p *holding) rate(now time.Time) float64 {
 	if p.sampled.IsZero() {
 		return 0
 	}
--- a/lib/lacepeer/client.go
+++ b/lib/lacepeer/client.go
@@ -191,17 +191,17 @@
 }
 
 // Handover asks an instance for tokens of its offline part.
-func (c *Client) Handover(ctx context.Context, to lacemember.Member, plea Plea) (Gift, error) {
-	var gift Gift
+func (c *Client) Handover(ctx context.Context, to lacemember.Member, transferRequest TransferRequest) (Transfer, error) {
+	var transfer Transfer
 	err := c.do(ctx, to, func(ctx context.Context, p lacewire.Peer) error {
 		r, err := p.Handover(ctx, &lacewire.HandoverRequest{
-			From:   lacewire.FromHolder(plea.From),
+			From:   lacewire.FromHolder(transferRequest.From),
 			To:     lacewire.FromHolder(to.Holder),
-			Budget: string(plea.Budget),
-			Tokens: int64(plea.Tokens),
-			Id:     plea.ID,
+			Budget: string(transferRequest.Budget),
+			Tokens: int64(transferRequest.Tokens),
+			Id:     transferRequest.ID,
 		})
-		gift = Gift{
+		transfer = Transfer{
 			Grant:     laceunit.GrantID(r.GetGrant()),
 			Holder:    lacewire.ToHolder(r.GetHolder()),
 			Tokens:    laceunit.Tokens(r.GetTokens()),
@@ -210,9 +210,9 @@
 		return err
 	})
 	if err != nil {
-		return Gift{}, err
+		return Transfer{}, err
 	}
-	return gift, nil
+	return transfer, nil
 }
 
 // do runs one call under the deadline, the concurrency bound and the fault hook.
--- a/lib/lacepeer/peer.go
+++ b/lib/lacepeer/peer.go
@@ -36,17 +36,17 @@
 	Submit(ctx context.Context, entries []lacejournal.Entry) ([]laceledger.Result, error)
 }
 
-// Plea asks for tokens of the offline part of the other's grants.
-type Plea struct {
+// TransferRequest asks for tokens of the offline part of the other's grants.
+type TransferRequest struct {
 	From   laceunit.Holder
 	Budget laceunit.BudgetID
 	Tokens laceunit.Tokens
-	// ID names the plea; it is the same when the plea is repeated because its answer was lost.
+	// ID names the transfer request; it is the same when the transfer request is repeated because its answer was lost.
 	ID string
 }
 
-// Gift is what a giver has deducted from its own offline part.
-type Gift struct {
+// Transfer is what a giver has deducted from its own offline part.
+type Transfer struct {
 	Grant     laceunit.GrantID
 	Holder    laceunit.Holder
 	Tokens    laceunit.Tokens
@@ -56,8 +56,8 @@
 // Wallet gives tokens away.
 type Wallet interface {
 	// Give deducts before it returns, so a lost answer costs availability and never safety. For a repeated id it
-	// returns the same gift or none.
-	Give(ctx context.Context, plea Plea) (Gift, error)
+	// returns the same transfer or none.
+	Give(ctx context.Context, transferRequest TransferRequest) (Transfer, error)
 }
 
 // Hook is asked before each message in its direction; an error loses the message.
--- a/lib/lacepeer/peer_test.go
+++ b/lib/lacepeer/peer_test.go
@@ -22,14 +22,14 @@
 
 // process records what it is called with and answers as it is told.
 type process struct {
-	self    laceunit.Holder
-	took    []lacemember.Message
-	answer  lacemember.Message
-	entries []lacejournal.Entry
-	drops   []lacejournal.Drop
-	refuse  error
-	plea    Plea
-	wait    chan struct{}
+	self            laceunit.Holder
+	took            []lacemember.Message
+	answer          lacemember.Message
+	entries         []lacejournal.Entry
+	drops           []lacejournal.Drop
+	refuse          error
+	transferRequest TransferRequest
+	wait            chan struct{}
 }
 
 func (p *process) Self() laceunit.Holder { return p.self }
@@ -58,9 +58,9 @@
 	return []laceledger.Result{laceledger.Accepted, 0}, errors.New("one failed")
 }
 
-func (p *process) Give(_ context.Context, plea Plea) (Gift, error) {
-	p.plea = plea
-	return Gift{Grant: "g", Holder: p.self, Tokens: plea.Tokens / 2, Witnesses: []laceunit.Holder{{Instance: "w", Incarnation: 3}}}, nil
+func (p *process) Give(_ context.Context, transferRequest TransferRequest) (Transfer, error) {
+	p.transferRequest = transferRequest
+	return Transfer{Grant: "g", Holder: p.self, Tokens: transferRequest.Tokens / 2, Witnesses: []laceunit.Holder{{Instance: "w", Incarnation: 3}}}, nil
 }
 
 func serve(t *testing.T, options ...Option) (*process, *Client, lacemember.Member) {
@@ -146,8 +146,8 @@
 			t.Errorf("%v became %v", refuse, err)
 		}
 	}
-	g, err := c.Handover(ctx, to, Plea{From: e.Owner, Budget: "b", Tokens: 10, ID: "1"})
-	if err != nil || g.Tokens != 5 || g.Holder != p.self || g.Witnesses[0].Incarnation != 3 || p.plea.ID != "1" {
+	g, err := c.Handover(ctx, to, TransferRequest{From: e.Owner, Budget: "b", Tokens: 10, ID: "1"})
+	if err != nil || g.Tokens != 5 || g.Holder != p.self || g.Witnesses[0].Incarnation != 3 || p.transferRequest.ID != "1" {
 		t.Fatalf("%+v, %v", g, err)
 	}
 }
@@ -159,8 +159,8 @@
 	ctx := context.Background()
 	_, promise := c.Call(ctx, to, lacemember.PromiseAsk{Epoch: 1})
 	_, seal := c.Seal(ctx, to, laceunit.Holder{})
-	_, gift := c.Handover(ctx, to, Plea{})
-	for i, err := range []error{promise, seal, gift, c.Copy(ctx, to, nil)} {
+	_, transfer := c.Handover(ctx, to, TransferRequest{})
+	for i, err := range []error{promise, seal, transfer, c.Copy(ctx, to, nil)} {
 		if !errors.Is(err, ErrGone) {
 			t.Errorf("call %d: %v", i, err)
 		}
--- a/lib/lacepeer/server.go
+++ b/lib/lacepeer/server.go
@@ -148,7 +148,7 @@
 	if s.wallet == nil {
 		return &lacewire.HandoverReply{}, nil
 	}
-	gift, err := s.wallet.Give(ctx, Plea{
+	transfer, err := s.wallet.Give(ctx, TransferRequest{
 		From:   lacewire.ToHolder(request.GetFrom()),
 		Budget: laceunit.BudgetID(request.GetBudget()),
 		Tokens: laceunit.Tokens(request.GetTokens()),
@@ -158,10 +158,10 @@
 		return nil, twirp.NewError(twirp.Unavailable, "no tokens given")
 	}
 	return &lacewire.HandoverReply{
-		Grant:     string(gift.Grant),
-		Tokens:    int64(gift.Tokens),
-		Holder:    lacewire.FromHolder(gift.Holder),
-		Witnesses: lacewire.FromHolders(gift.Witnesses),
+		Grant:     string(transfer.Grant),
+		Tokens:    int64(transfer.Tokens),
+		Holder:    lacewire.FromHolder(transfer.Holder),
+		Witnesses: lacewire.FromHolders(transfer.Witnesses),
 	}, nil
 }
 
--- a/lib/lacerequest/answer.go
+++ b/lib/lacerequest/answer.go
@@ -27,7 +27,7 @@
 
 // flush passes on what may leave, and settles when the answer is whole.
 func (m *Machine) flush() []Effect {
-	if m.proof != proofDurable {
+	if m.record != recordDurable {
 		return nil
 	}
 	var effects []Effect
@@ -223,7 +223,7 @@
 		return nil
 	}
 	m.voiding = false
-	m.proof = proofNone
+	m.record = recordNone
 	if in.Lost {
 		m.done = true
 		return []Effect{
--- a/lib/lacerequest/proof.go
+++ b/lib/lacerequest/durable.go
@@ -13,7 +13,7 @@
 
 // durable handles the ledger's verdict on the intent or the takeover.
 func (m *Machine) durable(in Durable) []Effect {
-	if m.proof != proofPending {
+	if m.record != recordPending {
 		return nil
 	}
 	if in.Lost {
@@ -21,27 +21,27 @@
 	}
 	switch in.Verdict.Result {
 	case laceledger.Accepted, laceledger.Repeated:
-		m.proof = proofDurable
+		m.record = recordDurable
 		if m.prefer != "" {
 			return m.move(m.prefer)
 		}
-		return m.proven()
+		return m.onDurable()
 	case laceledger.Duplicate:
 		return m.duplicate(in.Verdict.Existing)
 	case laceledger.Closed, laceledger.Short:
 		return m.regrant(in.Verdict.Result == laceledger.Closed)
 	case laceledger.Conflict:
-		m.proof = proofNone
+		m.record = recordNone
 		return m.refuse(&lacefault.Fault{
 			Outcome: lacefault.NotRun,
 			Code:    lacefault.IDReused,
 			Message: "the request id was used before with another body",
 		})
 	case laceledger.Superseded:
-		m.proof = proofNone
+		m.record = recordNone
 		return m.refuse(m.superseded())
 	default:
-		m.proof = proofNone
+		m.record = recordNone
 		return m.refuse(&lacefault.Fault{
 			Outcome: lacefault.NotRun,
 			Code:    lacefault.BudgetSpent,
@@ -50,8 +50,8 @@
 	}
 }
 
-// proven goes on once the answer may leave.
-func (m *Machine) proven() []Effect {
+// onDurable goes on once the answer may leave.
+func (m *Machine) onDurable() []Effect {
 	if !m.spec.Idempotent && !m.sent {
 		return m.dispatch()
 	}
@@ -65,7 +65,7 @@
 		m.offline = true
 		return []Effect{Copy{Entry: m.entry(m.spec.Ceiling, false)}}
 	}
-	m.proof = proofNone
+	m.record = recordNone
 	fault := &lacefault.Fault{
 		Outcome:    lacefault.NotRun,
 		Code:       lacefault.PlatformDown,
@@ -77,7 +77,7 @@
 	}
 	// The intent may be durable: until it is voided, a retry is told that the outcome is unknown.
 	m.done = true
-	return append(m.abort(false), m.resolve(m.void()), Refuse{Fault: m.honest(fault)})
+	return append(m.abort(false), m.resolve(m.void()), Refuse{Fault: m.correctOutcome(fault)})
 }
 
 // duplicate handles a request id that the ledger knows.
@@ -87,7 +87,7 @@
 	}
 	if old.Phase == laceledger.PhaseSettled {
 		m.billed = true
-		m.proof = proofDurable
+		m.record = recordDurable
 		return m.move(old.Server)
 	}
 	m.prefer = old.Server
@@ -133,7 +133,7 @@
 func (m *Machine) regrant(closed bool) []Effect {
 	m.regrants++
 	if m.regrants > maxRegrants {
-		m.proof = proofNone
+		m.record = recordNone
 		return m.refuse(m.blocked())
 	}
 	return []Effect{Regrant{
@@ -144,7 +144,7 @@
 
 func (m *Machine) regranted(in Regranted) []Effect {
 	if in.Fault != nil {
-		m.proof = proofNone
+		m.record = recordNone
 		return m.refuse(in.Fault)
 	}
 	m.spec.Grant = in.Grant
@@ -156,18 +156,18 @@
 	if m.settling {
 		return m.concluded(in)
 	}
-	if m.proof != proofPending {
+	if m.record != recordPending {
 		return nil
 	}
 	if in.OK {
-		m.proof = proofDurable
-		return m.proven()
+		m.record = recordDurable
+		return m.onDurable()
 	}
-	m.proof = proofNone
+	m.record = recordNone
 	m.done = true
 	return append(m.abort(false),
 		m.resolve(m.void()),
-		Refuse{Fault: m.honest(&lacefault.Fault{
+		Refuse{Fault: m.correctOutcome(&lacefault.Fault{
 			Outcome:    lacefault.NotRun,
 			Code:       lacefault.PlatformDown,
 			Message:    "neither the platform nor another instance can be reached",
--- a/lib/lacerequest/machine.go
+++ b/lib/lacerequest/machine.go
@@ -6,16 +6,16 @@
 	"lacewingcove/lib/laceunit"
 )
 
-// proof is the state of the record that must be durable before the answer may leave.
-type proof uint8
+// recordState is the state of the record that must be durable before the answer may leave.
+type recordState uint8
 
 const (
-	// proofNone means that no record has been asked for.
-	proofNone proof = iota
-	// proofPending means that an intent, a takeover or a copy is under way.
-	proofPending
-	// proofDurable means that the answer may leave.
-	proofDurable
+	// recordNone means that no record has been asked for.
+	recordNone recordState = iota
+	// recordPending means that an intent, a takeover or a copy is under way.
+	recordPending
+	// recordDurable means that the answer may leave.
+	recordDurable
 )
 
 // maxRegrants bounds how often a closed grant is replaced; a second loss within one request means that this instance
@@ -26,7 +26,7 @@
 type Machine struct {
 	spec Spec
 
-	proof   proof
+	record  recordState
 	offline bool
 	// billed is true when an earlier attempt has already been settled; this one is free.
 	billed bool
@@ -152,10 +152,10 @@
 
 func (m *Machine) picked(in Picked) []Effect {
 	m.server = in.Server
-	if m.proof != proofNone {
+	if m.record != recordNone {
 		return m.dispatch()
 	}
-	m.proof = proofPending
+	m.record = recordPending
 	effects := []Effect{m.declare()}
 	if m.spec.Idempotent {
 		effects = append(effects, m.dispatch()...)
@@ -195,7 +195,7 @@
 
 func (m *Machine) unpicked(in Unpicked) []Effect {
 	fault := *in.Fault
-	if m.proof != proofNone {
+	if m.record != recordNone {
 		return m.abandon(&fault)
 	}
 	return m.refuse(&fault)
@@ -218,7 +218,7 @@
 func (m *Machine) refuse(fault *lacefault.Fault) []Effect {
 	effects := m.abort(false)
 	m.done = true
-	return append(effects, m.release(0), Refuse{Fault: m.honest(fault)})
+	return append(effects, m.release(0), Refuse{Fault: m.correctOutcome(fault)})
 }
 
 // abandon ends a request whose record may be durable: it is voided, because nobody has a whole answer.
@@ -226,19 +226,19 @@
 	effects := m.abort(false)
 	m.done = true
 	switch {
-	case m.proof == proofPending:
+	case m.record == recordPending:
 		// The reservation is kept until late sees what became of the record.
 	case m.billed:
 		effects = append(effects, m.release(0))
 	default:
 		effects = append(effects, m.resolve(m.void()))
 	}
-	return append(effects, Refuse{Fault: m.honest(fault)})
+	return append(effects, Refuse{Fault: m.correctOutcome(fault)})
 }
 
-// honest corrects the outcome of a fault: once a backend server may have started the request, "not run" is no longer
+// correctOutcome corrects the outcome of a fault: once a backend server may have started the request, "not run" is no longer
 // certain.
-func (m *Machine) honest(fault *lacefault.Fault) *lacefault.Fault {
+func (m *Machine) correctOutcome(fault *lacefault.Fault) *lacefault.Fault {
 	f := *fault
 	if m.sent && f.Outcome == lacefault.NotRun {
 		f.Outcome = lacefault.Unknown
@@ -276,7 +276,7 @@
 	if !m.spec.Idempotent || m.settling {
 		return nil
 	}
-	if m.proof != proofDurable {
+	if m.record != recordDurable {
 		return m.abandon(m.disconnected())
 	}
 	if m.billed || m.emitted == 0 {
--- a/router/lacerouter/assemble.go
+++ b/router/lacerouter/assemble.go
@@ -184,7 +184,7 @@
 	wallet := lacegrant.NewService(lacegrant.NewWallet(i.fleet.Self(), policy), ledger,
 		lacegrant.WithWitnesses(witnesses(i.fleet)),
 		lacegrant.WithInstances(func() int { return len(i.fleet.Record().Members) }),
-		lacegrant.WithPleader(pleader{
+		lacegrant.WithTransferSource(transferSource{
 			fleet: i.fleet,
 			peer:  i.peer,
 		}),
--- a/router/lacerouter/handover.go
+++ b/router/lacerouter/handover.go
@@ -19,58 +19,58 @@
 	pleaTimeout = 500 * time.Millisecond
 	// pleaTimeoutOne leaves time for another giver when the first one does not answer.
 	pleaTimeoutOne = 150 * time.Millisecond
-	// pleaGivers bounds the instances that one plea goes to.
+	// pleaGivers bounds the instances that one transfer request goes to.
 	pleaGivers = 3
-	// pleaTries covers one lost answer; the giver knows the plea by its id.
+	// pleaTries covers one lost answer; the giver knows the transfer request by its id.
 	pleaTries = 2
 )
 
-// pleader asks other instances for tokens of their offline parts.
-type pleader struct {
+// transferSource asks other instances for tokens of their offline parts.
+type transferSource struct {
 	fleet lacefleet.Fleet
 	peer  *lacepeer.Client
 }
 
-// Plead implements lacegrant.Pleader.
-func (p pleader) Plead(ctx context.Context, plea lacegrant.Plea) (lacegrant.Gift, bool) {
+// RequestTransfer implements lacegrant.TransferSource.
+func (p transferSource) RequestTransfer(ctx context.Context, transferRequest lacegrant.TransferRequest) (lacegrant.Transfer, bool) {
 	ctx, cancel := context.WithTimeout(ctx, pleaTimeout)
 	defer cancel()
 	peers := slices.Clone(p.fleet.Peers())
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	for _, m := range peers[:min(len(peers), pleaGivers)] {
-		if g, ok := p.ask(ctx, m, plea); ok {
+		if g, ok := p.ask(ctx, m, transferRequest); ok {
 			return g, true
 		}
 	}
-	return lacegrant.Gift{}, false
+	return lacegrant.Transfer{}, false
 }
 
-func (p pleader) ask(ctx context.Context, m lacemember.Member, plea lacegrant.Plea) (lacegrant.Gift, bool) {
+func (p transferSource) ask(ctx context.Context, m lacemember.Member, transferRequest lacegrant.TransferRequest) (lacegrant.Transfer, bool) {
 	for range pleaTries {
 		inner, cancel := context.WithTimeout(ctx, pleaTimeoutOne)
-		g, err := p.peer.Handover(inner, m, lacepeer.Plea(plea))
+		g, err := p.peer.Handover(inner, m, lacepeer.TransferRequest(transferRequest))
 		cancel()
 		if err != nil {
 			continue
 		}
-		return lacegrant.Gift(g), g.Grant != "" && g.Holder == m.Holder && g.Tokens == plea.Tokens
+		return lacegrant.Transfer(g), g.Grant != "" && g.Holder == m.Holder && g.Tokens == transferRequest.Tokens
 	}
-	return lacegrant.Gift{}, false
+	return lacegrant.Transfer{}, false
 }
 
-// giver answers the pleas of other instances once there is a wallet.
+// giver answers the transfer requests of other instances once there is a wallet.
 type giver struct {
 	wallet atomic.Pointer[lacegrant.Service]
 }
 
-// Give implements lacepeer.Wallet; an empty gift means that there is nothing to give.
-func (g *giver) Give(_ context.Context, plea lacepeer.Plea) (lacepeer.Gift, error) {
+// Give implements lacepeer.Wallet; an empty transfer means that there is nothing to give.
+func (g *giver) Give(_ context.Context, transferRequest lacepeer.TransferRequest) (lacepeer.Transfer, error) {
 	wallet := g.wallet.Load()
 	if wallet == nil {
-		return lacepeer.Gift{}, nil
+		return lacepeer.Transfer{}, nil
 	}
-	gift, _ := wallet.Give(lacegrant.Plea(plea))
-	return lacepeer.Gift(gift), nil
+	transfer, _ := wallet.Give(lacegrant.TransferRequest(transferRequest))
+	return lacepeer.Transfer(transfer), nil
 }
 
 // among returns the members with the given holders, without one.
