lacectl, standin: programs only wire

Cause: the code of two programs stood in package main, where nothing can be found by a package's name; the house style wants main to wire only. Ruled out: moving it into the library, which no program may depend on. Change: packages lacecontrol and lacestandin; golden files differ in the path of the samples only. Test names without figures of speech.

--- /dev/null
+++ b/lacectl/lacecontrol/doc.go
@@ -0,0 +1,2 @@
+// Package lacecontrol is the operators' command line over the administration API.
+package lacecontrol
--- a/lacectl/exit.go
+++ b/lacectl/lacecontrol/exit.go
@@ -1,4 +1,4 @@
-package main
+package lacecontrol
 
 import (
 	"github.com/pkg/errors"
--- a/lacectl/lacectl_test.go
+++ b/lacectl/lacecontrol/lacectl_test.go
@@ -1,4 +1,4 @@
-package main
+package lacecontrol
 
 import (
 	"bytes"
@@ -150,7 +150,7 @@
 	limits := r.write(t, "limits.yaml", "limits:\n  waiting: 7\n")
 	stale := r.write(t, "stale.yaml", "limits:\n  waiting: 9\n")
 	broken := r.write(t, "broken.yaml", "limits:\n  waiting: -1\nmodel: {}\n")
-	coop := filepath.Join("..", "samples", "coop.yaml")
+	coop := filepath.Join("..", "..", "samples", "coop.yaml")
 	var all strings.Builder
 	for _, x := range []struct {
 		want exit
@@ -197,7 +197,7 @@
 		{want: exitUsage, line: "drain -address a:1,b:2"},
 		{want: exitUnavailable, line: "config show -address 127.0.0.1:1"},
 		{want: exitOK, line: "budgets list -address 127.0.0.1:1," + r.address},
-		{want: exitOK, line: "check " + filepath.Join("..", "samples", "router.yaml")},
+		{want: exitOK, line: "check " + filepath.Join("..", "..", "samples", "router.yaml")},
 		{want: exitFailed, line: "check " + broken},
 	} {
 		code, text := r.try(strings.Fields(x.line)...)
@@ -213,7 +213,7 @@
 // Guards against a change whose answer is lost being reported as failed, or repeated under another id.
 func TestLostAnswerIsRepeated(t *testing.T) {
 	r := newFixture(t)
-	if code, text := r.try("config", "apply", filepath.Join("..", "samples", "coop.yaml")); code != exitOK {
+	if code, text := r.try("config", "apply", filepath.Join("..", "..", "samples", "coop.yaml")); code != exitOK {
 		t.Fatal(text)
 	}
 	r.backend.lost = 2
@@ -230,7 +230,7 @@
 // Guards against an edited output of config show that can't be applied, and against an edit that is not shown first.
 func TestShowEditApply(t *testing.T) {
 	r := newFixture(t)
-	if code, text := r.try("config", "apply", filepath.Join("..", "samples", "coop.yaml")); code != exitOK {
+	if code, text := r.try("config", "apply", filepath.Join("..", "..", "samples", "coop.yaml")); code != exitOK {
 		t.Fatal(text)
 	}
 	_, shown := r.try("config", "show")
--- a/lacectl/main.go
+++ b/lacectl/main.go
@@ -2,20 +2,11 @@
 package main
 
 import (
-	"context"
 	"os"
-	"os/signal"
-	"syscall"
+
+	"lacewingcove/lacectl/lacecontrol"
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	code := run(ctx, environment{
-		in:  os.Stdin,
-		out: os.Stdout,
-		err: os.Stderr,
-		get: os.Getenv,
-	}, os.Args[1:])
-	stop()
-	os.Exit(int(code))
+	os.Exit(lacecontrol.Main())
 }
--- a/lib/lacegateway/gateway_test.go
+++ b/lib/lacegateway/gateway_test.go
@@ -165,20 +165,20 @@
 	}
 }
 
-// deafWriter fails every write, as a connection does whose caller reads nothing until the write deadline.
-type deafWriter struct {
+// stalledWriter fails every write, as a connection does whose caller reads nothing until the write deadline.
+type stalledWriter struct {
 	*httptest.ResponseRecorder
 }
 
-func (w deafWriter) Write([]byte) (int, error) {
+func (w stalledWriter) Write([]byte) (int, error) {
 	return 0, errors.New("write deadline exceeded")
 }
 
 // Guards against a caller that reads nothing and holds its reservation until the engine has ended.
-func TestDeafCallerEndsItsRequest(t *testing.T) {
+func TestStalledCallerEndsItsRequest(t *testing.T) {
 	f := newFixture()
 	f.backend.hold = make(chan struct{})
-	w := deafWriter{ResponseRecorder: httptest.NewRecorder()}
+	w := stalledWriter{ResponseRecorder: httptest.NewRecorder()}
 	f.gateway.Handler().ServeHTTP(w, request(http.MethodPost, "/v1/chat/completions", "r7", chatBody))
 	if err := f.gateway.Close(); err != nil {
 		t.Fatal(err)
--- a/lib/lacegrant/wallet.go
+++ b/lib/lacegrant/wallet.go
@@ -36,7 +36,7 @@
 	live      int
 	// gave is true when other instances may spend tokens of the grant.
 	gave bool
-	// transfers are what other instances have given, transfer request the id of the transfer request under way, and
+	// transfers are what other instances have given, transferRequest the id of the request under way, and
 	// nextTransfer when the next one may go.
 	transfers       []*transfer
 	transferRequest string
--- a/standin/setting.go
+++ b/standin/lacestandin/setting.go
@@ -1,4 +1,4 @@
-package main
+package lacestandin
 
 import (
 	"bytes"
--- a/standin/standin_test.go
+++ b/standin/lacestandin/standin_test.go
@@ -1,4 +1,4 @@
-package main
+package lacestandin
 
 import (
 	"context"
@@ -17,8 +17,8 @@
 // Guards against sample files that do not decode, lack a server of the deployments or use a port twice.
 func TestSamples(t *testing.T) {
 	for path, servers := range map[string]int{
-		"../samples/coop-standin.yaml":     9 + 4,
-		"../samples/shrestha-standin.yaml": 12 + 3,
+		"../../samples/coop-standin.yaml":     9 + 4,
+		"../../samples/shrestha-standin.yaml": 12 + 3,
 	} {
 		s, err := load(path)
 		if err != nil {
