lacegateway: a repeated offline chat keeps the bill of the first run

Cause: found by reading. Change: a finished entry makes the retry a free run, an unfinished one is in progress; an entry that was there before is never dropped. Measured: TestRepeatedOfflineChatIsBilledOnce; before the change the retry got 503 "neither the platform nor another instance can be reached". The property of lacerequest covers billed runs, 20,000 schedules pass.

--- a/lib/lacegateway/driver.go
+++ b/lib/lacegateway/driver.go
@@ -11,6 +11,7 @@
 	"lacewingcove/lib/lacebackend"
 	"lacewingcove/lib/lacefault"
 	"lacewingcove/lib/lacegrant"
+	"lacewingcove/lib/lacejournal"
 	"lacewingcove/lib/laceledger"
 	"lacewingcove/lib/laceplatform"
 	"lacewingcove/lib/lacerequest"
@@ -313,11 +314,17 @@
 		d.reservation = r
 	}
 	entry.At = d.gateway.now().Unix()
-	d.copied = true
 	d.work(func() {
 		ctx, cancel := d.context(recordTimeout)
 		defer cancel()
-		d.post(lacerequest.Copied{OK: d.gateway.deps.Journal.Copy(ctx, entry, d.task.decision) == nil})
+		err := d.gateway.deps.Journal.Copy(ctx, entry, d.task.decision)
+		d.send(message{
+			input: lacerequest.Copied{OK: err == nil},
+			accept: func() {
+				// An entry that was there before belongs to an earlier run and must stay.
+				d.copied = d.copied || !errors.Is(err, lacejournal.ErrStarted)
+			},
+		})
 	})
 }
 
--- a/lib/lacegateway/fake_test.go
+++ b/lib/lacegateway/fake_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -17,6 +18,7 @@
 	"lacewingcove/lib/laceconfig"
 	"lacewingcove/lib/lacefault"
 	"lacewingcove/lib/lacegrant"
+	"lacewingcove/lib/lacejournal"
 	"lacewingcove/lib/laceledger"
 	"lacewingcove/lib/lacemember"
 	"lacewingcove/lib/laceplatform"
@@ -218,7 +220,11 @@
 
 func (f *fakeWorld) Enabled() bool { return !f.joining }
 
-func (f *fakeWorld) Abandon(laceledger.Request) {}
+func (f *fakeWorld) Abandon(request laceledger.Request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.copies = slices.DeleteFunc(f.copies, func(c laceledger.Offline) bool { return c.Request == request })
+}
 
 func (f *fakeWorld) Copy(_ context.Context, entry laceledger.Offline, _ lacemember.Decision) error {
 	f.mu.Lock()
@@ -226,6 +232,11 @@
 	if f.alone {
 		return errors.New("no other instance within reach")
 	}
+	for _, c := range f.copies {
+		if c.Request == entry.Request && c.Attempt != entry.Attempt {
+			return lacejournal.ErrStarted
+		}
+	}
 	f.copies = append(f.copies, entry)
 	return nil
 }
--- a/lib/lacegateway/gateway_test.go
+++ b/lib/lacegateway/gateway_test.go
@@ -310,6 +310,35 @@
 	}
 }
 
+// Guards against a repeated offline chat that drops the journal entry of the first run, which would never be billed, or
+// that is billed again; and against two runs of one id at the same time.
+func TestRepeatedOfflineChatIsBilledOnce(t *testing.T) {
+	f := newFixture()
+	expect(t, f.do(request(http.MethodPost, "/v1/chat/completions", "warm", chatBody)), http.StatusOK, "")
+	f.ledger.set(laceplatform.ErrUnavailable, nil)
+	f.world.verdict = lacemember.Offline
+	for range 2 {
+		w := f.do(request(http.MethodPost, "/v1/chat/completions", "r8", chatBody))
+		if expect(t, w, http.StatusOK, ""); !strings.HasSuffix(w.Body.String(), "data: [DONE]\n\n") {
+			t.Fatalf("cut: %s", w.Body)
+		}
+	}
+	if n := len(f.world.copies); n != 2 || !f.world.copies[1].Finished {
+		t.Fatalf("journal %+v", f.world.copies)
+	}
+	other := f.do(request(http.MethodPost, "/v1/chat/completions", "r8", strings.Replace(chatBody, "plan", "draw", 1)))
+	expect(t, other, http.StatusUnprocessableEntity, lacefault.NotRun)
+	f.world.copies = f.world.copies[:1]
+	running := f.do(request(http.MethodPost, "/v1/chat/completions", "r8", chatBody))
+	expect(t, running, http.StatusConflict, lacefault.Unknown)
+	// The platform is lost in the middle of an online request whose id the journal has.
+	f.world.verdict = lacemember.Online
+	f.do(request(http.MethodPost, "/v1/chat/completions", "r8", chatBody))
+	if len(f.world.copies) != 1 {
+		t.Fatalf("journal %+v", f.world.copies)
+	}
+}
+
 // Guards against a repeated offline call that is not idempotent and would run twice at its home.
 func TestOfflineOrderRunsOnce(t *testing.T) {
 	f := newFixture()
--- a/lib/lacegateway/run.go
+++ b/lib/lacegateway/run.go
@@ -74,6 +74,16 @@
 		g.repeat(t)
 		return
 	}
+	if t.decision.Verdict == lacemember.Offline && t.spec.Idempotent {
+		if old, known := g.deps.Journal.Find(t.spec.Request); known {
+			if !old.Finished || old.Digest != t.spec.Digest {
+				g.repeat(t)
+				return
+			}
+			// The journal has the bill of an earlier run, whose answer is not kept.
+			t.spec.Billed = true
+		}
+	}
 	reservation, fault := g.reserve(r.Context(), t)
 	if fault != nil {
 		g.abandon(t)
--- a/lib/lacerequest/machine.go
+++ b/lib/lacerequest/machine.go
@@ -68,6 +68,10 @@
 		spec:    spec,
 		offline: spec.Offline,
 		owned:   true,
+		billed:  spec.Billed,
+	}
+	if m.billed {
+		m.record = recordDurable
 	}
 	return m, []Effect{Pick{}}
 }
--- a/lib/lacerequest/property_test.go
+++ b/lib/lacerequest/property_test.go
@@ -208,8 +208,15 @@
 		Resume:     true,
 		Lookup:     random.Intn(2) == 0,
 	}
+	spec.Billed = spec.Idempotent && random.Intn(8) == 0
 	m, effects := New(spec)
-	w := &world{random: random, machine: m, spec: spec}
+	w := &world{
+		random:  random,
+		machine: m,
+		spec:    spec,
+		durable: spec.Billed,
+		billed:  spec.Billed,
+	}
 	w.run(effects)
 	for i := 0; len(w.pending) > 0 && i < 200; i++ {
 		if random.Intn(40) == 0 {
--- a/lib/lacerequest/spec.go
+++ b/lib/lacerequest/spec.go
@@ -22,6 +22,8 @@
 	Prompt laceunit.Tokens
 	// Price is the cost of a plain service call; engines report theirs.
 	Price laceunit.Tokens
+	// Billed is true when an earlier run of the request is known to be billed; this one is free.
+	Billed bool
 	// Offline is true when the request runs from the offline part of a grant.
 	Offline bool
 	// Resume is true when a run can be resumed by request id at the backend server that has it.
--- a/lib/lacetrace/codec.go
+++ b/lib/lacetrace/codec.go
@@ -261,6 +261,7 @@
 		Price:      laceunit.Tokens(w.Price),
 		Idempotent: w.Idempotent,
 		Offline:    w.Offline,
+		Billed:     w.Billed,
 		Resume:     w.Resume,
 		Lookup:     w.Lookup,
 		Tries:      w.Tries,
--- a/lib/lacetrace/line.go
+++ b/lib/lacetrace/line.go
@@ -19,6 +19,7 @@
 		Price:      int64(s.Price),
 		Idempotent: s.Idempotent,
 		Offline:    s.Offline,
+		Billed:     s.Billed,
 		Resume:     s.Resume,
 		Lookup:     s.Lookup,
 		Tries:      s.Tries,
--- a/lib/lacetrace/wire.go
+++ b/lib/lacetrace/wire.go
@@ -29,6 +29,7 @@
 	Price      int64  `json:"price,omitempty"`
 	Idempotent bool   `json:"idempotent,omitempty"`
 	Offline    bool   `json:"offline,omitempty"`
+	Billed     bool   `json:"billed,omitempty"`
 	Resume     bool   `json:"resume,omitempty"`
 	Lookup     bool   `json:"lookup,omitempty"`
 	Tries      int    `json:"tries,omitempty"`
--- a/router/lacerouter/journal.go
+++ b/router/lacerouter/journal.go
@@ -81,7 +81,9 @@
 func (j *journal) begin(record laceledger.Offline) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.spent[record.Request] = record
+	if _, ok := j.spent[record.Request]; !ok {
+		j.spent[record.Request] = record
+	}
 }
 
 // end notes the final tokens of a request that began offline.
