--- a/lib/lacegateway/fake_test.go
+++ b/lib/lacegateway/fake_test.go
@@ -99,6 +99,8 @@
 	runs map[lacebackend.Request]int
 	// fault replaces the answer of the next calls.
 	fault error
+	// blind makes lookups find nothing.
+	blind bool
 	// hold blocks streams after their first chunk until it is closed.
 	hold chan struct{}
 }
@@ -168,7 +170,7 @@
 }
 
 func (b *fakeBackend) Find(_ context.Context, _ laceunit.Address, request lacebackend.Request) (lacebackend.Status, error) {
-	if b.count(request) > 0 {
+	if b.count(request) > 0 && !b.blind {
 		return lacebackend.Status{State: lacebackend.StateDone}, nil
 	}
 	return lacebackend.Status{State: lacebackend.StateAbsent}, nil
--- a/lib/lacegateway/find.go
+++ b/lib/lacegateway/find.go
@@ -32,11 +32,14 @@
 		Account: c.id,
 		ID:      laceunit.RequestID(r.PathValue("id")),
 	}
-	if local, ok := g.deps.Journal.Find(request); ok {
-		writeState(w, journalState(request, local))
-		return
-	}
 	old, err := g.deps.Ledger.Find(r.Context(), c.budget, request)
+	if err != nil || old.Phase == laceledger.PhaseOpen {
+		// The journal may know the end of a run that the ledger has not seen yet.
+		if local, ok := g.deps.Journal.Find(request); ok {
+			writeState(w, journalState(request, local))
+			return
+		}
+	}
 	switch {
 	case errors.Is(err, laceplatform.ErrMissing):
 		// The id can be on its way, or have run at another instance during an outage, or be older than the retention.
--- a/lib/lacegateway/gateway_test.go
+++ b/lib/lacegateway/gateway_test.go
@@ -310,6 +310,27 @@
 	}
 }
 
+// Guards against an offline call whose outcome was unknown and stays "open" after the ledger has settled it.
+func TestStateFollowsTheLedger(t *testing.T) {
+	f := newFixture()
+	expect(t, f.do(request(http.MethodPost, "/v1/services/orders/a", "warm", "x")), http.StatusCreated, lacefault.Done)
+	f.ledger.set(laceplatform.ErrUnavailable, nil)
+	f.world.verdict = lacemember.Offline
+	f.backend.fault = &lacebackend.Error{
+		Effect: lacebackend.EffectUnknown,
+		Reason: lacebackend.ErrLost,
+	}
+	f.backend.blind = true
+	expect(t, f.do(request(http.MethodPost, "/v1/services/orders/a", "o9", "x")), http.StatusConflict, lacefault.Unknown)
+	f.ledger.set(nil, nil)
+	f.backend.fault, f.backend.blind = nil, false
+	f.gateway.Resolver().Round(context.Background())
+	expect(t, f.do(request(http.MethodGet, "/v1/requests/o9", "", "")), http.StatusOK, lacefault.Done)
+	if _, open := f.world.Find(laceledger.Request{Account: "acme", ID: "o9"}); open || f.backend.count("acme/o9") != 1 {
+		t.Fatalf("journal %+v, ran %d times", f.world.copies, f.backend.count("acme/o9"))
+	}
+}
+
 // Guards against a repeated offline chat that drops the journal entry of the first run, which would never be billed, or
 // that is billed again; and against two runs of one id at the same time.
 func TestRepeatedOfflineChatIsBilledOnce(t *testing.T) {
--- a/lib/lacegateway/resolve.go
+++ b/lib/lacegateway/resolve.go
@@ -150,6 +150,10 @@
 	if err != nil {
 		return false
 	}
+	if record, ok := p.record.(laceledger.Offline); ok {
+		// The ledger has the end of the run, so the journal's unfinished entry is of no more use.
+		r.deps.Journal.Abandon(record.Request)
+	}
 	r.release(*p, verdict)
 	return true
 }
