--- a/router/lacerouter/handover.go
+++ b/router/lacerouter/handover.go
@@ -15,14 +15,14 @@
 )
 
 const (
-	// pleaTimeout bounds the wait of a request for other instances' tokens.
-	pleaTimeout = 500 * time.Millisecond
-	// pleaTimeoutOne leaves time for another giver when the first one does not answer.
-	pleaTimeoutOne = 150 * time.Millisecond
-	// pleaGivers bounds the instances that one transfer request goes to.
-	pleaGivers = 3
-	// pleaTries covers one lost answer; the giver knows the transfer request by its id.
-	pleaTries = 2
+	// transferTimeout bounds the wait of a request for other instances' tokens.
+	transferTimeout = 500 * time.Millisecond
+	// transferTryTimeout leaves time for another giver when the first one does not answer.
+	transferTryTimeout = 150 * time.Millisecond
+	// transferGivers bounds the instances that one transfer request goes to.
+	transferGivers = 3
+	// transferTries covers one lost answer; the giver knows the transfer request by its id.
+	transferTries = 2
 )
 
 // transferSource asks other instances for tokens of their offline parts.
@@ -33,11 +33,11 @@
 
 // RequestTransfer implements lacegrant.TransferSource.
 func (p transferSource) RequestTransfer(ctx context.Context, transferRequest lacegrant.TransferRequest) (lacegrant.Transfer, bool) {
-	ctx, cancel := context.WithTimeout(ctx, pleaTimeout)
+	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
 	defer cancel()
 	peers := slices.Clone(p.fleet.Peers())
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	for _, m := range peers[:min(len(peers), pleaGivers)] {
+	for _, m := range peers[:min(len(peers), transferGivers)] {
 		if g, ok := p.ask(ctx, m, transferRequest); ok {
 			return g, true
 		}
@@ -46,8 +46,8 @@
 }
 
 func (p transferSource) ask(ctx context.Context, m lacemember.Member, transferRequest lacegrant.TransferRequest) (lacegrant.Transfer, bool) {
-	for range pleaTries {
-		inner, cancel := context.WithTimeout(ctx, pleaTimeoutOne)
+	for range transferTries {
+		inner, cancel := context.WithTimeout(ctx, transferTryTimeout)
 		g, err := p.peer.Handover(inner, m, lacepeer.TransferRequest(transferRequest))
 		cancel()
 		if err != nil {
