laceconfig: documents name the policies that the balancer has

Cause: a document could name two-choices, which the balancer does not know, so the former policy stayed in force without a word, and could not name round-robin. Ruled out: a second name for a policy; least-loaded is the less loaded of two.

--- a/lib/lacebalancer/policy.go
+++ b/lib/lacebalancer/policy.go
@@ -4,6 +4,8 @@
 	"math"
 
 	"github.com/pkg/errors"
+
+	"lacewingcove/lib/laceconfig"
 )
 
 // ErrPolicy means that no policy has the name.
@@ -11,9 +13,9 @@
 
 // The names of the policies.
 const (
-	PolicyRoundRobin = "round-robin"
-	PolicyLeast      = "least-loaded"
-	PolicyAffinity   = "affinity"
+	PolicyRoundRobin = laceconfig.PolicyRoundRobin
+	PolicyLeast      = laceconfig.PolicyLeast
+	PolicyAffinity   = laceconfig.PolicyAffinity
 )
 
 // Random returns a number in [0, n).
--- a/lib/laceconfig/table.go
+++ b/lib/laceconfig/table.go
@@ -57,9 +57,9 @@
 
 // The balancer policies that routing.policy can name.
 const (
-	PolicyAffinity = "affinity"
-	PolicyChoices  = "two-choices"
-	PolicyLeast    = "least-loaded"
+	PolicyAffinity   = "affinity"
+	PolicyRoundRobin = "round-robin"
+	PolicyLeast      = "least-loaded"
 )
 
 func documentFields(d *Document) []laceyaml.Field {
@@ -168,7 +168,7 @@
 
 func routingFields(r *Routing) []laceyaml.Field {
 	return []laceyaml.Field{
-		laceyaml.Choice("policy", "Balancer policy.", &r.Policy, PolicyAffinity, PolicyChoices, PolicyLeast),
+		laceyaml.Choice("policy", "Balancer policy.", &r.Policy, PolicyAffinity, PolicyRoundRobin, PolicyLeast),
 		laceyaml.Number("bound", "Most that a backend server may hold relative to the mean before prefix affinity is given up.",
 			&r.Bound, 1, 100),
 		laceyaml.Number("retries", "Share of requests that may be retried.", &r.Retries, 0, 1),
