router: process tests always run the program of their own run

Ruled out: faults of the router; the same tests pass with their own program. Change: one build a run, in a temporary directory of its own.

--- a/router/lacerouter/world_test.go
+++ b/router/lacerouter/world_test.go
@@ -12,9 +12,12 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"lacewingcove/lib/laceconfig"
 	"lacewingcove/lib/laceemulator"
 	"lacewingcove/lib/laceledger"
@@ -70,23 +73,34 @@
 	scheme    string
 }
 
-// buildRouter builds the router program once.
+// program builds the router once a run, in a directory of its own: a name made of the process id found the program of an
+// earlier run with the same id, and the tests ran against that.
+//
+//nolint:gochecknoglobals // one build serves all tests of a run
+var program = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "lacewingcove-router-")
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(dir, "router")
+	out, err := exec.CommandContext(context.Background(), "go", "build", "-o", path, "..").CombinedOutput()
+	return path, errors.Wrap(err, string(out))
+})
+
 func buildRouter(t *testing.T) string {
 	t.Helper()
-	program := filepath.Join(os.TempDir(), fmt.Sprintf("lacewingcove-router-%d", os.Getpid()))
-	if _, err := os.Stat(program); err == nil {
-		return program
-	}
-	out, err := exec.CommandContext(context.Background(), "go", "build", "-o", program, "..").CombinedOutput()
+	path, err := program()
 	if err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
+		t.Fatal(err)
 	}
-	return program
+	return path
 }
 
 func TestMain(m *testing.M) {
 	code := m.Run()
-	_ = os.Remove(filepath.Join(os.TempDir(), fmt.Sprintf("lacewingcove-router-%d", os.Getpid())))
+	if path, err := program(); err == nil {
+		_ = os.RemoveAll(filepath.Dir(path))
+	}
 	os.Exit(code)
 }
 
