router, lacegrant: one view of the configuration; unused methods removed

Two types stood one on the other to show the replica to the gateway, and three methods of the wallet had no caller. Ruled out: the duplicates listed between generated files; make generate writes them. Change: configuration holds the replica as a field, which is what the second type was for; Wallet.Cancel, Wallet.Left and Service.Cancel are gone. Behaviour and tests are as before.

--- a/lib/lacegrant/service.go
+++ b/lib/lacegrant/service.go
@@ -149,11 +149,6 @@
 	s.wallet.Settle(r, used)
 }
 
-// Cancel ends a reservation of which nothing was spent.
-func (s *Service) Cancel(r Reservation) {
-	s.Settle(r, 0)
-}
-
 // Forfeit ends a reservation whose tokens are the ledger's to decide on.
 func (s *Service) Forfeit(r Reservation) {
 	s.mu.Lock()
--- a/lib/lacegrant/wallet.go
+++ b/lib/lacegrant/wallet.go
@@ -182,11 +182,6 @@
 	}
 }
 
-// Cancel ends a reservation of which nothing was spent.
-func (w *Wallet) Cancel(r Reservation) {
-	w.Settle(r, 0)
-}
-
 // Forfeit ends a reservation whose request stays open in the ledger; its tokens don't come back to the wallet.
 func (w *Wallet) Forfeit(r Reservation) {
 	w.Settle(r, r.Ceiling)
@@ -316,12 +311,6 @@
 	return witnesses
 }
 
-// Left returns what the budget had left for new grants at the last verdict.
-func (w *Wallet) Left(budget laceunit.BudgetID) (laceunit.Tokens, bool) {
-	p := w.holding(budget)
-	return p.left, p.known
-}
-
 func (w *Wallet) drop(p *holding, grant laceunit.GrantID) {
 	p.dropTransfers(grant)
 	if p.grant != grant {
--- a/router/lacerouter/assemble_service.go
+++ b/router/lacerouter/assemble_service.go
@@ -70,21 +70,9 @@
 	if err = i.kernel.Register(nameFeed, feed); err != nil {
 		return err
 	}
-	// The view has no Serve of its own; the replica is supervised under its own name.
-	return i.kernel.Register(nameConfiguration, view{configuration: configuration{Service: replica}})
+	return i.kernel.Register(nameConfiguration, configuration{replica: replica})
 }
 
-// view hides the lifetime of the replica from the kernel, which would otherwise run and close it twice.
-type view struct {
-	configuration configuration
-}
-
-// Current implements lacegateway.Configuration.
-func (v view) Current() *laceconfig.Document { return v.configuration.Current() }
-
-// Fresh implements lacegateway.Configuration.
-func (v view) Fresh() bool { return v.configuration.Fresh() }
-
 func (i *Instance) addRecovery(context.Context) error {
 	ledger, err := lacekernel.Lookup[*lacewriter.Ledger](i.kernel, nameLedger)
 	if err != nil {
--- a/router/lacerouter/configuration.go
+++ b/router/lacerouter/configuration.go
@@ -7,19 +7,20 @@
 	"lacewingcove/lib/lacereplica"
 )
 
-// configuration shows the replica to the gateway.
+// configuration shows the replica to the gateway. It does not embed it: the kernel runs and closes the replica under its
+// own name, and would do so twice.
 type configuration struct {
-	*lacereplica.Service
+	replica *lacereplica.Service
 }
 
 // Current implements lacegateway.Configuration.
 func (c configuration) Current() *laceconfig.Document {
-	return c.Service.Current()
+	return c.replica.Current()
 }
 
 // Fresh implements lacegateway.Configuration.
 func (c configuration) Fresh() bool {
-	return c.Service.Fresh().Takes()
+	return c.replica.Fresh().Takes()
 }
 
 // replicaFleet shows the membership to the replica.
