--- a/lib/lacebalancer/balancer.go
+++ b/lib/lacebalancer/balancer.go
@@ -232,6 +232,8 @@
 		f.pool.latency += weight * (latency.Seconds() - f.pool.latency)
 	case Failure:
 		s.failed(now, b.routing.Eject, b.routing.Probe, f.probe)
+	case Unreachable:
+		s.failed(now, 1, b.routing.Probe, f.probe)
 	case Busy:
 		s.succeeded(f.probe)
 		// The server is full whatever its last report said; the next report corrects this.
--- a/lib/lacebalancer/pick.go
+++ b/lib/lacebalancer/pick.go
@@ -132,6 +132,10 @@
 	if s == nil {
 		return Decision{}, false
 	}
+	estimate, age := s.estimate, time.Duration(0)
+	if !s.reported.IsZero() {
+		age = now.Sub(s.reported)
+	}
 	s.count(now, 1)
 	if probe {
 		s.probing = true
@@ -146,6 +150,9 @@
 		Verdict: Sent,
 		Server:  s.id,
 		Address: s.address,
+
+		Estimate: estimate,
+		Age:      age,
 	}, true
 }
 
--- a/lib/lacebalancer/request.go
+++ b/lib/lacebalancer/request.go
@@ -87,6 +87,9 @@
 	Address    laceunit.Address
 	Reason     Reason
 	RetryAfter time.Duration
+	// Estimate is the load that the server was chosen at, and Age that of the report behind it; zero without one.
+	Estimate float64
+	Age      time.Duration
 }
 
 // Result tells how an attempt at a server ended.
@@ -100,6 +103,8 @@
 	Failure
 	// Busy means that the server refused because it is full.
 	Busy
+	// Unreachable means that no connection to the server could be opened; it ejects the server at once.
+	Unreachable
 	// Neutral says nothing about the server, such as a caller that went away.
 	Neutral
 )
--- /dev/null
+++ b/lib/laceconn/pool.go
@@ -0,0 +1,183 @@
+package laceconn
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lacewingcove/lib/laceunit"
+)
+
+const (
+	// dialTimeout bounds the opening of a connection; the round trip between zones takes a few milliseconds.
+	dialTimeout = 400 * time.Millisecond
+	// silence is how long sent bytes may stay unacknowledged before a connection counts as lost. A partition answers
+	// nothing, and a connection that went silent stays so.
+	silence = 2 * time.Second
+	// probeIdle and probeCount find lost connections on which nothing is being sent.
+	probeIdle  = time.Second
+	probeCount = 2
+	// defaultIdle is how long a connection is kept when the server does not say for how long it keeps it.
+	defaultIdle = 4 * time.Second
+	// idleMargin is left between the last use of a connection and the moment at which the server closes it.
+	idleMargin = 300 * time.Millisecond
+)
+
+// tcpUserTimeout is the socket option that bounds unacknowledged data, which package syscall does not name.
+const tcpUserTimeout = 18
+
+// Dialer returns a dialer whose connections notice silent partitions.
+func Dialer() *net.Dialer {
+	return &net.Dialer{
+		Timeout: dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     probeIdle,
+			Interval: probeIdle,
+			Count:    probeCount,
+		},
+		Control: func(_, _ string, c syscall.RawConn) error {
+			var failed error
+			err := c.Control(func(fd uintptr) {
+				failed = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(silence.Milliseconds()))
+			})
+			if err != nil {
+				return err
+			}
+			return failed
+		},
+	}
+}
+
+// Pool holds the connections to one backend server.
+type Pool struct {
+	address laceunit.Address
+	dialer  *net.Dialer
+
+	mu     sync.Mutex
+	most   int
+	idle   []*Conn
+	open   map[*Conn]struct{}
+	opened uint64
+	closed bool
+}
+
+// NewPool returns a pool of at most some connections; no number stands for no bound.
+func NewPool(address laceunit.Address, most int) *Pool {
+	return &Pool{
+		address: address,
+		dialer:  Dialer(),
+		most:    most,
+		open:    map[*Conn]struct{}{},
+	}
+}
+
+// SetBound changes how many connections the pool may have.
+func (p *Pool) SetBound(most int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.most = most
+}
+
+// Opened returns how many connections the pool has opened.
+func (p *Pool) Opened() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.opened
+}
+
+// Get returns an idle connection or opens one. Its errors say that nothing was sent.
+func (p *Pool) Get(ctx context.Context) (*Conn, error) {
+	if c := p.take(); c != nil {
+		return c, nil
+	}
+	p.mu.Lock()
+	if p.most > 0 && len(p.open) >= p.most {
+		p.mu.Unlock()
+		return nil, ErrFull
+	}
+	c := &Conn{
+		pool:  p,
+		fresh: true,
+	}
+	// The place is taken before dialling, so that the bound holds while connections open.
+	p.open[c] = struct{}{}
+	p.opened++
+	p.mu.Unlock()
+	conn, err := p.dialer.DialContext(ctx, "tcp", string(p.address))
+	if err != nil {
+		p.forget(c)
+		return nil, errors.Wrap(ErrNotSent, err.Error())
+	}
+	c.net = conn
+	c.reader = bufio.NewReaderSize(conn, bufferBytes)
+	return c, nil
+}
+
+// take returns the idle connection that was used last and is still open.
+func (p *Pool) take() *Conn {
+	now := time.Now()
+	for {
+		p.mu.Lock()
+		n := len(p.idle)
+		if n == 0 {
+			p.mu.Unlock()
+			return nil
+		}
+		c := p.idle[n-1]
+		p.idle = p.idle[:n-1]
+		p.mu.Unlock()
+		if now.Before(c.rest) && c.quiet() {
+			return c
+		}
+		c.Discard()
+	}
+}
+
+func (p *Pool) put(c *Conn, idle time.Duration) {
+	if idle <= 0 {
+		idle = defaultIdle
+	}
+	now := time.Now()
+	c.rest = now.Add(idle - min(idleMargin, idle/4))
+	p.mu.Lock()
+	if p.closed {
+		p.mu.Unlock()
+		c.Discard()
+		return
+	}
+	var expired []*Conn
+	for len(p.idle) > 0 && !now.Before(p.idle[0].rest) {
+		expired = append(expired, p.idle[0])
+		p.idle = p.idle[1:]
+	}
+	p.idle = append(p.idle, c)
+	p.mu.Unlock()
+	for _, x := range expired {
+		x.Discard()
+	}
+}
+
+func (p *Pool) forget(c *Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.open, c)
+}
+
+// Close closes the idle connections; those in use close when their exchange ends.
+func (p *Pool) Close() error {
+	p.mu.Lock()
+	p.closed = true
+	idle := p.idle
+	p.idle = nil
+	p.mu.Unlock()
+	for _, c := range idle {
+		c.Discard()
+	}
+	return nil
+}
--- /dev/null
+++ b/lib/lacedirectory/doc.go
@@ -0,0 +1,2 @@
+// Package lacedirectory registers an instance in the platform's store and tells callers which instances to use.
+package lacedirectory
--- a/lib/lacefault/fault.go
+++ b/lib/lacefault/fault.go
@@ -43,6 +43,7 @@
 	NoServer       Code = "no_backend_server"
 	ServerFailed   Code = "backend_server_failed"
 	InProgress     Code = "in_progress"
+	TimedOut       Code = "timed_out"
 	OutcomeUnknown Code = "outcome_unknown"
 	Internal       Code = "internal"
 )
@@ -86,6 +87,8 @@
 		return http.StatusMisdirectedRequest
 	case ServerFailed:
 		return http.StatusBadGateway
+	case TimedOut:
+		return http.StatusGatewayTimeout
 	case Internal:
 		return http.StatusInternalServerError
 	case BudgetBlocked, Overloaded, Draining, Stale, PlatformDown, NoServer:
--- /dev/null
+++ b/lib/lacelog/event.go
@@ -0,0 +1,61 @@
+package lacelog
+
+// Event names a kind of line.
+type Event string
+
+// The events of a process.
+const (
+	Start  Event = "start"
+	Stop   Event = "stop"
+	Reload Event = "reload"
+	// Lost and Regained speak of a dependency.
+	Lost     Event = "lost"
+	Regained Event = "regained"
+	// Config is a new version in force, Rejected one that can't be read.
+	Config   Event = "config"
+	Rejected Event = "rejected"
+	// Server is a backend server that appeared, changed or left; Member an instance.
+	Server Event = "server"
+	Member Event = "member"
+	// Draw is a change of what this instance may spend of a budget.
+	Draw Event = "draw"
+	// Refused is a request that this instance did not run.
+	Refused Event = "refused"
+	// Placed is the choice of a server for an attempt, Attempt how it ended.
+	Placed  Event = "placed"
+	Attempt Event = "attempt"
+	// Done is the end of a request as its caller saw it.
+	Done Event = "done"
+	// Fault is an error that no request saw.
+	Fault Event = "fault"
+)
+
+// Field is a key of a line.
+type Field string
+
+// The fields that lines share; lacectl explain reads them by these names.
+const (
+	Request  Field = "request"
+	Account  Field = "account"
+	Route    Field = "route"
+	Service  Field = "service"
+	Backend  Field = "server"
+	Number   Field = "attempt"
+	Outcome  Field = "outcome"
+	Reason   Field = "reason"
+	Status   Field = "status"
+	Version  Field = "version"
+	Revision Field = "revision"
+	Age      Field = "age_ms"
+	Took     Field = "took_ms"
+	Left     Field = "left_ms"
+	Load     Field = "load"
+	Running  Field = "running"
+	Events   Field = "events"
+	Tokens   Field = "tokens"
+	Held     Field = "held"
+	Used     Field = "used"
+	Cap      Field = "cap"
+	Retry    Field = "retry_ms"
+	Skipped  Field = "skipped"
+)
--- /dev/null
+++ b/lib/lacemirror/follower.go
@@ -0,0 +1,209 @@
+package lacemirror
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lacewingcove/lib/lacelog"
+	"lacewingcove/lib/laceplatform"
+)
+
+const (
+	// firstPause and lastPause bound the wait before a failed call is repeated. Changes have to arrive within 2 s.
+	firstPause = 50 * time.Millisecond
+	lastPause  = 400 * time.Millisecond
+	// listTimeout bounds a whole list, which may take several pages.
+	listTimeout = 3 * time.Second
+	// settleTime is how long after an outage removals are taken for entries that lapsed in it. They arrive with the
+	// first answers.
+	settleTime = time.Second
+	// outage is the silence after which a renewed contact counts as the end of an outage.
+	outage = 1500 * time.Millisecond
+)
+
+// Source tells where changes come from.
+type Source struct {
+	// Peer is true when another instance sent them.
+	Peer bool
+	// Recovering is true shortly after the store was away: entries may be missing that lapsed meanwhile.
+	Recovering bool
+	Revision   laceplatform.Revision
+}
+
+// Handler takes in changes in the order of their revisions; calls do not overlap.
+type Handler func(changes []Change, source Source)
+
+// Follower keeps a mirror up to date.
+type Follower struct {
+	prefix  laceplatform.Key
+	store   laceplatform.Store
+	handler Handler
+	log     *lacelog.Logger
+
+	mu      sync.Mutex
+	mirror  *Mirror
+	contact time.Time
+	failing bool
+	// recovered is when contact was regained after an outage.
+	recovered time.Time
+}
+
+// NewFollower returns a follower of a prefix.
+func NewFollower(prefix laceplatform.Key, store laceplatform.Store, log *lacelog.Logger, handler Handler) *Follower {
+	return &Follower{
+		prefix:  prefix,
+		store:   store,
+		handler: handler,
+		log:     log,
+		mirror:  NewMirror(prefix),
+	}
+}
+
+// Prefix returns what the follower mirrors.
+func (f *Follower) Prefix() laceplatform.Key { return f.prefix }
+
+// Status tells how current a copy is.
+type Status struct {
+	Revision laceplatform.Revision
+	// Contact is when the store last confirmed the copy; zero means never.
+	Contact time.Time
+	// Failing is true while the last call to the store has failed.
+	Failing bool
+}
+
+// Status returns how current the copy is.
+func (f *Follower) Status() Status {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return Status{
+		Revision: f.mirror.Revision(),
+		Contact:  f.contact,
+		Failing:  f.failing,
+	}
+}
+
+// Since returns what a copy at a revision lacks.
+func (f *Follower) Since(revision laceplatform.Revision) (Delta, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.mirror.Since(revision)
+}
+
+// Merge takes in what another instance sent.
+func (f *Follower) Merge(d Delta) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.notify(f.mirror.Merge(d), true)
+}
+
+// Serve implements suture.Service.
+func (f *Follower) Serve(ctx context.Context) error {
+	pause := firstPause
+	listed := false
+	for ctx.Err() == nil {
+		var err error
+		if !listed {
+			err = f.list(ctx)
+		}
+		if err == nil {
+			listed = true
+			err = f.watch(ctx, func() { pause = firstPause })
+		}
+		if errors.Is(err, laceplatform.ErrCompacted) {
+			listed = false
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		f.lost(err)
+		timer := time.NewTimer(pause)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		}
+		timer.Stop()
+		pause = min(2*pause, lastPause)
+	}
+	return ctx.Err()
+}
+
+func (f *Follower) list(ctx context.Context) error {
+	call, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	entries, revision, err := f.store.List(call, f.prefix)
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.regained()
+	f.notify(f.mirror.Replace(entries, revision), false)
+	return nil
+}
+
+func (f *Follower) watch(ctx context.Context, progress func()) error {
+	inner, cancel := context.WithCancel(ctx)
+	defer cancel()
+	w, err := f.store.Watch(inner, f.prefix, f.Status().Revision)
+	if err != nil {
+		return err
+	}
+	for e := range w.Events() {
+		progress()
+		f.event(e)
+	}
+	err = w.Err()
+	if closeErr := w.Close(); err == nil {
+		err = closeErr
+	}
+	if err == nil {
+		err = laceplatform.ErrUnavailable
+	}
+	return err
+}
+
+func (f *Follower) event(e laceplatform.Event) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.regained()
+	if c, ok := f.mirror.Event(e); ok {
+		f.notify([]Change{c}, false)
+	}
+}
+
+func (f *Follower) regained() {
+	now := time.Now()
+	silence := now.Sub(f.contact)
+	if !f.contact.IsZero() && silence > outage && f.failing {
+		f.recovered = now
+	}
+	if f.failing {
+		f.log.Write(lacelog.Regained, lacelog.P("prefix", f.prefix), lacelog.P(lacelog.Revision, f.mirror.Revision()),
+			lacelog.P("silence_ms", silence.Milliseconds()))
+	}
+	f.contact, f.failing = now, false
+}
+
+func (f *Follower) lost(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.failing {
+		f.log.Write(lacelog.Lost, lacelog.P("prefix", f.prefix), lacelog.P(lacelog.Reason, err.Error()),
+			lacelog.P(lacelog.Revision, f.mirror.Revision()), lacelog.P(lacelog.Age, time.Since(f.contact).Milliseconds()))
+	}
+	f.failing = true
+}
+
+func (f *Follower) notify(changes []Change, peer bool) {
+	if len(changes) == 0 {
+		return
+	}
+	f.handler(changes, Source{
+		Peer:       peer,
+		Recovering: !f.recovered.IsZero() && time.Since(f.recovered) < settleTime,
+		Revision:   f.mirror.Revision(),
+	})
+}
--- /dev/null
+++ b/lib/lacemirror/mirror.go
@@ -0,0 +1,200 @@
+package lacemirror
+
+import (
+	"maps"
+	"slices"
+
+	"lacewingcove/lib/laceplatform"
+)
+
+// tombstonesKept bounds the removed keys that are remembered for other instances; one that lacks more gets everything.
+const tombstonesKept = 512
+
+// Delta brings a copy from one revision to another.
+type Delta struct {
+	Prefix laceplatform.Key
+	// From is the revision that the receiver must have; Full deltas replace everything.
+	From     laceplatform.Revision
+	Full     bool
+	Revision laceplatform.Revision
+	Entries  []laceplatform.Entry
+	Removed  []Removal
+}
+
+// Removal is a key that no longer exists, with the revision at which it went.
+type Removal struct {
+	Key      laceplatform.Key
+	Revision laceplatform.Revision
+}
+
+// Change is one difference that an update made to the copy.
+type Change struct {
+	Entry   laceplatform.Entry
+	Removed bool
+}
+
+// Mirror is the copy; it is a state machine without locks.
+type Mirror struct {
+	prefix   laceplatform.Key
+	revision laceplatform.Revision
+	entries  map[laceplatform.Key]laceplatform.Entry
+	removed  []Removal
+	// horizon is the revision above which every removal is remembered.
+	horizon laceplatform.Revision
+}
+
+// NewMirror returns an empty copy of a prefix.
+func NewMirror(prefix laceplatform.Key) *Mirror {
+	return &Mirror{
+		prefix:  prefix,
+		entries: map[laceplatform.Key]laceplatform.Entry{},
+	}
+}
+
+// Revision is the revision at which the copy is complete; zero means that it holds nothing.
+func (m *Mirror) Revision() laceplatform.Revision { return m.revision }
+
+// Entries returns the entries in the order of their keys.
+func (m *Mirror) Entries() []laceplatform.Entry {
+	list := make([]laceplatform.Entry, 0, len(m.entries))
+	for _, k := range slices.Sorted(maps.Keys(m.entries)) {
+		list = append(list, m.entries[k])
+	}
+	return list
+}
+
+// Get returns one entry.
+func (m *Mirror) Get(key laceplatform.Key) (laceplatform.Entry, bool) {
+	e, ok := m.entries[key]
+	return e, ok
+}
+
+// Replace takes over a whole list that was complete at a revision; entries may be newer than that.
+func (m *Mirror) Replace(entries []laceplatform.Entry, revision laceplatform.Revision) []Change {
+	if revision < m.revision {
+		// The list is older than the copy.
+		return nil
+	}
+	var changes []Change
+	seen := make(map[laceplatform.Key]bool, len(entries))
+	for _, e := range entries {
+		seen[e.Key] = true
+		if m.put(e) {
+			changes = append(changes, Change{Entry: e})
+		}
+	}
+	for _, k := range slices.Sorted(maps.Keys(m.entries)) {
+		if e := m.entries[k]; !seen[k] && e.Revision <= revision {
+			m.remove(k, revision)
+			changes = append(changes, Change{
+				Entry:   e,
+				Removed: true,
+			})
+		}
+	}
+	m.revision = revision
+	m.horizon = max(m.horizon, revision)
+	m.removed = nil
+	return changes
+}
+
+// Event takes in one event of a watch.
+func (m *Mirror) Event(e laceplatform.Event) (Change, bool) {
+	r := e.Entry.Revision
+	if r <= m.revision {
+		return Change{}, false
+	}
+	if e.Progress {
+		m.revision = r
+		return Change{}, false
+	}
+	if !e.Deleted {
+		return Change{Entry: e.Entry}, m.put(e.Entry)
+	}
+	old, ok := m.entries[e.Entry.Key]
+	if !ok || old.Revision > r {
+		return Change{}, false
+	}
+	m.remove(e.Entry.Key, r)
+	return Change{
+		Entry:   old,
+		Removed: true,
+	}, true
+}
+
+// Since returns what a copy at a revision lacks, and false when it lacks nothing.
+func (m *Mirror) Since(revision laceplatform.Revision) (Delta, bool) {
+	if revision >= m.revision {
+		return Delta{}, false
+	}
+	d := Delta{
+		Prefix:   m.prefix,
+		From:     revision,
+		Revision: m.revision,
+		Full:     revision < m.horizon || revision == 0,
+	}
+	for _, e := range m.Entries() {
+		if d.Full || e.Revision > revision {
+			d.Entries = append(d.Entries, e)
+		}
+	}
+	if !d.Full {
+		for _, r := range m.removed {
+			if r.Revision > revision {
+				d.Removed = append(d.Removed, r)
+			}
+		}
+	}
+	return d, true
+}
+
+// Merge takes in what another instance sent.
+func (m *Mirror) Merge(d Delta) []Change {
+	if d.Revision <= m.revision {
+		return nil
+	}
+	if d.Full {
+		return m.Replace(d.Entries, d.Revision)
+	}
+	if d.From > m.revision {
+		// The copy fell back behind the request, which can't be; without the part between, the delta is of no use.
+		return nil
+	}
+	var changes []Change
+	for _, e := range d.Entries {
+		if m.put(e) {
+			changes = append(changes, Change{Entry: e})
+		}
+	}
+	for _, r := range d.Removed {
+		if e, ok := m.entries[r.Key]; ok && e.Revision < r.Revision {
+			m.remove(r.Key, r.Revision)
+			changes = append(changes, Change{
+				Entry:   e,
+				Removed: true,
+			})
+		}
+	}
+	m.revision = d.Revision
+	return changes
+}
+
+func (m *Mirror) put(e laceplatform.Entry) bool {
+	if old, ok := m.entries[e.Key]; ok && old.Revision >= e.Revision {
+		return false
+	}
+	m.entries[e.Key] = e
+	return true
+}
+
+func (m *Mirror) remove(key laceplatform.Key, revision laceplatform.Revision) {
+	delete(m.entries, key)
+	m.removed = append(m.removed, Removal{
+		Key:      key,
+		Revision: revision,
+	})
+	if n := len(m.removed) - tombstonesKept; n > 0 {
+		m.horizon = max(m.horizon, m.removed[n-1].Revision)
+		m.removed = slices.Clone(m.removed[n:])
+	}
+}
--- /dev/null
+++ b/lib/lacenode/listen.go
@@ -0,0 +1,120 @@
+package lacenode
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"lacewingcove/lib/lacekernel"
+	"lacewingcove/lib/laceunit"
+	"lacewingcove/lib/lacewire"
+)
+
+const (
+	// headerWait bounds the reading of a request's header until the configuration's own limit is enforced by callers.
+	headerWait = 10 * time.Second
+	// callerIdle is how long a caller's connection may rest. It is longer than any limit in use, so that connections
+	// that callers still count on do not close under a request.
+	callerIdle = 2 * time.Minute
+	// headerBytes bounds the header of a request.
+	headerBytes = 64 << 10
+	// keepAlive finds callers that went away without a word.
+	keepAlive = 5 * time.Second
+)
+
+// listener is one HTTP server of the instance.
+type listener struct {
+	server *http.Server
+	done   chan error
+}
+
+// listen starts a server on an address.
+func (n *Node) listen(ctx context.Context, address laceunit.Address, handler http.Handler) (*listener, error) {
+	config := net.ListenConfig{KeepAlive: keepAlive}
+	socket, err := config.Listen(ctx, "tcp", string(address))
+	if err != nil {
+		return nil, errors.Wrap(err, "node: listen")
+	}
+	l := &listener{
+		server: &http.Server{
+			Handler:           handler,
+			ReadHeaderTimeout: headerWait,
+			IdleTimeout:       callerIdle,
+			MaxHeaderBytes:    headerBytes,
+			ErrorLog:          slog.NewLogLogger(logr.ToSlogHandler(n.log.Logr()), slog.LevelDebug),
+		},
+		done: make(chan error, 1),
+	}
+	go func() { l.done <- l.server.Serve(socket) }()
+	return l, nil
+}
+
+// Close ends the server at once and waits for it.
+func (l *listener) Close() error {
+	err := l.server.Close()
+	<-l.done
+	return err
+}
+
+// listeners are all servers of the instance.
+type listeners struct {
+	caller *listener
+	others []*listener
+}
+
+// Close ends all servers.
+func (l *listeners) Close() error {
+	var first error
+	for _, x := range append([]*listener{l.caller}, l.others...) {
+		if err := x.Close(); err != nil && first == nil {
+			first = err
+		}
+	}
+	return first
+}
+
+func (n *Node) open(ctx context.Context) (*listeners, error) {
+	caller, err := n.listen(ctx, n.settings.Caller, n.relay)
+	if err != nil {
+		return nil, err
+	}
+	all := &listeners{caller: caller}
+	exchange, err := lacekernel.Lookup[*exchange](n.kernel, nameExchange)
+	if err != nil {
+		return nil, errors.Wrap(err, "node")
+	}
+	metrics := promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{})
+	peer := http.NewServeMux()
+	peer.Handle(lacewire.MirrorPathPrefix, lacewire.NewMirrorServer(exchange))
+	peer.Handle("/metrics", metrics)
+	shown := http.NewServeMux()
+	shown.Handle("/metrics", metrics)
+	for _, x := range []struct {
+		address laceunit.Address
+		handler http.Handler
+	}{
+		{address: n.settings.Ready, handler: n.adapter.Ready(n.Ready)},
+		{address: n.settings.Directory, handler: n.adapter.Directory(n)},
+		{address: n.settings.Peer, handler: peer},
+		{address: n.settings.Metrics, handler: shown},
+	} {
+		if x.address == "" {
+			continue
+		}
+		l, err := n.listen(ctx, x.address, x.handler)
+		if err != nil {
+			if closeErr := all.Close(); closeErr != nil {
+				n.log.Fault(closeErr, "listeners were not closed")
+			}
+			return nil, err
+		}
+		all.others = append(all.others, l)
+	}
+	return all, nil
+}
--- /dev/null
+++ b/lib/lacenode/node.go
@@ -0,0 +1,261 @@
+package lacenode
+
+import (
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"lacewingcove/lib/lacebalancer"
+	"lacewingcove/lib/laceconfig"
+	"lacewingcove/lib/lacedirectory"
+	"lacewingcove/lib/lacekernel"
+	"lacewingcove/lib/lacelog"
+	"lacewingcove/lib/lacemirror"
+	"lacewingcove/lib/laceplatform"
+	"lacewingcove/lib/lacequota"
+	"lacewingcove/lib/lacerelay"
+	"lacewingcove/lib/laceroute"
+	"lacewingcove/lib/laceunit"
+)
+
+// Places in the store that instances write.
+const (
+	memberPrefix laceplatform.Key = "lace/member/"
+	budgetPrefix laceplatform.Key = "lace/budget/"
+)
+
+// Names of the services in the kernel.
+const (
+	nameConfigs   lacekernel.Name = "configs"
+	nameServers   lacekernel.Name = "servers"
+	nameMembers   lacekernel.Name = "members"
+	nameExchange  lacekernel.Name = "exchange"
+	nameRegistrar lacekernel.Name = "registrar"
+	nameQuota     lacekernel.Name = "quota"
+	namePlacer    lacekernel.Name = "placer"
+	nameClock     lacekernel.Name = "clock"
+	nameBackends  lacekernel.Name = "backends"
+	nameListeners lacekernel.Name = "listeners"
+)
+
+// Node is one instance.
+type Node struct {
+	settings Settings
+	adapter  Adapter
+	log      *lacelog.Logger
+	registry *prometheus.Registry
+	kernel   *lacekernel.Kernel
+
+	routes    *laceroute.Current
+	board     *lacedirectory.Board
+	registrar *lacedirectory.Registrar
+	quota     *lacequota.Service
+	placer    *lacerelay.Placer
+	backends  *lacerelay.Backends
+	relay     *lacerelay.Relay
+	followers []*lacemirror.Follower
+	rejected  prometheus.Counter
+
+	leaving atomic.Bool
+}
+
+// New assembles an instance.
+func New(settings Settings, adapter Adapter, log *lacelog.Logger) (*Node, error) {
+	store, err := adapter.Store(settings)
+	if err != nil {
+		return nil, errors.Wrap(err, "node: store")
+	}
+	n := &Node{
+		settings: settings,
+		adapter:  adapter,
+		log:      log,
+		registry: prometheus.NewRegistry(),
+		kernel:   lacekernel.New(),
+		routes:   &laceroute.Current{},
+	}
+	n.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	n.rejected = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "lace_node_rejected_total",
+		Help: "Entries of the store that could not be read.",
+	})
+	dropped := prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "lace_log_dropped_total",
+		Help: "Log lines that were lost because the buffer was full.",
+	}, func() float64 { return float64(log.Dropped()) })
+	n.registry.MustRegister(n.rejected, dropped)
+	if err := n.assemble(store); err != nil {
+		return nil, err
+	}
+	return n, n.register()
+}
+
+func (n *Node) assemble(store laceplatform.Store) error {
+	self := lacedirectory.Member{
+		Holder: laceunit.Holder{
+			Instance:    n.settings.Instance,
+			Incarnation: laceunit.Incarnation(rand.Uint64()>>1 + 1),
+		},
+		Place:  n.settings.Place,
+		Caller: n.settings.Caller,
+		Peer:   n.settings.Peer,
+	}
+	n.board = lacedirectory.NewBoard(self, n.log)
+	n.registrar = lacedirectory.NewRegistrar(memberPrefix, self, store, n.log, n.Ready)
+	n.quota = lacequota.New(lacequota.Options{
+		Self:    self.Holder,
+		Store:   store,
+		Prefix:  budgetPrefix,
+		Shards:  n.settings.Ledger.Shards,
+		Share:   n.settings.Ledger.Share,
+		Members: n.board,
+		Log:     n.log,
+		Metrics: lacequota.NewMetrics(n.registry),
+	})
+	balancer, err := lacebalancer.New(laceconfig.Routing{}, rand.IntN)
+	if err != nil {
+		return errors.Wrap(err, "node: balancer")
+	}
+	n.placer = lacerelay.NewPlacer(balancer)
+	n.backends = lacerelay.NewBackends(n.placer, n.log, n.connections)
+	n.relay = lacerelay.New(lacerelay.Options{
+		Codec:    n.adapter.Codec(),
+		Routes:   n.routes,
+		Quota:    n.quota,
+		Placer:   n.placer,
+		Backends: n.backends,
+		Retries: lacerelay.RetryBounds{
+			Window: n.settings.Retry.Window,
+			Ratio:  n.settings.Retry.Ratio,
+			Slack:  n.settings.Retry.Slack,
+		},
+		Members: n.board.Count,
+		Log:     n.log,
+		Metrics: lacerelay.NewMetrics(n.registry),
+	})
+	keys := n.adapter.Keys()
+	n.followers = []*lacemirror.Follower{
+		lacemirror.NewFollower(keys.Configs, store, n.log, n.configured),
+		lacemirror.NewFollower(keys.Servers, store, n.log, n.served),
+		lacemirror.NewFollower(memberPrefix, store, n.log, n.joined),
+	}
+	return nil
+}
+
+func (n *Node) register() error {
+	services := []struct {
+		name    lacekernel.Name
+		service any
+	}{
+		{name: nameConfigs, service: n.followers[0]},
+		{name: nameServers, service: n.followers[1]},
+		{name: nameMembers, service: n.followers[2]},
+		{name: nameBackends, service: n.backends},
+		{name: namePlacer, service: n.placer},
+		{name: nameQuota, service: n.quota},
+		{name: nameRegistrar, service: n.registrar},
+		{name: nameExchange, service: newExchange(n)},
+		{name: nameClock, service: clock{n}},
+	}
+	for _, s := range services {
+		if err := n.kernel.Register(s.name, s.service); err != nil {
+			return errors.Wrap(err, "node")
+		}
+	}
+	return nil
+}
+
+// Ready reports whether the instance takes requests.
+func (n *Node) Ready() bool { return n.routes.Load() != nil && !n.leaving.Load() }
+
+// Addresses implements Directory.
+func (n *Node) Addresses(place laceunit.Place) ([]laceunit.Address, time.Duration) {
+	if n.routes.Load() == nil {
+		return nil, 0
+	}
+	return n.board.Addresses(place), n.settings.Life
+}
+
+// connections returns how many connections this instance may have to a server of a service: its share of what the
+// server takes, and at least a few, since instances do not all use a server at the same time.
+func (n *Node) connections(id laceunit.ServiceID) int {
+	table := n.routes.Load()
+	if table == nil {
+		return 0
+	}
+	s, ok := table.Service(id)
+	if !ok || s.Connections <= 0 {
+		return 0
+	}
+	return max(s.Connections/n.board.Count(), fewConnections)
+}
+
+// fewConnections is the least number of connections that an instance may have to a server.
+const fewConnections = 8
+
+// configured takes over a configuration.
+func (n *Node) configured(changes []lacemirror.Change, source lacemirror.Source) {
+	for _, c := range changes {
+		if c.Removed || c.Entry.Key != n.adapter.Keys().Config {
+			continue
+		}
+		document, err := n.adapter.Document(c.Entry.Value)
+		if err != nil {
+			n.reject(c.Entry, err)
+			continue
+		}
+		t := laceroute.NewTable(document)
+		if !n.routes.Advance(t) {
+			continue
+		}
+		n.quota.Configure(t)
+		n.log.Write(lacelog.Config, lacelog.P(lacelog.Version, t.Version()), lacelog.P(lacelog.Revision, c.Entry.Revision),
+			lacelog.P("routes", len(document.Routes)), lacelog.P("accounts", len(document.Accounts)),
+			lacelog.P("peer", source.Peer))
+	}
+}
+
+// served takes over backend servers.
+func (n *Node) served(changes []lacemirror.Change, source lacemirror.Source) {
+	var listed []lacerelay.Backend
+	var missing []laceunit.ServerID
+	for _, c := range changes {
+		id := n.adapter.Server(c.Entry.Key)
+		if c.Removed {
+			missing = append(missing, id)
+			continue
+		}
+		b, err := n.adapter.Backend(c.Entry)
+		if err != nil {
+			n.reject(c.Entry, err)
+			missing = append(missing, id)
+			continue
+		}
+		listed = append(listed, b)
+	}
+	n.backends.Apply(time.Now(), listed, missing, source.Peer || source.Recovering)
+}
+
+// joined takes over instances.
+func (n *Node) joined(changes []lacemirror.Change, source lacemirror.Source) {
+	for _, c := range changes {
+		m, err := lacedirectory.Decode(c.Entry.Value)
+		switch {
+		case err != nil:
+			n.reject(c.Entry, err)
+		case c.Removed:
+			n.board.Remove(time.Now(), m.Holder.Instance, source.Peer || source.Recovering)
+		default:
+			n.board.Put(m)
+		}
+	}
+}
+
+func (n *Node) reject(e laceplatform.Entry, err error) {
+	n.rejected.Inc()
+	n.log.Write(lacelog.Rejected, lacelog.P("key", e.Key), lacelog.P(lacelog.Revision, e.Revision),
+		lacelog.P(lacelog.Reason, err.Error()))
+}
--- /dev/null
+++ b/lib/lacenode/run.go
@@ -0,0 +1,99 @@
+package lacenode
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lacewingcove/lib/lacelog"
+)
+
+const (
+	// exitMargin is left between the end of a planned stop and the kill.
+	exitMargin = 500 * time.Millisecond
+	// stopStep is how often a planned stop looks whether requests are still running.
+	stopStep = 20 * time.Millisecond
+	// releaseTimeout bounds the return of tokens at the end of a planned stop.
+	releaseTimeout = 300 * time.Millisecond
+)
+
+// Reload is called for a signal that the settings have changed.
+type Reload func() (Settings, error)
+
+// Run serves until a signal asks for a stop; hangup announces new settings.
+func (n *Node) Run(ctx context.Context, stop, hangup <-chan os.Signal, reload Reload) error {
+	inner, cancel := context.WithCancel(ctx)
+	defer cancel()
+	all, err := n.open(inner)
+	if err != nil {
+		return err
+	}
+	if err := n.kernel.Register(nameListeners, all); err != nil {
+		return errors.Wrap(err, "node")
+	}
+	n.kernel.Start(inner)
+	n.log.Write(lacelog.Start, lacelog.P("caller", n.settings.Caller), lacelog.P("zone", n.settings.Place.Zone),
+		lacelog.P("store", n.settings.Store.Address))
+	for {
+		select {
+		case <-ctx.Done():
+			return n.stop(all, time.Now())
+		case <-stop:
+			return n.stop(all, time.Now())
+		case <-hangup:
+			n.reload(reload)
+		}
+	}
+}
+
+// reload reads the settings again. What names the instance and its addresses needs a restart, so that nothing of an
+// unreadable file takes effect.
+func (n *Node) reload(load Reload) {
+	s, err := load()
+	if err != nil {
+		n.log.Write(lacelog.Reload, lacelog.P(lacelog.Outcome, "rejected"), lacelog.P(lacelog.Reason, err.Error()))
+		return
+	}
+	n.log.Write(lacelog.Reload, lacelog.P(lacelog.Outcome, "read"), lacelog.P("grace_ms", s.Drain.Grace.Milliseconds()))
+}
+
+// stop ends a planned stop: callers are told to go elsewhere, running requests end, tokens are given back.
+func (n *Node) stop(all *listeners, began time.Time) error {
+	n.leaving.Store(true)
+	n.board.Leave()
+	n.relay.Closing()
+	n.log.Write(lacelog.Stop, lacelog.P("state", "draining"), lacelog.P("running", n.relay.Running()))
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(n.settings.Drain.Grace-exitMargin))
+	defer cancel()
+	if err := n.registrar.Withdraw(ctx); err != nil {
+		n.log.Fault(err, "membership was not withdrawn")
+	}
+	wait(ctx, began.Add(n.settings.Drain.Notice), func() bool { return false })
+	n.relay.Stop()
+	err := all.caller.server.Shutdown(ctx)
+	if err != nil {
+		n.log.Fault(err, "requests were cut by the end of the grace time", lacelog.P("running", n.relay.Running()))
+	}
+	final, done := context.WithTimeout(context.Background(), releaseTimeout)
+	defer done()
+	if err := n.quota.Release(final); err != nil {
+		n.log.Fault(err, "tokens were not given back")
+	}
+	n.log.Write(lacelog.Stop, lacelog.P("state", "stopped"), lacelog.P(lacelog.Took, time.Since(began).Milliseconds()))
+	return n.kernel.Close()
+}
+
+// wait returns at a time, or earlier when the context ends or the condition holds.
+func wait(ctx context.Context, until time.Time, done func() bool) {
+	ticker := time.NewTicker(stopStep)
+	defer ticker.Stop()
+	for time.Now().Before(until) && !done() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
--- /dev/null
+++ b/lib/lacenode/setting.go
@@ -0,0 +1,159 @@
+package lacenode
+
+import (
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lacewingcove/lib/lacequota"
+	"lacewingcove/lib/laceunit"
+	"lacewingcove/lib/laceyaml"
+)
+
+// Settings are the settings of one instance.
+type Settings struct {
+	Instance laceunit.InstanceID
+	Place    laceunit.Place
+	// Caller, Ready, Directory and Peer are the addresses to listen on.
+	Caller    laceunit.Address
+	Ready     laceunit.Address
+	Directory laceunit.Address
+	Peer      laceunit.Address
+	// Metrics is the address of the metrics; empty means that only the peer address serves them.
+	Metrics laceunit.Address
+	// Seeds are peer addresses of instances to ask while the store is away.
+	Seeds []laceunit.Address
+	Store Store
+	Drain Drain
+	Retry Retry
+	// Life is how long callers may keep a directory answer.
+	Life   time.Duration
+	Ledger Ledger
+}
+
+// Store is the platform's store.
+type Store struct {
+	Address laceunit.Address
+	// Lease is the shortest time to live that it gives a lease.
+	Lease time.Duration
+}
+
+// Drain bounds a planned stop.
+type Drain struct {
+	// Grace is the time between the signal and the kill.
+	Grace time.Duration
+	// Notice is how long requests are still taken after the signal, while callers learn of it.
+	Notice time.Duration
+}
+
+// Retry bounds what all instances together send more than once.
+type Retry struct {
+	Window time.Duration
+	Ratio  float64
+	Slack  float64
+}
+
+// Ledger is the division of budgets.
+type Ledger struct {
+	// Shards must be equal on every instance and never change.
+	Shards int
+	// Share is the part of what an account has left that all instances together hold.
+	Share float64
+}
+
+// Default returns the settings that a file changes.
+func Default() Settings {
+	return Settings{
+		Drain: Drain{
+			Grace:  8 * time.Second,
+			Notice: 3 * time.Second,
+		},
+		Retry: Retry{
+			Window: 10 * time.Second,
+			Ratio:  0.1,
+			Slack:  10,
+		},
+		Store:  Store{Lease: time.Second},
+		Life:   time.Second,
+		Ledger: Ledger{
+			Shards: 1,
+			Share:  lacequota.DefaultShare,
+		},
+	}
+}
+
+func fields(s *Settings) []laceyaml.Field {
+	return []laceyaml.Field{
+		laceyaml.ID("instance", "Name of the instance; it survives restarts.", &s.Instance).Must(),
+		laceyaml.ID("region", "Region that the instance runs in.", &s.Place.Region),
+		laceyaml.ID("zone", "Availability zone that the instance runs in.", &s.Place.Zone),
+		address("caller", "Address for callers.", &s.Caller).Must(),
+		address("ready", "Address of the readiness check.", &s.Ready),
+		address("directory", "Address that callers ask which instances to use.", &s.Directory),
+		address("peer", "Address for other instances; it serves metrics as well.", &s.Peer),
+		address("metrics", "Further address of the metrics.", &s.Metrics),
+		laceyaml.Strings("seeds", "Peer addresses of instances to ask while the store is away.", addressForm, &s.Seeds, isAddress),
+		laceyaml.Group("store", "The platform's store.",
+			address("address", "Address of the store.", &s.Store.Address).Must(),
+			laceyaml.Duration("lease", "Shortest time to live of a lease.", &s.Store.Lease, time.Millisecond, time.Minute)),
+		laceyaml.Group("drain", "Planned stop.",
+			laceyaml.Duration("grace", "Time between the signal and the kill.", &s.Drain.Grace, time.Second, time.Hour),
+			laceyaml.Duration("notice", "How long requests are still taken after the signal.", &s.Drain.Notice, 0, time.Minute)),
+		laceyaml.Group("retry", "What all instances together may send to a service more than once.",
+			laceyaml.Duration("window", "Window of the bound.", &s.Retry.Window, time.Second, time.Hour),
+			laceyaml.Number("ratio", "Share of the requests in the window.", &s.Retry.Ratio, 0, 1),
+			laceyaml.Number("slack", "Number beside the share.", &s.Retry.Slack, 0, 1e6)),
+		laceyaml.Duration("life", "How long callers may keep a directory answer.", &s.Life, 100*time.Millisecond, time.Hour),
+		laceyaml.Group("ledger", "Division of prepaid budgets.",
+			laceyaml.Integer("shards", "Pages in the store; equal on every instance and never changed.", &s.Ledger.Shards, 1, 4096),
+			laceyaml.Number("share", "Part of what an account has left that all instances together hold.", &s.Ledger.Share, 0.01, 0.9)),
+	}
+}
+
+const addressForm = "host:port with a numeric port"
+
+func address(name, doc string, p *laceunit.Address) laceyaml.Field {
+	return laceyaml.Match(name, doc, addressForm, p, isAddress)
+}
+
+func isAddress(s string) bool {
+	_, port, err := net.SplitHostPort(s)
+	if err != nil {
+		return false
+	}
+	n, err := strconv.Atoi(port)
+	return err == nil && n >= 0 && n <= 65535
+}
+
+// Load reads a file of settings; every fault names its key and line.
+func Load(path string) (Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, errors.Wrap(err, "settings")
+	}
+	return Decode(text)
+}
+
+// Decode reads settings from YAML text.
+func Decode(text []byte) (Settings, error) {
+	s := Default()
+	_, faults := laceyaml.Read(text, fields(&s))
+	if s.Drain.Notice >= s.Drain.Grace {
+		faults = append(faults, laceyaml.Fault{
+			Path:     "drain.notice",
+			Expected: "less than drain.grace",
+			Found:    s.Drain.Notice.String(),
+		})
+	}
+	faults.Sort()
+	return s, faults.Err()
+}
+
+// Reference returns the table of the settings in Markdown.
+func Reference() string {
+	s := Default()
+	return laceyaml.Reference(fields(&s))
+}
--- a/lib/laceplatform/store.go
+++ b/lib/laceplatform/store.go
@@ -49,6 +49,9 @@
 type Event struct {
 	Entry   Entry
 	Deleted bool
+	// Progress marks an event without a change: every change up to Entry.Revision has been delivered. Stores that
+	// answer watches in rounds send one after each round.
+	Progress bool
 }
 
 // Watch is a stream of changes; Events is closed when the watch ends and Err then says why.
--- /dev/null
+++ b/lib/lacequota/codec.go
@@ -0,0 +1,102 @@
+package lacequota
+
+import (
+	"encoding/json"
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"lacewingcove/lib/laceunit"
+)
+
+// ErrPage means that a stored page can't be read.
+var ErrPage = errors.New("quota: page can't be read")
+
+type pageForm struct {
+	Budgets map[string]budgetForm `json:"budgets"`
+}
+
+type budgetForm struct {
+	Closed  int64                  `json:"closed"`
+	Burnt   int64                  `json:"burnt"`
+	Paid    int64                  `json:"paid"`
+	Version uint64                 `json:"version"`
+	Holders map[string]holdingForm `json:"holders"`
+}
+
+type holdingForm struct {
+	Cap  int64 `json:"cap"`
+	Used int64 `json:"used"`
+}
+
+// Encode writes a page.
+func Encode(p Page) ([]byte, error) {
+	form := pageForm{Budgets: map[string]budgetForm{}}
+	for id, b := range p.Budgets {
+		f := budgetForm{
+			Closed:  int64(b.Closed),
+			Burnt:   int64(b.Burnt),
+			Paid:    int64(b.Paid),
+			Version: uint64(b.Version),
+			Holders: map[string]holdingForm{},
+		}
+		for k, h := range b.Holders {
+			f.Holders[k.String()] = holdingForm{
+				Cap:  int64(h.Cap),
+				Used: int64(h.Used),
+			}
+		}
+		form.Budgets[string(id)] = f
+	}
+	text, err := json.Marshal(form)
+	return text, errors.Wrap(err, "quota: encode page")
+}
+
+// Decode reads a page; an empty text is an empty page.
+func Decode(text []byte) (Page, error) {
+	p := Page{Budgets: map[laceunit.AccountID]Budget{}}
+	if len(text) == 0 {
+		return p, nil
+	}
+	var form pageForm
+	if err := json.Unmarshal(text, &form); err != nil {
+		return Page{}, errors.Wrap(ErrPage, err.Error())
+	}
+	for id, f := range form.Budgets {
+		b := Budget{
+			Closed:  laceunit.Tokens(f.Closed),
+			Burnt:   laceunit.Tokens(f.Burnt),
+			Paid:    laceunit.Tokens(f.Paid),
+			Version: laceunit.Version(f.Version),
+			Holders: map[laceunit.Holder]Holding{},
+		}
+		for k, h := range f.Holders {
+			holder, err := parseHolder(k)
+			if err != nil {
+				return Page{}, err
+			}
+			b.Holders[holder] = Holding{
+				Cap:  laceunit.Tokens(h.Cap),
+				Used: laceunit.Tokens(h.Used),
+			}
+		}
+		p.Budgets[laceunit.AccountID(id)] = b
+	}
+	return p, nil
+}
+
+func parseHolder(text string) (laceunit.Holder, error) {
+	i := strings.LastIndexByte(text, '/')
+	if i < 0 {
+		return laceunit.Holder{}, errors.Wrap(ErrPage, "holder "+text)
+	}
+	n, err := strconv.ParseUint(text[i+1:], 10, 64)
+	if err != nil {
+		return laceunit.Holder{}, errors.Wrap(ErrPage, "holder "+text)
+	}
+	return laceunit.Holder{
+		Instance:    laceunit.InstanceID(text[:i]),
+		Incarnation: laceunit.Incarnation(n),
+	}, nil
+}
--- /dev/null
+++ b/lib/lacequota/draw.go
@@ -0,0 +1,117 @@
+package lacequota
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"lacewingcove/lib/laceunit"
+)
+
+// Draw is a change of one page that is under way: the page to write, and the caps to take on when it is written.
+type Draw struct {
+	Page Page
+	caps map[laceunit.AccountID]grant
+}
+
+type grant struct {
+	cap    laceunit.Tokens
+	folded laceunit.Tokens
+	used   laceunit.Tokens
+	others laceunit.Tokens
+	paid   laceunit.Tokens
+	// whole is true when the caps of all instances respect what was paid.
+	whole bool
+}
+
+// Plan computes a change of a page for the accounts of its shard. Caps that fall take effect at once, before the page
+// is written; those that rise wait for Commit. The ended holders are counted as spent. With release the instance keeps
+// only what it has spent or reserved.
+func (w *Wallet) Plan(page Page, accounts []laceunit.AccountID, ended func(laceunit.Holder) bool, release bool) Draw {
+	d := Draw{
+		Page: Page{Budgets: maps.Clone(page.Budgets)},
+		caps: map[laceunit.AccountID]grant{},
+	}
+	if d.Page.Budgets == nil {
+		d.Page.Budgets = map[laceunit.AccountID]Budget{}
+	}
+	for _, a := range accounts {
+		p := w.purse(a)
+		if !p.prepaid {
+			continue
+		}
+		b, g := w.plan(p, page.Budgets[a], ended, release)
+		d.Page.Budgets[a], d.caps[a] = b, g
+		p.cap = min(p.cap, g.cap)
+	}
+	return d
+}
+
+func (w *Wallet) plan(p *purse, b Budget, ended func(laceunit.Holder) bool, release bool) (Budget, grant) {
+	b = b.fold(func(h laceunit.Holder) bool {
+		return h != w.self && (h.Instance == w.self.Instance || ended(h))
+	})
+	own, known := b.Holders[w.self]
+	folded := p.folded
+	if !known {
+		// Either nothing was drawn, or another instance has folded the holding; its tokens stay usable here.
+		folded = p.cap
+	}
+	low := max(p.used+p.reserved-folded, 0)
+	elsewhere := b.Committed() - own.Cap
+	paid := p.paid
+	if b.Version > p.version {
+		// Another instance knows a newer configuration.
+		paid = b.Paid
+	} else {
+		b.Paid, b.Version = p.paid, p.version
+	}
+	free := max(paid-elsewhere, 0)
+	spent := b.Spent() - own.Used
+	rest := max(paid-spent-p.used-p.reserved, 0)
+	hold := laceunit.Tokens(w.share * float64(rest) / float64(w.members))
+	hold = max(hold, p.wanted)
+	if release {
+		hold = 0
+	}
+	goal := min(low+hold, free)
+	// What has been spent or reserved can't be given back, whatever the others hold.
+	goal = max(goal, low)
+	if goal > free {
+		// Nothing new may be drawn while the caps exceed what was paid; lowering is always right.
+		goal = min(goal, max(own.Cap, low))
+	}
+	used := max(p.used-folded, 0)
+	return b.with(w.self, Holding{
+			Cap:  goal,
+			Used: used,
+		}), grant{
+			cap:    goal + folded,
+			folded: folded,
+			used:   p.used,
+			others: spent,
+			paid:   paid,
+			whole:  elsewhere+goal <= paid,
+		}
+}
+
+// Commit takes on the caps of a draw that the store has written.
+func (w *Wallet) Commit(now time.Time, d Draw) {
+	for a, g := range d.caps {
+		p := w.purse(a)
+		p.cap, p.folded = g.cap, g.folded
+		p.reported, p.others, p.drawn = g.used, g.others, now
+		p.wanted, p.due = 0, false
+		if g.whole {
+			p.basis = g.paid
+		}
+		if p.paid != g.paid {
+			p.due = true
+		}
+	}
+}
+
+// Accounts returns the accounts that have a purse, in order.
+func (w *Wallet) Accounts() []laceunit.AccountID {
+	return slices.Sorted(maps.Keys(w.purses))
+}
--- /dev/null
+++ b/lib/lacequota/metric.go
@@ -0,0 +1,64 @@
+package lacequota
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"lacewingcove/lib/laceunit"
+)
+
+// Metrics are the counters of a quota service; a nil one counts nothing.
+type Metrics struct {
+	draws     prometheus.Counter
+	conflicts prometheus.Counter
+	failures  prometheus.Counter
+	cap       *prometheus.GaugeVec
+	used      *prometheus.GaugeVec
+}
+
+// NewMetrics registers the counters.
+func NewMetrics(r prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		draws:     counter("lace_quota_draws_total", "Accounts drawn for in the store."),
+		conflicts: counter("lace_quota_conflicts_total", "Draws planned again because another instance wrote first."),
+		failures:  counter("lace_quota_failures_total", "Draws that the store did not confirm."),
+		cap:       gauge("lace_quota_cap_tokens", "What this instance may spend of an account in total."),
+		used:      gauge("lace_quota_used_tokens", "What this instance has spent of an account."),
+	}
+	r.MustRegister(m.draws, m.conflicts, m.failures, m.cap, m.used)
+	return m
+}
+
+func counter(name, help string) prometheus.Counter {
+	return prometheus.NewCounter(prometheus.CounterOpts{
+		Name: name,
+		Help: help,
+	})
+}
+
+func gauge(name, help string) *prometheus.GaugeVec {
+	return prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: name,
+		Help: help,
+	}, []string{"account"})
+}
+
+func (m *Metrics) failed() {
+	if m != nil {
+		m.failures.Inc()
+	}
+}
+
+func (m *Metrics) conflicted() {
+	if m != nil {
+		m.conflicts.Inc()
+	}
+}
+
+func (m *Metrics) observe(account laceunit.AccountID, s State) {
+	if m == nil {
+		return
+	}
+	m.draws.Inc()
+	m.cap.WithLabelValues(string(account)).Set(float64(s.Cap))
+	m.used.WithLabelValues(string(account)).Set(float64(s.Used))
+}
--- /dev/null
+++ b/lib/lacequota/page.go
@@ -0,0 +1,89 @@
+package lacequota
+
+import (
+	"lacewingcove/lib/laceunit"
+)
+
+// Holding is what one instance incarnation may spend of an account in total, and what it has reported as spent.
+type Holding struct {
+	Cap  laceunit.Tokens
+	Used laceunit.Tokens
+}
+
+// Budget is the state of one client account.
+type Budget struct {
+	// Closed is the sum of the caps of ended incarnations, Burnt the spend that they had reported.
+	Closed laceunit.Tokens
+	Burnt  laceunit.Tokens
+	// Paid is what was paid according to the newest configuration that a writer knew, and Version that configuration.
+	Paid    laceunit.Tokens
+	Version laceunit.Version
+	Holders map[laceunit.Holder]Holding
+}
+
+// Page is the state of one shard of accounts.
+type Page struct {
+	Budgets map[laceunit.AccountID]Budget
+}
+
+// Committed is the most that can have been spent.
+func (b Budget) Committed() laceunit.Tokens {
+	sum := b.Closed
+	for _, h := range b.Holders {
+		sum += h.Cap
+	}
+	return sum
+}
+
+// Spent is the least that has been spent.
+func (b Budget) Spent() laceunit.Tokens {
+	sum := b.Burnt
+	for _, h := range b.Holders {
+		sum += h.Used
+	}
+	return sum
+}
+
+// Idle is what the live holders have not reported as spent.
+func (b Budget) Idle() laceunit.Tokens {
+	var sum laceunit.Tokens
+	for _, h := range b.Holders {
+		sum += h.Cap - h.Used
+	}
+	return sum
+}
+
+// with returns a copy in which a holder has a holding; the copy shares nothing.
+func (b Budget) with(holder laceunit.Holder, h Holding) Budget {
+	c := b.clone()
+	c.Holders[holder] = h
+	return c
+}
+
+// fold returns a copy in which the ended holders count as spent up to their caps.
+func (b Budget) fold(ended func(laceunit.Holder) bool) Budget {
+	c := b.clone()
+	for k, h := range b.Holders {
+		if !ended(k) {
+			continue
+		}
+		c.Closed += h.Cap
+		c.Burnt += h.Used
+		delete(c.Holders, k)
+	}
+	return c
+}
+
+func (b Budget) clone() Budget {
+	c := Budget{
+		Closed:  b.Closed,
+		Burnt:   b.Burnt,
+		Paid:    b.Paid,
+		Version: b.Version,
+		Holders: make(map[laceunit.Holder]Holding, len(b.Holders)+1),
+	}
+	for k, h := range b.Holders {
+		c.Holders[k] = h
+	}
+	return c
+}
--- /dev/null
+++ b/lib/lacequota/service.go
@@ -0,0 +1,309 @@
+package lacequota
+
+import (
+	"context"
+	"hash/fnv"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lacewingcove/lib/lacelog"
+	"lacewingcove/lib/laceplatform"
+	"lacewingcove/lib/laceroute"
+	"lacewingcove/lib/laceunit"
+)
+
+const (
+	// reportInterval is how often an instance reports spend and evens out its holdings; one call each way.
+	reportInterval = time.Second
+	// drawPause bounds urgent draws to a few a second.
+	drawPause = 100 * time.Millisecond
+	// callTimeout bounds one call to the store, which answers in milliseconds when it is well.
+	callTimeout = 800 * time.Millisecond
+	// conflictTries is how often a change is planned again after another instance's write.
+	conflictTries = 6
+)
+
+// Members tells which instances share the accounts.
+type Members interface {
+	// Count is the number of instances that take requests.
+	Count() int
+	// Ended reports whether an incarnation is known to be gone for good.
+	Ended(holder laceunit.Holder) bool
+}
+
+// Options configure a quota service.
+type Options struct {
+	Self    laceunit.Holder
+	Store   laceplatform.Store
+	Prefix  laceplatform.Key
+	Shards  int
+	Share   float64
+	Members Members
+	Log     *lacelog.Logger
+	Metrics *Metrics
+}
+
+// Service reserves tokens for requests and draws on the store in the background.
+type Service struct {
+	options Options
+	wake    []chan struct{}
+
+	mu     sync.Mutex
+	wallet *Wallet
+	shards [][]laceunit.AccountID
+	known  map[laceunit.AccountID]bool
+	// drawn is closed and replaced after each draw.
+	drawn chan struct{}
+	// contact is when the store last answered a draw.
+	contact time.Time
+}
+
+// New returns a quota service; Serve must run.
+func New(options Options) *Service {
+	options.Shards = max(options.Shards, 1)
+	if options.Share <= 0 {
+		options.Share = DefaultShare
+	}
+	s := &Service{
+		options: options,
+		wallet:  NewWallet(options.Self, options.Share),
+		shards:  make([][]laceunit.AccountID, options.Shards),
+		known:   map[laceunit.AccountID]bool{},
+		drawn:   make(chan struct{}),
+	}
+	for range options.Shards {
+		s.wake = append(s.wake, make(chan struct{}, 1))
+	}
+	return s
+}
+
+// Configure takes over what the accounts have paid.
+func (s *Service) Configure(t *laceroute.Table) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, a := range t.Accounts() {
+		if !s.known[a.ID] {
+			s.known[a.ID] = true
+			i := s.shard(a.ID)
+			s.shards[i] = append(s.shards[i], a.ID)
+		}
+		s.wallet.Paid(a.ID, a.Paid, a.Prepaid, t.Version())
+	}
+	for i := range s.shards {
+		s.rouse(i)
+	}
+}
+
+// Reserve sets tokens aside. When the cap is short and the store is well, it waits for one draw, at most until the
+// context ends.
+func (s *Service) Reserve(ctx context.Context, account laceunit.AccountID, most laceunit.Tokens) (Verdict, State) {
+	for {
+		s.mu.Lock()
+		now := time.Now()
+		v := s.wallet.Reserve(now, account, most)
+		state := s.wallet.State(account)
+		drawn, well := s.drawn, now.Sub(s.contact) < contactFresh
+		if v == Short {
+			s.rouse(s.shard(account))
+		}
+		s.mu.Unlock()
+		if v != Short || !well {
+			return v, state
+		}
+		select {
+		case <-ctx.Done():
+			return v, state
+		case <-drawn:
+		}
+	}
+}
+
+// contactFresh is the age of the last answered draw up to which another one is worth a short wait.
+const contactFresh = 2 * reportInterval
+
+// Settle ends a reservation with what was consumed.
+func (s *Service) Settle(account laceunit.AccountID, most, consumed laceunit.Tokens) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.wallet.Settle(account, most, consumed)
+	if _, urgent := s.wallet.Due(account); urgent {
+		s.rouse(s.shard(account))
+	}
+}
+
+// State returns what is known of an account.
+func (s *Service) State(account laceunit.AccountID) State {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.wallet.State(account)
+}
+
+// Serve implements suture.Service: it draws for each shard until the context ends.
+func (s *Service) Serve(ctx context.Context) error {
+	var group sync.WaitGroup
+	for i := range s.shards {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			s.run(ctx, i)
+		}()
+	}
+	group.Wait()
+	return ctx.Err()
+}
+
+// Release gives back what is neither spent nor reserved, for a planned stop.
+func (s *Service) Release(ctx context.Context) error {
+	var first error
+	for i := range s.shards {
+		if err := s.draw(ctx, i, true); err != nil && first == nil {
+			first = err
+		}
+	}
+	return first
+}
+
+func (s *Service) run(ctx context.Context, shard int) {
+	// Instances that start together would otherwise write at the same moments for ever.
+	timer := time.NewTimer(rand.N(reportInterval / 4))
+	defer timer.Stop()
+	var last time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.wake[shard]:
+			if wait := drawPause - time.Since(last); !last.IsZero() && wait > 0 && !sleep(ctx, wait) {
+				return
+			}
+		case <-timer.C:
+		}
+		last = time.Now()
+		if s.pending(shard) {
+			if err := s.draw(ctx, shard, false); err != nil && ctx.Err() == nil {
+				s.options.Log.Fault(err, "budgets were not drawn", lacelog.P(lacelog.Age, s.silence().Milliseconds()))
+				s.options.Metrics.failed()
+			}
+		}
+		timer.Reset(reportInterval*3/4 + rand.N(reportInterval/2))
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+func (s *Service) silence() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(s.contact)
+}
+
+func (s *Service) pending(shard int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, a := range s.shards[shard] {
+		if due, _ := s.wallet.Due(a); due {
+			return true
+		}
+	}
+	return false
+}
+
+// draw reads the shard's page and writes it with this instance's new caps.
+func (s *Service) draw(ctx context.Context, shard int, release bool) error {
+	key := s.options.Prefix + laceplatform.Key(strconv.Itoa(shard))
+	entry, err := s.read(ctx, key)
+	for range conflictTries {
+		if err != nil {
+			return err
+		}
+		var page Page
+		if page, err = Decode(entry.Value); err != nil {
+			return err
+		}
+		plan, value, encodeErr := s.plan(page, shard, release)
+		if encodeErr != nil {
+			return encodeErr
+		}
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		_, err = s.options.Store.Swap(call, laceplatform.Swap{
+			Key:    key,
+			Value:  value,
+			Expect: entry.Revision,
+		})
+		cancel()
+		if err == nil {
+			s.commit(plan, shard)
+			return nil
+		}
+		if !errors.Is(err, laceplatform.ErrConflict) {
+			return errors.Wrap(err, "quota: write page")
+		}
+		s.options.Metrics.conflicted()
+		entry, err = s.read(ctx, key)
+	}
+	return errors.Wrap(err, "quota: page changed too often")
+}
+
+func (s *Service) read(ctx context.Context, key laceplatform.Key) (laceplatform.Entry, error) {
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	entry, err := s.options.Store.Get(call, key)
+	if errors.Is(err, laceplatform.ErrMissing) {
+		return laceplatform.Entry{Key: key}, nil
+	}
+	return entry, errors.Wrap(err, "quota: read page")
+}
+
+func (s *Service) plan(page Page, shard int, release bool) (Draw, []byte, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.wallet.Members(s.options.Members.Count())
+	d := s.wallet.Plan(page, s.shards[shard], s.options.Members.Ended, release)
+	value, err := Encode(d.Page)
+	return d, value, err
+}
+
+func (s *Service) commit(d Draw, shard int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.wallet.Commit(now, d)
+	s.contact = now
+	close(s.drawn)
+	s.drawn = make(chan struct{})
+	for _, a := range s.shards[shard] {
+		x := s.wallet.State(a)
+		s.options.Metrics.observe(a, x)
+		s.options.Log.Write(lacelog.Draw, lacelog.P(lacelog.Account, a), lacelog.P("paid", x.Paid), lacelog.P(lacelog.Cap, x.Cap),
+			lacelog.P(lacelog.Used, x.Used), lacelog.P(lacelog.Held, x.Reserved), lacelog.P("others", x.Others))
+	}
+}
+
+// rouse makes the shard's loop draw soon.
+func (s *Service) rouse(shard int) {
+	select {
+	case s.wake[shard] <- struct{}{}:
+	default:
+		// It will run anyway.
+	}
+}
+
+func (s *Service) shard(account laceunit.AccountID) int {
+	h := fnv.New32a()
+	// A hash never fails to take bytes.
+	_, _ = h.Write([]byte(account))
+	return int(h.Sum32() % uint32(len(s.shards)))
+}
--- /dev/null
+++ b/lib/lacequota/wallet.go
@@ -0,0 +1,160 @@
+package lacequota
+
+import (
+	"time"
+
+	"lacewingcove/lib/laceunit"
+)
+
+// DefaultShare is the part of what an account has left that all instances together hold. A half bridges 9 s without
+// the store at 1.3 times the paid rate until a day is three quarters over, and loses no more than a half in a kill of
+// the whole fleet (docs/platform.md, budgets).
+const DefaultShare = 0.5
+
+// Verdict is the answer to a reservation.
+type Verdict int
+
+// The verdicts.
+const (
+	// Held means that the tokens are reserved; Settle must follow.
+	Held Verdict = iota + 1
+	// Short means that this instance's cap does not cover the request; a draw may.
+	Short
+	// Spent means that the account has not enough left at any instance.
+	Spent
+)
+
+// Wallet is what one instance may spend; it is a state machine without clock, store or locks.
+type Wallet struct {
+	self   laceunit.Holder
+	share  float64
+	purses map[laceunit.AccountID]*purse
+	// members is how many instances share an account.
+	members int
+}
+
+// purse is the instance's part of one account.
+type purse struct {
+	paid    laceunit.Tokens
+	prepaid bool
+	version laceunit.Version
+	// cap bounds used plus reserved; it is never above what the store holds for this incarnation plus folded.
+	cap laceunit.Tokens
+	// basis is what was paid when the sum of the caps was last seen to respect it.
+	basis laceunit.Tokens
+	// folded is the part of cap that another instance has counted as spent because it took this one for ended.
+	folded laceunit.Tokens
+
+	used     laceunit.Tokens
+	reserved laceunit.Tokens
+	// wanted is the largest reservation that the cap did not cover since the last draw.
+	wanted laceunit.Tokens
+	// reported is the spend that the store knows of.
+	reported laceunit.Tokens
+	// spent is the least that the fleet had spent at the last draw, without this instance's own.
+	others laceunit.Tokens
+	drawn  time.Time
+	due    bool
+}
+
+// NewWallet returns an empty wallet; share is the part of an account's rest that the fleet holds.
+func NewWallet(self laceunit.Holder, share float64) *Wallet {
+	return &Wallet{
+		self:    self,
+		share:   share,
+		purses:  map[laceunit.AccountID]*purse{},
+		members: 1,
+	}
+}
+
+// Paid sets what an account may consume in total. A lower total scales the cap at once, since the other instances do
+// the same: the scaled caps sum up to no more than the new total.
+func (w *Wallet) Paid(account laceunit.AccountID, total laceunit.Tokens, prepaid bool, version laceunit.Version) {
+	p := w.purse(account)
+	if version < p.version {
+		return
+	}
+	p.version = version
+	if p.paid != total || p.prepaid != prepaid {
+		p.due = true
+	}
+	p.paid, p.prepaid = total, prepaid
+}
+
+// Members sets how many instances share the accounts.
+func (w *Wallet) Members(n int) { w.members = max(n, 1) }
+
+// Reserve sets tokens aside for a request at its largest.
+func (w *Wallet) Reserve(now time.Time, account laceunit.AccountID, most laceunit.Tokens) Verdict {
+	p := w.purse(account)
+	if !p.prepaid || p.used+p.reserved+most <= p.limit() {
+		p.reserved += most
+		return Held
+	}
+	if !p.drawn.IsZero() && now.Sub(p.drawn) < spentFresh && p.others+p.used+p.reserved+most > p.paid {
+		return Spent
+	}
+	p.wanted = max(p.wanted, most)
+	p.due = true
+	return Short
+}
+
+// spentFresh is the age up to which the fleet's spend is taken as known; spend only grows, so that the age matters
+// only for a total that was raised meanwhile.
+const spentFresh = 2 * time.Second
+
+// Settle ends a reservation with what was consumed.
+func (w *Wallet) Settle(account laceunit.AccountID, most, consumed laceunit.Tokens) {
+	p := w.purse(account)
+	p.reserved -= most
+	p.used += min(max(consumed, 0), most)
+}
+
+// limit is the cap, scaled down when the total fell below the one it was drawn under.
+func (p *purse) limit() laceunit.Tokens {
+	if p.paid >= p.basis {
+		return p.cap
+	}
+	return laceunit.Tokens(float64(p.cap) * (float64(p.paid) / float64(p.basis)))
+}
+
+func (w *Wallet) purse(account laceunit.AccountID) *purse {
+	p := w.purses[account]
+	if p == nil {
+		p = &purse{}
+		w.purses[account] = p
+	}
+	return p
+}
+
+// Due reports whether the store should hear of an account: urgent when a request found too little.
+func (w *Wallet) Due(account laceunit.AccountID) (due, urgent bool) {
+	p := w.purses[account]
+	if p == nil || !p.prepaid {
+		return false, false
+	}
+	low := p.limit()-p.used-p.reserved < (p.cap-p.reported)/lowPart
+	return p.due || p.used != p.reported, p.wanted > 0 || p.due || (low && p.used != p.reported)
+}
+
+// lowPart is the part of a holding below which the next draw comes early.
+const lowPart = 3
+
+// State is what an instance knows of an account, for logs and metrics.
+type State struct {
+	Paid, Cap, Used, Reserved, Others laceunit.Tokens
+	Drawn                             time.Time
+}
+
+// State returns what is known of an account.
+func (w *Wallet) State(account laceunit.AccountID) State {
+	p := w.purse(account)
+	return State{
+		Paid:     p.paid,
+		Cap:      p.cap,
+		Used:     p.used,
+		Reserved: p.reserved,
+		Others:   p.others,
+		Drawn:    p.drawn,
+	}
+}
--- /dev/null
+++ b/lib/lacerelay/attempt.go
@@ -0,0 +1,290 @@
+package lacerelay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lacewingcove/lib/lacebalancer"
+	"lacewingcove/lib/laceconn"
+	"lacewingcove/lib/lacefault"
+	"lacewingcove/lib/lacelog"
+	"lacewingcove/lib/laceunit"
+)
+
+const (
+	// answerBytes bounds an answer that is held until it is complete.
+	answerBytes = 8 << 20
+	// patience is the part of the response-time objective that a request may wait for a server. Longer waits end in
+	// answers that are late anyway, while a refused caller can try elsewhere.
+	patience = 4
+	// longPatience bounds that wait for slow routes.
+	longPatience = 500 * time.Millisecond
+	// lateWait is how long before its deadline a request is no longer sent.
+	lateWait = 5 * time.Millisecond
+)
+
+// attempt is one send with what came back.
+type attempt struct {
+	server   laceunit.ServerID
+	end      ending
+	status   int
+	header   http.Header
+	body     []byte
+	exchange *laceconn.Exchange
+	reply    Reply
+	reason   string
+	// abort closes the caller's connection without the end of the answer.
+	abort bool
+}
+
+// run places and sends a request until it has an answer.
+func (r *Relay) run(ctx context.Context, w http.ResponseWriter, j *job) {
+	for {
+		decision := r.place(ctx, j)
+		if decision.Verdict != lacebalancer.Sent {
+			r.end(ctx, w, j, r.unplaced(ctx, j, decision))
+			return
+		}
+		started := time.Now()
+		a := r.send(ctx, j, decision)
+		if a.exchange != nil {
+			// The answer is a stream that has begun.
+			next := r.stream(ctx, w, j, &a)
+			r.settle(j, decision, &a, started)
+			if next {
+				continue
+			}
+			if a.abort {
+				panic(http.ErrAbortHandler)
+			}
+			return
+		}
+		r.settle(j, decision, &a, started)
+		switch decide(j.route, j.progress, a.end, a.status, r.mayRepeat(j)) {
+		case deliver:
+			r.deliver(w, j, &a)
+			return
+		case again:
+			continue
+		case refuse:
+			r.end(ctx, w, j, fault(lacefault.NoServer, "server refused: "+a.reason, r.backoff(j)))
+			return
+		case fail:
+			r.end(ctx, w, j, r.failure(&a))
+			return
+		}
+	}
+}
+
+// place finds a server for the next attempt.
+func (r *Relay) place(ctx context.Context, j *job) lacebalancer.Decision {
+	now := time.Now()
+	wait := longPatience
+	if j.route.Goal > 0 {
+		wait = min(wait, j.route.Goal/patience)
+	}
+	latest := now.Add(wait)
+	if latest.After(j.deadline) {
+		latest = j.deadline
+	}
+	d := r.options.Placer.Pick(ctx, lacebalancer.Request{
+		Pool:     pool(j.service),
+		Account:  j.account,
+		Priority: urgency(j.rank),
+		Prefix:   j.call.Prefix,
+		Exclude:  j.tried,
+		Once:     !repeatable(j.route),
+		Deadline: latest,
+	})
+	if d.Verdict == lacebalancer.Sent {
+		r.options.Log.Write(lacelog.Placed, lacelog.P(lacelog.Request, j.call.Attempt), lacelog.P(lacelog.Backend, d.Server),
+			lacelog.P(lacelog.Service, j.service), lacelog.P(lacelog.Number, j.progress.sends+1),
+			lacelog.P(lacelog.Load, d.Estimate), lacelog.P(lacelog.Age, d.Age.Milliseconds()),
+			lacelog.P("waited_ms", time.Since(now).Milliseconds()))
+	}
+	return d
+}
+
+// mostUrgent is the balancer's priority of rank 0.
+const mostUrgent = laceunit.PriorityCritical
+
+// urgency maps ranks, of which 0 is the first, to priorities, of which the highest is the first.
+func urgency(rank int) laceunit.Priority {
+	return max(mostUrgent-laceunit.Priority(max(rank, 0)), laceunit.PriorityDraft)
+}
+
+// unplaced returns what the caller of a request without a server hears.
+func (r *Relay) unplaced(ctx context.Context, j *job, d lacebalancer.Decision) *lacefault.Fault {
+	f := fault(lacefault.Overloaded, "all servers are busy", d.RetryAfter)
+	if d.Reason == lacebalancer.NoServer {
+		f = fault(lacefault.NoServer, "no server is in use", d.RetryAfter)
+	}
+	if j.progress.ran {
+		f.Outcome, f.Code = lacefault.Unknown, lacefault.ServerFailed
+	}
+	if ctx.Err() != nil && j.progress.ran {
+		f.Code = lacefault.TimedOut
+	}
+	return f
+}
+
+// failure returns what the caller of a request hears that may have run.
+func (r *Relay) failure(a *attempt) *lacefault.Fault {
+	f := &lacefault.Fault{
+		Outcome: lacefault.Unknown,
+		Code:    lacefault.ServerFailed,
+		Message: "server did not answer: " + a.reason,
+	}
+	if a.end == late {
+		f.Code = lacefault.TimedOut
+	}
+	return f
+}
+
+// backoff is what a refused caller is told to wait before it comes back.
+func (r *Relay) backoff(j *job) time.Duration {
+	return max(j.route.Goal/(2*patience), minBackoff)
+}
+
+// minBackoff keeps callers from coming back before a busy server can have ended a request.
+const minBackoff = 20 * time.Millisecond
+
+// end answers a request that no server answered, or breaks off its stream.
+func (r *Relay) end(ctx context.Context, w http.ResponseWriter, j *job, f *lacefault.Fault) {
+	if ctx.Err() != nil && errors.Is(context.Cause(ctx), context.Canceled) {
+		r.finish(j, 0, left.String())
+		panic(http.ErrAbortHandler)
+	}
+	if !j.first.IsZero() {
+		r.finish(j, 0, "broken_off")
+		panic(http.ErrAbortHandler)
+	}
+	r.refuse(w, j, f)
+}
+
+// send sends a request to the server that was chosen and reads the answer, or the header when it is a stream.
+func (r *Relay) send(ctx context.Context, j *job, d lacebalancer.Decision) attempt {
+	a := attempt{server: d.Server}
+	remaining := time.Until(j.deadline)
+	pool, ok := r.options.Backends.Pool(d.Server)
+	if !ok || remaining < lateWait {
+		a.end, a.reason = notSent, "server has gone or time is over"
+		return a
+	}
+	conn, err := pool.Get(ctx)
+	if err != nil {
+		a.end, a.reason = notSent, err.Error()
+		return a
+	}
+	j.progress.sends++
+	x, err := conn.Send(ctx, r.options.Codec.Request(j.call, j.body, Send{
+		Server:  d.Server,
+		Account: j.account,
+		Left:    time.Until(j.deadline),
+		Rank:    j.rank,
+		After:   j.last,
+	}))
+	if err != nil {
+		r.unanswered(ctx, j, &a, err)
+		return a
+	}
+	a.reply = r.options.Codec.Reply(x.Response)
+	a.status, a.header = x.Response.StatusCode, x.Response.Header
+	if a.reply.Load != nil {
+		r.options.Placer.Report(d.Server, *a.reply.Load)
+	}
+	if a.reply.Attempt != j.call.Attempt && (a.reply.Attempt != "" || !x.Fresh) {
+		x.Abort()
+		a.end, a.reason = broken, "answer belongs to another request"
+		return a
+	}
+	if j.route.Stream && a.status == http.StatusOK && a.reply.Signed {
+		a.exchange = x
+		return a
+	}
+	r.collect(ctx, &a, x)
+	return a
+}
+
+func (r *Relay) unanswered(ctx context.Context, j *job, a *attempt, err error) {
+	a.reason = err.Error()
+	switch {
+	case errors.Is(err, laceconn.ErrNotSent):
+		j.progress.sends--
+		a.end = notSent
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		a.end = late
+	case ctx.Err() != nil:
+		a.end = left
+	default:
+		a.end = broken
+	}
+}
+
+// collect reads an answer that is passed on only when it is complete.
+func (r *Relay) collect(ctx context.Context, a *attempt, x *laceconn.Exchange) {
+	body, err := io.ReadAll(io.LimitReader(x.Response.Body, answerBytes+1))
+	complete := err == nil && len(body) <= answerBytes
+	x.Finish(complete, a.reply.Idle)
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		a.end, a.reason = late, "time is over"
+	case !complete:
+		a.end, a.reason = broken, "answer was cut"
+	case a.reply.NotRun:
+		a.end, a.reason = notRun, http.StatusText(a.status)
+	case a.status < http.StatusMultipleChoices && !a.reply.Signed:
+		a.end, a.reason = broken, "success without a receipt"
+	default:
+		a.end, a.body = whole, body
+	}
+}
+
+// settle notes how an attempt ended and tells the balancer.
+func (r *Relay) settle(j *job, d lacebalancer.Decision, a *attempt, started time.Time) {
+	took := time.Since(started)
+	result := lacebalancer.Success
+	switch a.end {
+	case notSent:
+		j.progress.misses++
+		result = lacebalancer.Unreachable
+	case notRun:
+		result = lacebalancer.Busy
+	case broken:
+		result = lacebalancer.Failure
+	case late, left:
+		result = lacebalancer.Neutral
+	case whole:
+		if a.status >= http.StatusInternalServerError {
+			result = lacebalancer.Neutral
+		}
+	}
+	if a.end != notSent && a.end != notRun {
+		j.progress.ran = true
+	}
+	j.tried = append(j.tried, d.Server)
+	r.options.Placer.Done(d.Ticket, result, took)
+	r.options.Metrics.attempted(j, a.end)
+	r.options.Log.Write(lacelog.Attempt, lacelog.P(lacelog.Request, j.call.Attempt), lacelog.P(lacelog.Backend, d.Server),
+		lacelog.P(lacelog.Number, j.progress.sends), lacelog.P(lacelog.Outcome, a.end.String()),
+		lacelog.P(lacelog.Status, a.status), lacelog.P(lacelog.Reason, a.reason), lacelog.P(lacelog.Took, took.Milliseconds()),
+		lacelog.P(lacelog.Left, time.Until(j.deadline).Milliseconds()))
+}
+
+// deliver passes a complete answer on.
+func (r *Relay) deliver(w http.ResponseWriter, j *job, a *attempt) {
+	r.options.Codec.Answer(w.Header(), a.header, j.call)
+	w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	j.first = time.Now()
+	w.WriteHeader(a.status)
+	if _, err := w.Write(a.body); err != nil {
+		r.finish(j, a.status, left.String())
+		return
+	}
+	r.finish(j, a.status, "answered")
+}
--- /dev/null
+++ b/lib/lacerelay/backend.go
@@ -0,0 +1,190 @@
+package lacerelay
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"lacewingcove/lib/lacebalancer"
+	"lacewingcove/lib/laceconfig"
+	"lacewingcove/lib/laceconn"
+	"lacewingcove/lib/lacelog"
+	"lacewingcove/lib/laceunit"
+)
+
+// lapseTime is how long a server stays in use whose entry may have lapsed while the store was away. Servers that live
+// are back in the list by then.
+const lapseTime = 2 * time.Second
+
+// Backend is a backend server as it registered itself.
+type Backend struct {
+	ID      laceunit.ServerID
+	Service laceunit.ServiceID
+	Address laceunit.Address
+	Zone    laceunit.ZoneID
+	Slots   int
+	Leaving bool
+	// Born tells the starts of a server under one id apart.
+	Born int64
+}
+
+// backend is a server with its connections.
+type backend struct {
+	Backend
+	pool *laceconn.Pool
+	// until is when a server that is missing from the list goes out of use; zero while it is listed.
+	until time.Time
+}
+
+// Backends is the set of usable backend servers; it tells the placer of changes.
+type Backends struct {
+	placer *Placer
+	log    *lacelog.Logger
+
+	mu    sync.Mutex
+	all   map[laceunit.ServerID]*backend
+	bound func(laceunit.ServiceID) int
+}
+
+// NewBackends returns an empty set; bound is how many connections this instance may have to a server of a service.
+func NewBackends(placer *Placer, log *lacelog.Logger, bound func(laceunit.ServiceID) int) *Backends {
+	return &Backends{
+		placer: placer,
+		log:    log,
+		all:    map[laceunit.ServerID]*backend{},
+		bound:  bound,
+	}
+}
+
+// Apply takes over servers that registered or changed, and ids that are no longer listed. With lapsed the missing ones
+// may only have lost their entries while the store was away.
+func (b *Backends) Apply(now time.Time, listed []Backend, missing []laceunit.ServerID, lapsed bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	changed := false
+	for _, x := range listed {
+		changed = b.put(x) || changed
+	}
+	for _, id := range missing {
+		x := b.all[id]
+		if x == nil || !x.until.IsZero() {
+			continue
+		}
+		if lapsed && !x.Leaving {
+			x.until = now.Add(lapseTime)
+			b.note(x, "missing")
+			continue
+		}
+		b.drop(x, "gone")
+		changed = true
+	}
+	if changed {
+		b.publish(now)
+	}
+}
+
+// Tick drops servers whose entries have not come back in time.
+func (b *Backends) Tick(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	changed := false
+	for _, x := range b.all {
+		if !x.until.IsZero() && !now.Before(x.until) {
+			b.drop(x, "lapsed")
+			changed = true
+		}
+	}
+	if changed {
+		b.publish(now)
+	}
+}
+
+// Pool returns the connections to a server.
+func (b *Backends) Pool(id laceunit.ServerID) (*laceconn.Pool, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	x, ok := b.all[id]
+	if !ok {
+		return nil, false
+	}
+	return x.pool, true
+}
+
+// Close closes all idle connections.
+func (b *Backends) Close() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, x := range b.all {
+		if err := x.pool.Close(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (b *Backends) put(x Backend) bool {
+	old := b.all[x.ID]
+	if old != nil && old.Backend == x && old.until.IsZero() {
+		return false
+	}
+	fresh := backend{Backend: x}
+	if old != nil && old.Address == x.Address && old.Born == x.Born {
+		fresh.pool = old.pool
+	} else {
+		if old != nil {
+			b.drop(old, "restarted")
+		}
+		fresh.pool = laceconn.NewPool(x.Address, b.bound(x.Service))
+	}
+	b.all[x.ID] = &fresh
+	state := "ready"
+	if x.Leaving {
+		state = "leaving"
+	}
+	b.note(&fresh, state)
+	return true
+}
+
+func (b *Backends) drop(x *backend, state string) {
+	delete(b.all, x.ID)
+	// Connections in use end with their requests.
+	if err := x.pool.Close(); err != nil {
+		b.log.Fault(err, "connections were not closed", lacelog.P(lacelog.Backend, x.ID))
+	}
+	b.note(x, state)
+}
+
+func (b *Backends) note(x *backend, state string) {
+	b.log.Write(lacelog.Server, lacelog.P(lacelog.Backend, x.ID), lacelog.P(lacelog.Service, x.Service),
+		lacelog.P("address", x.Address), lacelog.P("zone", x.Zone), lacelog.P("slots", x.Slots), lacelog.P("state", state))
+}
+
+func (b *Backends) publish(now time.Time) {
+	servers := make(map[laceunit.ServerID]laceconfig.Server, len(b.all))
+	for id, x := range b.all {
+		servers[id] = laceconfig.Server{
+			Kind:     laceconfig.KindService,
+			Address:  x.Address,
+			Place:    laceunit.Place{Zone: x.Zone},
+			Services: []laceunit.ServiceID{x.Service},
+			Slots:    x.Slots,
+			Leaving:  x.Leaving,
+		}
+	}
+	b.placer.Update(now, servers)
+}
+
+// Known returns the ids of the servers in use, in order.
+func (b *Backends) Known() []laceunit.ServerID {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	ids := make([]laceunit.ServerID, 0, len(b.all))
+	for id := range b.all {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// pool names the balancer's pool of a service.
+func pool(service laceunit.ServiceID) lacebalancer.Pool { return lacebalancer.ServicePool(service) }
--- /dev/null
+++ b/lib/lacerelay/relay.go
@@ -0,0 +1,316 @@
+package lacerelay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"lacewingcove/lib/lacefault"
+	"lacewingcove/lib/lacelimit"
+	"lacewingcove/lib/lacelog"
+	"lacewingcove/lib/lacequota"
+	"lacewingcove/lib/laceroute"
+	"lacewingcove/lib/laceunit"
+)
+
+const (
+	// defaultWait is the time limit of a request when neither its caller nor its route sets one.
+	defaultWait = time.Minute
+	// bodyWait bounds the reading of a request's body.
+	bodyWait = 10 * time.Second
+	// reserveWait is how long a request may wait for a draw on the store, which takes two calls of a few milliseconds.
+	reserveWait = 120 * time.Millisecond
+	// writeSlack is how long after a request's deadline its answer may still be written.
+	writeSlack = 2 * time.Second
+	// startRetry is what a caller is told to wait for an instance that has no configuration yet.
+	startRetry = 500 * time.Millisecond
+	// budgetRetry is what a caller is told to wait when tokens are held by other instances.
+	budgetRetry = time.Second
+	// stopRetry is what a caller is told that should go to another instance.
+	stopRetry = 10 * time.Millisecond
+)
+
+// Quota reserves tokens of client accounts.
+type Quota interface {
+	Reserve(ctx context.Context, account laceunit.AccountID, most laceunit.Tokens) (lacequota.Verdict, lacequota.State)
+	Settle(account laceunit.AccountID, most, consumed laceunit.Tokens)
+}
+
+// RetryBounds are the fleet's bounds on what is sent more than once.
+type RetryBounds struct {
+	Window time.Duration
+	Ratio  float64
+	Slack  float64
+}
+
+// Options configure a relay.
+type Options struct {
+	Codec    Codec
+	Routes   *laceroute.Current
+	Quota    Quota
+	Placer   *Placer
+	Backends *Backends
+	Retries  RetryBounds
+	// Members is how many instances share the retry budget.
+	Members func() int
+	Log     *lacelog.Logger
+	Metrics *Metrics
+}
+
+// Relay serves callers.
+type Relay struct {
+	options Options
+	// stopping is true once new requests are refused, closing once connections end with their answers.
+	stopping atomic.Bool
+	closing  atomic.Bool
+	running  atomic.Int64
+
+	mu      sync.Mutex
+	retries map[laceunit.ServiceID]*lacelimit.RetryBudget
+}
+
+// New returns a relay.
+func New(options Options) *Relay {
+	return &Relay{
+		options: options,
+		retries: map[laceunit.ServiceID]*lacelimit.RetryBudget{},
+	}
+}
+
+// Closing makes callers leave: each answer ends its connection.
+func (r *Relay) Closing() { r.closing.Store(true) }
+
+// Stop refuses new requests; running ones go on.
+func (r *Relay) Stop() { r.stopping.Store(true) }
+
+// Running returns how many requests are being served.
+func (r *Relay) Running() int { return int(r.running.Load()) }
+
+// job is one request on its way.
+type job struct {
+	call     Call
+	route    *laceroute.Route
+	service  laceunit.ServiceID
+	stride   int
+	account  laceunit.AccountID
+	rank     int
+	version  laceunit.Version
+	body     []byte
+	arrived  time.Time
+	deadline time.Time
+
+	progress progress
+	tried    []laceunit.ServerID
+	// events counts the events that were passed on, last is the id of the newest.
+	events int
+	last   string
+	// first is when the answer began to reach the caller.
+	first time.Time
+}
+
+// ServeHTTP implements http.Handler.
+func (r *Relay) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	r.running.Add(1)
+	defer r.running.Add(-1)
+	if r.closing.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	j := &job{arrived: time.Now()}
+	var err error
+	if j.call, err = r.options.Codec.Call(q); err != nil {
+		r.refuse(w, j, fault(lacefault.BadRequest, err.Error(), 0))
+		return
+	}
+	j.last = j.call.After
+	if f := r.admit(w, q, j); f != nil {
+		r.refuse(w, j, f)
+		return
+	}
+	most := j.call.Input + j.call.Output
+	metered := j.call.Metered && j.account != ""
+	if metered {
+		if f := r.reserve(q.Context(), j, most); f != nil {
+			r.refuse(w, j, f)
+			return
+		}
+		defer func() { r.options.Quota.Settle(j.account, most, j.consumed()) }()
+	}
+	r.retry(j.service, func(b *lacelimit.RetryBudget) bool {
+		b.Request(j.arrived)
+		return true
+	})
+	ctx, cancel := context.WithDeadline(q.Context(), j.deadline)
+	defer cancel()
+	r.run(ctx, w, j)
+}
+
+// consumed is what a request costs: its prompt once, if a server may have read it, and what was passed on.
+func (j *job) consumed() laceunit.Tokens {
+	if !j.progress.ran {
+		return 0
+	}
+	return j.call.Input + min(j.call.Output, laceunit.Tokens(j.events*max(j.stride, 1)))
+}
+
+// admit finds the route, the account and the time limit, and reads the body.
+func (r *Relay) admit(w http.ResponseWriter, q *http.Request, j *job) *lacefault.Fault {
+	table := r.options.Routes.Load()
+	if table == nil {
+		return fault(lacefault.Stale, "no configuration yet", startRetry)
+	}
+	j.version = table.Version()
+	if r.stopping.Load() {
+		return fault(lacefault.Draining, "instance is stopping", stopRetry)
+	}
+	var ok bool
+	if j.route, ok = table.Match(j.call.Host, j.call.Path); !ok {
+		return fault(lacefault.NotFound, "no route", 0)
+	}
+	if f := j.authorize(table); f != nil {
+		return f
+	}
+	if j.service, ok = j.route.Target(xxhash.Sum64String(string(j.call.Attempt))); !ok {
+		return fault(lacefault.NoServer, "route has no service", startRetry)
+	}
+	if s, known := table.Service(j.service); known && s.Engine != nil {
+		j.stride = s.Engine.Stride
+	}
+	wait := j.call.Wait
+	if wait <= 0 {
+		wait = defaultWait
+	}
+	if t := j.route.Timeout; t > 0 {
+		wait = min(wait, t)
+	}
+	j.deadline = j.arrived.Add(wait)
+	return r.read(w, q, j, table.Limits().Body)
+}
+
+func (j *job) authorize(table *laceroute.Table) *lacefault.Fault {
+	j.rank = j.route.Rank
+	if !table.Keyed() {
+		return nil
+	}
+	a, ok := table.Account(j.call.Key)
+	if !ok {
+		if j.route.Anonymous {
+			return nil
+		}
+		return fault(lacefault.Unauthorized, "unknown key", 0)
+	}
+	j.account = a.ID
+	if a.Ranked {
+		j.rank = a.Rank
+	}
+	return nil
+}
+
+func (r *Relay) read(w http.ResponseWriter, q *http.Request, j *job, most int64) *lacefault.Fault {
+	control := http.NewResponseController(w)
+	// Errors of deadlines mean that the connection has gone, which reading finds out.
+	_ = control.SetReadDeadline(j.arrived.Add(bodyWait))
+	_ = control.SetWriteDeadline(j.deadline.Add(writeSlack))
+	if q.ContentLength == 0 {
+		_ = control.SetReadDeadline(time.Time{})
+		return nil
+	}
+	if most <= 0 {
+		most = 1 << 20
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, q.Body, most))
+	_ = control.SetReadDeadline(time.Time{})
+	if err == nil {
+		j.body = body
+		return nil
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return fault(lacefault.TooLarge, "body is too large", 0)
+	}
+	return fault(lacefault.BadRequest, "body could not be read: "+err.Error(), 0)
+}
+
+func (r *Relay) reserve(ctx context.Context, j *job, most laceunit.Tokens) *lacefault.Fault {
+	limited, cancel := context.WithTimeout(ctx, reserveWait)
+	defer cancel()
+	verdict, state := r.options.Quota.Reserve(limited, j.account, most)
+	if verdict == lacequota.Held {
+		return nil
+	}
+	r.options.Log.Write(lacelog.Refused, lacelog.P(lacelog.Request, j.call.Attempt), lacelog.P(lacelog.Reason, "budget"),
+		lacelog.P(lacelog.Account, j.account), lacelog.P(lacelog.Tokens, most), lacelog.P("paid", state.Paid),
+		lacelog.P(lacelog.Cap, state.Cap), lacelog.P(lacelog.Used, state.Used), lacelog.P(lacelog.Held, state.Reserved),
+		lacelog.P("others", state.Others), lacelog.P(lacelog.Age, time.Since(state.Drawn).Milliseconds()))
+	if verdict == lacequota.Spent {
+		return fault(lacefault.BudgetSpent, "prepaid tokens are spent", 0)
+	}
+	return fault(lacefault.BudgetBlocked, "prepaid tokens are held by other instances", budgetRetry)
+}
+
+// retry works on the retry budget of a service.
+func (r *Relay) retry(service laceunit.ServiceID, f func(*lacelimit.RetryBudget) bool) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	b := r.retries[service]
+	if b == nil {
+		b = &lacelimit.RetryBudget{
+			Window: r.options.Retries.Window,
+			Ratio:  r.options.Retries.Ratio,
+			Slack:  r.options.Retries.Slack,
+		}
+		r.retries[service] = b
+	}
+	return f(b)
+}
+
+// mayRepeat draws on the retry budget of the job's service.
+func (r *Relay) mayRepeat(j *job) func() bool {
+	return func() bool {
+		return r.retry(j.service, func(b *lacelimit.RetryBudget) bool {
+			return b.Allow(time.Now(), r.options.Members())
+		})
+	}
+}
+
+// refuse ends a request that is not answered by a server.
+func (r *Relay) refuse(w http.ResponseWriter, j *job, f *lacefault.Fault) {
+	r.options.Codec.Refuse(w, j.call, f)
+	r.finish(j, f.Code.Status(), string(f.Code))
+	if f.Outcome == lacefault.NotRun {
+		r.options.Log.Write(lacelog.Refused, lacelog.P(lacelog.Request, j.call.Attempt), lacelog.P(lacelog.Reason, f.Code),
+			lacelog.P("message", f.Message), lacelog.P(lacelog.Route, j.name()), lacelog.P(lacelog.Account, j.account),
+			lacelog.P(lacelog.Version, j.version), lacelog.P(lacelog.Retry, f.RetryAfter.Milliseconds()))
+	}
+}
+
+// finish counts and logs the end of a request.
+func (r *Relay) finish(j *job, status int, outcome string) {
+	took := time.Since(j.arrived)
+	r.options.Metrics.done(j, outcome, took)
+	r.options.Log.Write(lacelog.Done, lacelog.P(lacelog.Request, j.call.Attempt), lacelog.P(lacelog.Outcome, outcome),
+		lacelog.P(lacelog.Status, status), lacelog.P(lacelog.Route, j.name()), lacelog.P(lacelog.Account, j.account),
+		lacelog.P(lacelog.Number, j.progress.sends), lacelog.P(lacelog.Events, j.events),
+		lacelog.P(lacelog.Took, took.Milliseconds()), lacelog.P(lacelog.Version, j.version))
+}
+
+func (j *job) name() string {
+	if j.route == nil {
+		return ""
+	}
+	return j.route.Name
+}
+
+func fault(code lacefault.Code, message string, after time.Duration) *lacefault.Fault {
+	return &lacefault.Fault{
+		Outcome:    lacefault.NotRun,
+		Code:       code,
+		Message:    message,
+		RetryAfter: after,
+	}
+}
