lacequota: holdings follow demand

Cause: the fleet's share was divided evenly, and the first instances to start kept half of each account.

--- a/lib/lacedirectory/board.go
+++ b/lib/lacedirectory/board.go
@@ -113,6 +113,14 @@
 	return b.peak
 }
 
+// Live reports whether an incarnation is listed.
+func (b *Board) Live(h laceunit.Holder) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	m, ok := b.members[h.Instance]
+	return ok && m.Holder == h
+}
+
 // Ended reports whether an incarnation has been missing for so long that it counts as gone.
 func (b *Board) Ended(h laceunit.Holder) bool {
 	b.mu.Lock()
--- a/lib/lacequota/codec.go
+++ b/lib/lacequota/codec.go
@@ -28,6 +28,7 @@
 type holdingForm struct {
 	Cap  int64 `json:"cap"`
 	Used int64 `json:"used"`
+	Rate int64 `json:"rate"`
 }
 
 // Encode writes a page.
@@ -45,6 +46,7 @@
 			f.Holders[k.String()] = holdingForm{
 				Cap:  int64(h.Cap),
 				Used: int64(h.Used),
+				Rate: int64(h.Rate),
 			}
 		}
 		form.Budgets[string(id)] = f
@@ -79,6 +81,7 @@
 			b.Holders[holder] = Holding{
 				Cap:  laceunit.Tokens(h.Cap),
 				Used: laceunit.Tokens(h.Used),
+				Rate: laceunit.Tokens(h.Rate),
 			}
 		}
 		p.Budgets[laceunit.AccountID(id)] = b
--- a/lib/lacequota/draw.go
+++ b/lib/lacequota/draw.go
@@ -27,7 +27,7 @@
 // Plan computes a change of a page for the accounts of its shard. Caps that fall take effect at once, before the page
 // is written; those that rise wait for Commit. The ended holders are counted as spent. With release the instance keeps
 // only what it has spent or reserved.
-func (w *Wallet) Plan(page Page, accounts []laceunit.AccountID, ended func(laceunit.Holder) bool, release bool) Draw {
+func (w *Wallet) Plan(now time.Time, page Page, accounts []laceunit.AccountID, fleet Fleet, release bool) Draw {
 	d := Draw{
 		Page: Page{Budgets: maps.Clone(page.Budgets)},
 		caps: map[laceunit.AccountID]grant{},
@@ -40,16 +40,26 @@
 		if !p.prepaid {
 			continue
 		}
-		b, g := w.plan(p, page.Budgets[a], ended, release)
+		b, g := w.plan(now, p, page.Budgets[a], fleet, release)
 		d.Page.Budgets[a], d.caps[a] = b, g
 		p.cap = min(p.cap, g.cap)
 	}
 	return d
 }
 
-func (w *Wallet) plan(p *purse, b Budget, ended func(laceunit.Holder) bool, release bool) (Budget, grant) {
+// Fleet tells what is known of the instances.
+type Fleet struct {
+	// Members is how many instances take requests.
+	Members int
+	// Live reports whether an incarnation is a member.
+	Live func(laceunit.Holder) bool
+	// Ended reports whether an incarnation is known to be gone for good.
+	Ended func(laceunit.Holder) bool
+}
+
+func (w *Wallet) plan(now time.Time, p *purse, b Budget, fleet Fleet, release bool) (Budget, grant) {
 	b = b.fold(func(h laceunit.Holder) bool {
-		return h != w.self && (h.Instance == w.self.Instance || ended(h))
+		return h != w.self && (h.Instance == w.self.Instance || fleet.Ended(h))
 	})
 	own, known := b.Holders[w.self]
 	folded := p.folded
@@ -69,8 +79,8 @@
 	free := max(paid-elsewhere, 0)
 	spent := b.Spent() - own.Used
 	rest := max(paid-spent-p.used-p.reserved, 0)
-	hold := laceunit.Tokens(w.share * float64(rest) / float64(w.members))
-	hold = max(hold, p.wanted)
+	others := b.Rate(func(h laceunit.Holder) bool { return h != w.self && fleet.Live(h) })
+	hold := max(w.hold(p.rate(now), others, rest, fleet.Members), p.wanted)
 	if release {
 		hold = 0
 	}
@@ -85,6 +95,7 @@
 	return b.with(w.self, Holding{
 			Cap:  goal,
 			Used: used,
+			Rate: p.rate(now),
 		}), grant{
 			cap:    goal + folded,
 			folded: folded,
@@ -95,6 +106,18 @@
 		}
 }
 
+// hold is how much an instance keeps beyond its spend: its part of the share of the rest, by demand, and no more than
+// what lasts for an outage.
+func (w *Wallet) hold(own, others, rest laceunit.Tokens, members int) laceunit.Tokens {
+	shared := w.share * float64(rest)
+	even := shared / float64(max(members, 1))
+	if own+others == 0 {
+		return laceunit.Tokens(even)
+	}
+	part := evenPart*even + (1-evenPart)*shared*float64(own)/float64(own+others)
+	return laceunit.Tokens(max(min(part, cover.Seconds()*float64(own)), evenPart*even))
+}
+
 // Commit takes on the caps of a draw that the store has written.
 func (w *Wallet) Commit(now time.Time, d Draw) {
 	for a, g := range d.caps {
--- a/lib/lacequota/page.go
+++ b/lib/lacequota/page.go
@@ -4,10 +4,12 @@
 	"lacewingcove/lib/laceunit"
 )
 
-// Holding is what one instance incarnation may spend of an account in total, and what it has reported as spent.
+// Holding is what one instance incarnation may spend of an account in total, and what it has reported.
 type Holding struct {
 	Cap  laceunit.Tokens
 	Used laceunit.Tokens
+	// Rate is how many tokens a second its callers lately asked for.
+	Rate laceunit.Tokens
 }
 
 // Budget is the state of one client account.
@@ -44,11 +46,13 @@
 	return sum
 }
 
-// Idle is what the live holders have not reported as spent.
-func (b Budget) Idle() laceunit.Tokens {
+// Rate is how many tokens a second callers lately asked of the holders that match.
+func (b Budget) Rate(match func(laceunit.Holder) bool) laceunit.Tokens {
 	var sum laceunit.Tokens
-	for _, h := range b.Holders {
-		sum += h.Cap - h.Used
+	for k, h := range b.Holders {
+		if match(k) {
+			sum += h.Rate
+		}
 	}
 	return sum
 }
--- a/lib/lacequota/service.go
+++ b/lib/lacequota/service.go
@@ -17,10 +17,12 @@
 )
 
 const (
-	// reportInterval is how often an instance reports spend and evens out its holdings; one call each way.
-	reportInterval = time.Second
+	// reportInterval is how often an instance reports spend and adapts its holdings; two calls each time.
+	reportInterval = 2 * time.Second
+	// memberInterval is the interval for each member in larger fleets, so that few of their writes meet.
+	memberInterval = 100 * time.Millisecond
 	// drawPause bounds urgent draws to a few a second.
-	drawPause = 100 * time.Millisecond
+	drawPause = 200 * time.Millisecond
 	// callTimeout bounds one call to the store, which answers in milliseconds when it is well.
 	callTimeout = 800 * time.Millisecond
 	// conflictTries is how often a change is planned again after another instance's write.
@@ -31,6 +33,8 @@
 type Members interface {
 	// Count is the number of instances that take requests.
 	Count() int
+	// Live reports whether an incarnation is listed.
+	Live(holder laceunit.Holder) bool
 	// Ended reports whether an incarnation is known to be gone for good.
 	Ended(holder laceunit.Holder) bool
 }
@@ -123,14 +127,14 @@
 }
 
 // contactFresh is the age of the last answered draw up to which another one is worth a short wait.
-const contactFresh = 2 * reportInterval
+const contactFresh = 3 * time.Second
 
 // Settle ends a reservation with what was consumed.
 func (s *Service) Settle(account laceunit.AccountID, most, consumed laceunit.Tokens) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.wallet.Settle(account, most, consumed)
-	if _, urgent := s.wallet.Due(account); urgent {
+	if s.wallet.Urgent(account) {
 		s.rouse(s.shard(account))
 	}
 }
@@ -183,13 +187,14 @@
 		case <-timer.C:
 		}
 		last = time.Now()
-		if s.pending(shard) {
+		if s.serves(shard) {
 			if err := s.draw(ctx, shard, false); err != nil && ctx.Err() == nil {
 				s.options.Log.Fault(err, "budgets were not drawn", lacelog.P(lacelog.Age, s.silence().Milliseconds()))
 				s.options.Metrics.failed()
 			}
 		}
-		timer.Reset(reportInterval*3/4 + rand.N(reportInterval/2))
+		interval := max(reportInterval, memberInterval*time.Duration(s.options.Members.Count()))
+		timer.Reset(interval*3/4 + rand.N(interval/2))
 	}
 }
 
@@ -210,15 +215,11 @@
 	return time.Since(s.contact)
 }
 
-func (s *Service) pending(shard int) bool {
+// serves reports whether the shard has accounts.
+func (s *Service) serves(shard int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, a := range s.shards[shard] {
-		if due, _ := s.wallet.Due(a); due {
-			return true
-		}
-	}
-	return false
+	return len(s.shards[shard]) > 0
 }
 
 // draw reads the shard's page and writes it with this instance's new caps.
@@ -270,8 +271,11 @@
 func (s *Service) plan(page Page, shard int, release bool) (Draw, []byte, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.wallet.Members(s.options.Members.Count())
-	d := s.wallet.Plan(page, s.shards[shard], s.options.Members.Ended, release)
+	d := s.wallet.Plan(time.Now(), page, s.shards[shard], Fleet{
+		Members: s.options.Members.Count(),
+		Live:    s.options.Members.Live,
+		Ended:   s.options.Members.Ended,
+	}, release)
 	value, err := Encode(d.Page)
 	return d, value, err
 }
--- a/lib/lacequota/wallet.go
+++ b/lib/lacequota/wallet.go
@@ -1,6 +1,7 @@
 package lacequota
 
 import (
+	"math"
 	"time"
 
 	"lacewingcove/lib/laceunit"
@@ -11,6 +12,17 @@
 // the whole fleet (docs/platform.md, budgets).
 const DefaultShare = 0.5
 
+const (
+	// cover is how long a holding lasts without the store at the rate at which callers asked lately. Partitions of 9 s
+	// are usual, and the rate is an average over requests of very unequal size.
+	cover = 15 * time.Second
+	// rateTime is the time over which the rate is averaged.
+	rateTime = 8 * time.Second
+	// evenPart is divided evenly; the rest follows demand, since many accounts use one instance only. It serves callers
+	// that change the instance during an outage.
+	evenPart = 0.1
+)
+
 // Verdict is the answer to a reservation.
 type Verdict int
 
@@ -29,8 +41,6 @@
 	self   laceunit.Holder
 	share  float64
 	purses map[laceunit.AccountID]*purse
-	// members is how many instances share an account.
-	members int
 }
 
 // purse is the instance's part of one account.
@@ -54,16 +64,37 @@
 	// spent is the least that the fleet had spent at the last draw, without this instance's own.
 	others laceunit.Tokens
 	drawn  time.Time
-	due    bool
+	// due is true when the store should be asked soon.
+	due bool
+	// asked is the decayed sum of what callers asked for, up to the moment at.
+	asked float64
+	at    time.Time
+}
+
+// ask adds a request's tokens to the rate.
+func (p *purse) ask(now time.Time, tokens laceunit.Tokens) {
+	p.asked = p.decayed(now) + float64(tokens)
+	p.at = now
+}
+
+func (p *purse) decayed(now time.Time) float64 {
+	if p.at.IsZero() {
+		return 0
+	}
+	return p.asked * math.Exp(-float64(now.Sub(p.at))/float64(rateTime))
+}
+
+// rate is how many tokens a second callers lately asked for.
+func (p *purse) rate(now time.Time) laceunit.Tokens {
+	return laceunit.Tokens(p.decayed(now) / rateTime.Seconds())
 }
 
 // NewWallet returns an empty wallet; share is the part of an account's rest that the fleet holds.
 func NewWallet(self laceunit.Holder, share float64) *Wallet {
 	return &Wallet{
-		self:    self,
-		share:   share,
-		purses:  map[laceunit.AccountID]*purse{},
-		members: 1,
+		self:   self,
+		share:  share,
+		purses: map[laceunit.AccountID]*purse{},
 	}
 }
 
@@ -81,12 +112,10 @@
 	p.paid, p.prepaid = total, prepaid
 }
 
-// Members sets how many instances share the accounts.
-func (w *Wallet) Members(n int) { w.members = max(n, 1) }
-
 // Reserve sets tokens aside for a request at its largest.
 func (w *Wallet) Reserve(now time.Time, account laceunit.AccountID, most laceunit.Tokens) Verdict {
 	p := w.purse(account)
+	p.ask(now, most)
 	if !p.prepaid || p.used+p.reserved+most <= p.limit() {
 		p.reserved += most
 		return Held
@@ -127,14 +156,15 @@
 	return p
 }
 
-// Due reports whether the store should hear of an account: urgent when a request found too little.
-func (w *Wallet) Due(account laceunit.AccountID) (due, urgent bool) {
+// Urgent reports whether the store should be asked about an account soon: a request found too little, what was paid has
+// changed, or the cap is nearly used up.
+func (w *Wallet) Urgent(account laceunit.AccountID) bool {
 	p := w.purses[account]
 	if p == nil || !p.prepaid {
-		return false, false
+		return false
 	}
 	low := p.limit()-p.used-p.reserved < (p.cap-p.reported)/lowPart
-	return p.due || p.used != p.reported, p.wanted > 0 || p.due || (low && p.used != p.reported)
+	return p.due || (low && p.used != p.reported)
 }
 
 // lowPart is the part of a holding below which the next draw comes early.
