lacequota, lacenode: rate without start-up bias; affinity over an even load

Cause: the averaged rate counted the seconds before the first request, so holdings at the first partition covered less than half of the demand, and requests of ten times the mean size did not fit. Shared parts were read again because the balancer gave an affinity up at 1.25 times the mean load, and used one order for each instance until it had load reports. Ruled out: eviction of shared parts; the servers' memory holds about 30 s of what is read. Change: rate over the time covered, room for two of the largest requests, retry time of 100 ms for tokens held elsewhere; affinity bound 2 and one rendezvous order for all instances.

--- a/lib/lacebalancer/balancer.go
+++ b/lib/lacebalancer/balancer.go
@@ -67,8 +67,17 @@
 	latency float64
 }
 
+// Option changes a balancer at construction.
+type Option func(*Balancer)
+
+// WithOneOrder makes all instances use one rendezvous order even while they can't see the servers' load. Prompts that
+// share long parts are then read by one server, at the price of less even load.
+func WithOneOrder() Option {
+	return func(b *Balancer) { b.salt = 0 }
+}
+
 // New returns a balancer without servers.
-func New(routing laceconfig.Routing, random Random) (*Balancer, error) {
+func New(routing laceconfig.Routing, random Random, options ...Option) (*Balancer, error) {
 	b := &Balancer{
 		random:  random,
 		pools:   map[Pool]*pool{},
@@ -78,6 +87,9 @@
 		retries: retryBurst,
 		salt:    mix(uint64(random(orders) + 1)),
 	}
+	for _, o := range options {
+		o(b)
+	}
 	return b, b.Configure(routing)
 }
 
--- a/lib/lacenode/node.go
+++ b/lib/lacenode/node.go
@@ -28,6 +28,10 @@
 	budgetPrefix laceplatform.Key = "lace/budget/"
 )
 
+// affinityBound is how far above the mean a server may be loaded before a prompt goes to one that has not read its shared
+// part. Reading a part of 5,000 tokens again costs as much time as a few running requests add.
+const affinityBound = 2
+
 // Names of the services in the kernel.
 const (
 	nameConfigs   lacekernel.Name = "configs"
@@ -115,7 +119,7 @@
 		Log:     n.log,
 		Metrics: lacequota.NewMetrics(n.registry),
 	})
-	balancer, err := lacebalancer.New(laceconfig.Routing{}, rand.IntN)
+	balancer, err := lacebalancer.New(laceconfig.Routing{Bound: affinityBound}, rand.IntN, lacebalancer.WithOneOrder())
 	if err != nil {
 		return errors.Wrap(err, "node: balancer")
 	}
--- a/lib/lacenode/setting.go
+++ b/lib/lacenode/setting.go
@@ -76,8 +76,8 @@
 			Ratio:  0.1,
 			Slack:  10,
 		},
-		Store:  Store{Lease: time.Second},
-		Life:   time.Second,
+		Store: Store{Lease: time.Second},
+		Life:  time.Second,
 		Ledger: Ledger{
 			Shards: 1,
 			Share:  lacequota.DefaultShare,
--- a/lib/lacequota/draw.go
+++ b/lib/lacequota/draw.go
@@ -80,7 +80,7 @@
 	spent := b.Spent() - own.Used
 	rest := max(paid-spent-p.used-p.reserved, 0)
 	others := b.Rate(func(h laceunit.Holder) bool { return h != w.self && fleet.Live(h) })
-	hold := max(w.hold(p.rate(now), others, rest, fleet.Members), p.wanted)
+	hold := max(w.hold(now, p, others, rest, fleet.Members), p.wanted)
 	if release {
 		hold = 0
 	}
@@ -108,14 +108,17 @@
 
 // hold is how much an instance keeps beyond its spend: its part of the share of the rest, by demand, and no more than
 // what lasts for an outage.
-func (w *Wallet) hold(own, others, rest laceunit.Tokens, members int) laceunit.Tokens {
+func (w *Wallet) hold(now time.Time, p *purse, others, rest laceunit.Tokens, members int) laceunit.Tokens {
+	own := p.rate(now)
 	shared := w.share * float64(rest)
 	even := shared / float64(max(members, 1))
 	if own+others == 0 {
 		return laceunit.Tokens(even)
 	}
 	part := evenPart*even + (1-evenPart)*shared*float64(own)/float64(own+others)
-	return laceunit.Tokens(max(min(part, cover.Seconds()*float64(own)), evenPart*even))
+	// Requests are of very unequal size, so that a few of the largest have to fit beside the average.
+	enough := cover.Seconds()*float64(own) + lumps*p.lump
+	return laceunit.Tokens(max(min(part, enough), evenPart*even))
 }
 
 // Commit takes on the caps of a draw that the store has written.
--- a/lib/lacequota/wallet.go
+++ b/lib/lacequota/wallet.go
@@ -21,6 +21,8 @@
 	// evenPart is divided evenly; the rest follows demand, since many accounts use one instance only. It serves callers
 	// that change the instance during an outage.
 	evenPart = 0.1
+	// lumps is how many requests of the largest recent size a holding covers beside the average.
+	lumps = 2
 )
 
 // Verdict is the answer to a reservation.
@@ -69,26 +71,42 @@
 	// asked is the decayed sum of what callers asked for, up to the moment at.
 	asked float64
 	at    time.Time
+	// began is the first request's moment.
+	began time.Time
+	// lump is the decayed size of the largest request.
+	lump float64
 }
 
 // ask adds a request's tokens to the rate.
 func (p *purse) ask(now time.Time, tokens laceunit.Tokens) {
-	p.asked = p.decayed(now) + float64(tokens)
+	if p.began.IsZero() {
+		p.began, p.at = now, now
+	}
+	fade := p.fade(now)
+	p.asked = p.asked*fade + float64(tokens)
+	p.lump = max(p.lump*fade, float64(tokens))
 	p.at = now
 }
 
-func (p *purse) decayed(now time.Time) float64 {
-	if p.at.IsZero() {
-		return 0
-	}
-	return p.asked * math.Exp(-float64(now.Sub(p.at))/float64(rateTime))
+// fade is what is left of older requests.
+func (p *purse) fade(now time.Time) float64 {
+	return math.Exp(-float64(now.Sub(p.at)) / float64(rateTime))
 }
 
-// rate is how many tokens a second callers lately asked for.
+// rate is how many tokens a second callers lately asked for. Shortly after the first request the sum covers less than
+// the whole time.
 func (p *purse) rate(now time.Time) laceunit.Tokens {
-	return laceunit.Tokens(p.decayed(now) / rateTime.Seconds())
+	if p.began.IsZero() {
+		return 0
+	}
+	age := max(now.Sub(p.began), leastRateTime)
+	covered := rateTime.Seconds() * (1 - math.Exp(-float64(age)/float64(rateTime)))
+	return laceunit.Tokens(p.asked * p.fade(now) / covered)
 }
 
+// leastRateTime keeps one early request from looking like a high rate.
+const leastRateTime = 2 * time.Second
+
 // NewWallet returns an empty wallet; share is the part of an account's rest that the fleet holds.
 func NewWallet(self laceunit.Holder, share float64) *Wallet {
 	return &Wallet{
--- a/lib/lacerelay/relay.go
+++ b/lib/lacerelay/relay.go
@@ -30,8 +30,9 @@
 	writeSlack = 2 * time.Second
 	// startRetry is what a caller is told to wait for an instance that has no configuration yet.
 	startRetry = 500 * time.Millisecond
-	// budgetRetry is what a caller is told to wait when tokens are held by other instances.
-	budgetRetry = time.Second
+	// budgetRetry is what a caller is told to wait when tokens are held by other instances, at one of which it can
+	// try at once.
+	budgetRetry = 100 * time.Millisecond
 	// stopRetry is what a caller is told that should go to another instance.
 	stopRetry = 10 * time.Millisecond
 )
