lacerelay: a request of which the caller got nothing costs nothing

Cause: the prompt was charged for each attempt that may have run, also when the answer was lost and the caller came back with a new attempt. Change: the prompt is charged once something of the answer was passed on. The draw log names lost and free tokens.

--- a/lib/lacequota/draw.go
+++ b/lib/lacequota/draw.go
@@ -20,6 +20,8 @@
 	used   laceunit.Tokens
 	others laceunit.Tokens
 	paid   laceunit.Tokens
+	lost   laceunit.Tokens
+	free   laceunit.Tokens
 	// whole is true when the caps of all instances respect what was paid.
 	whole bool
 }
@@ -102,6 +104,8 @@
 			used:   p.used,
 			others: spent,
 			paid:   paid,
+			lost:   b.Closed - b.Burnt,
+			free:   max(free-goal, 0),
 			whole:  elsewhere+goal <= paid,
 		}
 }
@@ -127,6 +131,7 @@
 		p := w.purse(a)
 		p.cap, p.folded = g.cap, g.folded
 		p.reported, p.others, p.drawn = g.used, g.others, now
+		p.lost, p.free = g.lost, g.free
 		p.wanted, p.due = 0, false
 		if g.whole {
 			p.basis = g.paid
--- a/lib/lacequota/service.go
+++ b/lib/lacequota/service.go
@@ -292,7 +292,8 @@
 		x := s.wallet.State(a)
 		s.options.Metrics.observe(a, x)
 		s.options.Log.Write(lacelog.Draw, lacelog.P(lacelog.Account, a), lacelog.P("paid", x.Paid), lacelog.P(lacelog.Cap, x.Cap),
-			lacelog.P(lacelog.Used, x.Used), lacelog.P(lacelog.Held, x.Reserved), lacelog.P("others", x.Others))
+			lacelog.P(lacelog.Used, x.Used), lacelog.P(lacelog.Held, x.Reserved), lacelog.P("others", x.Others),
+			lacelog.P("lost", x.Lost), lacelog.P("free", x.Free))
 	}
 }
 
--- a/lib/lacequota/wallet.go
+++ b/lib/lacequota/wallet.go
@@ -66,6 +66,9 @@
 	// spent is the least that the fleet had spent at the last draw, without this instance's own.
 	others laceunit.Tokens
 	drawn  time.Time
+	// lost is what ended incarnations held and had not reported as spent, free what no instance held.
+	lost laceunit.Tokens
+	free laceunit.Tokens
 	// due is true when the store should be asked soon.
 	due bool
 	// asked is the decayed sum of what callers asked for, up to the moment at.
@@ -190,8 +193,17 @@
 
 // State is what an instance knows of an account, for logs and metrics.
 type State struct {
-	Paid, Cap, Used, Reserved, Others laceunit.Tokens
-	Drawn                             time.Time
+	Paid     laceunit.Tokens
+	Cap      laceunit.Tokens
+	Used     laceunit.Tokens
+	Reserved laceunit.Tokens
+	// Others is the least that other instances had spent at the last draw.
+	Others laceunit.Tokens
+	// Lost is what ended instances held without having reported it as spent.
+	Lost laceunit.Tokens
+	// Free is what no instance held after the last draw.
+	Free  laceunit.Tokens
+	Drawn time.Time
 }
 
 // State returns what is known of an account.
@@ -203,6 +215,8 @@
 		Used:     p.used,
 		Reserved: p.reserved,
 		Others:   p.others,
+		Lost:     p.lost,
+		Free:     p.free,
 		Drawn:    p.drawn,
 	}
 }
--- a/lib/lacerelay/relay.go
+++ b/lib/lacerelay/relay.go
@@ -151,9 +151,10 @@
 	r.run(ctx, w, j)
 }
 
-// consumed is what a request costs: its prompt once, if a server may have read it, and what was passed on.
+// consumed is what a request costs: its prompt once and the events that were passed on. A request of which the caller
+// got nothing costs nothing.
 func (j *job) consumed() laceunit.Tokens {
-	if !j.progress.ran {
+	if j.events == 0 {
 		return 0
 	}
 	return j.call.Input + min(j.call.Output, laceunit.Tokens(j.events*max(j.stride, 1)))
@@ -247,7 +248,7 @@
 	r.options.Log.Write(lacelog.Refused, lacelog.P(lacelog.Request, j.call.Attempt), lacelog.P(lacelog.Reason, "budget"),
 		lacelog.P(lacelog.Account, j.account), lacelog.P(lacelog.Tokens, most), lacelog.P("paid", state.Paid),
 		lacelog.P(lacelog.Cap, state.Cap), lacelog.P(lacelog.Used, state.Used), lacelog.P(lacelog.Held, state.Reserved),
-		lacelog.P("others", state.Others), lacelog.P(lacelog.Age, time.Since(state.Drawn).Milliseconds()))
+		lacelog.P("others", state.Others), lacelog.P("lost", state.Lost), lacelog.P("free", state.Free), lacelog.P(lacelog.Age, time.Since(state.Drawn).Milliseconds()))
 	if verdict == lacequota.Spent {
 		return fault(lacefault.BudgetSpent, "prepaid tokens are spent", 0)
 	}
