--- a/lib/lacequota/wallet.go
+++ b/lib/lacequota/wallet.go
@@ -15,14 +15,14 @@
 const (
 	// cover is how long a holding lasts without the store at the rate at which callers asked lately. Partitions of 9 s
 	// are usual, and the rate is an average over requests of very unequal size.
-	cover = 15 * time.Second
+	cover = 10 * time.Second
 	// rateTime is the time over which the rate is averaged.
 	rateTime = 8 * time.Second
 	// evenPart is divided evenly; the rest follows demand, since many accounts use one instance only. It serves callers
 	// that change the instance during an outage.
 	evenPart = 0.1
 	// lumps is how many requests of the largest recent size a holding covers beside the average.
-	lumps = 2
+	lumps = 1
 )
 
 // Verdict is the answer to a reservation.
