lacequota: a restarted process gets back what its predecessor held above its ceiling

Cause: what a killed process held stays counted as spent, since nobody knows how much of it was. Ruled out: smaller holdings; they fail in partitions of 9 s. Leases as evidence; the store may pause them while it is away. Change: each report names a ceiling and the machine's clock (boot id and CLOCK_BOOTTIME). An instance keeps below the ceiling for 4 s after its last report; a process that starts on the same machine within that time folds its predecessor at the ceiling. Rates that are not known yet keep the even share.

--- /dev/null
+++ b/lib/lacenode/bootclock.go
@@ -0,0 +1,37 @@
+package lacenode
+
+import (
+	"os"
+	"strings"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"lacewingcove/lib/lacelog"
+	"lacewingcove/lib/lacequota"
+)
+
+// bootFile names the time between two starts of the machine.
+const bootFile = "/proc/sys/kernel/random/boot_id"
+
+// bootClock returns the machine's clock, which runs on while it is suspended and while no process of it runs. The steady
+// clock of the runtime stops in a suspension and says nothing across processes.
+func bootClock(log *lacelog.Logger) func() lacequota.Instant {
+	text, err := os.ReadFile(bootFile)
+	if err != nil {
+		log.Fault(err, "the machine's start can't be named; tokens of ended processes stay with them")
+		return nil
+	}
+	boot := strings.TrimSpace(string(text))
+	return func() lacequota.Instant {
+		var t unix.Timespec
+		if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+			log.Fault(err, "the machine's clock can't be read")
+			return lacequota.Instant{}
+		}
+		return lacequota.Instant{
+			Boot:  boot,
+			Since: time.Duration(t.Nano()),
+		}
+	}
+}
--- a/lib/lacenode/node.go
+++ b/lib/lacenode/node.go
@@ -64,6 +64,8 @@
 	followers []*lacemirror.Follower
 	rejected  prometheus.Counter
 
+	// clock is the machine's, nil when it can't be read.
+	clock   func() lacequota.Instant
 	leaving atomic.Bool
 }
 
@@ -80,6 +82,7 @@
 		registry: prometheus.NewRegistry(),
 		kernel:   lacekernel.New(),
 		routes:   &laceroute.Current{},
+		clock:    bootClock(log),
 	}
 	n.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	n.rejected = prometheus.NewCounter(prometheus.CounterOpts{
@@ -116,6 +119,7 @@
 		Shards:  n.settings.Ledger.Shards,
 		Share:   n.settings.Ledger.Share,
 		Members: n.board,
+		Clock:   n.clock,
 		Log:     n.log,
 		Metrics: lacequota.NewMetrics(n.registry),
 	})
--- a/lib/lacenode/run.go
+++ b/lib/lacenode/run.go
@@ -8,11 +8,12 @@
 	"github.com/pkg/errors"
 
 	"lacewingcove/lib/lacelog"
+	"lacewingcove/lib/lacequota"
 )
 
 const (
 	// exitMargin is left between the end of a planned stop and the kill.
-	exitMargin = 500 * time.Millisecond
+	exitMargin = 900 * time.Millisecond
 	// stopStep is how often a planned stop looks whether requests are still running.
 	stopStep = 20 * time.Millisecond
 	// releaseTimeout bounds the return of tokens at the end of a planned stop.
@@ -34,7 +35,11 @@
 		return errors.Wrap(err, "node")
 	}
 	n.kernel.Start(inner)
-	n.log.Write(lacelog.Start, lacelog.P("caller", n.settings.Caller), lacelog.P("zone", n.settings.Place.Zone),
+	var machine lacequota.Instant
+	if n.clock != nil {
+		machine = n.clock()
+	}
+	n.log.Write(lacelog.Start, lacelog.P("boot", machine.Boot), lacelog.P("boot_ms", machine.Since.Milliseconds()), lacelog.P("caller", n.settings.Caller), lacelog.P("zone", n.settings.Place.Zone),
 		lacelog.P("store", n.settings.Store.Address))
 	for {
 		select {
--- a/lib/lacequota/codec.go
+++ b/lib/lacequota/codec.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -29,6 +30,11 @@
 	Cap  int64 `json:"cap"`
 	Used int64 `json:"used"`
 	Rate int64 `json:"rate"`
+
+	Ceiling int64 `json:"ceiling"`
+	// Since is in milliseconds, rounded down.
+	Since int64  `json:"since"`
+	Boot  string `json:"boot"`
 }
 
 // Encode writes a page.
@@ -47,6 +53,10 @@
 				Cap:  int64(h.Cap),
 				Used: int64(h.Used),
 				Rate: int64(h.Rate),
+
+				Ceiling: int64(h.Ceiling),
+				Since:   h.Sent.Since.Milliseconds(),
+				Boot:    h.Sent.Boot,
 			}
 		}
 		form.Budgets[string(id)] = f
@@ -82,6 +92,12 @@
 				Cap:  laceunit.Tokens(h.Cap),
 				Used: laceunit.Tokens(h.Used),
 				Rate: laceunit.Tokens(h.Rate),
+
+				Ceiling: laceunit.Tokens(h.Ceiling),
+				Sent: Instant{
+					Boot:  h.Boot,
+					Since: time.Duration(h.Since) * time.Millisecond,
+				},
 			}
 		}
 		p.Budgets[laceunit.AccountID(id)] = b
--- a/lib/lacequota/draw.go
+++ b/lib/lacequota/draw.go
@@ -15,7 +15,9 @@
 }
 
 type grant struct {
-	cap    laceunit.Tokens
+	cap     laceunit.Tokens
+	ceiling laceunit.Tokens
+
 	folded laceunit.Tokens
 	used   laceunit.Tokens
 	others laceunit.Tokens
@@ -29,7 +31,7 @@
 // Plan computes a change of a page for the accounts of its shard. Caps that fall take effect at once, before the page
 // is written; those that rise wait for Commit. The ended holders are counted as spent. With release the instance keeps
 // only what it has spent or reserved.
-func (w *Wallet) Plan(now time.Time, page Page, accounts []laceunit.AccountID, fleet Fleet, release bool) Draw {
+func (w *Wallet) Plan(now time.Time, at Instant, page Page, accounts []laceunit.AccountID, fleet Fleet, release bool) Draw {
 	d := Draw{
 		Page: Page{Budgets: maps.Clone(page.Budgets)},
 		caps: map[laceunit.AccountID]grant{},
@@ -42,10 +44,11 @@
 		if !p.prepaid {
 			continue
 		}
-		b, g := w.plan(now, p, page.Budgets[a], fleet, release)
+		b, g := w.plan(now, at, p, page.Budgets[a], fleet, release)
 		d.Page.Budgets[a], d.caps[a] = b, g
-		p.cap = min(p.cap, g.cap)
+		p.cap, p.ceiling = min(p.cap, g.cap), min(p.ceiling, g.ceiling)
 	}
+	w.sent = at
 	return d
 }
 
@@ -59,9 +62,19 @@
 	Ended func(laceunit.Holder) bool
 }
 
-func (w *Wallet) plan(now time.Time, p *purse, b Budget, fleet Fleet, release bool) (Budget, grant) {
-	b = b.fold(func(h laceunit.Holder) bool {
-		return h != w.self && (h.Instance == w.self.Instance || fleet.Ended(h))
+func (w *Wallet) plan(now time.Time, at Instant, p *purse, b Budget, fleet Fleet, release bool) (Budget, grant) {
+	b = b.fold(func(h laceunit.Holder, x Holding) (laceunit.Tokens, bool) {
+		switch {
+		case h == w.self:
+			return 0, false
+		case h.Instance != w.self.Instance:
+			return x.Cap, fleet.Ended(h)
+		case x.Sent.Within(at, Patience):
+			// The process before this one on the same machine has ended and can't have gone beyond its ceiling.
+			return min(x.Ceiling, x.Cap), true
+		default:
+			return x.Cap, true
+		}
 	})
 	own, known := b.Holders[w.self]
 	folded := p.folded
@@ -94,12 +107,23 @@
 		goal = min(goal, max(own.Cap, low))
 	}
 	used := max(p.used-folded, 0)
+	soft := laceunit.Tokens(ceilingTime.Seconds()*float64(p.rate(now)) + lumps*p.lump)
+	if now.Sub(p.began) < rateTime {
+		// The rate is not known yet.
+		soft = goal
+	}
+	ceiling := min(low+max(soft, p.wanted), goal)
 	return b.with(w.self, Holding{
 			Cap:  goal,
 			Used: used,
 			Rate: p.rate(now),
+
+			Ceiling: ceiling,
+			Sent:    at,
 		}), grant{
-			cap:    goal + folded,
+			cap:     goal + folded,
+			ceiling: ceiling + folded,
+
 			folded: folded,
 			used:   p.used,
 			others: spent,
@@ -122,6 +146,10 @@
 	part := evenPart*even + (1-evenPart)*shared*float64(own)/float64(own+others)
 	// Requests are of very unequal size, so that a few of the largest have to fit beside the average.
 	enough := cover.Seconds()*float64(own) + lumps*p.lump
+	if now.Sub(p.began) < rateTime {
+		// The rate is not known yet, and what the first instances to ask hold is missing elsewhere for a few seconds only.
+		enough = max(enough, even)
+	}
 	return laceunit.Tokens(max(min(part, enough), evenPart*even))
 }
 
@@ -129,7 +157,7 @@
 func (w *Wallet) Commit(now time.Time, d Draw) {
 	for a, g := range d.caps {
 		p := w.purse(a)
-		p.cap, p.folded = g.cap, g.folded
+		p.cap, p.ceiling, p.folded = g.cap, g.ceiling, g.folded
 		p.reported, p.others, p.drawn = g.used, g.others, now
 		p.lost, p.free = g.lost, g.free
 		p.wanted, p.due = 0, false
--- a/lib/lacequota/page.go
+++ b/lib/lacequota/page.go
@@ -1,6 +1,8 @@
 package lacequota
 
 import (
+	"time"
+
 	"lacewingcove/lib/laceunit"
 )
 
@@ -10,6 +12,22 @@
 	Used laceunit.Tokens
 	// Rate is how many tokens a second its callers lately asked for.
 	Rate laceunit.Tokens
+	// Ceiling is what the incarnation may spend in total until Patience after Sent on its machine's clock; beyond that
+	// Cap holds.
+	Ceiling laceunit.Tokens
+	Sent    Instant
+}
+
+// Instant is a moment on the clock of one machine that runs through suspensions and restarts of processes.
+type Instant struct {
+	// Boot names the time between two starts of the machine.
+	Boot  string
+	Since time.Duration
+}
+
+// Within reports whether two moments are on the same clock, in order and less than a time apart.
+func (i Instant) Within(later Instant, limit time.Duration) bool {
+	return i.Boot != "" && i.Boot == later.Boot && later.Since >= i.Since && later.Since-i.Since < limit
 }
 
 // Budget is the state of one client account.
@@ -64,14 +82,15 @@
 	return c
 }
 
-// fold returns a copy in which the ended holders count as spent up to their caps.
-func (b Budget) fold(ended func(laceunit.Holder) bool) Budget {
+// fold returns a copy in which the ended holders count as spent up to what they may have spent.
+func (b Budget) fold(ended func(laceunit.Holder, Holding) (most laceunit.Tokens, ok bool)) Budget {
 	c := b.clone()
 	for k, h := range b.Holders {
-		if !ended(k) {
+		most, ok := ended(k, h)
+		if !ok {
 			continue
 		}
-		c.Closed += h.Cap
+		c.Closed += most
 		c.Burnt += h.Used
 		delete(c.Holders, k)
 	}
--- a/lib/lacequota/service.go
+++ b/lib/lacequota/service.go
@@ -18,7 +18,7 @@
 
 const (
 	// reportInterval is how often an instance reports spend and adapts its holdings; two calls each time.
-	reportInterval = 2 * time.Second
+	reportInterval = time.Second
 	// memberInterval is the interval for each member in larger fleets, so that few of their writes meet.
 	memberInterval = 100 * time.Millisecond
 	// drawPause bounds urgent draws to a few a second.
@@ -47,6 +47,8 @@
 	Shards  int
 	Share   float64
 	Members Members
+	// Clock tells the machine's time; without one nothing of an ended process is got back.
+	Clock   func() Instant
 	Log     *lacelog.Logger
 	Metrics *Metrics
 }
@@ -69,6 +71,9 @@
 // New returns a quota service; Serve must run.
 func New(options Options) *Service {
 	options.Shards = max(options.Shards, 1)
+	if options.Clock == nil {
+		options.Clock = func() Instant { return Instant{} }
+	}
 	if options.Share <= 0 {
 		options.Share = DefaultShare
 	}
@@ -108,7 +113,7 @@
 	for {
 		s.mu.Lock()
 		now := time.Now()
-		v := s.wallet.Reserve(now, account, most)
+		v := s.wallet.Reserve(now, s.options.Clock(), account, most)
 		state := s.wallet.State(account)
 		drawn, well := s.drawn, now.Sub(s.contact) < contactFresh
 		if v == Short {
@@ -134,7 +139,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.wallet.Settle(account, most, consumed)
-	if s.wallet.Urgent(account) {
+	if s.wallet.Urgent(s.options.Clock(), account) {
 		s.rouse(s.shard(account))
 	}
 }
@@ -271,7 +276,7 @@
 func (s *Service) plan(page Page, shard int, release bool) (Draw, []byte, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	d := s.wallet.Plan(time.Now(), page, s.shards[shard], Fleet{
+	d := s.wallet.Plan(time.Now(), s.options.Clock(), page, s.shards[shard], Fleet{
 		Members: s.options.Members.Count(),
 		Live:    s.options.Members.Live,
 		Ended:   s.options.Members.Ended,
--- a/lib/lacequota/wallet.go
+++ b/lib/lacequota/wallet.go
@@ -18,6 +18,12 @@
 	cover = 10 * time.Second
 	// rateTime is the time over which the rate is averaged.
 	rateTime = 8 * time.Second
+	// Patience is how long after its last report an instance keeps below its ceiling. A process that starts on the same
+	// machine within that time knows that the one before it did, and gets back what lay above. A restart takes one to
+	// two seconds and reports are a second apart.
+	Patience = 4 * time.Second
+	// ceilingTime is how long a ceiling lasts at the recent rate; it has to bridge Patience.
+	ceilingTime = Patience + 500*time.Millisecond
 	// evenPart is divided evenly; the rest follows demand, since many accounts use one instance only. It serves callers
 	// that change the instance during an outage.
 	evenPart = 0.1
@@ -43,6 +49,8 @@
 	self   laceunit.Holder
 	share  float64
 	purses map[laceunit.AccountID]*purse
+	// sent is when the newest change of a page was sent, whether it was answered or not.
+	sent Instant
 }
 
 // purse is the instance's part of one account.
@@ -52,6 +60,8 @@
 	version laceunit.Version
 	// cap bounds used plus reserved; it is never above what the store holds for this incarnation plus folded.
 	cap laceunit.Tokens
+	// ceiling bounds the same until Patience after the newest change was sent.
+	ceiling laceunit.Tokens
 	// basis is what was paid when the sum of the caps was last seen to respect it.
 	basis laceunit.Tokens
 	// folded is the part of cap that another instance has counted as spent because it took this one for ended.
@@ -134,10 +144,10 @@
 }
 
 // Reserve sets tokens aside for a request at its largest.
-func (w *Wallet) Reserve(now time.Time, account laceunit.AccountID, most laceunit.Tokens) Verdict {
+func (w *Wallet) Reserve(now time.Time, at Instant, account laceunit.AccountID, most laceunit.Tokens) Verdict {
 	p := w.purse(account)
 	p.ask(now, most)
-	if !p.prepaid || p.used+p.reserved+most <= p.limit() {
+	if !p.prepaid || p.used+p.reserved+most <= w.limit(p, at) {
 		p.reserved += most
 		return Held
 	}
@@ -160,12 +170,17 @@
 	p.used += min(max(consumed, 0), most)
 }
 
-// limit is the cap, scaled down when the total fell below the one it was drawn under.
-func (p *purse) limit() laceunit.Tokens {
+// limit is what may be spent in total at a moment: the ceiling while the store may hold a recent report, else the cap,
+// scaled down when the total fell below the one it was drawn under.
+func (w *Wallet) limit(p *purse, at Instant) laceunit.Tokens {
+	limit := p.cap
+	if at.Boot != "" && at.Since-w.sent.Since < Patience {
+		limit = min(limit, p.ceiling)
+	}
 	if p.paid >= p.basis {
-		return p.cap
+		return limit
 	}
-	return laceunit.Tokens(float64(p.cap) * (float64(p.paid) / float64(p.basis)))
+	return laceunit.Tokens(float64(limit) * (float64(p.paid) / float64(p.basis)))
 }
 
 func (w *Wallet) purse(account laceunit.AccountID) *purse {
@@ -179,12 +194,13 @@
 
 // Urgent reports whether the store should be asked about an account soon: a request found too little, what was paid has
 // changed, or the cap is nearly used up.
-func (w *Wallet) Urgent(account laceunit.AccountID) bool {
+func (w *Wallet) Urgent(at Instant, account laceunit.AccountID) bool {
 	p := w.purses[account]
 	if p == nil || !p.prepaid {
 		return false
 	}
-	low := p.limit()-p.used-p.reserved < (p.cap-p.reported)/lowPart
+	limit := w.limit(p, at)
+	low := limit-p.used-p.reserved < (limit-p.reported)/lowPart
 	return p.due || (low && p.used != p.reported)
 }
 
