platform, lib: tests of the path, of budgets and of copies of the store

Each test names the failure that it guards against. The tests found two faults, which this commit corrects: the first request after a start was refused for budget, and a request that found too little right after a draw waited less than the next draw took.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
-MODULES := lib router lacectl standin loadgen
-PROGRAMS := router lacectl standin loadgen
+MODULES := lib router lacectl standin loadgen platform
+PROGRAMS := router lacectl standin loadgen platform
 GOTEST ?= go test -race -timeout 10m
 
 .PHONY: all build check demo format generate lint test clean
--- a/lib/laceconn/conn.go
+++ b/lib/laceconn/conn.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -85,7 +84,7 @@
 	} else {
 		write()
 	}
-	response, err := c.read(r)
+	response, err := c.read(r) //nolint:bodyclose // Whoever ends the exchange reads the body.
 	if err == nil {
 		x.Response = response
 		return x, nil
@@ -137,7 +136,6 @@
 func (x *Exchange) Abort() {
 	x.stop()
 	x.conn.Discard()
-	<-x.written
 }
 
 func (x *Exchange) sent() bool {
@@ -178,9 +176,3 @@
 	})
 	return err == nil && quiet
 }
-
-// Drain reads the rest of an answer's body up to a bound and reports whether it ended as it should.
-func Drain(body io.Reader, most int64) bool {
-	n, err := io.Copy(io.Discard, io.LimitReader(body, most+1))
-	return err == nil && n <= most
-}
--- /dev/null
+++ b/lib/lacemirror/mirror_test.go
@@ -0,0 +1,121 @@
+package lacemirror
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"lacewingcove/lib/laceplatform"
+)
+
+// history is a store with all of its events.
+type history struct {
+	entries map[laceplatform.Key]laceplatform.Entry
+	events  []laceplatform.Event
+	last    laceplatform.Revision
+}
+
+func (h *history) change(random *rand.Rand) {
+	h.last++
+	e := laceplatform.Entry{
+		Key:      laceplatform.Key(fmt.Sprint("servers/", random.Intn(6))),
+		Value:    fmt.Append(nil, h.last),
+		Revision: h.last,
+	}
+	_, exists := h.entries[e.Key]
+	deleted := exists && random.Intn(3) == 0
+	if deleted {
+		delete(h.entries, e.Key)
+	} else {
+		h.entries[e.Key] = e
+	}
+	h.events = append(h.events, laceplatform.Event{
+		Entry:   e,
+		Deleted: deleted,
+	})
+}
+
+func (h *history) list() []laceplatform.Entry {
+	var list []laceplatform.Entry
+	for _, e := range h.entries {
+		list = append(list, e)
+	}
+	return list
+}
+
+// Guards against entries that come back after their removal or are missed, when a copy is fed by late watches, by lists
+// whose pages were read at different moments, and by other copies.
+func TestMirrorsConverge(t *testing.T) {
+	properties := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(4))
+	properties.Property("copies equal the store", prop.ForAll(func(seed int64) bool {
+		random := rand.New(rand.NewSource(seed))
+		h := &history{entries: map[laceplatform.Key]laceplatform.Entry{}}
+		copies := []*Mirror{NewMirror("servers/"), NewMirror("servers/"), NewMirror("servers/")}
+		for range 200 {
+			m := copies[random.Intn(len(copies))]
+			switch random.Intn(6) {
+			case 0, 1, 2:
+				h.change(random)
+			case 3: // A watch that delivers from the copy's own revision.
+				feed(m, h)
+			case 4: // A list whose first page is older than its last.
+				at := h.last
+				h.change(random)
+				m.Replace(h.list(), at)
+			case 5:
+				if d, ok := copies[random.Intn(len(copies))].Since(m.Revision()); ok {
+					m.Merge(d)
+				}
+			}
+		}
+		for _, m := range copies {
+			feed(m, h)
+			want := &Mirror{entries: h.entries}
+			if d := cmp.Diff(want.Entries(), m.Entries()); d != "" {
+				t.Logf("seed %d: %s", seed, d)
+				return false
+			}
+		}
+		return true
+	}, gen.Int64()))
+	properties.TestingRun(t)
+}
+
+func feed(m *Mirror, h *history) {
+	for _, e := range h.events {
+		if e.Entry.Revision > m.Revision() {
+			m.Event(e)
+		}
+	}
+	m.Event(laceplatform.Event{
+		Entry:    laceplatform.Entry{Revision: h.last},
+		Progress: true,
+	})
+}
+
+// Guards against removals that an instance which was away for long never hears of.
+func TestOldCopiesGetEverything(t *testing.T) {
+	random := rand.New(rand.NewSource(1))
+	h := &history{entries: map[laceplatform.Key]laceplatform.Entry{}}
+	source, behind := NewMirror("servers/"), NewMirror("servers/")
+	h.change(random)
+	feed(source, h)
+	feed(behind, h)
+	for range 20 * tombstonesKept {
+		h.change(random)
+	}
+	feed(source, h)
+	d, ok := source.Since(behind.Revision())
+	if !ok || !d.Full {
+		t.Fatalf("delta over forgotten removals: present %t, full %t", ok, d.Full)
+	}
+	behind.Merge(d)
+	if diff := cmp.Diff(source.Entries(), behind.Entries()); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/lib/lacenode/listen.go
+++ b/lib/lacenode/listen.go
@@ -58,7 +58,9 @@
 // Close ends the server at once and waits for it.
 func (l *listener) Close() error {
 	err := l.server.Close()
-	<-l.done
+	if served := <-l.done; err == nil && !errors.Is(served, http.ErrServerClosed) {
+		err = served
+	}
 	return err
 }
 
--- a/lib/lacenode/run.go
+++ b/lib/lacenode/run.go
@@ -14,8 +14,6 @@
 const (
 	// exitMargin is left between the end of a planned stop and the kill.
 	exitMargin = 900 * time.Millisecond
-	// stopStep is how often a planned stop looks whether requests are still running.
-	stopStep = 20 * time.Millisecond
 	// releaseTimeout bounds the return of tokens at the end of a planned stop.
 	releaseTimeout = 300 * time.Millisecond
 )
@@ -75,7 +73,7 @@
 	if err := n.registrar.Withdraw(ctx); err != nil {
 		n.log.Fault(err, "membership was not withdrawn")
 	}
-	wait(ctx, began.Add(n.settings.Drain.Notice), func() bool { return false })
+	wait(ctx, began.Add(n.settings.Drain.Notice))
 	n.relay.Stop()
 	err := all.caller.server.Shutdown(ctx)
 	if err != nil {
@@ -90,15 +88,12 @@
 	return n.kernel.Close()
 }
 
-// wait returns at a time, or earlier when the context ends or the condition holds.
-func wait(ctx context.Context, until time.Time, done func() bool) {
-	ticker := time.NewTicker(stopStep)
-	defer ticker.Stop()
-	for time.Now().Before(until) && !done() {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+// wait returns at a time, or earlier when the context ends.
+func wait(ctx context.Context, until time.Time) {
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
 	}
 }
--- a/lib/lacequota/draw.go
+++ b/lib/lacequota/draw.go
@@ -63,19 +63,7 @@
 }
 
 func (w *Wallet) plan(now time.Time, at Instant, p *purse, b Budget, fleet Fleet, release bool) (Budget, grant) {
-	b = b.fold(func(h laceunit.Holder, x Holding) (laceunit.Tokens, bool) {
-		switch {
-		case h == w.self:
-			return 0, false
-		case h.Instance != w.self.Instance:
-			return x.Cap, fleet.Ended(h)
-		case x.Sent.Within(at, Patience):
-			// The process before this one on the same machine has ended and can't have gone beyond its ceiling.
-			return min(x.Ceiling, x.Cap), true
-		default:
-			return x.Cap, true
-		}
-	})
+	b = w.fold(at, b, fleet)
 	own, known := b.Holders[w.self]
 	folded := p.folded
 	if !known {
@@ -106,32 +94,50 @@
 		// Nothing new may be drawn while the caps exceed what was paid; lowering is always right.
 		goal = min(goal, max(own.Cap, low))
 	}
-	used := max(p.used-folded, 0)
-	soft := laceunit.Tokens(ceilingTime.Seconds()*float64(p.rate(now)) + lumps*p.lump)
-	if now.Sub(p.began) < rateTime {
-		// The rate is not known yet.
-		soft = goal
+	ceiling := min(low+max(w.soft(now, p, goal), p.wanted), goal)
+	holding := Holding{
+		Cap:     goal,
+		Used:    max(p.used-folded, 0),
+		Rate:    p.rate(now),
+		Ceiling: ceiling,
+		Sent:    at,
+	}
+	return b.with(w.self, holding), grant{
+		cap:     goal + folded,
+		ceiling: ceiling + folded,
+		folded:  folded,
+		used:    p.used,
+		others:  spent,
+		paid:    paid,
+		lost:    b.Closed - b.Burnt,
+		free:    max(free-goal, 0),
+		whole:   elsewhere+goal <= paid,
 	}
-	ceiling := min(low+max(soft, p.wanted), goal)
-	return b.with(w.self, Holding{
-			Cap:  goal,
-			Used: used,
-			Rate: p.rate(now),
+}
 
-			Ceiling: ceiling,
-			Sent:    at,
-		}), grant{
-			cap:     goal + folded,
-			ceiling: ceiling + folded,
+// soft is how much an instance may spend before Patience is over; a rate that is not known yet sets no bound.
+func (w *Wallet) soft(now time.Time, p *purse, goal laceunit.Tokens) laceunit.Tokens {
+	if now.Sub(p.began) < rateTime {
+		return goal
+	}
+	return laceunit.Tokens(ceilingTime.Seconds()*float64(p.rate(now)) + lumps*p.lump)
+}
 
-			folded: folded,
-			used:   p.used,
-			others: spent,
-			paid:   paid,
-			lost:   b.Closed - b.Burnt,
-			free:   max(free-goal, 0),
-			whole:  elsewhere+goal <= paid,
+// fold counts the holders that have ended as spent. The process before this one on the same machine has ended; if it
+// reported lately, it can't have gone beyond its ceiling.
+func (w *Wallet) fold(at Instant, b Budget, fleet Fleet) Budget {
+	return b.fold(func(h laceunit.Holder, x Holding) (laceunit.Tokens, bool) {
+		switch {
+		case h == w.self:
+			return 0, false
+		case h.Instance != w.self.Instance:
+			return x.Cap, fleet.Ended(h)
+		case x.Sent.Within(at, Patience):
+			return min(x.Ceiling, x.Cap), true
+		default:
+			return x.Cap, true
 		}
+	})
 }
 
 // hold is how much an instance keeps beyond its spend: its part of the share of the rest, by demand, and no more than
--- a/lib/lacequota/service.go
+++ b/lib/lacequota/service.go
@@ -21,8 +21,8 @@
 	reportInterval = time.Second
 	// memberInterval is the interval for each member in larger fleets, so that few of their writes meet.
 	memberInterval = 100 * time.Millisecond
-	// drawPause bounds urgent draws to a few a second.
-	drawPause = 200 * time.Millisecond
+	// drawPause bounds urgent draws. Requests wait for one, so that it is below what they wait.
+	drawPause = 100 * time.Millisecond
 	// callTimeout bounds one call to the store, which answers in milliseconds when it is well.
 	callTimeout = 800 * time.Millisecond
 	// conflictTries is how often a change is planned again after another instance's write.
@@ -115,7 +115,8 @@
 		now := time.Now()
 		v := s.wallet.Reserve(now, s.options.Clock(), account, most)
 		state := s.wallet.State(account)
-		drawn, well := s.drawn, now.Sub(s.contact) < contactFresh
+		// Before the first answer the store counts as well: the first requests come with the first configuration.
+		drawn, well := s.drawn, s.contact.IsZero() || now.Sub(s.contact) < contactFresh
 		if v == Short {
 			s.rouse(s.shard(account))
 		}
@@ -191,8 +192,8 @@
 			}
 		case <-timer.C:
 		}
-		last = time.Now()
 		if s.serves(shard) {
+			last = time.Now()
 			if err := s.draw(ctx, shard, false); err != nil && ctx.Err() == nil {
 				s.options.Log.Fault(err, "budgets were not drawn", lacelog.P(lacelog.Age, s.silence().Milliseconds()))
 				s.options.Metrics.failed()
--- /dev/null
+++ b/lib/lacequota/wallet_test.go
@@ -0,0 +1,147 @@
+package lacequota
+
+import (
+	"testing"
+	"time"
+
+	"lacewingcove/lib/laceunit"
+)
+
+func everybody(members int) Fleet {
+	return Fleet{
+		Members: members,
+		Live:    func(laceunit.Holder) bool { return true },
+		Ended:   func(laceunit.Holder) bool { return false },
+	}
+}
+
+// put commits a draw of a wallet and returns the page.
+func put(w *Wallet, now time.Time, at Instant, page Page, fleet Fleet) Page {
+	d := w.Plan(now, at, page, []laceunit.AccountID{testAccount}, fleet, false)
+	w.Commit(now, d)
+	return d.Page
+}
+
+func wallet(name string, paid laceunit.Tokens) *Wallet {
+	w := NewWallet(laceunit.Holder{
+		Instance:    laceunit.InstanceID(name),
+		Incarnation: 1,
+	}, DefaultShare)
+	w.Paid(testAccount, paid, true, 1)
+	return w
+}
+
+// ask reserves and settles requests of a size, one each 100 ms, and returns how many were held.
+func ask(w *Wallet, now time.Time, at Instant, count int, size laceunit.Tokens) (held int, end time.Time, last Instant) {
+	for range count {
+		now, at.Since = now.Add(100*time.Millisecond), at.Since+100*time.Millisecond
+		if w.Reserve(now, at, testAccount, size) == Held {
+			w.Settle(testAccount, size, size)
+			held++
+		}
+	}
+	return held, now, at
+}
+
+// Guards against an even division: an account whose callers use one instance gets through an outage of 9 s there.
+func TestHoldingFollowsDemand(t *testing.T) {
+	busy, idle := wallet("busy", 1_000_000), wallet("idle", 1_000_000)
+	now, at := time.Unix(1000, 0), Instant{Boot: "a", Since: time.Hour}
+	fleet := everybody(7)
+	page := put(idle, now, at, Page{}, fleet)
+	page = put(busy, now, at, page, fleet)
+	for range 12 {
+		_, now, at = ask(busy, now, at, 10, 2_000)
+		page = put(busy, now, at, page, fleet)
+		page = put(idle, now, at, page, fleet)
+	}
+	held, _, _ := ask(busy, now, at, 90, 2_000)
+	if held < 85 {
+		t.Errorf("%d of 90 requests in 9 s without the store were held; the account has %d tokens left", held,
+			1_000_000-busy.State(testAccount).Used)
+	}
+}
+
+// Guards against spend above the ceiling while another process may still count on it.
+func TestCeilingHoldsUntilPatienceIsOver(t *testing.T) {
+	w := wallet("router", 10_000_000)
+	now, at := time.Unix(1000, 0), Instant{Boot: "a", Since: time.Hour}
+	page := put(w, now, at, Page{}, everybody(1))
+	for range 12 {
+		_, now, at = ask(w, now, at, 10, 1_000)
+		page = put(w, now, at, page, everybody(1))
+	}
+	h := page.Budgets[testAccount].Holders[w.self]
+	if h.Ceiling >= h.Cap {
+		t.Fatalf("ceiling %d is not below the cap %d", h.Ceiling, h.Cap)
+	}
+	above := h.Ceiling - w.State(testAccount).Used + 1
+	if v := w.Reserve(now, at, testAccount, above); v != Short {
+		t.Errorf("above the ceiling right after a report: verdict %d, not short", v)
+	}
+	at.Since += Patience
+	if v := w.Reserve(now.Add(Patience), at, testAccount, above); v != Held {
+		t.Errorf("above the ceiling when patience is over: verdict %d, not held", v)
+	}
+}
+
+// Guards against spend under an old total after the operator has lowered it, before the store was asked.
+func TestLowerTotalScalesTheCap(t *testing.T) {
+	w := wallet("router", 1_000_000)
+	now, at := time.Unix(1000, 0), Instant{}
+	put(w, now, at, Page{}, everybody(2))
+	before := w.State(testAccount).Cap
+	w.Paid(testAccount, 100_000, true, 2)
+	if v := w.Reserve(now, at, testAccount, before/10+1); v == Held {
+		t.Errorf("a tenth of the total still allows more than a tenth of the cap %d", before)
+	}
+	if v := w.Reserve(now, at, testAccount, before/20); v != Held {
+		t.Errorf("half of the scaled cap is refused: verdict %d", v)
+	}
+}
+
+// Guards against a writer that draws under a total which another instance knows to be lower.
+func TestNewerTotalInThePageWins(t *testing.T) {
+	ahead, behind := wallet("ahead", 1_000_000), wallet("behind", 1_000_000)
+	now, at := time.Unix(1000, 0), Instant{}
+	ahead.Paid(testAccount, 10_000, true, 2)
+	page := put(ahead, now, at, Page{}, everybody(2))
+	page = put(behind, now, at, page, everybody(2))
+	if sum := page.Budgets[testAccount].Committed(); sum > 10_000 {
+		t.Errorf("caps of %d tokens under a total of 10000", sum)
+	}
+}
+
+// Guards against a refusal as spent while tokens are only held elsewhere, and the other way round.
+func TestSpentIsCertain(t *testing.T) {
+	one, two := wallet("one", 1_000), wallet("two", 1_000)
+	now, at := time.Unix(1000, 0), Instant{}
+	page := put(one, now, at, Page{}, everybody(2))
+	put(two, now, at, page, everybody(2))
+	if v := two.Reserve(now, at, testAccount, 900); v != Short {
+		t.Errorf("tokens held elsewhere: verdict %d, not short", v)
+	}
+	if v := two.Reserve(now, at, testAccount, 1_001); v != Spent {
+		t.Errorf("more than was paid: verdict %d, not spent", v)
+	}
+}
+
+// Guards against an instance that loses its tokens because another one took it for ended in a long partition.
+func TestFoldedHoldingStaysUsable(t *testing.T) {
+	w := wallet("router", 1_000)
+	now, at := time.Unix(1000, 0), Instant{}
+	put(w, now, at, Page{}, everybody(1))
+	held := w.State(testAccount).Cap
+	folded := Page{Budgets: map[laceunit.AccountID]Budget{testAccount: {
+		Closed:  held,
+		Paid:    1_000,
+		Version: 1,
+	}}}
+	page := put(w, now, at, folded, everybody(1))
+	if sum := page.Budgets[testAccount].Committed(); sum > 1_000 {
+		t.Errorf("caps of %d tokens under a total of 1000", sum)
+	}
+	if v := w.Reserve(now, at, testAccount, held); v != Held {
+		t.Errorf("tokens that were held before are refused: verdict %d", v)
+	}
+}
