--- a/lacectl/lacecontrol/command.go
+++ b/lacectl/lacecontrol/command.go
@@ -46,7 +46,7 @@
 	all = append(all, accountCommands()...)
 	all = append(all, budgetCommands()...)
 	all = append(all, fleetCommands()...)
-	return append(all, checkCommand())
+	return append(all, checkCommand(), explainCommand())
 }
 
 // run carries out one command line.
