lacerelay: silent servers are given up for what may run elsewhere

Change: a repeatable request goes to another server after 1.5 times its objective without a sign, or three longest pauses without an event, within the shared retry budget. Timeouts without any answer and errors of engines count as failures. Test: TestSilentServersAreGivenUp; without the change its calls run into the caller's limit of 4 s.

--- a/lib/lacelimit/retry.go
+++ b/lib/lacelimit/retry.go
@@ -33,15 +33,20 @@
 
 // Allow counts a repetition if the budget of one of the members covers it.
 func (r *RetryBudget) Allow(now time.Time, members int) bool {
-	requests, repeats := r.Load(now)
-	most := r.Ratio*float64(requests) + (1-retryMargin)*r.Slack/float64(max(members, 1))
-	if float64(repeats+1) > most {
+	if !r.Covers(now, members) {
 		return false
 	}
 	r.step(now).repeats++
 	return true
 }
 
+// Covers reports whether the budget of one of the members covers a repetition.
+func (r *RetryBudget) Covers(now time.Time, members int) bool {
+	requests, repeats := r.Load(now)
+	most := r.Ratio*float64(requests) + (1-retryMargin)*r.Slack/float64(max(members, 1))
+	return float64(repeats+1) <= most
+}
+
 // Load returns the requests and repetitions within the window.
 func (r *RetryBudget) Load(now time.Time) (requests, repeats int) {
 	last := r.number(now)
--- a/lib/lacerelay/attempt.go
+++ b/lib/lacerelay/attempt.go
@@ -38,6 +38,8 @@
 	exchange *laceconn.Exchange
 	reply    Reply
 	reason   string
+	// begun is true when the answer is a stream.
+	begun bool
 	// abort closes the caller's connection without the end of the answer.
 	abort bool
 }
@@ -50,13 +52,9 @@
 			r.end(ctx, w, j, r.unplaced(ctx, j, decision))
 			return
 		}
-		started := time.Now()
-		a := r.send(ctx, j, decision)
-		if a.exchange != nil {
-			// The answer is a stream that has begun.
-			next := r.stream(ctx, w, j, &a)
-			r.settle(j, decision, &a, started)
-			if next {
+		a, more := r.attempt(ctx, w, j, decision)
+		if a.begun {
+			if more {
 				continue
 			}
 			if a.abort {
@@ -64,7 +62,6 @@
 			}
 			return
 		}
-		r.settle(j, decision, &a, started)
 		switch decide(j.route, j.progress, a.end, a.status, r.mayRepeat(j)) {
 		case deliver:
 			r.deliver(w, j, &a)
@@ -81,6 +78,20 @@
 	}
 }
 
+// attempt sends a request to one server and passes a stream on. More is true when a stream goes on at another server.
+func (r *Relay) attempt(ctx context.Context, w http.ResponseWriter, j *job, d lacebalancer.Decision) (a attempt, more bool) {
+	inner, quiet, cancel := r.watch(ctx, j)
+	defer cancel()
+	started := time.Now()
+	a = r.send(inner, j, d)
+	if a.exchange != nil {
+		a.begun = true
+		more = r.stream(inner, w, j, &a, quiet)
+	}
+	r.settle(j, d, &a, started)
+	return a, more
+}
+
 // place finds a server for the next attempt.
 func (r *Relay) place(ctx context.Context, j *job) lacebalancer.Decision {
 	now := time.Now()
@@ -213,16 +224,25 @@
 
 func (r *Relay) unanswered(ctx context.Context, j *job, a *attempt, err error) {
 	a.reason = err.Error()
-	switch {
-	case errors.Is(err, laceconn.ErrNotSent):
+	if errors.Is(err, laceconn.ErrNotSent) {
 		j.progress.sends--
 		a.end = notSent
+		return
+	}
+	a.end = interrupted(ctx)
+}
+
+// interrupted tells why an answer did not come to its end.
+func interrupted(ctx context.Context) ending {
+	switch {
+	case errors.Is(context.Cause(ctx), errSilent):
+		return silent
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		a.end = late
+		return late
 	case ctx.Err() != nil:
-		a.end = left
+		return left
 	default:
-		a.end = broken
+		return broken
 	}
 }
 
@@ -232,10 +252,8 @@
 	complete := err == nil && len(body) <= answerBytes
 	x.Finish(complete, a.reply.Idle)
 	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		a.end, a.reason = late, "time is over"
 	case !complete:
-		a.end, a.reason = broken, "answer was cut"
+		a.end, a.reason = interrupted(ctx), "answer was cut"
 	case a.reply.NotRun:
 		a.end, a.reason = notRun, http.StatusText(a.status)
 	case a.status < http.StatusMultipleChoices && !a.reply.Signed:
@@ -255,13 +273,23 @@
 		result = lacebalancer.Unreachable
 	case notRun:
 		result = lacebalancer.Busy
-	case broken:
+	case broken, silent:
 		result = lacebalancer.Failure
-	case late, left:
+	case late:
+		result = lacebalancer.Neutral
+		if a.status == 0 {
+			// The server has told nothing in all that time.
+			result = lacebalancer.Failure
+		}
+	case left:
 		result = lacebalancer.Neutral
 	case whole:
 		if a.status >= http.StatusInternalServerError {
+			// Errors are usual answers of plain services; an engine that gives them is unwell.
 			result = lacebalancer.Neutral
+			if j.route.Stream {
+				result = lacebalancer.Failure
+			}
 		}
 	}
 	if a.end != notSent && a.end != notRun {
--- a/lib/lacerelay/stream.go
+++ b/lib/lacerelay/stream.go
@@ -60,7 +60,7 @@
 }
 
 // stream passes the events of an answer on as they arrive. It reports whether the request goes on at another server.
-func (r *Relay) stream(ctx context.Context, w http.ResponseWriter, j *job, a *attempt) bool {
+func (r *Relay) stream(ctx context.Context, w http.ResponseWriter, j *job, a *attempt, quiet *silence) bool {
 	reader := bufio.NewReaderSize(a.exchange.Response.Body, readerBytes)
 	flusher := http.NewResponseController(w)
 	for {
@@ -68,6 +68,7 @@
 		if err != nil {
 			return r.streamEnd(ctx, w, j, a, err)
 		}
+		quiet.progress()
 		if j.first.IsZero() {
 			r.begin(w, j, a)
 		}
@@ -113,13 +114,7 @@
 		return false
 	}
 	a.exchange.Abort()
-	a.end, a.reason = broken, cause.Error()
-	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		a.end = late
-	case ctx.Err() != nil:
-		a.end = left
-	}
+	a.end, a.reason = interrupted(ctx), cause.Error()
 	if decide(j.route, j.progress, a.end, a.status, r.mayRepeat(j)) == again {
 		return true
 	}
--- a/lib/lacerelay/verdict.go
+++ b/lib/lacerelay/verdict.go
@@ -18,6 +18,8 @@
 	notRun
 	// broken means that the answer is missing, cut or not the request's own; it may have run.
 	broken
+	// silent means that the server was given up because it told nothing for too long.
+	silent
 	// late means that the time was over while the server worked.
 	late
 	// left means that the caller has gone.
@@ -26,7 +28,7 @@
 
 // String returns the ending as logs have it.
 func (e ending) String() string {
-	return [...]string{"", "whole", "not_sent", "not_run", "broken", "late", "caller_left"}[e]
+	return [...]string{"", "whole", "not_sent", "not_run", "broken", "silent", "late", "caller_left"}[e]
 }
 
 // action is what follows an attempt.
@@ -84,7 +86,7 @@
 			return again
 		}
 		return give
-	case broken:
+	case broken, silent:
 		if repeatable(route) && p.sends < route.Attempts && budget() {
 			return again
 		}
--- a/lib/laceroute/document.go
+++ b/lib/laceroute/document.go
@@ -31,6 +31,8 @@
 	Timeout time.Duration
 	// Goal is the response-time objective, up to the first event of a stream.
 	Goal time.Duration
+	// Gap is the longest pause between events of a stream that is still on time.
+	Gap time.Duration
 	// Rank orders the routes of a service; 0 is the most urgent.
 	Rank int
 	// Targets are the services of the route with their shares of the traffic.
