lacequota: draws only where they may bring something

Change: 200 ms between urgent draws, and none while no token was free at the last one; requests wait up to 240 ms.

--- a/lib/lacequota/service.go
+++ b/lib/lacequota/service.go
@@ -22,7 +22,7 @@
 	// memberInterval is the interval for each member in larger fleets, so that few of their writes meet.
 	memberInterval = 100 * time.Millisecond
 	// drawPause bounds urgent draws. Requests wait for one, so that it is below what they wait.
-	drawPause = 100 * time.Millisecond
+	drawPause = 200 * time.Millisecond
 	// callTimeout bounds one call to the store, which answers in milliseconds when it is well.
 	callTimeout = 800 * time.Millisecond
 	// conflictTries is how often a change is planned again after another instance's write.
@@ -117,11 +117,12 @@
 		state := s.wallet.State(account)
 		// Before the first answer the store counts as well: the first requests come with the first configuration.
 		drawn, well := s.drawn, s.contact.IsZero() || now.Sub(s.contact) < contactFresh
-		if v == Short {
+		hopeful := v == Short && s.wallet.Hopeful(account)
+		if hopeful {
 			s.rouse(s.shard(account))
 		}
 		s.mu.Unlock()
-		if v != Short || !well {
+		if !hopeful || !well {
 			return v, state
 		}
 		select {
--- a/lib/lacequota/wallet.go
+++ b/lib/lacequota/wallet.go
@@ -155,7 +155,6 @@
 		return Spent
 	}
 	p.wanted = max(p.wanted, most)
-	p.due = true
 	return Short
 }
 
@@ -192,8 +191,8 @@
 	return p
 }
 
-// Urgent reports whether the store should be asked about an account soon: a request found too little, what was paid has
-// changed, or the cap is nearly used up.
+// Urgent reports whether the store should be asked about an account soon: what was paid has changed, or a request found
+// too little or the limit is nearly used up while no instance held all of the rest.
 func (w *Wallet) Urgent(at Instant, account laceunit.AccountID) bool {
 	p := w.purses[account]
 	if p == nil || !p.prepaid {
@@ -201,9 +200,16 @@
 	}
 	limit := w.limit(p, at)
 	low := limit-p.used-p.reserved < (limit-p.reported)/lowPart
-	return p.due || (low && p.used != p.reported)
+	return p.due || (p.hopeful() && (p.wanted > 0 || low && p.used != p.reported))
 }
 
+// hopeful reports whether a draw may bring more: some tokens were held by nobody, or the instance holds more than its
+// ceiling lets it spend.
+func (p *purse) hopeful() bool { return p.drawn.IsZero() || p.free > 0 || p.ceiling < p.cap }
+
+// Hopeful reports whether a draw may bring more for an account.
+func (w *Wallet) Hopeful(account laceunit.AccountID) bool { return w.purse(account).hopeful() }
+
 // lowPart is the part of a holding below which the next draw comes early.
 const lowPart = 3
 
--- a/lib/lacerelay/relay.go
+++ b/lib/lacerelay/relay.go
@@ -24,8 +24,9 @@
 	defaultWait = time.Minute
 	// bodyWait bounds the reading of a request's body.
 	bodyWait = 10 * time.Second
-	// reserveWait is how long a request may wait for a draw on the store, which takes two calls of a few milliseconds.
-	reserveWait = 120 * time.Millisecond
+	// reserveWait is how long a request may wait for a draw on the store, which takes two calls of a few milliseconds but
+	// is not made more often than each 200 ms.
+	reserveWait = 240 * time.Millisecond
 	// writeSlack is how long after a request's deadline its answer may still be written.
 	writeSlack = 2 * time.Second
 	// startRetry is what a caller is told to wait for an instance that has no configuration yet.
