lacemirror: removals after an outage settle with the store's return

Change: missing entries settle 1.8 s after the store's return, and 1 s after news from another instance.

--- a/lib/lacedirectory/board.go
+++ b/lib/lacedirectory/board.go
@@ -14,8 +14,6 @@
 const (
 	// mostAddresses bounds an answer to a caller.
 	mostAddresses = 64
-	// lapseTime is how long a member stays listed whose entry may have lapsed while the store was away.
-	lapseTime = 2 * time.Second
 	// shrinkTime is how long a larger number of members keeps counting: shares of fleet-wide bounds must not grow at
 	// each instance while entries come back after an outage.
 	shrinkTime = 15 * time.Second
@@ -63,8 +61,8 @@
 	}
 }
 
-// Remove drops a member. With lapsed its entry may only be missing because the store was away.
-func (b *Board) Remove(now time.Time, id laceunit.InstanceID, lapsed bool) {
+// Remove drops a member. Its entry may only be missing because the store was away; it stays listed until settles.
+func (b *Board) Remove(now time.Time, id laceunit.InstanceID, settles time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	m, ok := b.members[id]
@@ -72,8 +70,8 @@
 		return
 	}
 	b.missing[m.Holder] = now
-	if lapsed {
-		b.until[id] = now.Add(lapseTime)
+	if now.Before(settles) {
+		b.until[id] = settles
 		return
 	}
 	delete(b.members, id)
--- a/lib/lacemirror/follower.go
+++ b/lib/lacemirror/follower.go
@@ -17,9 +17,11 @@
 	lastPause  = 400 * time.Millisecond
 	// listTimeout bounds a whole list, which may take several pages.
 	listTimeout = 3 * time.Second
-	// settleTime is how long after an outage removals are taken for entries that lapsed in it. They arrive with the
-	// first answers.
-	settleTime = time.Second
+	// returnTime is how long after the store's return entries that lapsed meanwhile are back, if their writers live. It
+	// is a little less than two seconds, within which a server that really leaves must be out of use.
+	returnTime = 1800 * time.Millisecond
+	// newsTime is the same for removals that another instance tells of, which may have waited there.
+	newsTime = time.Second
 	// outage is the silence after which a renewed contact counts as the end of an outage.
 	outage = 1500 * time.Millisecond
 )
@@ -28,9 +30,10 @@
 type Source struct {
 	// Peer is true when another instance sent them.
 	Peer bool
-	// Recovering is true shortly after the store was away: entries may be missing that lapsed meanwhile.
-	Recovering bool
-	Revision   laceplatform.Revision
+	// Settles is when entries that are missing now are gone for good; zero means that they are. Entries may have lapsed
+	// while the store was away.
+	Settles  time.Time
+	Revision laceplatform.Revision
 }
 
 // Handler takes in changes in the order of their revisions; calls do not overlap.
@@ -201,9 +204,16 @@
 	if len(changes) == 0 {
 		return
 	}
-	f.handler(changes, Source{
-		Peer:       peer,
-		Recovering: !f.recovered.IsZero() && time.Since(f.recovered) < settleTime,
-		Revision:   f.mirror.Revision(),
-	})
+	source := Source{
+		Peer:     peer,
+		Revision: f.mirror.Revision(),
+	}
+	now := time.Now()
+	if back := f.recovered.Add(returnTime); !f.recovered.IsZero() && now.Before(back) {
+		source.Settles = back
+	}
+	if peer {
+		source.Settles = now.Add(newsTime)
+	}
+	f.handler(changes, source)
 }
--- a/lib/lacenode/node.go
+++ b/lib/lacenode/node.go
@@ -244,7 +244,7 @@
 		}
 		listed = append(listed, b)
 	}
-	n.backends.Apply(time.Now(), listed, missing, source.Peer || source.Recovering)
+	n.backends.Apply(time.Now(), listed, missing, source.Settles)
 }
 
 // joined takes over instances.
@@ -255,7 +255,7 @@
 		case err != nil:
 			n.reject(c.Entry, err)
 		case c.Removed:
-			n.board.Remove(time.Now(), m.Holder.Instance, source.Peer || source.Recovering)
+			n.board.Remove(time.Now(), m.Holder.Instance, source.Settles)
 		default:
 			n.board.Put(m)
 		}
--- a/lib/lacerelay/backend.go
+++ b/lib/lacerelay/backend.go
@@ -12,10 +12,6 @@
 	"lacewingcove/lib/laceunit"
 )
 
-// lapseTime is how long a server stays in use whose entry may have lapsed while the store was away. Servers that live
-// are back in the list by then.
-const lapseTime = 2 * time.Second
-
 // Backend is a backend server as it registered itself.
 type Backend struct {
 	ID      laceunit.ServerID
@@ -56,9 +52,9 @@
 	}
 }
 
-// Apply takes over servers that registered or changed, and ids that are no longer listed. With lapsed the missing ones
-// may only have lost their entries while the store was away.
-func (b *Backends) Apply(now time.Time, listed []Backend, missing []laceunit.ServerID, lapsed bool) {
+// Apply takes over servers that registered or changed, and ids that are no longer listed. The missing ones may only have
+// lost their entries while the store was away; they stay in use until settles.
+func (b *Backends) Apply(now time.Time, listed []Backend, missing []laceunit.ServerID, settles time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	changed := false
@@ -70,8 +66,8 @@
 		if x == nil || !x.until.IsZero() {
 			continue
 		}
-		if lapsed && !x.Leaving {
-			x.until = now.Add(lapseTime)
+		if now.Before(settles) && !x.Leaving {
+			x.until = settles
 			b.note(x, "missing")
 			continue
 		}
