--- a/lib/lacenode/setting.go
+++ b/lib/lacenode/setting.go
@@ -148,6 +148,12 @@
 			Found:    s.Drain.Notice.String(),
 		})
 	}
+	if s.Store.Address == "" && len(faults) == 0 {
+		faults = append(faults, laceyaml.Fault{
+			Path:     "store.address",
+			Expected: addressForm,
+		})
+	}
 	faults.Sort()
 	return s, faults.Err()
 }
@@ -157,3 +163,15 @@
 	s := Default()
 	return laceyaml.Reference(fields(&s))
 }
+
+// Page returns docs/node.md; a test keeps the file equal to it.
+func Page() string {
+	return `# Settings of an instance on the users' platform
+
+This page is generated from the table in lib/lacenode; ` + "`go test ./lacenode -update`" + ` in lib/ writes it.
+` + "`platform -settings FILE check`" + ` checks a file and names each fault with its key and line.
+
+` + Reference() + `
+` + "`drain.notice`" + ` is less than ` + "`drain.grace`" + `.
+`
+}
--- a/lib/lacerelay/relay.go
+++ b/lib/lacerelay/relay.go
@@ -107,6 +107,8 @@
 	arrived  time.Time
 	deadline time.Time
 
+	// budget is what was known of the account when the request was refused for it.
+	budget   []lacelog.Pair
 	progress progress
 	tried    []laceunit.ServerID
 	// events counts the events that were passed on, last is the id of the newest.
@@ -246,10 +248,12 @@
 	if verdict == lacequota.Held {
 		return nil
 	}
-	r.options.Log.Write(lacelog.Refused, lacelog.P(lacelog.Request, j.call.Attempt), lacelog.P(lacelog.Reason, "budget"),
-		lacelog.P(lacelog.Account, j.account), lacelog.P(lacelog.Tokens, most), lacelog.P("paid", state.Paid),
-		lacelog.P(lacelog.Cap, state.Cap), lacelog.P(lacelog.Used, state.Used), lacelog.P(lacelog.Held, state.Reserved),
-		lacelog.P("others", state.Others), lacelog.P("lost", state.Lost), lacelog.P("free", state.Free), lacelog.P(lacelog.Age, time.Since(state.Drawn).Milliseconds()))
+	j.budget = []lacelog.Pair{
+		lacelog.P(lacelog.Tokens, most), lacelog.P("paid", state.Paid), lacelog.P(lacelog.Cap, state.Cap),
+		lacelog.P(lacelog.Used, state.Used), lacelog.P(lacelog.Held, state.Reserved), lacelog.P("others", state.Others),
+		lacelog.P("lost", state.Lost), lacelog.P("free", state.Free),
+		lacelog.P(lacelog.Age, time.Since(state.Drawn).Milliseconds()),
+	}
 	if verdict == lacequota.Spent {
 		return fault(lacefault.BudgetSpent, "prepaid tokens are spent", 0)
 	}
@@ -284,12 +288,14 @@
 // refuse ends a request that is not answered by a server.
 func (r *Relay) refuse(w http.ResponseWriter, j *job, f *lacefault.Fault) {
 	r.options.Codec.Refuse(w, j.call, f)
-	r.finish(j, f.Code.Status(), string(f.Code))
 	if f.Outcome == lacefault.NotRun {
-		r.options.Log.Write(lacelog.Refused, lacelog.P(lacelog.Request, j.call.Attempt), lacelog.P(lacelog.Reason, f.Code),
-			lacelog.P("message", f.Message), lacelog.P(lacelog.Route, j.name()), lacelog.P(lacelog.Account, j.account),
-			lacelog.P(lacelog.Version, j.version), lacelog.P(lacelog.Retry, f.RetryAfter.Milliseconds()))
+		r.options.Log.Write(lacelog.Refused, append([]lacelog.Pair{
+			lacelog.P(lacelog.Request, j.call.Attempt), lacelog.P(lacelog.Reason, f.Code), lacelog.P("message", f.Message),
+			lacelog.P(lacelog.Route, j.name()), lacelog.P(lacelog.Account, j.account), lacelog.P(lacelog.Version, j.version),
+			lacelog.P(lacelog.Retry, f.RetryAfter.Milliseconds()),
+		}, j.budget...)...)
 	}
+	r.finish(j, f.Code.Status(), string(f.Code))
 }
 
 // finish counts and logs the end of a request.
