lacequota: a predecessor is judged by the start of its successor

Change: the report is compared with the start of the new process, before which the old one had ended; a stopping instance gives back with the first draw after the signal. Test: TestPredecessorIsJudgedByTheStart.

--- a/lib/lacequota/draw.go
+++ b/lib/lacequota/draw.go
@@ -30,7 +30,7 @@
 
 // Plan computes a change of a page for the accounts of its shard. Caps that fall take effect at once, before the page
 // is written; those that rise wait for Commit. The ended holders are counted as spent. With release the instance keeps
-// only what it has spent or reserved.
+// only what it has spent or reserved, and what a request asked for.
 func (w *Wallet) Plan(now time.Time, at Instant, page Page, accounts []laceunit.AccountID, fleet Fleet, release bool) Draw {
 	d := Draw{
 		Page: Page{Budgets: maps.Clone(page.Budgets)},
@@ -63,7 +63,7 @@
 }
 
 func (w *Wallet) plan(now time.Time, at Instant, p *purse, b Budget, fleet Fleet, release bool) (Budget, grant) {
-	b = w.fold(at, b, fleet)
+	b = w.fold(b, fleet)
 	own, known := b.Holders[w.self]
 	folded := p.folded
 	if !known {
@@ -85,7 +85,8 @@
 	others := b.Rate(func(h laceunit.Holder) bool { return h != w.self && fleet.Live(h) })
 	hold := max(w.hold(now, p, others, rest, fleet.Members), p.wanted)
 	if release {
-		hold = 0
+		// What running requests still need is drawn for them alone.
+		hold = p.wanted
 	}
 	goal := min(low+hold, free)
 	// What has been spent or reserved can't be given back, whatever the others hold.
@@ -123,16 +124,16 @@
 	return laceunit.Tokens(ceilingTime.Seconds()*float64(p.rate(now)) + lumps*p.lump)
 }
 
-// fold counts the holders that have ended as spent. The process before this one on the same machine has ended; if it
-// reported lately, it can't have gone beyond its ceiling.
-func (w *Wallet) fold(at Instant, b Budget, fleet Fleet) Budget {
+// fold counts the holders that have ended as spent. The process before this one on the same machine ended before this
+// one started; if it had reported shortly before that, it can't have gone beyond its ceiling.
+func (w *Wallet) fold(b Budget, fleet Fleet) Budget {
 	return b.fold(func(h laceunit.Holder, x Holding) (laceunit.Tokens, bool) {
 		switch {
 		case h == w.self:
 			return 0, false
 		case h.Instance != w.self.Instance:
 			return x.Cap, fleet.Ended(h)
-		case x.Sent.Within(at, Patience):
+		case x.Sent.Within(w.born, Patience):
 			return min(x.Ceiling, x.Cap), true
 		default:
 			return x.Cap, true
--- a/lib/lacequota/property_test.go
+++ b/lib/lacequota/property_test.go
@@ -64,7 +64,7 @@
 	n.wallet = NewWallet(laceunit.Holder{
 		Instance:    laceunit.InstanceID(fmt.Sprint("router-", i)),
 		Incarnation: w.serial,
-	}, DefaultShare)
+	}, DefaultShare, w.instant(i))
 	n.live = nil
 	n.wallet.Paid(testAccount, w.paid, true, w.version)
 }
--- a/lib/lacequota/service.go
+++ b/lib/lacequota/service.go
@@ -64,6 +64,8 @@
 	known  map[laceunit.AccountID]bool
 	// drawn is closed and replaced after each draw.
 	drawn chan struct{}
+	// leaving is true from the beginning of a planned stop.
+	leaving bool
 	// contact is when the store last answered a draw.
 	contact time.Time
 }
@@ -79,7 +81,7 @@
 	}
 	s := &Service{
 		options: options,
-		wallet:  NewWallet(options.Self, options.Share),
+		wallet:  NewWallet(options.Self, options.Share, options.Clock()),
 		shards:  make([][]laceunit.AccountID, options.Shards),
 		known:   map[laceunit.AccountID]bool{},
 		drawn:   make(chan struct{}),
@@ -167,11 +169,22 @@
 	return ctx.Err()
 }
 
-// Release gives back what is neither spent nor reserved, for a planned stop.
+// Leave gives back what is neither spent nor reserved with the next draws, since callers are about to go elsewhere.
+func (s *Service) Leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+	for i := range s.shards {
+		s.rouse(i)
+	}
+}
+
+// Release gives back what is neither spent nor reserved and waits for it, at the end of a planned stop.
 func (s *Service) Release(ctx context.Context) error {
+	s.Leave()
 	var first error
 	for i := range s.shards {
-		if err := s.draw(ctx, i, true); err != nil && first == nil {
+		if err := s.draw(ctx, i); err != nil && first == nil {
 			first = err
 		}
 	}
@@ -195,7 +208,7 @@
 		}
 		if s.serves(shard) {
 			last = time.Now()
-			if err := s.draw(ctx, shard, false); err != nil && ctx.Err() == nil {
+			if err := s.draw(ctx, shard); err != nil && ctx.Err() == nil {
 				s.options.Log.Fault(err, "budgets were not drawn", lacelog.P(lacelog.Age, s.silence().Milliseconds()))
 				s.options.Metrics.failed()
 			}
@@ -230,7 +243,7 @@
 }
 
 // draw reads the shard's page and writes it with this instance's new caps.
-func (s *Service) draw(ctx context.Context, shard int, release bool) error {
+func (s *Service) draw(ctx context.Context, shard int) error {
 	key := s.options.Prefix + laceplatform.Key(strconv.Itoa(shard))
 	entry, err := s.read(ctx, key)
 	for range conflictTries {
@@ -241,7 +254,7 @@
 		if page, err = Decode(entry.Value); err != nil {
 			return err
 		}
-		plan, value, encodeErr := s.plan(page, shard, release)
+		plan, value, encodeErr := s.plan(page, shard)
 		if encodeErr != nil {
 			return encodeErr
 		}
@@ -275,14 +288,14 @@
 	return entry, errors.Wrap(err, "quota: read page")
 }
 
-func (s *Service) plan(page Page, shard int, release bool) (Draw, []byte, error) {
+func (s *Service) plan(page Page, shard int) (Draw, []byte, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	d := s.wallet.Plan(time.Now(), s.options.Clock(), page, s.shards[shard], Fleet{
 		Members: s.options.Members.Count(),
 		Live:    s.options.Members.Live,
 		Ended:   s.options.Members.Ended,
-	}, release)
+	}, s.leaving)
 	value, err := Encode(d.Page)
 	return d, value, err
 }
--- a/lib/lacequota/wallet.go
+++ b/lib/lacequota/wallet.go
@@ -46,8 +46,10 @@
 
 // Wallet is what one instance may spend; it is a state machine without clock, store or locks.
 type Wallet struct {
-	self   laceunit.Holder
-	share  float64
+	self  laceunit.Holder
+	share float64
+	// born is the start of this process: the one before it on the same machine had ended by then.
+	born   Instant
 	purses map[laceunit.AccountID]*purse
 	// sent is when the newest change of a page was sent, whether it was answered or not.
 	sent Instant
@@ -120,11 +122,13 @@
 // leastRateTime keeps one early request from looking like a high rate.
 const leastRateTime = 2 * time.Second
 
-// NewWallet returns an empty wallet; share is the part of an account's rest that the fleet holds.
-func NewWallet(self laceunit.Holder, share float64) *Wallet {
+// NewWallet returns an empty wallet of a process that started at a moment; share is the part of an account's rest that
+// the fleet holds.
+func NewWallet(self laceunit.Holder, share float64, born Instant) *Wallet {
 	return &Wallet{
 		self:   self,
 		share:  share,
+		born:   born,
 		purses: map[laceunit.AccountID]*purse{},
 	}
 }
--- a/lib/lacequota/wallet_test.go
+++ b/lib/lacequota/wallet_test.go
@@ -26,7 +26,7 @@
 	w := NewWallet(laceunit.Holder{
 		Instance:    laceunit.InstanceID(name),
 		Incarnation: 1,
-	}, DefaultShare)
+	}, DefaultShare, Instant{})
 	w.Paid(testAccount, paid, true, 1)
 	return w
 }
@@ -145,3 +145,30 @@
 		t.Errorf("tokens that were held before are refused: verdict %d", v)
 	}
 }
+
+// Guards against tokens that stay with a process which was stopped in a partition: its successor starts at once and
+// reaches the store long after.
+func TestPredecessorIsJudgedByTheStart(t *testing.T) {
+	self := laceunit.Holder{
+		Instance:    "router",
+		Incarnation: 1,
+	}
+	now, at := time.Unix(1000, 0), Instant{Boot: "a", Since: time.Hour}
+	old := NewWallet(self, DefaultShare, at)
+	old.Paid(testAccount, 1_000_000, true, 1)
+	page := put(old, now, at, Page{}, everybody(1))
+	for range 12 {
+		_, now, at = ask(old, now, at, 10, 1_000)
+		page = put(old, now, at, page, everybody(1))
+	}
+	h := page.Budgets[testAccount].Holders[self]
+	at.Since += Patience / 2
+	self.Incarnation = 2
+	successor := NewWallet(self, DefaultShare, at)
+	successor.Paid(testAccount, 1_000_000, true, 1)
+	at.Since += time.Minute
+	page = put(successor, now.Add(time.Minute), at, page, everybody(1))
+	if got := page.Budgets[testAccount].Closed; got != h.Ceiling {
+		t.Errorf("%d tokens count as spent by the predecessor, not its ceiling of %d", got, h.Ceiling)
+	}
+}
