--- a/lib/lacenode/listen.go
+++ b/lib/lacenode/listen.go
@@ -31,7 +31,9 @@
 // listener is one HTTP server of the instance.
 type listener struct {
 	server *http.Server
-	done   chan error
+	// done is closed when the server has ended, served is why.
+	done   chan struct{}
+	served error
 }
 
 // listen starts a server on an address.
@@ -49,17 +51,21 @@
 			MaxHeaderBytes:    headerBytes,
 			ErrorLog:          slog.NewLogLogger(logr.ToSlogHandler(n.log.Logr()), slog.LevelDebug),
 		},
-		done: make(chan error, 1),
+		done: make(chan struct{}),
 	}
-	go func() { l.done <- l.server.Serve(socket) }()
+	go func() {
+		defer close(l.done)
+		l.served = l.server.Serve(socket)
+	}()
 	return l, nil
 }
 
 // Close ends the server at once and waits for it.
 func (l *listener) Close() error {
 	err := l.server.Close()
-	if served := <-l.done; err == nil && !errors.Is(served, http.ErrServerClosed) {
-		err = served
+	<-l.done
+	if err == nil && !errors.Is(l.served, http.ErrServerClosed) {
+		err = l.served
 	}
 	return err
 }
--- a/lib/lacenode/run.go
+++ b/lib/lacenode/run.go
@@ -14,6 +14,10 @@
 const (
 	// exitMargin is left between the end of a planned stop and the kill.
 	exitMargin = 900 * time.Millisecond
+	// finishStep is how often a planned stop looks for running requests, finishSteps how many looks in a row have to find
+	// none: a request that has just arrived is not counted yet.
+	finishStep  = 20 * time.Millisecond
+	finishSteps = 5
 	// releaseTimeout bounds the return of tokens at the end of a planned stop.
 	releaseTimeout = 300 * time.Millisecond
 )
@@ -76,10 +80,7 @@
 	}
 	wait(ctx, began.Add(n.settings.Drain.Notice))
 	n.relay.Stop()
-	err := all.caller.server.Shutdown(ctx)
-	if err != nil {
-		n.log.Fault(err, "requests were cut by the end of the grace time", lacelog.P("running", n.relay.Running()))
-	}
+	n.finish(ctx, all.caller)
 	final, done := context.WithTimeout(context.Background(), releaseTimeout)
 	defer done()
 	if err := n.quota.Release(final); err != nil {
@@ -89,6 +90,33 @@
 	return n.kernel.Close()
 }
 
+// finish waits for the running requests and ends the listener. Connections that callers have opened and not used, or keep
+// without need, would hold up the server's own shutdown for as long as it may take.
+func (n *Node) finish(ctx context.Context, l *listener) {
+	shut := make(chan error, 1)
+	go func() { shut <- l.server.Shutdown(ctx) }()
+	ticker := time.NewTicker(finishStep)
+	defer ticker.Stop()
+	quiet := 0
+	for quiet < finishSteps {
+		select {
+		case <-shut:
+			quiet = finishSteps
+		case <-ticker.C:
+			quiet++
+			if n.relay.Running() > 0 {
+				quiet = 0
+			}
+		}
+	}
+	if ctx.Err() != nil {
+		n.log.Fault(ctx.Err(), "requests were cut by the end of the grace time", lacelog.P("running", n.relay.Running()))
+	}
+	if err := l.Close(); err != nil {
+		n.log.Fault(err, "listener was not closed")
+	}
+}
+
 // wait returns at a time, or earlier when the context ends.
 func wait(ctx context.Context, until time.Time) {
 	timer := time.NewTimer(time.Until(until))
