lacerelay: Retry-After of budget refusals follows where the tokens can be

Cause: every refusal for budget sent its caller back after 100 ms. Change: 100 ms when other instances hold a part for their own callers, 1 s when holdings can be evened out, 3 s while the store is away.

--- a/lib/lacenode/run.go
+++ b/lib/lacenode/run.go
@@ -93,8 +93,13 @@
 // finish waits for the running requests and ends the listener. Connections that callers have opened and not used, or keep
 // without need, would hold up the server's own shutdown for as long as it may take.
 func (n *Node) finish(ctx context.Context, l *listener) {
-	shut := make(chan error, 1)
-	go func() { shut <- l.server.Shutdown(ctx) }()
+	shut := make(chan struct{})
+	go func() {
+		defer close(shut)
+		if err := l.server.Shutdown(ctx); err != nil {
+			n.log.Fault(err, "connections were still open at the end of a stop", lacelog.P("running", n.relay.Running()))
+		}
+	}()
 	ticker := time.NewTicker(finishStep)
 	defer ticker.Stop()
 	quiet := 0
@@ -109,12 +114,10 @@
 			}
 		}
 	}
-	if ctx.Err() != nil {
-		n.log.Fault(ctx.Err(), "requests were cut by the end of the grace time", lacelog.P("running", n.relay.Running()))
-	}
 	if err := l.Close(); err != nil {
 		n.log.Fault(err, "listener was not closed")
 	}
+	<-shut
 }
 
 // wait returns at a time, or earlier when the context ends.
--- a/lib/lacequota/draw.go
+++ b/lib/lacequota/draw.go
@@ -24,6 +24,8 @@
 	paid   laceunit.Tokens
 	lost   laceunit.Tokens
 	free   laceunit.Tokens
+	// spread is true when callers use the account at other instances as well.
+	spread bool
 	// whole is true when the caps of all instances respect what was paid.
 	whole bool
 }
@@ -112,6 +114,7 @@
 		paid:    paid,
 		lost:    b.Closed - b.Burnt,
 		free:    max(free-goal, 0),
+		spread:  others > 0,
 		whole:   elsewhere+goal <= paid,
 	}
 }
@@ -166,7 +169,7 @@
 		p := w.purse(a)
 		p.cap, p.ceiling, p.folded = g.cap, g.ceiling, g.folded
 		p.reported, p.others, p.drawn = g.used, g.others, now
-		p.lost, p.free = g.lost, g.free
+		p.lost, p.free, p.spread = g.lost, g.free, g.spread
 		p.wanted, p.due = 0, false
 		if g.whole {
 			p.basis = g.paid
--- a/lib/lacequota/wallet.go
+++ b/lib/lacequota/wallet.go
@@ -81,6 +81,8 @@
 	// lost is what ended incarnations held and had not reported as spent, free what no instance held.
 	lost laceunit.Tokens
 	free laceunit.Tokens
+	// spread is true when callers use the account at other instances as well, which then hold a part of it.
+	spread bool
 	// due is true when the store should be asked soon.
 	due bool
 	// asked is the decayed sum of what callers asked for, up to the moment at.
@@ -228,8 +230,10 @@
 	// Lost is what ended instances held without having reported it as spent.
 	Lost laceunit.Tokens
 	// Free is what no instance held after the last draw.
-	Free  laceunit.Tokens
-	Drawn time.Time
+	Free laceunit.Tokens
+	// Spread is true when other instances hold a part of the account for their own callers.
+	Spread bool
+	Drawn  time.Time
 }
 
 // State returns what is known of an account.
@@ -243,6 +247,7 @@
 		Others:   p.others,
 		Lost:     p.lost,
 		Free:     p.free,
+		Spread:   p.spread,
 		Drawn:    p.drawn,
 	}
 }
--- a/lib/lacerelay/relay.go
+++ b/lib/lacerelay/relay.go
@@ -31,9 +31,14 @@
 	writeSlack = 2 * time.Second
 	// startRetry is what a caller is told to wait for an instance that has no configuration yet.
 	startRetry = 500 * time.Millisecond
-	// budgetRetry is what a caller is told to wait when tokens are held by other instances, at one of which it can
-	// try at once.
-	budgetRetry = 100 * time.Millisecond
+	// spreadRetry is what a caller is told to wait when other instances hold tokens of its account for their own callers:
+	// it can try at one of them at once.
+	spreadRetry = 100 * time.Millisecond
+	// evenRetry is the same when only this instance has callers of the account. Holdings are evened out each second.
+	evenRetry = time.Second
+	// awayRetry is the same while the store has not answered for awayAge; outages take several seconds.
+	awayRetry = 3 * time.Second
+	awayAge   = 3 * time.Second
 	// stopRetry is what a caller is told that should go to another instance.
 	stopRetry = 10 * time.Millisecond
 )
@@ -257,7 +262,19 @@
 	if verdict == lacequota.Spent {
 		return fault(lacefault.BudgetSpent, "prepaid tokens are spent", 0)
 	}
-	return fault(lacefault.BudgetBlocked, "prepaid tokens are held by other instances", budgetRetry)
+	return fault(lacefault.BudgetBlocked, "prepaid tokens are not at this instance", budgetRetry(state))
+}
+
+// budgetRetry is when a caller whose tokens are not at this instance has a chance again.
+func budgetRetry(s lacequota.State) time.Duration {
+	switch {
+	case s.Spread:
+		return spreadRetry
+	case time.Since(s.Drawn) > awayAge:
+		return awayRetry
+	default:
+		return evenRetry
+	}
 }
 
 // retry works on the retry budget of a service.
