--- a/lib/lacequota/draw.go
+++ b/lib/lacequota/draw.go
@@ -30,10 +30,22 @@
 	whole bool
 }
 
+// Keep tells how much an instance holds beyond its spend.
+type Keep int
+
+// The ways of keeping.
+const (
+	// KeepShare is the instance's part by demand.
+	KeepShare Keep = iota
+	// KeepLittle is what lasts for a moment, for an instance that callers are leaving.
+	KeepLittle
+	// KeepNothing gives everything back that is neither spent nor reserved.
+	KeepNothing
+)
+
 // Plan computes a change of a page for the accounts of its shard. Caps that fall take effect at once, before the page
-// is written; those that rise wait for Commit. The ended holders are counted as spent. With release the instance keeps
-// only what it has spent or reserved, and what a request asked for.
-func (w *Wallet) Plan(now time.Time, at Instant, page Page, accounts []laceunit.AccountID, fleet Fleet, release bool) Draw {
+// is written; those that rise wait for Commit. The ended holders are counted as spent.
+func (w *Wallet) Plan(now time.Time, at Instant, page Page, accounts []laceunit.AccountID, fleet Fleet, keep Keep) Draw {
 	d := Draw{
 		Page: Page{Budgets: maps.Clone(page.Budgets)},
 		caps: map[laceunit.AccountID]grant{},
@@ -46,7 +58,7 @@
 		if !p.prepaid {
 			continue
 		}
-		b, g := w.plan(now, at, p, page.Budgets[a], fleet, release)
+		b, g := w.plan(now, at, p, page.Budgets[a], fleet, keep)
 		d.Page.Budgets[a], d.caps[a] = b, g
 		p.cap, p.ceiling = min(p.cap, g.cap), min(p.ceiling, g.ceiling)
 	}
@@ -64,7 +76,7 @@
 	Ended func(laceunit.Holder) bool
 }
 
-func (w *Wallet) plan(now time.Time, at Instant, p *purse, b Budget, fleet Fleet, release bool) (Budget, grant) {
+func (w *Wallet) plan(now time.Time, at Instant, p *purse, b Budget, fleet Fleet, keep Keep) (Budget, grant) {
 	b = w.fold(b, fleet)
 	own, known := b.Holders[w.self]
 	folded := p.folded
@@ -86,9 +98,12 @@
 	rest := max(paid-spent-p.used-p.reserved, 0)
 	others := b.Rate(func(h laceunit.Holder) bool { return h != w.self && fleet.Live(h) })
 	hold := max(w.hold(now, p, others, rest, fleet.Members), p.wanted)
-	if release {
-		// What running requests still need is drawn for them alone.
-		hold = p.wanted
+	switch keep {
+	case KeepShare:
+	case KeepLittle:
+		hold = min(hold, max(laceunit.Tokens(leaveTime.Seconds()*float64(p.rate(now))+p.lump), p.wanted))
+	case KeepNothing:
+		hold = 0
 	}
 	goal := min(low+hold, free)
 	// What has been spent or reserved can't be given back, whatever the others hold.
--- a/lib/lacequota/property_test.go
+++ b/lib/lacequota/property_test.go
@@ -88,7 +88,7 @@
 		Members: machines,
 		Live:    func(laceunit.Holder) bool { return true },
 		Ended:   func(laceunit.Holder) bool { return false },
-	}, false)
+	}, KeepShare)
 	text, err := Encode(d.Page)
 	if err != nil {
 		panic(err)
--- a/lib/lacequota/service.go
+++ b/lib/lacequota/service.go
@@ -64,8 +64,8 @@
 	known  map[laceunit.AccountID]bool
 	// drawn is closed and replaced after each draw.
 	drawn chan struct{}
-	// leaving is true from the beginning of a planned stop.
-	leaving bool
+	// keep is how much is held; it falls in a planned stop.
+	keep Keep
 	// contact is when the store last answered a draw.
 	contact time.Time
 }
@@ -169,11 +169,14 @@
 	return ctx.Err()
 }
 
-// Leave gives back what is neither spent nor reserved with the next draws, since callers are about to go elsewhere.
-func (s *Service) Leave() {
+// Leave gives back most of what is neither spent nor reserved with the next draws, since callers are about to go
+// elsewhere.
+func (s *Service) Leave() { s.lower(KeepLittle) }
+
+func (s *Service) lower(keep Keep) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.leaving = true
+	s.keep = keep
 	for i := range s.shards {
 		s.rouse(i)
 	}
@@ -181,7 +184,7 @@
 
 // Release gives back what is neither spent nor reserved and waits for it, at the end of a planned stop.
 func (s *Service) Release(ctx context.Context) error {
-	s.Leave()
+	s.lower(KeepNothing)
 	var first error
 	for i := range s.shards {
 		if err := s.draw(ctx, i); err != nil && first == nil {
@@ -295,7 +298,7 @@
 		Members: s.options.Members.Count(),
 		Live:    s.options.Members.Live,
 		Ended:   s.options.Members.Ended,
-	}, s.leaving)
+	}, s.keep)
 	value, err := Encode(d.Page)
 	return d, value, err
 }
--- a/lib/lacequota/wallet.go
+++ b/lib/lacequota/wallet.go
@@ -24,6 +24,8 @@
 	Patience = 4 * time.Second
 	// ceilingTime is how long a ceiling lasts at the recent rate; it has to bridge Patience.
 	ceilingTime = Patience + 500*time.Millisecond
+	// leaveTime is how long what a stopping instance keeps lasts; it draws again well within that.
+	leaveTime = time.Second
 	// evenPart is divided evenly; the rest follows demand, since many accounts use one instance only. It serves callers
 	// that change the instance during an outage.
 	evenPart = 0.1
--- a/lib/lacequota/wallet_test.go
+++ b/lib/lacequota/wallet_test.go
@@ -17,7 +17,7 @@
 
 // put commits a draw of a wallet and returns the page.
 func put(w *Wallet, now time.Time, at Instant, page Page, fleet Fleet) Page {
-	d := w.Plan(now, at, page, []laceunit.AccountID{testAccount}, fleet, false)
+	d := w.Plan(now, at, page, []laceunit.AccountID{testAccount}, fleet, KeepShare)
 	w.Commit(now, d)
 	return d.Page
 }
@@ -172,3 +172,30 @@
 		t.Errorf("%d tokens count as spent by the predecessor, not its ceiling of %d", got, h.Ceiling)
 	}
 }
+
+// Guards against a stopping instance that keeps what others need, and against one that refuses callers which have not
+// left yet.
+func TestStoppingInstanceKeepsLittle(t *testing.T) {
+	w := wallet("router", 10_000_000)
+	now, at := time.Unix(1000, 0), Instant{}
+	page := put(w, now, at, Page{}, everybody(1))
+	for range 12 {
+		_, now, at = ask(w, now, at, 10, 1_000)
+		page = put(w, now, at, page, everybody(1))
+	}
+	held := func() laceunit.Tokens { return w.State(testAccount).Cap - w.State(testAccount).Used }
+	before := held()
+	d := w.Plan(now, at, page, w.Accounts(), everybody(1), KeepLittle)
+	w.Commit(now, d)
+	if after := held(); after > before/4 {
+		t.Errorf("%d of %d tokens are kept", after, before)
+	}
+	if n, _, _ := ask(w, now, at, 5, 1_000); n != 5 {
+		t.Errorf("%d of 5 requests of the next half second were held", n)
+	}
+	d = w.Plan(now, at, d.Page, w.Accounts(), everybody(1), KeepNothing)
+	w.Commit(now, d)
+	if after := held(); after != 0 {
+		t.Errorf("%d tokens are kept at the end", after)
+	}
+}
