lacerelay: a resumed stream pays its prompt once

Callers that resume a stream paid its prompt again with a new attempt. Ruled out: sizes of events (half a stride a stream at most). Change: the prompt is not charged again when the caller names the last event that it has. Test: TestConsumption.

--- a/lib/lacerelay/relay.go
+++ b/lib/lacerelay/relay.go
@@ -160,12 +160,16 @@
 }
 
 // consumed is what a request costs: its prompt once and the events that were passed on. A request of which the caller
-// got nothing costs nothing.
+// got nothing costs nothing, and the prompt of a stream that its caller resumes was paid for with its beginning.
 func (j *job) consumed() laceunit.Tokens {
 	if j.events == 0 {
 		return 0
 	}
-	return j.call.Input + min(j.call.Output, laceunit.Tokens(j.events*max(j.stride, 1)))
+	input := j.call.Input
+	if j.call.After != "" {
+		input = 0
+	}
+	return input + min(j.call.Output, laceunit.Tokens(j.events*max(j.stride, 1)))
 }
 
 // admit finds the route, the account and the time limit, and reads the body.
--- a/lib/lacerelay/verdict_test.go
+++ b/lib/lacerelay/verdict_test.go
@@ -6,6 +6,7 @@
 
 	"lacewingcove/lib/lacequota"
 	"lacewingcove/lib/laceroute"
+	"lacewingcove/lib/laceunit"
 )
 
 // Guards against a request that runs twice, a refusal of one that may have run, and an answer that is thrown away.
@@ -87,3 +88,26 @@
 		}
 	}
 }
+
+// Guards against a prompt that is paid for twice, and against a bill for an answer that did not arrive.
+func TestConsumption(t *testing.T) {
+	call := Call{
+		Input:  1000,
+		Output: 60,
+	}
+	resumed := call
+	resumed.After = "4"
+	for name, c := range map[string]struct {
+		job  job
+		want laceunit.Tokens
+	}{
+		"nothing arrived":        {job: job{call: call, stride: 6, progress: progress{ran: true}}, want: 0},
+		"part of a stream":       {job: job{call: call, stride: 6, events: 3}, want: 1018},
+		"more than was asked":    {job: job{call: call, stride: 6, events: 30}, want: 1060},
+		"stream that is resumed": {job: job{call: resumed, stride: 6, events: 3}, want: 18},
+	} {
+		if got := c.job.consumed(); got != c.want {
+			t.Errorf("%s: %d tokens, not %d", name, got, c.want)
+		}
+	}
+}
