--- a/lib/lacerelay/attempt.go
+++ b/lib/lacerelay/attempt.go
@@ -310,7 +310,6 @@
 	w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	j.first = time.Now()
 	w.WriteHeader(a.status)
-	j.whole = a.reply.Signed && a.status < http.StatusMultipleChoices
 	if _, err := w.Write(a.body); err != nil {
 		r.finish(j, a.status, left.String())
 		return
--- a/lib/lacerelay/relay.go
+++ b/lib/lacerelay/relay.go
@@ -119,8 +119,6 @@
 	// events counts the events that were passed on, last is the id of the newest.
 	events int
 	last   string
-	// whole is true when the answer has reached its end.
-	whole bool
 	// first is when the answer began to reach the caller.
 	first time.Time
 }
@@ -161,14 +159,17 @@
 	r.run(ctx, w, j)
 }
 
-// consumed is what an attempt of a caller costs: the events that were passed on, and the prompt if the answer arrived
-// whole. A request that takes several attempts so pays its prompt once, with the last one.
+// consumed is what a request costs: its prompt once and the events that were passed on. A request of which the caller
+// got nothing costs nothing, and the prompt of a stream that its caller resumes was paid for with its beginning.
 func (j *job) consumed() laceunit.Tokens {
-	tokens := min(j.call.Output, laceunit.Tokens(j.events*max(j.stride, 1)))
-	if j.whole {
-		tokens += j.call.Input
+	if j.events == 0 {
+		return 0
 	}
-	return tokens
+	input := j.call.Input
+	if j.call.After != "" {
+		input = 0
+	}
+	return input + min(j.call.Output, laceunit.Tokens(j.events*max(j.stride, 1)))
 }
 
 // admit finds the route, the account and the time limit, and reads the body.
--- a/lib/lacerelay/stream.go
+++ b/lib/lacerelay/stream.go
@@ -106,7 +106,7 @@
 	j.progress.ran = true
 	if errors.Is(cause, io.EOF) {
 		a.exchange.Finish(true, a.reply.Idle)
-		a.end, j.whole = whole, true
+		a.end = whole
 		if j.first.IsZero() {
 			r.begin(w, j, a)
 		}
--- a/lib/lacerelay/verdict_test.go
+++ b/lib/lacerelay/verdict_test.go
@@ -89,8 +89,7 @@
 	}
 }
 
-// Guards against a prompt that is paid for twice when a stream takes two attempts, and against a bill for an answer that
-// did not arrive.
+// Guards against a prompt that is paid for twice, and against a bill for an answer that did not arrive.
 func TestConsumption(t *testing.T) {
 	call := Call{
 		Input:  1000,
@@ -102,11 +101,10 @@
 		job  job
 		want laceunit.Tokens
 	}{
-		"nothing arrived":           {job: job{call: call, stride: 6, progress: progress{ran: true}}, want: 0},
-		"stream that broke off":     {job: job{call: call, stride: 6, events: 3}, want: 18},
-		"its rest, resumed":         {job: job{call: resumed, stride: 6, events: 3, whole: true}, want: 1018},
-		"whole stream":              {job: job{call: call, stride: 6, events: 4, whole: true}, want: 1024},
-		"more events than expected": {job: job{call: call, stride: 6, events: 30, whole: true}, want: 1060},
+		"nothing arrived":        {job: job{call: call, stride: 6, progress: progress{ran: true}}, want: 0},
+		"part of a stream":       {job: job{call: call, stride: 6, events: 3}, want: 1018},
+		"more than was asked":    {job: job{call: call, stride: 6, events: 30}, want: 1060},
+		"stream that is resumed": {job: job{call: resumed, stride: 6, events: 3}, want: 18},
 	} {
 		if got := c.job.consumed(); got != c.want {
 			t.Errorf("%s: %d tokens, not %d", name, got, c.want)
