lacerelay, laceconn: callers that leave do not eject servers; unused code removed

Cause (read of the diff): a caller that left while a connection was being opened, and a bound on connections that was reached, counted as an unreachable server, which rests for a second. Change: such attempts say nothing about the server. Fields, methods and settings without a use are gone; prefixes count only on routes that ask for affinity.

--- a/lib/laceconn/pool.go
+++ b/lib/laceconn/pool.go
@@ -63,7 +63,6 @@
 	most   int
 	idle   []*Conn
 	open   map[*Conn]struct{}
-	opened uint64
 	closed bool
 }
 
@@ -77,20 +76,6 @@
 	}
 }
 
-// SetBound changes how many connections the pool may have.
-func (p *Pool) SetBound(most int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.most = most
-}
-
-// Opened returns how many connections the pool has opened.
-func (p *Pool) Opened() uint64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.opened
-}
-
 // Get returns an idle connection or opens one. Its errors say that nothing was sent.
 func (p *Pool) Get(ctx context.Context) (*Conn, error) {
 	if c := p.take(); c != nil {
@@ -107,7 +92,6 @@
 	}
 	// The place is taken before dialling, so that the bound holds while connections open.
 	p.open[c] = struct{}{}
-	p.opened++
 	p.mu.Unlock()
 	conn, err := p.dialer.DialContext(ctx, "tcp", string(p.address))
 	if err != nil {
--- a/lib/lacelog/event.go
+++ b/lib/lacelog/event.go
@@ -50,7 +50,6 @@
 	Took     Field = "took_ms"
 	Left     Field = "left_ms"
 	Load     Field = "load"
-	Running  Field = "running"
 	Events   Field = "events"
 	Tokens   Field = "tokens"
 	Held     Field = "held"
--- a/lib/lacenode/listen.go
+++ b/lib/lacenode/listen.go
@@ -17,10 +17,11 @@
 )
 
 const (
-	// headerWait bounds the reading of a request's header until the configuration's own limit is enforced by callers.
+	// headerWait bounds the reading of a request's header. It is above the limits of configurations, which change while
+	// the listener runs.
 	headerWait = 10 * time.Second
-	// callerIdle is how long a caller's connection may rest. It is longer than any limit in use, so that connections
-	// that callers still count on do not close under a request.
+	// callerIdle is how long a caller's connection may rest. It is above the limits of configurations, so that no
+	// connection closes that a caller may still use.
 	callerIdle = 2 * time.Minute
 	// headerBytes bounds the header of a request.
 	headerBytes = 64 << 10
--- a/lib/lacequota/service.go
+++ b/lib/lacequota/service.go
@@ -148,13 +148,6 @@
 	}
 }
 
-// State returns what is known of an account.
-func (s *Service) State(account laceunit.AccountID) State {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.wallet.State(account)
-}
-
 // Serve implements suture.Service: it draws for each shard until the context ends.
 func (s *Service) Serve(ctx context.Context) error {
 	var group sync.WaitGroup
--- a/lib/lacerelay/attempt.go
+++ b/lib/lacerelay/attempt.go
@@ -38,6 +38,8 @@
 	exchange *laceconn.Exchange
 	reply    Reply
 	reason   string
+	// spared is true when nothing was sent for a reason that is not the server's.
+	spared bool
 	// begun is true when the answer is a stream.
 	begun bool
 	// abort closes the caller's connection without the end of the answer.
@@ -103,11 +105,15 @@
 	if latest.After(j.deadline) {
 		latest = j.deadline
 	}
+	prefix := j.call.Prefix
+	if !j.route.Affinity {
+		prefix = 0
+	}
 	d := r.options.Placer.Pick(ctx, lacebalancer.Request{
 		Pool:     pool(j.service),
 		Account:  j.account,
 		Priority: urgency(j.rank),
-		Prefix:   j.call.Prefix,
+		Prefix:   prefix,
 		Exclude:  j.tried,
 		Once:     !repeatable(j.route),
 		Deadline: latest,
@@ -184,12 +190,13 @@
 	remaining := time.Until(j.deadline)
 	pool, ok := r.options.Backends.Pool(d.Server)
 	if !ok || remaining < lateWait {
-		a.end, a.reason = notSent, "server has gone or time is over"
+		a.end, a.reason, a.spared = notSent, "server has gone or time is over", true
 		return a
 	}
 	conn, err := pool.Get(ctx)
 	if err != nil {
 		a.end, a.reason = notSent, err.Error()
+		a.spared = ctx.Err() != nil || errors.Is(err, laceconn.ErrFull)
 		return a
 	}
 	j.progress.sends++
@@ -226,7 +233,7 @@
 	a.reason = err.Error()
 	if errors.Is(err, laceconn.ErrNotSent) {
 		j.progress.sends--
-		a.end = notSent
+		a.end, a.spared = notSent, ctx.Err() != nil
 		return
 	}
 	a.end = interrupted(ctx)
@@ -271,6 +278,9 @@
 	case notSent:
 		j.progress.misses++
 		result = lacebalancer.Unreachable
+		if a.spared {
+			result = lacebalancer.Neutral
+		}
 	case notRun:
 		result = lacebalancer.Busy
 	case broken, silent:
--- a/lib/lacerelay/backend.go
+++ b/lib/lacerelay/backend.go
@@ -1,7 +1,6 @@
 package lacerelay
 
 import (
-	"slices"
 	"sync"
 	"time"
 
@@ -170,17 +169,5 @@
 	b.placer.Update(now, servers)
 }
 
-// Known returns the ids of the servers in use, in order.
-func (b *Backends) Known() []laceunit.ServerID {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	ids := make([]laceunit.ServerID, 0, len(b.all))
-	for id := range b.all {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
-}
-
 // pool names the balancer's pool of a service.
 func pool(service laceunit.ServiceID) lacebalancer.Pool { return lacebalancer.ServicePool(service) }
--- a/lib/lacerelay/placer.go
+++ b/lib/lacerelay/placer.go
@@ -101,13 +101,6 @@
 	p.deliver(p.balancer.Report(time.Now(), id, load, 0))
 }
 
-// InFlight returns how many requests this instance has at a server.
-func (p *Placer) InFlight(id laceunit.ServerID) int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.balancer.InFlight(id)
-}
-
 func (p *Placer) deliver(decisions []lacebalancer.Decision) {
 	for _, d := range decisions {
 		c := p.waiting[d.Ticket]
--- a/lib/laceroute/document.go
+++ b/lib/laceroute/document.go
@@ -62,10 +62,6 @@
 
 // Engine describes the servers of a model service.
 type Engine struct {
-	// Slots is how many requests a server batches.
-	Slots int
-	// Memory is how many tokens a server's cache holds.
-	Memory laceunit.Tokens
 	// Stride is how many tokens one event of a stream holds at most.
 	Stride int
 }
@@ -84,10 +80,8 @@
 
 // Limits bound what a caller may send.
 type Limits struct {
-	Header     int
-	Body       int64
-	HeaderWait time.Duration
-	Idle       time.Duration
+	// Body is the largest body in bytes.
+	Body int64
 }
 
 // Document is one version of the configuration.
