lacemirror: lists that get no answer are asked for again beside the pending ones

Ruled out: late starts (all within 5 ms), slow registration (0.2 s after the copy), the draws (27 ms after the copy). Change: Follower.list asks again every 300 ms while earlier calls are pending, for at most 3 s; the first answer counts. Test: TestFirstCopyFollowsTheStoresReturn failed before (no copy half a second after the store's return).

--- a/lib/lacemirror/follower.go
+++ b/lib/lacemirror/follower.go
@@ -17,6 +17,9 @@
 	lastPause  = 400 * time.Millisecond
 	// listTimeout bounds a whole list, which may take several pages.
 	listTimeout = 3 * time.Second
+	// listInterval is how soon a list is asked for again beside one that has no answer yet: a call that was sent while
+	// the store was away may never be answered. A slow store still has the whole listTimeout for each.
+	listInterval = 300 * time.Millisecond
 	// returnTime is how long after the store's return entries that lapsed meanwhile are back, if their writers live. It
 	// is a little less than two seconds, within which a server that really leaves must be out of use.
 	returnTime = 1800 * time.Millisecond
@@ -133,20 +136,63 @@
 	return ctx.Err()
 }
 
+// listing is the answer to one call.
+type listing struct {
+	entries  []laceplatform.Entry
+	revision laceplatform.Revision
+	err      error
+}
+
+// list replaces the copy by the first list that the store answers with.
 func (f *Follower) list(ctx context.Context) error {
-	call, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
-	entries, revision, err := f.store.List(call, f.prefix)
-	if err != nil {
-		return err
+	l := f.firstList(ctx)
+	if l.err != nil {
+		return l.err
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.regained()
-	f.notify(f.mirror.Replace(entries, revision), false)
+	f.notify(f.mirror.Replace(l.entries, l.revision), false)
 	return nil
 }
 
+// firstList asks until one call succeeds or all have failed; calls overlap while the store is silent.
+func (f *Follower) firstList(ctx context.Context) listing {
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	call, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	answers := make(chan listing)
+	pending := 0
+	ask := func() {
+		pending++
+		calls.Go(func() {
+			var l listing
+			l.entries, l.revision, l.err = f.store.List(call, f.prefix)
+			select {
+			case answers <- l:
+			case <-call.Done():
+			}
+		})
+	}
+	ask()
+	again := time.NewTicker(listInterval)
+	defer again.Stop()
+	for {
+		select {
+		case <-again.C:
+			ask()
+		case l := <-answers:
+			pending--
+			if l.err == nil || pending == 0 {
+				return l
+			}
+		case <-call.Done():
+			return listing{err: errors.Wrap(laceplatform.ErrUnavailable, "mirror: list: "+call.Err().Error())}
+		}
+	}
+}
+
 func (f *Follower) watch(ctx context.Context, progress func()) error {
 	inner, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/lib/lacemirror/follower_test.go
+++ b/lib/lacemirror/follower_test.go
@@ -97,3 +97,47 @@
 	close(back.events)
 	<-done
 }
+
+// silentStore never answers calls that begin before it returns.
+type silentStore struct {
+	script
+
+	back time.Time
+}
+
+// List implements laceplatform.Store.
+func (s *silentStore) List(ctx context.Context, prefix laceplatform.Key) (
+	[]laceplatform.Entry, laceplatform.Revision, error,
+) {
+	if time.Now().Before(s.back) {
+		<-ctx.Done()
+		return nil, 0, errors.Wrap(laceplatform.ErrUnavailable, ctx.Err().Error())
+	}
+	return s.script.List(ctx, prefix)
+}
+
+// Guards against an instance that starts shortly before the store's return and waits for a call that will never be
+// answered, while it has no configuration and refuses everything.
+func TestFirstCopyFollowsTheStoresReturn(t *testing.T) {
+	const (
+		away = 200 * time.Millisecond
+		// The target is that half a second after the store's return every instance serves again.
+		target = 500 * time.Millisecond
+	)
+	store := &silentStore{
+		script: script{watches: make(chan *scriptWatch)},
+		back:   time.Now().Add(away),
+	}
+	copied := make(chan struct{}, 1)
+	f := NewFollower("servers/", store, lacelog.Discard(), func([]Change, Source) { copied <- struct{}{} })
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- f.Serve(ctx) }()
+	select {
+	case <-copied:
+	case <-time.After(away + target):
+		t.Error("no copy half a second after the store's return")
+	}
+	cancel()
+	<-done
+}
