--- a/lib/lacenode/node.go
+++ b/lib/lacenode/node.go
@@ -29,8 +29,9 @@
 )
 
 // affinityBound is how far above the mean a server may be loaded before a prompt goes to one that has not read its shared
-// part. Reading a part of 5,000 tokens again costs as much time as a few running requests add.
-const affinityBound = 2
+// part. Reading a part of 5,000 tokens again costs as much time as a few running requests add; at usual load a server has
+// few requests, so that a smaller bound moves prompts for chance alone (TestSharedPartsAreReadOnce).
+const affinityBound = 3
 
 // Names of the services in the kernel.
 const (
@@ -100,6 +101,11 @@
 	return n, n.register()
 }
 
+// newBalancer returns the balancer of an instance; all instances prefer the same server for a prompt.
+func newBalancer(random lacebalancer.Random) (*lacebalancer.Balancer, error) {
+	return lacebalancer.New(laceconfig.Routing{Bound: affinityBound}, random, lacebalancer.WithOneOrder())
+}
+
 func (n *Node) assemble(store laceplatform.Store) error {
 	self := lacedirectory.Member{
 		Holder: laceunit.Holder{
@@ -123,7 +129,7 @@
 		Log:     n.log,
 		Metrics: lacequota.NewMetrics(n.registry),
 	})
-	balancer, err := lacebalancer.New(laceconfig.Routing{Bound: affinityBound}, rand.IntN, lacebalancer.WithOneOrder())
+	balancer, err := newBalancer(rand.IntN)
 	if err != nil {
 		return errors.Wrap(err, "node: balancer")
 	}
