lacequota: accounts that no configuration has named have nothing

Cause, found while reading: a new configuration was put in force before the wallet learned its totals. In between, a request of a new account met a purse without a total and was served without a limit. Change: the wallet refuses accounts that were never configured; totals are taken over before the routing table. Test: TestUnknownAccountsHaveNothing failed before ("tokens of an account that was never configured were held").

--- a/lib/lacenode/node.go
+++ b/lib/lacenode/node.go
@@ -222,10 +222,12 @@
 			continue
 		}
 		t := laceroute.NewTable(document)
-		if !n.routes.Advance(t) {
+		if current := n.routes.Load(); current != nil && t.Version() <= current.Version() {
 			continue
 		}
+		// The totals come first, so that no request is admitted under a table whose accounts are not known yet.
 		n.quota.Configure(t)
+		n.routes.Advance(t)
 		n.log.Write(lacelog.Config, lacelog.P(lacelog.Version, t.Version()), lacelog.P(lacelog.Revision, c.Entry.Revision),
 			lacelog.P("routes", len(document.Routes)), lacelog.P("accounts", len(document.Accounts)),
 			lacelog.P("peer", source.Peer))
--- a/lib/lacequota/wallet.go
+++ b/lib/lacequota/wallet.go
@@ -64,9 +64,11 @@
 
 // purse is the instance's part of one account.
 type purse struct {
-	paid    laceunit.Tokens
-	prepaid bool
-	version laceunit.Version
+	// configured is true once a configuration has told what the account paid; before that nothing may be spent.
+	configured bool
+	paid       laceunit.Tokens
+	prepaid    bool
+	version    laceunit.Version
 	// cap bounds used plus reserved; it is never above what the store holds for this incarnation plus folded.
 	cap laceunit.Tokens
 	// ceiling bounds the same until Patience after the newest change was sent.
@@ -153,13 +155,16 @@
 	if p.paid != total || p.prepaid != prepaid {
 		p.due = true
 	}
-	p.paid, p.prepaid = total, prepaid
+	p.paid, p.prepaid, p.configured = total, prepaid, true
 }
 
 // Reserve sets tokens aside for a request at its largest.
 func (w *Wallet) Reserve(now time.Time, at Instant, account laceunit.AccountID, most laceunit.Tokens) Verdict {
 	p := w.purse(account)
 	p.ask(now, most)
+	if !p.configured {
+		return Short
+	}
 	if !p.prepaid || p.used+p.reserved+most <= w.limit(p, at) {
 		p.reserved += most
 		return Held
--- a/lib/lacequota/wallet_test.go
+++ b/lib/lacequota/wallet_test.go
@@ -231,3 +231,17 @@
 		t.Errorf("the second loss of power took %d tokens, the first %d; at most half is the target", lost[1], lost[0])
 	}
 }
+
+// Guards against requests of an account that are served without a limit, because a new configuration has brought the
+// account and the wallet does not know yet what it paid.
+func TestUnknownAccountsHaveNothing(t *testing.T) {
+	w := wallet("router", 1_000_000)
+	now := time.Unix(1000, 0)
+	if v := w.Reserve(now, Instant{}, "unheard", 10); v == Held {
+		t.Error("tokens of an account that was never configured were held")
+	}
+	w.Paid("unmetered", 0, false, 1)
+	if v := w.Reserve(now, Instant{}, "unmetered", 10); v != Held {
+		t.Errorf("an account without a total: verdict %d, not held", v)
+	}
+}
