--- a/lib/lacedirectory/registrar.go
+++ b/lib/lacedirectory/registrar.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"lacewingcove/lib/lacekernel"
 	"lacewingcove/lib/lacelog"
 	"lacewingcove/lib/laceplatform"
 )
@@ -57,12 +58,7 @@
 				r.log.Fault(err, "membership was not renewed", lacelog.P("member", r.member.Holder.String()))
 			}
 		}
-		timer := time.NewTimer(wait)
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		}
-		timer.Stop()
+		lacekernel.Sleep(ctx, wait)
 	}
 	return ctx.Err()
 }
--- a/lib/lacekernel/every.go
+++ b/lib/lacekernel/every.go
@@ -18,3 +18,15 @@
 		}
 	}
 }
+
+// Sleep waits for a time and reports whether it is over; false means that the context has ended before.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/lib/lacemirror/follower.go
+++ b/lib/lacemirror/follower.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"lacewingcove/lib/lacekernel"
 	"lacewingcove/lib/lacelog"
 	"lacewingcove/lib/laceplatform"
 )
@@ -125,12 +126,7 @@
 			break
 		}
 		f.lost(err)
-		timer := time.NewTimer(pause)
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		}
-		timer.Stop()
+		lacekernel.Sleep(ctx, pause)
 		pause = min(2*pause, lastPause)
 	}
 	return ctx.Err()
--- a/lib/lacenode/run.go
+++ b/lib/lacenode/run.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"lacewingcove/lib/lacekernel"
 	"lacewingcove/lib/lacelog"
 	"lacewingcove/lib/lacequota"
 )
@@ -78,7 +79,7 @@
 	if err := n.registrar.Withdraw(ctx); err != nil {
 		n.log.Fault(err, "membership was not withdrawn")
 	}
-	wait(ctx, began.Add(n.settings.Drain.Notice))
+	lacekernel.Sleep(ctx, time.Until(began.Add(n.settings.Drain.Notice)))
 	n.relay.Stop()
 	n.finish(ctx, all.caller)
 	final, done := context.WithTimeout(context.Background(), releaseTimeout)
@@ -119,13 +120,3 @@
 	}
 	<-shut
 }
-
-// wait returns at a time, or earlier when the context ends.
-func wait(ctx context.Context, until time.Time) {
-	timer := time.NewTimer(time.Until(until))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/lib/lacequota/service.go
+++ b/lib/lacequota/service.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"lacewingcove/lib/lacekernel"
 	"lacewingcove/lib/lacelog"
 	"lacewingcove/lib/laceplatform"
 	"lacewingcove/lib/laceroute"
@@ -61,7 +62,8 @@
 	mu     sync.Mutex
 	wallet *Wallet
 	shards [][]laceunit.AccountID
-	known  map[laceunit.AccountID]bool
+	// known are the accounts of the shards.
+	known map[laceunit.AccountID]bool
 	// drawn is closed and replaced after each draw.
 	drawn chan struct{}
 	// keep is how much is held; it falls in a planned stop.
@@ -197,7 +199,7 @@
 		case <-ctx.Done():
 			return
 		case <-s.wake[shard]:
-			if wait := drawPause - time.Since(last); !last.IsZero() && wait > 0 && !sleep(ctx, wait) {
+			if wait := drawPause - time.Since(last); !last.IsZero() && wait > 0 && !lacekernel.Sleep(ctx, wait) {
 				return
 			}
 		case <-timer.C:
@@ -214,17 +216,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 func (s *Service) silence() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/lib/lacerelay/stream.go
+++ b/lib/lacerelay/stream.go
@@ -9,8 +9,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-
-	"lacewingcove/lib/lacefault"
 )
 
 const (
@@ -129,7 +127,5 @@
 		a.abort = true
 		return
 	}
-	f := r.failure(a)
-	f.Outcome = lacefault.Unknown
-	r.end(ctx, w, j, f)
+	r.end(ctx, w, j, r.failure(a))
 }
