--- a/lib/lacequota/wallet.go
+++ b/lib/lacequota/wallet.go
@@ -10,7 +10,7 @@
 // DefaultShare is the part of what an account has left that all instances together hold. It is the compromise between
 // two losses: what is held is gone when machines lose power, and what is not held can't be spent while the store is out of
 // reach. Measured on both sites with 0.25, 0.3, 0.35 and 0.5 (docs/platform.md, budgets).
-const DefaultShare = 0.35
+const DefaultShare = 0.25
 
 const (
 	// cover is how long a holding lasts without the store at the rate at which callers asked lately. Partitions of 9 s
