--- a/lib/lacequota/wallet.go
+++ b/lib/lacequota/wallet.go
@@ -29,9 +29,9 @@
 	// evenPart is divided evenly; the rest follows demand, since many accounts use one instance only. It serves callers
 	// that change the instance during an outage.
 	evenPart = 0.1
-	// lossWeight is how strongly tokens that an account has lost with ended instances lower what is held of it later, and
-	// leastCaution the part of the share that stays. Machines that die in one partition are likely to die in the next; a
-	// third of an account lost leaves the least.
+	// lossWeight is how strongly the lost part of an account lowers what is held of it later, and leastCaution the part of
+	// the share that stays. Machines that die in one partition are likely to die in the next; at a third of the account
+	// lost, the share is at its least.
 	lossWeight   = 2
 	leastCaution = 0.3
 	// lumps is how many requests of the largest recent size a holding covers beside the average.
