laceplatform: one Feed for the watches of both store clients

Read of the whole change: laceadapter's watch repeated Events, Err, Close and the sending of laceplatform's, and the latter had a sixth copy of the wait for a time or the context. Both embed Feed now, and the wait is lacekernel.Sleep. stream() set progress.ran, which settle sets right after; a comment on a purse's field had the name of another. No behaviour changes; the tests are as they were.

--- a/lib/laceplatform/watch.go
+++ b/lib/laceplatform/watch.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"lacewingcove/lib/lacekernel"
 )
 
 // maxPause bounds the wait before a broken watch is opened again, since configuration has to arrive in seconds.
@@ -18,73 +20,42 @@
 func (c *Client) Watch(ctx context.Context, prefix Key, after Revision) (Watch, error) {
 	inner, cancel := context.WithCancel(ctx)
 	w := &watch{
+		Feed:   NewFeed(cancel),
 		client: c,
 		prefix: prefix,
 		after:  after,
-		events: make(chan Event),
-		done:   make(chan struct{}),
-		cancel: cancel,
 	}
 	s, err := w.open(inner)
 	if err != nil {
 		cancel()
 		return nil, err
 	}
-	go w.run(inner, s)
+	go func() { w.End(w.run(inner, s)) }()
 	return w, nil
 }
 
 // watch is a stream of changes that survives its connections.
 type watch struct {
+	*Feed
+
 	client *Client
 	prefix Key
 	after  Revision
-	events chan Event
-	done   chan struct{}
-	cancel context.CancelFunc
-	err    error
 }
 
-// Events implements Watch.
-func (w *watch) Events() <-chan Event {
-	return w.events
-}
-
-// Err implements Watch; it is nil while the watch runs.
-func (w *watch) Err() error {
-	select {
-	case <-w.done:
-		return w.err
-	default:
-		return nil
-	}
-}
-
-// Close implements Watch.
-func (w *watch) Close() error {
-	w.cancel()
-	<-w.done
-	return nil
-}
-
-func (w *watch) run(ctx context.Context, s *stream) {
-	defer close(w.events) // Last, so that Err is set for whoever sees the channel closed.
-	defer close(w.done)
-	defer w.cancel()
+// run delivers changes until the watch ends, and returns the reason.
+func (w *watch) run(ctx context.Context, s *stream) error {
 	for {
 		err := w.drain(ctx, s)
 		s.close()
 		if ctx.Err() != nil {
-			w.err = ctx.Err()
-			return
+			return ctx.Err()
 		}
 		if errors.Is(err, ErrCompacted) {
-			w.err = err
-			return
+			return err
 		}
-		s, w.err = w.reopen(ctx)
-		if w.err != nil {
-			return
+		if s, err = w.reopen(ctx); err != nil {
+			return err
 		}
 	}
 }
@@ -97,10 +68,8 @@
 			return err
 		}
 		for _, e := range m.Events {
-			select {
-			case <-ctx.Done():
-				return ctx.Err()
-			case w.events <- event(e):
+			if err := w.Send(ctx, event(e)); err != nil {
+				return err
 			}
 		}
 		w.advance(m)
@@ -120,12 +89,8 @@
 // reopen tries until a connection stands, with a growing and random wait in between.
 func (w *watch) reopen(ctx context.Context) (*stream, error) {
 	for pause := w.client.pause; ; pause = min(2*pause, maxPause) {
-		t := time.NewTimer(pause/2 + rand.N(pause/2+1))
-		select {
-		case <-ctx.Done():
-			t.Stop()
+		if !lacekernel.Sleep(ctx, pause/2+rand.N(pause/2+1)) {
 			return nil, ctx.Err()
-		case <-t.C:
 		}
 		s, err := w.open(ctx)
 		if err == nil || ctx.Err() != nil {
--- a/lib/lacequota/wallet.go
+++ b/lib/lacequota/wallet.go
@@ -84,7 +84,7 @@
 	wanted laceunit.Tokens
 	// reported is the spend that the store knows of.
 	reported laceunit.Tokens
-	// spent is the least that the fleet had spent at the last draw, without this instance's own.
+	// others is the least that the other instances had spent at the last draw.
 	others laceunit.Tokens
 	drawn  time.Time
 	// lost is what ended incarnations held and had not reported as spent, free what no instance held.
--- a/lib/lacerelay/stream.go
+++ b/lib/lacerelay/stream.go
@@ -84,7 +84,6 @@
 		if err != nil {
 			a.exchange.Abort()
 			a.end, a.reason = left, err.Error()
-			j.progress.ran = true
 			r.finish(j, a.status, left.String())
 			return false
 		}
