lacedirectory: in a large fleet the strongest instances take the callers

Change: the directory names the instances that the load needs, strongest first and spread over zones, chosen from the list of members alone. The others stand by: no tokens, a longer lease, news from active instances instead of the store. Members tell capacity and estimated load. Open: instances with a slow link never win the compare-and-swap of the one budget page (a-7 drew nothing in 48 s).

--- a/lib/lacedirectory/board.go
+++ b/lib/lacedirectory/board.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -33,7 +34,12 @@
 	missing map[laceunit.Holder]time.Time
 	peak    int
 	peaked  time.Time
+	// counted is whether this instance took callers when peak was set.
+	counted bool
 	absent  bool
+	// active is the set that takes callers, nil when the members have changed since it was chosen; order lists it.
+	active map[laceunit.InstanceID]bool
+	order  []Member
 }
 
 // NewBoard returns a board that lists only the instance itself.
@@ -57,6 +63,9 @@
 	delete(b.until, id)
 	delete(b.missing, m.Holder)
 	if !known || old != m {
+		b.active = nil
+	}
+	if !known || !old.same(m) {
 		b.note(m, "listed")
 	}
 }
@@ -75,6 +84,7 @@
 		return
 	}
 	delete(b.members, id)
+	b.active = nil
 	b.note(m, "gone")
 }
 
@@ -82,7 +92,7 @@
 func (b *Board) Leave() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.absent = true
+	b.absent, b.active = true, nil
 }
 
 // Tick drops members whose entries have not come back in time.
@@ -96,21 +106,100 @@
 		b.note(b.members[id], "lapsed")
 		delete(b.members, id)
 		delete(b.until, id)
+		b.active = nil
+	}
+}
+
+// choose returns the set that takes callers; the lock must be held.
+func (b *Board) choose() map[laceunit.InstanceID]bool {
+	if b.active != nil {
+		return b.active
+	}
+	members := make([]Member, 0, len(b.members)+1)
+	for id, m := range b.members {
+		if id != b.self.Holder.Instance {
+			members = append(members, m)
+		}
+	}
+	if !b.absent {
+		self := b.self
+		self.Load = b.members[self.Holder.Instance].Load
+		members = append(members, self)
+	}
+	slices.SortFunc(members, func(x, y Member) int { return cmp.Compare(x.Holder.Instance, y.Holder.Instance) })
+	was := len(b.order)
+	b.active = activeSet(members)
+	b.order = b.order[:0:0]
+	for _, m := range members {
+		if b.active[m.Holder.Instance] {
+			b.order = append(b.order, m)
+		}
+	}
+	if len(b.order) != was {
+		b.log.Write(lacelog.Active, lacelog.P("active", len(b.order)), lacelog.P("members", len(members)),
+			lacelog.P("self", b.active[b.self.Holder.Instance]))
+	}
+	return b.active
+}
+
+// Active reports whether this instance takes callers; otherwise it stands by.
+func (b *Board) Active() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.choose()[b.self.Holder.Instance]
+}
+
+// Partners returns the other instances that take callers, those of this instance's zone first.
+func (b *Board) Partners() []Member {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.choose()
+	list := make([]Member, 0, len(b.order))
+	for _, m := range b.order {
+		if m.Holder.Instance != b.self.Holder.Instance {
+			list = append(list, m)
+		}
 	}
+	nearest(list, b.self.Place)
+	return list
+}
+
+// nearest sorts members by their distance from a place.
+func nearest(list []Member, place laceunit.Place) {
+	slices.SortStableFunc(list, func(x, y Member) int {
+		return cmp.Compare(distance(x.Place, place), distance(y.Place, place))
+	})
 }
 
-// Count returns how many instances share fleet-wide bounds.
+// standbyWeight is how many active instances' shares of a fleet-wide bound each instance counts as that stands by: only
+// requests that check on it reach it.
+const standbyWeight = 4
+
+// Count returns among how many instances fleet-wide bounds are divided, as this one has to see it. What stands by takes
+// part with little, so that all shares together stay within the margin that such bounds keep.
 func (b *Board) Count() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	active := b.choose()
+	n := max(len(b.order), 1)
+	if !active[b.self.Holder.Instance] {
+		n = standbyWeight * max(len(b.members), 1)
+	}
 	now := time.Now()
-	n := max(len(b.members), 1)
-	if n >= b.peak || now.Sub(b.peaked) > shrinkTime {
-		b.peak, b.peaked = n, now
+	if n >= b.peak || now.Sub(b.peaked) > shrinkTime || active[b.self.Holder.Instance] != b.counted {
+		b.peak, b.peaked, b.counted = n, now, active[b.self.Holder.Instance]
 	}
 	return b.peak
 }
 
+// Size returns how many instances take callers.
+func (b *Board) Size() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.choose()
+	return max(len(b.order), 1)
+}
+
 // Live reports whether an incarnation is listed.
 func (b *Board) Live(h laceunit.Holder) bool {
 	b.mu.Lock()
@@ -150,17 +239,18 @@
 
 // Addresses returns the addresses for a caller at a place, those of its own zone and region first.
 func (b *Board) Addresses(place laceunit.Place) []laceunit.Address {
-	list := b.Members()
 	b.mu.Lock()
-	if !b.absent {
-		list = append(list, b.self)
-	}
+	b.choose()
+	list := slices.Clone(b.order)
 	b.mu.Unlock()
-	slices.SortStableFunc(list, func(x, y Member) int {
-		return cmp.Compare(distance(x.Place, place), distance(y.Place, place))
-	})
-	addresses := make([]laceunit.Address, 0, min(len(list), mostAddresses))
-	for _, m := range list[:min(len(list), mostAddresses)] {
+	if len(list) > mostAddresses {
+		// Each answer names another part, so that all of them get callers.
+		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	}
+	nearest(list, place)
+	list = list[:min(len(list), mostAddresses)]
+	addresses := make([]laceunit.Address, 0, len(list))
+	for _, m := range list {
 		addresses = append(addresses, m.Caller)
 	}
 	return addresses
--- a/lib/lacedirectory/member.go
+++ b/lib/lacedirectory/member.go
@@ -18,6 +18,21 @@
 	// Caller is the address for callers, Peer the one for other instances.
 	Caller laceunit.Address
 	Peer   laceunit.Address
+	// Capacity is what the machine gives the instance, Load what it lately used of that.
+	Capacity Cores
+	Load     Cores
+}
+
+// Cores is an amount of processor time for each second.
+type Cores float64
+
+// milliCores is the unit in which members write capacities and loads.
+const milliCores = 1000
+
+// same reports whether two members differ in nothing but their load.
+func (m Member) same(other Member) bool {
+	other.Load = m.Load
+	return m == other
 }
 
 type memberForm struct {
@@ -27,6 +42,9 @@
 	Zone        string `json:"zone"`
 	Caller      string `json:"caller"`
 	Peer        string `json:"peer"`
+	// Capacity and Load are in thousandths of a core.
+	Capacity int64 `json:"capacity"`
+	Load     int64 `json:"load"`
 }
 
 // Encode writes a member.
@@ -38,6 +56,8 @@
 		Zone:        string(m.Place.Zone),
 		Caller:      string(m.Caller),
 		Peer:        string(m.Peer),
+		Capacity:    int64(m.Capacity * milliCores),
+		Load:        int64(m.Load * milliCores),
 	})
 	return text, errors.Wrap(err, "directory: encode member")
 }
@@ -51,6 +71,9 @@
 	if f.Instance == "" || f.Caller == "" {
 		return Member{}, errors.Wrap(ErrMember, "instance or address is missing")
 	}
+	if f.Capacity <= 0 || f.Load < 0 {
+		return Member{}, errors.Wrap(ErrMember, "capacity or load is out of bounds")
+	}
 	return Member{
 		Holder: laceunit.Holder{
 			Instance:    laceunit.InstanceID(f.Instance),
@@ -62,5 +85,8 @@
 		},
 		Caller: laceunit.Address(f.Caller),
 		Peer:   laceunit.Address(f.Peer),
+
+		Capacity: Cores(f.Capacity) / milliCores,
+		Load:     Cores(f.Load) / milliCores,
 	}, nil
 }
--- a/lib/lacedirectory/registrar.go
+++ b/lib/lacedirectory/registrar.go
@@ -17,6 +17,12 @@
 	leaseTime = 2500 * time.Millisecond
 	// renewInterval leaves room for two failed renewals.
 	renewInterval = 700 * time.Millisecond
+	// standbyLease and standbyInterval are the same for an instance that stands by: no caller waits at it, and most
+	// instances of a large fleet stand by.
+	standbyLease    = 7 * time.Second
+	standbyInterval = 2 * time.Second
+	// loadStep is how much the load has to change before the entry is written again.
+	loadStep Cores = 0.05
 	// registerTimeout bounds one call.
 	registerTimeout = 600 * time.Millisecond
 	// registerPause is the wait after a failed registration. Entries have to be back soon after the store.
@@ -34,6 +40,13 @@
 	mu     sync.Mutex
 	lease  laceplatform.LeaseID
 	closed bool
+	// revision is that of the entry as this registrar wrote it.
+	revision laceplatform.Revision
+	standby  bool
+	// moving is true when the entry has to move to a lease of another length.
+	moving bool
+	// load is the newest measurement, member.Load what the entry tells.
+	load Cores
 }
 
 // NewRegistrar returns a registrar that registers the member once it is ready.
@@ -53,7 +66,7 @@
 		wait := registerPause
 		if r.ready() {
 			if err := r.step(ctx); err == nil {
-				wait = renewInterval
+				wait = r.interval()
 			} else if ctx.Err() == nil {
 				r.log.Fault(err, "membership was not renewed", lacelog.P("member", r.member.Holder.String()))
 			}
@@ -63,6 +76,31 @@
 	return ctx.Err()
 }
 
+// StandBy tells whether the instance stands by, which lets its entry live longer without a renewal.
+func (r *Registrar) StandBy(standby bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.standby != standby {
+		r.standby, r.moving = standby, r.lease != 0
+	}
+}
+
+// Measure takes in how much of its processor the instance lately used.
+func (r *Registrar) Measure(load Cores) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.load = load
+}
+
+func (r *Registrar) interval() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.standby {
+		return standbyInterval
+	}
+	return renewInterval
+}
+
 // Withdraw removes the entry, for a planned stop.
 func (r *Registrar) Withdraw(ctx context.Context) error {
 	r.mu.Lock()
@@ -84,39 +122,73 @@
 	}
 	call, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
-	if r.lease != 0 {
-		err := r.store.Renew(call, r.lease)
-		if !errors.Is(err, laceplatform.ErrLeaseGone) {
-			return err
-		}
-		r.lease = 0
+	if r.lease == 0 || r.moving {
+		return r.register(call)
+	}
+	if drift := r.load - r.member.Load; drift >= loadStep || drift <= -loadStep {
+		return r.write(call, r.lease)
+	}
+	err := r.store.Renew(call, r.lease)
+	if !errors.Is(err, laceplatform.ErrLeaseGone) {
+		return err
 	}
+	// The entry has gone with its lease.
+	r.lease, r.revision = 0, 0
 	return r.register(call)
 }
 
 func (r *Registrar) register(ctx context.Context) error {
-	value, err := Encode(r.member)
-	if err != nil {
-		return err
+	life := leaseTime
+	if r.standby {
+		life = standbyLease
 	}
-	entry, err := r.store.Get(ctx, r.key)
-	if err != nil && !errors.Is(err, laceplatform.ErrMissing) {
-		return errors.Wrap(err, "directory: read entry")
-	}
-	lease, err := r.store.Lease(ctx, leaseTime)
+	lease, err := r.store.Lease(ctx, life)
 	if err != nil {
 		return errors.Wrap(err, "directory: lease")
 	}
-	_, err = r.store.Swap(ctx, laceplatform.Swap{
-		Key:    r.key,
-		Value:  value,
-		Expect: entry.Revision,
-		Lease:  lease,
-	})
-	if err != nil {
-		return errors.Wrap(err, "directory: write entry")
+	if err := r.write(ctx, lease); err != nil {
+		return err
 	}
-	r.lease = lease
-	r.log.Write(lacelog.Member, lacelog.P("member", r.member.Holder.String()), lacelog.P("state", "registered"))
+	r.lease, r.moving = lease, false
+	r.log.Write(lacelog.Member, lacelog.P("member", r.member.Holder.String()), lacelog.P("state", "registered"),
+		lacelog.P("lease_ms", life.Milliseconds()))
 	return nil
 }
+
+// write writes the entry under a lease, over whatever stands there: an entry of an earlier process, or this one's own
+// whose answer was lost.
+func (r *Registrar) write(ctx context.Context, lease laceplatform.LeaseID) error {
+	r.member.Load = r.load
+	value, err := Encode(r.member)
+	if err != nil {
+		return err
+	}
+	for range writeTries {
+		var revision laceplatform.Revision
+		revision, err = r.store.Swap(ctx, laceplatform.Swap{
+			Key:    r.key,
+			Value:  value,
+			Expect: r.revision,
+			Lease:  lease,
+		})
+		if err == nil {
+			r.revision = revision
+			return nil
+		}
+		if !errors.Is(err, laceplatform.ErrConflict) {
+			break
+		}
+		// A store that names nothing has no such key any more.
+		r.revision = 0
+		if conflict := new(laceplatform.Conflict); errors.As(err, &conflict) {
+			r.revision = conflict.Entry.Revision
+		}
+	}
+	if errors.Is(err, laceplatform.ErrLeaseGone) {
+		r.lease = 0
+	}
+	return errors.Wrap(err, "directory: write entry")
+}
+
+// writeTries is how often an entry is written: the first answer tells what stands there.
+const writeTries = 2
--- a/lib/lacelog/event.go
+++ b/lib/lacelog/event.go
@@ -17,6 +17,10 @@
 	// Server is a backend server that appeared, changed or left; Member an instance.
 	Server Event = "server"
 	Member Event = "member"
+	// Active is a change of how many instances take callers.
+	Active Event = "active"
+	// Role is a change of whether this instance takes callers or stands by.
+	Role Event = "role"
 	// Draw is a change of what this instance may spend of a budget.
 	Draw Event = "draw"
 	// Refused is a request that this instance did not run.
--- a/lib/lacemirror/follower.go
+++ b/lib/lacemirror/follower.go
@@ -54,6 +54,10 @@
 	mirror  *Mirror
 	contact time.Time
 	failing bool
+	// indirect is true while other instances tell the news and the store is left alone.
+	indirect bool
+	// turned is closed and replaced when indirect changes.
+	turned chan struct{}
 	// recovered is when contact was regained after an outage.
 	recovered time.Time
 }
@@ -66,9 +70,38 @@
 		handler: handler,
 		log:     log,
 		mirror:  NewMirror(prefix),
+		turned:  make(chan struct{}),
 	}
 }
 
+// Indirect tells whether other instances pass the news on, so that the store need not be asked.
+func (f *Follower) Indirect(indirect bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.indirect == indirect {
+		return
+	}
+	f.indirect, f.failing = indirect, false
+	close(f.turned)
+	f.turned = make(chan struct{})
+}
+
+// Confirm takes in that the store confirmed the copy of another instance at a moment, and this copy equals that one.
+func (f *Follower) Confirm(at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if at.After(f.contact) {
+		f.contact = at
+	}
+}
+
+// mode returns whether other instances tell the news, and what is closed when that changes.
+func (f *Follower) mode() (indirect bool, turned <-chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.indirect, f.turned
+}
+
 // Prefix returns what the follower mirrors.
 func (f *Follower) Prefix() laceplatform.Key { return f.prefix }
 
@@ -108,8 +141,34 @@
 
 // Serve implements suture.Service.
 func (f *Follower) Serve(ctx context.Context) error {
+	for ctx.Err() == nil {
+		indirect, turned := f.mode()
+		inner, cancel := context.WithCancel(ctx)
+		stop := make(chan struct{})
+		go func() {
+			defer close(stop)
+			defer cancel()
+			select {
+			case <-turned:
+			case <-inner.Done():
+			}
+		}()
+		if indirect {
+			<-inner.Done()
+		} else {
+			f.follow(inner)
+		}
+		cancel()
+		<-stop
+	}
+	return ctx.Err()
+}
+
+// follow lists and watches the store until the context ends.
+func (f *Follower) follow(ctx context.Context) {
 	pause := firstPause
-	listed := false
+	// A copy that other instances have passed on is as good as a list.
+	listed := f.Status().Revision > 0
 	for ctx.Err() == nil {
 		var err error
 		if !listed {
@@ -123,13 +182,12 @@
 			listed = false
 		}
 		if ctx.Err() != nil {
-			break
+			return
 		}
 		f.lost(err)
 		lacekernel.Sleep(ctx, pause)
 		pause = min(2*pause, lastPause)
 	}
-	return ctx.Err()
 }
 
 // listing is the answer to one call.
--- a/lib/lacenode/node.go
+++ b/lib/lacenode/node.go
@@ -45,6 +45,7 @@
 	nameClock     lacekernel.Name = "clock"
 	nameBackends  lacekernel.Name = "backends"
 	nameListeners lacekernel.Name = "listeners"
+	nameRole      lacekernel.Name = "role"
 )
 
 // Node is one instance.
@@ -68,6 +69,8 @@
 	// clock is the machine's, nil when it can't be read.
 	clock   func() lacequota.Instant
 	leaving atomic.Bool
+	// standby is true while other instances take the callers.
+	standby atomic.Bool
 }
 
 // New assembles an instance.
@@ -115,6 +118,8 @@
 		Place:  n.settings.Place,
 		Caller: n.settings.Caller,
 		Peer:   n.settings.Peer,
+
+		Capacity: lacedirectory.Cores(n.settings.Machine.Cores),
 	}
 	n.board = lacedirectory.NewBoard(self, n.log)
 	n.registrar = lacedirectory.NewRegistrar(memberPrefix, self, store, n.log, n.Ready)
@@ -126,6 +131,7 @@
 		Share:   n.settings.Ledger.Share,
 		Members: n.board,
 		Clock:   n.clock,
+		Settle:  settleTime,
 		Log:     n.log,
 		Metrics: lacequota.NewMetrics(n.registry),
 	})
@@ -173,6 +179,7 @@
 		{name: nameRegistrar, service: n.registrar},
 		{name: nameExchange, service: newExchange(n)},
 		{name: nameClock, service: clock{n}},
+		{name: nameRole, service: &role{node: n}},
 	}
 	for _, s := range services {
 		if err := n.kernel.Register(s.name, s.service); err != nil {
@@ -204,9 +211,12 @@
 	if !ok || s.Connections <= 0 {
 		return 0
 	}
-	return max(s.Connections/n.board.Count(), fewConnections)
+	return max(s.Connections/n.board.Size(), fewConnections)
 }
 
+// settleTime is how long instances that start together take until they all know each other.
+const settleTime = 2 * time.Second
+
 // fewConnections is the least number of connections that an instance may have to a server.
 const fewConnections = 8
 
--- a/lib/lacenode/setting.go
+++ b/lib/lacenode/setting.go
@@ -30,8 +30,15 @@
 	Drain Drain
 	Retry Retry
 	// Life is how long callers may keep a directory answer.
-	Life   time.Duration
-	Ledger Ledger
+	Life    time.Duration
+	Ledger  Ledger
+	Machine Machine
+}
+
+// Machine is what the instance may use of its machine.
+type Machine struct {
+	// Cores is the processor time for each second; it decides which instances take callers in a large fleet.
+	Cores float64
 }
 
 // Store is the platform's store.
@@ -82,6 +89,7 @@
 			Shards: 1,
 			Share:  lacequota.DefaultShare,
 		},
+		Machine: Machine{Cores: 1},
 	}
 }
 
@@ -110,9 +118,18 @@
 		laceyaml.Group("ledger", "Division of prepaid budgets.",
 			laceyaml.Integer("shards", "Pages in the store; equal on every instance and never changed.", &s.Ledger.Shards, 1, 4096),
 			laceyaml.Number("share", "Part of what an account has left that all instances together hold.", &s.Ledger.Share, 0.01, 0.9)),
+		laceyaml.Group("machine", "What the instance may use of its machine.",
+			laceyaml.Number("cores", "Processor time for each second; in a large fleet the strongest instances take the callers.",
+				&s.Machine.Cores, leastCores, mostCores)),
 	}
 }
 
+// Bounds of the processor time.
+const (
+	leastCores = 0.001
+	mostCores  = 1024
+)
+
 const addressForm = "host:port with a numeric port"
 
 func address(name, doc string, p *laceunit.Address) laceyaml.Field {
--- a/lib/lacequota/draw.go
+++ b/lib/lacequota/draw.go
@@ -39,6 +39,8 @@
 	KeepShare Keep = iota
 	// KeepLittle is what lasts for a moment, for an instance that callers are leaving.
 	KeepLittle
+	// KeepWanted is what waiting requests need, for an instance that callers do not use.
+	KeepWanted
 	// KeepNothing gives everything back that is neither spent nor reserved.
 	KeepNothing
 )
@@ -102,6 +104,8 @@
 	case KeepShare:
 	case KeepLittle:
 		hold = min(hold, max(laceunit.Tokens(leaveTime.Seconds()*float64(p.rate(now))+p.lump), p.wanted))
+	case KeepWanted:
+		hold = p.wanted
 	case KeepNothing:
 		hold = 0
 	}
@@ -120,7 +124,15 @@
 		Ceiling: ceiling,
 		Sent:    at,
 	}
-	return b.with(w.self, holding), grant{
+	held := goal
+	if keep == KeepWanted && holding.Cap == holding.Used {
+		// Nothing is left to spend, so that the page need not name this instance.
+		b = b.closed(w.self, holding)
+		folded, goal, ceiling = folded+goal, 0, 0
+	} else {
+		b = b.with(w.self, holding)
+	}
+	return b, grant{
 		cap:     goal + folded,
 		ceiling: ceiling + folded,
 		folded:  folded,
@@ -128,9 +140,9 @@
 		others:  spent,
 		paid:    paid,
 		lost:    b.lost(),
-		free:    max(free-goal, 0),
+		free:    max(free-held, 0),
 		spread:  others > 0,
-		whole:   elsewhere+goal <= paid,
+		whole:   elsewhere+held <= paid,
 	}
 }
 
--- a/lib/lacequota/page.go
+++ b/lib/lacequota/page.go
@@ -85,6 +85,15 @@
 	return c
 }
 
+// closed returns a copy in which a holder has ended with a holding.
+func (b Budget) closed(holder laceunit.Holder, h Holding) Budget {
+	c := b.clone()
+	delete(c.Holders, holder)
+	c.Closed += h.Cap
+	c.Burnt += h.Used
+	return c
+}
+
 // fold returns a copy in which the ended holders count as spent up to what they may have spent.
 func (b Budget) fold(ended func(laceunit.Holder, Holding) (most laceunit.Tokens, ok bool)) Budget {
 	c := b.clone()
--- a/lib/lacequota/property_test.go
+++ b/lib/lacequota/property_test.go
@@ -84,11 +84,15 @@
 		panic(err)
 	}
 	read := w.revision
+	keep := KeepShare
+	if w.random.Intn(5) == 0 { // Others take the callers for a while.
+		keep = KeepWanted
+	}
 	d := n.wallet.Plan(w.now, w.instant(i), page, []laceunit.AccountID{testAccount}, Fleet{
 		Members: machines,
 		Live:    func(laceunit.Holder) bool { return true },
 		Ended:   func(laceunit.Holder) bool { return false },
-	}, KeepShare)
+	}, keep)
 	text, err := Encode(d.Page)
 	if err != nil {
 		panic(err)
--- a/lib/lacequota/service.go
+++ b/lib/lacequota/service.go
@@ -32,8 +32,8 @@
 
 // Members tells which instances share the accounts.
 type Members interface {
-	// Count is the number of instances that take requests.
-	Count() int
+	// Size is the number of instances that take callers.
+	Size() int
 	// Live reports whether an incarnation is listed.
 	Live(holder laceunit.Holder) bool
 	// Ended reports whether an incarnation is known to be gone for good.
@@ -49,7 +49,10 @@
 	Share   float64
 	Members Members
 	// Clock tells the machine's time; without one nothing of an ended process is got back.
-	Clock   func() Instant
+	Clock func() Instant
+	// Settle is how long little is held after the first configuration. When all instances start together, the first ones
+	// would otherwise take the parts of those that are not listed yet.
+	Settle  time.Duration
 	Log     *lacelog.Logger
 	Metrics *Metrics
 }
@@ -68,6 +71,12 @@
 	drawn chan struct{}
 	// keep is how much is held; it falls in a planned stop.
 	keep Keep
+	// standby is true while other instances take the callers.
+	standby bool
+	// configured is when the first configuration came.
+	configured time.Time
+	// asked is when tokens were last asked for.
+	asked time.Time
 	// contact is when the store last answered a draw.
 	contact time.Time
 }
@@ -98,6 +107,9 @@
 func (s *Service) Configure(t *laceroute.Table) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.configured.IsZero() {
+		s.configured = time.Now()
+	}
 	for _, a := range t.Accounts() {
 		if !s.known[a.ID] {
 			s.known[a.ID] = true
@@ -117,6 +129,7 @@
 	for {
 		s.mu.Lock()
 		now := time.Now()
+		s.asked = now
 		v := s.wallet.Reserve(now, s.options.Clock(), account, most)
 		state := s.wallet.State(account)
 		// Before the first answer the store counts as well: the first requests come with the first configuration.
@@ -137,6 +150,13 @@
 	}
 }
 
+// Asked returns when tokens were last asked for.
+func (s *Service) Asked() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.asked
+}
+
 // contactFresh is the age of the last answered draw up to which another one is worth a short wait.
 const contactFresh = 3 * time.Second
 
@@ -168,6 +188,19 @@
 // elsewhere.
 func (s *Service) Leave() { s.lower(KeepLittle) }
 
+// StandBy tells whether other instances take the callers. Then nothing is held but what single requests need.
+func (s *Service) StandBy(standby bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.standby = standby
+	if !standby {
+		return
+	}
+	for i := range s.shards {
+		s.rouse(i)
+	}
+}
+
 func (s *Service) lower(keep Keep) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -211,7 +244,7 @@
 				s.options.Metrics.failed()
 			}
 		}
-		interval := max(reportInterval, memberInterval*time.Duration(s.options.Members.Count()))
+		interval := max(reportInterval, memberInterval*time.Duration(s.options.Members.Size()))
 		timer.Reset(interval*3/4 + rand.N(interval/2))
 	}
 }
@@ -222,13 +255,28 @@
 	return time.Since(s.contact)
 }
 
-// serves reports whether the shard has accounts.
+// serves reports whether there is anything to draw or to report for the shard.
 func (s *Service) serves(shard int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.standby && s.wallet.Idle(s.shards[shard]) {
+		return false
+	}
 	return len(s.shards[shard]) > 0
 }
 
+// keeping returns how much is held now; the lock must be held.
+func (s *Service) keeping() Keep {
+	switch {
+	case s.standby:
+		return max(s.keep, KeepWanted)
+	case time.Since(s.configured) < s.options.Settle:
+		return max(s.keep, KeepLittle)
+	default:
+		return s.keep
+	}
+}
+
 // draw reads the shard's page and writes it with this instance's new caps.
 func (s *Service) draw(ctx context.Context, shard int) error {
 	key := s.options.Prefix + laceplatform.Key(strconv.Itoa(shard))
@@ -284,10 +332,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	d := s.wallet.Plan(time.Now(), s.options.Clock(), page, s.shards[shard], Fleet{
-		Members: s.options.Members.Count(),
+		Members: s.options.Members.Size(),
 		Live:    s.options.Members.Live,
 		Ended:   s.options.Members.Ended,
-	}, s.keep)
+	}, s.keeping())
 	value, err := Encode(d.Page)
 	return d, value, err
 }
--- a/lib/lacequota/service_test.go
+++ b/lib/lacequota/service_test.go
@@ -46,7 +46,7 @@
 type alone struct{}
 
 // Count implements Members.
-func (alone) Count() int { return 1 }
+func (alone) Size() int { return 1 }
 
 // Live implements Members.
 func (alone) Live(laceunit.Holder) bool { return true }
--- a/lib/lacequota/wallet.go
+++ b/lib/lacequota/wallet.go
@@ -228,6 +228,17 @@
 // Hopeful reports whether a draw may bring more for an account.
 func (w *Wallet) Hopeful(account laceunit.AccountID) bool { return w.purse(account).hopeful() }
 
+// Idle reports whether the instance holds nothing of the accounts beyond its spend, which the store knows of.
+func (w *Wallet) Idle(accounts []laceunit.AccountID) bool {
+	for _, a := range accounts {
+		p := w.purse(a)
+		if p.prepaid && (p.wanted > 0 || p.cap > p.used || p.used != p.reported) {
+			return false
+		}
+	}
+	return true
+}
+
 // lowPart is the part of a holding below which the next draw comes early.
 const lowPart = 3
 
--- a/lib/lacerelay/relay.go
+++ b/lib/lacerelay/relay.go
@@ -77,6 +77,7 @@
 	stopping atomic.Bool
 	closing  atomic.Bool
 	running  atomic.Int64
+	work     atomic.Int64
 
 	mu      sync.Mutex
 	retries map[laceunit.ServiceID]*lacelimit.RetryBudget
@@ -99,6 +100,16 @@
 // Running returns how many requests are being served.
 func (r *Relay) Running() int { return int(r.running.Load()) }
 
+const (
+	// requestWork and eventWork are the processor time that a request and an event of a stream take on one core of the
+	// users' machines, from the bill of played days (docs/CAPACITY.md).
+	requestWork = 1500 * time.Microsecond
+	eventWork   = 50 * time.Microsecond
+)
+
+// Work returns the processor time that requests have taken so far, estimated from their number.
+func (r *Relay) Work() time.Duration { return time.Duration(r.work.Load()) }
+
 // job is one request on its way.
 type job struct {
 	call     Call
@@ -322,6 +333,7 @@
 // finish counts and logs the end of a request.
 func (r *Relay) finish(j *job, status int, outcome string) {
 	took := time.Since(j.arrived)
+	r.work.Add(int64(requestWork + time.Duration(j.events)*eventWork))
 	r.options.Metrics.done(j, outcome, took)
 	r.options.Log.Write(lacelog.Done, lacelog.P(lacelog.Request, j.call.Attempt), lacelog.P(lacelog.Outcome, outcome),
 		lacelog.P(lacelog.Status, status), lacelog.P(lacelog.Route, j.name()), lacelog.P(lacelog.Account, j.account),
