lacequota: a page in the store for each account

Cause: all accounts of a shard stood in one page that every instance rewrites. Change: each account has a page of its own; one call changes up to 16 of them, from the copies that were seen last, and a conflict tells how all of them stand, so that nothing is read. Accounts in need are drawn first and by themselves; an instance that is not named to callers holds only tokens of accounts it was asked for. The setting ledger.shards is gone.

--- a/lib/lacedirectory/registrar.go
+++ b/lib/lacedirectory/registrar.go
@@ -181,7 +181,7 @@
 		// A store that names nothing has no such key any more.
 		r.revision = 0
 		if conflict := new(laceplatform.Conflict); errors.As(err, &conflict) {
-			r.revision = conflict.Entry.Revision
+			r.revision = conflict.Entry(r.key).Revision
 		}
 	}
 	if errors.Is(err, laceplatform.ErrLeaseGone) {
--- a/lib/lacenode/adapter.go
+++ b/lib/lacenode/adapter.go
@@ -13,7 +13,7 @@
 // Adapter speaks the platform's protocols.
 type Adapter interface {
 	// Store returns the client of the platform's store.
-	Store(s Settings) (laceplatform.Store, error)
+	Store(s Settings) (Store, error)
 	// Codec returns the translation of callers' requests and servers' answers.
 	Codec() lacerelay.Codec
 	// Keys tells where the operator and the servers write.
@@ -30,6 +30,12 @@
 	Directory(d Directory) http.Handler
 }
 
+// Store is the platform's store, whose budgets are changed several at a time.
+type Store interface {
+	laceplatform.Store
+	laceplatform.Batcher
+}
+
 // Keys are the places in the store that others write.
 type Keys struct {
 	// Config is the key of the configuration; Configs the prefix to follow for it.
--- a/lib/lacenode/node.go
+++ b/lib/lacenode/node.go
@@ -109,7 +109,7 @@
 	return lacebalancer.New(laceconfig.Routing{Bound: affinityBound}, random, lacebalancer.WithOneOrder())
 }
 
-func (n *Node) assemble(store laceplatform.Store) error {
+func (n *Node) assemble(store Store) error {
 	self := lacedirectory.Member{
 		Holder: laceunit.Holder{
 			Instance:    n.settings.Instance,
@@ -127,7 +127,6 @@
 		Self:    self.Holder,
 		Store:   store,
 		Prefix:  budgetPrefix,
-		Shards:  n.settings.Ledger.Shards,
 		Share:   n.settings.Ledger.Share,
 		Members: n.board,
 		Clock:   n.clock,
--- a/lib/lacenode/setting.go
+++ b/lib/lacenode/setting.go
@@ -26,7 +26,7 @@
 	Metrics laceunit.Address
 	// Seeds are peer addresses of instances to ask while the store is away.
 	Seeds []laceunit.Address
-	Store Store
+	Store StoreSettings
 	Drain Drain
 	Retry Retry
 	// Life is how long callers may keep a directory answer.
@@ -41,8 +41,8 @@
 	Cores float64
 }
 
-// Store is the platform's store.
-type Store struct {
+// StoreSettings tell where the platform's store is.
+type StoreSettings struct {
 	Address laceunit.Address
 	// Lease is the shortest time to live that it gives a lease.
 	Lease time.Duration
@@ -65,8 +65,6 @@
 
 // Ledger is the division of budgets.
 type Ledger struct {
-	// Shards must be equal on every instance and never change.
-	Shards int
 	// Share is the part of what an account has left that all instances together hold.
 	Share float64
 }
@@ -83,11 +81,10 @@
 			Ratio:  0.1,
 			Slack:  10,
 		},
-		Store: Store{Lease: time.Second},
+		Store: StoreSettings{Lease: time.Second},
 		Life:  time.Second,
 		Ledger: Ledger{
-			Shards: 1,
-			Share:  lacequota.DefaultShare,
+			Share: lacequota.DefaultShare,
 		},
 		Machine: Machine{Cores: 1},
 	}
@@ -116,7 +113,6 @@
 			laceyaml.Number("slack", "Number beside the share.", &s.Retry.Slack, 0, 1e6)),
 		laceyaml.Duration("life", "How long callers may keep a directory answer.", &s.Life, 100*time.Millisecond, time.Hour),
 		laceyaml.Group("ledger", "Division of prepaid budgets.",
-			laceyaml.Integer("shards", "Pages in the store; equal on every instance and never changed.", &s.Ledger.Shards, 1, 4096),
 			laceyaml.Number("share", "Part of what an account has left that all instances together hold.", &s.Ledger.Share, 0.01, 0.9)),
 		laceyaml.Group("machine", "What the instance may use of its machine.",
 			laceyaml.Number("cores", "Processor time for each second; in a large fleet the strongest instances take the callers.",
--- a/lib/laceplatform/store.go
+++ b/lib/laceplatform/store.go
@@ -28,10 +28,20 @@
 	ErrCompacted = errors.New("platform: revision compacted")
 )
 
-// Conflict is an ErrConflict of a store that tells how the key stands now.
+// Conflict is an ErrConflict of a store that tells how the keys of the call stand now.
 type Conflict struct {
-	// Entry has a revision of zero when the key does not exist.
-	Entry Entry
+	// Entries lacks the keys that do not exist.
+	Entries []Entry
+}
+
+// Entry returns how a key stands; its revision is zero when it does not exist.
+func (c *Conflict) Entry(key Key) Entry {
+	for _, e := range c.Entries {
+		if e.Key == key {
+			return e
+		}
+	}
+	return Entry{Key: key}
 }
 
 // Error implements error.
@@ -93,6 +103,12 @@
 	Watch(ctx context.Context, prefix Key, after Revision) (Watch, error)
 }
 
+// Batcher is a store that changes several keys in one call.
+type Batcher interface {
+	// SwapAll writes all of the keys or none, each if it stands at the expected revision. All get the same revision.
+	SwapAll(ctx context.Context, swaps []Swap) (Revision, error)
+}
+
 // Swap is one compare-and-swap.
 type Swap struct {
 	Key    Key
--- a/lib/lacequota/codec.go
+++ b/lib/lacequota/codec.go
@@ -14,10 +14,6 @@
 // ErrPage means that a stored page can't be read.
 var ErrPage = errors.New("quota: page can't be read")
 
-type pageForm struct {
-	Budgets map[string]budgetForm `json:"budgets"`
-}
-
 type budgetForm struct {
 	Closed  int64                  `json:"closed"`
 	Burnt   int64                  `json:"burnt"`
@@ -37,72 +33,66 @@
 	Boot  string `json:"boot"`
 }
 
-// Encode writes a page.
-func Encode(p Page) ([]byte, error) {
-	form := pageForm{Budgets: map[string]budgetForm{}}
-	for id, b := range p.Budgets {
-		f := budgetForm{
-			Closed:  int64(b.Closed),
-			Burnt:   int64(b.Burnt),
-			Paid:    int64(b.Paid),
-			Version: uint64(b.Version),
-			Holders: map[string]holdingForm{},
-		}
-		for k, h := range b.Holders {
-			f.Holders[k.String()] = holdingForm{
-				Cap:  int64(h.Cap),
-				Used: int64(h.Used),
-				Rate: int64(h.Rate),
+// Encode writes the page of a budget.
+func Encode(b Budget) ([]byte, error) {
+	f := budgetForm{
+		Closed:  int64(b.Closed),
+		Burnt:   int64(b.Burnt),
+		Paid:    int64(b.Paid),
+		Version: uint64(b.Version),
+		Holders: make(map[string]holdingForm, len(b.Holders)),
+	}
+	for k, h := range b.Holders {
+		f.Holders[k.String()] = holdingForm{
+			Cap:  int64(h.Cap),
+			Used: int64(h.Used),
+			Rate: int64(h.Rate),
 
-				Ceiling: int64(h.Ceiling),
-				Since:   h.Sent.Since.Milliseconds(),
-				Boot:    h.Sent.Boot,
-			}
+			Ceiling: int64(h.Ceiling),
+			Since:   h.Sent.Since.Milliseconds(),
+			Boot:    h.Sent.Boot,
 		}
-		form.Budgets[string(id)] = f
 	}
-	text, err := json.Marshal(form)
+	text, err := json.Marshal(f)
 	return text, errors.Wrap(err, "quota: encode page")
 }
 
-// Decode reads a page; an empty text is an empty page.
-func Decode(text []byte) (Page, error) {
-	p := Page{Budgets: map[laceunit.AccountID]Budget{}}
-	if len(text) == 0 {
-		return p, nil
+// Decode reads the page of a budget; an empty text is that of a budget that nobody has drawn on.
+func Decode(text []byte) (Budget, error) {
+	var f budgetForm
+	if len(text) > 0 {
+		if err := json.Unmarshal(text, &f); err != nil {
+			return Budget{}, errors.Wrap(ErrPage, err.Error())
+		}
+		if f.Holders == nil {
+			return Budget{}, errors.Wrap(ErrPage, "holders are missing")
+		}
 	}
-	var form pageForm
-	if err := json.Unmarshal(text, &form); err != nil {
-		return Page{}, errors.Wrap(ErrPage, err.Error())
+	b := Budget{
+		Closed:  laceunit.Tokens(f.Closed),
+		Burnt:   laceunit.Tokens(f.Burnt),
+		Paid:    laceunit.Tokens(f.Paid),
+		Version: laceunit.Version(f.Version),
+		Holders: make(map[laceunit.Holder]Holding, len(f.Holders)),
 	}
-	for id, f := range form.Budgets {
-		b := Budget{
-			Closed:  laceunit.Tokens(f.Closed),
-			Burnt:   laceunit.Tokens(f.Burnt),
-			Paid:    laceunit.Tokens(f.Paid),
-			Version: laceunit.Version(f.Version),
-			Holders: map[laceunit.Holder]Holding{},
+	for k, h := range f.Holders {
+		holder, err := parseHolder(k)
+		if err != nil {
+			return Budget{}, err
 		}
-		for k, h := range f.Holders {
-			holder, err := parseHolder(k)
-			if err != nil {
-				return Page{}, err
-			}
-			b.Holders[holder] = Holding{
-				Cap:  laceunit.Tokens(h.Cap),
-				Used: laceunit.Tokens(h.Used),
-				Rate: laceunit.Tokens(h.Rate),
+		b.Holders[holder] = Holding{
+			Cap:  laceunit.Tokens(h.Cap),
+			Used: laceunit.Tokens(h.Used),
+			Rate: laceunit.Tokens(h.Rate),
 
-				Ceiling: laceunit.Tokens(h.Ceiling),
-				Sent: Instant{
-					Boot:  h.Boot,
-					Since: time.Duration(h.Since) * time.Millisecond,
-				},
-			}
+			Ceiling: laceunit.Tokens(h.Ceiling),
+			Sent: Instant{
+				Boot:  h.Boot,
+				Since: time.Duration(h.Since) * time.Millisecond,
+			},
 		}
-		p.Budgets[laceunit.AccountID(id)] = b
 	}
-	return p, nil
+	return b, nil
 }
 
 func parseHolder(text string) (laceunit.Holder, error) {
--- a/lib/lacequota/codec_test.go
+++ b/lib/lacequota/codec_test.go
@@ -12,7 +12,7 @@
 
 // Guards against a stored form that differs between versions of the program, and against fields that are lost in it.
 func TestPageForm(t *testing.T) {
-	page := Page{Budgets: map[laceunit.AccountID]Budget{"coop": {
+	page := Budget{
 		Closed:  7,
 		Burnt:   5,
 		Paid:    1_000,
@@ -29,7 +29,7 @@
 				},
 			},
 		},
-	}}}
+	}
 	text, err := Encode(page)
 	if err != nil {
 		t.Fatal(err)
@@ -46,7 +46,7 @@
 
 // Guards against a page of another writer that is taken for an empty one, which would hand everything out again.
 func TestForeignPages(t *testing.T) {
-	for _, text := range []string{"x", "[]", `{"budgets":{"a":{"holders":{"router":{}}}}}`, `{"budgets":{"a":{"holders":{"r/x":{}}}}}`} {
+	for _, text := range []string{"x", "[]", `{"holders":{"router":{}}}`, `{"holders":{"r/x":{}}}`, `{"budgets":{}}`} {
 		if _, err := Decode([]byte(text)); err == nil {
 			t.Errorf("%q was read", text)
 		}
--- a/lib/lacequota/draw.go
+++ b/lib/lacequota/draw.go
@@ -8,7 +8,7 @@
 	"lacewingcove/lib/laceunit"
 )
 
-// Draw is a change of one page that is under way: the page to write, and the caps to take on when it is written.
+// Draw is a change of some budgets that is under way: what to write, and the caps to take on when it is written.
 type Draw struct {
 	Page Page
 	caps map[laceunit.AccountID]grant
@@ -37,6 +37,9 @@
 const (
 	// KeepShare is the instance's part by demand.
 	KeepShare Keep = iota
+	// KeepAsked is the same for accounts that callers have asked for, and nothing of the others, for an instance that
+	// only some callers use.
+	KeepAsked
 	// KeepLittle is what lasts for a moment, for an instance that callers are leaving.
 	KeepLittle
 	// KeepWanted is what waiting requests need, for an instance that callers do not use.
@@ -45,15 +48,12 @@
 	KeepNothing
 )
 
-// Plan computes a change of a page for the accounts of its shard. Caps that fall take effect at once, before the page
+// Plan computes a change of the budgets of some accounts. Caps that fall take effect at once, before the page
 // is written; those that rise wait for Commit. The ended holders are counted as spent.
 func (w *Wallet) Plan(now time.Time, at Instant, page Page, accounts []laceunit.AccountID, fleet Fleet, keep Keep) Draw {
 	d := Draw{
-		Page: Page{Budgets: maps.Clone(page.Budgets)},
-		caps: map[laceunit.AccountID]grant{},
-	}
-	if d.Page.Budgets == nil {
-		d.Page.Budgets = map[laceunit.AccountID]Budget{}
+		Page: Page{Budgets: make(map[laceunit.AccountID]Budget, len(accounts))},
+		caps: make(map[laceunit.AccountID]grant, len(accounts)),
 	}
 	for _, a := range accounts {
 		p := w.purse(a)
@@ -62,9 +62,8 @@
 		}
 		b, g := w.plan(now, at, p, page.Budgets[a], fleet, keep)
 		d.Page.Budgets[a], d.caps[a] = b, g
-		p.cap, p.ceiling = min(p.cap, g.cap), min(p.ceiling, g.ceiling)
+		p.cap, p.ceiling, p.sent = min(p.cap, g.cap), min(p.ceiling, g.ceiling), at
 	}
-	w.sent = at
 	return d
 }
 
@@ -99,16 +98,7 @@
 	spent := b.Spent() - own.Used
 	rest := max(paid-spent-b.lost()-p.used-p.reserved, 0)
 	others := b.Rate(func(h laceunit.Holder) bool { return h != w.self && fleet.Live(h) })
-	hold := max(w.hold(now, p, others, w.shared(rest, b.lost(), paid), fleet.Members), p.wanted)
-	switch keep {
-	case KeepShare:
-	case KeepLittle:
-		hold = min(hold, max(laceunit.Tokens(leaveTime.Seconds()*float64(p.rate(now))+p.lump), p.wanted))
-	case KeepWanted:
-		hold = p.wanted
-	case KeepNothing:
-		hold = 0
-	}
+	hold := w.keeps(now, p, max(w.hold(now, p, others, w.shared(rest, b.lost(), paid), fleet.Members), p.wanted), keep)
 	goal := min(low+hold, free)
 	// What has been spent or reserved can't be given back, whatever the others hold.
 	goal = max(goal, low)
@@ -146,6 +136,20 @@
 	}
 }
 
+// keeps returns how much of a part by demand is held.
+func (w *Wallet) keeps(now time.Time, p *purse, part laceunit.Tokens, keep Keep) laceunit.Tokens {
+	switch {
+	case keep == KeepNothing:
+		return 0
+	case keep == KeepWanted, keep == KeepAsked && p.began.IsZero():
+		return p.wanted
+	case keep == KeepLittle:
+		return min(part, max(laceunit.Tokens(leaveTime.Seconds()*float64(p.rate(now))+p.lump), p.wanted))
+	default:
+		return part
+	}
+}
+
 // soft is how much an instance may spend before Patience is over; a rate that is not known yet sets no bound.
 func (w *Wallet) soft(now time.Time, p *purse, goal laceunit.Tokens) laceunit.Tokens {
 	if now.Sub(p.began) < rateTime {
--- a/lib/lacequota/page.go
+++ b/lib/lacequota/page.go
@@ -41,7 +41,7 @@
 	Holders map[laceunit.Holder]Holding
 }
 
-// Page is the state of one shard of accounts.
+// Page is the state of the accounts that a draw is about; each account has an entry of its own in the store.
 type Page struct {
 	Budgets map[laceunit.AccountID]Budget
 }
--- a/lib/lacequota/property_test.go
+++ b/lib/lacequota/property_test.go
@@ -79,10 +79,11 @@
 // draw lets a machine change the page; the fate of the write is drawn.
 func (w *world) draw(i int) {
 	n := &w.nodes[i]
-	page, err := Decode(w.page)
+	budget, err := Decode(w.page)
 	if err != nil {
 		panic(err)
 	}
+	page := Page{Budgets: map[laceunit.AccountID]Budget{testAccount: budget}}
 	read := w.revision
 	keep := KeepShare
 	if w.random.Intn(5) == 0 { // Others take the callers for a while.
@@ -93,7 +94,7 @@
 		Live:    func(laceunit.Holder) bool { return true },
 		Ended:   func(laceunit.Holder) bool { return false },
 	}, keep)
-	text, err := Encode(d.Page)
+	text, err := Encode(d.Page.Budgets[testAccount])
 	if err != nil {
 		panic(err)
 	}
@@ -226,11 +227,10 @@
 			}
 		}
 	}
-	page, err := Decode(w.page)
+	b, err := Decode(w.page)
 	if err != nil {
 		t.Fatal(err)
 	}
-	b := page.Budgets[testAccount]
 	if lost := b.Closed - b.Burnt; lost > w.paid/10 {
 		t.Errorf("killed processes keep %d of %d tokens, more than a tenth", lost, w.paid)
 	}
--- a/lib/lacequota/service.go
+++ b/lib/lacequota/service.go
@@ -2,9 +2,8 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"math/rand/v2"
-	"strconv"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,7 +19,7 @@
 const (
 	// reportInterval is how often an instance reports spend and adapts its holdings; two calls each time.
 	reportInterval = time.Second
-	// memberInterval is the interval for each member in larger fleets, so that few of their writes meet.
+	// memberInterval is the interval for each active instance in larger fleets, so that few of their writes meet.
 	memberInterval = 100 * time.Millisecond
 	// drawPause bounds urgent draws. Requests wait for one, so that it is below what they wait.
 	drawPause = 200 * time.Millisecond
@@ -28,12 +27,16 @@
 	callTimeout = 800 * time.Millisecond
 	// conflictTries is how often a change is planned again after another instance's write.
 	conflictTries = 6
+	// drawAccounts is how many accounts one call changes; the store takes 32 entries, of which an account needs two.
+	drawAccounts = 16
 )
 
 // Members tells which instances share the accounts.
 type Members interface {
 	// Size is the number of instances that take callers.
 	Size() int
+	// Active reports whether this instance is one of them.
+	Active() bool
 	// Live reports whether an incarnation is listed.
 	Live(holder laceunit.Holder) bool
 	// Ended reports whether an incarnation is known to be gone for good.
@@ -42,10 +45,10 @@
 
 // Options configure a quota service.
 type Options struct {
-	Self    laceunit.Holder
-	Store   laceplatform.Store
+	Self  laceunit.Holder
+	Store laceplatform.Batcher
+	// Prefix is where the accounts' pages stand.
 	Prefix  laceplatform.Key
-	Shards  int
 	Share   float64
 	Members Members
 	// Clock tells the machine's time; without one nothing of an ended process is got back.
@@ -60,13 +63,12 @@
 // Service reserves tokens for requests and draws on the store in the background.
 type Service struct {
 	options Options
-	wake    []chan struct{}
+	wake    chan struct{}
 
 	mu     sync.Mutex
 	wallet *Wallet
-	shards [][]laceunit.AccountID
-	// known are the accounts of the shards.
-	known map[laceunit.AccountID]bool
+	// pages are the accounts' pages as this instance last saw them.
+	pages map[laceunit.AccountID]page
 	// drawn is closed and replaced after each draw.
 	drawn chan struct{}
 	// keep is how much is held; it falls in a planned stop.
@@ -81,26 +83,27 @@
 	contact time.Time
 }
 
+// page is an account's page and the revision at which it was seen.
+type page struct {
+	budget   Budget
+	revision laceplatform.Revision
+}
+
 // New returns a quota service; Serve must run.
 func New(options Options) *Service {
-	options.Shards = max(options.Shards, 1)
 	if options.Clock == nil {
 		options.Clock = func() Instant { return Instant{} }
 	}
 	if options.Share <= 0 {
 		options.Share = DefaultShare
 	}
-	s := &Service{
+	return &Service{
 		options: options,
+		wake:    make(chan struct{}, 1),
 		wallet:  NewWallet(options.Self, options.Share, options.Clock()),
-		shards:  make([][]laceunit.AccountID, options.Shards),
-		known:   map[laceunit.AccountID]bool{},
+		pages:   map[laceunit.AccountID]page{},
 		drawn:   make(chan struct{}),
 	}
-	for range options.Shards {
-		s.wake = append(s.wake, make(chan struct{}, 1))
-	}
-	return s
 }
 
 // Configure takes over what the accounts have paid.
@@ -111,16 +114,9 @@
 		s.configured = time.Now()
 	}
 	for _, a := range t.Accounts() {
-		if !s.known[a.ID] {
-			s.known[a.ID] = true
-			i := s.shard(a.ID)
-			s.shards[i] = append(s.shards[i], a.ID)
-		}
 		s.wallet.Paid(a.ID, a.Paid, a.Prepaid, t.Version())
 	}
-	for i := range s.shards {
-		s.rouse(i)
-	}
+	s.rouse()
 }
 
 // Reserve sets tokens aside. When the cap is short and the store is well, it waits for one draw, at most until the
@@ -136,7 +132,7 @@
 		drawn, well := s.drawn, s.contact.IsZero() || now.Sub(s.contact) < contactFresh
 		hopeful := v == Short && s.wallet.Hopeful(account)
 		if hopeful {
-			s.rouse(s.shard(account))
+			s.rouse()
 		}
 		s.mu.Unlock()
 		if !hopeful || !well {
@@ -166,22 +162,34 @@
 	defer s.mu.Unlock()
 	s.wallet.Settle(account, most, consumed)
 	if s.wallet.Urgent(s.options.Clock(), account) {
-		s.rouse(s.shard(account))
+		s.rouse()
 	}
 }
 
-// Serve implements suture.Service: it draws for each shard until the context ends.
+// Serve implements suture.Service: it draws until the context ends.
 func (s *Service) Serve(ctx context.Context) error {
-	var group sync.WaitGroup
-	for i := range s.shards {
-		group.Add(1)
-		go func() {
-			defer group.Done()
-			s.run(ctx, i)
-		}()
+	// Instances that start together would otherwise write at the same moments for ever.
+	timer := time.NewTimer(rand.N(reportInterval / 4))
+	defer timer.Stop()
+	var last time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-s.wake:
+			if wait := drawPause - time.Since(last); !last.IsZero() && wait > 0 && !lacekernel.Sleep(ctx, wait) {
+				return ctx.Err()
+			}
+		case <-timer.C:
+		}
+		interval := max(reportInterval, memberInterval*time.Duration(s.options.Members.Size()))
+		last = time.Now()
+		if err := s.drawAll(ctx, interval/2); err != nil && ctx.Err() == nil {
+			s.options.Log.Fault(err, "budgets were not drawn", lacelog.P(lacelog.Age, s.silence().Milliseconds()))
+			s.options.Metrics.failed()
+		}
+		timer.Reset(interval*3/4 + rand.N(interval/2))
 	}
-	group.Wait()
-	return ctx.Err()
 }
 
 // Leave gives back most of what is neither spent nor reserved with the next draws, since callers are about to go
@@ -193,60 +201,20 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.standby = standby
-	if !standby {
-		return
-	}
-	for i := range s.shards {
-		s.rouse(i)
-	}
+	s.rouse()
 }
 
 func (s *Service) lower(keep Keep) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.keep = keep
-	for i := range s.shards {
-		s.rouse(i)
-	}
+	s.rouse()
 }
 
 // Release gives back what is neither spent nor reserved and waits for it, at the end of a planned stop.
 func (s *Service) Release(ctx context.Context) error {
 	s.lower(KeepNothing)
-	var first error
-	for i := range s.shards {
-		if err := s.draw(ctx, i); err != nil && first == nil {
-			first = err
-		}
-	}
-	return first
-}
-
-func (s *Service) run(ctx context.Context, shard int) {
-	// Instances that start together would otherwise write at the same moments for ever.
-	timer := time.NewTimer(rand.N(reportInterval / 4))
-	defer timer.Stop()
-	var last time.Time
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-s.wake[shard]:
-			if wait := drawPause - time.Since(last); !last.IsZero() && wait > 0 && !lacekernel.Sleep(ctx, wait) {
-				return
-			}
-		case <-timer.C:
-		}
-		if s.serves(shard) {
-			last = time.Now()
-			if err := s.draw(ctx, shard); err != nil && ctx.Err() == nil {
-				s.options.Log.Fault(err, "budgets were not drawn", lacelog.P(lacelog.Age, s.silence().Milliseconds()))
-				s.options.Metrics.failed()
-			}
-		}
-		interval := max(reportInterval, memberInterval*time.Duration(s.options.Members.Size()))
-		timer.Reset(interval*3/4 + rand.N(interval/2))
-	}
+	return s.drawAll(ctx, 0)
 }
 
 func (s *Service) silence() time.Duration {
@@ -255,16 +223,6 @@
 	return time.Since(s.contact)
 }
 
-// serves reports whether there is anything to draw or to report for the shard.
-func (s *Service) serves(shard int) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.standby && s.wallet.Idle(s.shards[shard]) {
-		return false
-	}
-	return len(s.shards[shard]) > 0
-}
-
 // keeping returns how much is held now; the lock must be held.
 func (s *Service) keeping() Keep {
 	switch {
@@ -272,75 +230,103 @@
 		return max(s.keep, KeepWanted)
 	case time.Since(s.configured) < s.options.Settle:
 		return max(s.keep, KeepLittle)
+	case !s.options.Members.Active():
+		return max(s.keep, KeepAsked)
 	default:
 		return s.keep
 	}
 }
 
-// draw reads the shard's page and writes it with this instance's new caps.
-func (s *Service) draw(ctx context.Context, shard int) error {
-	key := s.options.Prefix + laceplatform.Key(strconv.Itoa(shard))
-	entry, err := s.read(ctx, key)
+// drawAll draws for the accounts that are due until a call fails. Those in need come first and by themselves, as a change
+// of many pages meets more writes of other instances.
+func (s *Service) drawAll(ctx context.Context, age time.Duration) error {
+	s.mu.Lock()
+	urgent, others := s.wallet.Due(time.Now(), s.options.Clock(), age, s.keeping())
+	s.mu.Unlock()
+	for _, accounts := range [][]laceunit.AccountID{urgent, others} {
+		for part := range slices.Chunk(accounts, drawAccounts) {
+			if err := s.draw(ctx, part); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// draw writes the pages of some accounts with this instance's new caps. The pages are those that were seen last; when
+// another instance has changed one, the store tells how they stand.
+func (s *Service) draw(ctx context.Context, accounts []laceunit.AccountID) error {
 	for range conflictTries {
+		plan, swaps, err := s.plan(accounts)
 		if err != nil {
 			return err
 		}
-		var page Page
-		if page, err = Decode(entry.Value); err != nil {
-			return err
-		}
-		plan, value, encodeErr := s.plan(page, shard)
-		if encodeErr != nil {
-			return encodeErr
-		}
 		call, cancel := context.WithTimeout(ctx, callTimeout)
-		_, err = s.options.Store.Swap(call, laceplatform.Swap{
-			Key:    key,
-			Value:  value,
-			Expect: entry.Revision,
-		})
+		revision, err := s.options.Store.SwapAll(call, swaps)
 		cancel()
 		if err == nil {
-			s.commit(plan, shard)
+			s.commit(plan, accounts, revision)
 			return nil
 		}
 		if !errors.Is(err, laceplatform.ErrConflict) {
-			return errors.Wrap(err, "quota: write page")
+			return errors.Wrap(err, "quota: write pages")
 		}
 		s.options.Metrics.conflicted()
-		var conflict *laceplatform.Conflict
-		if errors.As(err, &conflict) {
-			entry, err = conflict.Entry, nil
-			continue
+		conflict := &laceplatform.Conflict{}
+		errors.As(err, &conflict)
+		if err := s.learn(conflict, accounts); err != nil {
+			return err
 		}
-		entry, err = s.read(ctx, key)
 	}
-	return errors.Wrap(err, "quota: page changed too often")
+	return errors.New("quota: pages changed too often")
 }
 
-func (s *Service) read(ctx context.Context, key laceplatform.Key) (laceplatform.Entry, error) {
-	call, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	entry, err := s.options.Store.Get(call, key)
-	if errors.Is(err, laceplatform.ErrMissing) {
-		return laceplatform.Entry{Key: key}, nil
+// learn takes in how the pages of some accounts stand. A page that can't be read is never written over.
+func (s *Service) learn(conflict *laceplatform.Conflict, accounts []laceunit.AccountID) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, a := range accounts {
+		e := conflict.Entry(s.key(a))
+		b, err := Decode(e.Value)
+		if err != nil {
+			return errors.Wrap(err, string(e.Key))
+		}
+		s.pages[a] = page{
+			budget:   b,
+			revision: e.Revision,
+		}
 	}
-	return entry, errors.Wrap(err, "quota: read page")
+	return nil
 }
 
-func (s *Service) plan(page Page, shard int) (Draw, []byte, error) {
+func (s *Service) plan(accounts []laceunit.AccountID) (Draw, []laceplatform.Swap, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	d := s.wallet.Plan(time.Now(), s.options.Clock(), page, s.shards[shard], Fleet{
+	known := Page{Budgets: make(map[laceunit.AccountID]Budget, len(accounts))}
+	for _, a := range accounts {
+		known.Budgets[a] = s.pages[a].budget
+	}
+	d := s.wallet.Plan(time.Now(), s.options.Clock(), known, accounts, Fleet{
 		Members: s.options.Members.Size(),
 		Live:    s.options.Members.Live,
 		Ended:   s.options.Members.Ended,
 	}, s.keeping())
-	value, err := Encode(d.Page)
-	return d, value, err
+	swaps := make([]laceplatform.Swap, 0, len(accounts))
+	for _, a := range accounts {
+		value, err := Encode(d.Page.Budgets[a])
+		if err != nil {
+			return d, nil, err
+		}
+		swaps = append(swaps, laceplatform.Swap{
+			Key:    s.key(a),
+			Value:  value,
+			Expect: s.pages[a].revision,
+		})
+	}
+	return d, swaps, nil
 }
 
-func (s *Service) commit(d Draw, shard int) {
+func (s *Service) commit(d Draw, accounts []laceunit.AccountID, revision laceplatform.Revision) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
@@ -348,7 +334,11 @@
 	s.contact = now
 	close(s.drawn)
 	s.drawn = make(chan struct{})
-	for _, a := range s.shards[shard] {
+	for _, a := range accounts {
+		s.pages[a] = page{
+			budget:   d.Page.Budgets[a],
+			revision: revision,
+		}
 		x := s.wallet.State(a)
 		s.options.Metrics.observe(a, x)
 		s.options.Log.Write(lacelog.Draw, lacelog.P(lacelog.Account, a), lacelog.P("paid", x.Paid), lacelog.P(lacelog.Cap, x.Cap),
@@ -357,18 +347,16 @@
 	}
 }
 
-// rouse makes the shard's loop draw soon.
-func (s *Service) rouse(shard int) {
+// rouse makes the loop draw soon.
+func (s *Service) rouse() {
 	select {
-	case s.wake[shard] <- struct{}{}:
+	case s.wake <- struct{}{}:
 	default:
 		// It will run anyway.
 	}
 }
 
-func (s *Service) shard(account laceunit.AccountID) int {
-	h := fnv.New32a()
-	// A hash never fails to take bytes.
-	_, _ = h.Write([]byte(account))
-	return int(h.Sum32() % uint32(len(s.shards)))
+// key returns where an account's page stands.
+func (s *Service) key(account laceunit.AccountID) laceplatform.Key {
+	return s.options.Prefix + laceplatform.Key(account)
 }
--- a/lib/lacequota/wallet.go
+++ b/lib/lacequota/wallet.go
@@ -58,8 +58,6 @@
 	// born is the start of this process: the one before it on the same machine had ended by then.
 	born   Instant
 	purses map[laceunit.AccountID]*purse
-	// sent is when the newest change of a page was sent, whether it was answered or not.
-	sent Instant
 }
 
 // purse is the instance's part of one account.
@@ -71,8 +69,9 @@
 	version    laceunit.Version
 	// cap bounds used plus reserved; it is never above what the store holds for this incarnation plus folded.
 	cap laceunit.Tokens
-	// ceiling bounds the same until Patience after the newest change was sent.
+	// ceiling bounds the same until Patience after the newest change was sent, whether that was answered or not.
 	ceiling laceunit.Tokens
+	sent    Instant
 	// basis is what was paid when the sum of the caps was last seen to respect it.
 	basis laceunit.Tokens
 	// folded is the part of cap that another instance has counted as spent because it took this one for ended.
@@ -191,7 +190,7 @@
 // scaled down when the total fell below the one it was drawn under.
 func (w *Wallet) limit(p *purse, at Instant) laceunit.Tokens {
 	limit := p.cap
-	if at.Boot != "" && at.Since-w.sent.Since < Patience {
+	if at.Boot != "" && at.Since-p.sent.Since < Patience {
 		limit = min(limit, p.ceiling)
 	}
 	if p.paid >= p.basis {
@@ -228,17 +227,31 @@
 // Hopeful reports whether a draw may bring more for an account.
 func (w *Wallet) Hopeful(account laceunit.AccountID) bool { return w.purse(account).hopeful() }
 
-// Idle reports whether the instance holds nothing of the accounts beyond its spend, which the store knows of.
-func (w *Wallet) Idle(accounts []laceunit.AccountID) bool {
-	for _, a := range accounts {
-		p := w.purse(a)
-		if p.prepaid && (p.wanted > 0 || p.cap > p.used || p.used != p.reported) {
-			return false
+// Due returns the accounts to draw for: those in need, and others that have changed since their last draw when that has
+// an age, or whose last draw is so long ago that other instances may need what is held.
+func (w *Wallet) Due(now time.Time, at Instant, age time.Duration, keep Keep) (urgent, others []laceunit.AccountID) {
+	for _, a := range w.Accounts() {
+		p := w.purses[a]
+		since := now.Sub(p.drawn)
+		empty := p.cap <= p.used && p.used == p.reported
+		switch {
+		case !p.prepaid:
+		case p.wanted > 0 && p.hopeful():
+			urgent = append(urgent, a)
+		case empty && (keep >= KeepLittle || keep == KeepAsked && p.began.IsZero()):
+			// Nothing is held and nothing is to be told.
+		case w.Urgent(at, a) && !p.due:
+			urgent = append(urgent, a)
+		case p.due, keep >= KeepLittle, p.used != p.reported && since >= age, since >= quietDraws*age:
+			others = append(others, a)
 		}
 	}
-	return true
+	return urgent, others
 }
 
+// quietDraws is how many intervals pass between the draws for an account without requests.
+const quietDraws = 6
+
 // lowPart is the part of a holding below which the next draw comes early.
 const lowPart = 3
 
