lacequota: holdings have room for a few of the largest requests

Change: where callers ask for an account, a holding covers a second of its rate and three of its largest requests, up to half of the instance's even part of the rest.

--- a/lib/lacequota/draw.go
+++ b/lib/lacequota/draw.go
@@ -98,7 +98,9 @@
 	spent := b.Spent() - own.Used
 	rest := max(paid-spent-b.lost()-p.used-p.reserved, 0)
 	others := b.Rate(func(h laceunit.Holder) bool { return h != w.self && fleet.Live(h) })
-	hold := w.keeps(now, p, max(w.hold(now, p, others, w.shared(rest, b.lost(), paid), fleet.Members), p.wanted), keep)
+	part := w.hold(now, p, others, w.shared(rest, b.lost(), paid), fleet.Members)
+	part = max(part, p.working(now, rest, fleet.Members), p.wanted)
+	hold := w.keeps(now, p, part, keep)
 	goal := min(low+hold, free)
 	// What has been spent or reserved can't be given back, whatever the others hold.
 	goal = max(goal, low)
@@ -199,6 +201,13 @@
 	return laceunit.Tokens(max(min(part, enough), evenPart*even))
 }
 
+// working is what an instance needs of an account that callers ask it for, so that not each request waits for a draw: room
+// for a few of the largest and what comes until the next draw. In a small account it is bounded by the instance's even part.
+func (p *purse) working(now time.Time, rest laceunit.Tokens, members int) laceunit.Tokens {
+	need := workingTime.Seconds()*float64(p.rate(now)) + workingLumps*p.lump*p.fade(now)
+	return laceunit.Tokens(min(need, workingPart*float64(rest)/float64(max(members, 1))))
+}
+
 // Commit takes on the caps of a draw that the store has written.
 func (w *Wallet) Commit(now time.Time, d Draw) {
 	for a, g := range d.caps {
--- a/lib/lacequota/service.go
+++ b/lib/lacequota/service.go
@@ -19,8 +19,10 @@
 const (
 	// reportInterval is how often an instance reports spend and adapts its holdings; two calls each time.
 	reportInterval = time.Second
-	// memberInterval is the interval for each active instance in larger fleets, so that few of their writes meet.
-	memberInterval = 100 * time.Millisecond
+	// memberInterval is the interval for each active instance in larger fleets, so that few of their writes meet, and
+	// mostInterval bounds it: a process that is killed gets back what it held if its last report is within Patience.
+	memberInterval = 140 * time.Millisecond
+	mostInterval   = 2500 * time.Millisecond
 	// drawPause bounds urgent draws. Requests wait for one, so that it is below what they wait.
 	drawPause = 200 * time.Millisecond
 	// callTimeout bounds one call to the store, which answers in milliseconds when it is well.
@@ -182,7 +184,7 @@
 			}
 		case <-timer.C:
 		}
-		interval := max(reportInterval, memberInterval*time.Duration(s.options.Members.Size()))
+		interval := min(max(reportInterval, memberInterval*time.Duration(s.options.Members.Size())), mostInterval)
 		last = time.Now()
 		if err := s.drawAll(ctx, interval/2); err != nil && ctx.Err() == nil {
 			s.options.Log.Fault(err, "budgets were not drawn", lacelog.P(lacelog.Age, s.silence().Milliseconds()))
--- a/lib/lacequota/wallet.go
+++ b/lib/lacequota/wallet.go
@@ -34,6 +34,11 @@
 	// lost, the share is at its least.
 	lossWeight   = 2
 	leastCaution = 0.3
+	// workingTime and workingLumps are the least that a holding covers where callers ask for an account, workingPart the
+	// part of the account's rest that all such holdings take at most.
+	workingTime  = time.Second
+	workingLumps = 3
+	workingPart  = 0.5
 	// lumps is how many requests of the largest recent size a holding covers beside the average.
 	lumps = 1
 )
@@ -240,7 +245,7 @@
 			urgent = append(urgent, a)
 		case empty && (keep >= KeepLittle || keep == KeepAsked && p.began.IsZero()):
 			// Nothing is held and nothing is to be told.
-		case w.Urgent(at, a) && !p.due:
+		case w.Urgent(at, a) && !p.due && since >= age/2:
 			urgent = append(urgent, a)
 		case p.due, keep >= KeepLittle, p.used != p.reported && since >= age, since >= quietDraws*age:
 			others = append(others, a)
