lacequota: working holdings by the kind of fleet; members tell load in coarse steps

Cause: room for a few of the largest requests, up to half of an even part, serves more in the larger fleet and loses more with machines in the small ones. Change: the bound is 0.2 where all instances take callers and 0.5 where others stand by, and falls with what the account has lost. Members write their load anew when it changed by 15% of their capacity, since each active instance reads each change.

--- a/lib/lacedirectory/board.go
+++ b/lib/lacedirectory/board.go
@@ -142,6 +142,14 @@
 	return b.active
 }
 
+// Reserves reports whether some instances stand by.
+func (b *Board) Reserves() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.choose()
+	return len(b.order) < len(b.members)
+}
+
 // Active reports whether this instance takes callers; otherwise it stands by.
 func (b *Board) Active() bool {
 	b.mu.Lock()
--- a/lib/lacedirectory/registrar.go
+++ b/lib/lacedirectory/registrar.go
@@ -21,8 +21,9 @@
 	// instances of a large fleet stand by.
 	standbyLease    = 7 * time.Second
 	standbyInterval = 2 * time.Second
-	// loadStep is how much the load has to change before the entry is written again.
-	loadStep Cores = 0.05
+	// loadStep is the part of the capacity by which the load has to change before the entry is written again, which every
+	// active instance then reads.
+	loadStep = 0.15
 	// registerTimeout bounds one call.
 	registerTimeout = 600 * time.Millisecond
 	// registerPause is the wait after a failed registration. Entries have to be back soon after the store.
@@ -125,7 +126,7 @@
 	if r.lease == 0 || r.moving {
 		return r.register(call)
 	}
-	if drift := r.load - r.member.Load; drift >= loadStep || drift <= -loadStep {
+	if step := loadStep * r.member.Capacity; r.load >= r.member.Load+step || r.load <= r.member.Load-step {
 		return r.write(call, r.lease)
 	}
 	err := r.store.Renew(call, r.lease)
--- a/lib/lacequota/draw.go
+++ b/lib/lacequota/draw.go
@@ -72,8 +72,10 @@
 
 // Fleet tells what is known of the instances.
 type Fleet struct {
-	// Members is how many instances take requests.
+	// Members is how many instances take callers.
 	Members int
+	// Busy is true when others stand by.
+	Busy bool
 	// Live reports whether an incarnation is a member.
 	Live func(laceunit.Holder) bool
 	// Ended reports whether an incarnation is known to be gone for good.
@@ -102,7 +104,7 @@
 	rest := max(paid-spent-b.lost()-p.used-p.reserved, 0)
 	others := b.Rate(func(h laceunit.Holder) bool { return h != w.self && fleet.Live(h) })
 	part := w.hold(now, p, others, w.shared(rest, b.lost(), paid), fleet.Members)
-	part = max(part, p.working(now, rest, fleet.Members), p.wanted)
+	part = max(part, p.working(now, caution(b.lost(), paid)*float64(rest), fleet), p.wanted)
 	hold := w.keeps(now, p, part, keep)
 	goal := min(low+hold, free)
 	// What has been spent or reserved can't be given back, whatever the others hold.
@@ -185,8 +187,12 @@
 
 // shared is how much all instances together hold of an account's rest.
 func (w *Wallet) shared(rest, lost, paid laceunit.Tokens) float64 {
-	caution := max(1-lossWeight*float64(lost)/float64(max(paid, 1)), leastCaution)
-	return w.share * caution * float64(rest)
+	return w.share * caution(lost, paid) * float64(rest)
+}
+
+// caution is the part of usual holdings that is left after losses.
+func caution(lost, paid laceunit.Tokens) float64 {
+	return max(1-lossWeight*float64(lost)/float64(max(paid, 1)), leastCaution)
 }
 
 // hold is how much an instance keeps beyond its spend: its part of what is shared, by demand, and no more than what lasts
@@ -209,9 +215,13 @@
 
 // working is what an instance needs of an account that callers ask it for, so that not each request waits for a draw: room
 // for a few of the largest and what comes until the next draw. In a small account it is bounded by the instance's even part.
-func (p *purse) working(now time.Time, rest laceunit.Tokens, members int) laceunit.Tokens {
+func (p *purse) working(now time.Time, rest float64, fleet Fleet) laceunit.Tokens {
+	part := workingPart
+	if fleet.Busy {
+		part = busyPart
+	}
 	need := workingTime.Seconds()*float64(p.rate(now)) + workingLumps*p.lump*p.fade(now)
-	return laceunit.Tokens(min(need, workingPart*float64(rest)/float64(max(members, 1))))
+	return laceunit.Tokens(min(need, part*rest/float64(max(fleet.Members, 1))))
 }
 
 // Commit takes on the caps of a draw that the store has written.
--- a/lib/lacequota/service.go
+++ b/lib/lacequota/service.go
@@ -37,6 +37,8 @@
 type Members interface {
 	// Size is the number of instances that take callers.
 	Size() int
+	// Reserves reports whether others stand by.
+	Reserves() bool
 	// Active reports whether this instance is one of them.
 	Active() bool
 	// Live reports whether an incarnation is listed.
@@ -342,6 +344,7 @@
 	}
 	d := s.wallet.Plan(time.Now(), s.options.Clock(), known, accounts, Fleet{
 		Members: s.options.Members.Size(),
+		Busy:    s.options.Members.Reserves(),
 		Live:    s.options.Members.Live,
 		Ended:   s.options.Members.Ended,
 	}, s.keeping())
--- a/lib/lacequota/service_test.go
+++ b/lib/lacequota/service_test.go
@@ -42,6 +42,9 @@
 // Size implements Members.
 func (alone) Size() int { return 1 }
 
+// Reserves implements Members.
+func (alone) Reserves() bool { return false }
+
 // Active implements Members.
 func (alone) Active() bool { return true }
 
--- a/lib/lacequota/wallet.go
+++ b/lib/lacequota/wallet.go
@@ -34,11 +34,13 @@
 	// lost, the share is at its least.
 	lossWeight   = 2
 	leastCaution = 0.3
-	// workingTime and workingLumps are the least that a holding covers where callers ask for an account, workingPart the
-	// part of the account's rest that all such holdings take at most.
+	// workingTime and workingLumps are the least that a holding covers where callers ask for an account.
 	workingTime  = time.Second
 	workingLumps = 3
-	workingPart  = 0.2
+	// workingPart is the part of an account's rest that all such holdings take at most, busyPart the same in a fleet of
+	// which most instances stand by: the active ones have many more callers each, who would all wait for a draw.
+	workingPart = 0.2
+	busyPart    = 0.5
 	// lumps is how many requests of the largest recent size a holding covers beside the average.
 	lumps = 1
 )
