laceconn, lacerelay: heads and events of servers have a bound

Cause: a server in trouble may send bytes without end. The head of an answer, interim answers before it and an event of several lines were read without a bound until the request's time was over, into the memory of an instance that has 184 MB. Whole answers were held up to 8 MB each. Ruled out: bodies of whole answers (bounded), one line without end (bounded), blank lines without end (kept nowhere, ended by the bound on silence). Change: a head with all interim answers is at most 64 KB, an event 1 MB whatever its lines, a whole answer 2 MB; beyond that the connection is closed, and the request may have run.

--- a/lib/laceconn/conn.go
+++ b/lib/laceconn/conn.go
@@ -25,6 +25,8 @@
 const (
 	// bufferBytes holds the header of an answer and an event of a stream.
 	bufferBytes = 8 << 10
+	// headBytes bounds the header of an answer together with the interim answers before it.
+	headBytes = 64 << 10
 	// inlineBytes is the body size up to which a request is written before its answer is awaited. Longer ones may be
 	// answered before they are read, and small windows would then block the writer.
 	inlineBytes = 2 << 10
@@ -37,6 +39,7 @@
 	net    net.Conn
 	pool   *Pool
 	reader *bufio.Reader
+	head   headLimit
 	// fresh is true until the first answer; what arrives on a fresh connection can't belong to an earlier request.
 	fresh bool
 	// rest is when the server may close the idle connection.
@@ -104,8 +107,31 @@
 	return nil, errors.Wrap(ErrBroken, err.Error())
 }
 
+// headLimit is a reader that fails when an answer's head does not end; bytes of a body that were read ahead count as well.
+type headLimit struct {
+	conn net.Conn
+	// left is how much may be read until the head ends; limited is false outside of heads.
+	left    int
+	limited bool
+}
+
+// Read implements io.Reader.
+func (h *headLimit) Read(p []byte) (int, error) {
+	if !h.limited {
+		return h.conn.Read(p)
+	}
+	if h.left <= 0 {
+		return 0, errors.New("header of the answer is too long")
+	}
+	n, err := h.conn.Read(p[:min(len(p), h.left)])
+	h.left -= n
+	return n, err
+}
+
 // read skips interim answers.
 func (c *Conn) read(r *http.Request) (*http.Response, error) {
+	c.head.left, c.head.limited = headBytes, true
+	defer func() { c.head.limited = false }()
 	for {
 		response, err := http.ReadResponse(c.reader, r)
 		if err != nil {
--- a/lib/laceconn/pool.go
+++ b/lib/laceconn/pool.go
@@ -99,7 +99,8 @@
 		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
 	c.net = conn
-	c.reader = bufio.NewReaderSize(conn, bufferBytes)
+	c.head.conn = conn
+	c.reader = bufio.NewReaderSize(&c.head, bufferBytes)
 	return c, nil
 }
 
--- a/lib/lacerelay/attempt.go
+++ b/lib/lacerelay/attempt.go
@@ -17,8 +17,9 @@
 )
 
 const (
-	// answerBytes bounds an answer that is held until it is complete.
-	answerBytes = 8 << 20
+	// answerBytes bounds an answer that is held until it is complete. Servers in trouble may send bodies without end, and many
+	// of them at once have to fit into the memory of a small instance.
+	answerBytes = 2 << 20
 	// patience is the part of the response-time objective that a request may wait for a server. Longer waits end in
 	// answers that are late anyway, while a refused caller can try elsewhere.
 	patience = 4
--- a/lib/lacerelay/stream.go
+++ b/lib/lacerelay/stream.go
@@ -21,6 +21,9 @@
 // errEvent means that a stream ended within an event.
 var errEvent = errors.New("relay: stream ended within an event")
 
+// errEndless means that an event is longer than any sound server sends.
+var errEndless = errors.New("relay: event has no end")
+
 // event is one event of a stream with the blank line that ends it.
 type event struct {
 	text []byte
@@ -33,7 +36,10 @@
 	for {
 		line, err := r.ReadSlice('\n')
 		e.text = append(e.text, line...)
-		if errors.Is(err, bufio.ErrBufferFull) && len(e.text) < eventBytes {
+		if len(e.text) > eventBytes {
+			return event{}, errEndless
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
 		if err != nil {
