lacemirror: the first copy of the configuration comes before the others

An instance that starts while the store is away lists three prefixes each 300 ms; 295 of them make about 3,000 calls a second, which are priced and refused. Ruled out: renewals (a tenth of the price each), standbys' watches (none). Change: the copies of the servers and of the instances wait for the first copy of the configuration, so that an instance asks for one prefix until the store answers. An instance is ready when it knows the servers too; before it answered callers 503 in the moment between the two.

--- a/lib/laceconn/endless_test.go
+++ b/lib/laceconn/endless_test.go
@@ -43,7 +43,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if _, err = c.Send(ctx, request()); !errors.Is(err, ErrBroken) { //nolint:bodyclose // There is no answer.
+			if _, err = c.Send(ctx, request()); !errors.Is(err, ErrBroken) {
 				t.Errorf("error %v, not a broken connection", err)
 			}
 			if n := <-sent; n >= most {
--- a/lib/lacemirror/follower.go
+++ b/lib/lacemirror/follower.go
@@ -50,6 +50,11 @@
 	handler Handler
 	log     *lacelog.Logger
 
+	// lead is the follower whose first list this one waits for; nil for none.
+	lead *Follower
+	// begun is closed with the first copy.
+	begun chan struct{}
+
 	mu      sync.Mutex
 	mirror  *Mirror
 	contact time.Time
@@ -71,9 +76,14 @@
 		log:     log,
 		mirror:  NewMirror(prefix),
 		turned:  make(chan struct{}),
+		begun:   make(chan struct{}),
 	}
 }
 
+// Behind makes the follower wait for the first copy of another one of the same store. When many instances start while
+// the store is away, each of them asks it for one prefix only. It must be called before Serve.
+func (f *Follower) Behind(lead *Follower) { f.lead = lead }
+
 // Indirect tells whether other instances pass the news on, so that the store need not be asked.
 func (f *Follower) Indirect(indirect bool) {
 	f.mu.Lock()
@@ -95,6 +105,17 @@
 	}
 }
 
+// begin tells those that wait for the first copy; the lock must be held.
+func (f *Follower) begin() {
+	select {
+	case <-f.begun:
+	default:
+		if f.mirror.Revision() > 0 {
+			close(f.begun)
+		}
+	}
+}
+
 // mode returns whether other instances tell the news, and what is closed when that changes.
 func (f *Follower) mode() (indirect bool, turned <-chan struct{}) {
 	f.mu.Lock()
@@ -166,6 +187,13 @@
 
 // follow lists and watches the store until the context ends.
 func (f *Follower) follow(ctx context.Context) {
+	if f.lead != nil {
+		select {
+		case <-f.lead.begun:
+		case <-ctx.Done():
+			return
+		}
+	}
 	pause := firstPause
 	// A copy that other instances have passed on is as good as a list.
 	listed := f.Status().Revision > 0
@@ -301,6 +329,7 @@
 }
 
 func (f *Follower) notify(changes []Change, peer bool) {
+	f.begin()
 	if len(changes) == 0 {
 		return
 	}
--- a/lib/lacenode/node.go
+++ b/lib/lacenode/node.go
@@ -162,6 +162,9 @@
 		lacemirror.NewFollower(keys.Servers, store, n.log, n.served),
 		lacemirror.NewFollower(memberPrefix, store, n.log, n.joined),
 	}
+	for _, f := range n.followers[1:] {
+		f.Behind(n.followers[0])
+	}
 	return nil
 }
 
@@ -189,8 +192,13 @@
 	return nil
 }
 
-// Ready reports whether the instance takes requests.
-func (n *Node) Ready() bool { return n.routes.Load() != nil && !n.leaving.Load() }
+// Ready reports whether the instance takes requests: it knows the configuration and the backend servers.
+func (n *Node) Ready() bool {
+	return n.routes.Load() != nil && n.followers[serversFollower].Status().Revision > 0 && !n.leaving.Load()
+}
+
+// serversFollower is the index of the copy of the backend servers.
+const serversFollower = 1
 
 // Addresses implements Directory.
 func (n *Node) Addresses(place laceunit.Place) ([]laceunit.Address, time.Duration) {
--- a/lib/lacerelay/event_test.go
+++ b/lib/lacerelay/event_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"strings"
 	"testing"
+
+	"github.com/pkg/errors"
 )
 
 // repeat is a reader that never ends.
@@ -48,7 +50,7 @@
 			t.Errorf("event %q with id %q, error %v", got.text, got.id, err)
 		}
 	}
-	if _, err := readEvent(r); err == nil || err == io.EOF {
+	if _, err := readEvent(r); err == nil || errors.Is(err, io.EOF) {
 		t.Errorf("a stream that ends within an event: error %v", err)
 	}
 }
