lacerelay: a failure behind the events of a stream breaks it off

Cause: a stream that broke off was resumed at a second server, which answered 500; that answer was delivered behind the events, and the response ended as a complete one. Ruled out: lost or doubled events, a server that ends early in good order. Change: behind events, what is not a stream breaks the response off; events before a cut one are flushed first. Measured: TestFailureAfterEventsIsNoEnd before: the caller got 'id: 1 data: a failed' without an error; after: an error behind event 1.

--- a/lib/lacerelay/attempt.go
+++ b/lib/lacerelay/attempt.go
@@ -67,6 +67,11 @@
 		}
 		switch decide(j.route, j.progress, a.end, a.status, r.mayRepeat(j)) {
 		case deliver:
+			if !j.first.IsZero() {
+				// The caller has a part of a stream already; a failure in its place would make it look complete.
+				r.end(ctx, w, j, r.failure(&a))
+				return
+			}
 			r.deliver(w, j, &a)
 			return
 		case again:
--- a/lib/lacerelay/stream.go
+++ b/lib/lacerelay/stream.go
@@ -70,6 +70,10 @@
 	for {
 		e, err := readEvent(reader)
 		if err != nil {
+			if !j.first.IsZero() {
+				// Events before a cut one have not been flushed yet. A caller that has gone shows with the next write.
+				_ = flusher.Flush()
+			}
 			return r.streamEnd(ctx, w, j, a, err)
 		}
 		quiet.progress()
