lacenode: one owner of the switch between the store and other instances

Cause: both the role and the exchange switched the copies. When an instance became active while a question to a partner was under way, the exchange switched them back to other instances, and nobody undid it: an active instance without watches. Ruled out: the followers, which only do as they are told.

--- a/lib/lacenode/exchange.go
+++ b/lib/lacenode/exchange.go
@@ -64,6 +64,7 @@
 		x.follow(ctx)
 		return
 	}
+	x.indirect(false)
 	if !x.stale(time.Now()) {
 		return
 	}
@@ -97,8 +98,14 @@
 	if x.stale(time.Now()) {
 		x.partner = ""
 	}
+	x.indirect(time.Since(x.answered) <= partnerTime)
+}
+
+// indirect switches all copies between the store and other instances. Only this loop does: a question that is still under
+// way when the instance takes callers again must not leave it without the store.
+func (x *exchange) indirect(indirect bool) {
 	for _, f := range x.node.followers {
-		f.Indirect(time.Since(x.answered) <= partnerTime)
+		f.Indirect(indirect)
 	}
 }
 
--- a/lib/lacenode/role.go
+++ b/lib/lacenode/role.go
@@ -59,11 +59,6 @@
 	}
 	n.registrar.StandBy(standby)
 	n.quota.StandBy(standby)
-	if !standby {
-		for _, f := range n.followers {
-			f.Indirect(false)
-		}
-	}
 	n.log.Write(lacelog.Role, lacelog.P("standby", standby), lacelog.P("active", n.board.Size()))
 }
 
