lacemirror, lacenode: news counts by its age

Cause: every answer of a partner counted as contact, also of one that had lost the store itself; the instance went from one such partner to the next and left the store alone. The role's line named neither partner nor age. Ruled out: a late watch (the copy was indirect from 25.8 s to 32.2 s), a version that was not read (the next one came at once when partners had the store again). Change: Freshness decides for all copies, from the age of the news alone. The age counts from when the store answered the teller while its watch was in place, on the machine's clock, and is passed on with the revision it holds for. Partners with old news are replaced; when none is fresh, an early renewal of the lease shows whether the store is within reach, and only then the copies turn to it, spread by the size of the fleet. After an outage partners get a second first. Line 'news' at each change, gauge lace_mirror_age_seconds.

--- a/lib/lacedirectory/registrar.go
+++ b/lib/lacedirectory/registrar.go
@@ -93,6 +93,13 @@
 	r.load = load
 }
 
+// Renew renews the entry before its time, which shows whether the store is within reach.
+func (r *Registrar) Renew(ctx context.Context) {
+	if err := r.step(ctx); err != nil && ctx.Err() == nil {
+		r.log.Fault(err, "membership was not renewed early", lacelog.P("member", r.member.Holder.String()))
+	}
+}
+
 func (r *Registrar) interval() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/lib/lacelog/event.go
+++ b/lib/lacelog/event.go
@@ -21,6 +21,8 @@
 	Active Event = "active"
 	// Role is a change of whether this instance takes callers or stands by.
 	Role Event = "role"
+	// News is a change of where the news of an instance that stands by comes from.
+	News Event = "news"
 	// Draw is a change of what this instance may spend of a budget.
 	Draw Event = "draw"
 	// Loan is tokens that one instance hands to another.
--- a/lib/lacemirror/follower.go
+++ b/lib/lacemirror/follower.go
@@ -10,6 +10,7 @@
 	"lacewingcove/lib/lacekernel"
 	"lacewingcove/lib/lacelog"
 	"lacewingcove/lib/laceplatform"
+	"lacewingcove/lib/laceunit"
 )
 
 const (
@@ -49,6 +50,7 @@
 	store   laceplatform.Store
 	handler Handler
 	log     *lacelog.Logger
+	pulse   *laceplatform.Pulse
 
 	// lead is the follower whose first list this one waits for; nil for none.
 	lead *Follower
@@ -59,6 +61,10 @@
 	mirror  *Mirror
 	contact time.Time
 	failing bool
+	// reached is the newest moment at which the store is known to have held nothing that the copy lacks; watched is since
+	// when a watch of the store adds to it, zero while there is none.
+	reached laceunit.Uptime
+	watched laceunit.Uptime
 	// indirect is true while other instances tell the news and the store is left alone.
 	indirect bool
 	// turned is closed and replaced when indirect changes.
@@ -67,13 +73,14 @@
 	recovered time.Time
 }
 
-// NewFollower returns a follower of a prefix.
-func NewFollower(prefix laceplatform.Key, store laceplatform.Store, log *lacelog.Logger, handler Handler) *Follower {
+// NewFollower returns a follower of a prefix. The pulse is that of the store.
+func NewFollower(prefix laceplatform.Key, store laceplatform.Store, pulse *laceplatform.Pulse, log *lacelog.Logger, handler Handler) *Follower {
 	return &Follower{
 		prefix:  prefix,
 		store:   store,
 		handler: handler,
 		log:     log,
+		pulse:   pulse,
 		mirror:  NewMirror(prefix),
 		turned:  make(chan struct{}),
 		begun:   make(chan struct{}),
@@ -96,13 +103,16 @@
 	f.turned = make(chan struct{})
 }
 
-// Confirm takes in that the store confirmed the copy of another instance at a moment, and this copy equals that one.
-func (f *Follower) Confirm(at time.Time) {
+// Confirm takes in that the copy of another instance, complete at a revision, was known to be current at a moment. It
+// reports whether this copy is now known to be as current.
+func (f *Follower) Confirm(revision laceplatform.Revision, at laceunit.Uptime) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if at.After(f.contact) {
-		f.contact = at
+	if f.mirror.Revision() < revision {
+		return false
 	}
+	f.reached = max(f.reached, at)
+	return true
 }
 
 // begin tells those that wait for the first copy; the lock must be held.
@@ -129,8 +139,9 @@
 // Status tells how current a copy is.
 type Status struct {
 	Revision laceplatform.Revision
-	// Contact is when the store last confirmed the copy; zero means never.
-	Contact time.Time
+	// Reached is the newest moment at which the copy is known to have been current, whoever told; zero means never. While
+	// a watch is in place, each call that the store answers moves it.
+	Reached laceunit.Uptime
 	// Failing is true while the last call to the store has failed.
 	Failing bool
 }
@@ -141,11 +152,26 @@
 	defer f.mu.Unlock()
 	return Status{
 		Revision: f.mirror.Revision(),
-		Contact:  f.contact,
+		Reached:  f.reach(),
 		Failing:  f.failing,
 	}
 }
 
+// reach returns the newest moment at which the copy is known to have been current; the lock must be held.
+func (f *Follower) reach() laceunit.Uptime {
+	if at := f.pulse.Contact().Answered; f.watched > 0 && at >= f.watched {
+		return max(f.reached, at)
+	}
+	return f.reached
+}
+
+// watching tells since when a watch is in place; zero means that it has ended.
+func (f *Follower) watching(since laceunit.Uptime) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reached, f.watched = f.reach(), since
+}
+
 // Since returns what a copy at a revision lacks.
 func (f *Follower) Since(revision laceplatform.Revision) (Delta, bool) {
 	f.mu.Lock()
@@ -227,6 +253,7 @@
 
 // list replaces the copy by the first list that the store answers with.
 func (f *Follower) list(ctx context.Context) error {
+	began := f.pulse.Now()
 	l := f.firstList(ctx)
 	if l.err != nil {
 		return l.err
@@ -234,6 +261,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.regained()
+	f.reached = max(f.reached, began)
 	f.notify(f.mirror.Replace(l.entries, l.revision), false)
 	return nil
 }
@@ -278,10 +306,13 @@
 func (f *Follower) watch(ctx context.Context, progress func()) error {
 	inner, cancel := context.WithCancel(ctx)
 	defer cancel()
+	began := f.pulse.Now()
 	w, err := f.store.Watch(inner, f.prefix, f.Status().Revision)
 	if err != nil {
 		return err
 	}
+	f.watching(began)
+	defer f.watching(0)
 	for e := range w.Events() {
 		progress()
 		f.event(e)
--- a/lib/lacemirror/follower_test.go
+++ b/lib/lacemirror/follower_test.go
@@ -55,7 +55,7 @@
 func TestRemovalsSettleWithTheStoresReturn(t *testing.T) {
 	store := &script{watches: make(chan *scriptWatch)}
 	sources := make(chan Source, 8)
-	f := NewFollower("servers/", store, lacelog.Discard(), func(_ []Change, s Source) { sources <- s })
+	f := NewFollower("servers/", store, &laceplatform.Pulse{}, lacelog.Discard(), func(_ []Change, s Source) { sources <- s })
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- f.Serve(ctx) }()
@@ -129,7 +129,7 @@
 		back:   time.Now().Add(away),
 	}
 	copied := make(chan struct{}, 1)
-	f := NewFollower("servers/", store, lacelog.Discard(), func([]Change, Source) { copied <- struct{}{} })
+	f := NewFollower("servers/", store, &laceplatform.Pulse{}, lacelog.Discard(), func([]Change, Source) { copied <- struct{}{} })
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- f.Serve(ctx) }()
--- a/lib/lacenode/adapter.go
+++ b/lib/lacenode/adapter.go
@@ -12,8 +12,8 @@
 
 // Adapter speaks the platform's protocols.
 type Adapter interface {
-	// Store returns the client of the platform's store.
-	Store(s Settings) (Store, error)
+	// Store returns the client of the platform's store, which notes in the pulse which calls are answered.
+	Store(s Settings, pulse *laceplatform.Pulse) (Store, error)
 	// Codec returns the translation of callers' requests and servers' answers.
 	Codec() lacerelay.Codec
 	// Keys tells where the operator and the servers write.
--- a/lib/lacenode/bootclock.go
+++ b/lib/lacenode/bootclock.go
@@ -9,6 +9,7 @@
 
 	"lacewingcove/lib/lacelog"
 	"lacewingcove/lib/lacequota"
+	"lacewingcove/lib/laceunit"
 )
 
 // bootFile names the time between two starts of the machine.
@@ -35,3 +36,11 @@
 		}
 	}
 }
+
+// uptime returns the machine's clock as time since its start; none stands for the steady clock of the process.
+func uptime(clock func() lacequota.Instant) func() laceunit.Uptime {
+	if clock == nil {
+		return nil
+	}
+	return func() laceunit.Uptime { return laceunit.Uptime(clock().Since) }
+}
--- a/lib/lacenode/exchange.go
+++ b/lib/lacenode/exchange.go
@@ -14,26 +14,17 @@
 	"lacewingcove/lib/lacewire"
 )
 
-const (
-	// fetchInterval is how often an instance without contact to the store asks another one. News reaches all of them
-	// within a few rounds.
-	fetchInterval = 300 * time.Millisecond
-	// fetchTimeout bounds one question.
-	fetchTimeout = 500 * time.Millisecond
-	// contactAge is the age of the last contact from which other instances are asked. Watches answer every two seconds.
-	contactAge = 2500 * time.Millisecond
-	// partnerTime is how long an instance that stands by goes on without an answer of any partner before it asks the store
-	// itself. Changes have to be in force within a few seconds.
-	partnerTime = 1500 * time.Millisecond
-)
+// contactAge is the age of the copies from which other instances are asked by one that watches the store itself.
+const contactAge = 2500 * time.Millisecond
 
 // exchange asks other instances for what the store does not tell this one.
 type exchange struct {
 	node   *Node
 	client *http.Client
-	// partner is who answered last, answered when; only the loop uses them.
-	partner  laceunit.Address
-	answered time.Time
+	// freshness decides where news comes from while the instance stands by, origin is its last decision; only the loop uses
+	// them.
+	freshness lacemirror.Freshness
+	origin    lacemirror.Origin
 }
 
 func newExchange(n *Node) *exchange {
@@ -46,7 +37,7 @@
 // newPeerClient returns a client for calls to other instances.
 func newPeerClient() *http.Client {
 	return &http.Client{
-		Timeout: fetchTimeout,
+		Timeout: lacemirror.QuestionTimeout,
 		Transport: &http.Transport{
 			DialContext:     laceconn.Dialer().DialContext,
 			IdleConnTimeout: time.Minute,
@@ -56,7 +47,7 @@
 
 // Serve implements suture.Service.
 func (x *exchange) Serve(ctx context.Context) error {
-	return lacekernel.Every(ctx, fetchInterval, x.step)
+	return lacekernel.Every(ctx, lacemirror.RoundInterval, x.step)
 }
 
 func (x *exchange) step(ctx context.Context) {
@@ -64,8 +55,9 @@
 		x.follow(ctx)
 		return
 	}
-	x.indirect(false)
-	if !x.stale(time.Now()) {
+	x.freshness = lacemirror.Freshness{}
+	x.turn(lacemirror.Origin{})
+	if !x.stale() {
 		return
 	}
 	if peer, ok := x.choose(); ok {
@@ -74,62 +66,19 @@
 }
 
 // stale reports whether the store has not confirmed all copies lately.
-func (x *exchange) stale(now time.Time) bool {
+func (x *exchange) stale() bool {
+	now := x.node.pulse.Now()
 	for _, f := range x.node.followers {
-		if s := f.Status(); s.Failing || now.Sub(s.Contact) > contactAge {
+		if s := f.Status(); s.Failing || now.Sub(s.Reached) > contactAge {
 			return true
 		}
 	}
 	return false
 }
 
-// follow asks a partner for news while the instance stands by. A partner that has no recent news itself is replaced; when
-// no partner answers, the store is asked directly.
-func (x *exchange) follow(ctx context.Context) {
-	began := time.Now()
-	if x.partner == "" {
-		x.partner = x.anyPartner()
-	}
-	if x.partner != "" && x.fetch(ctx, x.partner) {
-		x.answered = began
-	} else {
-		x.partner = ""
-	}
-	if x.stale(time.Now()) {
-		x.partner = ""
-	}
-	x.indirect(time.Since(x.answered) <= partnerTime)
-}
-
-// indirect switches all copies between the store and other instances. Only this loop does: a question that is still under
-// way when the instance takes callers again must not leave it without the store.
-func (x *exchange) indirect(indirect bool) {
-	for _, f := range x.node.followers {
-		f.Indirect(indirect)
-	}
-}
-
-// anyPartner returns an instance that takes callers, one of the same availability zone if there is any.
-func (x *exchange) anyPartner() laceunit.Address {
-	partners := x.node.board.Partners()
-	near := 0
-	for near < len(partners) && partners[near].Place == x.node.settings.Place {
-		near++
-	}
-	if near == 0 || x.partnerless() {
-		near = len(partners)
-	}
-	if near == 0 {
-		return ""
-	}
-	return partners[rand.IntN(near)].Peer
-}
-
-// partnerless reports whether the last partners did not answer, so that those of other zones are asked as well.
-func (x *exchange) partnerless() bool { return time.Since(x.answered) > partnerTime/2 }
-
-// fetch takes in what another instance knows and reports whether it answered.
-func (x *exchange) fetch(ctx context.Context, peer laceunit.Address) bool {
+// fetch takes in what another instance knows. It returns the newest moment at which all of its copies are known to have been
+// current, zero if that is not known, and whether it answered.
+func (x *exchange) fetch(ctx context.Context, peer laceunit.Address) (reached laceunit.Uptime, answered bool) {
 	query := &lacewire.MirrorQuery{Instance: string(x.node.settings.Instance)}
 	for _, f := range x.node.followers {
 		query.States = append(query.States, &lacewire.MirrorState{
@@ -137,23 +86,38 @@
 			Revision: int64(f.Status().Revision),
 		})
 	}
-	asked := time.Now()
+	asked := x.node.pulse.Now()
 	news, err := lacewire.NewMirrorProtobufClient("http://"+string(peer), x.client).Fetch(ctx, query)
 	if err != nil {
-		// An unreachable instance tells nothing; the next round asks another one.
-		return false
+		// An unreachable instance tells nothing; the next round asks others.
+		return 0, false
 	}
 	for _, m := range news.GetDeltas() {
 		if f := x.follower(laceplatform.Key(m.GetPrefix())); f != nil {
 			f.Merge(lacewire.ToDelta(m))
 		}
 	}
-	for _, c := range news.GetConfirmed() {
-		if f := x.follower(laceplatform.Key(c.GetPrefix())); f != nil && c.GetAgeMs() >= 0 {
-			f.Confirm(asked.Add(-time.Duration(c.GetAgeMs()) * time.Millisecond))
+	return x.confirm(asked, news.GetConfirmed()), true
+}
+
+// confirm takes in how old the copies of another instance are and returns the oldest moment.
+func (x *exchange) confirm(asked laceunit.Uptime, confirmed []*lacewire.MirrorConfirmation) laceunit.Uptime {
+	oldest, known := asked, 0
+	for _, c := range confirmed {
+		f := x.follower(laceplatform.Key(c.GetPrefix()))
+		if f == nil || c.GetAgeMs() < 0 {
+			continue
+		}
+		at := asked.Add(-time.Duration(c.GetAgeMs()) * time.Millisecond)
+		if at > 0 && f.Confirm(laceplatform.Revision(c.GetRevision()), at) {
+			known++
+			oldest = min(oldest, at)
 		}
 	}
-	return true
+	if known < len(x.node.followers) {
+		return 0
+	}
+	return oldest
 }
 
 // follower returns the follower of a prefix, or nil.
@@ -187,22 +151,30 @@
 
 // Fetch implements lacewire.Mirror.
 func (x *exchange) Fetch(_ context.Context, q *lacewire.MirrorQuery) (*lacewire.MirrorNews, error) {
-	news := &lacewire.MirrorNews{}
-	now := time.Now()
+	news := &lacewire.MirrorNews{Direct: !x.node.standby.Load()}
+	now := x.node.pulse.Now()
 	for _, s := range q.GetStates() {
 		f := x.follower(laceplatform.Key(s.GetPrefix()))
 		if f == nil {
 			continue
 		}
+		// The age comes first: changes after it are in the copy or have moved its revision.
+		status := f.Status()
 		if d, ok := f.Since(laceplatform.Revision(s.GetRevision())); ok {
 			news.Deltas = append(news.Deltas, lacewire.FromDelta(d))
 		}
-		if at := f.Status().Contact; !at.IsZero() {
+		if status.Reached > 0 {
 			news.Confirmed = append(news.Confirmed, &lacewire.MirrorConfirmation{
-				Prefix: s.GetPrefix(),
-				AgeMs:  now.Sub(at).Milliseconds(),
+				Prefix:   s.GetPrefix(),
+				AgeMs:    age(now, status.Reached).Milliseconds(),
+				Revision: int64(status.Revision),
 			})
 		}
 	}
 	return news, nil
 }
+
+// age returns how old news is, in whole milliseconds that are never too few.
+func age(now, reached laceunit.Uptime) time.Duration {
+	return max(now.Sub(reached), 0).Truncate(time.Millisecond) + time.Millisecond
+}
--- a/lib/lacenode/node.go
+++ b/lib/lacenode/node.go
@@ -64,7 +64,9 @@
 	backends  *lacerelay.Backends
 	relay     *lacerelay.Relay
 	followers []*lacemirror.Follower
-	rejected  prometheus.Counter
+	// pulse tells when the store last answered.
+	pulse    *laceplatform.Pulse
+	rejected prometheus.Counter
 
 	// clock is the machine's, nil when it can't be read.
 	clock   func() lacequota.Instant
@@ -75,10 +77,6 @@
 
 // New assembles an instance.
 func New(settings Settings, adapter Adapter, log *lacelog.Logger) (*Node, error) {
-	store, err := adapter.Store(settings)
-	if err != nil {
-		return nil, errors.Wrap(err, "node: store")
-	}
 	n := &Node{
 		settings: settings,
 		adapter:  adapter,
@@ -88,6 +86,11 @@
 		routes:   &laceroute.Current{},
 		clock:    bootClock(log),
 	}
+	n.pulse = laceplatform.NewPulse(uptime(n.clock))
+	store, err := adapter.Store(settings, n.pulse)
+	if err != nil {
+		return nil, errors.Wrap(err, "node: store")
+	}
 	n.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	n.rejected = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "lace_node_rejected_total",
@@ -156,16 +159,28 @@
 		Log:     n.log,
 		Metrics: lacerelay.NewMetrics(n.registry),
 	})
+	n.follow(store)
+	return nil
+}
+
+// follow sets up the copies of what stands in the store.
+func (n *Node) follow(store Store) {
 	keys := n.adapter.Keys()
 	n.followers = []*lacemirror.Follower{
-		lacemirror.NewFollower(keys.Configs, store, n.log, n.configured),
-		lacemirror.NewFollower(keys.Servers, store, n.log, n.served),
-		lacemirror.NewFollower(memberPrefix, store, n.log, n.joined),
+		lacemirror.NewFollower(keys.Configs, store, n.pulse, n.log, n.configured),
+		lacemirror.NewFollower(keys.Servers, store, n.pulse, n.log, n.served),
+		lacemirror.NewFollower(memberPrefix, store, n.pulse, n.log, n.joined),
 	}
 	for _, f := range n.followers[1:] {
 		f.Behind(n.followers[0])
 	}
-	return nil
+	for _, f := range n.followers {
+		n.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name:        "lace_mirror_age_seconds",
+			Help:        "Time since a copy of the store was known to be current.",
+			ConstLabels: prometheus.Labels{"prefix": string(f.Prefix())},
+		}, func() float64 { return age(n.pulse.Now(), f.Status().Reached).Seconds() }))
+	}
 }
 
 func (n *Node) register() error {
--- /dev/null
+++ b/lib/lacenode/standby.go
@@ -0,0 +1,87 @@
+package lacenode
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+
+	"lacewingcove/lib/lacekernel"
+	"lacewingcove/lib/lacelog"
+	"lacewingcove/lib/lacemirror"
+	"lacewingcove/lib/laceunit"
+)
+
+// follow keeps the copies current while the instance stands by.
+func (x *exchange) follow(ctx context.Context) {
+	x.ask(ctx, x.freshness.Ask(x.view(), rand.IntN))
+	o := x.freshness.Decide(x.view(), rand.IntN)
+	if o.Renew {
+		x.node.registrar.Renew(ctx)
+		o = x.freshness.Decide(x.view(), rand.IntN)
+	}
+	if o.Wait > 0 && o.Wait <= lacemirror.RoundInterval && lacekernel.Sleep(ctx, o.Wait) {
+		o = x.freshness.Decide(x.view(), rand.IntN)
+	}
+	x.turn(o)
+}
+
+// ask puts the question to several partners at once.
+func (x *exchange) ask(ctx context.Context, partners []laceunit.Address) {
+	reached := make([]laceunit.Uptime, len(partners))
+	answered := make([]bool, len(partners))
+	var questions sync.WaitGroup
+	for i, p := range partners {
+		questions.Go(func() { reached[i], answered[i] = x.fetch(ctx, p) })
+	}
+	questions.Wait()
+	for i, p := range partners {
+		if answered[i] {
+			x.freshness.Hear(p, reached[i])
+		}
+	}
+}
+
+// view returns what the decision where news comes from is made on.
+func (x *exchange) view() lacemirror.View {
+	n := x.node
+	v := lacemirror.View{
+		Now:     n.pulse.Now(),
+		Members: len(n.board.Members()) + 1,
+		Store:   n.pulse.Contact(),
+		Reached: x.reached(),
+	}
+	for _, m := range n.board.Partners() {
+		if m.Peer == "" {
+			continue
+		}
+		v.Partners = append(v.Partners, m.Peer)
+		if m.Place == n.settings.Place {
+			v.Near = len(v.Partners)
+		}
+	}
+	return v
+}
+
+// reached returns the newest moment at which all copies are known to have been current.
+func (x *exchange) reached() laceunit.Uptime {
+	oldest := x.node.pulse.Now()
+	for _, f := range x.node.followers {
+		oldest = min(oldest, f.Status().Reached)
+	}
+	return oldest
+}
+
+// turn carries out where news comes from. Only this loop switches the copies: a question that is still under way when the
+// instance takes callers again must not leave it without the store.
+func (x *exchange) turn(o lacemirror.Origin) {
+	for _, f := range x.node.followers {
+		f.Indirect(o.Indirect)
+	}
+	if o.Indirect != x.origin.Indirect || o.Indirect && o.Partner != x.origin.Partner {
+		n := x.node
+		n.log.Write(lacelog.News, lacelog.P("indirect", o.Indirect), lacelog.P("partner", o.Partner),
+			lacelog.P(lacelog.Age, age(n.pulse.Now(), x.reached()).Milliseconds()),
+			lacelog.P("store_ms", age(n.pulse.Now(), n.pulse.Contact().Answered).Milliseconds()))
+	}
+	x.origin = o
+}
--- /dev/null
+++ b/lib/laceplatform/pulse.go
@@ -0,0 +1,79 @@
+package laceplatform
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lacewingcove/lib/laceunit"
+)
+
+// Contact tells how an instance stands with the store.
+type Contact struct {
+	// Answered is when the newest call that the store has answered was sent; zero means that none was.
+	Answered laceunit.Uptime
+	// Since is when the store answered again after a call without an answer, or for the first time.
+	Since laceunit.Uptime
+	// Failing is true when the last call that ended had no answer.
+	Failing bool
+}
+
+// Pulse notes which calls the store answers. A call counts from when it was sent: an answer that waited in a process that
+// was not running says nothing about the time after. The zero value counts from the first look at the clock.
+type Pulse struct {
+	clock func() laceunit.Uptime
+
+	mu      sync.Mutex
+	contact Contact
+	began   time.Time
+}
+
+// NewPulse returns a pulse on a clock; none stands for the steady clock of the process.
+func NewPulse(clock func() laceunit.Uptime) *Pulse { return &Pulse{clock: clock} }
+
+// Now returns the present moment.
+func (p *Pulse) Now() laceunit.Uptime {
+	if p.clock != nil {
+		return p.clock()
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.began.IsZero() {
+		p.began = time.Now()
+	}
+	return laceunit.Uptime(time.Since(p.began)) + 1
+}
+
+// Note takes in how a call ended that was sent at a moment. A call that its sender has given up says nothing.
+func (p *Pulse) Note(ctx context.Context, sent laceunit.Uptime, err error) {
+	if err != nil && errors.Is(context.Cause(ctx), context.Canceled) {
+		return
+	}
+	now := p.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !answered(err) {
+		p.contact.Failing = true
+		return
+	}
+	if p.contact.Failing || p.contact.Since == 0 {
+		p.contact.Since = now
+	}
+	p.contact.Failing = false
+	p.contact.Answered = max(p.contact.Answered, sent)
+}
+
+// Contact returns how the instance stands with the store.
+func (p *Pulse) Contact() Contact {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.contact
+}
+
+// answered reports whether a call with such an end was answered by the store.
+func answered(err error) bool {
+	return err == nil || errors.Is(err, ErrMissing) || errors.Is(err, ErrConflict) || errors.Is(err, ErrLeaseGone) ||
+		errors.Is(err, ErrCompacted) || errors.Is(err, ErrTooLarge)
+}
