lacedirectory: lapsed members of a large fleet keep their parts

Cause: while all others are out of the store's reach, their entries lapse; an instance that stood by sees itself among two active ones and draws what eight held before, beside what those still hold. The loss of power two seconds later takes it all.

--- a/lib/lacedirectory/active_test.go
+++ b/lib/lacedirectory/active_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"lacewingcove/lib/lacelog"
 	"lacewingcove/lib/laceunit"
@@ -130,3 +131,31 @@
 		}
 	}
 }
+
+// Guards against an instance of a large fleet that stood by, and takes the parts of all others and their connections because
+// their entries went while the store was out of their reach.
+func TestMembersThatLapseKeepTheirParts(t *testing.T) {
+	members := append(fleet("strong", 8, 4, 0.8, 0.1), fleet("weak", 78, 4, 0.192, 0)...)
+	self := members[len(members)-1]
+	b := NewBoard(self, lacelog.Discard())
+	for _, m := range members {
+		b.Put(m)
+	}
+	now := time.Unix(0, 0)
+	for _, m := range members[:len(members)-1] {
+		b.Remove(now, m.Holder.Instance, time.Time{})
+	}
+	if n := len(b.Addresses(self.Place)); n != 1 {
+		t.Errorf("%d addresses are named to callers", n)
+	}
+	if n := b.Size(); n != 8 {
+		t.Errorf("%d instances share the accounts just after %d entries went", n, len(members)-1)
+	}
+	if !b.Live(members[0].Holder) {
+		t.Error("the rate of an instance counts for nothing as soon as its entry goes")
+	}
+	b.Tick(now.Add(shrinkTime + time.Second))
+	if n := b.Size(); n != 1 || b.Live(members[0].Holder) {
+		t.Errorf("%d instances share the accounts long after", n)
+	}
+}
--- a/lib/lacedirectory/board.go
+++ b/lib/lacedirectory/board.go
@@ -32,14 +32,24 @@
 	members map[laceunit.InstanceID]Member
 	until   map[laceunit.InstanceID]time.Time
 	missing map[laceunit.Holder]time.Time
-	peak    int
-	peaked  time.Time
+	// lapsed are members whose entries went lately; they may live on out of the store's reach, with what they hold.
+	lapsed map[laceunit.InstanceID]lapse
+	peak   int
+	peaked time.Time
 	// counted is whether this instance took callers when peak was set.
 	counted bool
 	absent  bool
 	// active is the set that takes callers, nil when the members have changed since it was chosen; order lists it.
 	active map[laceunit.InstanceID]bool
 	order  []Member
+	// sharing is how many would take callers if no entry had gone lately.
+	sharing int
+}
+
+// lapse is a member whose entry has gone at a moment.
+type lapse struct {
+	member Member
+	at     time.Time
 }
 
 // NewBoard returns a board that lists only the instance itself.
@@ -50,6 +60,7 @@
 		members: map[laceunit.InstanceID]Member{},
 		until:   map[laceunit.InstanceID]time.Time{},
 		missing: map[laceunit.Holder]time.Time{},
+		lapsed:  map[laceunit.InstanceID]lapse{},
 	}
 }
 
@@ -62,6 +73,7 @@
 	b.members[id] = m
 	delete(b.until, id)
 	delete(b.missing, m.Holder)
+	delete(b.lapsed, id)
 	if !known || old != m {
 		b.active = nil
 	}
@@ -83,9 +95,19 @@
 		b.until[id] = settles
 		return
 	}
+	b.drop(now, m)
+	b.note(m, "gone")
+}
+
+// drop takes a member out of the list; the lock must be held.
+func (b *Board) drop(now time.Time, m Member) {
+	id := m.Holder.Instance
 	delete(b.members, id)
+	b.lapsed[id] = lapse{
+		member: m,
+		at:     now,
+	}
 	b.active = nil
-	b.note(m, "gone")
 }
 
 // Leave takes the instance itself out of the answers.
@@ -103,10 +125,16 @@
 		if now.Before(until) {
 			continue
 		}
-		b.note(b.members[id], "lapsed")
-		delete(b.members, id)
+		m := b.members[id]
+		b.note(m, "lapsed")
 		delete(b.until, id)
-		b.active = nil
+		b.drop(now, m)
+	}
+	for id, l := range b.lapsed {
+		if now.Sub(l.at) > shrinkTime {
+			delete(b.lapsed, id)
+			b.active = nil
+		}
 	}
 }
 
@@ -129,6 +157,14 @@
 	slices.SortFunc(members, func(x, y Member) int { return cmp.Compare(x.Holder.Instance, y.Holder.Instance) })
 	was := len(b.order)
 	b.active = activeSet(members)
+	b.sharing = len(b.active)
+	if b.outOfReach() {
+		all := slices.Clone(members)
+		for _, l := range b.lapsed {
+			all = append(all, l.member)
+		}
+		b.sharing = max(b.sharing, len(activeSet(all)))
+	}
 	b.order = b.order[:0:0]
 	for _, m := range members {
 		if b.active[m.Holder.Instance] {
@@ -142,6 +178,13 @@
 	return b.active
 }
 
+// outOfReach reports whether members that lapsed lately are taken to live on without the store. In a fleet that is small
+// enough for all of it to take callers, these move to the others with what they need, and the parts follow them; in a larger
+// one an instance that stood by a moment ago would take the parts of all others. The lock must be held.
+func (b *Board) outOfReach() bool {
+	return len(b.lapsed) > 0 && len(b.members)+len(b.lapsed) > wholeFleet
+}
+
 // Reserves reports whether some instances stand by.
 func (b *Board) Reserves() bool {
 	b.mu.Lock()
@@ -200,20 +243,23 @@
 	return b.peak
 }
 
-// Size returns how many instances take callers.
+// Size returns how many instances share what callers need. In a large fleet those whose entries went lately count.
 func (b *Board) Size() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.choose()
-	return max(len(b.order), 1)
+	return max(b.sharing, 1)
 }
 
-// Live reports whether an incarnation is listed.
+// Live reports whether an incarnation is listed, or was until lately.
 func (b *Board) Live(h laceunit.Holder) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	m, ok := b.members[h.Instance]
-	return ok && m.Holder == h
+	if !ok && b.outOfReach() {
+		m = b.lapsed[h.Instance].member
+	}
+	return m.Holder == h
 }
 
 // Ended reports whether an incarnation has been missing for so long that it counts as gone.
