--- a/lib/lacemirror/freshness_test.go
+++ b/lib/lacemirror/freshness_test.go
@@ -23,6 +23,8 @@
 	changeBound = 3 * time.Second
 	modelActive = 4
 	modelFleet  = 16
+	// modelPartners is how many instances are taken to be active: two of them stand by as well and pass on what they hear.
+	modelPartners = modelActive + 2
 )
 
 // chooser is what decides where the news of an instance comes from.
@@ -153,7 +155,7 @@
 		Near:    1,
 		Store:   n.contact,
 	}
-	for i := range modelActive {
+	for i := range modelPartners {
 		v.Partners = append(v.Partners, laceunit.Address(fmt.Sprint(i)))
 	}
 	return v
@@ -229,7 +231,8 @@
 func fresh() chooser { return &Freshness{} }
 
 // Guards against an instance that stands by and lacks changes although it reaches the store, and against copies that call
-// themselves younger than they are: partners lose the store, freeze and wake with old news, the store goes away for all.
+// themselves younger than they are: partners lose the store, freeze and wake with old news, pass on what others told them, and
+// the store goes away for all.
 func TestNewsIsJudgedByItsAge(t *testing.T) {
 	parameters := gopter.DefaultTestParametersWithSeed(20261204)
 	parameters.MinSuccessfulTests = 300
