--- a/lib/laceconn/conn.go
+++ b/lib/laceconn/conn.go
@@ -20,6 +20,8 @@
 	ErrBroken = errors.New("conn: connection broke")
 	// ErrFull means that the server has as many connections from here as it may have.
 	ErrFull = errors.New("conn: too many connections to the server")
+	// ErrClosed means that the pool was closed; nothing was sent.
+	ErrClosed = errors.New("conn: pool is closed")
 )
 
 const (
@@ -175,6 +177,9 @@
 	}
 }
 
+// Release gives back a connection that nothing was sent on.
+func (c *Conn) Release() { c.pool.put(c, 0) }
+
 // Discard closes the connection.
 func (c *Conn) Discard() {
 	c.pool.forget(c)
--- a/lib/laceconn/pool.go
+++ b/lib/laceconn/pool.go
@@ -76,12 +76,16 @@
 	}
 }
 
-// Get returns an idle connection or opens one. Its errors say that nothing was sent.
+// Get returns an idle connection or opens one, but none once the pool is closed. Its errors say that nothing was sent.
 func (p *Pool) Get(ctx context.Context) (*Conn, error) {
 	if c := p.take(); c != nil {
 		return c, nil
 	}
 	p.mu.Lock()
+	if p.closed {
+		p.mu.Unlock()
+		return nil, ErrClosed
+	}
 	if p.most > 0 && len(p.open) >= p.most {
 		p.mu.Unlock()
 		return nil, ErrFull
