lacebalancer, lacerelay: heed servers that leave or ask for a pause

Cause: callers' requests went on to servers whose answers say Server-Leaving, as long as their entries said ready, and to servers that refuse with 503 and Retry-After. Ruled out: marks by address, since the next server there is free; news between instances, since each learns with its own first answer; the last server as a last resort while it leaves, see docs/routing.md. The balancer keeps a mark for each start of a server that leaves, and a pause with an allowance that grows with each answer after its end. Placed requests are checked again right before they are sent; those held back go on as not sent. Pauses run on the clock that the placer is given.

--- a/lib/lacebalancer/balancer.go
+++ b/lib/lacebalancer/balancer.go
@@ -34,6 +34,7 @@
 	servers map[laceunit.ServerID]*server
 	flights map[Ticket]flight
 	waiting map[Ticket]*pool
+	leavers leavers
 	last    Ticket
 	retries float64
 	scratch []*server
@@ -45,6 +46,9 @@
 	server *server
 	pool   *pool
 	probe  bool
+	// trial is the pause after whose end the request was sent; nil for most.
+	trial    *pause
+	answered bool
 }
 
 type waiter struct {
@@ -131,10 +135,10 @@
 }
 
 // Update sets the servers and returns what that decides. A server that is leaving or missing gets no new requests
-// from here on; its tickets stay valid.
+// from here on; its tickets stay valid. Another start of a server begins without what was known of the former one.
 func (b *Balancer) Update(now time.Time, servers map[laceunit.ServerID]laceconfig.Server, leaving map[laceunit.ServerID]bool) []Decision {
 	for id, s := range b.servers {
-		if _, ok := servers[id]; !ok {
+		if c, ok := servers[id]; !ok || c.Born != s.born {
 			s.gone, s.pools = true, nil
 			delete(b.servers, id)
 		}
@@ -148,9 +152,14 @@
 			s = newServer(id)
 			b.servers[id] = s
 		}
-		s.configure(servers[id], leaving[id])
-		b.join(s, servers[id])
+		c := servers[id]
+		s.configure(c, leaving[id] || b.Left(id, c.Born))
+		b.join(s, c)
 	}
+	b.leavers.prune(now, func(s birth) bool {
+		c, ok := servers[s.id]
+		return ok && c.Born == s.born
+	})
 	var decisions []Decision
 	for _, name := range sortedPools(b.pools) {
 		p := b.pools[name]
@@ -234,9 +243,15 @@
 	if f.probe {
 		s.probing = false
 	}
+	if f.trial != nil {
+		f.trial.running--
+	}
 	switch result {
 	case Success:
 		s.succeeded(f.probe)
+		if s.pause != nil && s.pause == f.trial && !f.answered {
+			s.grow()
+		}
 		const weight = 0.05
 		if f.pool.latency == 0 {
 			f.pool.latency = latency.Seconds()
@@ -293,6 +308,9 @@
 			if s.ejected && !s.probing && s.until.Before(next) {
 				next = s.until
 			}
+			if s.pause != nil && s.pause.running == 0 && s.pause.end.Before(next) {
+				next = s.pause.end
+			}
 		}
 	}
 	return next, !next.IsZero()
--- /dev/null
+++ b/lib/lacebalancer/pause.go
@@ -0,0 +1,136 @@
+package lacebalancer
+
+import "time"
+
+const (
+	// firstRequests is how many requests a server gets at once when its pause is over. Each answer adds one, so that what
+	// waited reaches it no faster than it answers.
+	firstRequests = 1
+	// fullRequests is the allowance at which a server counts as recovered.
+	fullRequests = 32
+	// returnShare is the part of a pause over which callers are spread that come back after its end, and leastReturn the
+	// least such time.
+	returnShare = 4
+	leastReturn = 200 * time.Millisecond
+)
+
+// pause is what a server has asked for that wants nothing for a time, and how it is given work again afterwards.
+type pause struct {
+	end time.Time
+	// allowance is how many requests may be under way that were sent since the end, running how many are.
+	allowance int
+	running   int
+}
+
+// Pause takes in that the server of a ticket wants nothing for a time. It is no failure: the server keeps its place in
+// all other respects. Of several pauses the latest end holds. It reports whether the pause is news.
+func (b *Balancer) Pause(now time.Time, ticket Ticket, length time.Duration) (bool, []Decision) {
+	f, ok := b.flights[ticket]
+	if !ok || length <= 0 {
+		return false, nil
+	}
+	s := f.server
+	news := !s.pausing(now)
+	if s.pause == nil {
+		s.pause = &pause{}
+	}
+	s.pause.allowance = firstRequests
+	if end := now.Add(length); end.After(s.pause.end) {
+		s.pause.end = end
+	}
+	return news, b.drainAll(now, s.pools)
+}
+
+// Answered notes that the server of a ticket has begun to answer, which is what its allowance after a pause grows with.
+func (b *Balancer) Answered(now time.Time, ticket Ticket) []Decision {
+	f, ok := b.flights[ticket]
+	if !ok || f.trial == nil || f.answered {
+		return nil
+	}
+	f.answered = true
+	b.flights[ticket] = f
+	s := f.server
+	if s.pause != f.trial || s.pausing(now) {
+		return nil
+	}
+	s.grow()
+	return b.drainAll(now, s.pools)
+}
+
+// grow raises the allowance after a pause.
+func (s *server) grow() {
+	s.pause.allowance++
+	if s.pause.allowance >= fullRequests {
+		s.pause = nil
+	}
+}
+
+// Hold tells why a ticket that was given a server must not be sent there any more.
+type Hold int
+
+// The holds.
+const (
+	// HoldNone means that the request may be sent.
+	HoldNone Hold = iota
+	// HoldLeaving means that the server leaves or has gone.
+	HoldLeaving
+	// HoldPausing means that the server wants nothing for a time.
+	HoldPausing
+)
+
+// String returns the hold as metrics have it.
+func (h Hold) String() string { return [...]string{"", "leaving", "pause"}[h] }
+
+// Hold tells whether a ticket may still be sent; time passes between the choice of a server and a connection to it.
+func (b *Balancer) Hold(now time.Time, ticket Ticket) Hold {
+	f, ok := b.flights[ticket]
+	switch {
+	case !ok || f.server.leaving || f.server.gone:
+		return HoldLeaving
+	case f.server.pausing(now):
+		return HoldPausing
+	}
+	return HoldNone
+}
+
+// Resting returns when a caller may come back while all servers of a pool that could be used are in a pause, and zero
+// otherwise.
+func (b *Balancer) Resting(now time.Time, name Pool) time.Duration {
+	p := b.pools[name]
+	if p == nil {
+		return 0
+	}
+	left, ok := p.resting(now)
+	if !ok {
+		return 0
+	}
+	return b.spread(left)
+}
+
+// resting returns the time to the earliest end when all servers that could be used are in a pause.
+func (p *pool) resting(now time.Time) (time.Duration, bool) {
+	least, found := time.Duration(0), false
+	for _, s := range p.servers {
+		if s.leaving {
+			continue
+		}
+		if !s.pausing(now) {
+			return 0, false
+		}
+		if left := s.pause.end.Sub(now); !found || left < least {
+			least, found = left, true
+		}
+	}
+	return least, found
+}
+
+// spread adds to a time after which callers come back, so that they don't come in one moment.
+func (b *Balancer) spread(left time.Duration) time.Duration {
+	return left + time.Duration(b.random(int(max(left/returnShare, leastReturn))))
+}
+
+// pausing reports whether the server wants nothing.
+func (s *server) pausing(now time.Time) bool { return s.pause != nil && now.Before(s.pause.end) }
+
+// restrained reports whether the server has as many requests as it may have so soon after a pause.
+func (s *server) restrained() bool { return s.pause != nil && s.pause.running >= s.pause.allowance }
--- a/lib/lacebalancer/pick.go
+++ b/lib/lacebalancer/pick.go
@@ -18,6 +18,9 @@
 	if p == nil || !p.usable() {
 		return refusal(ticket, NoServer, b.routing.Probe), nil
 	}
+	if left, ok := p.resting(now); ok {
+		return refusal(ticket, Paused, b.spread(left)), nil
+	}
 	if request.Retry {
 		if b.retries < 1 {
 			return refusal(ticket, NoRetry, b.retryAfter(p)), nil
@@ -94,6 +97,13 @@
 		refuse(p.queue.Drop(func(lacelimit.Item[waiter]) bool { return true }), NoServer)
 		return decisions
 	}
+	if left, ok := p.resting(now); ok {
+		for _, i := range p.queue.Drop(func(lacelimit.Item[waiter]) bool { return true }) {
+			delete(b.waiting, i.Value.ticket)
+			decisions = append(decisions, refusal(i.Value.ticket, Paused, b.spread(left)))
+		}
+		return decisions
+	}
 	// A request that finds no server shows that those of the same or a lower priority find none either. Without this
 	// an overloaded pool would scan its servers once per waiting account.
 	full := laceunit.Priority(-1)
@@ -140,10 +150,14 @@
 	if probe {
 		s.probing = true
 	}
+	if s.pause != nil {
+		s.pause.running++
+	}
 	b.flights[w.ticket] = flight{
 		server: s,
 		pool:   p,
 		probe:  probe,
+		trial:  s.pause,
 	}
 	return Decision{
 		Ticket:  w.ticket,
@@ -162,18 +176,18 @@
 	limit := depth + urgency*float64(max(r.Priority, laceunit.PriorityDraft))
 	mean := p.view()
 	exclude := r.Exclude
-	if p.excluded(exclude) {
+	if p.excluded(now, exclude) {
 		exclude = nil
 	}
 	open := b.scratch[:0]
 	var suspects, healthy, reported int
 	var rested *server
 	for _, s := range p.servers {
-		if s.leaving || slices.Contains(exclude, s.id) {
+		if s.leaving || s.pausing(now) || slices.Contains(exclude, s.id) {
 			continue
 		}
 		if s.ejected {
-			if !s.probing && (rested == nil || s.until.Before(rested.until)) {
+			if !s.probing && !s.restrained() && (rested == nil || s.until.Before(rested.until)) {
 				rested = s
 			}
 			continue
@@ -184,7 +198,7 @@
 		}
 		s.salt = p.order(b.salt)
 		s.weigh(now, mean)
-		if s.slots > 0 && s.estimate >= limit*float64(s.slots) {
+		if s.restrained() || s.slots > 0 && s.estimate >= limit*float64(s.slots) {
 			continue
 		}
 		if now.Before(s.suspect) {
@@ -228,10 +242,10 @@
 	return slices.ContainsFunc(p.servers, func(s *server) bool { return !s.leaving })
 }
 
-// excluded reports whether a list names every usable server.
-func (p *pool) excluded(list []laceunit.ServerID) bool {
+// excluded reports whether a list names every server that can be used now.
+func (p *pool) excluded(now time.Time, list []laceunit.ServerID) bool {
 	return len(list) > 0 && !slices.ContainsFunc(p.servers, func(s *server) bool {
-		return !s.leaving && !slices.Contains(list, s.id)
+		return !s.leaving && !s.pausing(now) && !slices.Contains(list, s.id)
 	})
 }
 
--- a/lib/lacebalancer/request.go
+++ b/lib/lacebalancer/request.go
@@ -77,6 +77,8 @@
 	Late
 	// NoRetry means that the retry budget is spent.
 	NoRetry
+	// Paused means that all usable servers of the pool have asked for a pause.
+	Paused
 )
 
 // Decision is the answer to a request.
--- a/lib/lacebalancer/server.go
+++ b/lib/lacebalancer/server.go
@@ -39,6 +39,7 @@
 
 type server struct {
 	id      laceunit.ServerID
+	born    int64
 	address laceunit.Address
 	seed    uint64
 	slots   int
@@ -60,6 +61,8 @@
 	until    time.Time
 	rest     time.Duration
 	suspect  time.Time
+	// pause is nil unless the server has lately asked for one.
+	pause *pause
 
 	held     map[uint64]struct{}
 	estimate float64
@@ -74,13 +77,20 @@
 }
 
 func (s *server) configure(c laceconfig.Server, leaving bool) {
-	s.address = c.Address
+	s.address, s.born = c.Address, c.Born
 	s.leaving = leaving || c.Leaving
 	if c.Slots > 0 {
 		s.slots = c.Slots
 	}
 }
 
+func (s *server) birth() birth {
+	return birth{
+		id:   s.id,
+		born: s.born,
+	}
+}
+
 // Seed implements Candidate.
 func (s *server) Seed() uint64 { return s.seed ^ s.salt }
 
--- a/lib/laceconfig/document.go
+++ b/lib/laceconfig/document.go
@@ -59,6 +59,8 @@
 	Fencing bool
 	// Leaving servers get no new work.
 	Leaving bool
+	// Born tells the starts of a server under one id apart, where they are known; documents don't name it.
+	Born int64
 }
 
 // Model is a model that callers can ask for.
--- a/lib/lacerelay/attempt.go
+++ b/lib/lacerelay/attempt.go
@@ -41,6 +41,8 @@
 	reason   string
 	// spared is true when nothing was sent for a reason that is not the server's.
 	spared bool
+	// recalled is true when nothing was sent because the server leaves or pauses since it was chosen.
+	recalled bool
 	// begun is true when the answer is a stream.
 	begun bool
 	// abort closes the caller's connection without the end of the answer.
@@ -144,8 +146,12 @@
 // unplaced returns what the caller of a request without a server hears.
 func (r *Relay) unplaced(ctx context.Context, j *job, d lacebalancer.Decision) *lacefault.Fault {
 	f := fault(lacefault.Overloaded, "all servers are busy", d.RetryAfter)
-	if d.Reason == lacebalancer.NoServer {
+	switch d.Reason {
+	case lacebalancer.NoServer:
 		f = fault(lacefault.NoServer, "no server is in use", d.RetryAfter)
+	case lacebalancer.Paused:
+		f.Message = "all servers have asked for a pause"
+		r.options.Metrics.withheld(j, lacebalancer.HoldPausing.String(), "refused")
 	}
 	if j.progress.ran {
 		f.Outcome, f.Code = lacefault.Unknown, lacefault.ServerFailed
@@ -169,9 +175,10 @@
 	return f
 }
 
-// backoff is what a refused caller is told to wait before it comes back.
+// backoff is what a refused caller is told to wait before it comes back: a part of its objective, or the end of a pause
+// of all servers.
 func (r *Relay) backoff(j *job) time.Duration {
-	return max(j.route.Goal/(2*patience), minBackoff)
+	return max(j.route.Goal/(2*patience), minBackoff, r.options.Placer.Resting(j.service))
 }
 
 // minBackoff keeps callers from coming back before a busy server can have ended a request.
@@ -202,7 +209,12 @@
 	conn, err := pool.Get(ctx)
 	if err != nil {
 		a.end, a.reason = notSent, err.Error()
-		a.spared = ctx.Err() != nil || errors.Is(err, laceconn.ErrFull)
+		a.spared = ctx.Err() != nil || errors.Is(err, laceconn.ErrFull) || errors.Is(err, laceconn.ErrClosed)
+		r.withheld(j, d, &a)
+		return a
+	}
+	if r.withheld(j, d, &a) {
+		conn.Release()
 		return a
 	}
 	j.progress.sends++
@@ -219,9 +231,7 @@
 	}
 	a.reply = r.options.Codec.Reply(x.Response)
 	a.status, a.header = x.Response.StatusCode, x.Response.Header
-	if a.reply.Load != nil {
-		r.options.Placer.Report(d.Server, *a.reply.Load)
-	}
+	r.heed(j, d, &a.reply)
 	if a.reply.Attempt != j.call.Attempt && (a.reply.Attempt != "" || !x.Fresh) {
 		x.Abort()
 		a.end, a.reason = broken, "answer belongs to another request"
@@ -282,7 +292,9 @@
 	result := lacebalancer.Success
 	switch a.end {
 	case notSent:
-		j.progress.misses++
+		if !a.recalled {
+			j.progress.misses++
+		}
 		result = lacebalancer.Unreachable
 		if a.spared {
 			result = lacebalancer.Neutral
@@ -308,6 +320,10 @@
 			}
 		}
 	}
+	if a.reply.Pause > 0 && a.status == http.StatusServiceUnavailable {
+		// A pause is no failure, and the load that the server has is known from its end on.
+		result = lacebalancer.Neutral
+	}
 	if a.end != notSent && a.end != notRun {
 		j.progress.ran = true
 	}
--- a/lib/lacerelay/backend.go
+++ b/lib/lacerelay/backend.go
@@ -11,6 +11,14 @@
 	"lacewingcove/lib/laceunit"
 )
 
+// States of servers in the log, beside those of Apply.
+const (
+	// stateLeaving is what the entry says, stateSaysLeaving what the server's answers say.
+	stateLeaving     = "leaving"
+	stateSaysLeaving = "says_leaving"
+	statePausing     = "pausing"
+)
+
 // Backend is a backend server as it registered itself.
 type Backend struct {
 	ID      laceunit.ServerID
@@ -29,8 +37,13 @@
 	pool *laceconn.Pool
 	// until is when a server that is missing from the list goes out of use; zero while it is listed.
 	until time.Time
+	// unread is when a header of the server that can't be read was last logged.
+	unread time.Time
 }
 
+// unreadInterval is how often such a header is logged for each server.
+const unreadInterval = 10 * time.Second
+
 // Backends is the set of usable backend servers; it tells the placer of changes.
 type Backends struct {
 	placer *Placer
@@ -74,7 +87,7 @@
 		changed = true
 	}
 	if changed {
-		b.publish(now)
+		b.publish()
 	}
 }
 
@@ -90,7 +103,7 @@
 		}
 	}
 	if changed {
-		b.publish(now)
+		b.publish()
 	}
 }
 
@@ -105,6 +118,45 @@
 	return x.pool, true
 }
 
+// Leave takes in that the server of a ticket has said that it leaves; connections in use end with their requests.
+func (b *Backends) Leave(id laceunit.ServerID, t lacebalancer.Ticket) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	news := b.placer.Leave(t)
+	x, ok := b.all[id]
+	if !ok || !news || !b.placer.Left(id, x.Born) {
+		return
+	}
+	if err := x.pool.Close(); err != nil {
+		b.log.Fault(err, "connections were not closed", lacelog.P(lacelog.Backend, id))
+	}
+	b.note(x, stateSaysLeaving)
+}
+
+// Pause takes in that the server of a ticket wants nothing for a time.
+func (b *Backends) Pause(id laceunit.ServerID, t lacebalancer.Ticket, length time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	news := b.placer.Pause(t, length)
+	if x, ok := b.all[id]; ok && news {
+		b.note(x, statePausing, lacelog.P(lacelog.Retry, length.Milliseconds()))
+	}
+}
+
+// Unread notes a header of a server that can't be read, and what it is taken for.
+func (b *Backends) Unread(id laceunit.ServerID, err error, pause time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	x, ok := b.all[id]
+	now := time.Now()
+	if !ok || !x.unread.IsZero() && now.Sub(x.unread) < unreadInterval {
+		return
+	}
+	x.unread = now
+	b.log.Fault(err, "header of a server can't be read", lacelog.P(lacelog.Backend, id), lacelog.P(lacelog.Service, x.Service),
+		lacelog.P(lacelog.Retry, pause.Milliseconds()))
+}
+
 // Close closes all idle connections.
 func (b *Backends) Close() error {
 	b.mu.Lock()
@@ -124,7 +176,7 @@
 	}
 	fresh := backend{Backend: x}
 	if old != nil && old.Address == x.Address && old.Born == x.Born {
-		fresh.pool = old.pool
+		fresh.pool, fresh.unread = old.pool, old.unread
 	} else {
 		if old != nil {
 			b.drop(old, "restarted")
@@ -133,8 +185,12 @@
 	}
 	b.all[x.ID] = &fresh
 	state := "ready"
-	if x.Leaving {
-		state = "leaving"
+	switch {
+	case x.Leaving:
+		state = stateLeaving
+	case b.placer.Left(x.ID, x.Born):
+		// The entry still says that the server is ready, or lapsed and is back.
+		state = stateSaysLeaving
 	}
 	b.note(&fresh, state)
 	return true
@@ -149,12 +205,14 @@
 	b.note(x, state)
 }
 
-func (b *Backends) note(x *backend, state string) {
-	b.log.Write(lacelog.Server, lacelog.P(lacelog.Backend, x.ID), lacelog.P(lacelog.Service, x.Service),
-		lacelog.P("address", x.Address), lacelog.P("zone", x.Zone), lacelog.P("slots", x.Slots), lacelog.P("state", state))
+func (b *Backends) note(x *backend, state string, more ...lacelog.Pair) {
+	b.log.Write(lacelog.Server, append([]lacelog.Pair{
+		lacelog.P(lacelog.Backend, x.ID), lacelog.P(lacelog.Service, x.Service), lacelog.P("address", x.Address),
+		lacelog.P("zone", x.Zone), lacelog.P("slots", x.Slots), lacelog.P("state", state),
+	}, more...)...)
 }
 
-func (b *Backends) publish(now time.Time) {
+func (b *Backends) publish() {
 	servers := make(map[laceunit.ServerID]laceconfig.Server, len(b.all))
 	for id, x := range b.all {
 		servers[id] = laceconfig.Server{
@@ -164,9 +222,10 @@
 			Services: []laceunit.ServiceID{x.Service},
 			Slots:    x.Slots,
 			Leaving:  x.Leaving,
+			Born:     x.Born,
 		}
 	}
-	b.placer.Update(now, servers)
+	b.placer.Update(servers)
 }
 
 // pool names the balancer's pool of a service.
--- a/lib/lacerelay/codec.go
+++ b/lib/lacerelay/codec.go
@@ -53,6 +53,12 @@
 	Signed bool
 	// NotRun is true when the server states that it did not run the request.
 	NotRun bool
+	// Leaving is true when the server states that it leaves and wants nothing new.
+	Leaving bool
+	// Pause is how long the server wants nothing; zero means that it does not ask for a pause.
+	Pause time.Duration
+	// Unread tells what of the header can't be read; nil means nothing.
+	Unread error
 	// Load is nil when the answer tells none.
 	Load *lacebalancer.Load
 	// Idle is how long the server keeps the connection open; zero means that it does not say.
--- a/lib/lacerelay/metric.go
+++ b/lib/lacerelay/metric.go
@@ -10,6 +10,8 @@
 type Metrics struct {
 	requests *prometheus.CounterVec
 	attempts *prometheus.CounterVec
+	notices  *prometheus.CounterVec
+	held     *prometheus.CounterVec
 	took     *prometheus.HistogramVec
 	begun    *prometheus.HistogramVec
 }
@@ -25,10 +27,18 @@
 			Name: "lace_relay_attempts_total",
 			Help: "Attempts at backend servers by service and how they ended.",
 		}, []string{"service", "ending"}),
+		notices: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lace_relay_notices_total",
+			Help: "Answers of backend servers by service and by what their header asks of this instance.",
+		}, []string{"service", "notice"}),
+		held: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lace_relay_withheld_total",
+			Help: "Requests kept from servers that leave or pause, by service, cause and what became of the request.",
+		}, []string{"service", "cause", "decision"}),
 		took:  histogram("lace_relay_request_seconds", "Time from a request's arrival to its end."),
 		begun: histogram("lace_relay_first_event_seconds", "Time from a request's arrival to the first event of its stream."),
 	}
-	r.MustRegister(m.requests, m.attempts, m.took, m.begun)
+	r.MustRegister(m.requests, m.attempts, m.notices, m.held, m.took, m.begun)
 	return m
 }
 
@@ -60,6 +70,18 @@
 	}
 }
 
+func (m *Metrics) noticed(j *job, notice string) {
+	if m != nil {
+		m.notices.WithLabelValues(string(j.service), notice).Inc()
+	}
+}
+
+func (m *Metrics) withheld(j *job, cause, decision string) {
+	if m != nil {
+		m.held.WithLabelValues(string(j.service), cause, decision).Inc()
+	}
+}
+
 func (m *Metrics) first(j *job, took time.Duration) {
 	if m != nil {
 		m.begun.WithLabelValues(string(j.service)).Observe(took.Seconds())
--- /dev/null
+++ b/lib/lacerelay/notice.go
@@ -0,0 +1,44 @@
+package lacerelay
+
+import "lacewingcove/lib/lacebalancer"
+
+// Notices of servers, as metrics have them.
+const (
+	noticeLeaving = "leaving"
+	noticePause   = "pause"
+	noticeUnread  = "unread"
+)
+
+// heed takes in what the header of an answer says about its server. It does so before anything of the answer is passed
+// on, so that no caller can know of a notice that this instance does not keep.
+func (r *Relay) heed(j *job, d lacebalancer.Decision, reply *Reply) {
+	if reply.Leaving {
+		r.options.Backends.Leave(d.Server, d.Ticket)
+		r.options.Metrics.noticed(j, noticeLeaving)
+	}
+	if reply.Pause > 0 {
+		r.options.Backends.Pause(d.Server, d.Ticket, reply.Pause)
+		r.options.Metrics.noticed(j, noticePause)
+	} else {
+		r.options.Placer.Answered(d.Ticket)
+	}
+	if reply.Unread != nil {
+		r.options.Metrics.noticed(j, noticeUnread)
+		r.options.Backends.Unread(d.Server, reply.Unread, reply.Pause)
+	}
+	if reply.Load != nil {
+		r.options.Placer.Report(d.Server, *reply.Load)
+	}
+}
+
+// withheld reports whether the server of a placed request must not get it any more. The request then goes on like one
+// that was given no server yet.
+func (r *Relay) withheld(j *job, d lacebalancer.Decision, a *attempt) bool {
+	hold := r.options.Placer.Hold(d.Ticket)
+	if hold == lacebalancer.HoldNone {
+		return false
+	}
+	r.options.Metrics.withheld(j, hold.String(), "recalled")
+	a.end, a.reason, a.spared, a.recalled = notSent, "server says: "+hold.String(), true, true
+	return true
+}
--- a/lib/lacerelay/placer.go
+++ b/lib/lacerelay/placer.go
@@ -19,14 +19,29 @@
 	mu       sync.Mutex
 	balancer *lacebalancer.Balancer
 	waiting  map[lacebalancer.Ticket]chan lacebalancer.Decision
+	now      func() time.Time
+}
+
+// PlacerOption changes a placer at construction.
+type PlacerOption func(*Placer)
+
+// WithClock sets the clock of all decisions. One that runs on while the machine is suspended keeps pauses and rests from
+// being lengthened by a suspension.
+func WithClock(now func() time.Time) PlacerOption {
+	return func(p *Placer) { p.now = now }
 }
 
 // NewPlacer returns a placer over a balancer.
-func NewPlacer(b *lacebalancer.Balancer) *Placer {
-	return &Placer{
+func NewPlacer(b *lacebalancer.Balancer, options ...PlacerOption) *Placer {
+	p := &Placer{
 		balancer: b,
 		waiting:  map[lacebalancer.Ticket]chan lacebalancer.Decision{},
+		now:      time.Now,
+	}
+	for _, o := range options {
+		o(p)
 	}
+	return p
 }
 
 // Serve implements suture.Service.
@@ -35,22 +50,27 @@
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		if len(p.waiting) > 0 {
-			p.deliver(p.balancer.Tick(time.Now()))
+			p.deliver(p.balancer.Tick(p.now()))
 		}
 	})
 }
 
 // Update sets the servers.
-func (p *Placer) Update(now time.Time, servers map[laceunit.ServerID]laceconfig.Server) {
+func (p *Placer) Update(servers map[laceunit.ServerID]laceconfig.Server) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.deliver(p.balancer.Update(now, servers, nil))
+	p.deliver(p.balancer.Update(p.now(), servers, nil))
 }
 
 // Pick waits for a server until the request's deadline or until the context ends.
 func (p *Placer) Pick(ctx context.Context, r lacebalancer.Request) lacebalancer.Decision {
 	p.mu.Lock()
-	d, others := p.balancer.Pick(time.Now(), r)
+	now := p.now()
+	if !r.Deadline.IsZero() {
+		// What is left counts: the two clocks differ once the machine was suspended.
+		r.Deadline = now.Add(time.Until(r.Deadline))
+	}
+	d, others := p.balancer.Pick(now, r)
 	p.deliver(others)
 	if d.Verdict != lacebalancer.Waiting {
 		p.mu.Unlock()
@@ -74,7 +94,7 @@
 	select {
 	case d := <-decided:
 		if d.Verdict == lacebalancer.Sent {
-			p.deliver(p.balancer.Done(time.Now(), t, lacebalancer.Neutral, 0))
+			p.deliver(p.balancer.Done(p.now(), t, lacebalancer.Neutral, 0))
 		}
 	default:
 		p.balancer.Cancel(t)
@@ -91,14 +111,60 @@
 func (p *Placer) Done(t lacebalancer.Ticket, result lacebalancer.Result, took time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.deliver(p.balancer.Done(time.Now(), t, result, took))
+	p.deliver(p.balancer.Done(p.now(), t, result, took))
 }
 
 // Report takes in the load that a server tells in an answer.
 func (p *Placer) Report(id laceunit.ServerID, load lacebalancer.Load) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.deliver(p.balancer.Report(time.Now(), id, load, 0))
+	p.deliver(p.balancer.Report(p.now(), id, load, 0))
+}
+
+// Answered notes that a server has begun to answer and asks for no pause.
+func (p *Placer) Answered(t lacebalancer.Ticket) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.deliver(p.balancer.Answered(p.now(), t))
+}
+
+// Pause takes in that a server wants nothing for a time, and reports whether it did take requests until now.
+func (p *Placer) Pause(t lacebalancer.Ticket, length time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	news, decisions := p.balancer.Pause(p.now(), t, length)
+	p.deliver(decisions)
+	return news
+}
+
+// Leave takes in that a server says that it leaves, and reports whether this is news.
+func (p *Placer) Leave(t lacebalancer.Ticket) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	news, decisions := p.balancer.Leave(p.now(), t)
+	p.deliver(decisions)
+	return news
+}
+
+// Left reports whether a server has said that it leaves.
+func (p *Placer) Left(id laceunit.ServerID, born int64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.balancer.Left(id, born)
+}
+
+// Hold tells whether a request may still be sent to the server that it was given.
+func (p *Placer) Hold(t lacebalancer.Ticket) lacebalancer.Hold {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.balancer.Hold(p.now(), t)
+}
+
+// Resting returns when a caller may come back while all servers of a service are in a pause, and zero otherwise.
+func (p *Placer) Resting(service laceunit.ServiceID) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.balancer.Resting(p.now(), pool(service))
 }
 
 func (p *Placer) deliver(decisions []lacebalancer.Decision) {
