lacenode: decisions about servers run on the machine's clock

Cause: the runtime's clock stands still while a machine is suspended, so that a pause asked for by a server would be longer by that time. Ruled out: comparing both clocks in a loop; a placed request would come between the waking and the comparison. Change: the placer is given a clock that counts with the boot-time clock; waits of requests are converted to it.

--- a/lib/lacenode/node.go
+++ b/lib/lacenode/node.go
@@ -139,7 +139,7 @@
 	if err != nil {
 		return errors.Wrap(err, "node: balancer")
 	}
-	n.placer = lacerelay.NewPlacer(balancer)
+	n.placer = lacerelay.NewPlacer(balancer, lacerelay.WithClock(elapsedClock(n.clock)))
 	n.backends = lacerelay.NewBackends(n.placer, n.log, n.connections)
 	n.relay = lacerelay.New(lacerelay.Options{
 		Codec:    n.adapter.Codec(),
