--- a/lib/lacebalancer/balancer.go
+++ b/lib/lacebalancer/balancer.go
@@ -35,6 +35,7 @@
 	flights map[Ticket]flight
 	waiting map[Ticket]*pool
 	leavers leavers
+	pauses  pauses
 	last    Ticket
 	retries float64
 	scratch []*server
@@ -88,6 +89,7 @@
 		servers: map[laceunit.ServerID]*server{},
 		flights: map[Ticket]flight{},
 		waiting: map[Ticket]*pool{},
+		pauses:  pauses{},
 		retries: retryBurst,
 		salt:    mix(uint64(random(orders) + 1)),
 	}
@@ -140,6 +142,7 @@
 	for id, s := range b.servers {
 		if c, ok := servers[id]; !ok || c.Born != s.born {
 			s.gone, s.pools = true, nil
+			b.pauses.keep(s)
 			delete(b.servers, id)
 		}
 	}
@@ -154,8 +157,10 @@
 		}
 		c := servers[id]
 		s.configure(c, leaving[id] || b.Left(id, c.Born))
+		b.pauses.restore(s)
 		b.join(s, c)
 	}
+	b.pauses.prune(now)
 	b.leavers.prune(now, func(s birth) bool {
 		c, ok := servers[s.id]
 		return ok && c.Born == s.born
@@ -249,8 +254,8 @@
 	switch result {
 	case Success:
 		s.succeeded(f.probe)
-		if s.pause != nil && s.pause == f.trial && !f.answered {
-			s.grow()
+		if !f.answered {
+			b.current(s).grow(now, f.trial)
 		}
 		const weight = 0.05
 		if f.pool.latency == 0 {
--- a/lib/lacebalancer/leave.go
+++ b/lib/lacebalancer/leave.go
@@ -85,9 +85,17 @@
 	if !ok {
 		return false, nil
 	}
-	news := b.leavers.add(f.server.birth())
-	f.server.leaving = true
-	return news, b.drainAll(now, f.server.pools)
+	s := b.current(f.server)
+	s.leaving = true
+	return b.leavers.add(s.birth()), b.drainAll(now, s.pools)
+}
+
+// current returns a server as it is listed now; its entry may have lapsed and come back since a request was sent.
+func (b *Balancer) current(s *server) *server {
+	if x := b.servers[s.id]; x != nil && x.born == s.born {
+		return x
+	}
+	return s
 }
 
 // Left reports whether a server has said that it leaves.
--- a/lib/lacebalancer/pause.go
+++ b/lib/lacebalancer/pause.go
@@ -22,6 +22,42 @@
 	running   int
 }
 
+// pauses are those of servers without an entry, which may have lapsed and come back.
+type pauses map[birth]*pause
+
+func (p pauses) keep(s *server) {
+	// Without the moment of its start a server that comes back can't be told from another one under its id.
+	if s.pause != nil && s.born != 0 {
+		p[s.birth()] = s.pause
+	}
+}
+
+// restore gives a server that is back its pause.
+func (p pauses) restore(s *server) {
+	if x, ok := p[s.birth()]; ok {
+		s.pause = x
+		delete(p, s.birth())
+	}
+}
+
+// prune drops pauses that ended long ago, and those that end first beyond a bound.
+func (p pauses) prune(now time.Time) {
+	for s, x := range p {
+		if now.Sub(x.end) >= leftTime {
+			delete(p, s)
+		}
+	}
+	for len(p) > leftMost {
+		var first birth
+		for s, x := range p {
+			if f, ok := p[first]; !ok || x.end.Before(f.end) {
+				first = s
+			}
+		}
+		delete(p, first)
+	}
+}
+
 // Pause takes in that the server of a ticket wants nothing for a time. It is no failure: the server keeps its place in
 // all other respects. Of several pauses the latest end holds. It reports whether the pause is news.
 func (b *Balancer) Pause(now time.Time, ticket Ticket, length time.Duration) (bool, []Decision) {
@@ -29,11 +65,17 @@
 	if !ok || length <= 0 {
 		return false, nil
 	}
-	s := f.server
+	s := b.current(f.server)
+	if s.gone {
+		b.pauses.restore(s)
+	}
 	news := !s.pausing(now)
 	if s.pause == nil {
 		s.pause = &pause{}
 	}
+	if s.gone {
+		b.pauses.keep(s)
+	}
 	s.pause.allowance = firstRequests
 	if end := now.Add(length); end.After(s.pause.end) {
 		s.pause.end = end
@@ -49,16 +91,17 @@
 	}
 	f.answered = true
 	b.flights[ticket] = f
-	s := f.server
-	if s.pause != f.trial || s.pausing(now) {
-		return nil
-	}
-	s.grow()
+	s := b.current(f.server)
+	s.grow(now, f.trial)
 	return b.drainAll(now, s.pools)
 }
 
-// grow raises the allowance after a pause.
-func (s *server) grow() {
+// grow raises the allowance after a pause for an answer to a request that was sent since its end. Answers that come during
+// a further pause say nothing about the time after it.
+func (s *server) grow(now time.Time, trial *pause) {
+	if s.pause == nil || s.pause != trial || s.pausing(now) {
+		return
+	}
 	s.pause.allowance++
 	if s.pause.allowance >= fullRequests {
 		s.pause = nil
