lacebackend, lacegateway: pass on what servers say about themselves

Cause: the router's own interface kept calling services that answered 503 with Retry-After, and counted that as a failure. Ruled out: a second reading of the header in the gateway; the client has the head of every answer already. Change: Invoke and Generate hand a Notice to the ticket of the selector, which tells the balancer; a placed request is checked again before it is sent; such a 503 is no strike. Retry-After may have fractions. The emulator's servers have the faults leaving and pause, in the stand-ins' settings as well.

--- a/lib/lacebackend/client.go
+++ b/lib/lacebackend/client.go
@@ -26,6 +26,8 @@
 	Priority laceunit.Priority
 	// Resume is the index of the first chunk to send; the engine continues the request of the same id.
 	Resume int
+	// Notice is called with the head of an answer, before Generate returns; it may be nil.
+	Notice func(Notice)
 }
 
 // Chunk is a piece of an answer; the one with End set carries the token counts instead of text.
@@ -56,6 +58,8 @@
 	Query  string
 	Header http.Header
 	Body   []byte
+	// Notice is called with the head of an answer, before Invoke returns; it may be nil.
+	Notice func(Notice)
 }
 
 // Reply is the whole answer of a plain service, whatever its status.
--- a/lib/lacebackend/generate.go
+++ b/lib/lacebackend/generate.go
@@ -44,6 +44,7 @@
 		cancel()
 		return nil, err
 	}
+	notify(resp, call.Notice)
 	s := &httpStream{
 		server: server,
 		bounds: h.bounds,
--- a/lib/lacebackend/http.go
+++ b/lib/lacebackend/http.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -175,14 +174,6 @@
 	return req, nil
 }
 
-func retryAfter(header http.Header) time.Duration {
-	n, err := strconv.Atoi(header.Get("Retry-After"))
-	if err != nil || n < 0 || n > 3600 {
-		return 0
-	}
-	return time.Duration(n) * time.Second
-}
-
 // readBounded reads a body of at most max bytes and returns ErrTooLong beyond that.
 func readBounded(r io.Reader, maximum int64) ([]byte, error) {
 	b, err := io.ReadAll(io.LimitReader(r, maximum+1))
--- a/lib/lacebackend/invoke.go
+++ b/lib/lacebackend/invoke.go
@@ -34,6 +34,7 @@
 		return Reply{}, err
 	}
 	defer func() { _ = resp.Body.Close() }()
+	notify(resp, invocation.Notice)
 	reply, fault := checkReply(resp, invocation, h.bounds.Reply)
 	if fault == nil {
 		return reply, nil
@@ -99,7 +100,7 @@
 	for _, name := range []string{
 		"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
 		"Transfer-Encoding", "Upgrade", "Content-Length", "Host", "Expect", "Authorization", "Idempotency-Key",
-		"X-Idempotency-Key", headerRequest, headerAttempt, headerOutcome, "Lace-Budget",
+		"X-Idempotency-Key", headerRequest, headerAttempt, headerOutcome, headerLeaving, "Lace-Budget",
 	} {
 		h.Del(name)
 	}
--- /dev/null
+++ b/lib/lacebackend/notice.go
@@ -0,0 +1,38 @@
+package lacebackend
+
+import (
+	"net/http"
+	"time"
+
+	"lacewingcove/lib/laceconn"
+)
+
+// headerLeaving is "1" on the answers of a server that leaves.
+const headerLeaving = "Server-Leaving"
+
+// Notice is what the head of an answer says about its server, whatever becomes of the answer.
+type Notice struct {
+	// Leaving is true when the server wants nothing new until it is gone.
+	Leaving bool
+	// Pause is how long the server wants nothing; zero means that it asks for no pause.
+	Pause time.Duration
+	// Unread is not nil when the length of a pause is not a plain number of seconds; Pause is how it is taken.
+	Unread error
+}
+
+// notify calls a function, if there is one, with what an answer says about its server, which may be nothing.
+func notify(resp *http.Response, notice func(Notice)) {
+	n := Notice{Leaving: resp.Header.Get(headerLeaving) == "1"}
+	if resp.StatusCode == http.StatusServiceUnavailable {
+		n.Pause, n.Unread = laceconn.RetryAfter(resp.Header)
+	}
+	if notice != nil {
+		notice(n)
+	}
+}
+
+// retryAfter returns a server's hint; what can't be read is reported with the notice.
+func retryAfter(header http.Header) time.Duration {
+	d, _ := laceconn.RetryAfter(header)
+	return d
+}
--- a/lib/laceemulator/faulthandler.go
+++ b/lib/laceemulator/faulthandler.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -11,6 +12,9 @@
 // OutcomeHeader is "not_run" on an answer whose request certainly did not run.
 const OutcomeHeader = "Lace-Outcome"
 
+// leavingHeader is "1" on the answers of a server that leaves.
+const leavingHeader = "Server-Leaving"
+
 // refusal is the body of a request that was refused.
 type refusal struct {
 	Error string `json:"error"`
@@ -56,6 +60,8 @@
 	Cut     float64 `json:"cut"`
 	Length  float64 `json:"length"`
 	Slow    period  `json:"slow"`
+	Leaving bool    `json:"leaving"`
+	Pause   period  `json:"pause"`
 }
 
 // withFaults adds GET and POST /faults to a server, and breaks its other connections while it is down. What a POST
@@ -73,6 +79,8 @@
 			Cut:     f.Cut,
 			Length:  f.Length,
 			Slow:    period(f.Slow),
+			Leaving: f.Leaving,
+			Pause:   period(f.Pause),
 		})
 	})
 	h.HandleFunc("POST /faults", func(w http.ResponseWriter, r *http.Request) {
@@ -89,13 +97,26 @@
 			Cut:     f.Cut,
 			Length:  f.Length,
 			Slow:    time.Duration(f.Slow),
+			Leaving: f.Leaving,
+			Pause:   time.Duration(f.Pause),
 		})
 		w.WriteHeader(http.StatusNoContent)
 	})
 	h.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
-		if m.Faults().Down {
+		f := m.Faults()
+		if f.Down {
 			panic(http.ErrAbortHandler)
 		}
+		if f.Leaving {
+			w.Header().Set(leavingHeader, "1")
+		}
+		// Control calls don't name a request.
+		if left := m.paused(); left > 0 && r.Header.Get(requestHeader) != "" {
+			w.Header().Set(attemptHeader, r.Header.Get(attemptHeader))
+			w.Header().Set("Retry-After", strconv.FormatFloat(left.Seconds(), 'f', 3, 64))
+			refuse(w, http.StatusServiceUnavailable, "paused")
+			return
+		}
 		next.ServeHTTP(w, r)
 	})
 	return h
--- a/lib/laceemulator/mishap.go
+++ b/lib/laceemulator/mishap.go
@@ -23,6 +23,10 @@
 	Length float64
 	// Slow is added to each token of an engine and to each call of a service.
 	Slow time.Duration
+	// Leaving adds a header to every answer which says that the server leaves.
+	Leaving bool
+	// Pause is how long, from the moment that the faults are set, requests are refused with 503 and Retry-After.
+	Pause time.Duration
 }
 
 // mishap is what the faults drew for one request.
@@ -43,11 +47,14 @@
 	mu     sync.Mutex
 	faults ServerFaults
 	random *rand.Rand
+	// since is when the faults were set.
+	since time.Time
 }
 
 func newMishaps(seed uint64, faults ServerFaults) *mishaps {
 	return &mishaps{
 		faults: faults,
+		since:  time.Now(),
 		random: rand.New(rand.NewPCG(seed, 1)),
 	}
 }
@@ -56,7 +63,14 @@
 func (m *mishaps) SetFaults(faults ServerFaults) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.faults = faults
+	m.faults, m.since = faults, time.Now()
+}
+
+// paused returns how long requests are still refused.
+func (m *mishaps) paused() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.faults.Pause - time.Since(m.since)
 }
 
 // Faults returns the faults.
--- a/lib/lacegateway/attempt.go
+++ b/lib/lacegateway/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 
 	"github.com/pkg/errors"
 
@@ -19,24 +20,45 @@
 	}
 	ctx, cancel := d.context(d.task.timeout)
 	d.attempt = cancel
-	address := d.ticket.Address
+	ticket := d.ticket
 	d.work(func() {
 		defer cancel()
+		if ticket.Held != nil && ticket.Held() {
+			d.fail(e.Attempt, errHeld)
+			return
+		}
 		if d.task.invocation != nil {
-			d.invoke(ctx, address, e.Attempt)
+			d.invoke(ctx, ticket, e.Attempt)
 			return
 		}
-		d.generate(ctx, address, e)
+		d.generate(ctx, ticket, e)
 	})
 }
 
+// errHeld means that nothing was sent because the server has said since it was picked that it wants no requests.
+var errHeld = &lacebackend.Error{
+	Effect: lacebackend.EffectNone,
+	Reason: lacebackend.ErrRefused,
+}
+
+// notice passes on what an answer says about the server of a ticket.
+func (d *driver) notice(ticket Ticket) func(lacebackend.Notice) {
+	return func(n lacebackend.Notice) {
+		d.gateway.metrics.noticed(n)
+		if ticket.Notice != nil {
+			ticket.Notice(n)
+		}
+	}
+}
+
 // generate reads an engine's stream into the machine.
-func (d *driver) generate(ctx context.Context, address laceunit.Address, e lacerequest.Dispatch) {
+func (d *driver) generate(ctx context.Context, ticket Ticket, e lacerequest.Dispatch) {
 	call := d.task.call
 	call.Request = d.scoped()
 	call.Attempt = e.Attempt
 	call.Resume = e.Resume
-	stream, err := d.gateway.deps.Backend.Generate(ctx, address, call)
+	call.Notice = d.notice(ticket)
+	stream, err := d.gateway.deps.Backend.Generate(ctx, ticket.Address, call)
 	if err != nil {
 		d.fail(e.Attempt, err)
 		return
@@ -83,11 +105,12 @@
 }
 
 // invoke calls a plain service.
-func (d *driver) invoke(ctx context.Context, address laceunit.Address, attempt laceunit.AttemptID) {
+func (d *driver) invoke(ctx context.Context, ticket Ticket, attempt laceunit.AttemptID) {
 	invocation := *d.task.invocation
 	invocation.Request = d.scoped()
 	invocation.Attempt = attempt
-	reply, err := d.gateway.deps.Backend.Invoke(ctx, address, invocation)
+	invocation.Notice = d.notice(ticket)
+	reply, err := d.gateway.deps.Backend.Invoke(ctx, ticket.Address, invocation)
 	if err != nil {
 		d.fail(attempt, err)
 		return
@@ -113,12 +136,17 @@
 	if lacebackend.EffectOf(err) == lacebackend.EffectNone {
 		class = lacerequest.NotSent
 	}
+	result := ResultFailed
+	var failed *lacebackend.Error
+	if errors.As(err, &failed) && (failed == errHeld || failed.Status == http.StatusServiceUnavailable && failed.RetryAfter > 0) {
+		result = ResultHeld
+	}
 	d.gateway.metrics.attemptFailed(class)
 	d.send(message{
 		input: lacerequest.Failed{
 			Attempt: attempt,
 			Class:   class,
 		},
-		accept: func() { d.finishTicket(ResultFailed) },
+		accept: func() { d.finishTicket(result) },
 	})
 }
--- a/lib/lacegateway/gateway.go
+++ b/lib/lacegateway/gateway.go
@@ -64,6 +64,8 @@
 	ResultCanceled
 	// ResultSuspect marks a server that reported more tokens than it was allowed.
 	ResultSuspect
+	// ResultHeld means that the server wants no requests; it has not failed.
+	ResultHeld
 )
 
 // Ticket is one picked backend server; Done is called exactly once.
@@ -71,6 +73,10 @@
 	Server  laceunit.ServerID
 	Address laceunit.Address
 	Done    func(result Result)
+	// Notice takes in what an answer says about the server. Held reports whether the server must not get the request any
+	// more. Both may be nil.
+	Notice func(notice lacebackend.Notice)
+	Held   func() bool
 }
 
 // Picker chooses backend servers; it may wait for one, within its own bound.
--- a/lib/lacegateway/metric.go
+++ b/lib/lacegateway/metric.go
@@ -5,6 +5,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"lacewingcove/lib/lacebackend"
 	"lacewingcove/lib/lacefault"
 	"lacewingcove/lib/lacerequest"
 	"lacewingcove/lib/laceunit"
@@ -16,6 +17,7 @@
 	finished prometheus.Counter
 	refusals *prometheus.CounterVec
 	attempts *prometheus.CounterVec
+	notices  *prometheus.CounterVec
 	overruns prometheus.Counter
 	open     prometheus.Gauge
 	traces   prometheus.Counter
@@ -43,6 +45,10 @@
 			Name: "lace_attempts_failed_total",
 			Help: "Attempts at backend servers without a whole answer, by whether they may have run.",
 		}, []string{"ran"}),
+		notices: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lace_server_notices_total",
+			Help: "Answers of backend servers by what they ask of this instance: leaving, pause or unread.",
+		}, []string{"notice"}),
 		overruns: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "overrun_tokens_total",
 			Help: "Tokens that backend servers reported beyond the reservation; they are not charged.",
@@ -67,7 +73,7 @@
 		}),
 	}
 	if registerer != nil {
-		registerer.MustRegister(m.running, m.finished, m.refusals, m.attempts, m.overruns, m.open, m.traces, m.first, m.total)
+		registerer.MustRegister(m.running, m.finished, m.refusals, m.attempts, m.notices, m.overruns, m.open, m.traces, m.first, m.total)
 	}
 	return m
 }
@@ -89,6 +95,18 @@
 	m.refusals.WithLabelValues(string(f.Code), string(f.Outcome)).Inc()
 }
 
+func (m *Metrics) noticed(n lacebackend.Notice) {
+	if n.Leaving {
+		m.notices.WithLabelValues("leaving").Inc()
+	}
+	if n.Pause > 0 {
+		m.notices.WithLabelValues("pause").Inc()
+	}
+	if n.Unread != nil {
+		m.notices.WithLabelValues("unread").Inc()
+	}
+}
+
 func (m *Metrics) attemptFailed(class lacerequest.Class) {
 	ran := "maybe"
 	if class == lacerequest.NotSent {
--- a/lib/lacegateway/selector.go
+++ b/lib/lacegateway/selector.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"lacewingcove/lib/lacebackend"
 	"lacewingcove/lib/lacebalancer"
 	"lacewingcove/lib/laceconfig"
 	"lacewingcove/lib/lacefault"
@@ -109,9 +110,33 @@
 				return b.Done(now, decision.Ticket, balancerResult(result), now.Sub(sent))
 			})
 		},
+		Notice: func(notice lacebackend.Notice) { s.notice(decision.Ticket, notice) },
+		Held:   func() bool { return s.held(decision.Ticket) },
 	}
 }
 
+// notice tells the balancer what an answer says about its server.
+func (s *Selector) notice(ticket lacebalancer.Ticket, notice lacebackend.Notice) {
+	s.Do(func(b *lacebalancer.Balancer, now time.Time) []lacebalancer.Decision {
+		var decisions []lacebalancer.Decision
+		if notice.Leaving {
+			_, decisions = b.Leave(now, ticket)
+		}
+		if notice.Pause <= 0 {
+			return append(decisions, b.Answered(now, ticket)...)
+		}
+		_, more := b.Pause(now, ticket, notice.Pause)
+		return append(decisions, more...)
+	})
+}
+
+// held reports whether a server must not get a request that was meant for it.
+func (s *Selector) held(ticket lacebalancer.Ticket) bool {
+	s.board.mu.Lock()
+	defer s.board.mu.Unlock()
+	return s.balancer.Hold(s.now(), ticket) != lacebalancer.HoldNone
+}
+
 func balancerResult(result Result) lacebalancer.Result {
 	switch result {
 	case ResultDone, ResultSuspect:
@@ -129,6 +154,8 @@
 	switch d.Reason {
 	case lacebalancer.NoServer:
 		f.Code, f.Message = lacefault.NoServer, "no backend server for the request is usable"
+	case lacebalancer.Paused:
+		f.Message = "all backend servers for the request have asked for a pause"
 	case lacebalancer.NoRetry:
 		f.Code, f.Message = lacefault.ServerFailed, "the backend server failed and the retry budget is spent"
 	}
--- a/standin/lacestandin/setting.go
+++ b/standin/lacestandin/setting.go
@@ -99,6 +99,8 @@
 	Cut     float64       `yaml:"cut"`
 	Length  float64       `yaml:"length"`
 	Slow    time.Duration `yaml:"slow"`
+	Leaving bool          `yaml:"leaving"`
+	Pause   time.Duration `yaml:"pause"`
 }
 
 // load reads a settings file; unknown fields are errors.
