--- /dev/null
+++ b/lib/laceconn/close_test.go
@@ -0,0 +1,47 @@
+package laceconn
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"testing"
+
+	"github.com/pkg/errors"
+)
+
+// Guards against a connection to a server that is out of use: an idle one that is taken again, a new one, and one that is
+// kept after its answer. An answer under way must not be cut.
+func TestClosedPoolsOpenNothing(t *testing.T) {
+	address, opened := server(t, func(c net.Conn, _ int) { fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok") })
+	p := NewPool(address, 0)
+	send := func() *Exchange {
+		c, err := p.Get(context.Background())
+		if err != nil {
+			t.Fatal(err)
+		}
+		x, err := c.Send(context.Background(), request())
+		if err != nil {
+			t.Fatal(err)
+		}
+		return x
+	}
+	running, idle := send(), send()
+	if _, err := io.ReadAll(idle.Response.Body); err != nil {
+		t.Fatal(err)
+	}
+	idle.Finish(true, 0)
+	if err := p.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := p.Get(context.Background()); !errors.Is(err, ErrClosed) {
+		t.Errorf("a closed pool gave a connection, error %v", err)
+	}
+	if body, err := io.ReadAll(running.Response.Body); err != nil || string(body) != "ok" {
+		t.Errorf("the running answer is %q, error %v", body, err)
+	}
+	running.Finish(true, 0)
+	if len(p.open) > 0 || len(opened) != 2 {
+		t.Errorf("%d connections are open, %d were opened", len(p.open), len(opened))
+	}
+}
--- a/lib/laceconn/conn.go
+++ b/lib/laceconn/conn.go
@@ -177,9 +177,6 @@
 	}
 }
 
-// Release gives back a connection that nothing was sent on.
-func (c *Conn) Release() { c.pool.put(c, 0) }
-
 // Discard closes the connection.
 func (c *Conn) Discard() {
 	c.pool.forget(c)
--- a/lib/lacerelay/attempt.go
+++ b/lib/lacerelay/attempt.go
@@ -214,7 +214,8 @@
 		return a
 	}
 	if r.withheld(j, d, &a) {
-		conn.Release()
+		// Servers close connections that stay without a request, so that it is not kept for later.
+		conn.Discard()
 		return a
 	}
 	j.progress.sends++
