lacerequest: a caller that left gets no end of a whole answer

Cause: a caller that closes its side of the connection counts as gone. Its part of the answer was billed and then ended like a whole one, with finish_reason "stop" and [DONE]; a caller that had only stopped sending read a cut answer as a complete one. Without stream it got a 200 with a part. Ruled out: the write error after a write deadline, which stays with the connection, so that nothing more was sent. Change: a billed part ends with a refusal of unknown outcome, which is an error event behind a begun stream. The bill and the rate limit are unchanged.

--- a/lib/lacegateway/driver.go
+++ b/lib/lacegateway/driver.go
@@ -186,6 +186,7 @@
 		if e.Fault.Outcome == lacefault.NotRun {
 			g.abandon(d.task)
 		}
+		d.output = e.Output
 		g.metrics.refused(e.Fault)
 		d.task.sink.refuse(e.Fault)
 	case lacerequest.Release:
--- a/lib/lacerequest/answer.go
+++ b/lib/lacerequest/answer.go
@@ -143,7 +143,7 @@
 	}
 }
 
-// finish gives the end of a whole and billed answer.
+// finish gives the end of a billed answer. Callers that left may still read, so a part must not get the end of a whole.
 func (m *Machine) finish() []Effect {
 	m.done = true
 	used := m.cost()
@@ -157,6 +157,12 @@
 	if m.unanswered {
 		return append(effects, Reply{Missing: true})
 	}
+	if m.cut {
+		return append(effects, Refuse{
+			Fault:  m.correctOutcome(m.disconnected()),
+			Output: m.ended.Output,
+		})
+	}
 	return append(effects, Finish{
 		Prompt: m.ended.Prompt,
 		Output: m.ended.Output,
--- a/lib/lacerequest/effect.go
+++ b/lib/lacerequest/effect.go
@@ -67,7 +67,11 @@
 }
 
 // Refuse ends the request with a fault; it is the last word when no answer is whole.
-type Refuse struct{ Fault *lacefault.Fault }
+type Refuse struct {
+	Fault *lacefault.Fault
+	// Output is the part of the answer that was billed although its end is missing.
+	Output laceunit.Tokens
+}
 
 // Release ends the reservation.
 type Release struct {
--- a/lib/lacerequest/machine.go
+++ b/lib/lacerequest/machine.go
@@ -54,6 +54,8 @@
 	emitted int
 	held    []string
 	ended   *Ended
+	// cut is true when ended is not the server's end but that of a caller that left.
+	cut bool
 	reply   *laceledger.Answer
 	// unanswered is true when a plain service ran the call and its answer did not arrive.
 	unanswered bool
@@ -288,6 +290,7 @@
 	}
 	// The caller has received part of the answer and has left: it is billed for that part.
 	effects := m.abort(false)
+	m.cut = true
 	m.ended = &Ended{
 		Attempt: m.attempt,
 		Prompt:  m.spec.Prompt,
@@ -300,6 +303,6 @@
 	return &lacefault.Fault{
 		Outcome: lacefault.NotRun,
 		Code:    lacefault.BadRequest,
-		Message: "the caller disconnected before the answer began",
+		Message: "the caller disconnected before the end of the answer",
 	}
 }
--- a/lib/lacerequest/property_test.go
+++ b/lib/lacerequest/property_test.go
@@ -14,6 +14,9 @@
 	"lacewingcove/lib/laceunit"
 )
 
+// streamChunks is the number of chunks of a whole stream.
+const streamChunks = 4
+
 // world answers a machine's effects at random and keeps what must be true of the answers.
 type world struct {
 	random    *rand.Rand
@@ -25,6 +28,7 @@
 	durable   bool
 	billed    bool
 	dispatch  int
+	emits     int
 	finals    int
 	ownedEnds int
 	refused   *lacefault.Fault
@@ -68,11 +72,15 @@
 	case Lookup:
 		w.push(Found{Ran: w.ran && w.random.Intn(2) == 0})
 	case Emit:
+		w.emits++
 		if !w.durable {
 			w.failf("a chunk left before the intent was durable")
 		}
 	case Reply, Finish:
 		w.finals++
+		if _, stream := e.(Finish); stream && w.emits != streamChunks {
+			w.failf("a part of the answer ended as the whole one")
+		}
 		if !w.billed {
 			w.failf("an answer ended before it was billed")
 		}
@@ -124,11 +132,11 @@
 		w.push(Replied{Attempt: e.Attempt, Answer: laceledger.Answer{Status: 201}})
 		return
 	}
-	for i := e.Resume; i < 4; i++ {
+	for i := e.Resume; i < streamChunks; i++ {
 		w.push(Chunk{Attempt: e.Attempt, Index: i, Text: "x"})
 	}
-	w.push(Chunk{Attempt: "other", Index: 4, Text: "crossed"})
-	w.push(Ended{Attempt: e.Attempt, Prompt: 3, Output: 4})
+	w.push(Chunk{Attempt: "other", Index: streamChunks, Text: "crossed"})
+	w.push(Ended{Attempt: e.Attempt, Prompt: 3, Output: streamChunks})
 }
 
 func (w *world) append(r laceledger.Record) {
--- a/lib/lacetrace/replay.go
+++ b/lib/lacetrace/replay.go
@@ -52,7 +52,11 @@
 	case lacerequest.Finish:
 		return fmt.Sprintf("finish prompt=%d output=%d", e.Prompt, e.Output)
 	case lacerequest.Refuse:
-		return fmt.Sprintf("refuse outcome=%s code=%s", e.Fault.Outcome, e.Fault.Code)
+		text := fmt.Sprintf("refuse outcome=%s code=%s", e.Fault.Outcome, e.Fault.Code)
+		if e.Output > 0 {
+			text += fmt.Sprintf(" output=%d", e.Output)
+		}
+		return text
 	case lacerequest.Release:
 		return fmt.Sprintf("release used=%d", e.Used)
 	case lacerequest.Resolve:
