lacemirror: removals of entries that a copy never held are passed on

Cause: an instance that got its news from another one forgot removals of entries that it had not seen. An instance that held such an entry and asked it got a delta without the removal, took it for complete at its revision, and kept the entry (a server or a member that has gone) until it listed again. Ruled out: deltas over forgotten removals, which are full. Change: removals are remembered whether the entry was held or not; an entry of a delta that is known to be removed later does not come back; dropped removals raise the horizon by the newest of them. Measured: TestRemovalsOfUnknownEntriesArePassedOn before: '+ {Key: "servers/b", Revision: 2}'; passes after.

--- a/lib/lacemirror/mirror.go
+++ b/lib/lacemirror/mirror.go
@@ -111,15 +111,11 @@
 	if !e.Deleted {
 		return Change{Entry: e.Entry}, m.put(e.Entry)
 	}
-	old, ok := m.entries[e.Entry.Key]
-	if !ok || old.Revision > r {
-		return Change{}, false
-	}
-	m.remove(e.Entry.Key, r)
+	old, ok := m.remove(e.Entry.Key, r)
 	return Change{
 		Entry:   old,
 		Removed: true,
-	}, true
+	}, ok
 }
 
 // Since returns what a copy at a revision lacks, and false when it lacks nothing.
@@ -162,13 +158,12 @@
 	}
 	var changes []Change
 	for _, e := range d.Entries {
-		if m.put(e) {
+		if !m.gone(e) && m.put(e) {
 			changes = append(changes, Change{Entry: e})
 		}
 	}
 	for _, r := range d.Removed {
-		if e, ok := m.entries[r.Key]; ok && e.Revision < r.Revision {
-			m.remove(r.Key, r.Revision)
+		if e, ok := m.remove(r.Key, r.Revision); ok {
 			changes = append(changes, Change{
 				Entry:   e,
 				Removed: true,
@@ -187,14 +182,31 @@
 	return true
 }
 
-func (m *Mirror) remove(key laceplatform.Key, revision laceplatform.Revision) {
-	delete(m.entries, key)
-	m.removed = append(m.removed, Removal{
+// gone reports whether an entry is known to have been removed since.
+func (m *Mirror) gone(e laceplatform.Entry) bool {
+	return slices.ContainsFunc(m.removed, func(r Removal) bool { return r.Key == e.Key && r.Revision >= e.Revision })
+}
+
+// remove drops an older entry of a key and returns it. The removal is remembered even without an entry: copies that are
+// fed by this one may hold it.
+func (m *Mirror) remove(key laceplatform.Key, revision laceplatform.Revision) (laceplatform.Entry, bool) {
+	r := Removal{
 		Key:      key,
 		Revision: revision,
-	})
+	}
+	if !slices.Contains(m.removed, r) {
+		m.removed = append(m.removed, r)
+	}
 	if n := len(m.removed) - tombstonesKept; n > 0 {
-		m.horizon = max(m.horizon, m.removed[n-1].Revision)
+		for _, x := range m.removed[:n] {
+			m.horizon = max(m.horizon, x.Revision)
+		}
 		m.removed = slices.Clone(m.removed[n:])
 	}
+	old, ok := m.entries[key]
+	if !ok || old.Revision > revision {
+		return laceplatform.Entry{}, false
+	}
+	delete(m.entries, key)
+	return old, true
 }
--- a/lib/lacemirror/mirror_test.go
+++ b/lib/lacemirror/mirror_test.go
@@ -119,3 +119,35 @@
 		t.Error(diff)
 	}
 }
+
+// Guards against an entry that stays for good at an instance whose news came from one that never held the entry.
+func TestRemovalsOfUnknownEntriesArePassedOn(t *testing.T) {
+	h := &history{entries: map[laceplatform.Key]laceplatform.Entry{}}
+	source, middle, far := NewMirror("servers/"), NewMirror("servers/"), NewMirror("servers/")
+	change := func(key string, deleted bool) {
+		h.last++
+		h.events = append(h.events, laceplatform.Event{
+			Entry: laceplatform.Entry{
+				Key:      laceplatform.Key(key),
+				Revision: h.last,
+			},
+			Deleted: deleted,
+		})
+	}
+	change("servers/a", false)
+	feed(middle, h)
+	change("servers/b", false)
+	feed(far, h)
+	change("servers/b", true)
+	feed(source, h)
+	for _, step := range []struct{ from, to *Mirror }{{from: source, to: middle}, {from: middle, to: far}} {
+		d, ok := step.from.Since(step.to.Revision())
+		if !ok {
+			t.Fatal("no delta")
+		}
+		step.to.Merge(d)
+	}
+	if d := cmp.Diff(source.Entries(), far.Entries()); d != "" {
+		t.Error(d)
+	}
+}
