--- a/lib/lacerequest/machine.go
+++ b/lib/lacerequest/machine.go
@@ -55,8 +55,8 @@
 	held    []string
 	ended   *Ended
 	// cut is true when ended is not the server's end but that of a caller that left.
-	cut bool
-	reply   *laceledger.Answer
+	cut   bool
+	reply *laceledger.Answer
 	// unanswered is true when a plain service ran the call and its answer did not arrive.
 	unanswered bool
 }
