lacerelay: one owner of how a begun response ends

Cause: run, deliver, end, endStream and the write error of a stream each decided on their own whether a response may end; added one more condition. A handler that returned behind a failed write, and every cut stream of a caller of HTTP/1.0, ended like a whole one. Ruled out: a chunked response behind a failed write; net/http keeps the error, so that the last chunk was not sent. Change: response alone begins and ends what the caller gets. Behind a part it takes the end of that stream and nothing else; ServeHTTP breaks off whatever has no end. A stream ends through decide like any answer. Streams to callers of HTTP/1.0 are held and get a length, so a cut one becomes a failure or goes on elsewhere. The ticket of an attempt is returned before the connection is broken off, also when the caller leaves at that moment.

--- a/lib/lacerelay/attempt.go
+++ b/lib/lacerelay/attempt.go
@@ -4,7 +4,7 @@
 	"context"
 	"io"
 	"net/http"
-	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -41,63 +41,44 @@
 	reason   string
 	// spared is true when nothing was sent for a reason that is not the server's.
 	spared bool
-	// begun is true when the answer is a stream.
-	begun bool
-	// abort closes the caller's connection without the end of the answer.
-	abort bool
 }
 
 // run places and sends a request until it has an answer.
-func (r *Relay) run(ctx context.Context, w http.ResponseWriter, j *job) {
+func (r *Relay) run(ctx context.Context, j *job) {
 	for {
 		decision := r.place(ctx, j)
 		if decision.Verdict != lacebalancer.Sent {
-			r.end(ctx, w, j, r.unplaced(ctx, j, decision))
-			return
-		}
-		a, more := r.attempt(ctx, w, j, decision)
-		if a.begun {
-			if more {
-				continue
-			}
-			if a.abort {
-				panic(http.ErrAbortHandler)
-			}
+			r.end(ctx, j, &attempt{}, r.unplaced(ctx, j, decision))
 			return
 		}
+		a := r.attempt(ctx, j, decision)
 		switch decide(j.route, j.progress, a.end, a.status, r.mayRepeat(j)) {
 		case deliver:
-			if !j.first.IsZero() {
-				// The caller has a part of a stream already; a failure in its place would make it look complete.
-				r.end(ctx, w, j, r.failure(&a))
-				return
-			}
-			r.deliver(w, j, &a)
+			r.deliver(ctx, j, &a)
 			return
 		case again:
 			continue
 		case refuse:
-			r.end(ctx, w, j, fault(lacefault.NoServer, "server refused: "+a.reason, r.backoff(j)))
+			r.end(ctx, j, &a, fault(lacefault.NoServer, "server refused: "+a.reason, r.backoff(j)))
 			return
 		case fail:
-			r.end(ctx, w, j, r.failure(&a))
+			r.end(ctx, j, &a, r.failure(&a))
 			return
 		}
 	}
 }
 
-// attempt sends a request to one server and passes a stream on. More is true when a stream goes on at another server.
-func (r *Relay) attempt(ctx context.Context, w http.ResponseWriter, j *job, d lacebalancer.Decision) (a attempt, more bool) {
+// attempt sends a request to one server and passes a stream on.
+func (r *Relay) attempt(ctx context.Context, j *job, d lacebalancer.Decision) attempt {
 	inner, quiet, cancel := r.watch(ctx, j)
 	defer cancel()
 	started := time.Now()
-	a = r.send(inner, j, d)
+	a := r.send(inner, j, d)
 	if a.exchange != nil {
-		a.begun = true
-		more = r.stream(inner, w, j, &a, quiet)
+		r.stream(inner, j, &a, quiet)
 	}
 	r.settle(j, d, &a, started)
-	return a, more
+	return a
 }
 
 // place finds a server for the next attempt.
@@ -177,17 +158,17 @@
 // minBackoff keeps callers from coming back before a busy server can have ended a request.
 const minBackoff = 20 * time.Millisecond
 
-// end answers a request that no server answered, or breaks off its stream.
-func (r *Relay) end(ctx context.Context, w http.ResponseWriter, j *job, f *lacefault.Fault) {
-	if ctx.Err() != nil && errors.Is(context.Cause(ctx), context.Canceled) {
+// end answers a request that no server answered. A response that has begun stays without its end.
+func (r *Relay) end(ctx context.Context, j *job, a *attempt, f *lacefault.Fault) {
+	if a.end == left || ctx.Err() != nil && errors.Is(context.Cause(ctx), context.Canceled) {
 		r.finish(j, 0, left.String())
-		panic(http.ErrAbortHandler)
+		return
 	}
-	if !j.first.IsZero() {
-		r.finish(j, 0, "broken_off")
-		panic(http.ErrAbortHandler)
+	if !j.response.begun.IsZero() {
+		r.finish(j, 0, strings.TrimSuffix("broken_off:"+a.end.String(), ":"))
+		return
 	}
-	r.refuse(w, j, f)
+	r.refuse(j, f)
 }
 
 // send sends a request to the server that was chosen and reads the answer, or the header when it is a stream.
@@ -262,11 +243,13 @@
 // collect reads an answer that is passed on only when it is complete.
 func (r *Relay) collect(ctx context.Context, a *attempt, x *laceconn.Exchange) {
 	body, err := io.ReadAll(io.LimitReader(x.Response.Body, answerBytes+1))
-	complete := err == nil && len(body) <= answerBytes
-	x.Finish(complete, a.reply.Idle)
+	if err == nil && len(body) > answerBytes {
+		err = errors.New("answer is too long")
+	}
+	x.Finish(err == nil, a.reply.Idle)
 	switch {
-	case !complete:
-		a.end, a.reason = interrupted(ctx), "answer was cut"
+	case err != nil:
+		a.end, a.reason = interrupted(ctx), "answer was cut: "+err.Error()
 	case a.reply.NotRun:
 		a.end, a.reason = notRun, http.StatusText(a.status)
 	case a.status < http.StatusMultipleChoices && !a.reply.Signed:
@@ -320,15 +303,18 @@
 		lacelog.P(lacelog.Left, time.Until(j.deadline).Milliseconds()))
 }
 
-// deliver passes a complete answer on.
-func (r *Relay) deliver(w http.ResponseWriter, j *job, a *attempt) {
-	r.options.Codec.Answer(w.Header(), a.header, j.call)
-	w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
-	j.first = time.Now()
-	w.WriteHeader(a.status)
-	if _, err := w.Write(a.body); err != nil {
+// deliver ends the response with what the server sent.
+func (r *Relay) deliver(ctx context.Context, j *job, a *attempt) {
+	pass := j.response.whole
+	if a.exchange != nil {
+		pass = j.response.finish
+	}
+	switch err := pass(a); {
+	case errors.Is(err, errBegun):
+		r.end(ctx, j, a, r.failure(a))
+	case err != nil:
 		r.finish(j, a.status, left.String())
-		return
+	default:
+		r.finish(j, a.status, "answered")
 	}
-	r.finish(j, a.status, "answered")
 }
--- a/lib/lacerelay/relay.go
+++ b/lib/lacerelay/relay.go
@@ -127,11 +127,9 @@
 	budget   []lacelog.Pair
 	progress progress
 	tried    []laceunit.ServerID
-	// events counts the events that were passed on, last is the id of the newest.
-	events int
-	last   string
-	// first is when the answer began to reach the caller.
-	first time.Time
+	// last is the id of the newest event.
+	last     string
+	response response
 }
 
 // ServeHTTP implements http.Handler.
@@ -141,22 +139,36 @@
 	if r.closing.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	j := &job{arrived: time.Now()}
+	j := &job{
+		arrived: time.Now(),
+		response: response{
+			codec: r.options.Codec,
+			w:     w,
+			holds: !q.ProtoAtLeast(1, 1),
+		},
+	}
+	r.serve(w, q, j)
+	j.response.breakOff()
+}
+
+func (r *Relay) serve(w http.ResponseWriter, q *http.Request, j *job) {
 	var err error
-	if j.call, err = r.options.Codec.Call(q); err != nil {
-		r.refuse(w, j, fault(lacefault.BadRequest, err.Error(), 0))
+	j.call, err = r.options.Codec.Call(q)
+	j.response.call = j.call
+	if err != nil {
+		r.refuse(j, fault(lacefault.BadRequest, err.Error(), 0))
 		return
 	}
 	j.last = j.call.After
 	if f := r.admit(w, q, j); f != nil {
-		r.refuse(w, j, f)
+		r.refuse(j, f)
 		return
 	}
 	most := j.call.Input + j.call.Output
 	metered := j.call.Metered && j.account != ""
 	if metered {
 		if f := r.reserve(q.Context(), j, most); f != nil {
-			r.refuse(w, j, f)
+			r.refuse(j, f)
 			return
 		}
 		defer func() { r.options.Quota.Settle(j.account, most, j.consumed()) }()
@@ -167,20 +179,20 @@
 	})
 	ctx, cancel := context.WithDeadline(q.Context(), j.deadline)
 	defer cancel()
-	r.run(ctx, w, j)
+	r.run(ctx, j)
 }
 
 // consumed is what a request costs: its prompt once and the events that were passed on. A request of which the caller
 // got nothing costs nothing, and the prompt of a stream that its caller resumes was paid for with its beginning.
 func (j *job) consumed() laceunit.Tokens {
-	if j.events == 0 {
+	if j.response.events == 0 {
 		return 0
 	}
 	input := j.call.Input
 	if j.call.After != "" {
 		input = 0
 	}
-	return input + min(j.call.Output, laceunit.Tokens(j.events*max(j.stride, 1)))
+	return input + min(j.call.Output, laceunit.Tokens(j.response.events*max(j.stride, 1)))
 }
 
 // admit finds the route, the account and the time limit, and reads the body.
@@ -318,8 +330,11 @@
 }
 
 // refuse ends a request that is not answered by a server.
-func (r *Relay) refuse(w http.ResponseWriter, j *job, f *lacefault.Fault) {
-	r.options.Codec.Refuse(w, j.call, f)
+func (r *Relay) refuse(j *job, f *lacefault.Fault) {
+	if err := j.response.refuse(f); err != nil {
+		r.finish(j, 0, "broken_off")
+		return
+	}
 	if f.Outcome == lacefault.NotRun {
 		r.options.Log.Write(lacelog.Refused, append([]lacelog.Pair{
 			lacelog.P(lacelog.Request, j.call.Attempt), lacelog.P(lacelog.Reason, f.Code), lacelog.P("message", f.Message),
@@ -333,11 +348,11 @@
 // finish counts and logs the end of a request.
 func (r *Relay) finish(j *job, status int, outcome string) {
 	took := time.Since(j.arrived)
-	r.work.Add(int64(requestWork + time.Duration(j.events)*eventWork))
+	r.work.Add(int64(requestWork + time.Duration(j.response.events)*eventWork))
 	r.options.Metrics.done(j, outcome, took)
 	r.options.Log.Write(lacelog.Done, lacelog.P(lacelog.Request, j.call.Attempt), lacelog.P(lacelog.Outcome, outcome),
 		lacelog.P(lacelog.Status, status), lacelog.P(lacelog.Route, j.name()), lacelog.P(lacelog.Account, j.account),
-		lacelog.P(lacelog.Number, j.progress.sends), lacelog.P(lacelog.Events, j.events),
+		lacelog.P(lacelog.Number, j.progress.sends), lacelog.P(lacelog.Events, j.response.events),
 		lacelog.P(lacelog.Took, took.Milliseconds()), lacelog.P(lacelog.Version, j.version))
 }
 
--- a/lib/lacerelay/stream.go
+++ b/lib/lacerelay/stream.go
@@ -5,8 +5,6 @@
 	"bytes"
 	"context"
 	"io"
-	"net/http"
-	"time"
 
 	"github.com/pkg/errors"
 )
@@ -63,78 +61,48 @@
 	}
 }
 
-// stream passes the events of an answer on as they arrive. It reports whether the request goes on at another server.
-func (r *Relay) stream(ctx context.Context, w http.ResponseWriter, j *job, a *attempt, quiet *silence) bool {
+// stream passes the events of an answer on as they arrive.
+func (r *Relay) stream(ctx context.Context, j *job, a *attempt, quiet *silence) {
 	reader := bufio.NewReaderSize(a.exchange.Response.Body, readerBytes)
-	flusher := http.NewResponseController(w)
 	for {
 		e, err := readEvent(reader)
 		if err != nil {
-			if !j.first.IsZero() {
-				// Events before a cut one have not been flushed yet. A caller that has gone shows with the next write.
-				_ = flusher.Flush()
-			}
-			return r.streamEnd(ctx, w, j, a, err)
+			r.streamEnd(ctx, j, a, err)
+			return
 		}
 		quiet.progress()
-		if j.first.IsZero() {
-			r.begin(w, j, a)
+		if e.id != "" && e.id == j.last {
+			// A resumed stream may begin with the event that is already there.
+			continue
 		}
 		if e.id != "" {
-			if e.id == j.last {
-				// A resumed stream may begin with the event that is already there.
-				continue
-			}
 			j.last = e.id
 		}
-		j.events++
-		if _, err = w.Write(e.text); err == nil && reader.Buffered() == 0 {
-			err = flusher.Flush()
+		begun := j.response.begun
+		err = j.response.event(a, e.text, reader.Buffered() > 0)
+		if begun.IsZero() && !j.response.begun.IsZero() {
+			r.options.Metrics.first(j, j.response.begun.Sub(j.arrived))
 		}
 		if err != nil {
 			a.exchange.Abort()
 			a.end, a.reason = left, err.Error()
-			r.finish(j, a.status, left.String())
-			return false
+			if errors.Is(err, errHeld) {
+				a.end = broken
+			}
+			return
 		}
 	}
 }
 
-// begin writes the header of the first server, which stays when the stream is resumed.
-func (r *Relay) begin(w http.ResponseWriter, j *job, a *attempt) {
-	j.first = time.Now()
-	r.options.Codec.Answer(w.Header(), a.header, j.call)
-	w.WriteHeader(a.status)
-	r.options.Metrics.first(j, j.first.Sub(j.arrived))
-}
-
-// streamEnd ends the answer, or prepares to resume it.
-func (r *Relay) streamEnd(ctx context.Context, w http.ResponseWriter, j *job, a *attempt, cause error) bool {
-	j.progress.ran = true
+// streamEnd notes how a stream ended.
+func (r *Relay) streamEnd(ctx context.Context, j *job, a *attempt, cause error) {
 	if errors.Is(cause, io.EOF) {
 		a.exchange.Finish(true, a.reply.Idle)
 		a.end = whole
-		if j.first.IsZero() {
-			r.begin(w, j, a)
-		}
-		r.finish(j, a.status, "answered")
-		return false
+		return
 	}
+	// Events before a cut one have not been flushed yet. A caller that has gone shows with the next write.
+	_ = j.response.flush()
 	a.exchange.Abort()
 	a.end, a.reason = interrupted(ctx), cause.Error()
-	if decide(j.route, j.progress, a.end, a.status, r.mayRepeat(j)) == again {
-		return true
-	}
-	r.endStream(ctx, w, j, a)
-	return false
-}
-
-func (r *Relay) endStream(ctx context.Context, w http.ResponseWriter, j *job, a *attempt) {
-	if a.end == left || !j.first.IsZero() {
-		r.finish(j, 0, "broken_off:"+a.end.String())
-		// The connection closes without the end of the answer, so that a cut stream can't be taken for a whole one.
-		a.abort = true
-		return
-	}
-	r.end(ctx, w, j, r.failure(a))
 }
--- a/lib/lacerelay/verdict_test.go
+++ b/lib/lacerelay/verdict_test.go
@@ -102,9 +102,9 @@
 		want laceunit.Tokens
 	}{
 		"nothing arrived":        {job: job{call: call, stride: 6, progress: progress{ran: true}}, want: 0},
-		"part of a stream":       {job: job{call: call, stride: 6, events: 3}, want: 1018},
-		"more than was asked":    {job: job{call: call, stride: 6, events: 30}, want: 1060},
-		"stream that is resumed": {job: job{call: resumed, stride: 6, events: 3}, want: 18},
+		"part of a stream":       {job: job{call: call, stride: 6, response: response{events: 3}}, want: 1018},
+		"more than was asked":    {job: job{call: call, stride: 6, response: response{events: 30}}, want: 1060},
+		"stream that is resumed": {job: job{call: resumed, stride: 6, response: response{events: 3}}, want: 18},
 	} {
 		if got := c.job.consumed(); got != c.want {
 			t.Errorf("%s: %d tokens, not %d", name, got, c.want)
