lacerelay: a stream is resumed only as the same stream

Cause: a second answer with a receipt and status 200 counted as the rest of the stream whatever its type, and was appended with its end. Behind an event without an id the second server was asked from an earlier place, and the caller got the event twice. Ruled out: answers without blank line, which ended as cut events. Change: an answer of another media type is no part of the response; behind data without an id no other server is asked. Comments do not count.

--- a/lib/lacerelay/attempt.go
+++ b/lib/lacerelay/attempt.go
@@ -208,7 +208,7 @@
 		a.end, a.reason = broken, "answer belongs to another request"
 		return a
 	}
-	if j.route.Stream && a.status == http.StatusOK && a.reply.Signed {
+	if j.route.Stream && a.status == http.StatusOK && a.reply.Signed && j.response.goesOn(a.header) {
 		a.exchange = x
 		return a
 	}
--- a/lib/lacerelay/response.go
+++ b/lib/lacerelay/response.go
@@ -1,6 +1,7 @@
 package lacerelay
 
 import (
+	"mime"
 	"net/http"
 	"strconv"
 	"time"
@@ -37,6 +38,17 @@
 	waiting int
 }
 
+// goesOn reports whether an answer can be a part of the response.
+func (s *response) goesOn(header http.Header) bool {
+	return s.header == nil || mediaType(header) == mediaType(s.header)
+}
+
+func mediaType(h http.Header) string {
+	// A type with parameters that can't be read is still a type.
+	t, _, _ := mime.ParseMediaType(h.Get("Content-Type"))
+	return t
+}
+
 // event passes an event of a stream on; with more, others are ready and are sent together with it.
 func (s *response) event(a *attempt, text []byte, more bool) error {
 	s.open(a)
--- a/lib/lacerelay/stream.go
+++ b/lib/lacerelay/stream.go
@@ -26,6 +26,8 @@
 type event struct {
 	text []byte
 	id   string
+	// data is true when the event has data, without which it is a comment or a mere sign of life.
+	data bool
 }
 
 // readEvent returns the next event; io.EOF means that the stream ended between two.
@@ -58,6 +60,7 @@
 		if id, ok := bytes.CutPrefix(last, []byte("id:")); ok {
 			e.id = string(bytes.TrimSpace(id))
 		}
+		e.data = e.data || bytes.HasPrefix(last, []byte("data"))
 	}
 }
 
@@ -75,9 +78,7 @@
 			// A resumed stream may begin with the event that is already there.
 			continue
 		}
-		if e.id != "" {
-			j.last = e.id
-		}
+		j.note(e)
 		begun := j.response.begun
 		err = j.response.event(a, e.text, reader.Buffered() > 0)
 		if begun.IsZero() && !j.response.begun.IsZero() {
@@ -87,13 +88,23 @@
 			a.exchange.Abort()
 			a.end, a.reason = left, err.Error()
 			if errors.Is(err, errHeld) {
-				a.end = broken
+				a.end, j.progress.stuck = broken, true
 			}
 			return
 		}
 	}
 }
 
+// note remembers where another server would have to go on.
+func (j *job) note(e event) {
+	switch {
+	case e.id != "":
+		j.last, j.progress.stuck = e.id, false
+	case e.data:
+		j.progress.stuck = true
+	}
+}
+
 // streamEnd notes how a stream ended.
 func (r *Relay) streamEnd(ctx context.Context, j *job, a *attempt, cause error) {
 	if errors.Is(cause, io.EOF) {
--- a/lib/lacerelay/verdict.go
+++ b/lib/lacerelay/verdict.go
@@ -55,11 +55,16 @@
 	misses int
 	// ran is true when one of the attempts may have run.
 	ran bool
+	// stuck is true when the caller has events behind which no other server can go on, since the newest has no id.
+	stuck bool
 }
 
 // decide returns what follows an attempt that ended in a way and with a status, for a request of a route. The retry
 // budget is asked only when the attempt would be repeated.
 func decide(route *laceroute.Route, p progress, end ending, status int, budget func() bool) action {
+	if p.stuck && end != whole {
+		return fail
+	}
 	give := refuse
 	if p.ran {
 		give = fail
--- a/lib/lacerelay/verdict_test.go
+++ b/lib/lacerelay/verdict_test.go
@@ -21,6 +21,7 @@
 		Repeat:   laceroute.Idempotent,
 	}
 	sent, ran, last := progress{sends: 1}, progress{sends: 1, ran: true}, progress{sends: 2, ran: true}
+	stuck := progress{sends: 1, ran: true, stuck: true}
 	for name, c := range map[string]struct {
 		route  *laceroute.Route
 		p      progress
@@ -45,6 +46,8 @@
 		"silent lookup":                   {route: lookup, p: ran, end: silent, want: again},
 		"silent lookup, no retry budget":  {route: lookup, p: ran, end: silent, broke: true, want: fail},
 		"server out of reach":             {route: once, p: progress{misses: 1}, end: notSent, want: again},
+		"cut behind an event without id":  {route: lookup, p: stuck, end: broken, want: fail},
+		"whole behind one":                {route: lookup, p: stuck, end: whole, status: 200, want: deliver},
 		"servers out of reach":            {route: once, p: progress{misses: notSentTries}, end: notSent, want: refuse},
 		"out of reach after a first run":  {route: lookup, p: progress{misses: notSentTries, ran: true}, end: notSent, want: fail},
 		"time over":                       {route: lookup, p: ran, end: late, want: fail},
