lacerelay: answers to HEAD keep the length that the server names

Cause: callers of HEAD were told a length of 0, whatever the server said. Change: the named length is passed on; without one none is named. Measured: TestEnds before: 'HEAD of a call: 200 whole, frame 0'; after: frame 4.

--- a/lib/lacerelay/response.go
+++ b/lib/lacerelay/response.go
@@ -80,8 +80,11 @@
 // begin writes the header; a negative length is not named.
 func (s *response) begin(length int) {
 	s.codec.Answer(s.w.Header(), s.header, s.call)
-	if length >= 0 {
+	switch named := s.header.Get("Content-Length"); {
+	case s.call.Method != http.MethodHead && length >= 0:
 		s.w.Header().Set("Content-Length", strconv.Itoa(length))
+	case s.call.Method == http.MethodHead && named != "":
+		s.w.Header().Set("Content-Length", named)
 	}
 	s.begun = time.Now()
 	s.w.WriteHeader(s.status)
