lacebackend: answers to HEAD need no length

Cause: an answer to HEAD without a length counted as cut, and one that named the length of a large body as too long; a call that ran got an unknown outcome. Change: answers without a body are not measured. Measured: TestHeadNeedsNoLength before: 'length none: ... wrong answer length', 'length of the body: ... answer too long'; passes after.

--- a/lib/lacebackend/http_test.go
+++ b/lib/lacebackend/http_test.go
@@ -90,6 +90,22 @@
 	}
 }
 
+// Guards against answers to HEAD, which have no body, that count as cut.
+func TestHeadNeedsNoLength(t *testing.T) {
+	for name, rest := range map[string]string{"none": "\r\n", "of the body": "Content-Length: 65\r\n\r\n"} {
+		h, server := serve(t, raw(reply("a", rest)))
+		got, err := h.Invoke(t.Context(), server, Invocation{
+			Request: "acct/r",
+			Attempt: "a",
+			Method:  http.MethodHead,
+			Path:    "/orders",
+		})
+		if err != nil || got.Status != http.StatusOK {
+			t.Errorf("length %s: %+v, error %v", name, got, err)
+		}
+	}
+}
+
 // Guards against a call that is sent twice: by the transport after a lost connection, or by a redirect.
 func TestInvokeSendsOnce(t *testing.T) {
 	for _, method := range []string{http.MethodPost, http.MethodGet} {
--- a/lib/lacebackend/invoke.go
+++ b/lib/lacebackend/invoke.go
@@ -53,11 +53,13 @@
 	if resp.Header.Get(headerOutcome) == outcomeNotRun && resp.StatusCode >= http.StatusBadRequest {
 		return Reply{}, unusable(EffectNone, ErrRefused, nil)
 	}
+	// Answers to HEAD have no body, whatever length they name.
+	empty := resp.Body == http.NoBody
 	// An answer that ends with the connection can't be told from a cut one.
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !empty {
 		return Reply{}, unusable(EffectRan, ErrLength, nil)
 	}
-	if resp.ContentLength > maximum {
+	if resp.ContentLength > maximum && !empty {
 		return Reply{}, unusable(EffectRan, ErrTooLong, nil)
 	}
 	body, err := readBounded(resp.Body, maximum)
