lacegateway: answers of services name their length

Cause: an answer above 2 KB was sent without a length to callers of HTTP/1.0, where an end of the connection in its middle (a write deadline, a killed instance) looks like its end. Ruled out: chats, whose JSON or end marker tells. Change: the length is named. Measured: TestServiceAnswersNameTheirLength before: '4013 bytes with the length -1'; passes after.

--- a/lib/lacegateway/end_test.go
+++ b/lib/lacegateway/end_test.go
@@ -49,3 +49,27 @@
 		t.Errorf("billed %d tokens for one word, want 6", got)
 	}
 }
+
+// Guards against a part of an answer that looks whole to a caller of HTTP/1.0, for which only a length tells the end.
+func TestServiceAnswersNameTheirLength(t *testing.T) {
+	f := newFixture()
+	s := httptest.NewServer(f.gateway.Handler())
+	defer s.Close()
+	conn, err := net.Dial("tcp", s.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	boxes := strings.Repeat("box ", 1000)
+	fmt.Fprintf(conn, "POST /v1/services/orders/a HTTP/1.0\r\nAuthorization: Bearer %s\r\nIdempotency-Key: o1\r\nContent-Length: %d\r\n\r\n%s",
+		testKey, len(boxes), boxes)
+	r, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Body.Close()
+	body, err := io.ReadAll(r.Body)
+	if err != nil || r.ContentLength != int64(len(body)) {
+		t.Errorf("%d bytes with the length %d, error %v", len(body), r.ContentLength, err)
+	}
+}
--- a/lib/lacegateway/sink.go
+++ b/lib/lacegateway/sink.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -187,6 +188,10 @@
 	if answer.Type != "" {
 		h.Set("Content-Type", answer.Type)
 	}
+	if len(answer.Body) > 0 {
+		// Callers of HTTP/1.0 can't tell a cut answer without a length from a whole one.
+		h.Set("Content-Length", strconv.Itoa(len(answer.Body)))
+	}
 	s.w.WriteHeader(answer.Status)
 	_, _ = s.w.Write(answer.Body)
 }
