laceplatform: an answer that tells nothing is no answer

Cause: {} with status 200 meant a missing key, an empty list or a refused write; a write that may have been carried out counted as a conflict. Ruled out: cut answers, which are no JSON. Change: answers without their header are unavailable, or unknown for writes. The emulator begins at revision 0, so that the revision itself can't tell. Measured: TestEmptyAnswersTellNothing before: 'get: error platform: key does not exist', 'list: error <nil>', 'swap: error platform: revision conflict'; passes after.

--- a/lib/laceemulator/server.go
+++ b/lib/laceemulator/server.go
@@ -110,8 +110,9 @@
 }
 
 func (s *platformServer) find(_ time.Time, q laceplatform.RangeRequest) (any, error) {
+	header := s.header()
 	answer := laceplatform.RangeResponse{
-		Header: s.header(),
+		Header: &header,
 	}
 	if len(q.End) == 0 {
 		e, err := s.platform.state.Get(laceplatform.Key(q.Key))
@@ -153,8 +154,9 @@
 	if err != nil && !errors.Is(err, laceplatform.ErrConflict) {
 		return nil, err
 	}
+	header := s.header()
 	return laceplatform.TxnResponse{
-		Header:    s.header(),
+		Header:    &header,
 		Succeeded: err == nil,
 	}, nil
 }
--- a/lib/laceplatform/call.go
+++ b/lib/laceplatform/call.go
@@ -3,8 +3,13 @@
 import (
 	"context"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
+// messageEmpty describes an answer without the header that every answer has.
+const messageEmpty = "answer without a header"
+
 // Get implements Store.
 func (c *Client) Get(ctx context.Context, key Key) (Entry, error) {
 	found, _, err := c.find(ctx, RangeRequest{
@@ -46,6 +51,9 @@
 	if err != nil {
 		return nil, 0, err
 	}
+	if answer.Header == nil {
+		return nil, 0, errors.WithMessage(ErrUnavailable, messageEmpty)
+	}
 	var found []Entry
 	for _, p := range answer.Pairs {
 		found = append(found, entry(p))
@@ -97,7 +105,10 @@
 	if err != nil {
 		return 0, err
 	}
-	if !answer.Succeeded {
+	switch {
+	case answer.Header == nil:
+		return 0, errors.WithMessage(ErrUnknown, messageEmpty)
+	case !answer.Succeeded:
 		return 0, ErrConflict
 	}
 	return Revision(answer.Header.Revision), nil
--- a/lib/laceplatform/client_test.go
+++ b/lib/laceplatform/client_test.go
@@ -184,3 +184,19 @@
 	<-opened
 	b.want(w.Close(), nil)
 }
+
+// Guards against an answer that tells nothing and is taken for a missing key, an empty list or a write that was refused.
+func TestEmptyAnswersTellNothing(t *testing.T) {
+	address, _ := answering(t, http.StatusOK, `{}`)
+	store := connect(t, []string{address})
+	ctx := t.Context()
+	if _, err := store.Get(ctx, "k"); !errors.Is(err, laceplatform.ErrUnavailable) {
+		t.Errorf("get: error %v", err)
+	}
+	if _, _, err := store.List(ctx, "k"); !errors.Is(err, laceplatform.ErrUnavailable) {
+		t.Errorf("list: error %v", err)
+	}
+	if _, err := store.Swap(ctx, laceplatform.Swap{Key: "k"}); !errors.Is(err, laceplatform.ErrUnknown) {
+		t.Errorf("swap: error %v", err)
+	}
+}
--- a/lib/laceplatform/message.go
+++ b/lib/laceplatform/message.go
@@ -37,7 +37,8 @@
 
 // RangeResponse holds the keys that were found.
 type RangeResponse struct {
-	Header Header     `json:"header"`
+	// Header is nil in an answer that is none.
+	Header *Header    `json:"header"`
 	Pairs  []KeyValue `json:"kvs,omitempty"`
 }
 
@@ -82,8 +83,9 @@
 
 // TxnResponse says whether the comparisons held.
 type TxnResponse struct {
-	Header    Header `json:"header"`
-	Succeeded bool   `json:"succeeded,omitempty"`
+	// Header is nil in an answer that is none.
+	Header    *Header `json:"header"`
+	Succeeded bool    `json:"succeeded,omitempty"`
 }
 
 // LeaseMessage is the request and the response of all lease calls; the time to live is in seconds.
