--- a/lib/lacerelay/response_test.go
+++ b/lib/lacerelay/response_test.go
@@ -10,14 +10,14 @@
 	"lacewingcove/lib/lacefault"
 )
 
-// plainCodec passes nothing of a server's header on.
-type plainCodec struct{ Codec }
+// bareCodec passes nothing of a server's header on.
+type bareCodec struct{ Codec }
 
 // Answer implements Codec.
-func (plainCodec) Answer(http.Header, http.Header, Call) {}
+func (bareCodec) Answer(http.Header, http.Header, Call) {}
 
 // Refuse implements Codec.
-func (plainCodec) Refuse(w http.ResponseWriter, _ Call, f *lacefault.Fault) {
+func (bareCodec) Refuse(w http.ResponseWriter, _ Call, f *lacefault.Fault) {
 	w.WriteHeader(f.Code.Status())
 }
 
@@ -66,7 +66,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := &response{
-				codec: plainCodec{},
+				codec: bareCodec{},
 				w: &shortWriter{
 					ResponseRecorder: httptest.NewRecorder(),
 					left:             c.writes,
