--- a/lib/lacerelay/verdict_test.go
+++ b/lib/lacerelay/verdict_test.go
@@ -21,6 +21,7 @@
 		Repeat:   laceroute.Idempotent,
 	}
 	sent, ran, last := progress{sends: 1}, progress{sends: 1, ran: true}, progress{sends: 2, ran: true}
+	stuck := progress{sends: 1, ran: true, stuck: true}
 	for name, c := range map[string]struct {
 		route  *laceroute.Route
 		p      progress
@@ -45,6 +46,8 @@
 		"silent lookup":                   {route: lookup, p: ran, end: silent, want: again},
 		"silent lookup, no retry budget":  {route: lookup, p: ran, end: silent, broke: true, want: fail},
 		"server out of reach":             {route: once, p: progress{misses: 1}, end: notSent, want: again},
+		"cut behind an event without id":  {route: lookup, p: stuck, end: broken, want: fail},
+		"whole behind one":                {route: lookup, p: stuck, end: whole, status: 200, want: deliver},
 		"servers out of reach":            {route: once, p: progress{misses: notSentTries}, end: notSent, want: refuse},
 		"out of reach after a first run":  {route: lookup, p: progress{misses: notSentTries, ran: true}, end: notSent, want: fail},
 		"time over":                       {route: lookup, p: ran, end: late, want: fail},
@@ -102,9 +105,9 @@
 		want laceunit.Tokens
 	}{
 		"nothing arrived":        {job: job{call: call, stride: 6, progress: progress{ran: true}}, want: 0},
-		"part of a stream":       {job: job{call: call, stride: 6, events: 3}, want: 1018},
-		"more than was asked":    {job: job{call: call, stride: 6, events: 30}, want: 1060},
-		"stream that is resumed": {job: job{call: resumed, stride: 6, events: 3}, want: 18},
+		"part of a stream":       {job: job{call: call, stride: 6, response: response{events: 3}}, want: 1018},
+		"more than was asked":    {job: job{call: call, stride: 6, response: response{events: 30}}, want: 1060},
+		"stream that is resumed": {job: job{call: resumed, stride: 6, response: response{events: 3}}, want: 18},
 	} {
 		if got := c.job.consumed(); got != c.want {
 			t.Errorf("%s: %d tokens, not %d", name, got, c.want)
