--- a/lib/laceconn/conn.go
+++ b/lib/laceconn/conn.go
@@ -148,19 +148,6 @@
 	}
 }
 
-// End reports why the end of the body that was read may not be the end of the answer, or nil. A connection that ends
-// closes in the same way behind a whole answer and behind a part, and bytes that follow show that the length was wrong.
-func (x *Exchange) End() error {
-	r := x.Response
-	if r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Body != http.NoBody {
-		return errors.New("answer without a length ended with its connection")
-	}
-	if x.conn.reader.Buffered() > 0 {
-		return errors.New("answer is longer than its length")
-	}
-	return nil
-}
-
 // Finish ends the exchange. The connection is kept when the answer was read to its end and nothing is left over.
 func (x *Exchange) Finish(whole bool, idle time.Duration) {
 	c := x.conn
--- a/lib/lacerelay/attempt.go
+++ b/lib/lacerelay/attempt.go
@@ -254,9 +254,6 @@
 // collect reads an answer that is passed on only when it is complete.
 func (r *Relay) collect(ctx context.Context, a *attempt, x *laceconn.Exchange) {
 	body, err := io.ReadAll(io.LimitReader(x.Response.Body, answerBytes+1))
-	if err == nil {
-		err = x.End()
-	}
 	if err == nil && len(body) > answerBytes {
 		err = errors.New("answer is too long")
 	}
--- a/lib/lacerelay/stream.go
+++ b/lib/lacerelay/stream.go
@@ -108,9 +108,6 @@
 // streamEnd notes how a stream ended.
 func (r *Relay) streamEnd(ctx context.Context, j *job, a *attempt, cause error) {
 	if errors.Is(cause, io.EOF) {
-		cause = a.exchange.End()
-	}
-	if cause == nil {
 		a.exchange.Finish(true, a.reply.Idle)
 		a.end = whole
 		return
