--- a/loadgen/laceprocess/process.go
+++ b/loadgen/laceprocess/process.go
@@ -71,3 +71,17 @@
 		p.Kill()
 	}
 }
+
+// Freeze stops the process without ending it.
+func (p *Process) Freeze() error { return p.signal(syscall.SIGSTOP) }
+
+// Wake lets a frozen process go on.
+func (p *Process) Wake() error { return p.signal(syscall.SIGCONT) }
+
+// Hangup tells the process that its settings have changed.
+func (p *Process) Hangup() error { return p.signal(syscall.SIGHUP) }
+
+// signal fails with os.ErrProcessDone once the process has been waited for, so that a pid that is used again is not met.
+func (p *Process) signal(s os.Signal) error {
+	return errors.Wrap(p.command.Process.Signal(s), "process")
+}
