loadgen: soak, seeded faults against processes of the users' platform

Callers, faults of the store, the servers and the instances, and the checks run against the built program.

--- a/loadgen/lacecommand/command.go
+++ b/loadgen/lacecommand/command.go
@@ -30,6 +30,7 @@
   overhead    measure what an instance adds to direct calls of a backend server
   experiment  run a workload repeatedly under faults and compare variants
   replay      run a file of recorded requests through the request machine and print its effects
+  soak        run processes of the users' platform under seeded faults and check what they promise
 `
 
 // errBroken means that the run went through and a promise was broken.
@@ -50,6 +51,7 @@
 		"overhead":   overhead,
 		"experiment": experiment,
 		"replay":     replay,
+		"soak":       soak,
 	}
 	if len(args) == 0 || commands[args[0]] == nil {
 		_, _ = io.WriteString(stderr, usage)
--- a/loadgen/lacesoak/check.go
+++ b/loadgen/lacesoak/check.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"lacewingcove/lib/laceunit"
+	"lacewingcove/platform/lacestage"
 )
 
 // The promises.
@@ -22,6 +23,7 @@
 	PromisePausing = "pausing"
 	PromiseRest    = "rest"
 	PromiseServes  = "serves-again"
+	PromiseRuns    = "keeps-running"
 )
 
 const (
@@ -72,6 +74,9 @@
 	c.servers()
 	c.rest()
 	c.serves()
+	for _, i := range r.Exited {
+		c.add(PromiseRuns, nil, "instance %d ended by itself", i)
+	}
 	return c.findings
 }
 
@@ -114,7 +119,7 @@
 		if x.Account != a.Account {
 			c.add(PromiseAccount, id, "the key is of account %q, the server was told %q", a.Account, x.Account)
 		}
-		if x.Executed {
+		if x.Outcome.Ran() {
 			executed++
 		}
 	}
@@ -124,16 +129,19 @@
 	if saysNotRun(a.Status) && executed > 0 {
 		c.add(PromiseNotRun, id, "answered %d and ran %d times", a.Status, executed)
 	}
-	if a.Status != 0 && a.Named != a.Attempt {
-		c.add(PromiseWhole, id, "the answer carries the id %q", a.Named)
+	if a.Stray {
+		c.add(PromiseWhole, id, "the connection held bytes that belong to no request")
+	}
+	if a.Status != 0 && a.Echo != a.Attempt {
+		c.add(PromiseWhole, id, "the answer carries the id %q", a.Echo)
 	}
 	if a.Status < 200 || a.Status > 299 {
 		return
 	}
-	if a.Whole && !bytes.Equal(a.Body, a.Want) {
+	if a.Complete && !bytes.Equal(a.Body, a.Want) {
 		c.add(PromiseWhole, id, "status %d, framed as complete and isn't: %s", a.Status, difference(a.Body, a.Want))
 	}
-	if !a.Whole && !bytes.HasPrefix(a.Want, a.Body) {
+	if !a.Complete && !bytes.HasPrefix(a.Want, a.Body) {
 		c.add(PromiseWhole, id, "status %d, has bytes that are not its own: %s", a.Status, difference(a.Body, a.Want))
 	}
 }
@@ -167,7 +175,7 @@
 		}
 		var cut []laceunit.AttemptID
 		for j := range c.record.Answers {
-			if a := &c.record.Answers[j]; a.Instance == d.Target && c.cutBy(d, a) {
+			if a := &c.record.Answers[j]; a.Instance == instanceID(d.Target) && c.cutBy(d, a) {
 				cut = append(cut, a.Attempt)
 			}
 		}
@@ -179,7 +187,7 @@
 
 // cutBy reports whether a planned stop cut an answer that nothing else explains.
 func (c *checker) cutBy(d *Deed, a *Answer) bool {
-	if a.Left || a.Refused || a.Whole || a.Sent.After(d.Ended) || a.Ended.Before(d.Began) || a.Ended.After(d.Ended.Add(crossing)) {
+	if a.Left || a.Refused || a.Complete || a.Sent.After(d.Ended) || a.Ended.Before(d.Began) || a.Ended.After(d.Ended.Add(crossing)) {
 		return false
 	}
 	// The instance ends a request at its time limit, whether it stops or not.
@@ -187,8 +195,8 @@
 		return false
 	}
 	for _, x := range c.runs[a.Attempt] {
-		// What the server broke off can't be completed.
-		if x.Fault != "" {
+		// What the server broke off, or kept silent about, can't be completed.
+		if x.faulty() || c.troubled(x) {
 			return false
 		}
 	}
@@ -198,11 +206,17 @@
 	return !onTheWay || a.Status != 0 || len(c.runs[a.Attempt]) > 0
 }
 
+// troubled reports whether a request met a server that was slow or silent, which ends in the instance giving it up.
+func (c *checker) troubled(x *Run) bool {
+	return slices.ContainsFunc(c.record.Deeds, func(d Deed) bool {
+		return d.Server == x.Server && (d.Kind == ServerSilent || d.Kind == ServerSlow) && !d.Began.After(x.Ended) && !d.Ended.Before(x.Arrived)
+	})
+}
+
 // path is one instance's way to one process of a server.
 type path struct {
-	instance int
-	server   int
-	born     int64
+	instance laceunit.InstanceID
+	server   laceunit.ServerID
 }
 
 // arrival is a request that came that way.
@@ -223,7 +237,6 @@
 		p := path{
 			instance: a.Instance,
 			server:   x.Server,
-			born:     x.Born,
 		}
 		ways[p] = append(ways[p], arrival{
 			run:    x,
@@ -231,7 +244,7 @@
 		})
 	}
 	for p, all := range ways {
-		slices.SortFunc(all, func(a, b arrival) int { return a.run.Began.Compare(b.run.Began) })
+		slices.SortFunc(all, func(a, b arrival) int { return a.run.Arrived.Compare(b.run.Arrived) })
 		c.leaving(p, all)
 		c.pausing(p, all)
 	}
@@ -243,15 +256,15 @@
 	var marked time.Time
 	var late []laceunit.AttemptID
 	for _, x := range all {
-		if !marked.IsZero() && x.answer.Sent.After(marked.Add(DrainTime)) && !c.disturbed(p.instance, marked, x.run.Began) {
+		if !marked.IsZero() && x.answer.Sent.After(marked.Add(DrainTime)) && !c.disturbed(p.instance, marked, x.run.Arrived) {
 			late = append(late, x.run.Attempt)
 		}
-		if marked.IsZero() && x.run.Leaving && x.answer.served() && x.run.Executed {
+		if marked.IsZero() && x.run.Announced && x.answer.served() {
 			marked = x.answer.Ended
 		}
 	}
 	if len(late) > 0 {
-		c.add(PromiseLeaving, late, "instance %d sent %d requests to server %d later than %s after its leaving mark",
+		c.add(PromiseLeaving, late, "%s sent %d requests to server %s later than %s after its leaving mark",
 			p.instance, len(late), p.server, DrainTime)
 	}
 }
@@ -260,13 +273,13 @@
 func (c *checker) pausing(p path, all []arrival) {
 	var early []laceunit.AttemptID
 	for _, x := range all {
-		if x.run.Pause == 0 {
+		if x.run.Outcome != lacestage.Paused {
 			continue
 		}
-		from, to := x.run.Ended.Add(pauseReaction), x.run.Ended.Add(x.run.Pause)
+		from, to := x.run.Ended.Add(pauseReaction), x.run.PausedUntil
 		var within []laceunit.AttemptID
 		for _, y := range all {
-			if y.run.Began.After(from) && y.run.Began.Before(to) {
+			if y.run.Arrived.After(from) && y.run.Arrived.Before(to) {
 				within = append(within, y.run.Attempt)
 			}
 		}
@@ -275,18 +288,14 @@
 		}
 	}
 	if len(early) > 0 {
-		c.add(PromisePausing, early, "instance %d sent %d requests to server %d during one of its pauses", p.instance, len(early), p.server)
+		c.add(PromisePausing, early, "%s sent %d requests to server %s during one of its pauses", p.instance, len(early), p.server)
 	}
 }
 
 // disturbed reports whether an instance was frozen or started again within a time: a frozen one reads nothing, and a new
 // process has not heard what the one before was told.
-func (c *checker) disturbed(instance int, from, to time.Time) bool {
+func (c *checker) disturbed(instance laceunit.InstanceID, from, to time.Time) bool {
 	return slices.ContainsFunc(c.record.Deeds, func(d Deed) bool {
-		ended := d.Ended
-		if d.Ready.After(ended) {
-			ended = d.Ready
-		}
-		return d.Target == instance && (d.Kind == Freeze || d.Kind == Stop || d.Kind == Kill) && d.Began.Before(to) && ended.After(from)
+		return instanceID(d.Target) == instance && (d.Kind == Freeze || d.Kind == Stop || d.Kind == Kill) && d.Began.Before(to) && d.over().After(from)
 	})
 }
--- a/loadgen/lacesoak/fleet.go
+++ b/loadgen/lacesoak/fleet.go
@@ -29,12 +29,12 @@
 
 // Place is where an instance runs.
 type Place struct {
-	Name     laceunit.InstanceID
-	Settings string
-	Log      string
-	Caller   laceunit.Address
-	Ready    laceunit.Address
-	Peer     laceunit.Address
+	Name      laceunit.InstanceID
+	Settings  string
+	Log       string
+	Caller    laceunit.Address
+	Directory laceunit.Address
+	Peer      laceunit.Address
 }
 
 // Fleet runs the processes of the instances.
@@ -42,7 +42,7 @@
 	program string
 	places  []Place
 	// ready asks an instance whether it takes requests.
-	ready func(ctx context.Context, address laceunit.Address) bool
+	ready func(ctx context.Context, p Place) bool
 	http  http.Client
 
 	mu        sync.Mutex
@@ -54,7 +54,7 @@
 }
 
 // NewFleet returns a fleet without processes.
-func NewFleet(program string, places []Place, ready func(context.Context, laceunit.Address) bool) *Fleet {
+func NewFleet(program string, places []Place, ready func(context.Context, Place) bool) *Fleet {
 	return &Fleet{
 		program:   program,
 		places:    places,
@@ -79,7 +79,7 @@
 	defer cancel()
 	ticker := time.NewTicker(readyEvery)
 	defer ticker.Stop()
-	for !f.ready(ctx, x.Ready) {
+	for !f.ready(ctx, x) {
 		select {
 		case <-ticker.C:
 		case <-p.Ended():
--- a/loadgen/lacesoak/plan.go
+++ b/loadgen/lacesoak/plan.go
@@ -21,6 +21,7 @@
 	// Faults of the store.
 	StoreRefuses Kind = "store-refuses"
 	StoreSilent  Kind = "store-silent"
+	StoreResets  Kind = "store-resets"
 	StoreCut     Kind = "store-cut"
 	StoreSlow    Kind = "store-slow"
 	StoreLoses   Kind = "store-loses-answers"
@@ -94,6 +95,7 @@
 		{kind: Hangup, target: anInstance, cards: 1},
 		{kind: StoreRefuses, target: theStore, cards: 1, least: 300 * ms, most: 3000 * ms},
 		{kind: StoreSilent, target: theStore, cards: 1, least: 300 * ms, most: 3000 * ms},
+		{kind: StoreResets, target: theStore, cards: 1, least: 300 * ms, most: 3000 * ms},
 		{kind: StoreCut, target: theStore, cards: 2, least: 300 * ms, most: 3000 * ms},
 		{kind: StoreSlow, target: theStore, cards: 1, least: 300 * ms, most: 3000 * ms},
 		{kind: StoreLoses, target: theStore, cards: 1, least: 300 * ms, most: 2000 * ms},
@@ -135,6 +137,8 @@
 	Kind Kind
 	// Target numbers the instance or server.
 	Target int
+	// Choice decides between the forms of an event.
+	Choice int
 	// Apart are the instances that the store does not answer.
 	Apart []int
 }
@@ -183,7 +187,9 @@
 	return p.all
 }
 
-func (p *planner) upTo(d time.Duration) time.Duration { return time.Duration(p.random.Int64N(int64(d) + 1)) }
+func (p *planner) upTo(d time.Duration) time.Duration {
+	return time.Duration(p.random.Int64N(int64(d) + 1))
+}
 
 // draw takes the next card, so that each kind comes before any comes more often than its cards say.
 func (p *planner) draw() rule {
@@ -206,6 +212,8 @@
 		At:   at,
 		For:  r.least + p.upTo(r.most-r.least),
 		Kind: r.kind,
+		// The number has the forms of all events as divisors.
+		Choice: p.random.IntN(60),
 	}
 	group, count := r.target, 1
 	switch r.target {
--- a/loadgen/lacesoak/report.go
+++ b/loadgen/lacesoak/report.go
@@ -6,11 +6,9 @@
 	"maps"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/pkg/errors"
-
 )
 
 const (
@@ -27,10 +25,7 @@
 	Options  Options
 	Record   *Record
 	Findings []Finding
-	// Memory is the most that all instances had together.
-	Memory float64
-	Logs   []string
-	Began  time.Time
+	Logs     []string
 }
 
 // outcome names how an attempt ended for its caller.
@@ -42,7 +37,7 @@
 		return "no connection"
 	case a.Status == 0:
 		return "no answer"
-	case !a.Whole:
+	case !a.Complete:
 		return "broken off"
 	default:
 		return fmt.Sprint(a.Status)
@@ -75,11 +70,11 @@
 	counts(&b, "requests", outcomes)
 	counts(&b, "faults", kinds)
 	from, gap := Gap(r.Record)
-	fmt.Fprintf(&b, "\nlongest gap     %.3f s at %.3f s\n", gap.Seconds(), from.Sub(r.Began).Seconds())
+	fmt.Fprintf(&b, "\nlongest gap     %.3f s at %.3f s\n", gap.Seconds(), from.Sub(r.Record.Began).Seconds())
 	fmt.Fprintf(&b, "served          p50 %.1f ms, p99 %.1f ms\n", milliseconds(times, 50), milliseconds(times, 99))
 	peak := r.Record.Peak
 	fmt.Fprintf(&b, "peaks           %d processes, %.1f MB together; of one: %.1f MB, %.0f files, %.0f goroutines\n",
-		r.Options.Instances, r.Memory/1e6, peak.Memory/1e6, peak.Files, peak.Goroutines)
+		r.Options.Instances, r.Record.Memory/1e6, peak.Memory/1e6, peak.Files, peak.Goroutines)
 	r.printFindings(&b)
 	_, err := io.WriteString(w, b.String())
 	return errors.Wrap(err, "soak")
@@ -118,4 +113,3 @@
 		}
 	}
 }
-
--- a/loadgen/lacesoak/rest.go
+++ b/loadgen/lacesoak/rest.go
@@ -43,7 +43,7 @@
 
 // serves checks that each instance serves soon after the last fault.
 func (c *checker) serves() {
-	first := map[int]time.Time{}
+	first := map[laceunit.InstanceID]time.Time{}
 	for i := range c.record.Answers {
 		a := &c.record.Answers[i]
 		if a.served() && a.Sent.After(c.record.Quiet) && (first[a.Instance].IsZero() || a.Ended.Before(first[a.Instance])) {
@@ -51,7 +51,7 @@
 		}
 	}
 	for i := range c.record.Instances {
-		if t, ok := first[i]; !ok || t.Sub(c.record.Quiet) > ServeWithin {
+		if t, ok := first[instanceID(i)]; !ok || t.Sub(c.record.Quiet) > ServeWithin {
 			c.add(PromiseServes, c.tried(i), "instance %d did not serve within %s after the last fault", i, ServeWithin)
 		}
 	}
@@ -62,7 +62,7 @@
 	const shown = 5
 	var all []laceunit.AttemptID
 	for i := range c.record.Answers {
-		if a := &c.record.Answers[i]; a.Instance == instance && a.Sent.After(c.record.Quiet) && len(all) < shown {
+		if a := &c.record.Answers[i]; a.Instance == instanceID(instance) && a.Sent.After(c.record.Quiet) && len(all) < shown {
 			all = append(all, a.Attempt)
 		}
 	}
--- /dev/null
+++ b/loadgen/lacesoak/site.go
@@ -0,0 +1,249 @@
+package lacesoak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lacewingcove/lib/laceroute"
+	"lacewingcove/lib/laceunit"
+	"lacewingcove/platform/lacestage"
+)
+
+const (
+	// stride and mostEvents bound what a stream may cost.
+	stride     = 4
+	mostEvents = 12
+	// slots and queue are those of one backend server.
+	slots = 8
+	queue = 8
+	// routeLimit is the time limit of the routes, shortLimit the one that a change of the configuration sets.
+	routeLimit = 2500 * time.Millisecond
+	shortLimit = 1500 * time.Millisecond
+	// plenty is more than an account can spend in a run, scarce less, topUp is paid on top of it.
+	plenty = 100_000_000
+	scarce = 30_000
+	topUp  = 10_000
+	// host is the name that callers ask for.
+	host = "soak.example"
+	// leastPort and mostPort lie below the ports that the system gives to outgoing connections, so that an address stays
+	// free while its process is away.
+	leastPort = 12_000
+	mostPort  = 30_000
+)
+
+// The accounts of a run: the first has plenty, the second and third run dry, the fourth loses a key.
+const (
+	accountRich = iota
+	accountDry
+	accountToppedUp
+	accountRevoked
+	accounts
+)
+
+// The services of a run.
+const (
+	serviceModel = "model"
+	servicePlain = "plain"
+)
+
+// site is what surrounds the instances: the store, the backend servers and the configuration.
+type site struct {
+	seed     uint64
+	options  Options
+	store    *lacestage.Store
+	recorder *lacestage.Recorder
+
+	mu       sync.Mutex
+	ports    *rand.Rand
+	document laceroute.Document
+	servers  []*lacestage.Server
+	// born counts the processes of each server.
+	born []int
+}
+
+// newSite starts a store with a configuration and the backend servers.
+func newSite(seed uint64, o Options) (*site, error) {
+	s := &site{
+		seed:     seed,
+		options:  o,
+		store:    lacestage.NewStore(lacestage.WithStoreSeed(seed)),
+		recorder: &lacestage.Recorder{},
+		ports:    rand.New(rand.NewPCG(seed, uint64(time.Now().UnixNano()))), // Ports are the machine's, not the plan's.
+		document: document(),
+		servers:  make([]*lacestage.Server, o.Engines+o.Services),
+		born:     make([]int, o.Engines+o.Services),
+	}
+	if _, err := s.store.Apply(s.document); err != nil {
+		return nil, err
+	}
+	for i := range s.servers {
+		if err := s.launch(i, true, ""); err != nil {
+			s.close()
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+func document() laceroute.Document {
+	d := laceroute.Document{
+		Keyed:  true,
+		Limits: laceroute.Limits{Body: 1 << 16},
+		Services: []laceroute.Service{
+			{ID: serviceModel, Connections: 100, Engine: &laceroute.Engine{Stride: stride}},
+			{ID: servicePlain, Connections: 100},
+		},
+	}
+	for _, k := range kinds() {
+		if !k.later {
+			d.Routes = append(d.Routes, k.route())
+		}
+	}
+	for i := range accounts {
+		a := laceroute.Account{
+			ID:      accountID(i),
+			Keys:    []string{key(i, 0), key(i, 1)},
+			Paid:    plenty,
+			Prepaid: true,
+		}
+		if i == accountDry || i == accountToppedUp {
+			a.Paid = scarce
+		}
+		d.Accounts = append(d.Accounts, a)
+	}
+	return d
+}
+
+func accountID(i int) laceunit.AccountID { return laceunit.AccountID(fmt.Sprintf("account-%d", i)) }
+
+func key(account, n int) string { return fmt.Sprintf("key-%d-%d", account, n) }
+
+// launch starts a process of a server; a new one gets another id.
+func (s *site) launch(i int, fresh bool, address laceunit.Address) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if fresh {
+		s.born[i]++
+	}
+	o := s.serverOptions(i)
+	o.Address = address
+	if address == "" {
+		o.Address = s.free()
+	}
+	x, err := lacestage.NewServer(s.store, s.recorder, o)
+	if err == nil {
+		s.servers[i] = x
+	}
+	return err
+}
+
+func (s *site) serverOptions(i int) lacestage.ServerOptions {
+	o := lacestage.ServerOptions{
+		ID:      laceunit.ServerID(fmt.Sprintf("server-%d-%d", i, s.born[i])),
+		Service: serviceModel,
+		Zone:    zone(i),
+		Kind:    lacestage.Engine,
+		Slots:   slots,
+		Queue:   queue,
+		Shape:   shape(),
+		Seed:    s.seed,
+	}
+	if i >= s.options.Engines {
+		o.Service, o.Kind = servicePlain, lacestage.Plain
+	}
+	return o
+}
+
+func shape() lacestage.Shape {
+	return lacestage.Shape{
+		LeastEvents: 3,
+		MostEvents:  mostEvents,
+		LeastGap:    5 * time.Millisecond,
+		MostGap:     60 * time.Millisecond,
+		MostText:    200,
+	}
+}
+
+// zones is how many availability zones there are.
+const zones = 3
+
+func zone(i int) laceunit.ZoneID { return laceunit.ZoneID(fmt.Sprintf("zone-%d", i%zones)) }
+
+// server returns the present process of a server.
+func (s *site) server(i int) *lacestage.Server {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.servers[i]
+}
+
+// free returns an address on loopback that nothing listens on; the caller holds the mutex or is alone.
+func (s *site) free() laceunit.Address {
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", leastPort+s.ports.IntN(mostPort-leastPort))
+		l, err := (&net.ListenConfig{}).Listen(background(), "tcp", address)
+		if err != nil {
+			continue
+		}
+		_ = l.Close() // Nothing was accepted.
+		return laceunit.Address(address)
+	}
+}
+
+// apply writes a changed configuration.
+func (s *site) apply(change func(d *laceroute.Document)) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d := s.document
+	d.Routes, d.Accounts = slices.Clone(d.Routes), slices.Clone(d.Accounts)
+	change(&d)
+	if _, err := s.store.Apply(d); err != nil {
+		return err
+	}
+	s.document = d
+	return nil
+}
+
+// limit returns the time limit of a route in the newest configuration, or false when it has no such route.
+func (s *site) limit(name string) (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.document.Routes {
+		if r.Name == name {
+			return r.Timeout, true
+		}
+	}
+	return 0, false
+}
+
+// paid returns what each account has paid.
+func (s *site) paid() map[laceunit.AccountID]laceunit.Tokens {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := map[laceunit.AccountID]laceunit.Tokens{}
+	for _, a := range s.document.Accounts {
+		all[a.ID] = a.Paid
+	}
+	return all
+}
+
+// close ends the servers and the store.
+func (s *site) close() error {
+	var first error
+	for i := range s.servers {
+		if x := s.server(i); x != nil {
+			if err := x.Close(); err != nil && !errors.Is(err, lacestage.ErrClosed) && first == nil {
+				first = err
+			}
+		}
+	}
+	if err := s.store.Close(); err != nil && first == nil {
+		first = err
+	}
+	return first
+}
