--- a/loadgen/lacesoak/callers.go
+++ b/loadgen/lacesoak/callers.go
@@ -71,13 +71,10 @@
 		Timeout:   routeLimit,
 		Goal:      routeLimit / 5,
 		Targets:   []laceroute.Target{{Service: k.service, Weight: 1}},
-		Attempts:  1,
+		Attempts:  2,
 		Anonymous: k.anonymous,
 		Affinity:  k.stream,
 	}
-	if k.repeat != laceroute.Once {
-		r.Attempts = 2
-	}
 	return r
 }
 
@@ -90,34 +87,32 @@
 
 	mu      sync.Mutex
 	number  int
-	answers []Answer
+	answers []answer
 }
 
 // add starts callers that go on for a time, or until the end when it is 0.
 func (c *callers) add(count int, length time.Duration) {
-	var over <-chan time.Time
+	ctx, cancel := context.WithCancel(context.Background())
 	if length > 0 {
-		over = time.After(length)
+		ctx, cancel = context.WithTimeout(context.Background(), length)
 	}
-	ended := make(chan struct{})
 	go func() {
-		defer close(ended)
+		defer cancel()
 		select {
-		case <-over:
+		case <-ctx.Done():
 		case <-c.stop:
 		}
 	}()
 	for range count {
 		x := c.caller()
-		c.all.Go(func() { x.loop(ended) })
+		c.all.Go(func() { x.loop(ctx) })
 	}
 }
 
-// close ends the callers and returns their answers.
-func (c *callers) close() []Answer {
+// close ends the callers, behind their last answers.
+func (c *callers) close() {
 	close(c.stop)
 	c.all.Wait()
-	return c.answers
 }
 
 func (c *callers) caller() *caller {
@@ -134,23 +129,17 @@
 }
 
 // probe asks each instance until it serves, for as long as it may take to serve again.
-func (c *callers) probe() {
+func (c *callers) probe(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, serveWithin)
+	defer cancel()
 	var all sync.WaitGroup
 	for i := range c.instances {
 		x := c.caller()
 		x.at = i
 		all.Go(func() {
-			defer x.end()
-			ticker := time.NewTicker(probeEvery)
-			defer ticker.Stop()
-			late := time.After(ServeWithin)
+			defer x.close()
 			for {
-				if a := x.call(kinds()[probed]); a.served() {
-					return
-				}
-				select {
-				case <-ticker.C:
-				case <-late:
+				if a := x.call(kinds()[probed]); a.served() || !sleep(ctx, probeEvery) {
 					return
 				}
 			}
@@ -161,102 +150,80 @@
 
 // caller sends one request after the other, on connections that it keeps until the instance closes them.
 type caller struct {
-	callers *callers
-	number  int
-	random  *rand.Rand
-	client  *lacestage.Caller
+	*callers
+	number int
+	random *rand.Rand
+	client *lacestage.Caller
 	// obeys is true for a caller that waits as it is told.
 	obeys bool
 	sent  int
 	at    int
 }
 
-func (c *caller) loop(ended <-chan struct{}) {
-	defer c.end()
-	c.move()
+func (c *caller) loop(ctx context.Context) {
+	defer c.close()
+	all := kinds()
+	served := false
 	for {
-		all := kinds()
+		if !served || c.random.IntN(moveEvery) == 0 {
+			c.at = c.random.IntN(len(c.instances))
+		}
 		a := c.call(all[c.random.IntN(len(all))])
+		served = a.served()
 		pause := thinkLeast + time.Duration(c.random.Int64N(int64(thinkMost-thinkLeast)))
 		if c.obeys {
 			pause = max(pause, a.RetryAfter)
 		}
-		if !a.served() || c.random.IntN(moveEvery) == 0 {
-			c.move()
-		}
-		select {
-		case <-ended:
+		if !sleep(ctx, pause) {
 			return
-		case <-time.After(pause):
 		}
 	}
 }
 
-// end closes the caller's connections.
-func (c *caller) end() { _ = c.client.Close() } // No connection is in use.
-
-func (c *caller) move() { c.at = c.random.IntN(len(c.callers.instances)) }
+// close closes the caller's connections.
+func (c *caller) close() { _ = c.client.Close() } // No connection is in use.
 
 // call sends one attempt with an id of its own.
-func (c *caller) call(k kind) Answer {
+func (c *caller) call(k kind) answer {
 	c.sent++
 	q := lacestage.Request{
-		Attempt: laceunit.AttemptID(fmt.Sprintf("s%d-%d-%d", c.callers.site.seed, c.number, c.sent)),
+		Attempt: laceunit.AttemptID(fmt.Sprintf("s%d-%d-%d", c.site.seed, c.number, c.sent)),
 		Method:  http.MethodPost,
 		Host:    host,
 		Target:  fmt.Sprintf("/%s/%d", k.name, c.sent),
 		Body:    fmt.Sprintf("request %d", c.sent),
 		Wait:    routeLimit,
 	}
-	a := Answer{
-		Once:  k.repeat == laceroute.Once,
-		Limit: c.limit(k),
-		Want:  []byte(shape().Plain(q.Attempt)),
+	a := answer{
+		once: k.repeat == laceroute.Once,
+		want: []byte(shape().Plain(q.Attempt)),
 	}
 	if k.stream {
 		q.Input, q.Output, q.Metered = laceunit.Tokens(1+c.random.IntN(promptMost)), stride*mostEvents, true
-		a.Want = []byte(shape().Stream(q.Attempt, 0))
+		a.want = []byte(shape().Stream(q.Attempt, 0))
 	}
 	if !k.anonymous {
 		account := c.random.IntN(accounts)
-		a.Account, q.Key = accountID(account), key(account, c.random.IntN(2))
+		a.account, q.Key = accountID(account), key(account, c.random.IntN(2))
 	}
 	wait := routeLimit + patience
 	if c.random.IntN(leaveEvery) == 0 {
 		wait = time.Duration(c.random.Int64N(int64(leaveMost)))
-		a.Left = true
+		a.left = true
 	}
-	ctx, cancel := context.WithTimeout(background(), wait)
+	// A caller does not end with the run, so that each of its answers ends by itself.
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
-	a.Answer = c.client.Call(ctx, c.callers.instances[c.at].Caller, q)
-	a.Limit = min(a.Limit, c.limit(k))
-	a.Left = a.Left && errors.Is(a.Err, context.DeadlineExceeded)
-	a.Refused = errors.Is(a.Err, syscall.ECONNREFUSED)
-	if q.Metered {
-		a.Given = given(q, a.Body, a.Status)
+	limited := c.site.limit(k.name)
+	a.Answer = c.client.Call(ctx, c.instances[c.at].Caller, q)
+	a.limit = min(limited, c.site.limit(k.name))
+	a.left = a.left && errors.Is(a.Err, context.DeadlineExceeded)
+	a.refused = errors.Is(a.Err, syscall.ECONNREFUSED)
+	if events := bytes.Count(a.Body, []byte("\n\n")); q.Metered && a.Status == http.StatusOK && events > 0 {
+		a.given = q.Input + min(q.Output, laceunit.Tokens(events*stride))
 	}
-	c.callers.mu.Lock()
-	defer c.callers.mu.Unlock()
-	c.callers.answers = append(c.callers.answers, a)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.answers = append(c.answers, a)
 	return a
 }
-
-// limit is the time limit of a route as it is configured at this moment.
-func (c *caller) limit(k kind) time.Duration {
-	if t, ok := c.callers.site.limit(k.name); ok {
-		return t
-	}
-	return routeLimit
-}
-
-// given returns the tokens of the events that reached a caller, and of its prompt if any did.
-func given(q lacestage.Request, body []byte, status int) laceunit.Tokens {
-	events := bytes.Count(body, []byte("\n\n"))
-	if status != http.StatusOK || events == 0 {
-		return 0
-	}
-	return q.Input + min(q.Output, laceunit.Tokens(events*stride))
-}
-
-// background is the context of what has to end by its own limits, also when the run is interrupted.
-func background() context.Context { return context.Background() }
--- a/loadgen/lacesoak/check.go
+++ b/loadgen/lacesoak/check.go
@@ -13,26 +13,26 @@
 
 // The promises.
 const (
-	PromiseBudget  = "budget"
-	PromiseOnce    = "once"
-	PromiseAccount = "account"
-	PromiseWhole   = "whole"
-	PromiseNotRun  = "not-run"
-	PromiseStop    = "planned-stop"
-	PromiseLeaving = "leaving"
-	PromisePausing = "pausing"
-	PromiseRest    = "rest"
-	PromiseServes  = "serves-again"
-	PromiseRuns    = "keeps-running"
+	promiseBudget  = "budget"
+	promiseOnce    = "once"
+	promiseAccount = "account"
+	promiseWhole   = "whole"
+	promiseNotRun  = "not-run"
+	promiseStop    = "planned-stop"
+	promiseLeaving = "leaving"
+	promisePausing = "pausing"
+	promiseRest    = "rest"
+	promiseServes  = "serves-again"
+	promiseRuns    = "keeps-running"
 )
 
 const (
-	// DrainTime is how long after a leaving mark an instance may still send work to the server (docs/design.md, 1.1).
-	DrainTime = 3 * time.Second
-	// DrainGrace and DrainNotice are the settings of planned stops: streams have to end within the first, and new requests
+	// drainTime is how long after a leaving mark an instance may still send work to the server (docs/design.md, 1.1).
+	drainTime = 3 * time.Second
+	// drainGrace and drainNotice are the settings of planned stops: streams have to end within the first, and new requests
 	// are taken during the second.
-	DrainGrace  = 4 * time.Second
-	DrainNotice = time.Second
+	drainGrace  = 4 * time.Second
+	drainNotice = time.Second
 	// pauseReaction is how long after a pausing answer requests on their way may still arrive.
 	pauseReaction = 500 * time.Millisecond
 	// pauseTrials is how many requests may try a pausing server before its time is over.
@@ -41,8 +41,6 @@
 	crossing = 100 * time.Millisecond
 	// limitSlack is by how much an instance ends a request ahead of its time limit.
 	limitSlack = 50 * time.Millisecond
-	// ServeWithin is when each instance serves again after the last fault.
-	ServeWithin = 3 * time.Second
 )
 
 // Finding is a broken promise.
@@ -52,41 +50,39 @@
 	Text     string
 }
 
-// Check returns the promises that a run broke.
-func Check(r *Record) []Finding {
+type checker struct {
+	*record
+	answered map[laceunit.AttemptID]*answer
+	ran      map[laceunit.AttemptID][]*lacestage.Run
+	findings []Finding
+}
+
+// check returns the promises that a run broke.
+func check(r *record) []Finding {
 	c := &checker{
-		record:  r,
-		answers: map[laceunit.AttemptID]*Answer{},
-		runs:    map[laceunit.AttemptID][]*Run{},
+		record:   r,
+		answered: map[laceunit.AttemptID]*answer{},
+		ran:      map[laceunit.AttemptID][]*lacestage.Run{},
 	}
-	for i := range r.Answers {
-		c.answers[r.Answers[i].Attempt] = &r.Answers[i]
+	for i := range r.runs {
+		c.ran[r.runs[i].Attempt] = append(c.ran[r.runs[i].Attempt], &r.runs[i])
 	}
-	for i := range r.Runs {
-		x := &r.Runs[i]
-		c.runs[x.Attempt] = append(c.runs[x.Attempt], x)
+	for i := range r.answers {
+		c.answered[r.answers[i].Attempt] = &r.answers[i]
+		c.one(&r.answers[i])
 	}
 	c.budgets()
-	for i := range r.Answers {
-		c.answer(&r.Answers[i])
-	}
 	c.stops()
 	c.servers()
-	c.rest()
-	c.serves()
-	for _, i := range r.Exited {
-		c.add(PromiseRuns, nil, "instance %d ended by itself", i)
+	c.resting()
+	c.serving()
+	for _, i := range r.exited {
+		c.add(promiseRuns, nil, "instance %d ended by itself", i)
 	}
 	return c.findings
 }
 
-type checker struct {
-	record   *Record
-	answers  map[laceunit.AttemptID]*Answer
-	runs     map[laceunit.AttemptID][]*Run
-	findings []Finding
-}
-
+// add notes a finding.
 func (c *checker) add(promise string, attempts []laceunit.AttemptID, text string, args ...any) {
 	c.findings = append(c.findings, Finding{
 		Promise:  promise,
@@ -98,51 +94,48 @@
 // budgets compares what callers were given with what was paid.
 func (c *checker) budgets() {
 	given := map[laceunit.AccountID]laceunit.Tokens{}
-	for i := range c.record.Answers {
-		a := &c.record.Answers[i]
-		before := given[a.Account]
-		given[a.Account] += a.Given
-		if paid, ok := c.record.Paid[a.Account]; ok && before <= paid && given[a.Account] > paid {
-			defer func() {
-				c.add(PromiseBudget, []laceunit.AttemptID{a.Attempt}, "account %s paid %d and was given %d; the attempt went over",
-					a.Account, paid, given[a.Account])
-			}()
+	over := map[laceunit.AccountID][]laceunit.AttemptID{}
+	for i := range c.answers {
+		a := &c.answers[i]
+		given[a.account] += a.given
+		if a.given > 0 && given[a.account] > c.paid[a.account] {
+			over[a.account] = append(over[a.account], a.Attempt)
 		}
 	}
+	for account, attempts := range over {
+		c.add(promiseBudget, attempts, "account %s paid %d and was given %d", account, c.paid[account], given[account])
+	}
 }
 
-// answer checks one attempt.
-func (c *checker) answer(a *Answer) {
+// one checks what can be said of an attempt alone.
+func (c *checker) one(a *answer) {
 	id := []laceunit.AttemptID{a.Attempt}
 	executed := 0
-	for _, x := range c.runs[a.Attempt] {
-		if x.Account != a.Account {
-			c.add(PromiseAccount, id, "the key is of account %q, the server was told %q", a.Account, x.Account)
+	for _, x := range c.ran[a.Attempt] {
+		if x.Account != a.account {
+			c.add(promiseAccount, id, "the key is of account %q, the server was told %q", a.account, x.Account)
 		}
 		if x.Outcome.Ran() {
 			executed++
 		}
 	}
-	if a.Once && executed > 1 {
-		c.add(PromiseOnce, id, "a call that must not run twice ran %d times", executed)
+	if a.once && executed > 1 {
+		c.add(promiseOnce, id, "a call that must not run twice ran %d times", executed)
 	}
 	if saysNotRun(a.Status) && executed > 0 {
-		c.add(PromiseNotRun, id, "answered %d and ran %d times", a.Status, executed)
+		c.add(promiseNotRun, id, "answered %d and ran %d times", a.Status, executed)
 	}
 	if a.Stray {
-		c.add(PromiseWhole, id, "the connection held bytes that belong to no request")
+		c.add(promiseWhole, id, "the connection held bytes that belong to no request")
 	}
 	if a.Status != 0 && a.Echo != a.Attempt {
-		c.add(PromiseWhole, id, "the answer carries the id %q", a.Echo)
-	}
-	if a.Status < 200 || a.Status > 299 {
-		return
-	}
-	if a.Complete && !bytes.Equal(a.Body, a.Want) {
-		c.add(PromiseWhole, id, "status %d, framed as complete and isn't: %s", a.Status, difference(a.Body, a.Want))
+		c.add(promiseWhole, id, "the answer carries the id %q", a.Echo)
 	}
-	if !a.Complete && !bytes.HasPrefix(a.Want, a.Body) {
-		c.add(PromiseWhole, id, "status %d, has bytes that are not its own: %s", a.Status, difference(a.Body, a.Want))
+	switch success := a.Status >= 200 && a.Status < 300; {
+	case a.served() && !bytes.Equal(a.Body, a.want):
+		c.add(promiseWhole, id, "status %d, framed as complete and isn't: %s", a.Status, difference(a.Body, a.want))
+	case success && !bytes.HasPrefix(a.want, a.Body):
+		c.add(promiseWhole, id, "status %d, has bytes that are not its own: %s", a.Status, difference(a.Body, a.want))
 	}
 }
 
@@ -161,56 +154,48 @@
 	for i < len(got) && i < len(want) && got[i] == want[i] {
 		i++
 	}
-	const shown = 60
-	rest := got[i:]
-	return fmt.Sprintf("%d bytes of %d, differs at %d: %q", len(got), len(want), i, rest[:min(len(rest), shown)])
+	return fmt.Sprintf("%d bytes of %d, differs at %d: %.60q", len(got), len(want), i, got[i:])
 }
 
 // stops looks for answers that a planned stop cut.
 func (c *checker) stops() {
-	for i := range c.record.Deeds {
-		d := &c.record.Deeds[i]
-		if d.Kind != Stop {
-			continue
-		}
+	for i := range c.deeds {
+		d := &c.deeds[i]
 		var cut []laceunit.AttemptID
-		for j := range c.record.Answers {
-			if a := &c.record.Answers[j]; a.Instance == instanceID(d.Target) && c.cutBy(d, a) {
+		for j := range c.answers {
+			if a := &c.answers[j]; d.kind == stop && a.Instance == instanceID(d.number) && c.cutBy(d, a) {
 				cut = append(cut, a.Attempt)
 			}
 		}
 		if len(cut) > 0 {
-			c.add(PromiseStop, cut, "instance %d, stopped at %.3f s, cut %d answers", d.Target, d.At.Seconds(), len(cut))
+			c.add(promiseStop, cut, "instance %d, stopped at %.3f s, cut %d answers", d.number, d.at.Seconds(), len(cut))
 		}
 	}
 }
 
 // cutBy reports whether a planned stop cut an answer that nothing else explains.
-func (c *checker) cutBy(d *Deed, a *Answer) bool {
-	if a.Left || a.Refused || a.Complete || a.Sent.After(d.Ended) || a.Ended.Before(d.Began) || a.Ended.After(d.Ended.Add(crossing)) {
+func (c *checker) cutBy(d *deed, a *answer) bool {
+	if a.left || a.refused || a.Complete || a.Sent.After(d.ended) || a.Ended.Before(d.began) || a.Ended.After(d.ended.Add(crossing)) {
 		return false
 	}
 	// The instance ends a request at its time limit, whether it stops or not.
-	if a.Ended.Sub(a.Sent) >= a.Limit-limitSlack {
+	if a.Ended.Sub(a.Sent) >= a.limit-limitSlack {
 		return false
 	}
-	for _, x := range c.runs[a.Attempt] {
-		// What the server broke off, or kept silent about, can't be completed.
-		if x.faulty() || c.troubled(x) {
-			return false
-		}
+	// What a server broke off, or was slow or silent about, can't be completed; the instance gives silent servers up.
+	explained := func(x *lacestage.Run) bool {
+		return faulty(x) || slices.ContainsFunc(c.deeds, func(e deed) bool {
+			slow := e.rule.server.Silent || e.rule.server.Delay > 0
+			return slow && e.server == x.Server && !e.began.After(x.Ended) && !e.ended.Before(x.Arrived)
+		})
+	}
+	if slices.ContainsFunc(c.ran[a.Attempt], explained) {
+		return false
 	}
 	// HTTP/1.1 lets a peer close between two answers. A request that meets the close, after the time in which new ones are
 	// taken, was not accepted: no server got it and no byte came back.
-	onTheWay := a.Sent.After(d.Began.Add(DrainNotice)) && a.Ended.Sub(a.Sent) < crossing
-	return !onTheWay || a.Status != 0 || len(c.runs[a.Attempt]) > 0
-}
-
-// troubled reports whether a request met a server that was slow or silent, which ends in the instance giving it up.
-func (c *checker) troubled(x *Run) bool {
-	return slices.ContainsFunc(c.record.Deeds, func(d Deed) bool {
-		return d.Server == x.Server && (d.Kind == ServerSilent || d.Kind == ServerSlow) && !d.Began.After(x.Ended) && !d.Ended.Before(x.Arrived)
-	})
+	crossed := a.Sent.After(d.began.Add(drainNotice)) && a.Ended.Sub(a.Sent) < crossing
+	return !crossed || a.Status != 0 || len(c.ran[a.Attempt]) > 0
 }
 
 // path is one instance's way to one process of a server.
@@ -221,30 +206,28 @@
 
 // arrival is a request that came that way.
 type arrival struct {
-	run    *Run
-	answer *Answer
+	*lacestage.Run
+	caller *answer
 }
 
 // servers checks what reached servers after they said that they are leaving or pausing.
 func (c *checker) servers() {
 	ways := map[path][]arrival{}
-	for i := range c.record.Runs {
-		x := &c.record.Runs[i]
-		a := c.answers[x.Attempt]
-		if a == nil {
-			continue
+	for i := range c.runs {
+		x := arrival{
+			Run:    &c.runs[i],
+			caller: c.answered[c.runs[i].Attempt],
 		}
-		p := path{
-			instance: a.Instance,
-			server:   x.Server,
+		if x.caller != nil {
+			p := path{
+				instance: x.caller.Instance,
+				server:   x.Server,
+			}
+			ways[p] = append(ways[p], x)
 		}
-		ways[p] = append(ways[p], arrival{
-			run:    x,
-			answer: a,
-		})
 	}
 	for p, all := range ways {
-		slices.SortFunc(all, func(a, b arrival) int { return a.run.Arrived.Compare(b.run.Arrived) })
+		slices.SortFunc(all, func(a, b arrival) int { return a.Arrived.Compare(b.Arrived) })
 		c.leaving(p, all)
 		c.pausing(p, all)
 	}
@@ -256,46 +239,45 @@
 	var marked time.Time
 	var late []laceunit.AttemptID
 	for _, x := range all {
-		if !marked.IsZero() && x.answer.Sent.After(marked.Add(DrainTime)) && !c.disturbed(p.instance, marked, x.run.Arrived) {
-			late = append(late, x.run.Attempt)
+		if !marked.IsZero() && x.caller.Sent.After(marked.Add(drainTime)) && !c.disturbed(p.instance, marked, x.Arrived) {
+			late = append(late, x.Attempt)
 		}
-		if marked.IsZero() && x.run.Announced && x.answer.served() {
-			marked = x.answer.Ended
+		if marked.IsZero() && x.Announced && x.caller.served() {
+			marked = x.caller.Ended
 		}
 	}
 	if len(late) > 0 {
-		c.add(PromiseLeaving, late, "%s sent %d requests to server %s later than %s after its leaving mark",
-			p.instance, len(late), p.server, DrainTime)
+		c.add(promiseLeaving, late, "%s sent %d requests to %s later than %s after its leaving mark", p.instance, len(late), p.server, drainTime)
 	}
 }
 
 // pausing looks for requests that came before the end of a pause.
 func (c *checker) pausing(p path, all []arrival) {
-	var early []laceunit.AttemptID
+	var most []laceunit.AttemptID
 	for _, x := range all {
-		if x.run.Outcome != lacestage.Paused {
+		if x.Outcome != lacestage.Paused || c.disturbed(p.instance, x.Ended, x.PausedUntil) {
 			continue
 		}
-		from, to := x.run.Ended.Add(pauseReaction), x.run.PausedUntil
 		var within []laceunit.AttemptID
 		for _, y := range all {
-			if y.run.Arrived.After(from) && y.run.Arrived.Before(to) {
-				within = append(within, y.run.Attempt)
+			if y.Arrived.After(x.Ended.Add(pauseReaction)) && y.Arrived.Before(x.PausedUntil) {
+				within = append(within, y.Attempt)
 			}
 		}
-		if len(within) > pauseTrials && len(within) > len(early) && !c.disturbed(p.instance, x.run.Ended, to) {
-			early = within
+		if len(within) > len(most) {
+			most = within
 		}
 	}
-	if len(early) > 0 {
-		c.add(PromisePausing, early, "%s sent %d requests to server %s during one of its pauses", p.instance, len(early), p.server)
+	if len(most) > pauseTrials {
+		c.add(promisePausing, most, "%s sent %d requests to %s during one of its pauses", p.instance, len(most), p.server)
 	}
 }
 
 // disturbed reports whether an instance was frozen or started again within a time: a frozen one reads nothing, and a new
 // process has not heard what the one before was told.
 func (c *checker) disturbed(instance laceunit.InstanceID, from, to time.Time) bool {
-	return slices.ContainsFunc(c.record.Deeds, func(d Deed) bool {
-		return instanceID(d.Target) == instance && (d.Kind == Freeze || d.Kind == Stop || d.Kind == Kill) && d.Began.Before(to) && d.over().After(from)
+	return slices.ContainsFunc(c.deeds, func(d deed) bool {
+		ends := d.kind == stop || d.kind == kill || d.kind == freeze
+		return ends && instanceID(d.number) == instance && d.began.Before(to) && d.over().After(from)
 	})
 }
--- a/loadgen/lacesoak/check_test.go
+++ b/loadgen/lacesoak/check_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"lacewingcove/lib/laceunit"
+	"lacewingcove/platform/lacestage"
 )
 
 // at returns a moment of the hand-made runs.
@@ -15,76 +16,120 @@
 }
 
 // sound returns a run that breaks no promise: three answers of instance 0 by one server process, a planned stop, a freeze.
-func sound() *Record {
-	r := &Record{
-		Paid:      map[laceunit.AccountID]laceunit.Tokens{"a": 30},
-		Quiet:     at(20),
-		Instances: 1,
-		Last:      map[int]Sample{0: {}},
-		Deeds: []Deed{
-			{Event: Event{Kind: Stop}, Began: at(10), Ended: at(12), Ready: at(12.5)},
-			{Event: Event{Kind: Freeze}, Began: at(15), Ended: at(16)},
+func sound() *record {
+	r := &record{
+		paid:      map[laceunit.AccountID]laceunit.Tokens{"a": 30},
+		quiet:     at(20),
+		instances: 1,
+		last:      map[int]sample{0: {}},
+		deeds: []deed{
+			{event: event{rule: rule{kind: stop}}, began: at(10), ended: at(12), ready: at(12.5)},
+			{event: event{rule: rule{kind: freeze}}, began: at(15), ended: at(16)},
 		},
 	}
 	for i, sent := range []float64{1, 5, 20.5} {
-		id := laceunit.AttemptID(fmt.Sprintf("t-%d", i))
-		r.Answers = append(r.Answers, Answer{
-			Attempt: id, Named: id, Account: "a", Once: true, Sent: at(sent), Ended: at(sent + 0.5), Limit: 2 * time.Second,
-			Status: 200, Whole: true, Body: []byte("right"), Want: []byte("right"), Given: 10, Reused: true,
-		})
-		r.Runs = append(r.Runs, Run{Attempt: id, Account: "a", Born: 1, Began: at(sent + 0.1), Ended: at(sent + 0.4), Executed: true})
+		r.answer(fmt.Sprintf("t-%d", i), sent, sent+0.5)
 	}
 	return r
 }
 
+// answer adds an attempt with a whole answer.
+func (r *record) answer(id string, sent, ended float64) {
+	r.answers = append(r.answers, answer{
+		Answer: lacestage.Answer{
+			Attempt:  laceunit.AttemptID(id),
+			Echo:     laceunit.AttemptID(id),
+			Instance: instanceID(0),
+			Status:   200,
+			Complete: true,
+			Body:     []byte("right"),
+			Sent:     at(sent),
+			Ended:    at(ended),
+		},
+		account: "a",
+		once:    true,
+		limit:   2 * time.Second,
+		want:    []byte("right"),
+		given:   10,
+	})
+	r.runs = append(r.runs, lacestage.Run{
+		Attempt: laceunit.AttemptID(id),
+		Account: "a",
+		Server:  "s",
+		Arrived: at(sent),
+		Ended:   at(ended),
+		Outcome: lacestage.Whole,
+	})
+}
+
 // cut makes the second attempt one that a planned stop cut.
-func cut(r *Record) {
-	a := &r.Answers[1]
-	a.Sent, a.Ended, a.Whole, a.Body, a.Given = at(10.2), at(10.8), false, []byte("rig"), 0
+func cut(r *record) {
+	a := &r.answers[1]
+	a.Sent, a.Ended, a.Complete, a.Body = at(10.2), at(10.8), false, []byte("rig")
+}
+
+// crossed makes it one that met the close of its connection.
+func crossed(r *record) {
+	a := &r.answers[1]
+	a.Sent, a.Ended, a.Status, a.Complete, a.Body = at(11.5), at(11.55), 0, false, nil
+}
+
+// unseen removes the second run.
+func unseen(r *record) { r.runs = slices.Delete(r.runs, 1, 2) }
+
+// paused adds a pausing answer and three requests during the pause.
+func paused(r *record, from float64) {
+	for i, sent := range []float64{from, from + 0.6, from + 0.7, from + 0.8} {
+		r.answer(fmt.Sprintf("p-%d", i), sent, sent)
+		r.answers[3+i].Status, r.answers[3+i].given = 503, 0
+		r.runs[3+i].Outcome, r.runs[3+i].PausedUntil = lacestage.Paused, at(from+2)
+	}
 }
 
 // Guards against checks that find nothing in a run that broke a promise, and against findings in sound runs.
 func TestEachBrokenPromiseIsFound(t *testing.T) {
+	silent := deed{event: event{rule: rule{server: lacestage.ServerFault{Silent: true}}}, server: "s", began: at(5.2), ended: at(5.3)}
 	for name, c := range map[string]struct {
-		change func(r *Record)
+		change func(r *record)
 		want   []string
 	}{
-		"sound":             {change: func(*Record) {}},
-		"overspent":         {change: func(r *Record) { r.Answers[0].Given = 11 }, want: []string{PromiseBudget}},
-		"ran twice":         {change: func(r *Record) { r.Runs = append(r.Runs, r.Runs[0]) }, want: []string{PromiseOnce}},
-		"may run twice":     {change: func(r *Record) { r.Answers[0].Once = false; r.Runs = append(r.Runs, r.Runs[0]) }},
-		"other account":     {change: func(r *Record) { r.Runs[0].Account = "b" }, want: []string{PromiseAccount}},
-		"incomplete":        {change: func(r *Record) { r.Answers[0].Body = []byte("rig") }, want: []string{PromiseWhole}},
-		"broken off":        {change: func(r *Record) { r.Answers[0].Whole = false; r.Answers[0].Body = []byte("rig") }},
-		"foreign bytes":     {change: func(r *Record) { r.Answers[0].Whole = false; r.Answers[0].Body = []byte("wro") }, want: []string{PromiseWhole}},
-		"another's id":      {change: func(r *Record) { r.Answers[0].Named = "t-1" }, want: []string{PromiseWhole}},
-		"refused and ran":   {change: func(r *Record) { r.Answers[0].Status = 503 }, want: []string{PromiseNotRun}},
-		"refused":           {change: func(r *Record) { r.Answers[0].Status = 503; r.Runs[0].Executed = false }},
-		"failed and ran":    {change: func(r *Record) { r.Answers[0].Status = 502 }},
-		"cut by stop":       {change: cut, want: []string{PromiseStop}},
-		"cut, given up":     {change: func(r *Record) { cut(r); r.Answers[1].Left = true }},
-		"cut by server":     {change: func(r *Record) { cut(r); r.Runs[1].Fault = "crash" }},
-		"cut by limit":      {change: func(r *Record) { cut(r); r.Answers[1].Limit = 600 * time.Millisecond }},
-		"crossed close":     {change: func(r *Record) { crossed(r); r.Runs = slices.Delete(r.Runs, 1, 2) }},
-		"crossed and ran":   {change: crossed, want: []string{PromiseStop}},
-		"waited, then cut":  {change: func(r *Record) { crossed(r); r.Answers[1].Sent = at(11); r.Runs = slices.Delete(r.Runs, 1, 2) }, want: []string{PromiseStop}},
-		"sent when leaving": {change: func(r *Record) { r.Runs[0].Leaving = true }, want: []string{PromiseLeaving}},
-		"leaving, in time":  {change: func(r *Record) { r.Runs[0].Leaving = true; r.Answers[1].Sent = at(4.4); r.Runs[2].Born = 2 }},
-		"new process":       {change: func(r *Record) { r.Runs[1].Leaving = true }},
-		"paused":            {change: func(r *Record) { paused(r, 1) }, want: []string{PromisePausing}},
-		"paused, trials":    {change: func(r *Record) { paused(r, 1); r.Runs[5].Born = 2 }},
-		"paused, frozen":    {change: func(r *Record) { paused(r, 14.5) }},
-		"memory":            {change: func(r *Record) { r.Last[0] = Sample{Memory: memorySlack + 1} }, want: []string{PromiseRest}},
-		"files":             {change: func(r *Record) { r.Last[0] = Sample{Files: filesSlack + 1} }, want: []string{PromiseRest}},
-		"goroutines":        {change: func(r *Record) { r.Last[0] = Sample{Goroutines: goroutinesSlack + 1} }, want: []string{PromiseRest}},
-		"gone":              {change: func(r *Record) { delete(r.Last, 0) }, want: []string{PromiseRest}},
-		"serves late":       {change: func(r *Record) { r.Quiet = at(17.9) }, want: []string{PromiseServes}},
+		"sound":             {change: func(*record) {}},
+		"overspent":         {change: func(r *record) { r.answers[0].given = 11 }, want: []string{promiseBudget}},
+		"ran twice":         {change: func(r *record) { r.runs = append(r.runs, r.runs[0]) }, want: []string{promiseOnce}},
+		"may run twice":     {change: func(r *record) { r.answers[0].once = false; r.runs = append(r.runs, r.runs[0]) }},
+		"other account":     {change: func(r *record) { r.runs[0].Account = "b" }, want: []string{promiseAccount}},
+		"incomplete":        {change: func(r *record) { r.answers[0].Body = []byte("rig") }, want: []string{promiseWhole}},
+		"broken off":        {change: func(r *record) { r.answers[0].Complete = false; r.answers[0].Body = []byte("rig") }},
+		"foreign bytes":     {change: func(r *record) { r.answers[0].Complete = false; r.answers[0].Body = []byte("wro") }, want: []string{promiseWhole}},
+		"another's id":      {change: func(r *record) { r.answers[0].Echo = "t-1" }, want: []string{promiseWhole}},
+		"refused and ran":   {change: func(r *record) { r.answers[0].Status = 503 }, want: []string{promiseNotRun}},
+		"refused":           {change: func(r *record) { r.answers[0].Status = 503; r.runs[0].Outcome = lacestage.Full }},
+		"failed and ran":    {change: func(r *record) { r.answers[0].Status = 502 }},
+		"cut by stop":       {change: cut, want: []string{promiseStop}},
+		"cut, given up":     {change: func(r *record) { cut(r); r.answers[1].left = true }},
+		"cut by server":     {change: func(r *record) { cut(r); r.runs[1].Outcome = lacestage.Broken }},
+		"cut, slow server":  {change: func(r *record) { cut(r); r.deeds = append(r.deeds, silent) }},
+		"cut by limit":      {change: func(r *record) { cut(r); r.answers[1].limit = 600 * time.Millisecond }},
+		"crossed close":     {change: func(r *record) { crossed(r); unseen(r) }},
+		"crossed and ran":   {change: crossed, want: []string{promiseStop}},
+		"waited, then cut":  {change: func(r *record) { crossed(r); r.answers[1].Sent = at(11); unseen(r) }, want: []string{promiseStop}},
+		"sent when leaving": {change: func(r *record) { r.runs[0].Announced = true }, want: []string{promiseLeaving}},
+		"leaving, in time":  {change: func(r *record) { r.runs[0].Announced = true; r.answers[1].Sent = at(4.4); r.runs[2].Server = "new" }},
+		"new process":       {change: func(r *record) { r.runs[1].Announced = true }},
+		"paused":            {change: func(r *record) { paused(r, 1) }, want: []string{promisePausing}},
+		"paused, trials":    {change: func(r *record) { paused(r, 1); r.runs[5].Server = "new" }},
+		"paused, frozen":    {change: func(r *record) { paused(r, 14.5) }},
+		"memory":            {change: func(r *record) { r.last[0] = sample{memory: memorySlack + 1} }, want: []string{promiseRest}},
+		"files":             {change: func(r *record) { r.last[0] = sample{files: filesSlack + 1} }, want: []string{promiseRest}},
+		"goroutines":        {change: func(r *record) { r.last[0] = sample{goroutines: goroutinesSlack + 1} }, want: []string{promiseRest}},
+		"gone":              {change: func(r *record) { delete(r.last, 0) }, want: []string{promiseRest}},
+		"serves late":       {change: func(r *record) { r.quiet = at(17.9) }, want: []string{promiseServes}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := sound()
 			c.change(r)
 			var got []string
-			for _, f := range Check(r) {
+			for _, f := range check(r) {
 				got = append(got, f.Promise)
 			}
 			if !slices.Equal(got, c.want) {
@@ -93,19 +138,3 @@
 		})
 	}
 }
-
-// crossed makes the second attempt one that met the close of its connection.
-func crossed(r *Record) {
-	a := &r.Answers[1]
-	a.Sent, a.Ended, a.Status, a.Whole, a.Body, a.Given = at(11.5), at(11.55), 0, false, nil, 0
-}
-
-// paused adds a pausing answer and three requests during the pause.
-func paused(r *Record, from float64) {
-	for i, began := range []float64{from, from + 0.6, from + 0.7, from + 0.8} {
-		id := laceunit.AttemptID(fmt.Sprintf("p-%d", i))
-		r.Answers = append(r.Answers, Answer{Attempt: id, Named: id, Account: "a", Sent: at(began), Ended: at(began), Status: 503})
-		r.Runs = append(r.Runs, Run{Attempt: id, Account: "a", Born: 1, Began: at(began), Ended: at(began)})
-	}
-	r.Runs[3].Pause = 2 * time.Second
-}
--- a/loadgen/lacesoak/drive.go
+++ b/loadgen/lacesoak/drive.go
@@ -12,159 +12,128 @@
 	"lacewingcove/platform/lacestage"
 )
 
-const (
-	// storeDelay is what a slow store adds to each call, lostShare how many answers of writes get lost.
-	storeDelay = 300 * time.Millisecond
-	lostShare  = 0.5
-	// answerDelay and gapDelay are what a slow server adds, lateBy how much later a second copy comes.
-	answerDelay = 300 * time.Millisecond
-	gapDelay    = 100 * time.Millisecond
-	lateBy      = 20 * time.Millisecond
-	// faultShare is how many answers a fault of a server meets.
-	faultShare = 0.4
-	// cuts is how many places there are to break an answer off.
-	cuts = 5
-)
-
 // driver carries the events of a plan out.
 type driver struct {
-	site    *site
-	fleet   *Fleet
+	*site
+	fleet   *fleet
 	callers *callers
 	began   time.Time
 
 	mu     sync.Mutex
-	deeds  []Deed
+	deeds  []deed
 	failed error
 }
 
 // run carries all events out and waits for their ends.
-func (d *driver) run(ctx context.Context, plan []Event) error {
+func (d *driver) run(ctx context.Context, plan []event) error {
 	var all sync.WaitGroup
 	for _, e := range plan {
 		all.Go(func() {
-			if !sleep(ctx, time.Until(d.began.Add(e.At))) {
-				return
+			if sleep(ctx, time.Until(d.began.Add(e.at))) {
+				d.do(ctx, e)
 			}
-			d.do(ctx, e)
 		})
 	}
 	all.Wait()
-	slices.SortStableFunc(d.deeds, func(a, b Deed) int { return int(a.At - b.At) })
+	slices.SortStableFunc(d.deeds, func(a, b deed) int { return int(a.at - b.at) })
 	if d.failed != nil {
 		return d.failed
 	}
 	return errors.Wrap(ctx.Err(), "soak")
 }
 
-func (d *driver) do(ctx context.Context, e Event) {
-	x := Deed{
-		Event: e,
-		Began: time.Now(),
+func (d *driver) do(ctx context.Context, e event) {
+	x := deed{
+		event: e,
+		began: time.Now(),
 	}
 	var err error
-	switch e.Kind {
-	case Stop, Kill, Freeze, Hangup:
+	switch e.target {
+	case anInstance:
 		err = d.signal(ctx, &x)
-	case StoreRefuses, StoreSilent, StoreResets, StoreCut, StoreSlow, StoreLoses, StoreForgets:
-		err = d.store(ctx, &x)
-	case NewVersion, NewLimit, KeyRevoked, TopUp, RouteAdded:
-		err = d.configure(&x)
-	case Burst:
-		d.callers.add(burstEach*len(d.callers.instances), e.For)
-	case ServerCrash, ServerReplace, LeaveStore, LeaveHeader, LeaveBoth:
-		err = d.end(ctx, &x)
-	default:
-		d.disturb(ctx, &x)
-	}
-	if x.Ended.IsZero() {
-		x.Ended = time.Now()
-	}
-	if err != nil {
-		x.Problem = err.Error()
+	case theStore:
+		err = d.disturbStore(ctx, e)
+	case theConfiguration:
+		err = d.configure(e)
+	case theCallers:
+		d.callers.add(burstEach*len(d.callers.instances), e.length)
+	case anEngine, aServer:
+		err = d.disturbServer(ctx, &x)
+	}
+	if x.ended.IsZero() {
+		x.ended = time.Now()
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.deeds = append(d.deeds, x)
-	if err != nil && d.failed == nil {
-		d.failed = err
+	if d.failed == nil {
+		d.failed = errors.Wrap(err, e.String())
 	}
 }
 
 // signal ends an instance and starts it again, freezes it or makes it read its settings.
-func (d *driver) signal(ctx context.Context, x *Deed) error {
-	switch x.Kind {
-	case Hangup:
-		return d.fleet.Hangup(x.Target)
-	case Freeze:
-		if err := d.fleet.Freeze(x.Target); err != nil {
+func (d *driver) signal(ctx context.Context, x *deed) error {
+	p := d.fleet.process(x.number, x.kind == stop || x.kind == kill)
+	switch x.kind {
+	case hangup:
+		return p.Hangup()
+	case freeze:
+		if err := p.Freeze(); err != nil {
 			return err
 		}
-		sleep(ctx, x.For)
-		return d.fleet.Wake(x.Target)
-	case Stop:
-		d.fleet.Stop(x.Target)
+		sleep(ctx, x.length)
+		return p.Wake()
+	case stop:
+		p.Stop(drainGrace + stopPatience)
 	default:
-		d.fleet.Kill(x.Target)
-	}
-	x.Ended = time.Now()
-	if !sleep(ctx, x.For) {
-		return ctx.Err()
+		p.Kill()
 	}
-	err := d.fleet.Start(ctx, x.Target)
-	x.Ready = time.Now()
+	x.ended = time.Now()
+	sleep(ctx, x.length)
+	err := d.fleet.start(ctx, x.number)
+	x.ready = time.Now()
 	return err
 }
 
-func (d *driver) store(ctx context.Context, x *Deed) error {
-	s := d.site.store
-	if x.Kind == StoreForgets {
-		s.Forget()
-		return nil
-	}
-	f, ok := map[Kind]lacestage.StoreFault{
-		StoreRefuses: {Away: lacestage.Refusing},
-		StoreSilent:  {Away: lacestage.Silent},
-		StoreResets:  {Away: lacestage.Resetting},
-		StoreSlow:    {Delay: storeDelay},
-		StoreLoses:   {LostAnswers: lostShare},
-	}[x.Kind]
-	if ok {
-		// Leases of a store that is away may end or not.
-		f.HoldLeases = x.Choice%2 == 0
-		s.SetFault(f)
-		sleep(ctx, x.For)
-		s.SetFault(lacestage.StoreFault{})
-		return nil
-	}
-	f.Away = []lacestage.Away{lacestage.Silent, lacestage.Refusing, lacestage.Resetting}[x.Choice%3]
-	for _, i := range x.Apart {
-		if err := s.SetInstanceFault(instanceID(i), f); err != nil {
-			return err
-		}
-	}
-	sleep(ctx, x.For)
-	for _, i := range x.Apart {
-		if err := s.SetInstanceFault(instanceID(i), lacestage.StoreFault{}); err != nil {
-			return err
+func (d *driver) disturbStore(ctx context.Context, e event) error {
+	f := e.store
+	// Leases of a store that is away may end or not.
+	f.HoldLeases = e.choice%2 == 0
+	switch e.kind {
+	case forget:
+		d.store.Forget()
+	case apart:
+		f.Away = []lacestage.Away{lacestage.Silent, lacestage.Refusing, lacestage.Resetting}[e.choice%3]
+		for _, g := range []lacestage.StoreFault{f, {}} {
+			for _, i := range e.apart {
+				if err := d.store.SetInstanceFault(instanceID(i), g); err != nil {
+					return err
+				}
+			}
+			if g.Away != lacestage.Present {
+				sleep(ctx, e.length)
+			}
 		}
+	default:
+		d.store.SetFault(f)
+		sleep(ctx, e.length)
+		d.store.SetFault(lacestage.StoreFault{})
 	}
 	return nil
 }
 
 // configure writes a new version.
-func (d *driver) configure(x *Deed) error {
-	return d.site.apply(func(c *laceroute.Document) {
-		switch x.Kind {
-		case NewLimit:
-			r := &c.Routes[x.Choice%len(c.Routes)]
+func (d *driver) configure(e event) error {
+	return d.apply(func(c *laceroute.Document) {
+		switch e.kind {
+		case limit:
+			r := &c.Routes[e.choice%len(c.Routes)]
 			r.Timeout = routeLimit + shortLimit - r.Timeout
-		case KeyRevoked:
-			a := &c.Accounts[accountRevoked]
-			a.Keys = a.Keys[:1]
-		case TopUp:
-			c.Accounts[accountToppedUp].Paid += topUp
-		case RouteAdded:
+		case revoke:
+			c.Accounts[accountRevoked].Keys = c.Accounts[accountRevoked].Keys[:1]
+		case topUp:
+			c.Accounts[accountToppedUp].Paid += scarce / 2
+		case addRoute:
 			for _, k := range kinds() {
 				if k.later && !slices.ContainsFunc(c.Routes, func(r laceroute.Route) bool { return r.Name == k.name }) {
 					c.Routes = append(c.Routes, k.route())
@@ -174,52 +143,39 @@
 	})
 }
 
-// end ends a server and starts another one.
-func (d *driver) end(ctx context.Context, x *Deed) error {
-	s := d.site.server(x.Target)
-	x.Server = s.ID()
-	cut, fresh := lacestage.Cut(x.Choice%cuts), x.Choice%2 == 0
-	if x.Kind == ServerCrash || x.Kind == ServerReplace {
+// disturbServer ends a server and starts another one, or makes it misbehave for a time.
+func (d *driver) disturbServer(ctx context.Context, x *deed) error {
+	s := d.server(x.number)
+	x.server = s.ID()
+	cut := lacestage.Cut(x.choice % int(lacestage.CutFrame+1))
+	switch {
+	case x.kind == crash || x.kind == replace:
 		s.Crash(cut)
-		sleep(ctx, x.For)
-		return d.site.launch(x.Target, fresh, s.Address())
-	}
-	s.Leave(lacestage.Leaving{
-		Store:  x.Kind != LeaveHeader,
-		Header: x.Kind != LeaveStore,
-		Drain:  x.For,
-	})
-	select {
-	case <-s.Ended():
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-	if err := s.Close(); err != nil && !errors.Is(err, lacestage.ErrClosed) {
-		return err
-	}
-	return d.site.launch(x.Target, true, "")
-}
-
-// disturb makes a server misbehave for a time.
-func (d *driver) disturb(ctx context.Context, x *Deed) {
-	s := d.site.server(x.Target)
-	x.Server = s.ID()
-	if x.Kind == ServerPause {
-		s.Pause(x.For)
-		sleep(ctx, x.For)
-		return
+		sleep(ctx, x.length)
+		return d.launch(x.number, x.choice%2 == 0, s.Address())
+	case x.kind == pause:
+		s.Pause(x.length)
+		sleep(ctx, x.length)
+	case x.leave.Store || x.leave.Header:
+		l := x.leave
+		l.Drain = x.length
+		s.Leave(l)
+		select {
+		case <-s.Ended():
+		case <-ctx.Done():
+		}
+		if err := s.Close(); err != nil && !errors.Is(err, lacestage.ErrClosed) {
+			return err
+		}
+		return d.launch(x.number, true, "")
+	default:
+		f := x.rule.server
+		f.Cut = cut
+		s.SetFault(f)
+		sleep(ctx, x.length)
+		s.SetFault(lacestage.ServerFault{})
 	}
-	cut := lacestage.Cut(x.Choice % cuts)
-	s.SetFault(map[Kind]lacestage.ServerFault{
-		ServerSlow:    {Delay: answerDelay, GapDelay: gapDelay},
-		ServerSilent:  {Silent: true},
-		ServerCut:     {Break: faultShare, Cut: cut},
-		ServerResume:  {FailResumed: true, Break: faultShare, Cut: cut},
-		ServerCopies:  {Late: faultShare, LateBy: lateBy},
-		ServerGarbage: {Garble: faultShare, Lose: faultShare / 2},
-	}[x.Kind])
-	sleep(ctx, x.For)
-	s.SetFault(lacestage.ServerFault{})
+	return nil
 }
 
 // sleep reports false when the context ended first.
--- a/loadgen/lacesoak/fleet.go
+++ b/loadgen/lacesoak/fleet.go
@@ -27,35 +27,33 @@
 	readyTimeout = 20 * time.Second
 )
 
-// Place is where an instance runs.
-type Place struct {
-	Name      laceunit.InstanceID
-	Settings  string
-	Log       string
-	Caller    laceunit.Address
-	Directory laceunit.Address
-	Peer      laceunit.Address
+// place is where an instance runs.
+type place struct {
+	settings  string
+	log       string
+	caller    laceunit.Address
+	directory laceunit.Address
+	peer      laceunit.Address
 }
 
-// Fleet runs the processes of the instances.
-type Fleet struct {
+// fleet runs the processes of the instances.
+type fleet struct {
 	program string
-	places  []Place
+	places  []place
 	// ready asks an instance whether it takes requests.
-	ready func(ctx context.Context, p Place) bool
+	ready func(ctx context.Context, p place) bool
 	http  http.Client
 
 	mu        sync.Mutex
 	processes []*laceprocess.Process
 	// down is true while an instance is away on purpose.
-	down  []bool
-	peak  Sample
-	total float64
+	down   []bool
+	peak   sample
+	memory float64
 }
 
-// NewFleet returns a fleet without processes.
-func NewFleet(program string, places []Place, ready func(context.Context, Place) bool) *Fleet {
-	return &Fleet{
+func newFleet(program string, places []place, ready func(context.Context, place) bool) *fleet {
+	return &fleet{
 		program:   program,
 		places:    places,
 		ready:     ready,
@@ -65,10 +63,10 @@
 	}
 }
 
-// Start starts an instance and waits until it takes requests.
-func (f *Fleet) Start(ctx context.Context, i int) error {
+// start starts an instance and waits until it takes requests.
+func (f *fleet) start(ctx context.Context, i int) error {
 	x := f.places[i]
-	p, err := laceprocess.Start(x.Log, f.program, "-settings", x.Settings, "run")
+	p, err := laceprocess.Start(x.log, f.program, "-settings", x.settings, "run")
 	if err != nil {
 		return err
 	}
@@ -77,25 +75,23 @@
 	f.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
-	ticker := time.NewTicker(readyEvery)
-	defer ticker.Stop()
 	for !f.ready(ctx, x) {
 		select {
-		case <-ticker.C:
+		case <-time.After(readyEvery):
 		case <-p.Ended():
-			return errors.Errorf("soak: %s ended by itself, see %s", x.Name, x.Log)
+			return errors.Errorf("instance %d ended by itself, see %s", i, x.log)
 		case <-ctx.Done():
-			return errors.Errorf("soak: %s is not ready after %s, see %s", x.Name, readyTimeout, x.Log)
+			return errors.Errorf("instance %d is not ready after %s, see %s", i, readyTimeout, x.log)
 		}
 	}
 	return nil
 }
 
-// StartAll starts all instances at once.
-func (f *Fleet) StartAll(ctx context.Context) error {
+// startAll starts all instances at once.
+func (f *fleet) startAll(ctx context.Context) error {
 	ended := make(chan error, len(f.places))
 	for i := range f.places {
-		go func() { ended <- f.Start(ctx, i) }()
+		go func() { ended <- f.start(ctx, i) }()
 	}
 	var first error
 	for range f.places {
@@ -107,153 +103,106 @@
 }
 
 // process returns the process of an instance; ending means that its end is meant.
-func (f *Fleet) process(i int, ending bool) *laceprocess.Process {
+func (f *fleet) process(i int, ending bool) *laceprocess.Process {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.down[i] = f.down[i] || ending
 	return f.processes[i]
 }
 
-// Stop asks an instance to end and waits for it.
-func (f *Fleet) Stop(i int) { f.process(i, true).Stop(DrainGrace + stopPatience) }
-
-// Kill ends an instance at once.
-func (f *Fleet) Kill(i int) { f.process(i, true).Kill() }
-
-// Freeze stops an instance without ending it.
-func (f *Fleet) Freeze(i int) error { return f.process(i, false).Freeze() }
-
-// Wake lets a frozen instance go on.
-func (f *Fleet) Wake(i int) error { return f.process(i, false).Wake() }
-
-// Hangup tells an instance to read its settings again.
-func (f *Fleet) Hangup(i int) error { return f.process(i, false).Hangup() }
-
-// Exited returns the instances that ended by themselves.
-func (f *Fleet) Exited() []int {
+// exited returns the instances that ended by themselves.
+func (f *fleet) exited() []int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var all []int
 	for i, p := range f.processes {
-		if p == nil || f.down[i] {
-			continue
-		}
 		select {
 		case <-p.Ended():
-			all = append(all, i)
+			if !f.down[i] {
+				all = append(all, i)
+			}
 		default:
 		}
 	}
 	return all
 }
 
-// Close ends all processes and waits for them.
-func (f *Fleet) Close() {
+// close ends all processes and waits for them. Kill reaches frozen ones as well.
+func (f *fleet) close() {
 	var all sync.WaitGroup
 	for i := range f.places {
-		p := f.process(i, true)
-		if p == nil {
-			continue
+		if p := f.process(i, true); p != nil {
+			all.Go(p.Kill)
 		}
-		all.Go(func() {
-			// A frozen process does not hear of its end; this fails only when the process has ended.
-			_ = p.Wake()
-			p.Kill()
-		})
 	}
 	all.Wait()
 	f.http.CloseIdleConnections()
 }
 
-// Sample asks an instance what it uses.
-func (f *Fleet) Sample(ctx context.Context, i int) (Sample, error) {
-	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+string(f.places[i].Peer)+"/metrics", http.NoBody)
+// sample asks an instance what it uses.
+func (f *fleet) sample(ctx context.Context, i int) (sample, error) {
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+string(f.places[i].peer)+"/metrics", http.NoBody)
 	if err != nil {
-		return Sample{}, errors.Wrap(err, "soak")
+		return sample{}, errors.Wrap(err, "soak")
 	}
 	r, err := f.http.Do(q)
 	if err != nil {
-		return Sample{}, errors.Wrap(err, "soak")
+		return sample{}, errors.Wrap(err, "soak")
 	}
 	defer func() { _ = r.Body.Close() }() // Everything that is needed was read.
 	return readSample(r.Body)
 }
 
 // readSample reads the process's own metrics.
-func readSample(r io.Reader) (Sample, error) {
-	var s Sample
+func readSample(r io.Reader) (s sample, err error) {
 	fields := map[string]*float64{
-		"process_resident_memory_bytes": &s.Memory,
-		"process_open_fds":              &s.Files,
-		"go_goroutines":                 &s.Goroutines,
+		"process_resident_memory_bytes": &s.memory,
+		"process_open_fds":              &s.files,
+		"go_goroutines":                 &s.goroutines,
 	}
-	lines := bufio.NewScanner(r)
-	for lines.Scan() {
+	for lines := bufio.NewScanner(r); lines.Scan() && err == nil; {
 		name, value, _ := strings.Cut(lines.Text(), " ")
-		to := fields[name]
-		if to == nil {
-			continue
-		}
-		n, err := strconv.ParseFloat(value, 64)
-		if err != nil {
-			return s, errors.Wrap(err, "soak: "+name)
+		if to := fields[name]; to != nil {
+			*to, err = strconv.ParseFloat(value, 64)
 		}
-		*to = n
-		delete(fields, name)
 	}
-	if len(fields) > 0 {
-		return s, errors.New("soak: the metrics of the process are missing")
+	if err == nil && (s.memory == 0 || s.files == 0 || s.goroutines == 0) {
+		err = errors.New("metrics of the process are missing")
 	}
-	return s, errors.Wrap(lines.Err(), "soak")
+	return s, errors.Wrap(err, "soak")
 }
 
-// SampleAll asks all instances and keeps the peaks.
-func (f *Fleet) SampleAll(ctx context.Context) map[int]Sample {
-	all := map[int]Sample{}
-	var total float64
+// sampleAll asks all instances and keeps the peaks.
+func (f *fleet) sampleAll(ctx context.Context) map[int]sample {
+	all := map[int]sample{}
 	for i := range f.places {
-		s, err := f.Sample(ctx, i)
-		if err != nil {
-			// An instance that is down or frozen tells nothing.
-			continue
+		// An instance that is down or frozen tells nothing; one that tells nothing at the end is a finding.
+		if s, err := f.sample(ctx, i); err == nil {
+			all[i] = s
 		}
-		all[i] = s
-		total += s.Memory
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.total = max(f.total, total)
+	var memory float64
 	for _, s := range all {
+		memory += s.memory
 		f.peak = larger(f.peak, s)
 	}
+	f.memory = max(f.memory, memory)
 	return all
 }
 
-// Peaks returns the largest use of one instance and the most memory of all together.
-func (f *Fleet) Peaks() (one Sample, memory float64) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.peak, f.total
-}
-
-// Watch samples until the context ends.
-func (f *Fleet) Watch(ctx context.Context) {
-	ticker := time.NewTicker(sampleEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			f.SampleAll(ctx)
-		}
+func larger(a, b sample) sample {
+	return sample{
+		memory:     max(a.memory, b.memory),
+		files:      max(a.files, b.files),
+		goroutines: max(a.goroutines, b.goroutines),
 	}
 }
 
-func larger(a, b Sample) Sample {
-	return Sample{
-		Memory:     max(a.Memory, b.Memory),
-		Files:      max(a.Files, b.Files),
-		Goroutines: max(a.Goroutines, b.Goroutines),
+// watch samples until the context ends.
+func (f *fleet) watch(ctx context.Context) {
+	for sleep(ctx, sampleEvery) {
+		f.sampleAll(ctx)
 	}
 }
--- a/loadgen/lacesoak/plan.go
+++ b/loadgen/lacesoak/plan.go
@@ -1,52 +1,29 @@
 package lacesoak
 
 import (
-	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
-)
 
-// Kind names what an event does.
-type Kind string
+	"lacewingcove/platform/lacestage"
+)
 
-// The kinds of events.
+// Kinds of events that code names; the others are rows of the table below.
 const (
-	// Signals to instances. Stop and Kill start the instance again after the event's length.
-	Stop   Kind = "stop"
-	Kill   Kind = "kill"
-	Freeze Kind = "freeze"
-	Hangup Kind = "hangup"
-	// Faults of the store.
-	StoreRefuses Kind = "store-refuses"
-	StoreSilent  Kind = "store-silent"
-	StoreResets  Kind = "store-resets"
-	StoreCut     Kind = "store-cut"
-	StoreSlow    Kind = "store-slow"
-	StoreLoses   Kind = "store-loses-answers"
-	StoreForgets Kind = "store-forgets"
-	// Faults of backend servers.
-	ServerCrash   Kind = "server-crash"
-	ServerReplace Kind = "server-replaced"
-	LeaveStore    Kind = "leaving-by-store"
-	LeaveHeader   Kind = "leaving-by-header"
-	LeaveBoth     Kind = "leaving-by-both"
-	ServerPause   Kind = "server-pauses"
-	ServerSlow    Kind = "server-slow"
-	ServerSilent  Kind = "server-silent"
-	ServerCut     Kind = "server-breaks-off"
-	ServerResume  Kind = "server-fails-resumed"
-	ServerCopies  Kind = "server-late-copies"
-	ServerGarbage Kind = "server-garbage"
-	// Changes of the configuration.
-	NewVersion Kind = "config-version"
-	NewLimit   Kind = "config-time-limit"
-	KeyRevoked Kind = "config-key-revoked"
-	TopUp      Kind = "config-top-up"
-	RouteAdded Kind = "config-route"
-	// Burst adds callers.
-	Burst Kind = "burst"
+	stop     = "stop"
+	kill     = "kill"
+	freeze   = "freeze"
+	hangup   = "hangup"
+	forget   = "store-forgets"
+	apart    = "store-away-for-some"
+	crash    = "server-crash"
+	replace  = "server-replaced"
+	pause    = "server-pauses"
+	limit    = "config-time-limit"
+	revoke   = "config-key-revoked"
+	topUp    = "config-top-up"
+	addRoute = "config-route"
 )
 
 // target says what an event is about.
@@ -61,15 +38,18 @@
 	theCallers
 )
 
-// rule is how often and how long a kind may happen.
+// rule is how often and how long a kind of event may happen, and which fault it sets.
 type rule struct {
-	kind   Kind
+	kind   string
 	target target
 	// cards is how many of this kind are in the deck that events are drawn from.
 	cards       int
 	least, most time.Duration
 	// busy is how long the target stays occupied after the event's length.
-	busy time.Duration
+	busy   time.Duration
+	store  lacestage.StoreFault
+	server lacestage.ServerFault
+	leave  lacestage.Leaving
 }
 
 const (
@@ -82,42 +62,44 @@
 	// seriesMost bounds the events of a series, seriesStep the time between two of them.
 	seriesMost = 4
 	seriesStep = 600 * time.Millisecond
-	// leaveSpan is longer than DrainTime, so that requests after it are seen.
-	leaveSpan = DrainTime + time.Second
+	// leaveSpan is longer than drainTime, so that requests after it are seen.
+	leaveSpan = drainTime + time.Second
+	// faultShare is how many answers a fault of a server meets.
+	faultShare = 0.4
 )
 
 func rules() []rule {
 	const ms = time.Millisecond
 	return []rule{
-		{kind: Stop, target: anInstance, cards: 3, least: 50 * ms, most: 800 * ms, busy: DrainGrace + startSpan},
-		{kind: Kill, target: anInstance, cards: 3, least: 50 * ms, most: 2000 * ms, busy: startSpan},
-		{kind: Freeze, target: anInstance, cards: 2, least: 300 * ms, most: 4000 * ms},
-		{kind: Hangup, target: anInstance, cards: 1},
-		{kind: StoreRefuses, target: theStore, cards: 1, least: 300 * ms, most: 3000 * ms},
-		{kind: StoreSilent, target: theStore, cards: 1, least: 300 * ms, most: 3000 * ms},
-		{kind: StoreResets, target: theStore, cards: 1, least: 300 * ms, most: 3000 * ms},
-		{kind: StoreCut, target: theStore, cards: 2, least: 300 * ms, most: 3000 * ms},
-		{kind: StoreSlow, target: theStore, cards: 1, least: 300 * ms, most: 3000 * ms},
-		{kind: StoreLoses, target: theStore, cards: 1, least: 300 * ms, most: 2000 * ms},
-		{kind: StoreForgets, target: theStore, cards: 1},
-		{kind: ServerCrash, target: anEngine, cards: 2, least: 50 * ms, most: 1500 * ms},
-		{kind: ServerReplace, target: aServer, cards: 1, least: 0, most: 500 * ms},
-		{kind: LeaveStore, target: aServer, cards: 1, least: leaveSpan, most: leaveSpan},
-		{kind: LeaveHeader, target: aServer, cards: 1, least: leaveSpan, most: leaveSpan},
-		{kind: LeaveBoth, target: aServer, cards: 1, least: leaveSpan, most: leaveSpan},
-		{kind: ServerPause, target: aServer, cards: 2, least: 1500 * ms, most: 2500 * ms},
-		{kind: ServerSlow, target: aServer, cards: 1, least: 300 * ms, most: 2000 * ms},
-		{kind: ServerSilent, target: aServer, cards: 1, least: 300 * ms, most: 2000 * ms},
-		{kind: ServerCut, target: aServer, cards: 2, least: 300 * ms, most: 2000 * ms},
-		{kind: ServerResume, target: anEngine, cards: 3, least: 500 * ms, most: 3000 * ms},
-		{kind: ServerCopies, target: aServer, cards: 1, least: 300 * ms, most: 2000 * ms},
-		{kind: ServerGarbage, target: aServer, cards: 1, least: 300 * ms, most: 2000 * ms},
-		{kind: NewVersion, target: theConfiguration, cards: 1},
-		{kind: NewLimit, target: theConfiguration, cards: 1},
-		{kind: KeyRevoked, target: theConfiguration, cards: 1},
-		{kind: TopUp, target: theConfiguration, cards: 1},
-		{kind: RouteAdded, target: theConfiguration, cards: 1},
-		{kind: Burst, target: theCallers, cards: 1, least: 300 * ms, most: 1500 * ms},
+		{kind: stop, target: anInstance, cards: 3, least: 50 * ms, most: 800 * ms, busy: drainGrace + startSpan},
+		{kind: kill, target: anInstance, cards: 3, least: 50 * ms, most: 2000 * ms, busy: startSpan},
+		{kind: freeze, target: anInstance, cards: 2, least: 300 * ms, most: 4000 * ms},
+		{kind: hangup, target: anInstance, cards: 1},
+		{kind: "store-refuses", target: theStore, cards: 1, least: 300 * ms, most: 3000 * ms, store: lacestage.StoreFault{Away: lacestage.Refusing}},
+		{kind: "store-silent", target: theStore, cards: 1, least: 300 * ms, most: 3000 * ms, store: lacestage.StoreFault{Away: lacestage.Silent}},
+		{kind: "store-resets", target: theStore, cards: 1, least: 300 * ms, most: 3000 * ms, store: lacestage.StoreFault{Away: lacestage.Resetting}},
+		{kind: "store-slow", target: theStore, cards: 1, least: 300 * ms, most: 3000 * ms, store: lacestage.StoreFault{Delay: 300 * ms}},
+		{kind: "store-loses-answers", target: theStore, cards: 1, least: 300 * ms, most: 2000 * ms, store: lacestage.StoreFault{LostAnswers: 0.5}},
+		{kind: apart, target: theStore, cards: 2, least: 300 * ms, most: 3000 * ms},
+		{kind: forget, target: theStore, cards: 1},
+		{kind: crash, target: anEngine, cards: 2, least: 50 * ms, most: 1500 * ms},
+		{kind: replace, target: aServer, cards: 1, most: 500 * ms},
+		{kind: "leaving-by-store", target: aServer, cards: 1, least: leaveSpan, most: leaveSpan, leave: lacestage.Leaving{Store: true}},
+		{kind: "leaving-by-header", target: aServer, cards: 1, least: leaveSpan, most: leaveSpan, leave: lacestage.Leaving{Header: true}},
+		{kind: "leaving-by-both", target: aServer, cards: 1, least: leaveSpan, most: leaveSpan, leave: lacestage.Leaving{Store: true, Header: true}},
+		{kind: pause, target: aServer, cards: 2, least: 1500 * ms, most: 2500 * ms},
+		{kind: "server-slow", target: aServer, cards: 1, least: 300 * ms, most: 2000 * ms, server: lacestage.ServerFault{Delay: 300 * ms, GapDelay: 100 * ms}},
+		{kind: "server-silent", target: aServer, cards: 1, least: 300 * ms, most: 2000 * ms, server: lacestage.ServerFault{Silent: true}},
+		{kind: "server-breaks-off", target: aServer, cards: 2, least: 300 * ms, most: 2000 * ms, server: lacestage.ServerFault{Break: faultShare}},
+		{kind: "server-fails-resumed", target: anEngine, cards: 3, least: 500 * ms, most: 3000 * ms, server: lacestage.ServerFault{Break: faultShare, FailResumed: true}},
+		{kind: "server-late-copies", target: aServer, cards: 1, least: 300 * ms, most: 2000 * ms, server: lacestage.ServerFault{Late: faultShare, LateBy: 20 * ms}},
+		{kind: "server-garbage", target: aServer, cards: 1, least: 300 * ms, most: 2000 * ms, server: lacestage.ServerFault{Garble: faultShare, Lose: faultShare / 2}},
+		{kind: "config-version", target: theConfiguration, cards: 1},
+		{kind: limit, target: theConfiguration, cards: 1},
+		{kind: revoke, target: theConfiguration, cards: 1},
+		{kind: topUp, target: theConfiguration, cards: 1},
+		{kind: addRoute, target: theConfiguration, cards: 1},
+		{kind: "burst", target: theCallers, cards: 1, least: 300 * ms, most: 1500 * ms},
 	}
 }
 
@@ -125,32 +107,36 @@
 type Options struct {
 	Duration  time.Duration
 	Instances int
-	// Engines and Services are the numbers of backend servers; engines come first in their common numbering.
-	Engines  int
-	Services int
 }
 
-// Event is one fault or change.
-type Event struct {
-	At   time.Duration
-	For  time.Duration
-	Kind Kind
-	// Target numbers the instance or server.
-	Target int
-	// Choice decides between the forms of an event.
-	Choice int
-	// Apart are the instances that the store does not answer.
-	Apart []int
+// engines and services are the numbers of backend servers; engines come first in their common numbering.
+func (o Options) engines() int { return max(3, o.Instances*3/4) }
+
+func (o Options) services() int { return max(3, o.Instances/2) }
+
+// event is one fault or change.
+type event struct {
+	rule
+	at     time.Duration
+	length time.Duration
+	// number is that of the instance or server, apart are the instances that the store does not answer.
+	number int
+	apart  []int
+	// choice decides between the forms of an event.
+	choice int
 }
 
+// choices has the numbers of forms of all events as divisors.
+const choices = 60
+
 // String describes the event in a line of the timeline.
-func (e Event) String() string {
-	text := fmt.Sprintf("%7.3f s  %-20s %d", e.At.Seconds(), e.Kind, e.Target)
-	if len(e.Apart) > 0 {
-		text += fmt.Sprintf(" instances %v", e.Apart)
+func (e event) String() string {
+	text := fmt.Sprintf("%7.3f s  %-20s %d", e.at.Seconds(), e.kind, e.number)
+	if len(e.apart) > 0 {
+		text += fmt.Sprintf(" instances %v", e.apart)
 	}
-	if e.For > 0 {
-		text += fmt.Sprintf(" for %.3f s", e.For.Seconds())
+	if e.length > 0 {
+		text += fmt.Sprintf(" for %.3f s", e.length.Seconds())
 	}
 	return text
 }
@@ -162,28 +148,24 @@
 	deck    []rule
 	// free is from when on a target takes another event.
 	free map[target]map[int]time.Duration
-	all  []Event
+	all  []event
 }
 
-// NewPlan returns the events of a seed in the order of time.
-func NewPlan(seed uint64, o Options) []Event {
+// newPlan returns the events of a seed in the order of time.
+func newPlan(seed uint64, o Options) []event {
 	p := &planner{
 		random:  rand.New(rand.NewPCG(seed, 1)),
 		options: o,
-		free: map[target]map[int]time.Duration{
-			anInstance: {},
-			theStore:   {},
-			aServer:    {},
-		},
+		free:    map[target]map[int]time.Duration{anInstance: {}, theStore: {}, aServer: {}},
 	}
-	for at := p.upTo(seriesGap); at < o.Duration-QuietTail; at += p.upTo(2 * seriesGap) {
-		moment := at
+	for start := p.upTo(seriesGap); start < o.Duration-QuietTail; start += p.upTo(2 * seriesGap) {
+		moment := start
 		for range 1 + p.random.IntN(seriesMost) {
 			p.add(p.draw(), moment)
 			moment += p.upTo(seriesStep)
 		}
 	}
-	slices.SortStableFunc(p.all, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
+	slices.SortStableFunc(p.all, func(a, b event) int { return int(a.at - b.at) })
 	return p.all
 }
 
@@ -195,9 +177,7 @@
 func (p *planner) draw() rule {
 	if len(p.deck) == 0 {
 		for _, r := range rules() {
-			for range r.cards {
-				p.deck = append(p.deck, r)
-			}
+			p.deck = append(p.deck, slices.Repeat([]rule{r}, r.cards)...)
 		}
 		p.random.Shuffle(len(p.deck), func(i, j int) { p.deck[i], p.deck[j] = p.deck[j], p.deck[i] })
 	}
@@ -208,33 +188,32 @@
 
 // add plans an event when its target is free and it ends before the quiet tail.
 func (p *planner) add(r rule, at time.Duration) {
-	e := Event{
-		At:   at,
-		For:  r.least + p.upTo(r.most-r.least),
-		Kind: r.kind,
-		// The number has the forms of all events as divisors.
-		Choice: p.random.IntN(60),
+	e := event{
+		rule:   r,
+		at:     at,
+		length: r.least + p.upTo(r.most-r.least),
+		choice: p.random.IntN(choices),
 	}
 	group, count := r.target, 1
 	switch r.target {
 	case anInstance:
 		count = p.options.Instances
 	case anEngine:
-		group, count = aServer, p.options.Engines
+		group, count = aServer, p.options.engines()
 	case aServer:
-		count = p.options.Engines + p.options.Services
+		count = p.options.engines() + p.options.services()
 	case theStore, theConfiguration, theCallers:
 	}
-	e.Target = p.random.IntN(count)
-	if r.kind == StoreCut {
-		e.Apart = p.random.Perm(p.options.Instances)[:1+p.random.IntN(max(p.options.Instances-1, 1))]
+	e.number = p.random.IntN(count)
+	if r.kind == apart {
+		e.apart = p.random.Perm(p.options.Instances)[:1+p.random.IntN(max(p.options.Instances-1, 1))]
 	}
-	end := e.At + e.For + r.busy
-	if end > p.options.Duration-QuietTail || p.free[group] != nil && p.free[group][e.Target] > e.At {
+	end := e.at + e.length + r.busy
+	if end > p.options.Duration-QuietTail || p.free[group][e.number] > e.at {
 		return
 	}
 	if p.free[group] != nil {
-		p.free[group][e.Target] = end
+		p.free[group][e.number] = end
 	}
 	p.all = append(p.all, e)
 }
--- a/loadgen/lacesoak/plan_test.go
+++ b/loadgen/lacesoak/plan_test.go
@@ -9,26 +9,29 @@
 // Guards against seeds that can't be repeated, faults that reach into the quiet tail or meet at one target, and kinds of
 // faults that are never played.
 func TestPlansRepeatAndEnd(t *testing.T) {
-	o := Options{Duration: 40 * time.Second, Instances: 5, Engines: 4, Services: 3}
-	seen := map[Kind]bool{}
+	o := Options{
+		Duration:  40 * time.Second,
+		Instances: 5,
+	}
+	seen := map[string]bool{}
 	for seed := range uint64(30) {
-		plan := NewPlan(seed, o)
-		if !reflect.DeepEqual(plan, NewPlan(seed, o)) {
+		plan := newPlan(seed, o)
+		if !reflect.DeepEqual(plan, newPlan(seed, o)) {
 			t.Errorf("seed %d gives two plans", seed)
 		}
 		down := map[int]time.Duration{}
 		for _, e := range plan {
-			seen[e.Kind] = true
-			if e.At+e.For > o.Duration-QuietTail {
+			seen[e.kind] = true
+			if e.at+e.length > o.Duration-QuietTail {
 				t.Errorf("seed %d: %s reaches into the quiet tail", seed, e)
 			}
-			if e.Kind != Stop && e.Kind != Kill && e.Kind != Freeze {
+			if e.kind != stop && e.kind != kill && e.kind != freeze {
 				continue
 			}
-			if e.At < down[e.Target] {
+			if e.at < down[e.number] {
 				t.Errorf("seed %d: %s meets another event of the instance", seed, e)
 			}
-			down[e.Target] = e.At + e.For
+			down[e.number] = e.at + e.length
 		}
 	}
 	for _, r := range rules() {
--- a/loadgen/lacesoak/report.go
+++ b/loadgen/lacesoak/report.go
@@ -23,17 +23,17 @@
 type Report struct {
 	Seed     uint64
 	Options  Options
-	Record   *Record
 	Findings []Finding
-	Logs     []string
+	record   *record
+	logs     []string
 }
 
 // outcome names how an attempt ended for its caller.
-func outcome(a *Answer) string {
+func outcome(a *answer) string {
 	switch {
-	case a.Left:
+	case a.left:
 		return "caller left"
-	case a.Refused:
+	case a.refused:
 		return "no connection"
 	case a.Status == 0:
 		return "no answer"
@@ -49,18 +49,13 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "seed %d, %s, %d instances\n\ntimeline\n", r.Seed, r.Options.Duration, r.Options.Instances)
 	outcomes, kinds := map[string]int{}, map[string]int{}
-	for i := range r.Record.Deeds {
-		d := &r.Record.Deeds[i]
-		kinds[string(d.Kind)]++
-		fmt.Fprintf(&b, "  %s", d.Event)
-		if d.Problem != "" {
-			fmt.Fprintf(&b, ": %s", d.Problem)
-		}
-		b.WriteByte('\n')
+	for _, d := range r.record.deeds {
+		kinds[d.kind]++
+		fmt.Fprintf(&b, "  %s\n", d.event)
 	}
 	times := hdrhistogram.New(1, slowest, digits)
-	for i := range r.Record.Answers {
-		a := &r.Record.Answers[i]
+	for i := range r.record.answers {
+		a := &r.record.answers[i]
 		outcomes[outcome(a)]++
 		if a.served() {
 			// Longer times than the histogram holds do not occur: they are beyond each route's limit.
@@ -69,31 +64,26 @@
 	}
 	counts(&b, "requests", outcomes)
 	counts(&b, "faults", kinds)
-	from, gap := Gap(r.Record)
-	fmt.Fprintf(&b, "\nlongest gap     %.3f s at %.3f s\n", gap.Seconds(), from.Sub(r.Record.Began).Seconds())
-	fmt.Fprintf(&b, "served          p50 %.1f ms, p99 %.1f ms\n", milliseconds(times, 50), milliseconds(times, 99))
-	peak := r.Record.Peak
+	from, gap := r.record.gap()
+	fmt.Fprintf(&b, "\nlongest gap     %.3f s at %.3f s\n", gap.Seconds(), from.Sub(r.record.began).Seconds())
+	fmt.Fprintf(&b, "served          p50 %.1f ms, p99 %.1f ms\n",
+		float64(times.ValueAtPercentile(50))/1e3, float64(times.ValueAtPercentile(99))/1e3)
+	peak := r.record.peak
 	fmt.Fprintf(&b, "peaks           %d processes, %.1f MB together; of one: %.1f MB, %.0f files, %.0f goroutines\n",
-		r.Options.Instances, r.Record.Memory/1e6, peak.Memory/1e6, peak.Files, peak.Goroutines)
+		r.record.instances, r.record.memory/1e6, peak.memory/1e6, peak.files, peak.goroutines)
 	r.printFindings(&b)
 	_, err := io.WriteString(w, b.String())
 	return errors.Wrap(err, "soak")
 }
 
-func milliseconds(h *hdrhistogram.Histogram, percentile float64) float64 {
-	return float64(h.ValueAtPercentile(percentile)) / 1e3
-}
-
 func counts(b *strings.Builder, name string, all map[string]int) {
 	total := 0
-	for _, n := range all {
-		total += n
-	}
-	fmt.Fprintf(b, "\n%-15s %d", name, total)
+	var parts []string
 	for _, k := range slices.Sorted(maps.Keys(all)) {
-		fmt.Fprintf(b, ", %s %d", k, all[k])
+		total += all[k]
+		parts = append(parts, fmt.Sprintf("%s %d", k, all[k]))
 	}
-	b.WriteByte('\n')
+	fmt.Fprintf(b, "\n%-15s %d: %s\n", name, total, strings.Join(parts, ", "))
 }
 
 func (r *Report) printFindings(b *strings.Builder) {
@@ -104,12 +94,12 @@
 	fmt.Fprintf(b, "\n%d findings\n", len(r.Findings))
 	for _, f := range r.Findings {
 		fmt.Fprintf(b, "  %s: %s\n", f.Promise, f.Text)
-		for i, id := range f.Attempts {
-			if i == shownAttempts {
-				fmt.Fprintf(b, "    and %d more attempts\n", len(f.Attempts)-i)
-				break
-			}
-			fmt.Fprintf(b, "    lacectl explain %s %s\n", id, strings.Join(r.Logs, " "))
+		attempts := slices.Compact(f.Attempts)
+		for _, id := range attempts[:min(len(attempts), shownAttempts)] {
+			fmt.Fprintf(b, "    lacectl explain %s %s\n", id, strings.Join(r.logs, " "))
+		}
+		if n := len(attempts) - shownAttempts; n > 0 {
+			fmt.Fprintf(b, "    and %d more attempts\n", n)
 		}
 	}
 }
--- a/loadgen/lacesoak/site.go
+++ b/loadgen/lacesoak/site.go
@@ -1,6 +1,7 @@
 package lacesoak
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -25,19 +26,20 @@
 	// routeLimit is the time limit of the routes, shortLimit the one that a change of the configuration sets.
 	routeLimit = 2500 * time.Millisecond
 	shortLimit = 1500 * time.Millisecond
-	// plenty is more than an account can spend in a run, scarce less, topUp is paid on top of it.
+	// plenty is more than an account can spend in a run, scarce less.
 	plenty = 100_000_000
-	scarce = 30_000
-	topUp  = 10_000
+	scarce = 4_000
 	// host is the name that callers ask for.
 	host = "soak.example"
+	// zones is how many availability zones there are.
+	zones = 3
 	// leastPort and mostPort lie below the ports that the system gives to outgoing connections, so that an address stays
 	// free while its process is away.
 	leastPort = 12_000
 	mostPort  = 30_000
 )
 
-// The accounts of a run: the first has plenty, the second and third run dry, the fourth loses a key.
+// The accounts of a run.
 const (
 	accountRich = iota
 	accountDry
@@ -60,7 +62,6 @@
 	recorder *lacestage.Recorder
 
 	mu       sync.Mutex
-	ports    *rand.Rand
 	document laceroute.Document
 	servers  []*lacestage.Server
 	// born counts the processes of each server.
@@ -74,20 +75,19 @@
 		options:  o,
 		store:    lacestage.NewStore(lacestage.WithStoreSeed(seed)),
 		recorder: &lacestage.Recorder{},
-		ports:    rand.New(rand.NewPCG(seed, uint64(time.Now().UnixNano()))), // Ports are the machine's, not the plan's.
 		document: document(),
-		servers:  make([]*lacestage.Server, o.Engines+o.Services),
-		born:     make([]int, o.Engines+o.Services),
-	}
-	if _, err := s.store.Apply(s.document); err != nil {
-		return nil, err
+		servers:  make([]*lacestage.Server, o.engines()+o.services()),
+		born:     make([]int, o.engines()+o.services()),
 	}
+	err := s.apply(func(*laceroute.Document) {})
 	for i := range s.servers {
-		if err := s.launch(i, true, ""); err != nil {
-			s.close()
-			return nil, err
+		if err == nil {
+			err = s.launch(i, true, "")
 		}
 	}
+	if err != nil {
+		return nil, errors.Wrapf(err, "soak: closed with %v", s.close())
+	}
 	return s, nil
 }
 
@@ -124,26 +124,18 @@
 
 func key(account, n int) string { return fmt.Sprintf("key-%d-%d", account, n) }
 
-// launch starts a process of a server; a new one gets another id.
-func (s *site) launch(i int, fresh bool, address laceunit.Address) error {
+func zone(i int) laceunit.ZoneID { return laceunit.ZoneID(fmt.Sprintf("zone-%d", i%zones)) }
+
+// launch starts a process of a server, at a new address unless one is given; a fresh one gets another id.
+func (s *site) launch(i int, fresh bool, at laceunit.Address) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if fresh {
 		s.born[i]++
 	}
-	o := s.serverOptions(i)
-	o.Address = address
-	if address == "" {
-		o.Address = s.free()
+	if at == "" {
+		at = free()
 	}
-	x, err := lacestage.NewServer(s.store, s.recorder, o)
-	if err == nil {
-		s.servers[i] = x
-	}
-	return err
-}
-
-func (s *site) serverOptions(i int) lacestage.ServerOptions {
 	o := lacestage.ServerOptions{
 		ID:      laceunit.ServerID(fmt.Sprintf("server-%d-%d", i, s.born[i])),
 		Service: serviceModel,
@@ -151,13 +143,18 @@
 		Kind:    lacestage.Engine,
 		Slots:   slots,
 		Queue:   queue,
+		Address: at,
 		Shape:   shape(),
 		Seed:    s.seed,
 	}
-	if i >= s.options.Engines {
+	if i >= s.options.engines() {
 		o.Service, o.Kind = servicePlain, lacestage.Plain
 	}
-	return o
+	x, err := lacestage.NewServer(s.store, s.recorder, o)
+	if err == nil {
+		s.servers[i] = x
+	}
+	return err
 }
 
 func shape() lacestage.Shape {
@@ -170,10 +167,16 @@
 	}
 }
 
-// zones is how many availability zones there are.
-const zones = 3
-
-func zone(i int) laceunit.ZoneID { return laceunit.ZoneID(fmt.Sprintf("zone-%d", i%zones)) }
+// free returns an address on loopback that nothing listens on. The choice is not the seed's: it depends on the machine.
+func free() laceunit.Address {
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", leastPort+rand.IntN(mostPort-leastPort))
+		if l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address); err == nil {
+			_ = l.Close() // Nothing was accepted.
+			return laceunit.Address(address)
+		}
+	}
+}
 
 // server returns the present process of a server.
 func (s *site) server(i int) *lacestage.Server {
@@ -182,54 +185,26 @@
 	return s.servers[i]
 }
 
-// free returns an address on loopback that nothing listens on; the caller holds the mutex or is alone.
-func (s *site) free() laceunit.Address {
-	for {
-		address := fmt.Sprintf("127.0.0.1:%d", leastPort+s.ports.IntN(mostPort-leastPort))
-		l, err := (&net.ListenConfig{}).Listen(background(), "tcp", address)
-		if err != nil {
-			continue
-		}
-		_ = l.Close() // Nothing was accepted.
-		return laceunit.Address(address)
-	}
-}
-
 // apply writes a changed configuration.
 func (s *site) apply(change func(d *laceroute.Document)) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	d := s.document
-	d.Routes, d.Accounts = slices.Clone(d.Routes), slices.Clone(d.Accounts)
-	change(&d)
-	if _, err := s.store.Apply(d); err != nil {
-		return err
-	}
-	s.document = d
-	return nil
+	s.document.Routes, s.document.Accounts = slices.Clone(s.document.Routes), slices.Clone(s.document.Accounts)
+	change(&s.document)
+	_, err := s.store.Apply(s.document)
+	return err
 }
 
-// limit returns the time limit of a route in the newest configuration, or false when it has no such route.
-func (s *site) limit(name string) (time.Duration, bool) {
+// limit returns the time limit of a route in the newest configuration.
+func (s *site) limit(name string) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, r := range s.document.Routes {
 		if r.Name == name {
-			return r.Timeout, true
+			return r.Timeout
 		}
 	}
-	return 0, false
-}
-
-// paid returns what each account has paid.
-func (s *site) paid() map[laceunit.AccountID]laceunit.Tokens {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	all := map[laceunit.AccountID]laceunit.Tokens{}
-	for _, a := range s.document.Accounts {
-		all[a.ID] = a.Paid
-	}
-	return all
+	return routeLimit
 }
 
 // close ends the servers and the store.
@@ -237,12 +212,12 @@
 	var first error
 	for i := range s.servers {
 		if x := s.server(i); x != nil {
-			if err := x.Close(); err != nil && !errors.Is(err, lacestage.ErrClosed) && first == nil {
+			if err := x.Close(); !errors.Is(err, lacestage.ErrClosed) && first == nil {
 				first = err
 			}
 		}
 	}
-	if err := s.store.Close(); err != nil && first == nil {
+	if err := s.store.Close(); first == nil {
 		first = err
 	}
 	return first
--- a/loadgen/lacesoak/soak.go
+++ b/loadgen/lacesoak/soak.go
@@ -15,8 +15,12 @@
 	"lacewingcove/platform/lacestage"
 )
 
-// restWithin is how long what instances use may take to return to near rest after the callers have gone.
-const restWithin = 6 * time.Second
+const (
+	// restWithin is how long what instances use may take to return to near rest after the callers have gone.
+	restWithin = 6 * time.Second
+	// seeds is how many other instances the settings of one name.
+	seeds = 3
+)
 
 // Play plays one seed against a program, with settings and logs in a directory.
 func Play(ctx context.Context, program, dir string, seed uint64, o Options) (*Report, error) {
@@ -26,65 +30,64 @@
 	if err := os.MkdirAll(dir, 0o750); err != nil {
 		return nil, errors.Wrap(err, "soak")
 	}
-	o.Engines, o.Services = max(3, o.Instances*3/4), max(3, o.Instances/2)
 	s, err := newSite(seed, o)
 	if err != nil {
 		return nil, err
 	}
-	places, instances, err := s.places(dir)
+	places, instances, err := s.place(dir)
+	r := &record{instances: o.Instances}
 	if err == nil {
-		var r *Record
-		if r, err = s.play(ctx, program, places, instances); err == nil {
-			report := &Report{
-				Seed:     seed,
-				Options:  o,
-				Record:   r,
-				Findings: Check(r),
-			}
-			for _, p := range places {
-				report.Logs = append(report.Logs, p.Log)
-			}
-			return report, s.close()
-		}
+		err = s.play(ctx, newFleet(program, places, listed), instances, r)
+	}
+	if closeErr := s.close(); err == nil {
+		err = closeErr
+	}
+	if err != nil {
+		return nil, err
 	}
-	if closeErr := s.close(); closeErr != nil {
-		return nil, errors.Wrap(err, closeErr.Error())
+	report := &Report{
+		Seed:     seed,
+		Options:  o,
+		Findings: check(r),
+		record:   r,
 	}
-	return nil, err
+	for _, p := range places {
+		report.logs = append(report.logs, p.log)
+	}
+	return report, nil
 }
 
-// places writes the settings of all instances.
-func (s *site) places(dir string) ([]Place, []lacestage.Instance, error) {
+// listed reports whether an instance names itself to callers, which it does as soon as it takes requests.
+func listed(ctx context.Context, p place) bool {
+	c := lacestage.NewCaller(nil)
+	defer func() { _ = c.Close() }() // No connection is in use.
+	all, _, err := c.Resolve(ctx, p.directory, laceunit.Place{})
+	return err == nil && slices.Contains(all, p.caller)
+}
+
+// place writes the settings of all instances.
+func (s *site) place(dir string) (places []place, instances []lacestage.Instance, err error) {
 	all := make([]lacenode.Settings, s.options.Instances)
 	for i := range all {
-		x, err := lacestage.Settings(s.store, instanceID(i), laceunit.Place{
-			Region: "region",
-			Zone:   zone(i),
-		})
-		if err != nil {
+		x := &all[i]
+		if *x, err = lacestage.Settings(s.store, instanceID(i), laceunit.Place{Region: "region", Zone: zone(i)}); err != nil {
 			return nil, nil, err
 		}
-		x.Caller, x.Ready, x.Directory, x.Peer, x.Metrics = s.free(), s.free(), s.free(), s.free(), s.free()
-		x.Drain.Grace, x.Drain.Notice = DrainGrace, DrainNotice
-		all[i] = x
-	}
-	var places []Place
-	var instances []lacestage.Instance
-	for _, x := range all {
-		for _, y := range all {
-			if y.Instance != x.Instance && len(x.Seeds) < seeds {
-				x.Seeds = append(x.Seeds, y.Peer)
-			}
+		x.Caller, x.Ready, x.Directory, x.Peer, x.Metrics = free(), free(), free(), free(), free()
+		x.Drain.Grace, x.Drain.Notice = drainGrace, drainNotice
+	}
+	for i, x := range all {
+		for n := 1; n <= min(seeds, len(all)-1); n++ {
+			x.Seeds = append(x.Seeds, all[(i+n)%len(all)].Peer)
 		}
-		p := Place{
-			Name:      x.Instance,
-			Settings:  filepath.Join(dir, string(x.Instance)+".yaml"),
-			Log:       filepath.Join(dir, string(x.Instance)+".log"),
-			Caller:    x.Caller,
-			Directory: x.Directory,
-			Peer:      x.Peer,
+		p := place{
+			settings:  filepath.Join(dir, string(x.Instance)+".yaml"),
+			log:       filepath.Join(dir, string(x.Instance)+".log"),
+			caller:    x.Caller,
+			directory: x.Directory,
+			peer:      x.Peer,
 		}
-		if err := lacestage.WriteSettings(p.Settings, x); err != nil {
+		if err = lacestage.WriteSettings(p.settings, x); err != nil {
 			return nil, nil, err
 		}
 		places = append(places, p)
@@ -97,69 +100,61 @@
 	return places, instances, nil
 }
 
-// seeds is how many other instances the settings of one name.
-const seeds = 3
-
 // play starts the instances, carries the plan out and collects what both ends saw.
-func (s *site) play(ctx context.Context, program string, places []Place, instances []lacestage.Instance) (*Record, error) {
-	asking := lacestage.NewCaller(nil)
-	defer func() { _ = asking.Close() }() // No connection is in use.
-	fleet := NewFleet(program, places, func(ctx context.Context, p Place) bool {
-		listed, _, err := asking.Resolve(ctx, p.Directory, laceunit.Place{})
-		return err == nil && slices.Contains(listed, p.Caller)
-	})
-	defer fleet.Close()
-	if err := fleet.StartAll(ctx); err != nil {
-		return nil, err
+func (s *site) play(ctx context.Context, f *fleet, instances []lacestage.Instance, r *record) error {
+	defer f.close()
+	if err := f.startAll(ctx); err != nil {
+		return err
 	}
-	r := &Record{Instances: len(places)}
-	for _, x := range fleet.SampleAll(ctx) {
-		r.Rest = larger(r.Rest, x)
+	for _, x := range f.sampleAll(ctx) {
+		r.rest = larger(r.rest, x)
 	}
 	watching, cancel := context.WithCancel(ctx)
 	var watch sync.WaitGroup
-	watch.Go(func() { fleet.Watch(watching) })
+	watch.Go(func() { f.watch(watching) })
 	c := &callers{
 		site:      s,
 		instances: instances,
 		stop:      make(chan struct{}),
 	}
-	c.add(callersEach*len(places), 0)
+	c.add(callersEach*len(instances), 0)
 	d := &driver{
 		site:    s,
-		fleet:   fleet,
+		fleet:   f,
 		callers: c,
 		began:   time.Now(),
 	}
-	r.Began = d.began
-	err := d.run(ctx, NewPlan(s.seed, s.options))
+	r.began = d.began
+	err := d.run(ctx, newPlan(s.seed, s.options))
 	sleep(ctx, time.Until(d.began.Add(s.options.Duration-QuietTail)))
-	r.Quiet = time.Now()
+	r.quiet = time.Now()
 	if err == nil {
-		c.probe()
-		sleep(ctx, time.Until(r.Quiet.Add(QuietTail)))
+		c.probe(ctx)
+		sleep(ctx, time.Until(r.quiet.Add(QuietTail)))
 	}
-	r.Answers, r.Deeds, r.Paid = c.close(), d.deeds, s.paid()
-	r.Last = s.settle(ctx, fleet, r)
+	c.close()
+	r.answers, r.deeds = c.answers, d.deeds
+	f.settle(ctx, r)
 	cancel()
 	watch.Wait()
-	r.Exited = fleet.Exited()
-	r.Peak, r.Memory = fleet.Peaks()
-	for _, x := range s.recorder.Records() {
-		r.Runs = append(r.Runs, Run{Run: x})
+	r.exited, r.peak, r.memory = f.exited(), f.peak, f.memory
+	r.runs = s.recorder.Records()
+	r.paid = map[laceunit.AccountID]laceunit.Tokens{}
+	for _, a := range s.document.Accounts {
+		r.paid[a.ID] = a.Paid
 	}
-	return r, err
+	return err
 }
 
 // settle samples the instances until they are at rest or the time for it is over.
-func (s *site) settle(ctx context.Context, f *Fleet, r *Record) map[int]Sample {
+func (f *fleet) settle(ctx context.Context, r *record) {
 	end := time.Now().Add(restWithin)
 	for {
-		r.Last = f.SampleAll(ctx)
+		r.last = f.sampleAll(ctx)
 		c := &checker{record: r}
-		c.rest()
+		c.resting()
 		if len(c.findings) == 0 || time.Now().After(end) || !sleep(ctx, sampleEvery) {
-			return r.Last
+			return
 		}
 	}
 }
