--- a/loadgen/lacesoak/soak.go
+++ b/loadgen/lacesoak/soak.go
@@ -93,7 +93,6 @@
 		places = append(places, p)
 		instances = append(instances, lacestage.Instance{
 			ID:        x.Instance,
-			Directory: x.Directory,
 			Caller:    x.Caller,
 		})
 	}
