--- a/loadgen/lacecommand/soak.go
+++ b/loadgen/lacecommand/soak.go
@@ -58,7 +58,7 @@
 	}
 	report, err := lacesoak.Play(ctx, program, own, seed, o)
 	if err != nil {
-		return err
+		return errors.Wrap(err, "logs are in "+own)
 	}
 	if err := report.Print(s.out); err != nil {
 		return err
--- a/loadgen/laceprocess/process_test.go
+++ b/loadgen/laceprocess/process_test.go
@@ -1,9 +1,11 @@
 package laceprocess
 
 import (
+	"errors"
 	"os"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 )
@@ -48,3 +50,39 @@
 		t.Errorf("%q, %v", text, err)
 	}
 }
+
+// Guards against a frozen process that goes on, and one that stays frozen.
+func TestFrozenProcessesWait(t *testing.T) {
+	p, _ := start(t, "trap 'exit 3' HUP; while :; do sleep 0.01; done")
+	defer p.Kill()
+	state := func(want bool) {
+		ticker := time.NewTicker(time.Millisecond)
+		defer ticker.Stop()
+		for range 2000 {
+			text, err := os.ReadFile("/proc/" + strconv.Itoa(p.PID()) + "/stat")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if strings.Contains(string(text), ") T ") == want {
+				return
+			}
+			<-ticker.C
+		}
+		t.Fatalf("stopped is not %t", want)
+	}
+	if err := p.Freeze(); err != nil {
+		t.Fatal(err)
+	}
+	state(true)
+	if err := p.Wake(); err != nil {
+		t.Fatal(err)
+	}
+	state(false)
+	if err := p.Hangup(); err != nil {
+		t.Fatal(err)
+	}
+	<-p.Ended()
+	if err := p.Hangup(); !errors.Is(err, os.ErrProcessDone) {
+		t.Errorf("a signal to an ended process gives %v", err)
+	}
+}
--- a/loadgen/lacesoak/check.go
+++ b/loadgen/lacesoak/check.go
@@ -161,6 +161,9 @@
 func (c *checker) stops() {
 	for i := range c.deeds {
 		d := &c.deeds[i]
+		if took := d.ended.Sub(d.began); d.kind == stop && took > drainGrace {
+			c.add(promiseStop, nil, "instance %d, stopped at %.3f s, ended after %s", d.number, d.at.Seconds(), took)
+		}
 		var cut []laceunit.AttemptID
 		for j := range c.answers {
 			if a := &c.answers[j]; d.kind == stop && a.Instance == instanceID(d.number) && c.cutBy(d, a) {
--- a/loadgen/lacesoak/check_test.go
+++ b/loadgen/lacesoak/check_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"lacewingcove/lib/laceunit"
+	"lacewingcove/loadgen/laceprocess"
 	"lacewingcove/platform/lacestage"
 )
 
@@ -21,7 +22,7 @@
 		paid:      map[laceunit.AccountID]laceunit.Tokens{"a": 30},
 		quiet:     at(20),
 		instances: 1,
-		last:      map[int]sample{0: {}},
+		last:      map[int]laceprocess.Usage{0: {}},
 		deeds: []deed{
 			{event: event{rule: rule{kind: stop}}, began: at(10), ended: at(12), ready: at(12.5)},
 			{event: event{rule: rule{kind: freeze}}, began: at(15), ended: at(16)},
@@ -110,6 +111,7 @@
 		"cut by server":     {change: func(r *record) { cut(r); r.runs[1].Outcome = lacestage.Broken }},
 		"cut, slow server":  {change: func(r *record) { cut(r); r.deeds = append(r.deeds, silent) }},
 		"cut by limit":      {change: func(r *record) { cut(r); r.answers[1].limit = 600 * time.Millisecond }},
+		"slow stop":         {change: func(r *record) { r.deeds[0].ended = at(14.1) }, want: []string{promiseStop}},
 		"crossed close":     {change: func(r *record) { crossed(r); unseen(r) }},
 		"crossed and ran":   {change: crossed, want: []string{promiseStop}},
 		"waited, then cut":  {change: func(r *record) { crossed(r); r.answers[1].Sent = at(11); unseen(r) }, want: []string{promiseStop}},
@@ -119,9 +121,9 @@
 		"paused":            {change: func(r *record) { paused(r, 1) }, want: []string{promisePausing}},
 		"paused, trials":    {change: func(r *record) { paused(r, 1); r.runs[5].Server = "new" }},
 		"paused, frozen":    {change: func(r *record) { paused(r, 14.5) }},
-		"memory":            {change: func(r *record) { r.last[0] = sample{memory: memorySlack + 1} }, want: []string{promiseRest}},
-		"files":             {change: func(r *record) { r.last[0] = sample{files: filesSlack + 1} }, want: []string{promiseRest}},
-		"goroutines":        {change: func(r *record) { r.last[0] = sample{goroutines: goroutinesSlack + 1} }, want: []string{promiseRest}},
+		"memory":            {change: func(r *record) { r.last[0] = laceprocess.Usage{Memory: memorySlack + 1} }, want: []string{promiseRest}},
+		"files":             {change: func(r *record) { r.last[0] = laceprocess.Usage{Files: filesSlack + 1} }, want: []string{promiseRest}},
+		"goroutines":        {change: func(r *record) { r.last[0] = laceprocess.Usage{Goroutines: goroutinesSlack + 1} }, want: []string{promiseRest}},
 		"gone":              {change: func(r *record) { delete(r.last, 0) }, want: []string{promiseRest}},
 		"serves late":       {change: func(r *record) { r.quiet = at(17.9) }, want: []string{promiseServes}},
 	} {
--- a/loadgen/lacesoak/fleet.go
+++ b/loadgen/lacesoak/fleet.go
@@ -1,12 +1,8 @@
 package lacesoak
 
 import (
-	"bufio"
 	"context"
-	"io"
 	"net/http"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -29,11 +25,10 @@
 
 // place is where an instance runs.
 type place struct {
-	settings  string
-	log       string
-	caller    laceunit.Address
-	directory laceunit.Address
-	peer      laceunit.Address
+	settings string
+	log      string
+	caller   laceunit.Address
+	peer     laceunit.Address
 }
 
 // fleet runs the processes of the instances.
@@ -46,9 +41,10 @@
 
 	mu        sync.Mutex
 	processes []*laceprocess.Process
-	// down is true while an instance is away on purpose.
+	// down is true while an instance is away on purpose, exited are those that ended by themselves.
 	down   []bool
-	peak   sample
+	exited []int
+	peak   laceprocess.Usage
 	memory float64
 }
 
@@ -106,28 +102,19 @@
 func (f *fleet) process(i int, ending bool) *laceprocess.Process {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.down[i] = f.down[i] || ending
-	return f.processes[i]
-}
-
-// exited returns the instances that ended by themselves.
-func (f *fleet) exited() []int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var all []int
-	for i, p := range f.processes {
+	p := f.processes[i]
+	if p != nil && ending && !f.down[i] {
+		f.down[i] = true
 		select {
 		case <-p.Ended():
-			if !f.down[i] {
-				all = append(all, i)
-			}
+			f.exited = append(f.exited, i)
 		default:
 		}
 	}
-	return all
+	return p
 }
 
-// close ends all processes and waits for them. Kill reaches frozen ones as well.
+// close ends all processes, frozen ones as well, and waits for them.
 func (f *fleet) close() {
 	var all sync.WaitGroup
 	for i := range f.places {
@@ -139,45 +126,12 @@
 	f.http.CloseIdleConnections()
 }
 
-// sample asks an instance what it uses.
-func (f *fleet) sample(ctx context.Context, i int) (sample, error) {
-	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+string(f.places[i].peer)+"/metrics", http.NoBody)
-	if err != nil {
-		return sample{}, errors.Wrap(err, "soak")
-	}
-	r, err := f.http.Do(q)
-	if err != nil {
-		return sample{}, errors.Wrap(err, "soak")
-	}
-	defer func() { _ = r.Body.Close() }() // Everything that is needed was read.
-	return readSample(r.Body)
-}
-
-// readSample reads the process's own metrics.
-func readSample(r io.Reader) (s sample, err error) {
-	fields := map[string]*float64{
-		"process_resident_memory_bytes": &s.memory,
-		"process_open_fds":              &s.files,
-		"go_goroutines":                 &s.goroutines,
-	}
-	for lines := bufio.NewScanner(r); lines.Scan() && err == nil; {
-		name, value, _ := strings.Cut(lines.Text(), " ")
-		if to := fields[name]; to != nil {
-			*to, err = strconv.ParseFloat(value, 64)
-		}
-	}
-	if err == nil && (s.memory == 0 || s.files == 0 || s.goroutines == 0) {
-		err = errors.New("metrics of the process are missing")
-	}
-	return s, errors.Wrap(err, "soak")
-}
-
 // sampleAll asks all instances and keeps the peaks.
-func (f *fleet) sampleAll(ctx context.Context) map[int]sample {
-	all := map[int]sample{}
+func (f *fleet) sampleAll(ctx context.Context) map[int]laceprocess.Usage {
+	all := map[int]laceprocess.Usage{}
 	for i := range f.places {
 		// An instance that is down or frozen tells nothing; one that tells nothing at the end is a finding.
-		if s, err := f.sample(ctx, i); err == nil {
+		if s, err := laceprocess.ReadUsage(ctx, &f.http, "http://"+string(f.places[i].peer)+"/metrics"); err == nil {
 			all[i] = s
 		}
 	}
@@ -185,21 +139,13 @@
 	defer f.mu.Unlock()
 	var memory float64
 	for _, s := range all {
-		memory += s.memory
-		f.peak = larger(f.peak, s)
+		memory += s.Memory
+		f.peak = f.peak.Max(s)
 	}
 	f.memory = max(f.memory, memory)
 	return all
 }
 
-func larger(a, b sample) sample {
-	return sample{
-		memory:     max(a.memory, b.memory),
-		files:      max(a.files, b.files),
-		goroutines: max(a.goroutines, b.goroutines),
-	}
-}
-
 // watch samples until the context ends.
 func (f *fleet) watch(ctx context.Context) {
 	for sleep(ctx, sampleEvery) {
--- a/loadgen/lacesoak/record.go
+++ b/loadgen/lacesoak/record.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lacewingcove/lib/laceunit"
+	"lacewingcove/loadgen/laceprocess"
 	"lacewingcove/platform/lacestage"
 )
 
@@ -52,13 +53,6 @@
 	return d.ended
 }
 
-// sample is what a process uses.
-type sample struct {
-	memory     float64
-	files      float64
-	goroutines float64
-}
-
 // record is all that a run left.
 type record struct {
 	answers []answer
@@ -70,12 +64,12 @@
 	began time.Time
 	quiet time.Time
 	// rest is the largest use of an idle instance before the callers came, peak the largest of all.
-	rest sample
-	peak sample
+	rest laceprocess.Usage
+	peak laceprocess.Usage
 	// memory is the most that all instances had together.
 	memory float64
 	// last is the use of each living instance after the quiet tail.
-	last map[int]sample
+	last map[int]laceprocess.Usage
 	// exited are the instances that ended by themselves.
 	exited    []int
 	instances int
--- a/loadgen/lacesoak/report.go
+++ b/loadgen/lacesoak/report.go
@@ -70,7 +70,7 @@
 		float64(times.ValueAtPercentile(50))/1e3, float64(times.ValueAtPercentile(99))/1e3)
 	peak := r.record.peak
 	fmt.Fprintf(&b, "peaks           %d processes, %.1f MB together; of one: %.1f MB, %.0f files, %.0f goroutines\n",
-		r.record.instances, r.record.memory/1e6, peak.memory/1e6, peak.files, peak.goroutines)
+		r.record.instances, r.record.memory/1e6, peak.Memory/1e6, peak.Files, peak.Goroutines)
 	r.printFindings(&b)
 	_, err := io.WriteString(w, b.String())
 	return errors.Wrap(err, "soak")
--- a/loadgen/lacesoak/rest.go
+++ b/loadgen/lacesoak/rest.go
@@ -29,9 +29,9 @@
 			name              string
 			now, rest, margin float64
 		}{
-			{name: "bytes of memory", now: s.memory, rest: c.rest.memory, margin: memorySlack},
-			{name: "open files", now: s.files, rest: c.rest.files, margin: filesSlack},
-			{name: "goroutines", now: s.goroutines, rest: c.rest.goroutines, margin: goroutinesSlack},
+			{name: "bytes of memory", now: s.Memory, rest: c.rest.Memory, margin: memorySlack},
+			{name: "open files", now: s.Files, rest: c.rest.Files, margin: filesSlack},
+			{name: "goroutines", now: s.Goroutines, rest: c.rest.Goroutines, margin: goroutinesSlack},
 		} {
 			if x.now > x.rest+x.margin {
 				c.add(promiseRest, nil, "instance %d has %.0f %s after the quiet tail, %.0f at rest", i, x.now, x.name, x.rest)
--- a/loadgen/lacesoak/soak.go
+++ b/loadgen/lacesoak/soak.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
+	"net/http"
 	"os"
 	"path/filepath"
-	"slices"
 	"sync"
 	"time"
 
@@ -37,7 +37,7 @@
 	places, instances, err := s.place(dir)
 	r := &record{instances: o.Instances}
 	if err == nil {
-		err = s.play(ctx, newFleet(program, places, listed), instances, r)
+		err = s.play(ctx, newFleet(program, places, ready), instances, r)
 	}
 	if closeErr := s.close(); err == nil {
 		err = closeErr
@@ -57,12 +57,11 @@
 	return report, nil
 }
 
-// listed reports whether an instance names itself to callers, which it does as soon as it takes requests.
-func listed(ctx context.Context, p place) bool {
+// ready reports whether an instance takes requests: without a configuration it can't tell that there is no such route.
+func ready(ctx context.Context, p place) bool {
 	c := lacestage.NewCaller(nil)
 	defer func() { _ = c.Close() }() // No connection is in use.
-	all, _, err := c.Resolve(ctx, p.directory, laceunit.Place{})
-	return err == nil && slices.Contains(all, p.caller)
+	return c.Call(ctx, p.caller, lacestage.Request{Attempt: "ready", Method: http.MethodGet, Host: host, Target: "/"}).Status == http.StatusNotFound
 }
 
 // place writes the settings of all instances.
@@ -81,19 +80,18 @@
 			x.Seeds = append(x.Seeds, all[(i+n)%len(all)].Peer)
 		}
 		p := place{
-			settings:  filepath.Join(dir, string(x.Instance)+".yaml"),
-			log:       filepath.Join(dir, string(x.Instance)+".log"),
-			caller:    x.Caller,
-			directory: x.Directory,
-			peer:      x.Peer,
+			settings: filepath.Join(dir, string(x.Instance)+".yaml"),
+			log:      filepath.Join(dir, string(x.Instance)+".log"),
+			caller:   x.Caller,
+			peer:     x.Peer,
 		}
 		if err = lacestage.WriteSettings(p.settings, x); err != nil {
 			return nil, nil, err
 		}
 		places = append(places, p)
 		instances = append(instances, lacestage.Instance{
-			ID:        x.Instance,
-			Caller:    x.Caller,
+			ID:     x.Instance,
+			Caller: x.Caller,
 		})
 	}
 	return places, instances, nil
@@ -106,7 +104,7 @@
 		return err
 	}
 	for _, x := range f.sampleAll(ctx) {
-		r.rest = larger(r.rest, x)
+		r.rest = r.rest.Max(x)
 	}
 	watching, cancel := context.WithCancel(ctx)
 	var watch sync.WaitGroup
@@ -136,7 +134,10 @@
 	f.settle(ctx, r)
 	cancel()
 	watch.Wait()
-	r.exited, r.peak, r.memory = f.exited(), f.peak, f.memory
+	for i := range f.places {
+		f.process(i, true)
+	}
+	r.exited, r.peak, r.memory = f.exited, f.peak, f.memory
 	r.runs = s.recorder.Records()
 	r.paid = map[laceunit.AccountID]laceunit.Tokens{}
 	for _, a := range s.document.Accounts {
