--- a/loadgen/lacecommand/soak.go
+++ b/loadgen/lacecommand/soak.go
@@ -34,6 +34,9 @@
 	if o.Instances < 1 || o.Instances*instanceMemory > *memory {
 		return errors.Errorf("soak: %d instances are none or need more than %d MB", o.Instances, *memory)
 	}
+	if o.Duration <= lacesoak.QuietTail {
+		return errors.Errorf("soak: the duration has to be longer than the quiet tail of %s", lacesoak.QuietTail)
+	}
 	var broken error
 	for n := *seed; n < *seed+*seeds; n++ {
 		err := soakSeed(ctx, *program, *dir, n, o, s)
--- a/loadgen/lacesoak/soak.go
+++ b/loadgen/lacesoak/soak.go
@@ -24,9 +24,6 @@
 
 // Play plays one seed against a program, with settings and logs in a directory.
 func Play(ctx context.Context, program, dir string, seed uint64, o Options) (*Report, error) {
-	if o.Duration <= QuietTail {
-		return nil, errors.Errorf("soak: the duration has to be longer than the quiet tail of %s", QuietTail)
-	}
 	if err := os.MkdirAll(dir, 0o750); err != nil {
 		return nil, errors.Wrap(err, "soak")
 	}
