--- a/loadgen/lacesoak/callers.go
+++ b/loadgen/lacesoak/callers.go
@@ -62,7 +62,7 @@
 }
 
 func (k kind) route() laceroute.Route {
-	r := laceroute.Route{
+	return laceroute.Route{
 		Name:      k.name,
 		Host:      host,
 		Prefix:    "/" + k.name + "/",
@@ -75,7 +75,6 @@
 		Anonymous: k.anonymous,
 		Affinity:  k.stream,
 	}
-	return r
 }
 
 // callers send requests and keep their answers.
