--- a/loadgen/lacesoak/callers.go
+++ b/loadgen/lacesoak/callers.go
@@ -17,9 +17,10 @@
 )
 
 const (
-	// callersEach is how many callers there are for each instance, burstEach how many a burst adds.
+	// callersEach is how many callers there are for each instance; a burst doubles them. In large fleets mostCallers keeps
+	// the machine from being the limit.
 	callersEach = 6
-	burstEach   = 6
+	mostCallers = 120
 	// thinkLeast and thinkMost bound a caller's pause between two requests.
 	thinkLeast = 10 * time.Millisecond
 	thinkMost  = 120 * time.Millisecond
@@ -89,8 +90,8 @@
 	answers []answer
 }
 
-// add starts callers that go on for a time, or until the end when it is 0.
-func (c *callers) add(count int, length time.Duration) {
+// add starts the usual number of callers, which go on for a time, or until the end when it is 0.
+func (c *callers) add(length time.Duration) {
 	ctx, cancel := context.WithCancel(context.Background())
 	if length > 0 {
 		ctx, cancel = context.WithTimeout(context.Background(), length)
@@ -102,7 +103,7 @@
 		case <-c.stop:
 		}
 	}()
-	for range count {
+	for range min(callersEach*len(c.instances), mostCallers) {
 		x := c.caller()
 		c.all.Go(func() { x.loop(ctx) })
 	}
--- a/loadgen/lacesoak/drive.go
+++ b/loadgen/lacesoak/drive.go
@@ -56,7 +56,7 @@
 	case theConfiguration:
 		err = d.configure(e)
 	case theCallers:
-		d.callers.add(burstEach*len(d.callers.instances), e.length)
+		d.callers.add(e.length)
 	case anEngine, aServer:
 		err = d.disturbServer(ctx, &x)
 	}
--- a/loadgen/lacesoak/site.go
+++ b/loadgen/lacesoak/site.go
@@ -1,10 +1,7 @@
 package lacesoak
 
 import (
-	"context"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"slices"
 	"sync"
 	"time"
@@ -33,10 +30,6 @@
 	host = "soak.example"
 	// zones is how many availability zones there are.
 	zones = 3
-	// leastPort and mostPort lie below the ports that the system gives to outgoing connections, so that an address stays
-	// free while its process is away.
-	leastPort = 12_000
-	mostPort  = 30_000
 )
 
 // The accounts of a run.
@@ -133,9 +126,6 @@
 	if fresh {
 		s.born[i]++
 	}
-	if at == "" {
-		at = free()
-	}
 	o := lacestage.ServerOptions{
 		ID:      laceunit.ServerID(fmt.Sprintf("server-%d-%d", i, s.born[i])),
 		Service: serviceModel,
@@ -167,17 +157,6 @@
 	}
 }
 
-// free returns an address on loopback that nothing listens on. The choice is not the seed's: it depends on the machine.
-func free() laceunit.Address {
-	for {
-		address := fmt.Sprintf("127.0.0.1:%d", leastPort+rand.IntN(mostPort-leastPort))
-		if l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address); err == nil {
-			_ = l.Close() // Nothing was accepted.
-			return laceunit.Address(address)
-		}
-	}
-}
-
 // server returns the present process of a server.
 func (s *site) server(i int) *lacestage.Server {
 	s.mu.Lock()
--- a/loadgen/lacesoak/soak.go
+++ b/loadgen/lacesoak/soak.go
@@ -69,7 +69,6 @@
 		if *x, err = lacestage.Settings(s.store, instanceID(i), laceunit.Place{Region: "region", Zone: zone(i)}); err != nil {
 			return nil, nil, err
 		}
-		x.Caller, x.Ready, x.Directory, x.Peer, x.Metrics = free(), free(), free(), free(), free()
 		x.Drain.Grace, x.Drain.Notice = drainGrace, drainNotice
 	}
 	for i, x := range all {
@@ -111,7 +110,7 @@
 		instances: instances,
 		stop:      make(chan struct{}),
 	}
-	c.add(callersEach*len(instances), 0)
+	c.add(0)
 	d := &driver{
 		site:    s,
 		fleet:   f,
