lacesoak: bounds of rest grow with the number of servers

Cause: 60 instances with 75 servers were reported for 70 to 163 open files at rest, while idle connections to servers stay until that server's next answer.

--- a/loadgen/lacesoak/record.go
+++ b/loadgen/lacesoak/record.go
@@ -71,8 +71,10 @@
 	// last is the use of each living instance after the quiet tail.
 	last map[int]laceprocess.Usage
 	// exited are the instances that ended by themselves.
-	exited    []int
+	exited []int
+	// instances and backends are how many instances and backend servers there are.
 	instances int
+	backends  int
 }
 
 // instanceID names an instance by its number.
--- a/loadgen/lacesoak/rest.go
+++ b/loadgen/lacesoak/rest.go
@@ -9,16 +9,18 @@
 
 const (
 	// What a living instance may use above its rest after a few quiet seconds: heap that the runtime has not returned yet,
-	// and idle connections to servers, which are kept for some seconds, with two goroutines for each.
-	memorySlack     = 64 << 20
-	filesSlack      = 32
-	goroutinesSlack = 2 * filesSlack
+	// callers' connections that are just closing, and idle connections to each server. Those stay open until the next
+	// answer of that server, which without callers does not come.
+	memorySlack = 64 << 20
+	filesSlack  = 32
+	idleEach    = 2
 	// serveWithin is when each instance serves again after the last fault.
 	serveWithin = 3 * time.Second
 )
 
 // resting checks that what instances use returns to near rest.
 func (c *checker) resting() {
+	files := float64(filesSlack + idleEach*c.backends)
 	for i := range c.instances {
 		s, ok := c.last[i]
 		if !ok {
@@ -30,8 +32,8 @@
 			now, rest, margin float64
 		}{
 			{name: "bytes of memory", now: s.Memory, rest: c.rest.Memory, margin: memorySlack},
-			{name: "open files", now: s.Files, rest: c.rest.Files, margin: filesSlack},
-			{name: "goroutines", now: s.Goroutines, rest: c.rest.Goroutines, margin: goroutinesSlack},
+			{name: "open files", now: s.Files, rest: c.rest.Files, margin: files},
+			{name: "goroutines", now: s.Goroutines, rest: c.rest.Goroutines, margin: 2 * files},
 		} {
 			if x.now > x.rest+x.margin {
 				c.add(promiseRest, nil, "instance %d has %.0f %s after the quiet tail, %.0f at rest", i, x.now, x.name, x.rest)
--- a/loadgen/lacesoak/soak.go
+++ b/loadgen/lacesoak/soak.go
@@ -32,7 +32,10 @@
 		return nil, err
 	}
 	places, instances, err := s.place(dir)
-	r := &record{instances: o.Instances}
+	r := &record{
+		instances: o.Instances,
+		backends:  o.engines() + o.services(),
+	}
 	if err == nil {
 		err = s.play(ctx, newFleet(program, places, ready), instances, r)
 	}
