lacesoak: narrower excuses

A cut answer is excused by the last server that ran it only, a leaving mark by a new process only, and the time limits fit into the grace of a stop.

--- a/loadgen/lacesoak/check.go
+++ b/loadgen/lacesoak/check.go
@@ -185,14 +185,7 @@
 	if a.Ended.Sub(a.Sent) >= a.limit-limitSlack {
 		return false
 	}
-	// What a server broke off, or was slow or silent about, can't be completed; the instance gives silent servers up.
-	explained := func(x *lacestage.Run) bool {
-		return faulty(x) || slices.ContainsFunc(c.deeds, func(e deed) bool {
-			slow := e.rule.server.Silent || e.rule.server.Delay > 0
-			return slow && e.server == x.Server && !e.began.After(x.Ended) && !e.ended.Before(x.Arrived)
-		})
-	}
-	if slices.ContainsFunc(c.ran[a.Attempt], explained) {
+	if c.serverFailed(a) {
 		return false
 	}
 	// HTTP/1.1 lets a peer close between two answers. A request that meets the close, after the time in which new ones are
@@ -201,6 +194,20 @@
 	return !crossed || a.Status != 0 || len(c.ran[a.Attempt]) > 0
 }
 
+// serverFailed reports whether the last server that ran an attempt broke its answer off, or told nothing, upon which the
+// instance gives it up. What earlier servers did is no excuse: the attempt went on without them.
+func (c *checker) serverFailed(a *answer) bool {
+	var last *lacestage.Run
+	for _, x := range c.ran[a.Attempt] {
+		if x.Outcome.Ran() {
+			last = x
+		}
+	}
+	return last != nil && (faulty(last) || slices.ContainsFunc(c.deeds, func(d deed) bool {
+		return d.rule.server.Silent && d.server == last.Server && !d.began.After(last.Ended) && !d.ended.Before(last.Arrived)
+	}))
+}
+
 // path is one instance's way to one process of a server.
 type path struct {
 	instance laceunit.InstanceID
@@ -237,16 +244,19 @@
 }
 
 // leaving looks for requests that were sent after the drain time. The mark counts from when the caller had the answer, so
-// that the instance certainly had read it. A new process of the instance has not seen the mark.
+// that the instance certainly had read it. A new process of the instance has not seen the marks before it.
 func (c *checker) leaving(p path, all []arrival) {
 	var marked time.Time
 	var late []laceunit.AttemptID
 	for _, x := range all {
-		if !marked.IsZero() && x.caller.Sent.After(marked.Add(drainTime)) && !c.disturbed(p.instance, marked, x.Arrived) {
-			late = append(late, x.Attempt)
+		if c.met(p.instance, marked, x.Arrived, stop, kill) {
+			marked = time.Time{}
 		}
-		if marked.IsZero() && x.Announced && x.caller.served() {
+		switch {
+		case marked.IsZero() && x.Announced && x.caller.served():
 			marked = x.caller.Ended
+		case !marked.IsZero() && x.caller.Sent.After(marked.Add(drainTime)):
+			late = append(late, x.Attempt)
 		}
 	}
 	if len(late) > 0 {
@@ -254,11 +264,12 @@
 	}
 }
 
-// pausing looks for requests that came before the end of a pause.
+// pausing looks for requests that came before the end of a pause. A frozen instance reads no answers, and a new process has
+// not heard what the one before was told.
 func (c *checker) pausing(p path, all []arrival) {
 	var most []laceunit.AttemptID
 	for _, x := range all {
-		if x.Outcome != lacestage.Paused || c.disturbed(p.instance, x.Ended, x.PausedUntil) {
+		if x.Outcome != lacestage.Paused || c.met(p.instance, x.Ended, x.PausedUntil, stop, kill, freeze) {
 			continue
 		}
 		var within []laceunit.AttemptID
@@ -276,11 +287,9 @@
 	}
 }
 
-// disturbed reports whether an instance was frozen or started again within a time: a frozen one reads nothing, and a new
-// process has not heard what the one before was told.
-func (c *checker) disturbed(instance laceunit.InstanceID, from, to time.Time) bool {
+// met reports whether an instance met events of some kinds within a time.
+func (c *checker) met(instance laceunit.InstanceID, from, to time.Time, kinds ...string) bool {
 	return slices.ContainsFunc(c.deeds, func(d deed) bool {
-		ends := d.kind == stop || d.kind == kill || d.kind == freeze
-		return ends && instanceID(d.number) == instance && d.began.Before(to) && d.over().After(from)
+		return slices.Contains(kinds, d.kind) && instanceID(d.number) == instance && d.began.Before(to) && d.over().After(from)
 	})
 }
--- a/loadgen/lacesoak/check_test.go
+++ b/loadgen/lacesoak/check_test.go
@@ -94,38 +94,50 @@
 		change func(r *record)
 		want   []string
 	}{
-		"sound":             {change: func(*record) {}},
-		"overspent":         {change: func(r *record) { r.answers[0].given = 11 }, want: []string{promiseBudget}},
-		"ran twice":         {change: func(r *record) { r.runs = append(r.runs, r.runs[0]) }, want: []string{promiseOnce}},
-		"may run twice":     {change: func(r *record) { r.answers[0].once = false; r.runs = append(r.runs, r.runs[0]) }},
-		"other account":     {change: func(r *record) { r.runs[0].Account = "b" }, want: []string{promiseAccount}},
-		"incomplete":        {change: func(r *record) { r.answers[0].Body = []byte("rig") }, want: []string{promiseWhole}},
-		"broken off":        {change: func(r *record) { r.answers[0].Complete = false; r.answers[0].Body = []byte("rig") }},
-		"foreign bytes":     {change: func(r *record) { r.answers[0].Complete = false; r.answers[0].Body = []byte("wro") }, want: []string{promiseWhole}},
-		"another's id":      {change: func(r *record) { r.answers[0].Echo = "t-1" }, want: []string{promiseWhole}},
-		"refused and ran":   {change: func(r *record) { r.answers[0].Status = 503 }, want: []string{promiseNotRun}},
-		"refused":           {change: func(r *record) { r.answers[0].Status = 503; r.runs[0].Outcome = lacestage.Full }},
-		"failed and ran":    {change: func(r *record) { r.answers[0].Status = 502 }},
-		"cut by stop":       {change: cut, want: []string{promiseStop}},
-		"cut, given up":     {change: func(r *record) { cut(r); r.answers[1].left = true }},
-		"cut by server":     {change: func(r *record) { cut(r); r.runs[1].Outcome = lacestage.Broken }},
-		"cut, slow server":  {change: func(r *record) { cut(r); r.deeds = append(r.deeds, silent) }},
+		"sound":            {change: func(*record) {}},
+		"overspent":        {change: func(r *record) { r.answers[0].given = 11 }, want: []string{promiseBudget}},
+		"ran twice":        {change: func(r *record) { r.runs = append(r.runs, r.runs[0]) }, want: []string{promiseOnce}},
+		"may run twice":    {change: func(r *record) { r.answers[0].once = false; r.runs = append(r.runs, r.runs[0]) }},
+		"other account":    {change: func(r *record) { r.runs[0].Account = "b" }, want: []string{promiseAccount}},
+		"incomplete":       {change: func(r *record) { r.answers[0].Body = []byte("rig") }, want: []string{promiseWhole}},
+		"broken off":       {change: func(r *record) { r.answers[0].Complete = false; r.answers[0].Body = []byte("rig") }},
+		"foreign bytes":    {change: func(r *record) { r.answers[0].Complete = false; r.answers[0].Body = []byte("wro") }, want: []string{promiseWhole}},
+		"another's id":     {change: func(r *record) { r.answers[0].Echo = "t-1" }, want: []string{promiseWhole}},
+		"refused and ran":  {change: func(r *record) { r.answers[0].Status = 503 }, want: []string{promiseNotRun}},
+		"refused":          {change: func(r *record) { r.answers[0].Status = 503; r.runs[0].Outcome = lacestage.Full }},
+		"failed and ran":   {change: func(r *record) { r.answers[0].Status = 502 }},
+		"cut by stop":      {change: cut, want: []string{promiseStop}},
+		"cut, given up":    {change: func(r *record) { cut(r); r.answers[1].left = true }},
+		"cut by server":    {change: func(r *record) { cut(r); r.runs[1].Outcome = lacestage.Broken }},
+		"cut, slow server": {change: func(r *record) { cut(r); r.deeds = append(r.deeds, silent) }},
+		"cut, went on": {change: func(r *record) {
+			cut(r)
+			r.runs[1].Outcome = lacestage.Broken
+			r.runs = append(r.runs, r.runs[1])
+			r.runs[3].Outcome = lacestage.Left
+			r.answers[1].once = false
+		}, want: []string{promiseStop}},
 		"cut by limit":      {change: func(r *record) { cut(r); r.answers[1].limit = 600 * time.Millisecond }},
 		"slow stop":         {change: func(r *record) { r.deeds[0].ended = at(14.1) }, want: []string{promiseStop}},
 		"crossed close":     {change: func(r *record) { crossed(r); unseen(r) }},
 		"crossed and ran":   {change: crossed, want: []string{promiseStop}},
 		"waited, then cut":  {change: func(r *record) { crossed(r); r.answers[1].Sent = at(11); unseen(r) }, want: []string{promiseStop}},
 		"sent when leaving": {change: func(r *record) { r.runs[0].Announced = true }, want: []string{promiseLeaving}},
-		"leaving, in time":  {change: func(r *record) { r.runs[0].Announced = true; r.answers[1].Sent = at(4.4); r.runs[2].Server = "new" }},
-		"new process":       {change: func(r *record) { r.runs[1].Announced = true }},
-		"paused":            {change: func(r *record) { paused(r, 1) }, want: []string{promisePausing}},
-		"paused, trials":    {change: func(r *record) { paused(r, 1); r.runs[5].Server = "new" }},
-		"paused, frozen":    {change: func(r *record) { paused(r, 14.5) }},
-		"memory":            {change: func(r *record) { r.last[0] = laceprocess.Usage{Memory: memorySlack + 1} }, want: []string{promiseRest}},
-		"files":             {change: func(r *record) { r.last[0] = laceprocess.Usage{Files: filesSlack + 1} }, want: []string{promiseRest}},
-		"goroutines":        {change: func(r *record) { r.last[0] = laceprocess.Usage{Goroutines: 2*filesSlack + 1} }, want: []string{promiseRest}},
-		"gone":              {change: func(r *record) { delete(r.last, 0) }, want: []string{promiseRest}},
-		"serves late":       {change: func(r *record) { r.quiet = at(17.9) }, want: []string{promiseServes}},
+		"leaving, woken":    {change: func(r *record) { r.runs[0].Announced = true; r.deeds[1].began, r.deeds[1].ended = at(3), at(4) }, want: []string{promiseLeaving}},
+		"leaving, new one": {change: func(r *record) {
+			r.runs[0].Announced = true
+			r.deeds[0].began, r.deeds[0].ended, r.deeds[0].ready = at(3), at(4), at(4)
+		}},
+		"leaving, in time": {change: func(r *record) { r.runs[0].Announced = true; r.answers[1].Sent = at(4.4); r.runs[2].Server = "new" }},
+		"new process":      {change: func(r *record) { r.runs[1].Announced = true }},
+		"paused":           {change: func(r *record) { paused(r, 1) }, want: []string{promisePausing}},
+		"paused, trials":   {change: func(r *record) { paused(r, 1); r.runs[5].Server = "new" }},
+		"paused, frozen":   {change: func(r *record) { paused(r, 14.5) }},
+		"memory":           {change: func(r *record) { r.last[0] = laceprocess.Usage{Memory: memorySlack + 1} }, want: []string{promiseRest}},
+		"files":            {change: func(r *record) { r.last[0] = laceprocess.Usage{Files: filesSlack + 1} }, want: []string{promiseRest}},
+		"goroutines":       {change: func(r *record) { r.last[0] = laceprocess.Usage{Goroutines: 2*filesSlack + 1} }, want: []string{promiseRest}},
+		"gone":             {change: func(r *record) { delete(r.last, 0) }, want: []string{promiseRest}},
+		"serves late":      {change: func(r *record) { r.quiet = at(17.9) }, want: []string{promiseServes}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := sound()
--- a/loadgen/lacesoak/site.go
+++ b/loadgen/lacesoak/site.go
@@ -20,9 +20,10 @@
 	// slots and queue are those of one backend server.
 	slots = 8
 	queue = 8
-	// routeLimit is the time limit of the routes, shortLimit the one that a change of the configuration sets.
-	routeLimit = 2500 * time.Millisecond
-	shortLimit = 1500 * time.Millisecond
+	// routeLimit is the time limit of the routes, shortLimit the one that a change of the configuration sets. With the notice
+	// of a planned stop, the longer one has to fit into its grace.
+	routeLimit = 2 * time.Second
+	shortLimit = time.Second
 	// plenty is more than an account can spend in a run, scarce less.
 	plenty = 100_000_000
 	scarce = 4_000
