--- a/loadgen/lacesoak/check_test.go
+++ b/loadgen/lacesoak/check_test.go
@@ -69,6 +69,15 @@
 	a.Sent, a.Ended, a.Complete, a.Body = at(10.2), at(10.8), false, []byte("rig")
 }
 
+// wentOn makes it one that was cut after an earlier server had broken off.
+func wentOn(r *record) {
+	cut(r)
+	r.answers[1].once = false
+	r.runs[1].Outcome = lacestage.Broken
+	r.runs = append(r.runs, r.runs[1])
+	r.runs[3].Outcome = lacestage.Left
+}
+
 // crossed makes it one that met the close of its connection.
 func crossed(r *record) {
 	a := &r.answers[1]
@@ -87,68 +96,75 @@
 	}
 }
 
-// Guards against checks that find nothing in a run that broke a promise, and against findings in sound runs.
-func TestEachBrokenPromiseIsFound(t *testing.T) {
-	silent := deed{event: event{rule: rule{server: lacestage.ServerFault{Silent: true}}}, server: "s", began: at(5.2), ended: at(5.3)}
-	for name, c := range map[string]struct {
-		change func(r *record)
-		want   []string
-	}{
-		"sound":            {change: func(*record) {}},
-		"overspent":        {change: func(r *record) { r.answers[0].given = 11 }, want: []string{promiseBudget}},
-		"ran twice":        {change: func(r *record) { r.runs = append(r.runs, r.runs[0]) }, want: []string{promiseOnce}},
-		"may run twice":    {change: func(r *record) { r.answers[0].once = false; r.runs = append(r.runs, r.runs[0]) }},
-		"other account":    {change: func(r *record) { r.runs[0].Account = "b" }, want: []string{promiseAccount}},
-		"incomplete":       {change: func(r *record) { r.answers[0].Body = []byte("rig") }, want: []string{promiseWhole}},
-		"broken off":       {change: func(r *record) { r.answers[0].Complete = false; r.answers[0].Body = []byte("rig") }},
-		"foreign bytes":    {change: func(r *record) { r.answers[0].Complete = false; r.answers[0].Body = []byte("wro") }, want: []string{promiseWhole}},
-		"another's id":     {change: func(r *record) { r.answers[0].Echo = "t-1" }, want: []string{promiseWhole}},
-		"refused and ran":  {change: func(r *record) { r.answers[0].Status = 503 }, want: []string{promiseNotRun}},
-		"refused":          {change: func(r *record) { r.answers[0].Status = 503; r.runs[0].Outcome = lacestage.Full }},
-		"failed and ran":   {change: func(r *record) { r.answers[0].Status = 502 }},
-		"cut by stop":      {change: cut, want: []string{promiseStop}},
-		"cut, given up":    {change: func(r *record) { cut(r); r.answers[1].left = true }},
-		"cut by server":    {change: func(r *record) { cut(r); r.runs[1].Outcome = lacestage.Broken }},
-		"cut, slow server": {change: func(r *record) { cut(r); r.deeds = append(r.deeds, silent) }},
-		"cut, went on": {change: func(r *record) {
-			cut(r)
-			r.runs[1].Outcome = lacestage.Broken
-			r.runs = append(r.runs, r.runs[1])
-			r.runs[3].Outcome = lacestage.Left
-			r.answers[1].once = false
-		}, want: []string{promiseStop}},
-		"cut by limit":      {change: func(r *record) { cut(r); r.answers[1].limit = 600 * time.Millisecond }},
-		"slow stop":         {change: func(r *record) { r.deeds[0].ended = at(14.1) }, want: []string{promiseStop}},
-		"crossed close":     {change: func(r *record) { crossed(r); unseen(r) }},
-		"crossed and ran":   {change: crossed, want: []string{promiseStop}},
-		"waited, then cut":  {change: func(r *record) { crossed(r); r.answers[1].Sent = at(11); unseen(r) }, want: []string{promiseStop}},
-		"sent when leaving": {change: func(r *record) { r.runs[0].Announced = true }, want: []string{promiseLeaving}},
-		"leaving, woken":    {change: func(r *record) { r.runs[0].Announced = true; r.deeds[1].began, r.deeds[1].ended = at(3), at(4) }, want: []string{promiseLeaving}},
-		"leaving, new one": {change: func(r *record) {
-			r.runs[0].Announced = true
-			r.deeds[0].began, r.deeds[0].ended, r.deeds[0].ready = at(3), at(4), at(4)
-		}},
-		"leaving, in time": {change: func(r *record) { r.runs[0].Announced = true; r.answers[1].Sent = at(4.4); r.runs[2].Server = "new" }},
-		"new process":      {change: func(r *record) { r.runs[1].Announced = true }},
-		"paused":           {change: func(r *record) { paused(r, 1) }, want: []string{promisePausing}},
-		"paused, trials":   {change: func(r *record) { paused(r, 1); r.runs[5].Server = "new" }},
-		"paused, frozen":   {change: func(r *record) { paused(r, 14.5) }},
-		"memory":           {change: func(r *record) { r.last[0] = laceprocess.Usage{Memory: memorySlack + 1} }, want: []string{promiseRest}},
-		"files":            {change: func(r *record) { r.last[0] = laceprocess.Usage{Files: filesSlack + 1} }, want: []string{promiseRest}},
-		"goroutines":       {change: func(r *record) { r.last[0] = laceprocess.Usage{Goroutines: 2*filesSlack + 1} }, want: []string{promiseRest}},
-		"gone":             {change: func(r *record) { delete(r.last, 0) }, want: []string{promiseRest}},
-		"serves late":      {change: func(r *record) { r.quiet = at(17.9) }, want: []string{promiseServes}},
-	} {
+// example is a change of the sound run with the promises that it breaks.
+type example struct {
+	change func(r *record)
+	want   []string
+}
+
+// find compares what is found with what was broken.
+func find(t *testing.T, examples map[string]example) {
+	t.Helper()
+	for name, x := range examples {
 		t.Run(name, func(t *testing.T) {
 			r := sound()
-			c.change(r)
+			x.change(r)
 			var got []string
 			for _, f := range check(r) {
 				got = append(got, f.Promise)
 			}
-			if !slices.Equal(got, c.want) {
-				t.Errorf("found %q, want %q", got, c.want)
+			if !slices.Equal(got, x.want) {
+				t.Errorf("found %q, want %q", got, x.want)
 			}
 		})
 	}
 }
+
+// Guards against checks of single answers that find nothing when a promise was broken, and against findings in sound runs.
+func TestBrokenAnswersAreFound(t *testing.T) {
+	find(t, map[string]example{
+		"sound":           {change: func(*record) {}},
+		"overspent":       {change: func(r *record) { r.answers[0].given = 11 }, want: []string{promiseBudget}},
+		"ran twice":       {change: func(r *record) { r.runs = append(r.runs, r.runs[0]) }, want: []string{promiseOnce}},
+		"may run twice":   {change: func(r *record) { r.answers[0].once = false; r.runs = append(r.runs, r.runs[0]) }},
+		"other account":   {change: func(r *record) { r.runs[0].Account = "b" }, want: []string{promiseAccount}},
+		"incomplete":      {change: func(r *record) { r.answers[0].Body = []byte("rig") }, want: []string{promiseWhole}},
+		"broken off":      {change: func(r *record) { r.answers[0].Complete = false; r.answers[0].Body = []byte("rig") }},
+		"foreign bytes":   {change: func(r *record) { r.answers[0].Complete = false; r.answers[0].Body = []byte("wro") }, want: []string{promiseWhole}},
+		"another's id":    {change: func(r *record) { r.answers[0].Echo = "t-1" }, want: []string{promiseWhole}},
+		"refused and ran": {change: func(r *record) { r.answers[0].Status = 503 }, want: []string{promiseNotRun}},
+		"refused":         {change: func(r *record) { r.answers[0].Status = 503; r.runs[0].Outcome = lacestage.Full }},
+		"failed and ran":  {change: func(r *record) { r.answers[0].Status = 502 }},
+	})
+}
+
+// Guards against checks of stops, of servers that leave or pause and of what instances use that find nothing, and against
+// excuses that cover more than their reason.
+func TestBrokenConductIsFound(t *testing.T) {
+	silent := deed{event: event{rule: rule{server: lacestage.ServerFault{Silent: true}}}, server: "s", began: at(5.2), ended: at(5.3)}
+	find(t, map[string]example{
+		"cut by stop":       {change: cut, want: []string{promiseStop}},
+		"cut, given up":     {change: func(r *record) { cut(r); r.answers[1].left = true }},
+		"cut by server":     {change: func(r *record) { cut(r); r.runs[1].Outcome = lacestage.Broken }},
+		"cut, slow server":  {change: func(r *record) { cut(r); r.deeds = append(r.deeds, silent) }},
+		"cut, went on":      {change: wentOn, want: []string{promiseStop}},
+		"crossed close":     {change: func(r *record) { crossed(r); unseen(r) }},
+		"cut by limit":      {change: func(r *record) { cut(r); r.answers[1].limit = 600 * time.Millisecond }},
+		"slow stop":         {change: func(r *record) { r.deeds[0].ended = at(14.1) }, want: []string{promiseStop}},
+		"crossed and ran":   {change: crossed, want: []string{promiseStop}},
+		"waited, then cut":  {change: func(r *record) { crossed(r); r.answers[1].Sent = at(11); unseen(r) }, want: []string{promiseStop}},
+		"sent when leaving": {change: func(r *record) { r.runs[0].Announced = true }, want: []string{promiseLeaving}},
+		"leaving, woken":    {change: func(r *record) { r.runs[0].Announced = true; r.deeds[1].began, r.deeds[1].ended = at(3), at(4) }, want: []string{promiseLeaving}},
+		"leaving, new one":  {change: func(r *record) { r.runs[0].Announced = true; r.deeds[0].began, r.deeds[0].ended = at(3), at(4) }},
+		"leaving, in time":  {change: func(r *record) { r.runs[0].Announced = true; r.answers[1].Sent = at(4.4); r.runs[2].Server = "new" }},
+		"new process":       {change: func(r *record) { r.runs[1].Announced = true }},
+		"paused":            {change: func(r *record) { paused(r, 1) }, want: []string{promisePausing}},
+		"paused, trials":    {change: func(r *record) { paused(r, 1); r.runs[5].Server = "new" }},
+		"paused, frozen":    {change: func(r *record) { paused(r, 14.5) }},
+		"memory":            {change: func(r *record) { r.last[0] = laceprocess.Usage{Memory: memorySlack + 1} }, want: []string{promiseRest}},
+		"files":             {change: func(r *record) { r.last[0] = laceprocess.Usage{Files: filesSlack + 1} }, want: []string{promiseRest}},
+		"goroutines":        {change: func(r *record) { r.last[0] = laceprocess.Usage{Goroutines: 2*filesSlack + 1} }, want: []string{promiseRest}},
+		"gone":              {change: func(r *record) { delete(r.last, 0) }, want: []string{promiseRest}},
+		"serves late":       {change: func(r *record) { r.quiet = at(17.9) }, want: []string{promiseServes}},
+	})
+}
--- a/loadgen/lacesoak/drive.go
+++ b/loadgen/lacesoak/drive.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 	"slices"
 	"sync"
 	"time"
@@ -76,13 +77,14 @@
 	p := d.fleet.process(x.number, x.kind == stop || x.kind == kill)
 	switch x.kind {
 	case hangup:
-		return p.Hangup()
+		return unlessDone(p.Hangup())
 	case freeze:
-		if err := p.Freeze(); err != nil {
-			return err
-		}
+		err := p.Freeze()
 		sleep(ctx, x.length)
-		return p.Wake()
+		if err == nil {
+			err = p.Wake()
+		}
+		return unlessDone(err)
 	case stop:
 		p.Stop(drainGrace + stopPatience)
 	default:
@@ -95,6 +97,14 @@
 	return err
 }
 
+// unlessDone drops the error of a signal to a process that has ended by itself, which is a finding at the end of the run.
+func unlessDone(err error) error {
+	if errors.Is(err, os.ErrProcessDone) {
+		return nil
+	}
+	return err
+}
+
 func (d *driver) disturbStore(ctx context.Context, e event) error {
 	f := e.store
 	// Leases of a store that is away may end or not.
