--- a/loadgen/lacesoak/check.go
+++ b/loadgen/lacesoak/check.go
@@ -165,13 +165,18 @@
 			c.add(promiseStop, nil, "instance %d, stopped at %.3f s, ended after %s", d.number, d.at.Seconds(), took)
 		}
 		var cut []laceunit.AttemptID
+		var first *answer
 		for j := range c.answers {
 			if a := &c.answers[j]; d.kind == stop && a.Instance == instanceID(d.number) && c.cutBy(d, a) {
 				cut = append(cut, a.Attempt)
+				if first == nil {
+					first = a
+				}
 			}
 		}
-		if len(cut) > 0 {
-			c.add(promiseStop, cut, "instance %d, stopped at %.3f s, cut %d answers", d.number, d.at.Seconds(), len(cut))
+		if first != nil {
+			c.add(promiseStop, cut, "instance %d, stopped at %.3f s, cut %d answers; the first was sent %s behind the signal and ended after %s: %v",
+				d.number, d.at.Seconds(), len(cut), first.Sent.Sub(d.began), first.Ended.Sub(first.Sent), first.Err)
 		}
 	}
 }
