lacesoak: a request that meets the end of the notice is not cut

Ruled out: a request that was accepted (no log line, no run). Change: the moment of the close decides, not that of the send. Conclusion: kept; closes before the end of the notice stay findings.

--- a/loadgen/lacesoak/check.go
+++ b/loadgen/lacesoak/check.go
@@ -193,9 +193,9 @@
 	if c.serverFailed(a) {
 		return false
 	}
-	// HTTP/1.1 lets a peer close between two answers. A request that meets the close, after the time in which new ones are
-	// taken, was not accepted: no server got it and no byte came back.
-	crossed := a.Sent.After(d.began.Add(drainNotice)) && a.Ended.Sub(a.Sent) < crossing
+	// HTTP/1.1 lets a peer close between two answers, and a stopping instance does so at the end of its notice. A request
+	// that meets the close was not accepted: no byte came back and no server got it.
+	crossed := a.Ended.After(d.began.Add(drainNotice)) && a.Ended.Sub(a.Sent) < crossing
 	return !crossed || a.Status != 0 || len(c.ran[a.Attempt]) > 0
 }
 
--- a/loadgen/lacesoak/check_test.go
+++ b/loadgen/lacesoak/check_test.go
@@ -152,6 +152,7 @@
 		"crossed close":     {change: func(r *record) { crossed(r); unseen(r) }},
 		"cut by limit":      {change: func(r *record) { cut(r); r.answers[1].limit = 600 * time.Millisecond }},
 		"slow stop":         {change: func(r *record) { r.deeds[0].ended = at(14.1) }, want: []string{promiseStop}},
+		"crossed too early": {change: func(r *record) { crossed(r); r.answers[1].Sent, r.answers[1].Ended = at(10.9), at(10.95); unseen(r) }, want: []string{promiseStop}},
 		"crossed and ran":   {change: crossed, want: []string{promiseStop}},
 		"waited, then cut":  {change: func(r *record) { crossed(r); r.answers[1].Sent = at(11.2); unseen(r) }, want: []string{promiseStop}},
 		"sent when leaving": {change: func(r *record) { r.runs[0].Announced = true }, want: []string{promiseLeaving}},
