laceconn: idle connections close when their time is over

Cause: connections to servers that were kept after a burst stayed open until the next request to the same server, and with them their buffers here and a worker at the server.

--- a/lib/laceconn/pool.go
+++ b/lib/laceconn/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -103,23 +104,31 @@
 	if idle <= 0 {
 		idle = defaultIdle
 	}
-	now := time.Now()
-	c.rest = now.Add(idle - min(idleMargin, idle/4))
+	c.rest = time.Now().Add(idle - min(idleMargin, idle/4))
 	p.mu.Lock()
 	if p.closed {
 		p.mu.Unlock()
 		c.Discard()
 		return
 	}
-	var expired []*Conn
-	for len(p.idle) > 0 && !now.Before(p.idle[0].rest) {
-		expired = append(expired, p.idle[0])
-		p.idle = p.idle[1:]
-	}
 	p.idle = append(p.idle, c)
 	p.mu.Unlock()
-	for _, x := range expired {
-		x.Discard()
+}
+
+// Expire closes idle connections that the server may close; whoever owns the pool calls it now and then.
+func (p *Pool) Expire(now time.Time) {
+	var expired []*Conn
+	p.mu.Lock()
+	p.idle = slices.DeleteFunc(p.idle, func(c *Conn) bool {
+		over := !now.Before(c.rest)
+		if over {
+			expired = append(expired, c)
+		}
+		return over
+	})
+	p.mu.Unlock()
+	for _, c := range expired {
+		c.Discard()
 	}
 }
 
--- a/lib/lacerelay/backend.go
+++ b/lib/lacerelay/backend.go
@@ -91,12 +91,13 @@
 	}
 }
 
-// Tick drops servers whose entries have not come back in time.
+// Tick drops servers whose entries have not come back in time, and closes connections that rest too long.
 func (b *Backends) Tick(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	changed := false
 	for _, x := range b.all {
+		x.pool.Expire(now)
 		if !x.until.IsZero() && !now.Before(x.until) {
 			b.drop(x, "lapsed")
 			changed = true
