lacenode: malformed news of another instance is no answer

Cause: ages, prefixes and keys in an answer of another instance were taken as they came. An age of ms wraps around, so that a copy of a minute ago counted as current; a confirmation of revision 0 did the same to an empty copy, and a prefix named twice counted as two copies. Nothing was logged. Entries and removals above the delta's revision stay allowed, as events reach a copy before its revision moves. Change: an answer is checked as a whole before anything of it is taken in. A question for an unknown prefix is noted too, and the rest of it answered, as instances of another version may follow more.

--- a/lib/lacenode/exchange.go
+++ b/lib/lacenode/exchange.go
@@ -79,37 +79,46 @@
 // fetch takes in what another instance knows. It returns the newest moment at which all of its copies are known to have been
 // current, zero if that is not known, and whether it answered.
 func (x *exchange) fetch(ctx context.Context, peer laceunit.Address) (reached laceunit.Uptime, answered bool) {
-	query := &lacewire.MirrorQuery{Instance: string(x.node.settings.Instance)}
+	query := x.query()
+	asked := x.node.pulse.Now()
+	news, err := lacewire.NewMirrorProtobufClient("http://"+string(peer), x.client).Fetch(ctx, query)
+	if err != nil {
+		// An unreachable instance tells nothing; the next round asks others.
+		return 0, false
+	}
+	return x.take(peer, asked, news)
+}
+
+// query returns a question for what this instance's copies lack.
+func (x *exchange) query() *lacewire.MirrorQuery {
+	q := &lacewire.MirrorQuery{Instance: string(x.node.settings.Instance)}
 	for _, f := range x.node.followers {
-		query.States = append(query.States, &lacewire.MirrorState{
+		q.States = append(q.States, &lacewire.MirrorState{
 			Prefix:   string(f.Prefix()),
 			Revision: int64(f.Status().Revision),
 		})
 	}
-	asked := x.node.pulse.Now()
-	news, err := lacewire.NewMirrorProtobufClient("http://"+string(peer), x.client).Fetch(ctx, query)
-	if err != nil {
-		// An unreachable instance tells nothing; the next round asks others.
+	return q
+}
+
+// take takes in the answer to a question that was asked at a moment. One that can't be meant is no answer.
+func (x *exchange) take(peer laceunit.Address, asked laceunit.Uptime, news *lacewire.MirrorNews) (reached laceunit.Uptime, answered bool) {
+	if fault := x.fault(news); fault != "" {
+		x.node.malformed(fault, string(peer))
 		return 0, false
 	}
 	for _, m := range news.GetDeltas() {
-		if f := x.follower(laceplatform.Key(m.GetPrefix())); f != nil {
-			f.Merge(lacewire.ToDelta(m))
-		}
+		x.follower(laceplatform.Key(m.GetPrefix())).Merge(lacewire.ToDelta(m))
 	}
 	return x.confirm(asked, news.GetConfirmed()), true
 }
 
-// confirm takes in how old the copies of another instance are and returns the oldest moment.
+// confirm takes in how old the copies of another instance are, by an answer without fault, and returns the oldest moment.
 func (x *exchange) confirm(asked laceunit.Uptime, confirmed []*lacewire.MirrorConfirmation) laceunit.Uptime {
 	oldest, known := asked, 0
 	for _, c := range confirmed {
-		f := x.follower(laceplatform.Key(c.GetPrefix()))
-		if f == nil || c.GetAgeMs() < 0 {
-			continue
-		}
 		at := asked.Add(-time.Duration(c.GetAgeMs()) * time.Millisecond)
-		if at > 0 && f.Confirm(laceplatform.Revision(c.GetRevision()), at) {
+		if f := x.follower(laceplatform.Key(c.GetPrefix())); at > 0 && f.Confirm(laceplatform.Revision(c.GetRevision()), at) {
 			known++
 			oldest = min(oldest, at)
 		}
@@ -152,10 +161,12 @@
 // Fetch implements lacewire.Mirror.
 func (x *exchange) Fetch(_ context.Context, q *lacewire.MirrorQuery) (*lacewire.MirrorNews, error) {
 	news := &lacewire.MirrorNews{Direct: !x.node.standby.Load()}
-	now := x.node.pulse.Now()
+	now, unread := x.node.pulse.Now(), false
 	for _, s := range q.GetStates() {
 		f := x.follower(laceplatform.Key(s.GetPrefix()))
-		if f == nil {
+		if f == nil || s.GetRevision() < 0 {
+			// An instance of another version may follow more; what it asks beside that is answered.
+			unread = true
 			continue
 		}
 		// The age comes first: changes after it are in the copy or have moved its revision.
@@ -163,7 +174,7 @@
 		if d, ok := f.Since(laceplatform.Revision(s.GetRevision())); ok {
 			news.Deltas = append(news.Deltas, lacewire.FromDelta(d))
 		}
-		if status.Reached > 0 {
+		if status.Reached > 0 && status.Revision > 0 {
 			news.Confirmed = append(news.Confirmed, &lacewire.MirrorConfirmation{
 				Prefix:   s.GetPrefix(),
 				AgeMs:    age(now, status.Reached).Milliseconds(),
@@ -171,6 +182,9 @@
 			})
 		}
 	}
+	if unread {
+		x.node.malformed("news query", q.GetInstance())
+	}
 	return news, nil
 }
 
