lacequota: a newer total in an account's page is taken over

Cause: an instance that found a newer total in an account's page drew under it and went on with its own older one between the draws: it asked the store again and again, refused with 503 what 402 is for, and would have lent by the older total. Seen before the change, TestNewerTotalInThePageWins: wallet_test.go:114: an instance that has seen a total of 10000 in the page goes on with 1000000 wallet_test.go:117: more than the total in the page: verdict 2, not spent wallet_test.go:121: an older configuration brings a total of 1000000 back Change: the purse takes over total and version of the page; a configuration that is older than that is ignored.

--- a/lib/lacequota/draw.go
+++ b/lib/lacequota/draw.go
@@ -92,13 +92,9 @@
 	}
 	low := max(p.used+p.reserved-folded, 0)
 	elsewhere := b.Committed() - own.Cap
+	p.learn(b.Paid, b.Version)
 	paid := p.paid
-	if b.Version > p.version {
-		// Another instance knows a newer configuration.
-		paid = b.Paid
-	} else {
-		b.Paid, b.Version = p.paid, p.version
-	}
+	b.Paid, b.Version = paid, p.version
 	free := max(paid-elsewhere, 0)
 	spent := b.Spent() - own.Used
 	rest := max(paid-spent-b.lost()-p.used-p.reserved, 0)
@@ -238,6 +234,7 @@
 			p.basis = g.paid
 		}
 		if p.paid != g.paid {
+			// A configuration came while the call was under way.
 			p.due = true
 		}
 	}
--- a/lib/lacequota/wallet.go
+++ b/lib/lacequota/wallet.go
@@ -168,6 +168,13 @@
 	p.paid, p.prepaid, p.configured = total, prepaid, true
 }
 
+// learn takes over a total that another instance knows from a newer configuration.
+func (p *purse) learn(total laceunit.Tokens, version laceunit.Version) {
+	if version > p.version {
+		p.paid, p.version = total, version
+	}
+}
+
 // Reserve sets tokens aside for a request at its largest.
 func (w *Wallet) Reserve(now time.Time, at Instant, account laceunit.AccountID, most laceunit.Tokens) Verdict {
 	w.purse(account).ask(now, most)
--- a/lib/lacequota/wallet_test.go
+++ b/lib/lacequota/wallet_test.go
@@ -110,6 +110,16 @@
 	if sum := page.Budgets[testAccount].Committed(); sum > 10_000 {
 		t.Errorf("caps of %d tokens under a total of 10000", sum)
 	}
+	if paid := behind.State(testAccount).Paid; paid != 10_000 {
+		t.Errorf("an instance that has seen a total of 10000 in the page goes on with %d", paid)
+	}
+	if v := behind.Reserve(now, at, testAccount, 10_001); v != Spent {
+		t.Errorf("more than the total in the page: verdict %d, not spent", v)
+	}
+	behind.Paid(testAccount, 1_000_000, true, 1)
+	if paid := behind.State(testAccount).Paid; paid != 10_000 {
+		t.Errorf("an older configuration brings a total of %d back", paid)
+	}
 }
 
 // Guards against a refusal as spent while tokens are only held elsewhere, and the other way round.
