lacequota: a lender goes by the newest total that lender or borrower know

Cause: a lender that had lost the store handed over tokens by a total that the borrower knew to be lower. What is held under the old total is worth less by then, so that the loan let the borrower spend more than its part of the new one. The other way round needs nothing: a lender with the newer total hands over what it may spend under that. Change: the question for a loan names the total and its version; the lender takes over a newer one, if it knows the account.

--- a/lib/lacenode/lender.go
+++ b/lib/lacenode/lender.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 
+	"lacewingcove/lib/lacequota"
 	"lacewingcove/lib/laceunit"
 	"lacewingcove/lib/lacewire"
 )
@@ -22,23 +23,25 @@
 }
 
 // Lend implements lacequota.Lender: it asks another instance.
-func (l *lender) Lend(ctx context.Context, instance laceunit.InstanceID, account laceunit.AccountID, least, wish laceunit.Tokens) laceunit.Tokens {
+func (l *lender) Lend(ctx context.Context, instance laceunit.InstanceID, q lacequota.LoanQuery) laceunit.Tokens {
 	address, ok := l.node.board.Peer(instance)
 	if !ok {
 		return 0
 	}
 	answer, err := lacewire.NewLenderProtobufClient("http://"+string(address), l.client).Lend(ctx, &lacewire.LoanQuery{
 		Instance: string(l.node.settings.Instance),
-		Account:  string(account),
-		Least:    int64(least),
-		Wish:     int64(wish),
+		Account:  string(q.Account),
+		Least:    int64(q.Least),
+		Wish:     int64(q.Wish),
+		Paid:     int64(q.Paid),
+		Version:  uint64(q.Version),
 	})
 	if err != nil {
 		// The borrower's log line tells that nothing came; what the lender may have handed over counts as spent there.
 		return 0
 	}
 	amount := laceunit.Tokens(answer.GetTokens())
-	if amount < least || amount > wish {
+	if amount < q.Least || amount > q.Wish {
 		if amount != 0 {
 			l.node.malformed("loan", string(instance))
 		}
@@ -54,11 +57,16 @@
 
 // Lend implements lacewire.Lender.
 func (l lenderServer) Lend(_ context.Context, q *lacewire.LoanQuery) (*lacewire.Loan, error) {
-	least, wish := laceunit.Tokens(q.GetLeast()), laceunit.Tokens(q.GetWish())
-	if least <= 0 || wish < least || q.GetAccount() == "" {
+	if q.GetLeast() <= 0 || q.GetWish() < q.GetLeast() || q.GetPaid() < 0 || q.GetAccount() == "" {
 		l.node.malformed("loan query", q.GetInstance())
 		return &lacewire.Loan{}, nil
 	}
-	amount := l.node.quota.Lend(laceunit.InstanceID(q.GetInstance()), laceunit.AccountID(q.GetAccount()), least, wish)
+	amount := l.node.quota.Lend(laceunit.InstanceID(q.GetInstance()), lacequota.LoanQuery{
+		Account: laceunit.AccountID(q.GetAccount()),
+		Least:   laceunit.Tokens(q.GetLeast()),
+		Wish:    laceunit.Tokens(q.GetWish()),
+		Paid:    laceunit.Tokens(q.GetPaid()),
+		Version: laceunit.Version(q.GetVersion()),
+	})
 	return &lacewire.Loan{Tokens: int64(amount)}, nil
 }
--- a/lib/lacequota/loan.go
+++ b/lib/lacequota/loan.go
@@ -22,11 +22,21 @@
 	loanPause = 300 * time.Millisecond
 )
 
+// LoanQuery is a question for tokens of an account.
+type LoanQuery struct {
+	Account laceunit.AccountID
+	// Least is what a request needs, Wish the most that is wished for.
+	Least laceunit.Tokens
+	Wish  laceunit.Tokens
+	// Paid is the account's total in a version of the configuration, as the borrower knows it.
+	Paid    laceunit.Tokens
+	Version laceunit.Version
+}
+
 // Lender is another instance that may hand over tokens.
 type Lender interface {
-	// Lend asks an instance for tokens of an account: at least what a request needs, at most what is wished for. It returns
-	// zero when the instance can't spare them or does not answer.
-	Lend(ctx context.Context, instance laceunit.InstanceID, account laceunit.AccountID, least, wish laceunit.Tokens) laceunit.Tokens
+	// Lend asks an instance for tokens. It returns zero when the instance can't spare them or does not answer.
+	Lend(ctx context.Context, instance laceunit.InstanceID, query LoanQuery) laceunit.Tokens
 }
 
 // Lend takes tokens out of what this instance may spend and returns how many. They count as spent here from then on, so
@@ -57,10 +67,16 @@
 }
 
 // need returns what is missing for a request, and how much an instance borrows then.
-func (w *Wallet) need(now time.Time, at Instant, account laceunit.AccountID, most laceunit.Tokens) (least, wish laceunit.Tokens) {
+func (w *Wallet) need(now time.Time, at Instant, account laceunit.AccountID, most laceunit.Tokens) LoanQuery {
 	p := w.purse(account)
-	least = max(p.used+p.reserved+most-w.limit(p, at), 1)
-	return least, least + laceunit.Tokens(loanTime.Seconds()*float64(p.rate(now)))
+	least := max(p.used+p.reserved+most-w.limit(p, at), 1)
+	return LoanQuery{
+		Account: account,
+		Least:   least,
+		Wish:    least + laceunit.Tokens(loanTime.Seconds()*float64(p.rate(now))),
+		Paid:    p.paid,
+		Version: p.version,
+	}
 }
 
 // holders returns the instances that had most left of an account when its page was last seen.
@@ -93,15 +109,17 @@
 	done chan struct{}
 }
 
-// Lend hands tokens to another instance.
-func (s *Service) Lend(to laceunit.InstanceID, account laceunit.AccountID, least, wish laceunit.Tokens) laceunit.Tokens {
+// Lend hands tokens to another instance. A newer total that this one knows counts at once: what is held under an older and
+// higher one is worth less.
+func (s *Service) Lend(to laceunit.InstanceID, q LoanQuery) laceunit.Tokens {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	amount := s.wallet.Lend(time.Now(), s.options.Clock(), account, least, wish)
-	state := s.wallet.State(account)
+	s.wallet.purse(q.Account).learn(q.Paid, q.Version)
+	amount := s.wallet.Lend(time.Now(), s.options.Clock(), q.Account, q.Least, q.Wish)
+	state := s.wallet.State(q.Account)
 	s.options.Metrics.lent(amount)
-	s.options.Log.Write(lacelog.Loan, lacelog.P("to", to), lacelog.P(lacelog.Account, account),
-		lacelog.P(lacelog.Tokens, amount), lacelog.P("least", least), lacelog.P("wish", wish),
+	s.options.Log.Write(lacelog.Loan, lacelog.P("to", to), lacelog.P(lacelog.Account, q.Account),
+		lacelog.P(lacelog.Tokens, amount), lacelog.P("least", q.Least), lacelog.P("wish", q.Wish),
 		lacelog.P(lacelog.Cap, state.Cap), lacelog.P(lacelog.Used, state.Used), lacelog.P(lacelog.Held, state.Reserved))
 	return amount
 }
@@ -126,9 +144,9 @@
 	}
 	l := &loan{done: make(chan struct{})}
 	s.loans[account] = l
-	least, wish := s.wallet.need(now, s.options.Clock(), account, most)
+	query := s.wallet.need(now, s.options.Clock(), account, most)
 	s.mu.Unlock()
-	amount := s.ask(ctx, account, from, least, wish)
+	amount := s.ask(ctx, from, query)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if amount > 0 {
@@ -142,16 +160,16 @@
 }
 
 // ask asks some instances one after the other and returns what the first that can spare it hands over.
-func (s *Service) ask(ctx context.Context, account laceunit.AccountID, from []laceunit.InstanceID, least, wish laceunit.Tokens) laceunit.Tokens {
+func (s *Service) ask(ctx context.Context, from []laceunit.InstanceID, q LoanQuery) laceunit.Tokens {
 	for _, id := range from {
 		// A caller that leaves does not end the call: an answer that is not read loses the tokens in it.
 		call, cancel := context.WithTimeout(context.WithoutCancel(ctx), loanTimeout)
 		began := time.Now()
-		amount := s.options.Lender.Lend(call, id, account, least, wish)
+		amount := s.options.Lender.Lend(call, id, q)
 		cancel()
 		s.options.Metrics.borrowed(amount)
-		s.options.Log.Write(lacelog.Loan, lacelog.P("from", id), lacelog.P(lacelog.Account, account),
-			lacelog.P(lacelog.Tokens, amount), lacelog.P("least", least), lacelog.P("wish", wish),
+		s.options.Log.Write(lacelog.Loan, lacelog.P("from", id), lacelog.P(lacelog.Account, q.Account),
+			lacelog.P(lacelog.Tokens, amount), lacelog.P("least", q.Least), lacelog.P("wish", q.Wish),
 			lacelog.P(lacelog.Took, time.Since(began).Milliseconds()))
 		if amount > 0 {
 			return amount
--- a/lib/lacequota/loan_test.go
+++ b/lib/lacequota/loan_test.go
@@ -84,9 +84,35 @@
 }
 
 // Lend implements Lender.
-func (n *neighbour) Lend(_ context.Context, _ laceunit.InstanceID, account laceunit.AccountID, least, wish laceunit.Tokens) laceunit.Tokens {
+func (n *neighbour) Lend(_ context.Context, _ laceunit.InstanceID, q LoanQuery) laceunit.Tokens {
 	n.asked++
-	return n.wallet.Lend(time.Now(), Instant{}, account, least, wish)
+	return n.wallet.Lend(time.Now(), Instant{}, q.Account, q.Least, q.Wish)
+}
+
+// Guards against a lender that has lost the store and hands over tokens by a total which the borrower knows to be lower, and
+// against a borrower whose older total undoes a newer one.
+func TestLendersGoByTheNewestTotal(t *testing.T) {
+	lend := func(paid laceunit.Tokens, version laceunit.Version) (amount, known laceunit.Tokens) {
+		s := New(Options{Log: lacelog.Discard()})
+		s.wallet = wallet("lender", 1_000_000)
+		s.wallet.Paid(testAccount, 1_000_000, true, 2)
+		put(s.wallet, time.Now(), Instant{}, Page{}, everybody(1))
+		amount = s.Lend("borrower", LoanQuery{
+			Account: testAccount,
+			Least:   1,
+			Wish:    1_000_000,
+			Paid:    paid,
+			Version: version,
+		})
+		return amount, s.wallet.State(testAccount).Paid
+	}
+	whole, _ := lend(1_000_000, 2)
+	if amount, known := lend(100_000, 3); amount != whole/10 || known != 100_000 {
+		t.Errorf("%d of %d tokens were lent under a tenth of the total, %d is known", amount, whole, known)
+	}
+	if amount, known := lend(100_000, 1); amount != whole || known != 1_000_000 {
+		t.Errorf("%d of %d tokens were lent to a borrower with an older total, %d is known", amount, whole, known)
+	}
 }
 
 // Guards against requests that wait for a store which does not answer although another instance has their tokens, and
--- a/lib/lacequota/wallet.go
+++ b/lib/lacequota/wallet.go
@@ -168,11 +168,14 @@
 	p.paid, p.prepaid, p.configured = total, prepaid, true
 }
 
-// learn takes over a total that another instance knows from a newer configuration.
+// learn takes over a total that another instance knows from a newer configuration. Without a configuration of its own the
+// instance would not know whether the account is prepaid.
 func (p *purse) learn(total laceunit.Tokens, version laceunit.Version) {
-	if version > p.version {
-		p.paid, p.version = total, version
+	if !p.configured || version <= p.version {
+		return
 	}
+	p.due = p.due || p.paid != total
+	p.paid, p.version = total, version
 }
 
 // Reserve sets tokens aside for a request at its largest.
