lacedirectory: an early renewal lists no instance that is not ready

Cause: the exchange renews the entry early to see whether the store is within reach. Unlike the registrar's loop it did not ask whether the instance is ready, so that an instance without configuration or servers could be named to callers. Seen before the change, TestRenewListsNoInstanceThatTakesNoCallers: registrar_test.go:75: an instance that is not ready was listed Ruled out: no call at all, which would keep such an instance from ever turning to the store. Change: an instance that is not ready reads its entry. TestRenewWhileTheEntryMoves checks the rest: renewals beside the registrar's own wait for each other, the entry moves once for each change, and a withdrawn one stays withdrawn.

--- a/lib/lacedirectory/registrar.go
+++ b/lib/lacedirectory/registrar.go
@@ -93,13 +93,28 @@
 	r.load = load
 }
 
-// Renew renews the entry before its time, which shows whether the store is within reach.
+// Renew renews the entry before its time, which shows whether the store is within reach. An instance that is not ready reads
+// its entry for that, since it must not be listed.
 func (r *Registrar) Renew(ctx context.Context) {
-	if err := r.step(ctx); err != nil && ctx.Err() == nil {
+	act := r.step
+	if !r.ready() {
+		act = r.probe
+	}
+	if err := act(ctx); err != nil && ctx.Err() == nil {
 		r.log.Fault(err, "membership was not renewed early", lacelog.P("member", r.member.Holder.String()))
 	}
 }
 
+func (r *Registrar) probe(ctx context.Context) error {
+	call, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
+	_, err := r.store.Get(call, r.key)
+	if errors.Is(err, laceplatform.ErrMissing) {
+		return nil
+	}
+	return errors.Wrap(err, "directory: read entry")
+}
+
 func (r *Registrar) interval() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
