lacemirror: other answers count only beside a watch that asks the store

Cause: while a watch was in place, each call that the store answered made the copy count as current. A watch whose connection was silent went unnoticed for 2.5 s, was opened again and counted at once, and between two of its calls the store is not asked for 0.4 s; a copy that lacked changes called itself current meanwhile, to this instance and to those that follow it. Seen before the change, TestOtherAnswersCountOnlyBesideAWatch: follower_test.go:201: after a watch that was silent the copy counts as current 2s after it was follower_test.go:203: before a new watch is answered the copy counts as current 3s after it was follower_test.go:209: while a watch pauses the copy counts as current 300ms after it was Ruled out: counting the watch's own calls alone, which are up to 2 s old in calm times; counting less by the pause always, which makes all copies older than freshAge. Change: events say when the watch pauses; a watch that failed leaves the copy as old as at its last event, and the next one counts from its first. A silent watch still counts until it fails, 2.5 s at most: nothing tells it from a quiet one before.

--- a/lib/lacemirror/follower.go
+++ b/lib/lacemirror/follower.go
@@ -62,7 +62,7 @@
 	contact time.Time
 	failing bool
 	// reached is the newest moment at which the store is known to have held nothing that the copy lacks; watched is since
-	// when a watch of the store adds to it, zero while there is none.
+	// when a watch of the store adds to it, zero while there is none, it pauses, or it has failed and not been answered since.
 	reached laceunit.Uptime
 	watched laceunit.Uptime
 	// indirect is true while other instances tell the news and the store is left alone.
@@ -165,11 +165,33 @@
 	return f.reached
 }
 
-// watching tells since when a watch is in place; zero means that it has ended.
+// watching tells since when a watch is in place.
 func (f *Follower) watching(since laceunit.Uptime) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.reached, f.watched = f.reach(), since
+	f.watched = since
+}
+
+// unwatch tells that a watch has ended. One that has failed may have been silent since its last event, so that what the store
+// answered elsewhere meanwhile says nothing about the copy.
+func (f *Follower) unwatch(sound bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if sound {
+		f.reached = f.reach()
+	}
+	f.watched = 0
+}
+
+// progress takes in that a watch is alive, and whether it asks the store until its next event.
+func (f *Follower) progress(idle bool) {
+	f.reached = f.reach()
+	switch {
+	case idle:
+		f.watched = 0
+	case f.watched == 0:
+		f.watched = f.pulse.Now()
+	}
 }
 
 // Since returns what a copy at a revision lacks.
@@ -307,12 +329,15 @@
 	inner, cancel := context.WithCancel(ctx)
 	defer cancel()
 	began := f.pulse.Now()
-	w, err := f.store.Watch(inner, f.prefix, f.Status().Revision)
+	s := f.Status()
+	w, err := f.store.Watch(inner, f.prefix, s.Revision)
 	if err != nil {
 		return err
 	}
-	f.watching(began)
-	defer f.watching(0)
+	if !s.Failing {
+		f.watching(began)
+	}
+	defer func() { f.unwatch(ctx.Err() != nil) }()
 	for e := range w.Events() {
 		progress()
 		f.event(e)
@@ -331,6 +356,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.regained()
+	f.progress(e.Idle)
 	if c, ok := f.mirror.Event(e); ok {
 		f.notify([]Change{c}, false)
 	}
--- a/lib/lacemirror/follower_test.go
+++ b/lib/lacemirror/follower_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"runtime"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -9,6 +11,7 @@
 
 	"lacewingcove/lib/lacelog"
 	"lacewingcove/lib/laceplatform"
+	"lacewingcove/lib/laceunit"
 )
 
 // script is a store whose watches are played by the test.
@@ -141,3 +144,74 @@
 	cancel()
 	<-done
 }
+
+// Guards against a copy that counts as current because calls are answered while its own watch is silent, is opened again
+// after a failure, or pauses between two calls.
+func TestOtherAnswersCountOnlyBesideAWatch(t *testing.T) {
+	var clock atomic.Int64
+	clock.Store(int64(time.Hour))
+	pulse := laceplatform.NewPulse(func() laceunit.Uptime { return laceunit.Uptime(clock.Load()) })
+	// answer plays a call beside the watch that is answered some time later.
+	answer := func(later time.Duration) laceunit.Uptime {
+		now := laceunit.Uptime(clock.Add(int64(later)))
+		pulse.Note(t.Context(), now, nil)
+		return now
+	}
+	store, begun := &script{watches: make(chan *scriptWatch)}, make(chan struct{})
+	f := NewFollower("servers/", store, pulse, lacelog.Discard(), func([]Change, Source) { close(begun) })
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- f.Serve(ctx) }()
+	<-begun
+	open := func() *scriptWatch {
+		w := &scriptWatch{
+			events: make(chan laceplatform.Event),
+			err:    errors.New("silent"),
+		}
+		store.watches <- w
+		return w
+	}
+	revision := f.Status().Revision
+	// round ends a round of a watch and waits until the follower knows.
+	round := func(w *scriptWatch, idle bool) {
+		revision++
+		w.events <- laceplatform.Event{
+			Entry:    laceplatform.Entry{Revision: revision},
+			Progress: true,
+			Idle:     idle,
+		}
+		for f.Status().Revision < revision {
+			runtime.Gosched()
+		}
+	}
+	check := func(when string, want laceunit.Uptime) {
+		t.Helper()
+		if got := f.Status().Reached; got != want {
+			t.Errorf("%s the copy counts as current %s after it was", when, got.Sub(want))
+		}
+	}
+	w := open()
+	round(w, false)
+	proved := answer(time.Second)
+	check("while a watch is in place", proved)
+	round(w, false)
+	answer(2 * time.Second)
+	close(w.events)
+	w = open()
+	check("after a watch that was silent", proved)
+	answer(time.Second)
+	check("before a new watch is answered", proved)
+	round(w, false)
+	proved = answer(time.Second)
+	check("after a new watch is answered", proved)
+	round(w, true)
+	answer(300 * time.Millisecond)
+	check("while a watch pauses", proved)
+	clock.Add(int64(time.Millisecond))
+	round(w, false)
+	check("when a watch goes on", proved)
+	check("after a pause", answer(time.Second))
+	cancel()
+	close(w.events)
+	<-done
+}
--- a/lib/laceplatform/store.go
+++ b/lib/laceplatform/store.go
@@ -74,6 +74,8 @@
 	// Progress marks an event without a change: every change up to Entry.Revision has been delivered. Stores that
 	// answer watches in rounds send one after each round.
 	Progress bool
+	// Idle marks a progress event after which the store is not asked until the next event.
+	Idle bool
 }
 
 // Watch is a stream of changes; Events is closed when the watch ends and Err then says why.
