lacemirror: news of partners is contact with the store

Cause: an instance that stands by has no contact with the store of its own. When it turned to the store and its first call was refused, the time since then counted as an outage, and a server's removal settled 1.8 s later, on top of the 2.5 s until the turn: above the bound of 3 s. Seen before the change, TestNewsOfPartnersIsNoOutage: follower_test.go:247: told true: a removal settles in 1.799979487s Change: contact is as new as what partners have confirmed. An outage that partners see as well still counts.

--- a/lib/lacemirror/follower.go
+++ b/lib/lacemirror/follower.go
@@ -57,8 +57,9 @@
 	// begun is closed with the first copy.
 	begun chan struct{}
 
-	mu      sync.Mutex
-	mirror  *Mirror
+	mu     sync.Mutex
+	mirror *Mirror
+	// contact is when the store was last heard of, from itself or by way of others.
 	contact time.Time
 	failing bool
 	// reached is the newest moment at which the store is known to have held nothing that the copy lacks; watched is since
@@ -112,6 +113,9 @@
 		return false
 	}
 	f.reached = max(f.reached, at)
+	if told := time.Now().Add(-f.pulse.Now().Sub(at)); told.After(f.contact) {
+		f.contact = told
+	}
 	return true
 }
 
--- a/lib/lacemirror/follower_test.go
+++ b/lib/lacemirror/follower_test.go
@@ -215,3 +215,36 @@
 	close(w.events)
 	<-done
 }
+
+// Guards against an instance that stood by, turns to the store, and takes the time in which partners told it the news for an
+// outage: with one refused call before, a server's removal would settle too late.
+func TestNewsOfPartnersIsNoOutage(t *testing.T) {
+	pulse := &laceplatform.Pulse{}
+	var last Source
+	f := NewFollower("servers/", nil, pulse, lacelog.Discard(), func(_ []Change, s Source) { last = s })
+	entry := laceplatform.Entry{
+		Key:      "servers/a",
+		Revision: 1,
+	}
+	for _, told := range []bool{true, false} {
+		entry.Revision++
+		f.Merge(Delta{
+			Full:     true,
+			Revision: entry.Revision,
+			Entries:  []laceplatform.Entry{entry},
+		})
+		f.contact = time.Now().Add(-2 * outage)
+		if told {
+			f.Confirm(entry.Revision, pulse.Now())
+		}
+		f.lost(errors.New("refused"))
+		entry.Revision++
+		f.event(laceplatform.Event{
+			Entry:   entry,
+			Deleted: true,
+		})
+		if last.Peer || last.Settles.IsZero() != told {
+			t.Errorf("told %t: a removal settles in %s", told, time.Until(last.Settles))
+		}
+	}
+}
