lacenode: tests of the age of news between instances

Guards the ages that Fetch and confirm pass on, with a clock that the test sets: rounding, suspensions before and after an answer, a chain of instances, copies that lack a delta or some prefixes, a copy at no revision.

--- a/lib/lacenode/exchange_test.go
+++ b/lib/lacenode/exchange_test.go
@@ -149,3 +149,75 @@
 		}
 	}
 }
+
+// direct plays an instance whose store has answered at a moment.
+func (p *peered) direct(revision int64, reached laceunit.Uptime) {
+	for _, f := range p.node.followers {
+		prefix := string(f.Prefix())
+		f.Merge(lacewire.ToDelta(delta(prefix, revision, prefix+"1")))
+		f.Confirm(laceplatform.Revision(revision), reached)
+	}
+}
+
+// Guards against news that gets younger on its way: by rounding, from an instance that was suspended before, while or after
+// it answered, and in a chain of instances.
+func TestNewsOnlyGetsOlder(t *testing.T) {
+	for name, c := range map[string]struct{ way, frozen time.Duration }{
+		"calm":      {way: 7*time.Millisecond + 300*time.Microsecond},
+		"at once":   {frozen: 300 * time.Microsecond},
+		"suspended": {way: 7 * time.Millisecond, frozen: 5 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			way, frozen := c.way, c.frozen
+			chain := []*peered{newPeered(t, "a/", "b/"), newPeered(t, "a/", "b/"), newPeered(t, "a/", "b/")}
+			reached := chain[0].now
+			chain[0].direct(5, reached)
+			pass := func(d time.Duration) {
+				for _, p := range chain {
+					p.now = p.now.Add(d)
+				}
+			}
+			pass(frozen)
+			for i, p := range chain[1:] {
+				asked := p.now
+				pass(way)
+				news := chain[i].answer(t, p)
+				pass(way + frozen)
+				told, ok := p.take("partner", asked, news)
+				if !ok || told > reached || reached.Sub(told) > time.Duration(i+1)*(2*way+time.Millisecond) {
+					t.Errorf("news of %s ago counts as of %s ago at instance %d", p.now.Sub(reached), p.now.Sub(told), i+1)
+				}
+				if r := p.reached(); r != told {
+					t.Errorf("the copies of instance %d are of %s ago, not %s", i+1, p.now.Sub(r), p.now.Sub(told))
+				}
+			}
+		})
+	}
+}
+
+// Guards against copies that count as current by what another instance says of newer ones, or of some of them: the members and
+// the servers are as old as the oldest copy.
+func TestNewsCountsForWholeCopies(t *testing.T) {
+	cases := map[string]func(news *lacewire.MirrorNews){
+		"delta is missing":      func(n *lacewire.MirrorNews) { n.Deltas = nil },
+		"delta is of the past":  func(n *lacewire.MirrorNews) { n.Deltas[1].Revision-- },
+		"delta starts too late": func(n *lacewire.MirrorNews) { n.Deltas[1].Full, n.Deltas[1].From = false, 4 },
+		"age is missing":        func(n *lacewire.MirrorNews) { n.Confirmed = n.Confirmed[:1] },
+		"older than the start":  func(n *lacewire.MirrorNews) { n.Confirmed[1].AgeMs = (2 * time.Hour).Milliseconds() },
+	}
+	for name, change := range cases {
+		one, two := newPeered(t, "a/", "members/"), newPeered(t, "a/", "members/")
+		one.direct(5, one.now)
+		news := one.answer(t, two)
+		change(news)
+		told, ok := two.take("partner", two.now, news)
+		if !ok || told != 0 || two.reached() != 0 {
+			t.Errorf("%s: news counts as of %s ago, the copies as of %s ago", name, two.now.Sub(told), two.now.Sub(two.reached()))
+		}
+	}
+	empty, other := newPeered(t, "a/"), newPeered(t, "a/")
+	empty.node.followers[0].Confirm(0, empty.now)
+	if news := empty.answer(t, other); len(news.GetConfirmed()) > 0 {
+		t.Errorf("an instance without a copy calls it current: %v", news)
+	}
+}
