--- /dev/null
+++ b/lib/lacemirror/reach.go
@@ -0,0 +1,81 @@
+package lacemirror
+
+import (
+	"time"
+
+	"lacewingcove/lib/laceplatform"
+	"lacewingcove/lib/laceunit"
+)
+
+// Status tells how current a copy is.
+type Status struct {
+	Revision laceplatform.Revision
+	// Reached is the newest moment at which the copy is known to have been current, whoever told; zero means never. While
+	// a watch is in place, each call that the store answers moves it.
+	Reached laceunit.Uptime
+	// Failing is true while the last call to the store has failed.
+	Failing bool
+}
+
+// Status returns how current the copy is.
+func (f *Follower) Status() Status {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return Status{
+		Revision: f.mirror.Revision(),
+		Reached:  f.reach(),
+		Failing:  f.failing,
+	}
+}
+
+// reach returns the newest moment at which the copy is known to have been current; the lock must be held.
+func (f *Follower) reach() laceunit.Uptime {
+	if at := f.pulse.Contact().Answered; f.watched > 0 && at >= f.watched {
+		return max(f.reached, at)
+	}
+	return f.reached
+}
+
+// watching tells since when a watch is in place.
+func (f *Follower) watching(since laceunit.Uptime) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.watched = since
+}
+
+// unwatch tells that a watch has ended. One that has failed may have been silent since its last event, so that what the store
+// answered elsewhere meanwhile says nothing about the copy.
+func (f *Follower) unwatch(sound bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if sound {
+		f.reached = f.reach()
+	}
+	f.watched = 0
+}
+
+// progress takes in that a watch is alive, and whether it asks the store until its next event.
+func (f *Follower) progress(idle bool) {
+	f.reached = f.reach()
+	switch {
+	case idle:
+		f.watched = 0
+	case f.watched == 0:
+		f.watched = f.pulse.Now()
+	}
+}
+
+// Confirm takes in that the copy of another instance, complete at a revision, was known to be current at a moment. It
+// reports whether this copy is now known to be as current.
+func (f *Follower) Confirm(revision laceplatform.Revision, at laceunit.Uptime) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.mirror.Revision() < revision {
+		return false
+	}
+	f.reached = max(f.reached, at)
+	if told := time.Now().Add(-f.pulse.Now().Sub(at)); told.After(f.contact) {
+		f.contact = told
+	}
+	return true
+}
