lacemirror: a watch that a suspension has silenced proves nothing

Cause: after a suspension of the machine a watch's connection may be dead without its timer knowing, as that stands still meanwhile. Calls on new connections were answered, and the copy of before counted as current until the watch failed.

--- a/lib/lacemirror/follower.go
+++ b/lib/lacemirror/follower.go
@@ -66,6 +66,8 @@
 	// when a watch of the store adds to it, zero while there is none, it pauses, or it has failed and not been answered since.
 	reached laceunit.Uptime
 	watched laceunit.Uptime
+	// heard is when the watch was opened or last had an event.
+	heard laceunit.Uptime
 	// indirect is true while other instances tell the news and the store is left alone.
 	indirect bool
 	// turned is closed and replaced when indirect changes.
--- a/lib/lacemirror/follower_test.go
+++ b/lib/lacemirror/follower_test.go
@@ -211,6 +211,8 @@
 	round(w, false)
 	check("when a watch goes on", proved)
 	check("after a pause", answer(time.Second))
+	answer(5 * time.Second)
+	check("after a suspension of the machine", proved)
 	cancel()
 	close(w.events)
 	<-done
--- a/lib/lacemirror/reach.go
+++ b/lib/lacemirror/reach.go
@@ -7,6 +7,11 @@
 	"lacewingcove/lib/laceunit"
 )
 
+// watchSilence is how long a watch may be without an event. Rounds take up to 2.5 s and pauses 0.4 s; a longer silence is that of a
+// machine that was suspended, whose connections may be dead without its timers knowing. The copy is then as old as at the last
+// event, as after a watch that failed.
+const watchSilence = 3 * time.Second
+
 // Status tells how current a copy is.
 type Status struct {
 	Revision laceplatform.Revision
@@ -30,7 +35,8 @@
 
 // reach returns the newest moment at which the copy is known to have been current; the lock must be held.
 func (f *Follower) reach() laceunit.Uptime {
-	if at := f.pulse.Contact().Answered; f.watched > 0 && at >= f.watched {
+	at := f.pulse.Contact().Answered
+	if f.watched > 0 && at >= f.watched && at.Sub(f.heard) <= watchSilence {
 		return max(f.reached, at)
 	}
 	return f.reached
@@ -40,7 +46,7 @@
 func (f *Follower) watching(since laceunit.Uptime) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.watched = since
+	f.watched, f.heard = since, since
 }
 
 // unwatch tells that a watch has ended. One that has failed may have been silent since its last event, so that what the store
@@ -57,6 +63,7 @@
 // progress takes in that a watch is alive, and whether it asks the store until its next event.
 func (f *Follower) progress(idle bool) {
 	f.reached = f.reach()
+	f.heard = f.pulse.Now()
 	switch {
 	case idle:
 		f.watched = 0
