--- a/lib/lacemirror/follower.go
+++ b/lib/lacemirror/follower.go
@@ -57,14 +57,17 @@
 	// begun is closed with the first copy.
 	begun chan struct{}
 
-	mu      sync.Mutex
-	mirror  *Mirror
+	mu     sync.Mutex
+	mirror *Mirror
+	// contact is when the store was last heard of, from itself or by way of others.
 	contact time.Time
 	failing bool
 	// reached is the newest moment at which the store is known to have held nothing that the copy lacks; watched is since
-	// when a watch of the store adds to it, zero while there is none.
+	// when a watch of the store adds to it, zero while there is none, it pauses, or it has failed and not been answered since.
 	reached laceunit.Uptime
 	watched laceunit.Uptime
+	// heard is when the watch was opened or last had an event.
+	heard laceunit.Uptime
 	// indirect is true while other instances tell the news and the store is left alone.
 	indirect bool
 	// turned is closed and replaced when indirect changes.
@@ -103,18 +106,6 @@
 	f.turned = make(chan struct{})
 }
 
-// Confirm takes in that the copy of another instance, complete at a revision, was known to be current at a moment. It
-// reports whether this copy is now known to be as current.
-func (f *Follower) Confirm(revision laceplatform.Revision, at laceunit.Uptime) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.mirror.Revision() < revision {
-		return false
-	}
-	f.reached = max(f.reached, at)
-	return true
-}
-
 // begin tells those that wait for the first copy; the lock must be held.
 func (f *Follower) begin() {
 	select {
@@ -136,42 +127,6 @@
 // Prefix returns what the follower mirrors.
 func (f *Follower) Prefix() laceplatform.Key { return f.prefix }
 
-// Status tells how current a copy is.
-type Status struct {
-	Revision laceplatform.Revision
-	// Reached is the newest moment at which the copy is known to have been current, whoever told; zero means never. While
-	// a watch is in place, each call that the store answers moves it.
-	Reached laceunit.Uptime
-	// Failing is true while the last call to the store has failed.
-	Failing bool
-}
-
-// Status returns how current the copy is.
-func (f *Follower) Status() Status {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return Status{
-		Revision: f.mirror.Revision(),
-		Reached:  f.reach(),
-		Failing:  f.failing,
-	}
-}
-
-// reach returns the newest moment at which the copy is known to have been current; the lock must be held.
-func (f *Follower) reach() laceunit.Uptime {
-	if at := f.pulse.Contact().Answered; f.watched > 0 && at >= f.watched {
-		return max(f.reached, at)
-	}
-	return f.reached
-}
-
-// watching tells since when a watch is in place; zero means that it has ended.
-func (f *Follower) watching(since laceunit.Uptime) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.reached, f.watched = f.reach(), since
-}
-
 // Since returns what a copy at a revision lacks.
 func (f *Follower) Since(revision laceplatform.Revision) (Delta, bool) {
 	f.mu.Lock()
@@ -307,12 +262,15 @@
 	inner, cancel := context.WithCancel(ctx)
 	defer cancel()
 	began := f.pulse.Now()
-	w, err := f.store.Watch(inner, f.prefix, f.Status().Revision)
+	s := f.Status()
+	w, err := f.store.Watch(inner, f.prefix, s.Revision)
 	if err != nil {
 		return err
 	}
-	f.watching(began)
-	defer f.watching(0)
+	if !s.Failing {
+		f.watching(began)
+	}
+	defer func() { f.unwatch(ctx.Err() != nil) }()
 	for e := range w.Events() {
 		progress()
 		f.event(e)
@@ -331,6 +289,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.regained()
+	f.progress(e.Idle)
 	if c, ok := f.mirror.Event(e); ok {
 		f.notify([]Change{c}, false)
 	}
