lacesoak: ports that no other stand-in takes

Cause: in one of two runs of TestPromisesHoldUnderFaults a server could not start again at its address (address already in use) 1.1 s after its crash. Likely another stand-in of this machine, whose ports are in the same range, had taken it; who held it was not seen. Change: a range of its own, each port once in a run.

--- a/loadgen/lacesoak/site.go
+++ b/loadgen/lacesoak/site.go
@@ -1,9 +1,13 @@
 package lacesoak
 
 import (
+	"context"
 	"fmt"
+	"math/rand/v2"
+	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -29,6 +33,10 @@
 	scarce = 4_000
 	// host is the name that callers ask for.
 	host = "soak.example"
+	// leastPort and mostPort lie below the ports that the system gives to outgoing connections and those that lacestage takes,
+	// so that no other process gets an address while its own is away.
+	leastPort = 12_000
+	mostPort  = 20_000
 	// zones is how many availability zones there are.
 	zones = 3
 )
@@ -54,6 +62,8 @@
 	options  Options
 	store    *lacestage.Store
 	recorder *lacestage.Recorder
+	// ports counts through the ports, from a random one on.
+	ports atomic.Uint32
 
 	mu       sync.Mutex
 	document laceroute.Document
@@ -73,6 +83,7 @@
 		servers:  make([]*lacestage.Server, o.engines()+o.services()),
 		born:     make([]int, o.engines()+o.services()),
 	}
+	s.ports.Store(rand.Uint32N(mostPort))
 	err := s.apply(func(*laceroute.Document) {})
 	for i := range s.servers {
 		if err == nil {
@@ -127,6 +138,9 @@
 	if fresh {
 		s.born[i]++
 	}
+	if at == "" {
+		at = s.free()
+	}
 	o := lacestage.ServerOptions{
 		ID:      laceunit.ServerID(fmt.Sprintf("server-%d-%d", i, s.born[i])),
 		Service: serviceModel,
@@ -158,6 +172,18 @@
 	}
 }
 
+// free returns an address on loopback that nothing listens on, none twice. The choice is not the seed's: it depends on the
+// machine.
+func (s *site) free() laceunit.Address {
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", leastPort+(s.ports.Add(1)%(mostPort-leastPort)))
+		if l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address); err == nil {
+			_ = l.Close() // Nothing was accepted.
+			return laceunit.Address(address)
+		}
+	}
+}
+
 // server returns the present process of a server.
 func (s *site) server(i int) *lacestage.Server {
 	s.mu.Lock()
--- a/loadgen/lacesoak/soak.go
+++ b/loadgen/lacesoak/soak.go
@@ -72,6 +72,9 @@
 		if *x, err = lacestage.Settings(s.store, instanceID(i), laceunit.Place{Region: "region", Zone: zone(i)}); err != nil {
 			return nil, nil, err
 		}
+		for _, a := range []*laceunit.Address{&x.Caller, &x.Ready, &x.Directory, &x.Peer, &x.Metrics} {
+			*a = s.free()
+		}
 		x.Drain.Grace, x.Drain.Notice = drainGrace, drainNotice
 	}
 	for i, x := range all {
