--- a/loadgen/lacesoak/soak_test.go
+++ b/loadgen/lacesoak/soak_test.go
@@ -9,16 +9,14 @@
 )
 
 // Guards against instances that break a promise to callers or servers when processes, the store and servers fail in series,
-// and against answers that are framed as complete and aren't: both seeds break off streams and fail their resumption.
+// and against answers that are framed as complete and aren't: 116 and 96 break off streams and fail
+// their resumption; in 2 servers pause and leave by the header alone.
 func TestPromisesHoldUnderFaults(t *testing.T) {
-	if testing.Short() {
-		t.Skip("runs for half a minute")
-	}
 	program := filepath.Join(t.TempDir(), "platform")
 	if out, err := exec.Command("go", "build", "-o", program, "lacewingcove/platform").CombinedOutput(); err != nil {
 		t.Fatalf("%v\n%s", err, out)
 	}
-	for _, seed := range []uint64{116, 96} {
+	for _, seed := range []uint64{116, 96, 2} {
 		r, err := Play(t.Context(), program, t.TempDir(), seed, Options{
 			Duration:  14 * time.Second,
 			Instances: 4,
