lacemirror: thresholds above the age of a sound partner's news

Change: other partners are asked from 1.3 s, the store from 1.7 s; the sum of the longest way is 2.4 s with 86 instances and 2.9 s with 340. TestNewsIsJudgedByItsAge and the tests of instances that stand by pass.

--- a/lib/lacemirror/freshness.go
+++ b/lib/lacemirror/freshness.go
@@ -15,11 +15,11 @@
 	RoundInterval = 300 * time.Millisecond
 	// QuestionTimeout bounds one question to a partner.
 	QuestionTimeout = 500 * time.Millisecond
-	// freshAge is the age from which news of one partner is not enough and others are asked as well. Answers of the store
-	// to a sound partner are younger: it renews its lease each 0.7 s.
-	freshAge = 900 * time.Millisecond
+	// freshAge is the age from which news of one partner is not enough and others are asked as well. That of a sound partner
+	// is younger: its watch asks the store again 0.4 s after each event, and a round later its news is up to 1.2 s old.
+	freshAge = 1300 * time.Millisecond
 	// staleAge is the age from which the store itself is asked.
-	staleAge = 1200 * time.Millisecond
+	staleAge = 1700 * time.Millisecond
 	// answerAge is how old an answer of the store may be that shows it within reach.
 	answerAge = 300 * time.Millisecond
 	// returnDelay is how long partners have, after the store's return from an outage, until they are current again. Without
