lacemirror, lacenode: names of the switch between partners and the store

A newcomer reads 'turn' as a turn in an order; it is the moment at which the store is due to be asked, and the carrying out of a decision. No behaviour changes.

--- a/lib/lacemirror/freshness.go
+++ b/lib/lacemirror/freshness.go
@@ -31,10 +31,10 @@
 	steadyRounds = 3
 	// others is how many partners are asked beside the usual one when its news is old.
 	others = 2
-	// callsPerTurn is how many calls an instance sends that turns to the store, one for each copy.
-	callsPerTurn = 3
-	// turnRate is how many of these calls a second a whole fleet may send; the smallest stores take 2,000 reads.
-	turnRate = 1500
+	// callsPerSwitch is how many calls an instance sends that switches to the store, one for each copy.
+	callsPerSwitch = 3
+	// switchRate is how many of these calls a second a whole fleet may send; the smallest stores take 2,000 reads.
+	switchRate = 1500
 )
 
 // View is what an instance that stands by knows when it decides where its news comes from.
@@ -70,8 +70,8 @@
 	steady int
 	// missed is true when the partner did not answer in the last round.
 	missed bool
-	// turn is when the store is asked that was found within reach; zero when it need not be.
-	turn laceunit.Uptime
+	// due is when the store is asked that was found within reach; zero when it need not be.
+	due laceunit.Uptime
 	// told are the partners that answered in this round, with the newest moment at which each was current.
 	told map[laceunit.Address]laceunit.Uptime
 }
@@ -131,7 +131,7 @@
 	f.missed = !heard
 	best, answered := f.best()
 	if answered && v.Now.Sub(f.told[best]) <= staleAge {
-		f.partner, f.turn = best, 0
+		f.partner, f.due = best, 0
 		f.steady++
 		f.indirect = f.indirect || f.steady >= steadyRounds
 		return f.origin()
@@ -154,20 +154,20 @@
 func (f *Freshness) leave(v View, random func(n int) int) Origin {
 	o := f.origin()
 	if v.Store.Failing {
-		f.turn = 0
+		f.due = 0
 	}
-	if f.turn == 0 {
+	if f.due == 0 {
 		if v.Store.Failing || v.Now.Sub(v.Store.Answered) > answerAge {
 			o.Renew = !v.Store.Failing
 			return o
 		}
-		spread := time.Duration(v.Members) * callsPerTurn * time.Second / turnRate
-		f.turn = max(v.Now, v.Store.Since.Add(returnDelay)).Add(time.Duration(random(int(spread) + 1)))
+		spread := time.Duration(v.Members) * callsPerSwitch * time.Second / switchRate
+		f.due = max(v.Now, v.Store.Since.Add(returnDelay)).Add(time.Duration(random(int(spread) + 1)))
 	}
-	if o.Wait = f.turn.Sub(v.Now); o.Wait > 0 {
+	if o.Wait = f.due.Sub(v.Now); o.Wait > 0 {
 		return o
 	}
-	f.indirect, f.turn = false, 0
+	f.indirect, f.due = false, 0
 	return f.origin()
 }
 
--- a/lib/lacenode/exchange.go
+++ b/lib/lacenode/exchange.go
@@ -56,7 +56,7 @@
 		return
 	}
 	x.freshness = lacemirror.Freshness{}
-	x.turn(lacemirror.Origin{})
+	x.apply(lacemirror.Origin{})
 	if !x.stale() {
 		return
 	}
--- a/lib/lacenode/standby.go
+++ b/lib/lacenode/standby.go
@@ -22,7 +22,7 @@
 	if o.Wait > 0 && o.Wait <= lacemirror.RoundInterval && lacekernel.Sleep(ctx, o.Wait) {
 		o = x.freshness.Decide(x.view(), rand.IntN)
 	}
-	x.turn(o)
+	x.apply(o)
 }
 
 // ask puts the question to several partners at once.
@@ -71,9 +71,9 @@
 	return oldest
 }
 
-// turn carries out where news comes from. Only this loop switches the copies: a question that is still under way when the
+// apply carries out where news comes from. Only this loop switches the copies: a question that is still under way when the
 // instance takes callers again must not leave it without the store.
-func (x *exchange) turn(o lacemirror.Origin) {
+func (x *exchange) apply(o lacemirror.Origin) {
 	for _, f := range x.node.followers {
 		f.Indirect(o.Indirect)
 	}
