lacerelay: log and count the limits that servers name

Cause: still open. No line or counter tells whether an instance has heard of a limit. Change: the header Server-Limit is read, logged when it changes and counted; it is not passed on to callers, as the other headers between servers and instances. Nothing else depends on it yet. Measured: tests of laceconn, lacerelay and laceadapter pass.

--- a/lib/lacerelay/backend.go
+++ b/lib/lacerelay/backend.go
@@ -17,6 +17,9 @@
 	stateLeaving     = "leaving"
 	stateSaysLeaving = "says_leaving"
 	statePausing     = "pausing"
+	// stateLimiting and stateUnlimited tell of a limit that a server names in its answers, as this instance hears it.
+	stateLimiting  = "limiting"
+	stateUnlimited = "unlimited"
 )
 
 // Backend is a backend server as it registered itself.
@@ -37,6 +40,8 @@
 	pool *laceconn.Pool
 	// until is when a server that is missing from the list goes out of use; zero while it is listed.
 	until time.Time
+	// limit is what the last answer said.
+	limit laceconn.Limit
 	// unread is when a header of the server that can't be read was last logged.
 	unread time.Time
 }
@@ -144,6 +149,22 @@
 	}
 }
 
+// Limit notes what an answer says about how many requests its server takes.
+func (b *Backends) Limit(id laceunit.ServerID, limit laceconn.Limit) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	x, ok := b.all[id]
+	if !ok || x.limit.Named == limit.Named && x.limit.Rate == limit.Rate {
+		return
+	}
+	x.limit = limit
+	if !limit.Named {
+		b.note(x, stateUnlimited)
+		return
+	}
+	b.note(x, stateLimiting, lacelog.P("limit", limit.Rate))
+}
+
 // Unread notes a header of a server that can't be read, and what it is taken for.
 func (b *Backends) Unread(id laceunit.ServerID, err error, pause time.Duration) {
 	b.mu.Lock()
@@ -177,7 +198,7 @@
 	}
 	fresh := backend{Backend: x}
 	if old != nil && old.Address == x.Address && old.Born == x.Born {
-		fresh.pool, fresh.unread = old.pool, old.unread
+		fresh.pool, fresh.unread, fresh.limit = old.pool, old.unread, old.limit
 	} else {
 		if old != nil {
 			b.drop(old, "restarted")
--- a/lib/lacerelay/codec.go
+++ b/lib/lacerelay/codec.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lacewingcove/lib/lacebalancer"
+	"lacewingcove/lib/laceconn"
 	"lacewingcove/lib/lacefault"
 	"lacewingcove/lib/laceunit"
 )
@@ -59,6 +60,8 @@
 	Pause time.Duration
 	// Unread tells what of the header can't be read; nil means nothing.
 	Unread error
+	// Limit is how many requests a second the server takes from all instances.
+	Limit laceconn.Limit
 	// Load is nil when the answer tells none.
 	Load *lacebalancer.Load
 	// Idle is how long the server keeps the connection open; zero means that it does not say.
--- a/lib/lacerelay/notice.go
+++ b/lib/lacerelay/notice.go
@@ -7,6 +7,7 @@
 	noticeLeaving = "leaving"
 	noticePause   = "pause"
 	noticeUnread  = "unread"
+	noticeLimit   = "limit"
 )
 
 // heed takes in what the header of an answer says about its server. It does so before anything of the answer is passed
@@ -26,6 +27,14 @@
 		r.options.Metrics.noticed(j, noticeUnread)
 		r.options.Backends.Unread(d.Server, reply.Unread, reply.Pause)
 	}
+	r.options.Backends.Limit(d.Server, reply.Limit)
+	if reply.Limit.Unread != nil {
+		r.options.Metrics.noticed(j, noticeUnread)
+		r.options.Backends.Unread(d.Server, reply.Limit.Unread, 0)
+	}
+	if reply.Limit.Named {
+		r.options.Metrics.noticed(j, noticeLimit)
+	}
 	if reply.Load != nil {
 		r.options.Placer.Report(d.Server, *reply.Load)
 	}
--- a/lib/laceunit/token.go
+++ b/lib/laceunit/token.go
@@ -29,3 +29,6 @@
 	LeanAvailable Lean = "available"
 	LeanStrict    Lean = "strict"
 )
+
+// Rate is a number of requests a second.
+type Rate float64
