laceshare: a limit that a server names is divided among the instances

Cause: nothing read Server-Limit. A limit that each instance kept by itself would be exceeded as well: it is one sum over all of them, and nothing in the design owned such a sum. Ruled out: requests that get past a limit (first attempts, placed twice within 0.1 s by one instance); the planned stop (the first breach is before it). Change: the store holds a record for each limited server, with equal parts of the limit and who holds each. laceshare.Book decides, without network or clock: who holds how much, what an instance does that just started, is cut off or hears late, how a part moves and what ends it. lacebalancer spaces requests by the allowance and refuses at once what no server takes in time. Records stand beside the members, now under lace/fleet/, so that no further watch is needed.

--- a/lib/lacebalancer/balancer.go
+++ b/lib/lacebalancer/balancer.go
@@ -36,6 +36,8 @@
 	waiting map[Ticket]*pool
 	leavers leavers
 	pauses  pauses
+	// paces are those of servers that have named a limit, listed or not.
+	paces   map[birth]*pace
 	last    Ticket
 	retries float64
 	scratch []*server
@@ -46,10 +48,13 @@
 type flight struct {
 	server *server
 	pool   *pool
+	at     time.Time
 	probe  bool
 	// trial is the pause after whose end the request was sent; nil for most.
 	trial    *pause
 	answered bool
+	// paced is true when the request counts against the limit of its server.
+	paced bool
 }
 
 type waiter struct {
@@ -90,6 +95,7 @@
 		flights: map[Ticket]flight{},
 		waiting: map[Ticket]*pool{},
 		pauses:  pauses{},
+		paces:   map[birth]*pace{},
 		retries: retryBurst,
 		salt:    mix(uint64(random(orders) + 1)),
 	}
@@ -158,6 +164,7 @@
 		c := servers[id]
 		s.configure(c, leaving[id] || b.Left(id, c.Born))
 		b.pauses.restore(s)
+		s.pace = b.paces[s.birth()]
 		b.join(s, c)
 	}
 	b.pauses.prune(now)
@@ -316,6 +323,12 @@
 			if s.pause != nil && s.pause.running == 0 && s.pause.end.Before(next) {
 				next = s.pause.end
 			}
+			if s.pace == nil {
+				continue
+			}
+			if at, known := s.pace.opening(next); known && at.Before(next) {
+				next = at
+			}
 		}
 	}
 	return next, !next.IsZero()
--- a/lib/lacebalancer/pause.go
+++ b/lib/lacebalancer/pause.go
@@ -119,10 +119,12 @@
 	HoldLeaving
 	// HoldPausing means that the server wants nothing for a time.
 	HoldPausing
+	// HoldLimit means that the server has named a limit since it was chosen.
+	HoldLimit
 )
 
 // String returns the hold as metrics have it.
-func (h Hold) String() string { return [...]string{"", "leaving", "pause"}[h] }
+func (h Hold) String() string { return [...]string{"", "leaving", "pause", "limit"}[h] }
 
 // Hold tells whether a ticket may still be sent; time passes between the choice of a server and a connection to it.
 func (b *Balancer) Hold(now time.Time, ticket Ticket) Hold {
@@ -132,41 +134,12 @@
 		return HoldLeaving
 	case f.server.pausing(now):
 		return HoldPausing
+	case b.current(f.server).pace != nil && !f.paced:
+		return HoldLimit
 	}
 	return HoldNone
 }
 
-// Resting returns when a caller may come back while all servers of a pool that could be used are in a pause, and zero
-// otherwise.
-func (b *Balancer) Resting(now time.Time, name Pool) time.Duration {
-	p := b.pools[name]
-	if p == nil {
-		return 0
-	}
-	left, ok := p.resting(now)
-	if !ok {
-		return 0
-	}
-	return b.spread(left)
-}
-
-// resting returns the time to the earliest end when all servers that could be used are in a pause.
-func (p *pool) resting(now time.Time) (time.Duration, bool) {
-	least, found := time.Duration(0), false
-	for _, s := range p.servers {
-		if s.leaving {
-			continue
-		}
-		if !s.pausing(now) {
-			return 0, false
-		}
-		if left := s.pause.end.Sub(now); !found || left < least {
-			least, found = left, true
-		}
-	}
-	return least, found
-}
-
 // spread adds to a time after which callers come back, so that they don't come in one moment.
 func (b *Balancer) spread(left time.Duration) time.Duration {
 	return left + time.Duration(b.random(int(max(left/returnShare, leastReturn))))
--- a/lib/lacebalancer/pick.go
+++ b/lib/lacebalancer/pick.go
@@ -18,8 +18,9 @@
 	if p == nil || !p.usable() {
 		return refusal(ticket, NoServer, b.routing.Probe), nil
 	}
-	if left, ok := p.resting(now); ok {
-		return refusal(ticket, Paused, b.spread(left)), nil
+	if r, ok := p.stall(now); ok && !r.worth(now, b.deadline(now, request)) {
+		p.starve(now)
+		return refusal(ticket, r.reason, b.spread(r.left)), nil
 	}
 	if request.Retry {
 		if b.retries < 1 {
@@ -44,14 +45,10 @@
 }
 
 func (b *Balancer) enqueue(now time.Time, p *pool, w waiter) (Decision, []Decision) {
-	deadline := w.request.Deadline
-	if latest := now.Add(b.routing.Wait); deadline.IsZero() || deadline.After(latest) {
-		deadline = latest
-	}
 	displaced, ok := p.queue.Push(lacelimit.Item[waiter]{
 		Account:  w.request.Account,
 		Priority: w.request.Priority,
-		Deadline: deadline,
+		Deadline: b.deadline(now, w.request),
 		Value:    w,
 	})
 	if !ok {
@@ -97,11 +94,12 @@
 		refuse(p.queue.Drop(func(lacelimit.Item[waiter]) bool { return true }), NoServer)
 		return decisions
 	}
-	if left, ok := p.resting(now); ok {
-		for _, i := range p.queue.Drop(func(lacelimit.Item[waiter]) bool { return true }) {
+	if r, ok := p.stall(now); ok {
+		for _, i := range p.queue.Drop(func(i lacelimit.Item[waiter]) bool { return !r.worth(now, i.Deadline) }) {
 			delete(b.waiting, i.Value.ticket)
-			decisions = append(decisions, refusal(i.Value.ticket, Paused, b.spread(left)))
+			decisions = append(decisions, refusal(i.Value.ticket, r.reason, b.spread(r.left)))
 		}
+		p.starve(now)
 		return decisions
 	}
 	// A request that finds no server shows that those of the same or a lower priority find none either. Without this
@@ -153,11 +151,16 @@
 	if s.pause != nil {
 		s.pause.running++
 	}
+	if s.pace != nil {
+		s.pace.take(now)
+	}
 	b.flights[w.ticket] = flight{
 		server: s,
 		pool:   p,
 		probe:  probe,
 		trial:  s.pause,
+		at:     now,
+		paced:  s.pace != nil,
 	}
 	return Decision{
 		Ticket:  w.ticket,
@@ -187,7 +190,7 @@
 			continue
 		}
 		if s.ejected {
-			if !s.probing && !s.restrained() && (rested == nil || s.until.Before(rested.until)) {
+			if !s.probing && !s.restrained() && !s.limited(now) && (rested == nil || s.until.Before(rested.until)) {
 				rested = s
 			}
 			continue
@@ -201,6 +204,10 @@
 		if s.restrained() || s.slots > 0 && s.estimate >= limit*float64(s.slots) {
 			continue
 		}
+		if s.limited(now) {
+			s.pace.demand.Short = now
+			continue
+		}
 		if now.Before(s.suspect) {
 			suspects++
 		}
@@ -245,10 +252,19 @@
 // excluded reports whether a list names every server that can be used now.
 func (p *pool) excluded(now time.Time, list []laceunit.ServerID) bool {
 	return len(list) > 0 && !slices.ContainsFunc(p.servers, func(s *server) bool {
-		return !s.leaving && !s.pausing(now) && !slices.Contains(list, s.id)
+		return !s.leaving && !s.shut(now) && !slices.Contains(list, s.id)
 	})
 }
 
+// deadline is when a request no longer waits for a server.
+func (b *Balancer) deadline(now time.Time, r Request) time.Time {
+	latest := now.Add(b.routing.Wait)
+	if r.Deadline.IsZero() || r.Deadline.After(latest) {
+		return latest
+	}
+	return r.Deadline
+}
+
 // retryAfter estimates when a request has a chance again: the time the pool needs to serve what waits.
 func (b *Balancer) retryAfter(p *pool) time.Duration {
 	var slots float64
--- a/lib/lacebalancer/request.go
+++ b/lib/lacebalancer/request.go
@@ -79,6 +79,8 @@
 	NoRetry
 	// Paused means that all usable servers of the pool have asked for a pause.
 	Paused
+	// Limited means that none of the pool's servers takes a request in time, because of the limits that they have named.
+	Limited
 )
 
 // Decision is the answer to a request.
--- a/lib/lacebalancer/server.go
+++ b/lib/lacebalancer/server.go
@@ -63,6 +63,8 @@
 	suspect  time.Time
 	// pause is nil unless the server has lately asked for one.
 	pause *pause
+	// pace is nil unless the server has named a limit.
+	pace *pace
 
 	held     map[uint64]struct{}
 	estimate float64
--- a/lib/lacedirectory/board.go
+++ b/lib/lacedirectory/board.go
@@ -200,6 +200,9 @@
 	return b.choose()[b.self.Holder.Instance]
 }
 
+// Self returns this instance.
+func (b *Board) Self() laceunit.Holder { return b.self.Holder }
+
 // Partners returns the other instances that take callers, those of this instance's zone first.
 func (b *Board) Partners() []Member {
 	b.mu.Lock()
--- a/lib/lacegateway/selector.go
+++ b/lib/lacegateway/selector.go
@@ -156,6 +156,8 @@
 		f.Code, f.Message = lacefault.NoServer, "no backend server for the request is usable"
 	case lacebalancer.Paused:
 		f.Message = "all backend servers for the request have asked for a pause"
+	case lacebalancer.Limited:
+		f.Message = "all backend servers for the request get as many requests as they have said they take"
 	case lacebalancer.NoRetry:
 		f.Code, f.Message = lacefault.ServerFailed, "the backend server failed and the retry budget is spent"
 	}
--- a/lib/lacelog/event.go
+++ b/lib/lacelog/event.go
@@ -23,6 +23,8 @@
 	Role Event = "role"
 	// News is a change of where the news of an instance that stands by comes from.
 	News Event = "news"
+	// Limit is a change of what this instance may send to a server that has named a limit.
+	Limit Event = "limit"
 	// Draw is a change of what this instance may spend of a budget.
 	Draw Event = "draw"
 	// Loan is tokens that one instance hands to another.
--- /dev/null
+++ b/lib/lacenode/fleet.go
@@ -0,0 +1,33 @@
+package lacenode
+
+import (
+	"time"
+
+	"lacewingcove/lib/laceshare"
+	"lacewingcove/lib/laceunit"
+)
+
+// fleet implements laceshare.Fleet.
+type fleet struct {
+	node *Node
+}
+
+// Members implements laceshare.Fleet.
+func (f fleet) Members() []laceunit.Holder {
+	holders := []laceunit.Holder{f.node.board.Self()}
+	for _, m := range f.node.board.Partners() {
+		holders = append(holders, m.Holder)
+	}
+	return holders
+}
+
+// Live implements laceshare.Fleet.
+func (f fleet) Live(h laceunit.Holder) bool { return f.node.board.Live(h) }
+
+// Listed implements laceshare.Fleet.
+func (f fleet) Listed(s laceshare.Server) bool { return f.node.backends.Listed(s.ID, s.Born) }
+
+// Age implements laceshare.Fleet.
+func (f fleet) Age() time.Duration {
+	return age(f.node.pulse.Now(), f.node.followers[fleetFollower].Status().Reached)
+}
--- a/lib/lacenode/node.go
+++ b/lib/lacenode/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -19,13 +20,17 @@
 	"lacewingcove/lib/lacequota"
 	"lacewingcove/lib/lacerelay"
 	"lacewingcove/lib/laceroute"
+	"lacewingcove/lib/laceshare"
 	"lacewingcove/lib/laceunit"
 )
 
 // Places in the store that instances write.
 const (
-	memberPrefix laceplatform.Key = "lace/member/"
 	budgetPrefix laceplatform.Key = "lace/budget/"
+	// fleetPrefix holds what all instances follow, so that one watch brings all of it.
+	fleetPrefix  laceplatform.Key = "lace/fleet/"
+	memberPrefix                  = fleetPrefix + "member/"
+	limitPrefix                   = fleetPrefix + "limit/"
 )
 
 // affinityBound is how far above the mean a server may be loaded before a prompt goes to one that has not read its shared
@@ -41,6 +46,7 @@
 	nameExchange  lacekernel.Name = "exchange"
 	nameRegistrar lacekernel.Name = "registrar"
 	nameQuota     lacekernel.Name = "quota"
+	nameLimits    lacekernel.Name = "limits"
 	namePlacer    lacekernel.Name = "placer"
 	nameClock     lacekernel.Name = "clock"
 	nameBackends  lacekernel.Name = "backends"
@@ -60,6 +66,7 @@
 	board     *lacedirectory.Board
 	registrar *lacedirectory.Registrar
 	quota     *lacequota.Service
+	limits    *laceshare.Service
 	placer    *lacerelay.Placer
 	backends  *lacerelay.Backends
 	relay     *lacerelay.Relay
@@ -144,7 +151,18 @@
 	if err != nil {
 		return errors.Wrap(err, "node: balancer")
 	}
-	n.placer = lacerelay.NewPlacer(balancer, lacerelay.WithClock(elapsedClock(n.clock)))
+	elapsed := elapsedClock(n.clock)
+	n.placer = lacerelay.NewPlacer(balancer, lacerelay.WithClock(elapsed))
+	n.limits = laceshare.New(laceshare.Options{
+		Self:    self.Holder,
+		Store:   store,
+		Prefix:  limitPrefix,
+		Limits:  n.placer,
+		Fleet:   fleet{node: n},
+		Clock:   elapsed,
+		Log:     n.log,
+		Metrics: laceshare.NewMetrics(n.registry),
+	})
 	n.backends = lacerelay.NewBackends(n.placer, n.log, n.connections)
 	n.relay = lacerelay.New(lacerelay.Options{
 		Codec:    n.adapter.Codec(),
@@ -157,6 +175,7 @@
 			Ratio:  n.settings.Retry.Ratio,
 			Slack:  n.settings.Retry.Slack,
 		},
+		Limits:  n.limits,
 		Members: n.board.Count,
 		Log:     n.log,
 		Metrics: lacerelay.NewMetrics(n.registry),
@@ -171,7 +190,7 @@
 	n.followers = []*lacemirror.Follower{
 		lacemirror.NewFollower(keys.Configs, store, n.pulse, n.log, n.configured),
 		lacemirror.NewFollower(keys.Servers, store, n.pulse, n.log, n.served),
-		lacemirror.NewFollower(memberPrefix, store, n.pulse, n.log, n.joined),
+		lacemirror.NewFollower(fleetPrefix, store, n.pulse, n.log, n.fleetChanged),
 	}
 	for _, f := range n.followers[1:] {
 		f.Behind(n.followers[0])
@@ -196,6 +215,7 @@
 		{name: nameBackends, service: n.backends},
 		{name: namePlacer, service: n.placer},
 		{name: nameQuota, service: n.quota},
+		{name: nameLimits, service: n.limits},
 		{name: nameRegistrar, service: n.registrar},
 		{name: nameExchange, service: newExchange(n)},
 		{name: nameClock, service: clock{n}},
@@ -214,8 +234,11 @@
 	return n.routes.Load() != nil && n.followers[serversFollower].Status().Revision > 0 && !n.leaving.Load()
 }
 
-// serversFollower is the index of the copy of the backend servers.
-const serversFollower = 1
+// serversFollower and fleetFollower are the indices of the copies of the backend servers and of what instances write.
+const (
+	serversFollower = 1
+	fleetFollower   = 2
+)
 
 // Addresses implements Directory.
 func (n *Node) Addresses(place laceunit.Place) ([]laceunit.Address, time.Duration) {
@@ -290,21 +313,35 @@
 	n.backends.Apply(time.Now(), listed, missing, source.Settles)
 }
 
-// joined takes over instances.
-func (n *Node) joined(changes []lacemirror.Change, source lacemirror.Source) {
+// fleetChanged takes over instances and the parts of servers' limits.
+func (n *Node) fleetChanged(changes []lacemirror.Change, source lacemirror.Source) {
 	for _, c := range changes {
-		m, err := lacedirectory.Decode(c.Entry.Value)
 		switch {
-		case err != nil:
-			n.reject(c.Entry, err)
-		case c.Removed:
-			n.board.Remove(time.Now(), m.Holder.Instance, source.Settles)
+		case strings.HasPrefix(string(c.Entry.Key), string(memberPrefix)):
+			n.joined(c, source)
+		case strings.HasPrefix(string(c.Entry.Key), string(limitPrefix)):
+			if err := n.limits.Stored(c.Entry, c.Removed); err != nil {
+				n.reject(c.Entry, err)
+			}
 		default:
-			n.board.Put(m)
+			n.reject(c.Entry, errors.New("node: unknown key"))
 		}
 	}
 }
 
+// joined takes over an instance.
+func (n *Node) joined(c lacemirror.Change, source lacemirror.Source) {
+	m, err := lacedirectory.Decode(c.Entry.Value)
+	switch {
+	case err != nil:
+		n.reject(c.Entry, err)
+	case c.Removed:
+		n.board.Remove(time.Now(), m.Holder.Instance, source.Settles)
+	default:
+		n.board.Put(m)
+	}
+}
+
 func (n *Node) reject(e laceplatform.Entry, err error) {
 	n.rejected.Inc()
 	n.log.Write(lacelog.Rejected, lacelog.P("key", e.Key), lacelog.P(lacelog.Revision, e.Revision),
--- a/lib/lacenode/run.go
+++ b/lib/lacenode/run.go
@@ -84,6 +84,7 @@
 	n.finish(ctx, all.caller)
 	final, done := context.WithTimeout(context.Background(), releaseTimeout)
 	defer done()
+	n.limits.Release(final)
 	if err := n.quota.Release(final); err != nil {
 		n.log.Fault(err, "tokens were not given back")
 	}
--- a/lib/lacerelay/attempt.go
+++ b/lib/lacerelay/attempt.go
@@ -133,6 +133,9 @@
 	case lacebalancer.Paused:
 		f.Message = "all servers have asked for a pause"
 		r.options.Metrics.withheld(j, lacebalancer.HoldPausing.String(), "refused")
+	case lacebalancer.Limited:
+		f.Message = "all servers get as many requests as they have said they take"
+		r.options.Metrics.withheld(j, lacebalancer.HoldLimit.String(), "refused")
 	}
 	if j.progress.ran {
 		f.Outcome, f.Code = lacefault.Unknown, lacefault.ServerFailed
--- a/lib/lacerelay/backend.go
+++ b/lib/lacerelay/backend.go
@@ -113,6 +113,14 @@
 	}
 }
 
+// Listed reports whether a start of a server is in use.
+func (b *Backends) Listed(id laceunit.ServerID, born int64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	x, ok := b.all[id]
+	return ok && x.Born == born
+}
+
 // Pool returns the connections to a server.
 func (b *Backends) Pool(id laceunit.ServerID) (*laceconn.Pool, bool) {
 	b.mu.Lock()
--- a/lib/lacerelay/notice.go
+++ b/lib/lacerelay/notice.go
@@ -1,6 +1,10 @@
 package lacerelay
 
-import "lacewingcove/lib/lacebalancer"
+import (
+	"lacewingcove/lib/lacebalancer"
+	"lacewingcove/lib/laceconn"
+	"lacewingcove/lib/laceshare"
+)
 
 // Notices of servers, as metrics have them.
 const (
@@ -27,7 +31,7 @@
 		r.options.Metrics.noticed(j, noticeUnread)
 		r.options.Backends.Unread(d.Server, reply.Unread, reply.Pause)
 	}
-	r.options.Backends.Limit(d.Server, reply.Limit)
+	r.limit(d, reply.Limit)
 	if reply.Limit.Unread != nil {
 		r.options.Metrics.noticed(j, noticeUnread)
 		r.options.Backends.Unread(d.Server, reply.Limit.Unread, 0)
@@ -40,6 +44,19 @@
 	}
 }
 
+// limit takes in what an answer says about how many requests its server takes.
+func (r *Relay) limit(d lacebalancer.Decision, limit laceconn.Limit) {
+	r.options.Backends.Limit(d.Server, limit)
+	sending, ok := r.options.Placer.Sending(d.Ticket)
+	if !ok || r.options.Limits == nil {
+		return
+	}
+	r.options.Limits.Heard(laceshare.Server{
+		ID:   sending.Server,
+		Born: sending.Born,
+	}, sending.At, limit)
+}
+
 // withheld reports whether the server of a placed request must not get it any more. The request then goes on like one
 // that was given no server yet.
 func (r *Relay) withheld(j *job, d lacebalancer.Decision, a *attempt) bool {
--- /dev/null
+++ b/lib/laceshare/service.go
@@ -0,0 +1,336 @@
+package laceshare
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lacewingcove/lib/lacebalancer"
+	"lacewingcove/lib/laceconn"
+	"lacewingcove/lib/lacelog"
+	"lacewingcove/lib/laceplatform"
+	"lacewingcove/lib/laceunit"
+)
+
+const (
+	// stepInterval is how often the parts are looked at while a server has a limit.
+	stepInterval = 100 * time.Millisecond
+	// callTimeout bounds one call to the store, which answers in milliseconds when it is well.
+	callTimeout = 600 * time.Millisecond
+	// releaseTries is how often a stopping instance writes a record that others change as well.
+	releaseTries = 3
+	// writeQueue bounds the writes that wait; what is left out is planned again.
+	writeQueue = 64
+)
+
+// Limits are the limits that the balancer of this instance keeps to.
+type Limits interface {
+	// Limit sets what may be sent to a server, Unlimit ends that.
+	Limit(s Server, a lacebalancer.Allowance)
+	Unlimit(s Server)
+	// Demand tells what requests lately asked of a server.
+	Demand(s Server) lacebalancer.Demand
+}
+
+// Fleet is what is known of the instances and the servers.
+type Fleet interface {
+	// Members are the instances that take callers, this one included.
+	Members() []laceunit.Holder
+	// Live reports whether an incarnation is a member.
+	Live(h laceunit.Holder) bool
+	// Listed reports whether a server has an entry.
+	Listed(s Server) bool
+	// Age is how old the copy of the records may be.
+	Age() time.Duration
+}
+
+// Options configure a service.
+type Options struct {
+	Self  laceunit.Holder
+	Store laceplatform.Store
+	// Prefix is where the records stand.
+	Prefix laceplatform.Key
+	Limits Limits
+	Fleet  Fleet
+	// Clock is that of the balancer; none stands for the runtime's.
+	Clock   func() time.Time
+	Log     *lacelog.Logger
+	Metrics *Metrics
+}
+
+// Service keeps this instance to its part of what servers take.
+type Service struct {
+	options Options
+	writes  chan Write
+	// wake has an entry when a record has changed since the last step.
+	wake chan struct{}
+
+	mu   sync.Mutex
+	book *Book
+	// told is what the log last said about each server.
+	told map[Server]string
+}
+
+// New returns a service; Serve must run.
+func New(options Options) *Service {
+	if options.Clock == nil {
+		options.Clock = time.Now
+	}
+	return &Service{
+		options: options,
+		writes:  make(chan Write, writeQueue),
+		wake:    make(chan struct{}, 1),
+		book:    NewBook(options.Clock(), options.Self, rand.IntN),
+		told:    map[Server]string{},
+	}
+}
+
+// Heard takes in what the answer to a request says that was sent at a moment. It takes effect before Heard returns.
+func (s *Service) Heard(server Server, sent time.Time, limit laceconn.Limit) {
+	if !limit.Named && !s.knows(server) {
+		return
+	}
+	age := s.options.Fleet.Age()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.options.Clock()
+	changed := false
+	if limit.Named {
+		changed = s.book.Named(now, server, sent, limit.Rate)
+	} else {
+		changed = s.book.Unnamed(now, server, sent)
+	}
+	if changed {
+		s.apply(now, server, age)
+	}
+}
+
+func (s *Service) knows(server Server) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.book.Knows(server)
+}
+
+// Stored takes in how the record at a key stands in the store. It asks nothing of the fleet, so that the copy of the records may
+// be locked meanwhile.
+func (s *Service) Stored(e laceplatform.Entry, removed bool) error {
+	server, err := ParseKey(s.options.Prefix, e.Key)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.options.Clock()
+	defer s.rouse()
+	if removed {
+		s.book.Removed(now, server)
+		return nil
+	}
+	r, err := Decode(e.Value)
+	if err != nil {
+		s.book.Unread(now, server, e.Revision)
+		return err
+	}
+	s.book.Seen(now, server, r, e.Revision)
+	return nil
+}
+
+// Serve implements suture.Service.
+func (s *Service) Serve(ctx context.Context) error {
+	var writer sync.WaitGroup
+	defer writer.Wait()
+	writer.Go(func() { s.write(ctx) })
+	ticker := time.NewTicker(stepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		case <-s.wake:
+		}
+		s.step()
+	}
+}
+
+// rouse makes the loop look at the parts soon.
+func (s *Service) rouse() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+		// It will look anyway.
+	}
+}
+
+func (s *Service) step() {
+	age := s.options.Fleet.Age()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	servers := s.book.Servers()
+	if len(servers) == 0 {
+		s.options.Metrics.observe(0)
+		return
+	}
+	now := s.options.Clock()
+	for _, w := range s.book.Plan(now, s.view(age)) {
+		select {
+		case s.writes <- w:
+		default:
+			s.options.Metrics.wrote(w.Cause, resultDropped)
+		}
+	}
+	for _, x := range servers {
+		s.apply(now, x, age)
+	}
+	s.options.Metrics.observe(len(s.book.Servers()))
+}
+
+func (s *Service) view(age time.Duration) View {
+	f := s.options.Fleet
+	return View{
+		Age:     age,
+		Members: f.Members(),
+		Live:    f.Live,
+		Listed:  f.Listed,
+		Demand:  s.options.Limits.Demand,
+	}
+}
+
+// apply makes the balancer keep to what may be sent to a server; the lock must be held.
+func (s *Service) apply(now time.Time, server Server, age time.Duration) {
+	a, ok := s.book.Allowance(now, server, age, len(s.options.Fleet.Members()))
+	if !ok {
+		s.options.Limits.Unlimit(server)
+		s.options.Metrics.forget(server)
+		if _, told := s.told[server]; told {
+			delete(s.told, server)
+			s.options.Log.Write(lacelog.Limit, lacelog.P(lacelog.Backend, server.ID), lacelog.P("state", "ended"))
+		}
+		return
+	}
+	s.options.Limits.Limit(server, a)
+	s.options.Metrics.allow(server, a)
+	s.tell(server, a, age)
+}
+
+// tell logs what may be sent to a server when that has changed.
+func (s *Service) tell(server Server, a lacebalancer.Allowance, age time.Duration) {
+	state := "part"
+	switch {
+	case age > CopyTime:
+		state = "cut_off"
+	case a.Rate <= 0:
+		state = "no_part"
+	}
+	if s.told[server] == state {
+		return
+	}
+	s.told[server] = state
+	s.options.Log.Write(lacelog.Limit, lacelog.P(lacelog.Backend, server.ID), lacelog.P("state", state),
+		lacelog.P("limit", a.Whole), lacelog.P("rate", a.Rate), lacelog.P(lacelog.Age, age.Milliseconds()))
+}
+
+// write carries out writes until the context ends.
+func (s *Service) write(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case w := <-s.writes:
+			s.carry(ctx, w)
+		}
+	}
+}
+
+// carry carries out one write and takes in how it ended.
+func (s *Service) carry(ctx context.Context, w Write) {
+	revision, err := s.swap(ctx, w)
+	age := s.options.Fleet.Age()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.options.Clock()
+	key := Key(s.options.Prefix, w.Server)
+	conflict := &laceplatform.Conflict{}
+	switch {
+	case err == nil:
+		s.book.Written(now, w, revision)
+		s.options.Metrics.wrote(w.Cause, resultDone)
+		s.options.Log.Write(lacelog.Limit, lacelog.P(lacelog.Backend, w.Server.ID), lacelog.P("state", "written"),
+			lacelog.P("cause", w.Cause), lacelog.P("limit", w.Record.Limit), lacelog.P("parts", len(w.Record.Parts)),
+			lacelog.P("own", w.Record.count(s.options.Self)))
+	case errors.As(err, &conflict):
+		s.options.Metrics.wrote(w.Cause, resultConflict)
+		s.learn(now, w.Server, conflict.Entry(key))
+	case errors.Is(err, laceplatform.ErrConflict):
+		// This store does not tell how the record stands; the copy will.
+		s.options.Metrics.wrote(w.Cause, resultConflict)
+	default:
+		s.options.Metrics.wrote(w.Cause, resultFailed)
+		if ctx.Err() == nil {
+			s.options.Log.Fault(err, "parts of a limit were not written", lacelog.P(lacelog.Backend, w.Server.ID))
+		}
+	}
+	s.apply(now, w.Server, age)
+}
+
+// learn takes in a record as it stands, by the answer to a write that failed for it.
+func (s *Service) learn(now time.Time, server Server, e laceplatform.Entry) {
+	if e.Revision == 0 {
+		s.book.Removed(now, server)
+		return
+	}
+	r, err := Decode(e.Value)
+	if err != nil {
+		s.options.Log.Fault(err, "parts of a limit can't be read", lacelog.P(lacelog.Backend, server.ID))
+		s.book.Unread(now, server, e.Revision)
+		return
+	}
+	s.book.Seen(now, server, r, e.Revision)
+}
+
+func (s *Service) swap(ctx context.Context, w Write) (laceplatform.Revision, error) {
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	key := Key(s.options.Prefix, w.Server)
+	if w.Remove {
+		err := s.options.Store.Delete(call, key, w.Expect)
+		if errors.Is(err, laceplatform.ErrMissing) {
+			return 0, nil
+		}
+		return 0, errors.Wrap(err, "share: remove record")
+	}
+	value, err := Encode(w.Record)
+	if err != nil {
+		return 0, err
+	}
+	revision, err := s.options.Store.Swap(call, laceplatform.Swap{
+		Key:    key,
+		Value:  value,
+		Expect: w.Expect,
+	})
+	return revision, errors.Wrap(err, "share: write record")
+}
+
+// Release gives all parts back and waits for it, in a planned stop.
+func (s *Service) Release(ctx context.Context) {
+	for range releaseTries {
+		for _, w := range s.stop() {
+			s.carry(ctx, w)
+		}
+	}
+}
+
+// stop returns what is to be written so that this instance holds no parts; it uses none from here on.
+func (s *Service) stop() []Write {
+	age := s.options.Fleet.Age()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	writes := s.book.Stop()
+	for _, w := range writes {
+		s.apply(s.options.Clock(), w.Server, age)
+	}
+	return writes
+}
