router: limits of backend servers are divided in the own build-up as well

What callers saw: nothing; the own interface did not know the header either. Change: lacebackend reads Server-Limit, the selector keeps to the allowances of laceshare, and the records stand under lace/limit/. The emulated servers name a limit (fault "limit").

--- a/lib/lacebackend/notice.go
+++ b/lib/lacebackend/notice.go
@@ -7,8 +7,12 @@
 	"lacewingcove/lib/laceconn"
 )
 
-// headerLeaving is "1" on the answers of a server that leaves.
-const headerLeaving = "Server-Leaving"
+const (
+	// headerLeaving is "1" on the answers of a server that leaves.
+	headerLeaving = "Server-Leaving"
+	// headerLimit is how many requests a second a server takes from all instances together.
+	headerLimit = "Server-Limit"
+)
 
 // Notice is what the head of an answer says about its server, whatever becomes of the answer.
 type Notice struct {
@@ -18,11 +22,16 @@
 	Pause time.Duration
 	// Unread is not nil when the length of a pause is not a plain number of seconds; Pause is how it is taken.
 	Unread error
+	// Limit is how many requests a second the server takes from all instances.
+	Limit laceconn.Limit
 }
 
 // notify calls a function, if there is one, with what an answer says about its server, which may be nothing.
 func notify(resp *http.Response, notice func(Notice)) {
-	n := Notice{Leaving: resp.Header.Get(headerLeaving) == "1"}
+	n := Notice{
+		Leaving: resp.Header.Get(headerLeaving) == "1",
+		Limit:   laceconn.ParseLimit(resp.Header.Values(headerLimit)),
+	}
 	if resp.StatusCode == http.StatusServiceUnavailable {
 		n.Pause, n.Unread = laceconn.RetryAfter(resp.Header)
 	}
--- a/lib/laceemulator/faulthandler.go
+++ b/lib/laceemulator/faulthandler.go
@@ -15,6 +15,9 @@
 // leavingHeader is "1" on the answers of a server that leaves.
 const leavingHeader = "Server-Leaving"
 
+// limitHeader is how many requests a second a server takes from all instances together.
+const limitHeader = "Server-Limit"
+
 // refusal is the body of a request that was refused.
 type refusal struct {
 	Error string `json:"error"`
@@ -61,6 +64,7 @@
 	Length  float64 `json:"length"`
 	Slow    period  `json:"slow"`
 	Leaving bool    `json:"leaving"`
+	Limit   float64 `json:"limit"`
 	Pause   period  `json:"pause"`
 }
 
@@ -80,6 +84,7 @@
 			Length:  f.Length,
 			Slow:    period(f.Slow),
 			Leaving: f.Leaving,
+			Limit:   f.Limit,
 			Pause:   period(f.Pause),
 		})
 	})
@@ -98,6 +103,7 @@
 			Length:  f.Length,
 			Slow:    time.Duration(f.Slow),
 			Leaving: f.Leaving,
+			Limit:   f.Limit,
 			Pause:   time.Duration(f.Pause),
 		})
 		w.WriteHeader(http.StatusNoContent)
@@ -110,6 +116,9 @@
 		if f.Leaving {
 			w.Header().Set(leavingHeader, "1")
 		}
+		if f.Limit > 0 {
+			w.Header().Set(limitHeader, strconv.FormatFloat(f.Limit, 'f', -1, 64))
+		}
 		// Control calls don't name a request.
 		if left := m.paused(); left > 0 && r.Header.Get(requestHeader) != "" {
 			w.Header().Set(attemptHeader, r.Header.Get(attemptHeader))
--- a/lib/laceemulator/mishap.go
+++ b/lib/laceemulator/mishap.go
@@ -25,6 +25,8 @@
 	Slow time.Duration
 	// Leaving adds a header to every answer which says that the server leaves.
 	Leaving bool
+	// Limit adds a header to every answer with how many requests a second the server takes; zero adds none.
+	Limit float64
 	// Pause is how long, from the moment that the faults are set, requests are refused with 503 and Retry-After.
 	Pause time.Duration
 }
--- /dev/null
+++ b/lib/lacegateway/limit.go
@@ -0,0 +1,64 @@
+package lacegateway
+
+import (
+	"time"
+
+	"lacewingcove/lib/lacebalancer"
+	"lacewingcove/lib/laceconn"
+	"lacewingcove/lib/laceshare"
+	"lacewingcove/lib/laceunit"
+)
+
+var _ laceshare.Limits = (*Selector)(nil)
+
+// Share sets who divides the limits that servers name.
+func (s *Selector) Share(limits Limits) {
+	s.board.mu.Lock()
+	defer s.board.mu.Unlock()
+	s.limits = limits
+}
+
+// Limit implements laceshare.Limits.
+func (s *Selector) Limit(server laceshare.Server, a lacebalancer.Allowance) {
+	s.Do(func(b *lacebalancer.Balancer, now time.Time) []lacebalancer.Decision {
+		return b.Limit(now, server.ID, server.Born, a)
+	})
+}
+
+// Unlimit implements laceshare.Limits.
+func (s *Selector) Unlimit(server laceshare.Server) {
+	s.Do(func(b *lacebalancer.Balancer, now time.Time) []lacebalancer.Decision {
+		return b.Unlimit(now, server.ID, server.Born)
+	})
+}
+
+// Demand implements laceshare.Limits.
+func (s *Selector) Demand(server laceshare.Server) lacebalancer.Demand {
+	s.board.mu.Lock()
+	defer s.board.mu.Unlock()
+	return s.balancer.Demand(server.ID, server.Born)
+}
+
+// Listed reports whether the configuration has a server.
+func (s *Selector) Listed(id laceunit.ServerID) bool {
+	s.board.mu.Lock()
+	defer s.board.mu.Unlock()
+	_, ok := s.servers[id]
+	return ok
+}
+
+// limit tells what an answer says about how many requests its server takes. The balancer must not be locked meanwhile, since
+// the limits come back to it.
+func (s *Selector) limit(ticket lacebalancer.Ticket, limit laceconn.Limit) {
+	s.board.mu.Lock()
+	limits := s.limits
+	sending, ok := s.balancer.Sending(ticket)
+	s.board.mu.Unlock()
+	if !ok || limits == nil {
+		return
+	}
+	limits.Heard(laceshare.Server{
+		ID:   sending.Server,
+		Born: sending.Born,
+	}, sending.At, limit)
+}
--- a/lib/lacegateway/metric.go
+++ b/lib/lacegateway/metric.go
@@ -47,7 +47,7 @@
 		}, []string{"ran"}),
 		notices: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lace_server_notices_total",
-			Help: "Answers of backend servers by what they ask of this instance: leaving, pause or unread.",
+			Help: "Answers of backend servers by what they ask of this instance: leaving, pause, limit or unread.",
 		}, []string{"notice"}),
 		overruns: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "overrun_tokens_total",
@@ -102,7 +102,10 @@
 	if n.Pause > 0 {
 		m.notices.WithLabelValues("pause").Inc()
 	}
-	if n.Unread != nil {
+	if n.Limit.Named {
+		m.notices.WithLabelValues("limit").Inc()
+	}
+	if n.Unread != nil || n.Limit.Unread != nil {
 		m.notices.WithLabelValues("unread").Inc()
 	}
 }
--- a/lib/lacelog/logger.go
+++ b/lib/lacelog/logger.go
@@ -60,6 +60,14 @@
 	}
 }
 
+// Over returns a logger that writes through another one, whose output is its owner's; Close has nothing to do.
+func Over(log logr.Logger) *Logger {
+	return &Logger{
+		log:    log,
+		limits: map[Event]*limit{},
+	}
+}
+
 // Discard returns a logger that writes nothing.
 func Discard() *Logger { return New(io.Discard, "") }
 
@@ -67,11 +75,18 @@
 func (l *Logger) Logr() logr.Logger { return l.log }
 
 // Dropped returns how many lines were lost because the buffer was full.
-func (l *Logger) Dropped() uint64 { return l.writer.dropped.Load() }
+func (l *Logger) Dropped() uint64 {
+	if l.writer == nil {
+		return 0
+	}
+	return l.writer.dropped.Load()
+}
 
 // Close writes what is buffered and waits for it.
 func (l *Logger) Close() error {
-	l.writer.close()
+	if l.writer != nil {
+		l.writer.close()
+	}
 	return nil
 }
 
--- a/lib/lacenode/node.go
+++ b/lib/lacenode/node.go
@@ -320,6 +320,9 @@
 		case strings.HasPrefix(string(c.Entry.Key), string(memberPrefix)):
 			n.joined(c, source)
 		case strings.HasPrefix(string(c.Entry.Key), string(limitPrefix)):
+			if c.Removed {
+				c.Entry.Revision = source.Revision
+			}
 			if err := n.limits.Stored(c.Entry, c.Removed); err != nil {
 				n.reject(c.Entry, err)
 			}
--- a/lib/laceshare/book.go
+++ b/lib/laceshare/book.go
@@ -81,6 +81,11 @@
 	})
 }
 
+// Stored returns the servers that have a record as far as this instance knows.
+func (b *Book) Stored() []Server {
+	return slices.DeleteFunc(b.Servers(), func(s Server) bool { return b.marks[s].record == nil })
+}
+
 // Knows reports whether a server has a limit.
 func (b *Book) Knows(s Server) bool {
 	_, ok := b.marks[s]
@@ -184,8 +189,11 @@
 	return now.Sub(b.began) >= takeTime && (!ok || now.Sub(gone) >= takeTime)
 }
 
-// Removed takes in that the store has no record of a server any more: an instance has found that its limit has ended.
-func (b *Book) Removed(now time.Time, s Server) {
+// Removed takes in that the store has no record of a server at a revision: an instance has found that its limit has ended.
+func (b *Book) Removed(now time.Time, s Server, revision laceplatform.Revision) {
+	if m := b.marks[s]; m != nil && m.revision > revision {
+		return
+	}
 	b.gone[s] = now
 	delete(b.marks, s)
 }
--- a/lib/laceshare/book_test.go
+++ b/lib/laceshare/book_test.go
@@ -29,8 +29,16 @@
 
 // plays are fleets and limits from one instance to many, with parts fewer and more than instances.
 func plays() []simPlay {
-	return []simPlay{{nodes: 1, limit: 1}, {nodes: 3, limit: 0.3}, {nodes: 7, limit: 1}, {nodes: 7, limit: 2.5}, {nodes: 7, limit: 20},
-		{nodes: 40, limit: 1}, {nodes: 40, limit: 12}, {nodes: 40, limit: 200}}
+	return []simPlay{
+		{nodes: 1, limit: 1},
+		{nodes: 3, limit: 0.3},
+		{nodes: 7, limit: 1},
+		{nodes: 7, limit: 2.5},
+		{nodes: 7, limit: 20},
+		{nodes: 40, limit: 1},
+		{nodes: 40, limit: 12},
+		{nodes: 40, limit: 200},
+	}
 }
 
 // Guards against instances that together send more than the limit while they are cut off from the store, hear late, freeze,
--- a/lib/laceshare/plan.go
+++ b/lib/laceshare/plan.go
@@ -265,7 +265,7 @@
 // Written takes in that the store has carried out a write.
 func (b *Book) Written(now time.Time, w Write, revision laceplatform.Revision) {
 	if w.Remove {
-		b.Removed(now, w.Server)
+		b.Removed(now, w.Server, w.Expect)
 		return
 	}
 	b.Seen(now, w.Server, w.Record, revision)
--- a/lib/laceshare/service.go
+++ b/lib/laceshare/service.go
@@ -114,7 +114,14 @@
 	return s.book.Knows(server)
 }
 
-// Stored takes in how the record at a key stands in the store. It asks nothing of the fleet, so that the copy of the records may
+// Active reports whether a server has a limit.
+func (s *Service) Active() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.book.Servers()) > 0
+}
+
+// Stored takes in how the record at a key stands in the store at a revision, which is that of the entry. It asks nothing of the fleet, so that the copy of the records may
 // be locked meanwhile.
 func (s *Service) Stored(e laceplatform.Entry, removed bool) error {
 	server, err := ParseKey(s.options.Prefix, e.Key)
@@ -126,7 +133,7 @@
 	now := s.options.Clock()
 	defer s.rouse()
 	if removed {
-		s.book.Removed(now, server)
+		s.book.Removed(now, server, e.Revision)
 		return nil
 	}
 	r, err := Decode(e.Value)
@@ -138,6 +145,26 @@
 	return nil
 }
 
+// Replace takes in a whole list of the records at a revision, for a copy that is read and not watched.
+func (s *Service) Replace(entries []laceplatform.Entry, revision laceplatform.Revision) error {
+	var failed error
+	listed := make(map[laceplatform.Key]bool, len(entries))
+	for _, e := range entries {
+		listed[e.Key] = true
+		if err := s.Stored(e, false); err != nil {
+			failed = err
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, server := range s.book.Stored() {
+		if !listed[Key(s.options.Prefix, server)] {
+			s.book.Removed(s.options.Clock(), server, revision)
+		}
+	}
+	return failed
+}
+
 // Serve implements suture.Service.
 func (s *Service) Serve(ctx context.Context) error {
 	var writer sync.WaitGroup
@@ -263,7 +290,7 @@
 			lacelog.P("own", w.Record.count(s.options.Self)))
 	case errors.As(err, &conflict):
 		s.options.Metrics.wrote(w.Cause, resultConflict)
-		s.learn(now, w.Server, conflict.Entry(key))
+		s.learn(now, w, conflict.Entry(key))
 	case errors.Is(err, laceplatform.ErrConflict):
 		// This store does not tell how the record stands; the copy will.
 		s.options.Metrics.wrote(w.Cause, resultConflict)
@@ -277,18 +304,18 @@
 }
 
 // learn takes in a record as it stands, by the answer to a write that failed for it.
-func (s *Service) learn(now time.Time, server Server, e laceplatform.Entry) {
+func (s *Service) learn(now time.Time, w Write, e laceplatform.Entry) {
 	if e.Revision == 0 {
-		s.book.Removed(now, server)
+		s.book.Removed(now, w.Server, w.Expect)
 		return
 	}
 	r, err := Decode(e.Value)
 	if err != nil {
-		s.options.Log.Fault(err, "parts of a limit can't be read", lacelog.P(lacelog.Backend, server.ID))
-		s.book.Unread(now, server, e.Revision)
+		s.options.Log.Fault(err, "parts of a limit can't be read", lacelog.P(lacelog.Backend, w.Server.ID))
+		s.book.Unread(now, w.Server, e.Revision)
 		return
 	}
-	s.book.Seen(now, server, r, e.Revision)
+	s.book.Seen(now, w.Server, r, e.Revision)
 }
 
 func (s *Service) swap(ctx context.Context, w Write) (laceplatform.Revision, error) {
--- a/lib/laceshare/sim_test.go
+++ b/lib/laceshare/sim_test.go
@@ -170,7 +170,7 @@
 	}
 	if s.store.record == nil {
 		if m := n.book.marks[s.server]; m != nil && m.record != nil && m.revision < s.store.revision {
-			n.book.Removed(s.now, s.server)
+			n.book.Removed(s.now, s.server, s.store.revision)
 		}
 		return
 	}
@@ -306,7 +306,7 @@
 	case done:
 		n.book.Written(s.now, w, s.store.revision)
 	case s.store.record == nil:
-		n.book.Removed(s.now, s.server)
+		n.book.Removed(s.now, s.server, w.Expect)
 	default:
 		n.book.Seen(s.now, s.server, s.store.record.clone(), s.store.revision)
 	}
--- a/router/lacerouter/fleet_test.go
+++ b/router/lacerouter/fleet_test.go
@@ -84,6 +84,7 @@
 	mu    sync.Mutex
 	last  time.Time
 	count int
+	all   []time.Time
 }
 
 func (a *arrivals) observe(next http.Handler) http.Handler {
@@ -92,12 +93,33 @@
 			a.mu.Lock()
 			a.last = time.Now()
 			a.count++
+			a.all = append(a.all, a.last)
 			a.mu.Unlock()
 		}
 		next.ServeHTTP(w, r)
 	})
 }
 
+// most returns the largest number of calls within a window, of those after a moment.
+func (a *arrivals) most(window time.Duration, after time.Time) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	most := 0
+	for i, first := range a.all {
+		if first.Before(after) {
+			continue
+		}
+		n := 0
+		for _, at := range a.all[i:] {
+			if at.Sub(first) < window {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
 func (a *arrivals) since() (time.Time, int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/router/lacerouter/instance.go
+++ b/router/lacerouter/instance.go
@@ -40,6 +40,8 @@
 	nameCaller        lacekernel.Name = "caller"
 	nameGateway       lacekernel.Name = "gateway"
 	nameTrace         lacekernel.Name = "trace"
+	nameLimits        lacekernel.Name = "limits"
+	nameLimitCopy     lacekernel.Name = "limits-copy"
 )
 
 // Instance is one router instance.
@@ -53,6 +55,7 @@
 	journal  *journal
 	peer     *lacepeer.Client
 	giver    *giver
+	limits   *limits
 	ledger   *lateLedger
 	gateway  *lacegateway.Gateway
 	stop     chan struct{}
@@ -85,6 +88,7 @@
 		i.addWallet,
 		i.addBackends,
 		i.addConfiguration,
+		i.addLimits,
 		i.addRecovery,
 		i.addOrders,
 		i.addAdmin,
@@ -123,6 +127,7 @@
 	if err := i.gateway.Drain(ctx); err != nil {
 		i.logger.Error(err, "requests still running at the end of the drain time")
 	}
+	i.limits.Release(ctx)
 	i.handBack(ctx)
 	err := i.kernel.Close()
 	i.logger.Info("stopped")
