--- a/standin/lacestandin/setting.go
+++ b/standin/lacestandin/setting.go
@@ -100,6 +100,7 @@
 	Length  float64       `yaml:"length"`
 	Slow    time.Duration `yaml:"slow"`
 	Leaving bool          `yaml:"leaving"`
+	Limit   float64       `yaml:"limit"`
 	Pause   time.Duration `yaml:"pause"`
 }
 
