lacesoak: servers that name a limit, and the promise that it is kept

Cause: no stand-in named a limit, so that neither the soak nor a test of the platform's build-up could meet the fault. Change: servers of lacestage name limits; the soak plans them apart from the other events, so that the plans of earlier seeds stay, and checks what instances send that had been told. Restarts and freezes excuse an instance, cuts from the store don't.

--- a/loadgen/lacesoak/check.go
+++ b/loadgen/lacesoak/check.go
@@ -21,6 +21,7 @@
 	promiseStop    = "planned-stop"
 	promiseLeaving = "leaving"
 	promisePausing = "pausing"
+	promiseLimit   = "limit"
 	promiseRest    = "rest"
 	promiseServes  = "serves-again"
 	promiseRuns    = "keeps-running"
@@ -241,6 +242,7 @@
 			ways[p] = append(ways[p], x)
 		}
 	}
+	c.limits(ways)
 	for p, all := range ways {
 		slices.SortFunc(all, func(a, b arrival) int { return a.Arrived.Compare(b.Arrived) })
 		c.leaving(p, all)
--- a/loadgen/lacesoak/check_test.go
+++ b/loadgen/lacesoak/check_test.go
@@ -96,6 +96,16 @@
 	}
 }
 
+// limiting adds a server that names a limit of 1 and gets so many requests a second for 8 s from an instance that it has told.
+func limiting(r *record, a, perSecond int) {
+	for i := range 8 * perSecond {
+		n := len(r.answers)
+		r.answer(fmt.Sprintf("l-%d", i), float64(a)+float64(i)/float64(perSecond), float64(a)+float64(i)/float64(perSecond))
+		r.answers[n].given = 0
+		r.runs[n].Limit, r.runs[n].LimitedSince = 1, at(float64(a))
+	}
+}
+
 // example is a change of the sound run with the promises that it breaks.
 type example struct {
 	change func(r *record)
@@ -156,17 +166,23 @@
 		"crossed and ran":   {change: crossed, want: []string{promiseStop}},
 		"waited, then cut":  {change: func(r *record) { crossed(r); r.answers[1].Sent = at(11.2); unseen(r) }, want: []string{promiseStop}},
 		"sent when leaving": {change: func(r *record) { r.runs[0].Announced = true }, want: []string{promiseLeaving}},
-		"leaving, woken":    {change: func(r *record) { r.runs[0].Announced = true; r.deeds[1].began, r.deeds[1].ended = at(3), at(4) }, want: []string{promiseLeaving}},
-		"leaving, new one":  {change: func(r *record) { r.runs[0].Announced = true; r.deeds[0].began, r.deeds[0].ended = at(3), at(4) }},
-		"leaving, in time":  {change: func(r *record) { r.runs[0].Announced = true; r.answers[1].Sent = at(4.4); r.runs[2].Server = "new" }},
-		"new process":       {change: func(r *record) { r.runs[1].Announced = true }},
-		"paused":            {change: func(r *record) { paused(r, 1) }, want: []string{promisePausing}},
-		"paused, trials":    {change: func(r *record) { paused(r, 1); r.runs[5].Server = "new" }},
-		"paused, frozen":    {change: func(r *record) { paused(r, 14.5) }},
-		"memory":            {change: func(r *record) { r.last[0] = laceprocess.Usage{Memory: memorySlack + 1} }, want: []string{promiseRest}},
-		"files":             {change: func(r *record) { r.last[0] = laceprocess.Usage{Files: filesSlack + 1} }, want: []string{promiseRest}},
-		"goroutines":        {change: func(r *record) { r.last[0] = laceprocess.Usage{Goroutines: 2*filesSlack + 1} }, want: []string{promiseRest}},
-		"gone":              {change: func(r *record) { delete(r.last, 0) }, want: []string{promiseRest}},
-		"serves late":       {change: func(r *record) { r.quiet = at(17.9) }, want: []string{promiseServes}},
+		"limit, kept":       {change: func(r *record) { limiting(r, 1, 1) }},
+		"limit, exceeded":   {change: func(r *record) { limiting(r, 1, 4) }, want: []string{promiseLimit}},
+		"limit, restarted": {change: func(r *record) {
+			limiting(r, 1, 4)
+			r.deeds[0].began, r.deeds[0].ended, r.deeds[0].ready = at(1.2), at(1.3), at(8.9)
+		}},
+		"leaving, woken":   {change: func(r *record) { r.runs[0].Announced = true; r.deeds[1].began, r.deeds[1].ended = at(3), at(4) }, want: []string{promiseLeaving}},
+		"leaving, new one": {change: func(r *record) { r.runs[0].Announced = true; r.deeds[0].began, r.deeds[0].ended = at(3), at(4) }},
+		"leaving, in time": {change: func(r *record) { r.runs[0].Announced = true; r.answers[1].Sent = at(4.4); r.runs[2].Server = "new" }},
+		"new process":      {change: func(r *record) { r.runs[1].Announced = true }},
+		"paused":           {change: func(r *record) { paused(r, 1) }, want: []string{promisePausing}},
+		"paused, trials":   {change: func(r *record) { paused(r, 1); r.runs[5].Server = "new" }},
+		"paused, frozen":   {change: func(r *record) { paused(r, 14.5) }},
+		"memory":           {change: func(r *record) { r.last[0] = laceprocess.Usage{Memory: memorySlack + 1} }, want: []string{promiseRest}},
+		"files":            {change: func(r *record) { r.last[0] = laceprocess.Usage{Files: filesSlack + 1} }, want: []string{promiseRest}},
+		"goroutines":       {change: func(r *record) { r.last[0] = laceprocess.Usage{Goroutines: 2*filesSlack + 1} }, want: []string{promiseRest}},
+		"gone":             {change: func(r *record) { delete(r.last, 0) }, want: []string{promiseRest}},
+		"serves late":      {change: func(r *record) { r.quiet = at(17.9) }, want: []string{promiseServes}},
 	})
 }
--- a/loadgen/lacesoak/drive.go
+++ b/loadgen/lacesoak/drive.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"lacewingcove/lib/laceroute"
+	"lacewingcove/lib/laceunit"
 	"lacewingcove/platform/lacestage"
 )
 
@@ -163,6 +164,10 @@
 		s.Crash(cut)
 		sleep(ctx, x.length)
 		return d.launch(x.number, x.choice%2 == 0, s.Address())
+	case x.kind == limits:
+		s.Limit(laceunit.Rate(1 + x.choice%mostLimit))
+		sleep(ctx, x.length)
+		s.Limit(0)
 	case x.kind == pause:
 		s.Pause(x.length)
 		sleep(ctx, x.length)
--- a/loadgen/lacesoak/plan.go
+++ b/loadgen/lacesoak/plan.go
@@ -20,6 +20,7 @@
 	crash    = "server-crash"
 	replace  = "server-replaced"
 	pause    = "server-pauses"
+	limits   = "server-limits"
 	limit    = "config-time-limit"
 	revoke   = "config-key-revoked"
 	topUp    = "config-top-up"
@@ -66,6 +67,10 @@
 	leaveSpan = drainTime + time.Second
 	// faultShare is how many answers a fault of a server meets.
 	faultShare = 0.4
+	// limitLeast is longer than it takes until a limit has to be kept, limitedPart how many servers there are for each one that
+	// names one.
+	limitLeast  = limitStable + time.Second
+	limitedPart = 4
 )
 
 func rules() []rule {
@@ -165,10 +170,35 @@
 			moment += p.upTo(seriesStep)
 		}
 	}
+	p.limits(seed)
 	slices.SortStableFunc(p.all, func(a, b event) int { return int(a.at - b.at) })
 	return p.all
 }
 
+// limits adds servers that name a limit, whatever else happens to them. They are drawn apart from the other events, so that the
+// plan of a seed keeps those.
+func (p *planner) limits(seed uint64) {
+	random := rand.New(rand.NewPCG(seed, 2))
+	servers := p.options.engines() + p.options.services()
+	for range 1 + servers/limitedPart {
+		most := int64(p.options.Duration - QuietTail - limitLeast)
+		if most <= 0 {
+			return
+		}
+		at := time.Duration(random.Int64N(most))
+		p.all = append(p.all, event{
+			rule: rule{
+				kind:   limits,
+				target: aServer,
+			},
+			at:     at,
+			length: limitLeast + time.Duration(random.Int64N(int64(p.options.Duration-QuietTail-limitLeast-at)+1)),
+			number: random.IntN(servers),
+			choice: random.IntN(choices),
+		})
+	}
+}
+
 func (p *planner) upTo(d time.Duration) time.Duration {
 	return time.Duration(p.random.Int64N(int64(d) + 1))
 }
