--- a/lib/lacebalancer/pick.go
+++ b/lib/lacebalancer/pick.go
@@ -18,9 +18,11 @@
 	if p == nil || !p.usable() {
 		return refusal(ticket, NoServer, b.routing.Probe), nil
 	}
-	if r, ok := p.stall(now); ok && !r.worth(now, b.deadline(now, request)) {
-		p.starve(now)
-		return refusal(ticket, r.reason, b.spread(r.left)), nil
+	if r, ok := p.stall(now); ok {
+		if r = r.behind(p.queue.Len()); !r.worth(now, b.deadline(now, request)) {
+			p.starve(now)
+			return refusal(ticket, r.reason, b.spread(r.left)), nil
+		}
 	}
 	if request.Retry {
 		if b.retries < 1 {
--- a/lib/lacebalancer/stall.go
+++ b/lib/lacebalancer/stall.go
@@ -1,6 +1,10 @@
 package lacebalancer
 
-import "time"
+import (
+	"time"
+
+	"lacewingcove/lib/laceunit"
+)
 
 // stall is a time in which no server of a pool takes a request, since each has asked for a pause or has a limit.
 type stall struct {
@@ -9,6 +13,8 @@
 	left time.Duration
 	// opens is true when this instance knows that it may send then.
 	opens bool
+	// rate is what this instance may send to all of the servers.
+	rate laceunit.Rate
 }
 
 // worth reports whether a request may wait for its end. Servers that asked for a pause are not waited for: all that
@@ -21,7 +27,7 @@
 func (p *pool) stall(now time.Time) (stall, bool) {
 	found := false
 	var least stall
-	var rate float64
+	var rate laceunit.Rate
 	for _, s := range p.servers {
 		if s.leaving {
 			continue
@@ -31,19 +37,24 @@
 		}
 		r := s.stall(now)
 		if r.opens {
-			rate += float64(s.pace.allowance.Rate)
+			rate += s.pace.allowance.Rate
 		}
 		if !found || r.left < least.left {
 			least, found = r, true
 		}
 	}
-	if least.opens && p.queue.Len() > 0 {
-		// Those that wait go first.
-		least.left += time.Duration(float64(p.queue.Len()) / rate * float64(time.Second))
-	}
+	least.rate = rate
 	return least, found
 }
 
+// behind returns the stall as it is for a request behind others that wait.
+func (r stall) behind(waiting int) stall {
+	if r.opens && waiting > 0 {
+		r.left += time.Duration(float64(waiting) * float64(interval(r.rate)))
+	}
+	return r
+}
+
 // stall returns for how long a server takes nothing.
 func (s *server) stall(now time.Time) stall {
 	r := stall{reason: Paused}
@@ -71,7 +82,7 @@
 	if !ok {
 		return 0
 	}
-	return b.spread(r.left)
+	return b.spread(r.behind(p.queue.Len()).left)
 }
 
 // starve notes that a request was kept from the limited servers of a pool.
