lacenode: bytes of data connections, store calls and lag, in metrics and in the line of a lost dependency

Cause: still open; the logs can't tell a full link from a lack of processor time or a slow store. Change: lace_node_bytes_total, lace_node_lag_seconds, lace_node_store_call_seconds; the line "lost" has in_kbps, out_kbps, call_ms and lag_ms of the last two seconds.

--- a/lib/laceconn/pool.go
+++ b/lib/laceconn/pool.go
@@ -31,6 +31,7 @@
 // Pool holds the connections to one backend server.
 type Pool struct {
 	address laceunit.Address
+	traffic *Traffic
 
 	mu     sync.Mutex
 	most   int
@@ -48,6 +49,9 @@
 	}
 }
 
+// Count makes the pool count the bytes of its connections; it must be called before Get.
+func (p *Pool) Count(t *Traffic) { p.traffic = t }
+
 // Get returns an idle connection or opens one, but none once the pool is closed. Its errors say that nothing was sent.
 func (p *Pool) Get(ctx context.Context) (*Conn, error) {
 	if c := p.take(); c != nil {
@@ -74,6 +78,7 @@
 		p.forget(c)
 		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
+	conn = p.traffic.Conn(conn)
 	c.net = conn
 	c.head.conn = conn
 	c.reader = bufio.NewReaderSize(&c.head, bufferBytes)
--- a/lib/lacemirror/follower.go
+++ b/lib/lacemirror/follower.go
@@ -52,6 +52,8 @@
 	log     *lacelog.Logger
 	pulse   *laceplatform.Pulse
 
+	// described returns what the line of a lost contact tells about this process; nil for nothing.
+	described func() []lacelog.Pair
 	// lead is the follower whose first list this one waits for; nil for none.
 	lead *Follower
 	// begun is closed with the first copy.
@@ -94,6 +96,9 @@
 // the store is away, each of them asks it for one prefix only. It must be called before Serve.
 func (f *Follower) Behind(lead *Follower) { f.lead = lead }
 
+// Describe adds what a function returns to the line of a lost contact. It must be called before Serve.
+func (f *Follower) Describe(described func() []lacelog.Pair) { f.described = described }
+
 // Indirect tells whether other instances pass the news on, so that the store need not be asked.
 func (f *Follower) Indirect(indirect bool) {
 	f.mu.Lock()
@@ -312,8 +317,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !f.failing {
-		f.log.Write(lacelog.Lost, lacelog.P("prefix", f.prefix), lacelog.P(lacelog.Reason, err.Error()),
-			lacelog.P(lacelog.Revision, f.mirror.Revision()), lacelog.P(lacelog.Age, time.Since(f.contact).Milliseconds()))
+		pairs := []lacelog.Pair{
+			lacelog.P("prefix", f.prefix), lacelog.P(lacelog.Reason, err.Error()),
+			lacelog.P(lacelog.Revision, f.mirror.Revision()), lacelog.P(lacelog.Age, time.Since(f.contact).Milliseconds()),
+		}
+		if f.described != nil {
+			pairs = append(pairs, f.described()...)
+		}
+		f.log.Write(lacelog.Lost, pairs...)
 	}
 	f.failing = true
 }
--- a/lib/lacenode/listen.go
+++ b/lib/lacenode/listen.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"lacewingcove/lib/laceconn"
 	"lacewingcove/lib/lacekernel"
 	"lacewingcove/lib/laceunit"
 	"lacewingcove/lib/lacewire"
@@ -37,8 +38,8 @@
 	served error
 }
 
-// listen starts a server on an address.
-func (n *Node) listen(ctx context.Context, address laceunit.Address, handler http.Handler) (*listener, error) {
+// listen starts a server on an address; traffic counts its bytes unless it is nil.
+func (n *Node) listen(ctx context.Context, address laceunit.Address, handler http.Handler, traffic *laceconn.Traffic) (*listener, error) {
 	config := net.ListenConfig{KeepAlive: keepAlive}
 	socket, err := config.Listen(ctx, "tcp", string(address))
 	if err != nil {
@@ -56,7 +57,7 @@
 	}
 	go func() {
 		defer close(l.done)
-		l.served = l.server.Serve(socket)
+		l.served = l.server.Serve(traffic.Listener(socket))
 	}()
 	return l, nil
 }
@@ -89,7 +90,7 @@
 }
 
 func (n *Node) open(ctx context.Context) (*listeners, error) {
-	caller, err := n.listen(ctx, n.settings.Caller, n.relay)
+	caller, err := n.listen(ctx, n.settings.Caller, n.relay, &n.vitals.traffic)
 	if err != nil {
 		return nil, err
 	}
@@ -117,7 +118,7 @@
 		if x.address == "" {
 			continue
 		}
-		l, err := n.listen(ctx, x.address, x.handler)
+		l, err := n.listen(ctx, x.address, x.handler, nil)
 		if err != nil {
 			if closeErr := all.Close(); closeErr != nil {
 				n.log.Fault(closeErr, "listeners were not closed")
--- a/lib/lacenode/node.go
+++ b/lib/lacenode/node.go
@@ -72,7 +72,9 @@
 	relay     *lacerelay.Relay
 	followers []*lacemirror.Follower
 	// pulse tells when the store last answered.
-	pulse    *laceplatform.Pulse
+	pulse *laceplatform.Pulse
+	// vitals tell why a dependency may be lost.
+	vitals   vitals
 	rejected prometheus.Counter
 
 	// clock is the machine's, nil when it can't be read.
@@ -96,6 +98,7 @@
 		clock:    bootClock(log),
 	}
 	n.pulse = laceplatform.NewPulse(uptime(n.clock))
+	n.pulse.OnCall(n.vitals.called)
 	store, err := adapter.Store(settings, n.pulse)
 	if err != nil {
 		return nil, errors.Wrap(err, "node: store")
@@ -110,6 +113,7 @@
 		Help: "Log lines that were lost because the buffer was full.",
 	}, func() float64 { return float64(log.Dropped()) })
 	n.registry.MustRegister(n.rejected, dropped)
+	n.vitals.register(n.registry)
 	if err := n.assemble(store); err != nil {
 		return nil, err
 	}
@@ -164,6 +168,7 @@
 		Metrics: laceshare.NewMetrics(n.registry),
 	})
 	n.backends = lacerelay.NewBackends(n.placer, n.log, n.connections)
+	n.backends.Count(&n.vitals.traffic)
 	n.relay = lacerelay.New(lacerelay.Options{
 		Codec:    n.adapter.Codec(),
 		Routes:   n.routes,
@@ -192,6 +197,9 @@
 		lacemirror.NewFollower(keys.Servers, store, n.pulse, n.log, n.served),
 		lacemirror.NewFollower(fleetPrefix, store, n.pulse, n.log, n.fleetChanged),
 	}
+	for _, f := range n.followers {
+		f.Describe(n.vitals.pairs)
+	}
 	for _, f := range n.followers[1:] {
 		f.Behind(n.followers[0])
 	}
--- a/lib/laceplatform/pulse.go
+++ b/lib/laceplatform/pulse.go
@@ -24,6 +24,8 @@
 // was not running says nothing about the time after. The zero value counts from the first look at the clock.
 type Pulse struct {
 	clock func() laceunit.Uptime
+	// called is told how long calls took; nil for nobody.
+	called func(time.Duration)
 
 	mu      sync.Mutex
 	contact Contact
@@ -33,6 +35,16 @@
 // NewPulse returns a pulse on a clock; none stands for the steady clock of the process.
 func NewPulse(clock func() laceunit.Uptime) *Pulse { return &Pulse{clock: clock} }
 
+// OnCall sets who is told how long calls took, other than those that wait for changes; it must be called before Took.
+func (p *Pulse) OnCall(called func(time.Duration)) { p.called = called }
+
+// Took notes how long a call took that was sent at a moment, whether it was answered or given up.
+func (p *Pulse) Took(sent laceunit.Uptime) {
+	if p.called != nil {
+		p.called(p.Now().Sub(sent))
+	}
+}
+
 // Now returns the present moment.
 func (p *Pulse) Now() laceunit.Uptime {
 	if p.clock != nil {
--- a/lib/lacerelay/backend.go
+++ b/lib/lacerelay/backend.go
@@ -57,6 +57,8 @@
 	mu    sync.Mutex
 	all   map[laceunit.ServerID]*backend
 	bound func(laceunit.ServiceID) int
+	// traffic counts the bytes of all connections; nil for none.
+	traffic *laceconn.Traffic
 }
 
 // NewBackends returns an empty set; bound is how many connections this instance may have to a server of a service.
@@ -69,6 +71,9 @@
 	}
 }
 
+// Count makes the connections to servers count their bytes; it must be called before Apply.
+func (b *Backends) Count(t *laceconn.Traffic) { b.traffic = t }
+
 // Apply takes over servers that registered or changed, and ids that are no longer listed. The missing ones may only have
 // lost their entries while the store was away; they stay in use until settles.
 func (b *Backends) Apply(now time.Time, listed []Backend, missing []laceunit.ServerID, settles time.Time) {
@@ -212,6 +217,7 @@
 			b.drop(old, "restarted")
 		}
 		fresh.pool = laceconn.NewPool(x.Address, b.bound(x.Service))
+		fresh.pool.Count(b.traffic)
 	}
 	b.all[x.ID] = &fresh
 	state := "ready"
