lacebalancer: an ejected server is tried while the others take nothing by their limits; one interface of shares

Cause: servers that their limits closed counted as healthy, so that a request waited for them until its deadline and the ejected one was not tried. Change: a limited server counts as healthy for a request only if it opens before the request's deadline. The interface of laceshare stands in front of its service instead of twice at its users; its loop is lacekernel.Every.

--- a/lib/lacebalancer/limit_test.go
+++ b/lib/lacebalancer/limit_test.go
@@ -170,3 +170,13 @@
 		}
 	}
 }
+
+// Guards against requests that wait for nothing because the only server without a limit is ejected.
+func TestAnEjectedServerIsTriedWhenTheOthersHaveLimits(t *testing.T) {
+	l := newLimited(t, 2)
+	l.servers["s1"].failed(l.now, 1, time.Second, false)
+	l.set("s0", 0)
+	if d := l.pick(200 * time.Millisecond); d.Verdict != Sent || d.Server != "s1" {
+		t.Errorf("beside a server that takes nothing: %+v", d)
+	}
+}
--- a/lib/lacebalancer/pick.go
+++ b/lib/lacebalancer/pick.go
@@ -197,6 +197,13 @@
 			}
 			continue
 		}
+		if s.limited(now) {
+			s.pace.demand.Short = now
+			if at, known := s.pace.opening(now); known && at.Before(b.deadline(now, r)) {
+				healthy++
+			}
+			continue
+		}
 		healthy++
 		if now.Sub(s.reported) < fresh {
 			reported++
@@ -206,10 +213,6 @@
 		if s.restrained() || s.slots > 0 && s.estimate >= limit*float64(s.slots) {
 			continue
 		}
-		if s.limited(now) {
-			s.pace.demand.Short = now
-			continue
-		}
 		if now.Before(s.suspect) {
 			suspects++
 		}
--- a/lib/lacegateway/limit.go
+++ b/lib/lacegateway/limit.go
@@ -11,11 +11,11 @@
 
 var _ laceshare.Limits = (*Selector)(nil)
 
-// Share sets who divides the limits that servers name.
-func (s *Selector) Share(limits Limits) {
+// Share sets who is told of the limits that servers name.
+func (s *Selector) Share(shares laceshare.Shares) {
 	s.board.mu.Lock()
 	defer s.board.mu.Unlock()
-	s.limits = limits
+	s.shares = shares
 }
 
 // Limit implements laceshare.Limits.
@@ -51,13 +51,13 @@
 // the limits come back to it.
 func (s *Selector) limit(ticket lacebalancer.Ticket, limit laceconn.Limit) {
 	s.board.mu.Lock()
-	limits := s.limits
+	shares := s.shares
 	sending, ok := s.balancer.Sending(ticket)
 	s.board.mu.Unlock()
-	if !ok || limits == nil {
+	if !ok || shares == nil {
 		return
 	}
-	limits.Heard(laceshare.Server{
+	shares.Heard(laceshare.Server{
 		ID:   sending.Server,
 		Born: sending.Born,
 	}, sending.At, limit)
--- a/lib/lacegateway/selector.go
+++ b/lib/lacegateway/selector.go
@@ -7,7 +7,6 @@
 	"lacewingcove/lib/lacebackend"
 	"lacewingcove/lib/lacebalancer"
 	"lacewingcove/lib/laceconfig"
-	"lacewingcove/lib/laceconn"
 	"lacewingcove/lib/lacefault"
 	"lacewingcove/lib/laceshare"
 	"lacewingcove/lib/laceunit"
@@ -18,18 +17,12 @@
 	board    *board[lacebalancer.Ticket, lacebalancer.Decision]
 	balancer *lacebalancer.Balancer
 	now      func() time.Time
-	// limits is told what answers say about the limits of their servers; nil for nobody. The board's mutex guards it.
-	limits Limits
+	// shares is told what answers say about the limits of their servers; nil for nobody. The board's mutex guards it.
+	shares laceshare.Shares
 	// servers are the usable backend servers; the board's mutex guards them.
 	servers map[laceunit.ServerID]laceconfig.Server
 }
 
-// Limits divides the limits that backend servers name among the instances.
-type Limits interface {
-	// Heard takes in what the answer to a request says that was sent at a moment.
-	Heard(server laceshare.Server, sent time.Time, limit laceconn.Limit)
-}
-
 // NewSelector returns a selector over a balancer.
 func NewSelector(balancer *lacebalancer.Balancer, now func() time.Time) *Selector {
 	return &Selector{
--- a/lib/lacenode/node.go
+++ b/lib/lacenode/node.go
@@ -157,16 +157,7 @@
 	}
 	elapsed := elapsedClock(n.clock)
 	n.placer = lacerelay.NewPlacer(balancer, lacerelay.WithClock(elapsed))
-	n.limits = laceshare.New(laceshare.Options{
-		Self:    self.Holder,
-		Store:   store,
-		Prefix:  limitPrefix,
-		Limits:  n.placer,
-		Fleet:   fleet{node: n},
-		Clock:   elapsed,
-		Log:     n.log,
-		Metrics: laceshare.NewMetrics(n.registry),
-	})
+	n.limits = n.divide(self.Holder, store, elapsed)
 	n.backends = lacerelay.NewBackends(n.placer, n.log, n.connections)
 	n.backends.Count(&n.vitals.traffic)
 	n.relay = lacerelay.New(lacerelay.Options{
@@ -180,7 +171,7 @@
 			Ratio:  n.settings.Retry.Ratio,
 			Slack:  n.settings.Retry.Slack,
 		},
-		Limits:  n.limits,
+		Shares:  n.limits,
 		Members: n.board.Count,
 		Log:     n.log,
 		Metrics: lacerelay.NewMetrics(n.registry),
@@ -189,6 +180,20 @@
 	return nil
 }
 
+// divide returns the service that keeps this instance to its part of what servers take.
+func (n *Node) divide(self laceunit.Holder, store Store, elapsed func() time.Time) *laceshare.Service {
+	return laceshare.New(laceshare.Options{
+		Self:    self,
+		Store:   store,
+		Prefix:  limitPrefix,
+		Limits:  n.placer,
+		Fleet:   fleet{node: n},
+		Clock:   elapsed,
+		Log:     n.log,
+		Metrics: laceshare.NewMetrics(n.registry),
+	})
+}
+
 // follow sets up the copies of what stands in the store.
 func (n *Node) follow(store Store) {
 	keys := n.adapter.Keys()
--- a/lib/lacerelay/notice.go
+++ b/lib/lacerelay/notice.go
@@ -48,10 +48,10 @@
 func (r *Relay) limit(d lacebalancer.Decision, limit laceconn.Limit) {
 	r.options.Backends.Limit(d.Server, limit)
 	sending, ok := r.options.Placer.Sending(d.Ticket)
-	if !ok || r.options.Limits == nil {
+	if !ok || r.options.Shares == nil {
 		return
 	}
-	r.options.Limits.Heard(laceshare.Server{
+	r.options.Shares.Heard(laceshare.Server{
 		ID:   sending.Server,
 		Born: sending.Born,
 	}, sending.At, limit)
--- a/lib/lacerelay/relay.go
+++ b/lib/lacerelay/relay.go
@@ -11,7 +11,6 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
-	"lacewingcove/lib/laceconn"
 	"lacewingcove/lib/lacefault"
 	"lacewingcove/lib/lacelimit"
 	"lacewingcove/lib/lacelog"
@@ -51,12 +50,6 @@
 	Settle(account laceunit.AccountID, most, consumed laceunit.Tokens)
 }
 
-// Limits divides the limits that servers name among the instances.
-type Limits interface {
-	// Heard takes in what the answer to a request says that was sent at a moment.
-	Heard(server laceshare.Server, sent time.Time, limit laceconn.Limit)
-}
-
 // RetryBounds are the fleet's bounds on what is sent more than once.
 type RetryBounds struct {
 	Window time.Duration
@@ -72,8 +65,8 @@
 	Placer   *Placer
 	Backends *Backends
 	Retries  RetryBounds
-	// Limits is told what answers say about the limits of their servers.
-	Limits Limits
+	// Shares is told what answers say about the limits of their servers; nil for nobody.
+	Shares laceshare.Shares
 	// Members is how many instances share the retry budget.
 	Members func() int
 	Log     *lacelog.Logger
--- a/lib/laceshare/book.go
+++ b/lib/laceshare/book.go
@@ -81,8 +81,8 @@
 	})
 }
 
-// Stored returns the servers that have a record as far as this instance knows.
-func (b *Book) Stored() []Server {
+// Recorded returns the servers that have a record as far as this instance knows.
+func (b *Book) Recorded() []Server {
 	return slices.DeleteFunc(b.Servers(), func(s Server) bool { return b.marks[s].record == nil })
 }
 
--- a/lib/laceshare/service.go
+++ b/lib/laceshare/service.go
@@ -10,6 +10,7 @@
 
 	"lacewingcove/lib/lacebalancer"
 	"lacewingcove/lib/laceconn"
+	"lacewingcove/lib/lacekernel"
 	"lacewingcove/lib/lacelog"
 	"lacewingcove/lib/laceplatform"
 	"lacewingcove/lib/laceunit"
@@ -26,6 +27,14 @@
 	writeQueue = 64
 )
 
+// Shares takes in what answers say about the limits of their servers.
+type Shares interface {
+	// Heard takes in what the answer to a request says that was sent at a moment. It takes effect before Heard returns.
+	Heard(server Server, sent time.Time, limit laceconn.Limit)
+}
+
+var _ Shares = (*Service)(nil)
+
 // Limits are the limits that the balancer of this instance keeps to.
 type Limits interface {
 	// Limit sets what may be sent to a server, Unlimit ends that.
@@ -65,8 +74,6 @@
 type Service struct {
 	options Options
 	writes  chan Write
-	// wake has an entry when a record has changed since the last step.
-	wake chan struct{}
 
 	mu   sync.Mutex
 	book *Book
@@ -82,13 +89,12 @@
 	return &Service{
 		options: options,
 		writes:  make(chan Write, writeQueue),
-		wake:    make(chan struct{}, 1),
 		book:    NewBook(options.Clock(), options.Self, rand.IntN),
 		told:    map[Server]string{},
 	}
 }
 
-// Heard takes in what the answer to a request says that was sent at a moment. It takes effect before Heard returns.
+// Heard implements Shares.
 func (s *Service) Heard(server Server, sent time.Time, limit laceconn.Limit) {
 	if !limit.Named && !s.knows(server) {
 		return
@@ -131,7 +137,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.options.Clock()
-	defer s.rouse()
 	if removed {
 		s.book.Removed(now, server, e.Revision)
 		return nil
@@ -157,7 +162,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, server := range s.book.Stored() {
+	for _, server := range s.book.Recorded() {
 		if !listed[Key(s.options.Prefix, server)] {
 			s.book.Removed(s.options.Clock(), server, revision)
 		}
@@ -170,26 +175,7 @@
 	var writer sync.WaitGroup
 	defer writer.Wait()
 	writer.Go(func() { s.write(ctx) })
-	ticker := time.NewTicker(stepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		case <-s.wake:
-		}
-		s.step()
-	}
-}
-
-// rouse makes the loop look at the parts soon.
-func (s *Service) rouse() {
-	select {
-	case s.wake <- struct{}{}:
-	default:
-		// It will look anyway.
-	}
+	return lacekernel.Every(ctx, stepInterval, func(context.Context) { s.step() })
 }
 
 func (s *Service) step() {
