--- a/lib/lacelog/story.go
+++ b/lib/lacelog/story.go
@@ -138,11 +138,14 @@
 	case Refused:
 		if account := l.Get(Account); account != "" && l.Get(Tokens) != "" {
 			last(func(x Line) bool { return x.Event == Draw && x.Get(Account) == account })
+		} else {
+			last(func(x Line) bool { return x.Event == Limit })
 		}
 		last(func(x Line) bool { return x.Event == Lost || x.Event == Regained })
 	case Placed:
 		server := l.Get(Backend)
 		last(func(x Line) bool { return x.Event == Server && x.Get(Backend) == server })
+		last(func(x Line) bool { return x.Event == Limit && x.Get(Backend) == server })
 	}
 	return found
 }
