laceemulator: a test gives its call up while it is under way, not before

Cause: the test's caller gives up 1 ms after it was made; on a busy machine that passes before the call begins, and a call that was never sent is rightly "unavailable". The emulator is right, the test was not. Change: the caller gives up once the platform has counted the call. The expectations are the same.

--- a/lib/laceemulator/platform_test.go
+++ b/lib/laceemulator/platform_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime"
 	"strconv"
 	"sync"
 	"testing"
@@ -199,12 +200,21 @@
 	w, err := l.Watch(context.Background(), "k", 0)
 	want(t, err, nil)
 	p.SetFaults(PlatformFaults{
-		Latency: 40 * time.Millisecond,
+		Latency: time.Second,
 	})
-	ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	_, err = l.Swap(ctx, put("k"))
-	want(t, err, laceplatform.ErrUnknown)
+	ended := make(chan error, 1)
+	before := p.Counts().Writes
+	go func() {
+		_, swapErr := l.Swap(ctx, put("k"))
+		ended <- swapErr
+	}()
+	for p.Counts().Writes == before {
+		runtime.Gosched()
+	}
+	cancel()
+	want(t, <-ended, laceplatform.ErrUnknown)
 	if e := <-w.Events(); e.Entry.Key != "k" {
 		t.Fatalf("got %v", e)
 	}
