laceshare: the end of a limit that another instance has found reaches the balancer

What callers saw: nothing yet; found on reading the change. Once another instance had removed a server's record, this one sent the server nothing any more, until the server or the instance started again. Cause: the service looked only at servers that the book still has, and the book forgets a server with its record. Ruled out: the instance that hears the end itself; it was told at once. Change: the service also looks at the servers that it has given the balancer an allowance for. Shown: TestALimitEndsAtAllInstances, before: "removal: still limited to {Rate:0 Whole:1 ...}", the same for a copy that is read as a whole; after: passes.

--- a/lib/laceshare/service.go
+++ b/lib/laceshare/service.go
@@ -77,7 +77,7 @@
 
 	mu   sync.Mutex
 	book *Book
-	// told is what the log last said about each server.
+	// told is what the log last said about each server that the balancer has an allowance for.
 	told map[Server]string
 }
 
@@ -182,12 +182,18 @@
 	age := s.options.Fleet.Age()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := s.options.Clock()
+	// Another instance may have ended the limit of a server that the book no longer has.
+	for x := range s.told {
+		if !s.book.Knows(x) {
+			s.apply(now, x, age)
+		}
+	}
 	servers := s.book.Servers()
 	if len(servers) == 0 {
 		s.options.Metrics.observe(0)
 		return
 	}
-	now := s.options.Clock()
 	for _, w := range s.book.Plan(now, s.view(age)) {
 		select {
 		case s.writes <- w:
