--- /dev/null
+++ b/lib/laceconn/patience.go
@@ -0,0 +1,106 @@
+package laceconn
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// ErrSilent means that nothing of an answer arrived for too long.
+var ErrSilent = errors.New("conn: no bytes arrived in time")
+
+// Patient is a transport that gives a call up when nothing arrives for some time, and never for the length of a transfer that
+// moves. The context of a request still bounds the whole of it.
+type Patient struct {
+	// Base carries the calls; nil stands for the transport of net/http.
+	Base http.RoundTripper
+	// First bounds the wait for the header of an answer, Between the wait for each further piece; zero stands for no bound.
+	First   time.Duration
+	Between time.Duration
+}
+
+// RoundTrip implements http.RoundTripper.
+func (p *Patient) RoundTrip(r *http.Request) (*http.Response, error) {
+	base := p.Base
+	if base == nil {
+		base = http.DefaultTransport
+	}
+	ctx, cancel := context.WithCancelCause(r.Context())
+	wait := &patience{
+		ctx:    ctx,
+		cancel: cancel,
+	}
+	wait.start(p.First)
+	response, err := base.RoundTrip(r.WithContext(ctx))
+	if err != nil {
+		err = wait.reason(err)
+		wait.end()
+		return nil, err
+	}
+	wait.start(p.Between)
+	response.Body = &patientBody{
+		ReadCloser: response.Body,
+		wait:       wait,
+		between:    p.Between,
+	}
+	return response, nil
+}
+
+// patience is a call that ends when its timer does.
+type patience struct {
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	timer  *time.Timer
+}
+
+// start begins the wait for the next piece.
+func (w *patience) start(wait time.Duration) {
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+	if wait > 0 {
+		w.timer = time.AfterFunc(wait, func() { w.cancel(ErrSilent) })
+	}
+}
+
+func (w *patience) end() {
+	w.start(0)
+	w.cancel(nil)
+}
+
+// reason returns why a call failed.
+func (w *patience) reason(err error) error {
+	if errors.Is(context.Cause(w.ctx), ErrSilent) {
+		return errors.Wrap(ErrSilent, err.Error())
+	}
+	return err
+}
+
+// patientBody is the body of an answer that may take as long as it moves.
+type patientBody struct {
+	io.ReadCloser
+	wait    *patience
+	between time.Duration
+}
+
+// Read implements io.Reader.
+func (b *patientBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if n > 0 {
+		b.wait.start(b.between)
+	}
+	if err != nil && !errors.Is(err, io.EOF) {
+		err = b.wait.reason(err)
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *patientBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.wait.end()
+	return err
+}
--- a/lib/laceconn/traffic.go
+++ b/lib/laceconn/traffic.go
@@ -1,6 +1,7 @@
 package laceconn
 
 import (
+	"context"
 	"net"
 	"sync/atomic"
 	"syscall"
@@ -77,3 +78,12 @@
 	}
 	return l.traffic.Conn(c), nil
 }
+
+// Dial opens a connection whose bytes are counted.
+func (t *Traffic) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := Dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return t.Conn(c), nil
+}
