lacenode, lacemirror, laceadapter: news between instances is small, and its size ends no call

Ruled out: a longer time limit, which the next larger configuration exceeds. Change: a delta is packed against the largest value that the asker holds (lacepack). Servers' reports that say nothing new are not passed on. Calls to the store and between instances end by silence. An instance that can't keep up with a watch, or that is known to lack a copy, lists the newest state. New to see it: log line transfer, lace_node_control_bytes_total.

--- a/lib/lacelog/event.go
+++ b/lib/lacelog/event.go
@@ -23,6 +23,8 @@
 	Role Event = "role"
 	// News is a change of where the news of an instance that stands by comes from.
 	News Event = "news"
+	// Transfer is news of another instance that was too large for a round and took long, or failed.
+	Transfer Event = "transfer"
 	// Limit is a change of what this instance may send to a server that has named a limit.
 	Limit Event = "limit"
 	// Draw is a change of what this instance may spend of a budget.
--- a/lib/lacemirror/follower.go
+++ b/lib/lacemirror/follower.go
@@ -17,7 +17,7 @@
 	// firstPause and lastPause bound the wait before a failed call is repeated. Changes have to arrive within 2 s.
 	firstPause = 50 * time.Millisecond
 	lastPause  = 400 * time.Millisecond
-	// listTimeout bounds a whole list, which may take several pages.
+	// listTimeout bounds the wait until a list begins to arrive. One that arrives is not given up while it moves.
 	listTimeout = 3 * time.Second
 	// listInterval is how soon a list is asked for again beside one that has no answer yet: a call that was sent while
 	// the store was away may never be answered. A slow store still has the whole listTimeout for each.
@@ -76,6 +76,8 @@
 	turned chan struct{}
 	// recovered is when contact was regained after an outage.
 	recovered time.Time
+	// lacking are newer copies that others are known to hold.
+	lacking lacking
 }
 
 // NewFollower returns a follower of a prefix. The pulse is that of the store.
@@ -132,13 +134,29 @@
 // Prefix returns what the follower mirrors.
 func (f *Follower) Prefix() laceplatform.Key { return f.prefix }
 
-// Since returns what a copy at a revision lacks.
-func (f *Follower) Since(revision laceplatform.Revision) (Delta, bool) {
+// Since returns what a copy at a revision lacks, and the value of a base of that copy, nil if it is not known here.
+func (f *Follower) Since(revision laceplatform.Revision, base Base) (Delta, []byte, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.mirror.Since(revision)
+	d, ok := f.mirror.Since(revision)
+	if !ok {
+		return d, nil, false
+	}
+	value, _ := f.mirror.Value(base)
+	return d, value, true
 }
 
+// Base returns the value against which others can describe what this copy lacks, and its name.
+func (f *Follower) Base() (Base, []byte) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.mirror.Base()
+}
+
+// Means sets what an entry says, as a comparable value; nil stands for one that can't be told. An entry that says the same as
+// before is neither handled nor passed on. It must be called before Serve.
+func (f *Follower) Means(meaning func(laceplatform.Entry) any) { f.mirror.meaning = meaning }
+
 // Merge takes in what another instance sent.
 func (f *Follower) Merge(d Delta) {
 	f.mu.Lock()
@@ -181,88 +199,36 @@
 		}
 	}
 	pause := firstPause
-	// A copy that other instances have passed on is as good as a list.
-	listed := f.Status().Revision > 0
+	// A copy that other instances have passed on is as good as a list, unless it lacks what they hold by now: a watch brings
+	// every version since, a list the newest.
+	listed := f.current()
 	for ctx.Err() == nil {
 		var err error
 		if !listed {
-			err = f.list(ctx)
+			_, err = f.list(ctx)
 		}
 		if err == nil {
 			listed = true
 			err = f.watch(ctx, func() { pause = firstPause })
 		}
+		if errors.Is(err, laceplatform.ErrBehind) {
+			err = f.poll(ctx)
+		}
 		if errors.Is(err, laceplatform.ErrCompacted) {
 			listed = false
 		}
 		if ctx.Err() != nil {
 			return
 		}
+		if err == nil {
+			continue
+		}
 		f.lost(err)
 		lacekernel.Sleep(ctx, pause)
 		pause = min(2*pause, lastPause)
 	}
 }
 
-// listing is the answer to one call.
-type listing struct {
-	entries  []laceplatform.Entry
-	revision laceplatform.Revision
-	err      error
-}
-
-// list replaces the copy by the first list that the store answers with.
-func (f *Follower) list(ctx context.Context) error {
-	began := f.pulse.Now()
-	l := f.firstList(ctx)
-	if l.err != nil {
-		return l.err
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.regained()
-	f.reached = max(f.reached, began)
-	f.notify(f.mirror.Replace(l.entries, l.revision), false)
-	return nil
-}
-
-// firstList asks until one call succeeds or all have failed; calls overlap while the store is silent.
-func (f *Follower) firstList(ctx context.Context) listing {
-	var calls sync.WaitGroup
-	defer calls.Wait()
-	call, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
-	answers := make(chan listing)
-	pending := 0
-	ask := func() {
-		pending++
-		calls.Go(func() {
-			var l listing
-			l.entries, l.revision, l.err = f.store.List(call, f.prefix)
-			select {
-			case answers <- l:
-			case <-call.Done():
-			}
-		})
-	}
-	ask()
-	again := time.NewTicker(listInterval)
-	defer again.Stop()
-	for {
-		select {
-		case <-again.C:
-			ask()
-		case l := <-answers:
-			pending--
-			if l.err == nil || pending == 0 {
-				return l
-			}
-		case <-call.Done():
-			return listing{err: errors.Wrap(laceplatform.ErrUnavailable, "mirror: list: "+call.Err().Error())}
-		}
-	}
-}
-
 func (f *Follower) watch(ctx context.Context, progress func()) error {
 	inner, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -298,6 +264,7 @@
 	if c, ok := f.mirror.Event(e); ok {
 		f.notify([]Change{c}, false)
 	}
+	f.lacking.drop(f.mirror.Revision())
 }
 
 func (f *Follower) regained() {
@@ -331,6 +298,7 @@
 
 func (f *Follower) notify(changes []Change, peer bool) {
 	f.begin()
+	f.lacking.drop(f.mirror.Revision())
 	if len(changes) == 0 {
 		return
 	}
--- /dev/null
+++ b/lib/lacemirror/lacking.go
@@ -0,0 +1,52 @@
+package lacemirror
+
+import (
+	"lacewingcove/lib/laceplatform"
+	"lacewingcove/lib/laceunit"
+)
+
+// lackingMost bounds the newer copies that are remembered; beyond it only the oldest matter.
+const lackingMost = 64
+
+// lacking are the revisions of copies that others hold and this one lacks, with when each was heard of. The zero value is empty.
+type lacking []told
+
+type told struct {
+	revision laceplatform.Revision
+	at       laceunit.Uptime
+}
+
+// add takes in that a copy at a revision exists.
+func (l *lacking) add(revision laceplatform.Revision, at laceunit.Uptime) {
+	n := len(*l)
+	if n > 0 && (*l)[n-1].revision >= revision || n >= lackingMost {
+		return
+	}
+	*l = append(*l, told{
+		revision: revision,
+		at:       at,
+	})
+}
+
+// drop takes in that the copy is complete at a revision.
+func (l *lacking) drop(revision laceplatform.Revision) {
+	for len(*l) > 0 && (*l)[0].revision <= revision {
+		*l = (*l)[1:]
+	}
+}
+
+// Lacks takes in that others hold a copy at a revision that is too large to be told beside other news.
+func (f *Follower) Lacks(revision laceplatform.Revision) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if revision > f.mirror.Revision() {
+		f.lacking.add(revision, f.pulse.Now())
+	}
+}
+
+// current reports whether there is a copy and nothing newer is known.
+func (f *Follower) current() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.mirror.Revision() > 0 && len(f.lacking) == 0
+}
--- a/lib/lacemirror/mirror.go
+++ b/lib/lacemirror/mirror.go
@@ -37,17 +37,28 @@
 type Mirror struct {
 	prefix   laceplatform.Key
 	revision laceplatform.Revision
-	entries  map[laceplatform.Key]laceplatform.Entry
+	entries  map[laceplatform.Key]held
+	former   former
 	removed  []Removal
 	// horizon is the revision above which every removal is remembered.
 	horizon laceplatform.Revision
+	// meaning returns what an entry says, as a comparable value; nil for its whole text.
+	meaning func(laceplatform.Entry) any
+}
+
+// held is an entry of the copy.
+type held struct {
+	laceplatform.Entry
+	meaning any
+	// changed is the revision at which the entry last said something new; what comes after it is not worth passing on.
+	changed laceplatform.Revision
 }
 
 // NewMirror returns an empty copy of a prefix.
 func NewMirror(prefix laceplatform.Key) *Mirror {
 	return &Mirror{
 		prefix:  prefix,
-		entries: map[laceplatform.Key]laceplatform.Entry{},
+		entries: map[laceplatform.Key]held{},
 	}
 }
 
@@ -58,7 +69,7 @@
 func (m *Mirror) Entries() []laceplatform.Entry {
 	list := make([]laceplatform.Entry, 0, len(m.entries))
 	for _, k := range slices.Sorted(maps.Keys(m.entries)) {
-		list = append(list, m.entries[k])
+		list = append(list, m.entries[k].Entry)
 	}
 	return list
 }
@@ -66,7 +77,7 @@
 // Get returns one entry.
 func (m *Mirror) Get(key laceplatform.Key) (laceplatform.Entry, bool) {
 	e, ok := m.entries[key]
-	return e, ok
+	return e.Entry, ok
 }
 
 // Replace takes over a whole list that was complete at a revision; entries may be newer than that.
@@ -87,7 +98,7 @@
 		if e := m.entries[k]; !seen[k] && e.Revision <= revision {
 			m.remove(k, revision)
 			changes = append(changes, Change{
-				Entry:   e,
+				Entry:   e.Entry,
 				Removed: true,
 			})
 		}
@@ -129,9 +140,9 @@
 		Revision: m.revision,
 		Full:     revision < m.horizon || revision == 0,
 	}
-	for _, e := range m.Entries() {
-		if d.Full || e.Revision > revision {
-			d.Entries = append(d.Entries, e)
+	for _, k := range slices.Sorted(maps.Keys(m.entries)) {
+		if e := m.entries[k]; d.Full || e.changed > revision {
+			d.Entries = append(d.Entries, e.Entry)
 		}
 	}
 	if !d.Full {
@@ -174,12 +185,28 @@
 	return changes
 }
 
+// put takes in an entry and reports whether it says something new.
 func (m *Mirror) put(e laceplatform.Entry) bool {
-	if old, ok := m.entries[e.Key]; ok && old.Revision >= e.Revision {
+	old, ok := m.entries[e.Key]
+	if ok && old.Revision >= e.Revision {
 		return false
 	}
-	m.entries[e.Key] = e
-	return true
+	next := held{
+		Entry:   e,
+		changed: e.Revision,
+	}
+	if m.meaning != nil {
+		next.meaning = m.meaning(e)
+	}
+	if ok {
+		m.former.keep(old.Entry)
+	}
+	same := ok && next.meaning != nil && next.meaning == old.meaning
+	if same {
+		next.changed = old.changed
+	}
+	m.entries[e.Key] = next
+	return !same
 }
 
 // gone reports whether an entry is known to have been removed since.
@@ -208,5 +235,5 @@
 		return laceplatform.Entry{}, false
 	}
 	delete(m.entries, key)
-	return old, true
+	return old.Entry, true
 }
--- a/lib/lacemirror/mirror_test.go
+++ b/lib/lacemirror/mirror_test.go
@@ -1,6 +1,7 @@
 package lacemirror
 
 import (
+	"bytes"
 	"fmt"
 	"math/rand"
 	"testing"
@@ -75,7 +76,8 @@
 		}
 		for _, m := range copies {
 			feed(m, h)
-			want := &Mirror{entries: h.entries}
+			want := NewMirror("servers/")
+			want.Replace(h.list(), h.last)
 			if d := cmp.Diff(want.Entries(), m.Entries()); d != "" {
 				t.Logf("seed %d: %s", seed, d)
 				return false
@@ -151,3 +153,77 @@
 		t.Error(d)
 	}
 }
+
+// Guards against servers' regular reports that are passed on to every instance, and against one that hides a change.
+func TestReportsThatSayNothingNewAreNotPassedOn(t *testing.T) {
+	source, far := NewMirror("servers/"), NewMirror("servers/")
+	source.meaning = func(e laceplatform.Entry) any { return e.Value[0] }
+	report := func(revision laceplatform.Revision, value string) bool {
+		_, changed := source.Event(laceplatform.Event{Entry: laceplatform.Entry{
+			Key:      "servers/a",
+			Value:    []byte(value),
+			Revision: revision,
+		}})
+		source.Event(laceplatform.Event{
+			Entry:    laceplatform.Entry{Revision: revision},
+			Progress: true,
+		})
+		return changed
+	}
+	pass := func() int {
+		d, ok := source.Since(far.Revision())
+		if !ok {
+			t.Fatal("the revision of the copy is not passed on")
+		}
+		far.Merge(d)
+		return len(d.Entries)
+	}
+	for i, c := range []struct {
+		value string
+		new   bool
+	}{{value: "a1", new: true}, {value: "a2"}, {value: "b3", new: true}, {value: "b4"}, {value: "b5"}, {value: "a6", new: true}} {
+		if changed := report(laceplatform.Revision(i+1), c.value); changed != c.new {
+			t.Errorf("report %s says something new: %t", c.value, changed)
+		}
+		if n := pass(); (n > 0) != c.new {
+			t.Errorf("report %s is passed on in %d entries", c.value, n)
+		}
+		if far.Revision() != source.Revision() {
+			t.Errorf("the other copy is at revision %d, not %d", far.Revision(), source.Revision())
+		}
+	}
+	// A copy that missed all of it gets what stands there now.
+	late := NewMirror("servers/")
+	d, _ := source.Since(0)
+	if changes := late.Merge(d); len(changes) != 1 || string(changes[0].Entry.Value) != "a6" {
+		t.Errorf("a new copy gets %v", changes)
+	}
+}
+
+// Guards against changes that are described against a value that the asker does not hold, and against former values without end.
+func TestFormerValuesAreBasesOfChanges(t *testing.T) {
+	m := NewMirror("op/")
+	value := func(i int) []byte { return bytes.Repeat([]byte{byte(i)}, formerBytes/4) }
+	for i := 1; i <= 8; i++ {
+		m.Event(laceplatform.Event{Entry: laceplatform.Entry{
+			Key:      "op/config",
+			Value:    value(i),
+			Revision: laceplatform.Revision(i),
+		}})
+	}
+	if b, text := m.Base(); b.Revision != 8 || !bytes.Equal(text, value(8)) {
+		t.Errorf("the base is %+v", b)
+	}
+	for revision, want := range map[laceplatform.Revision]bool{3: false, 4: true, 7: true, 8: true, 9: false} {
+		text, ok := m.Value(Base{
+			Key:      "op/config",
+			Revision: revision,
+		})
+		if ok != want || ok && !bytes.Equal(text, value(int(revision))) {
+			t.Errorf("value at revision %d: held %t", revision, ok)
+		}
+	}
+	if m.former.size > formerBytes {
+		t.Errorf("%d bytes of former values", m.former.size)
+	}
+}
--- a/lib/lacemirror/reach.go
+++ b/lib/lacemirror/reach.go
@@ -20,17 +20,23 @@
 	Reached laceunit.Uptime
 	// Failing is true while the last call to the store has failed.
 	Failing bool
+	// Lacking is since when a newer copy is known to exist; zero while none is.
+	Lacking laceunit.Uptime
 }
 
 // Status returns how current the copy is.
 func (f *Follower) Status() Status {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return Status{
+	s := Status{
 		Revision: f.mirror.Revision(),
 		Reached:  f.reach(),
 		Failing:  f.failing,
 	}
+	if len(f.lacking) > 0 {
+		s.Lacking = f.lacking[0].at
+	}
+	return s
 }
 
 // reach returns the newest moment at which the copy is known to have been current; the lock must be held.
--- a/lib/lacenode/adapter.go
+++ b/lib/lacenode/adapter.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"lacewingcove/lib/laceconn"
 	"lacewingcove/lib/laceplatform"
 	"lacewingcove/lib/lacerelay"
 	"lacewingcove/lib/laceroute"
@@ -12,8 +13,9 @@
 
 // Adapter speaks the platform's protocols.
 type Adapter interface {
-	// Store returns the client of the platform's store, which notes in the pulse which calls are answered.
-	Store(s Settings, pulse *laceplatform.Pulse) (Store, error)
+	// Store returns the client of the platform's store, which notes in the pulse which calls are answered and counts the bytes
+	// of its connections.
+	Store(s Settings, pulse *laceplatform.Pulse, traffic *laceconn.Traffic) (Store, error)
 	// Codec returns the translation of callers' requests and servers' answers.
 	Codec() lacerelay.Codec
 	// Keys tells where the operator and the servers write.
--- a/lib/lacenode/exchange.go
+++ b/lib/lacenode/exchange.go
@@ -4,49 +4,79 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"time"
 
 	"lacewingcove/lib/laceconn"
 	"lacewingcove/lib/lacekernel"
 	"lacewingcove/lib/lacemirror"
-	"lacewingcove/lib/laceplatform"
 	"lacewingcove/lib/laceunit"
 	"lacewingcove/lib/lacewire"
 )
 
-// contactAge is the age of the copies from which other instances are asked by one that watches the store itself.
-const contactAge = 2500 * time.Millisecond
+const (
+	// contactAge is the age of the copies from which other instances are asked by one that watches the store itself.
+	contactAge = 2500 * time.Millisecond
+	// answerWait is how long an answer of another instance may take to begin, pieceWait how long each further piece of it may
+	// take. Silence ends a call, not its length; a round goes on without it after lacemirror.QuestionTimeout.
+	answerWait = 2 * time.Second
+	pieceWait  = time.Second
+)
 
 // exchange asks other instances for what the store does not tell this one.
 type exchange struct {
 	node   *Node
 	client *http.Client
+	packer lacewire.Packer
 	// freshness decides where news comes from while the instance stands by, origin is its last decision; only the loop uses
 	// them.
 	freshness lacemirror.Freshness
 	origin    lacemirror.Origin
+
+	transfers transfers
+	// work are the questions and transfers under way.
+	work sync.WaitGroup
+
+	mu sync.Mutex
+	// pending are the instances whose answers are awaited, answers what others have said since the last round.
+	pending map[laceunit.Address]bool
+	answers map[laceunit.Address]heard
 }
 
 func newExchange(n *Node) *exchange {
 	return &exchange{
-		node:   n,
-		client: newPeerClient(),
+		node: n,
+		client: &http.Client{
+			Transport: &laceconn.Patient{
+				Base:    peerTransport(&n.vitals.control),
+				First:   answerWait,
+				Between: pieceWait,
+			},
+		},
+		pending: map[laceunit.Address]bool{},
+		answers: map[laceunit.Address]heard{},
+	}
+}
+
+// peerTransport returns a transport for calls to other instances whose bytes are counted.
+func peerTransport(traffic *laceconn.Traffic) *http.Transport {
+	return &http.Transport{
+		DialContext:     traffic.Dial,
+		IdleConnTimeout: time.Minute,
 	}
 }
 
-// newPeerClient returns a client for calls to other instances.
-func newPeerClient() *http.Client {
+// newPeerClient returns a client for short calls to other instances.
+func newPeerClient(traffic *laceconn.Traffic) *http.Client {
 	return &http.Client{
-		Timeout: lacemirror.QuestionTimeout,
-		Transport: &http.Transport{
-			DialContext:     laceconn.Dial,
-			IdleConnTimeout: time.Minute,
-		},
+		Timeout:   lacemirror.QuestionTimeout,
+		Transport: peerTransport(traffic),
 	}
 }
 
 // Serve implements suture.Service.
 func (x *exchange) Serve(ctx context.Context) error {
+	defer x.work.Wait()
 	return lacekernel.Every(ctx, lacemirror.RoundInterval, x.step)
 }
 
@@ -61,7 +91,8 @@
 		return
 	}
 	if peer, ok := x.choose(); ok {
-		x.fetch(ctx, peer)
+		x.ask(ctx, []laceunit.Address{peer})
+		x.transfer(ctx, x.taken())
 	}
 }
 
@@ -76,69 +107,6 @@
 	return false
 }
 
-// fetch takes in what another instance knows. It returns the newest moment at which all of its copies are known to have been
-// current, zero if that is not known, and whether it answered.
-func (x *exchange) fetch(ctx context.Context, peer laceunit.Address) (reached laceunit.Uptime, answered bool) {
-	query := x.query()
-	asked := x.node.pulse.Now()
-	news, err := lacewire.NewMirrorProtobufClient("http://"+string(peer), x.client).Fetch(ctx, query)
-	if err != nil {
-		// An unreachable instance tells nothing; the next round asks others.
-		return 0, false
-	}
-	return x.take(peer, asked, news)
-}
-
-// query returns a question for what this instance's copies lack.
-func (x *exchange) query() *lacewire.MirrorQuery {
-	q := &lacewire.MirrorQuery{Instance: string(x.node.settings.Instance)}
-	for _, f := range x.node.followers {
-		q.States = append(q.States, &lacewire.MirrorState{
-			Prefix:   string(f.Prefix()),
-			Revision: int64(f.Status().Revision),
-		})
-	}
-	return q
-}
-
-// take takes in the answer to a question that was asked at a moment. One that can't be meant is no answer.
-func (x *exchange) take(peer laceunit.Address, asked laceunit.Uptime, news *lacewire.MirrorNews) (reached laceunit.Uptime, answered bool) {
-	if fault := x.fault(news); fault != "" {
-		x.node.malformed(fault, string(peer))
-		return 0, false
-	}
-	for _, m := range news.GetDeltas() {
-		x.follower(laceplatform.Key(m.GetPrefix())).Merge(lacewire.ToDelta(m))
-	}
-	return x.confirm(asked, news.GetConfirmed()), true
-}
-
-// confirm takes in how old the copies of another instance are, by an answer without fault, and returns the oldest moment.
-func (x *exchange) confirm(asked laceunit.Uptime, confirmed []*lacewire.MirrorConfirmation) laceunit.Uptime {
-	oldest, known := asked, 0
-	for _, c := range confirmed {
-		at := asked.Add(-time.Duration(c.GetAgeMs()) * time.Millisecond)
-		if f := x.follower(laceplatform.Key(c.GetPrefix())); at > 0 && f.Confirm(laceplatform.Revision(c.GetRevision()), at) {
-			known++
-			oldest = min(oldest, at)
-		}
-	}
-	if known < len(x.node.followers) {
-		return 0
-	}
-	return oldest
-}
-
-// follower returns the follower of a prefix, or nil.
-func (x *exchange) follower(prefix laceplatform.Key) *lacemirror.Follower {
-	for _, f := range x.node.followers {
-		if f.Prefix() == prefix {
-			return f
-		}
-	}
-	return nil
-}
-
 // choose returns the peer address of another instance at random.
 func (x *exchange) choose() (laceunit.Address, bool) {
 	var peers []laceunit.Address
@@ -158,37 +126,69 @@
 	return peers[rand.IntN(len(peers))], true
 }
 
-// Fetch implements lacewire.Mirror.
-func (x *exchange) Fetch(_ context.Context, q *lacewire.MirrorQuery) (*lacewire.MirrorNews, error) {
-	news := &lacewire.MirrorNews{Direct: !x.node.following.Load()}
-	now, unread := x.node.pulse.Now(), false
-	for _, s := range q.GetStates() {
-		f := x.follower(laceplatform.Key(s.GetPrefix()))
-		if f == nil || s.GetRevision() < 0 {
-			// An instance of another version may follow more; what it asks beside that is answered.
-			unread = true
+// ask puts the question to several instances at once and waits for a round's time. What is answered later counts in the round
+// after it; an instance that has not answered yet is not asked again.
+func (x *exchange) ask(ctx context.Context, peers []laceunit.Address) {
+	var round sync.WaitGroup
+	for _, p := range peers {
+		if !x.begin(p) {
 			continue
 		}
-		// The age comes first: changes after it are in the copy or have moved its revision.
-		status := f.Status()
-		if d, ok := f.Since(laceplatform.Revision(s.GetRevision())); ok {
-			news.Deltas = append(news.Deltas, lacewire.FromDelta(d))
-		}
-		if status.Reached > 0 && status.Revision > 0 {
-			news.Confirmed = append(news.Confirmed, &lacewire.MirrorConfirmation{
-				Prefix:   s.GetPrefix(),
-				AgeMs:    age(now, status.Reached).Milliseconds(),
-				Revision: int64(status.Revision),
-			})
-		}
+		round.Add(1)
+		x.work.Go(func() {
+			defer round.Done()
+			x.end(p, x.put(ctx, p))
+		})
 	}
-	if unread {
-		x.node.malformed("news query", q.GetInstance())
+	done := make(chan struct{})
+	x.work.Go(func() {
+		round.Wait()
+		close(done)
+	})
+	timer := time.NewTimer(lacemirror.QuestionTimeout)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// begin reports whether no answer of an instance is awaited yet.
+func (x *exchange) begin(peer laceunit.Address) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.pending[peer] {
+		return false
+	}
+	x.pending[peer] = true
+	return true
+}
+
+// put puts a round's question to an instance; nil means that it has not answered.
+func (x *exchange) put(ctx context.Context, peer laceunit.Address) *heard {
+	h, err := x.fetch(ctx, peer, x.question(roundBytes, true))
+	if err != nil {
+		// An unreachable instance tells nothing; the next round asks others.
+		return nil
+	}
+	return &h
+}
+
+func (x *exchange) end(peer laceunit.Address, h *heard) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	delete(x.pending, peer)
+	if h != nil {
+		x.answers[peer] = *h
 	}
-	return news, nil
 }
 
-// age returns how old news is, in whole milliseconds that are never too few.
-func age(now, reached laceunit.Uptime) time.Duration {
-	return max(now.Sub(reached), 0).Truncate(time.Millisecond) + time.Millisecond
+// taken returns what instances have answered since the last round.
+func (x *exchange) taken() map[laceunit.Address]heard {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	answers := x.answers
+	x.answers = map[laceunit.Address]heard{}
+	return answers
 }
--- a/lib/lacenode/exchange_test.go
+++ b/lib/lacenode/exchange_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"math"
 	"strings"
 	"testing"
@@ -44,13 +45,19 @@
 // answer returns what the instance tells one that has the copies of another.
 func (p *peered) answer(t *testing.T, other *peered) *lacewire.MirrorNews {
 	t.Helper()
-	news, err := p.Fetch(context.Background(), other.query())
+	news, err := p.Fetch(context.Background(), other.question(roundBytes, true).query)
 	if err != nil {
 		t.Fatal(err)
 	}
 	return news
 }
 
+// hear takes in an answer to a question without bases.
+func (p *peered) hear(peer laceunit.Address, asked laceunit.Uptime, news *lacewire.MirrorNews) (laceunit.Uptime, bool) {
+	h, err := p.take(peer, asked, question{}, news)
+	return h.reached, err == nil
+}
+
 // delta is one with an entry of each of some keys.
 func delta(prefix string, revision int64, keys ...string) *lacewire.MirrorDelta {
 	d := &lacewire.MirrorDelta{
@@ -67,6 +74,16 @@
 	return d
 }
 
+// pack returns a delta as instances send large ones.
+func pack(t *testing.T, d *lacewire.MirrorDelta) *lacewire.MirrorDelta {
+	t.Helper()
+	packed, err := new(lacewire.Packer).Pack(d, lacewire.Base{})
+	if err != nil || len(packed.GetPacked()) == 0 {
+		t.Fatalf("delta was not packed, error %v", err)
+	}
+	return packed
+}
+
 func confirmation(prefix string, age, revision int64) *lacewire.MirrorConfirmation {
 	return &lacewire.MirrorConfirmation{
 		Prefix:   prefix,
@@ -78,6 +95,16 @@
 // Guards against news of another instance that can't be meant and makes this one believe that its copies are current, or
 // changes them.
 func TestMalformedNewsChangesNothing(t *testing.T) {
+	var own, foreign []string
+	for i := range 100 {
+		own = append(own, fmt.Sprint("a/", i))
+		foreign = append(foreign, fmt.Sprint("b/", i))
+	}
+	change := func(f func(*lacewire.MirrorDelta)) *lacewire.MirrorDelta {
+		d := pack(t, delta("a/", 6, own...))
+		f(d)
+		return d
+	}
 	cases := map[string]*lacewire.MirrorNews{
 		"age below zero":       {Confirmed: []*lacewire.MirrorConfirmation{confirmation("a/", -1, 5)}},
 		"age overflows":        {Confirmed: []*lacewire.MirrorConfirmation{confirmation("a/", math.MaxInt64/1_000_000+1, 5)}},
@@ -102,18 +129,24 @@
 			From:     -1,
 			Revision: 6,
 		}}},
+		"packed foreign key":                  {Deltas: []*lacewire.MirrorDelta{pack(t, delta("a/", 6, foreign...))}},
+		"packed and damaged":                  {Deltas: []*lacewire.MirrorDelta{change(func(d *lacewire.MirrorDelta) { d.Sum++ })}},
+		"packed without size":                 {Deltas: []*lacewire.MirrorDelta{change(func(d *lacewire.MirrorDelta) { d.Size = 0 })}},
+		"packed and too large":                {Deltas: []*lacewire.MirrorDelta{change(func(d *lacewire.MirrorDelta) { d.Size = math.MaxInt64 })}},
+		"packed and unpacked":                 {Deltas: []*lacewire.MirrorDelta{change(func(d *lacewire.MirrorDelta) { d.Entries = delta("a/", 6, "a/2").Entries })}},
+		"packed against what was not offered": {Deltas: []*lacewire.MirrorDelta{change(func(d *lacewire.MirrorDelta) { d.BaseRevision = 5 })}},
 	}
 	for name, news := range cases {
 		t.Run(name, func(t *testing.T) {
 			p := newPeered(t, "a/")
-			if reached, ok := p.take("peer-1", p.now, &lacewire.MirrorNews{
+			if reached, ok := p.hear("peer-1", p.now, &lacewire.MirrorNews{
 				Deltas:    []*lacewire.MirrorDelta{delta("a/", 5, "a/1")},
 				Confirmed: []*lacewire.MirrorConfirmation{confirmation("a/", 60_000, 5)},
 			}); !ok || p.now.Sub(reached) != time.Minute {
 				t.Fatalf("news of a minute ago counts as of %s ago", p.now.Sub(reached))
 			}
 			before := p.node.followers[0].Status()
-			if _, ok := p.take("peer-1", p.now, news); ok {
+			if _, ok := p.hear("peer-1", p.now, news); ok {
 				t.Error("it counts as an answer")
 			}
 			if after := p.node.followers[0].Status(); after != before {
@@ -139,7 +172,7 @@
 		"before the beginning": {Prefix: "a/", Revision: -1},
 	} {
 		p := newPeered(t, "a/")
-		p.take("peer-1", p.now, &lacewire.MirrorNews{Deltas: []*lacewire.MirrorDelta{delta("a/", 5, "a/1")}})
+		p.hear("peer-1", p.now, &lacewire.MirrorNews{Deltas: []*lacewire.MirrorDelta{delta("a/", 5, "a/1")}})
 		news, err := p.Fetch(context.Background(), &lacewire.MirrorQuery{
 			Instance: "other",
 			States:   []*lacewire.MirrorState{state, state, {Prefix: "a/"}},
@@ -183,7 +216,7 @@
 				pass(way)
 				news := chain[i].answer(t, p)
 				pass(way + frozen)
-				told, ok := p.take("partner", asked, news)
+				told, ok := p.hear("partner", asked, news)
 				if !ok || told > reached || reached.Sub(told) > time.Duration(i+1)*(2*way+time.Millisecond) {
 					t.Errorf("news of %s ago counts as of %s ago at instance %d", p.now.Sub(reached), p.now.Sub(told), i+1)
 				}
@@ -210,7 +243,7 @@
 		one.direct(5, one.now)
 		news := one.answer(t, two)
 		change(news)
-		told, ok := two.take("partner", two.now, news)
+		told, ok := two.hear("partner", two.now, news)
 		if !ok || told != 0 || two.reached() != 0 {
 			t.Errorf("%s: news counts as of %s ago, the copies as of %s ago", name, two.now.Sub(told), two.now.Sub(two.reached()))
 		}
--- a/lib/lacenode/lender.go
+++ b/lib/lacenode/lender.go
@@ -18,7 +18,7 @@
 func newLender(n *Node) *lender {
 	return &lender{
 		node:   n,
-		client: newPeerClient(),
+		client: newPeerClient(&n.vitals.control),
 	}
 }
 
--- a/lib/lacenode/node.go
+++ b/lib/lacenode/node.go
@@ -99,7 +99,7 @@
 	}
 	n.pulse = laceplatform.NewPulse(uptime(n.clock))
 	n.pulse.OnCall(n.vitals.called)
-	store, err := adapter.Store(settings, n.pulse)
+	store, err := adapter.Store(settings, n.pulse, &n.vitals.control)
 	if err != nil {
 		return nil, errors.Wrap(err, "node: store")
 	}
@@ -205,6 +205,7 @@
 	for _, f := range n.followers {
 		f.Describe(n.vitals.pairs)
 	}
+	n.followers[serversFollower].Means(n.meaning)
 	for _, f := range n.followers[1:] {
 		f.Behind(n.followers[0])
 	}
@@ -247,8 +248,18 @@
 	return n.routes.Load() != nil && n.followers[serversFollower].Status().Revision > 0 && !n.leaving.Load()
 }
 
-// serversFollower and fleetFollower are the indices of the copies of the backend servers and of what instances write.
+// meaning returns what a server's entry says. Servers write theirs again at each report, most of which say nothing new.
+func (n *Node) meaning(e laceplatform.Entry) any {
+	b, err := n.adapter.Backend(e)
+	if err != nil {
+		return nil
+	}
+	return b
+}
+
+// The indices of the copies of the configuration, of the backend servers and of what instances write.
 const (
+	configsFollower = 0
 	serversFollower = 1
 	fleetFollower   = 2
 )
--- a/lib/lacenode/standby.go
+++ b/lib/lacenode/standby.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync"
 
 	"lacewingcove/lib/lacekernel"
 	"lacewingcove/lib/lacelog"
@@ -14,6 +13,11 @@
 // follow keeps the copies current while the instance stands by.
 func (x *exchange) follow(ctx context.Context) {
 	x.ask(ctx, x.freshness.Ask(x.view(), rand.IntN))
+	answers := x.taken()
+	for p, h := range answers {
+		x.freshness.Hear(p, h.reached)
+	}
+	x.transfer(ctx, answers)
 	o := x.freshness.Decide(x.view(), rand.IntN)
 	if o.Renew {
 		x.node.registrar.Renew(ctx)
@@ -25,22 +29,6 @@
 	x.apply(o)
 }
 
-// ask puts the question to several partners at once.
-func (x *exchange) ask(ctx context.Context, partners []laceunit.Address) {
-	reached := make([]laceunit.Uptime, len(partners))
-	answered := make([]bool, len(partners))
-	var questions sync.WaitGroup
-	for i, p := range partners {
-		questions.Go(func() { reached[i], answered[i] = x.fetch(ctx, p) })
-	}
-	questions.Wait()
-	for i, p := range partners {
-		if answered[i] {
-			x.freshness.Hear(p, reached[i])
-		}
-	}
-}
-
 // view returns what the decision where news comes from is made on.
 func (x *exchange) view() lacemirror.View {
 	n := x.node
--- a/lib/lacenode/vital.go
+++ b/lib/lacenode/vital.go
@@ -18,7 +18,9 @@
 
 // vitals are what tells a full link, a lack of processor time and a slow store apart when a dependency is lost.
 type vitals struct {
+	// traffic is that of callers' and backend servers' connections, control that to the store and other instances.
 	traffic laceconn.Traffic
+	control laceconn.Traffic
 
 	mu      sync.Mutex
 	samples [vitalSamples]vital
@@ -48,6 +50,16 @@
 			ConstLabels: prometheus.Labels{"direction": direction},
 		}, func() float64 { return float64(bytes()) }))
 	}
+	for direction, bytes := range map[string]func() int64{
+		"in":  func() int64 { in, _ := v.control.Bytes(); return in },
+		"out": func() int64 { _, out := v.control.Bytes(); return out },
+	} {
+		r.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name:        "lace_node_control_bytes_total",
+			Help:        "Bytes of this instance's calls to the store and to other instances.",
+			ConstLabels: prometheus.Labels{"direction": direction},
+		}, func() float64 { return float64(bytes()) }))
+	}
 	r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "lace_node_lag_seconds",
 		Help: "How late this process lately was with what it does at intervals, for want of the processor.",
--- a/lib/laceplatform/store.go
+++ b/lib/laceplatform/store.go
@@ -24,6 +24,8 @@
 	ErrLeaseGone = errors.New("platform: lease is gone")
 	// ErrTooLarge means that the value exceeds MaxValueBytes.
 	ErrTooLarge = errors.New("platform: value too large")
+	// ErrBehind means that a watch brings changes more slowly than they are made; a list of the newest state is smaller.
+	ErrBehind = errors.New("platform: watch falls behind")
 	// ErrCompacted means that a watch can't start at a revision that is no longer kept.
 	ErrCompacted = errors.New("platform: revision compacted")
 )
