lacemirror: answers that overtake a watch say nothing about its copy; a handshake for control may wait

Any call that the store answered counted for the copies while a watch was open; on a full link such small answers overtake the watch's own. The instance took itself for current, went back to a partner that had lost the store, and cancelled the answer under way. Ruled out: the outage itself; the instance was not among the 30 that the store turned away. Change: from the first byte of a watch's answer until its end other answers say nothing about the copy. The end of a round tells when its question was sent, and the copy is current as of then; before, the age of a copy whose watch brings events in each round grew to 1.9 s in a sound fleet, since the question was sent just before the watch counted as open. Handshakes to the store and to other instances have 1.5 s; those to backend servers, which others can replace, keep 400 ms. Test: TestAnswersThatOvertakeAWatchSayNothing; without arrive() the copy counts as current.

--- a/lib/laceconn/dial.go
+++ b/lib/laceconn/dial.go
@@ -10,20 +10,30 @@
 	"github.com/pkg/errors"
 )
 
-// dialTimeout bounds the opening of a connection; the round trip between zones takes a few milliseconds.
-const dialTimeout = 400 * time.Millisecond
+const (
+	// dialTimeout bounds the opening of a connection to a backend server, which another one can replace; the round trip between
+	// zones takes a few milliseconds.
+	dialTimeout = 400 * time.Millisecond
+	// controlTimeout is the same for the store and other instances. Without them nothing is known, so that a handshake may take
+	// as long as packets wait on a full link; it is after the system's first repetition of a lost one.
+	controlTimeout = 1500 * time.Millisecond
+)
 
 // errNoHandshake means that the other side did not answer in time.
-var errNoHandshake = errors.New("no answer within " + dialTimeout.String())
+var errNoHandshake = errors.New("handshake was not answered in time")
 
 // Dial opens a connection that notices silent partitions. Only a handshake that the other side leaves unanswered counts
 // against dialTimeout. The runtime reports one that is complete late when this process is short of processor time, and a
 // dialer with a timeout would then give up a sound server.
 func Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	return dial(ctx, network, address, dialTimeout)
+}
+
+func dial(ctx context.Context, network, address string, wait time.Duration) (net.Conn, error) {
 	inner, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	h := &handshake{}
-	timer := time.AfterFunc(dialTimeout, func() {
+	timer := time.AfterFunc(wait, func() {
 		if !h.complete() {
 			cancel(errNoHandshake)
 		}
--- a/lib/laceconn/traffic.go
+++ b/lib/laceconn/traffic.go
@@ -79,9 +79,9 @@
 	return l.traffic.Conn(c), nil
 }
 
-// Dial opens a connection whose bytes are counted.
+// Dial opens a connection to the store or another instance, whose bytes are counted.
 func (t *Traffic) Dial(ctx context.Context, network, address string) (net.Conn, error) {
-	c, err := Dial(ctx, network, address)
+	c, err := dial(ctx, network, address, controlTimeout)
 	if err != nil {
 		return nil, err
 	}
--- a/lib/lacemirror/follower.go
+++ b/lib/lacemirror/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http/httptrace"
 	"sync"
 	"time"
 
@@ -68,6 +69,8 @@
 	// when a watch of the store adds to it, zero while there is none, it pauses, or it has failed and not been answered since.
 	reached laceunit.Uptime
 	watched laceunit.Uptime
+	// arriving is true while an answer of the store has begun and not ended.
+	arriving bool
 	// heard is when the watch was opened or last had an event.
 	heard laceunit.Uptime
 	// indirect is true while other instances tell the news and the store is left alone.
@@ -234,7 +237,8 @@
 	defer cancel()
 	began := f.pulse.Now()
 	s := f.Status()
-	w, err := f.store.Watch(inner, f.prefix, s.Revision)
+	traced := httptrace.WithClientTrace(inner, &httptrace.ClientTrace{GotFirstResponseByte: f.arrive})
+	w, err := f.store.Watch(traced, f.prefix, s.Revision)
 	if err != nil {
 		return err
 	}
@@ -260,7 +264,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.regained()
-	f.progress(e.Idle)
+	f.progress(e)
 	if c, ok := f.mirror.Event(e); ok {
 		f.notify([]Change{c}, false)
 	}
--- a/lib/lacemirror/follower_test.go
+++ b/lib/lacemirror/follower_test.go
@@ -250,3 +250,39 @@
 		}
 	}
 }
+
+// Guards against a copy that counts as current because small answers overtake the large one that a watch is bringing.
+func TestAnswersThatOvertakeAWatchSayNothing(t *testing.T) {
+	now := laceunit.Uptime(time.Minute)
+	pulse := laceplatform.NewPulse(func() laceunit.Uptime { return now })
+	f := NewFollower("op/", nil, pulse, lacelog.Discard(), func([]Change, Source) {})
+	answered := func(after time.Duration) laceunit.Uptime {
+		now = now.Add(after)
+		pulse.Note(context.Background(), now, nil)
+		return now
+	}
+	f.watching(now)
+	beside := answered(100 * time.Millisecond)
+	if s := f.Status(); s.Reached != beside {
+		t.Fatalf("the copy is of %s ago beside a watch", now.Sub(s.Reached))
+	}
+	f.arrive()
+	asked := now
+	answered(time.Second)
+	if s := f.Status(); s.Reached != beside || !f.Arriving() {
+		t.Errorf("the copy is of %s ago while an answer of its watch arrives", now.Sub(s.Reached))
+	}
+	f.event(laceplatform.Event{
+		Entry:    laceplatform.Entry{Revision: 7},
+		Progress: true,
+		Sent:     asked,
+		Idle:     true,
+	})
+	if s := f.Status(); s.Reached != asked || f.Arriving() {
+		t.Errorf("the copy is of %s ago, its watch was asked %s ago", now.Sub(s.Reached), now.Sub(asked))
+	}
+	answered(100 * time.Millisecond)
+	if s := f.Status(); s.Reached != asked {
+		t.Errorf("the copy is of %s ago in the pause of its watch", now.Sub(s.Reached))
+	}
+}
--- a/lib/lacemirror/list.go
+++ b/lib/lacemirror/list.go
@@ -59,8 +59,12 @@
 	defer cancel()
 	var arriving atomic.Bool
 	traced := httptrace.WithClientTrace(call, &httptrace.ClientTrace{
-		GotFirstResponseByte: func() { arriving.Store(true) },
+		GotFirstResponseByte: func() {
+			arriving.Store(true)
+			f.arrive()
+		},
 	})
+	defer f.unwatch(false)
 	answers := make(chan listing)
 	pending := 0
 	ask := func() {
--- a/lib/lacemirror/reach.go
+++ b/lib/lacemirror/reach.go
@@ -63,21 +63,42 @@
 	if sound {
 		f.reached = f.reach()
 	}
-	f.watched = 0
+	f.watched, f.arriving = 0, false
 }
 
-// progress takes in that a watch is alive, and whether it asks the store until its next event.
-func (f *Follower) progress(idle bool) {
-	f.reached = f.reach()
+// progress takes in that a watch has told something. A progress event tells since when nothing is missing, and whether the store
+// is asked until the next event.
+func (f *Follower) progress(e laceplatform.Event) {
+	f.reached = max(f.reach(), e.Sent)
 	f.heard = f.pulse.Now()
+	if !e.Progress {
+		return
+	}
+	f.arriving = false
 	switch {
-	case idle:
+	case e.Idle:
 		f.watched = 0
 	case f.watched == 0:
 		f.watched = f.pulse.Now()
 	}
 }
 
+// arrive takes in the first byte of an answer to the watch. Until the rest is here, calls that are answered meanwhile say nothing
+// about the copy: on a full link they overtake what the watch brings.
+func (f *Follower) arrive() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reached = f.reach()
+	f.watched, f.arriving = 0, true
+}
+
+// Arriving reports whether an answer of the store is on its way.
+func (f *Follower) Arriving() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.arriving
+}
+
 // Confirm takes in that the copy of another instance, complete at a revision, was known to be current at a moment. It
 // reports whether this copy is now known to be as current.
 func (f *Follower) Confirm(revision laceplatform.Revision, at laceunit.Uptime) bool {
--- a/lib/laceplatform/store.go
+++ b/lib/laceplatform/store.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"lacewingcove/lib/laceunit"
 )
 
 // MaxValueBytes is the largest value that the platform accepts.
@@ -76,6 +78,9 @@
 	// Progress marks an event without a change: every change up to Entry.Revision has been delivered. Stores that
 	// answer watches in rounds send one after each round.
 	Progress bool
+	// Sent is when the question was sent that a progress event answers: all changes up to then have been delivered. Zero means
+	// that it is not known.
+	Sent laceunit.Uptime
 	// Idle marks a progress event after which the store is not asked until the next event.
 	Idle bool
 }
