lacedirectory: the instances with room on their links watch the store, the others hear from them

Cause, second part: who watches the store followed from who takes callers. A weak instance that joined the active set watched it over a link of 10 Mbit/s, where a large configuration that changes each 0.2 s needs 18 Mbit/s. Ruled out: choosing by kind or by processor; a strong machine may have a narrow link. Change: members name what their link carries (setting machine.link). An instance that lost the store asks one that watches and any other one, instead of any one. Rounds of instances that start together are spread. An answer of the store that is on its way is not given up for a partner.

--- a/lib/lacedirectory/board.go
+++ b/lib/lacedirectory/board.go
@@ -42,6 +42,9 @@
 	// active is the set that takes callers, nil when the members have changed since it was chosen; order lists it.
 	active map[laceunit.InstanceID]bool
 	order  []Member
+	// sources are those that watch the store, as chosen with active; origins lists them.
+	sources map[laceunit.InstanceID]bool
+	origins []Member
 	// sharing is how many would take callers if no entry had gone lately.
 	sharing int
 }
@@ -165,11 +168,15 @@
 		}
 		b.sharing = max(b.sharing, len(activeSet(all)))
 	}
-	b.order = b.order[:0:0]
+	b.sources = sourceSet(members, b.active)
+	b.order, b.origins = b.order[:0:0], b.origins[:0:0]
 	for _, m := range members {
 		if b.active[m.Holder.Instance] {
 			b.order = append(b.order, m)
 		}
+		if b.sources[m.Holder.Instance] {
+			b.origins = append(b.origins, m)
+		}
 	}
 	if len(b.order) != was {
 		b.log.Write(lacelog.Active, lacelog.P("active", len(b.order)), lacelog.P("members", len(members)),
@@ -200,6 +207,22 @@
 	return b.choose()[b.self.Holder.Instance]
 }
 
+// Watches reports whether this instance watches the store; otherwise it hears of changes from those that do.
+func (b *Board) Watches() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.choose()
+	return b.sources[b.self.Holder.Instance]
+}
+
+// Sources returns the other instances that watch the store, those of this instance's zone first.
+func (b *Board) Sources() []Member {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.choose()
+	return b.others(b.origins)
+}
+
 // Self returns this instance.
 func (b *Board) Self() laceunit.Holder { return b.self.Holder }
 
@@ -208,8 +231,13 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.choose()
-	list := make([]Member, 0, len(b.order))
-	for _, m := range b.order {
+	return b.others(b.order)
+}
+
+// others returns members without this instance, the near ones first.
+func (b *Board) others(members []Member) []Member {
+	list := make([]Member, 0, len(members))
+	for _, m := range members {
 		if m.Holder.Instance != b.self.Holder.Instance {
 			list = append(list, m)
 		}
--- a/lib/lacedirectory/member.go
+++ b/lib/lacedirectory/member.go
@@ -21,6 +21,8 @@
 	// Capacity is what the machine gives the instance, Load what it lately used of that.
 	Capacity Cores
 	Load     Cores
+	// Link is what the machine's link carries.
+	Link Megabits
 }
 
 // Cores is an amount of processor time for each second.
@@ -29,6 +31,9 @@
 // milliCores is the unit in which members write capacities and loads.
 const milliCores = 1000
 
+// kiloBits is the unit in which members write links.
+const kiloBits = 1000
+
 // same reports whether two members differ in nothing but their load.
 func (m Member) same(other Member) bool {
 	other.Load = m.Load
@@ -45,6 +50,8 @@
 	// Capacity and Load are in thousandths of a core.
 	Capacity int64 `json:"capacity"`
 	Load     int64 `json:"load"`
+	// Link is in kilobits a second; 0 means that it is not known.
+	Link int64 `json:"link,omitempty"`
 }
 
 // Encode writes a member.
@@ -58,6 +65,7 @@
 		Peer:        string(m.Peer),
 		Capacity:    int64(m.Capacity * milliCores),
 		Load:        int64(m.Load * milliCores),
+		Link:        int64(m.Link * kiloBits),
 	})
 	return text, errors.Wrap(err, "directory: encode member")
 }
@@ -71,8 +79,8 @@
 	if f.Instance == "" || f.Caller == "" {
 		return Member{}, errors.Wrap(ErrMember, "instance or address is missing")
 	}
-	if f.Capacity <= 0 || f.Load < 0 {
-		return Member{}, errors.Wrap(ErrMember, "capacity or load is out of bounds")
+	if f.Capacity <= 0 || f.Load < 0 || f.Link < 0 {
+		return Member{}, errors.Wrap(ErrMember, "capacity, load or link is out of bounds")
 	}
 	return Member{
 		Holder: laceunit.Holder{
@@ -88,5 +96,6 @@
 
 		Capacity: Cores(f.Capacity) / milliCores,
 		Load:     Cores(f.Load) / milliCores,
+		Link:     Megabits(f.Link) / kiloBits,
 	}, nil
 }
--- a/lib/lacenode/exchange.go
+++ b/lib/lacenode/exchange.go
@@ -4,12 +4,15 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
 	"lacewingcove/lib/laceconn"
+	"lacewingcove/lib/lacedirectory"
 	"lacewingcove/lib/lacekernel"
 	"lacewingcove/lib/lacemirror"
+	"lacewingcove/lib/laceplatform"
 	"lacewingcove/lib/laceunit"
 	"lacewingcove/lib/lacewire"
 )
@@ -33,6 +36,9 @@
 	freshness lacemirror.Freshness
 	origin    lacemirror.Origin
 
+	// old are the prefixes whose copies have become old while partners keep them current.
+	old map[laceplatform.Key]bool
+
 	transfers transfers
 	// work are the questions and transfers under way.
 	work sync.WaitGroup
@@ -53,6 +59,7 @@
 				Between: pieceWait,
 			},
 		},
+		old:     map[laceplatform.Key]bool{},
 		pending: map[laceunit.Address]bool{},
 		answers: map[laceunit.Address]heard{},
 	}
@@ -77,6 +84,8 @@
 // Serve implements suture.Service.
 func (x *exchange) Serve(ctx context.Context) error {
 	defer x.work.Wait()
+	// Instances that start together would ask in step.
+	lacekernel.Sleep(ctx, rand.N(lacemirror.RoundInterval))
 	return lacekernel.Every(ctx, lacemirror.RoundInterval, x.step)
 }
 
@@ -90,10 +99,8 @@
 	if !x.stale() {
 		return
 	}
-	if peer, ok := x.choose(); ok {
-		x.ask(ctx, []laceunit.Address{peer})
-		x.transfer(ctx, x.taken())
-	}
+	x.ask(ctx, x.choose())
+	x.transfer(ctx, x.taken())
 }
 
 // stale reports whether the store has not confirmed all copies lately.
@@ -107,23 +114,32 @@
 	return false
 }
 
-// choose returns the peer address of another instance at random.
-func (x *exchange) choose() (laceunit.Address, bool) {
-	var peers []laceunit.Address
-	for _, m := range x.node.board.Members() {
-		if m.Peer != "" {
-			peers = append(peers, m.Peer)
+// choose returns the addresses of two other instances at random: one that watches the store, and any one, since all of those may
+// have lost it.
+func (x *exchange) choose() []laceunit.Address {
+	n := x.node
+	any := append([]laceunit.Address(nil), n.settings.Seeds...)
+	var chosen []laceunit.Address
+	for _, list := range [][]laceunit.Address{peers(n.board.Sources()), append(any, peers(n.board.Members())...)} {
+		list = slices.DeleteFunc(list, func(a laceunit.Address) bool {
+			return a == n.settings.Peer || slices.Contains(chosen, a)
+		})
+		if len(list) > 0 {
+			chosen = append(chosen, list[rand.IntN(len(list))])
 		}
 	}
-	for _, s := range x.node.settings.Seeds {
-		if s != x.node.settings.Peer {
-			peers = append(peers, s)
+	return chosen
+}
+
+// peers returns the addresses of members for other instances.
+func peers(members []lacedirectory.Member) []laceunit.Address {
+	var list []laceunit.Address
+	for _, m := range members {
+		if m.Peer != "" {
+			list = append(list, m.Peer)
 		}
 	}
-	if len(peers) == 0 {
-		return "", false
-	}
-	return peers[rand.IntN(len(peers))], true
+	return list
 }
 
 // ask puts the question to several instances at once and waits for a round's time. What is answered later counts in the round
--- a/lib/lacenode/node.go
+++ b/lib/lacenode/node.go
@@ -136,6 +136,7 @@
 		Peer:   n.settings.Peer,
 
 		Capacity: lacedirectory.Cores(n.settings.Machine.Cores),
+		Link:     lacedirectory.Megabits(n.settings.Machine.Link),
 	}
 	n.board = lacedirectory.NewBoard(self, n.log)
 	n.registrar = lacedirectory.NewRegistrar(memberPrefix, self, store, n.log, n.Ready)
--- a/lib/lacenode/role.go
+++ b/lib/lacenode/role.go
@@ -25,8 +25,9 @@
 // role makes an instance stand by while others take the callers, and measures how busy it is.
 type role struct {
 	node *Node
-	// outside is since when the instance has not been chosen.
+	// outside is since when the instance has not been chosen to take callers, away since when not to watch the store.
 	outside time.Time
+	away    time.Time
 	meter   meter
 }
 
@@ -39,17 +40,24 @@
 	n := r.node
 	n.vitals.sample(now, roleInterval)
 	n.registrar.Measure(r.meter.sample(now, n.relay.Work()))
-	if n.board.Active() {
-		r.outside = time.Time{}
-	} else if r.outside.IsZero() {
-		r.outside = now
-	}
-	outside := !r.outside.IsZero() && now.Sub(r.outside) >= standbyDelay
+	outside := lasting(now, &r.outside, !n.board.Active())
 	// Callers that stay with an instance, or its planned stop, are no reason to watch the store.
-	n.following.Store(outside)
+	n.following.Store(lasting(now, &r.away, !n.board.Watches()))
 	r.set(outside && !n.leaving.Load() && now.Sub(n.quota.Asked()) >= idleTime)
 }
 
+// lasting reports whether something holds for long enough to act on it; since is when it began.
+func lasting(now time.Time, since *time.Time, holds bool) bool {
+	if !holds {
+		*since = time.Time{}
+		return false
+	}
+	if since.IsZero() {
+		*since = now
+	}
+	return now.Sub(*since) >= standbyDelay
+}
+
 // set changes whether the instance stands by.
 func (r *role) set(standby bool) {
 	n := r.node
--- a/lib/lacenode/setting.go
+++ b/lib/lacenode/setting.go
@@ -29,6 +29,8 @@
 	Store StoreSettings
 	Drain Drain
 	Retry Retry
+	// Apply is the time in which an accepted configuration has to be in force.
+	Apply time.Duration
 	// Life is how long callers may keep a directory answer.
 	Life    time.Duration
 	Ledger  Ledger
@@ -39,6 +41,8 @@
 type Machine struct {
 	// Cores is the processor time for each second; it decides which instances take callers in a large fleet.
 	Cores float64
+	// Link is what the machine's link carries in each direction, in Mbit/s; zero means that it is not known.
+	Link float64
 }
 
 // StoreSettings tell where the platform's store is.
@@ -82,6 +86,7 @@
 			Slack:  10,
 		},
 		Store: StoreSettings{Lease: time.Second},
+		Apply: 3 * time.Second,
 		Life:  time.Second,
 		Ledger: Ledger{
 			Share: lacequota.DefaultShare,
@@ -111,12 +116,14 @@
 			laceyaml.Duration("window", "Window of the bound.", &s.Retry.Window, time.Second, time.Hour),
 			laceyaml.Number("ratio", "Share of the requests in the window.", &s.Retry.Ratio, 0, 1),
 			laceyaml.Number("slack", "Number beside the share.", &s.Retry.Slack, 0, 1e6)),
+		laceyaml.Duration("apply", "Time in which an accepted configuration has to be in force.", &s.Apply, 100*time.Millisecond, time.Minute),
 		laceyaml.Duration("life", "How long callers may keep a directory answer.", &s.Life, 100*time.Millisecond, time.Hour),
 		laceyaml.Group("ledger", "Division of prepaid budgets.",
 			laceyaml.Number("share", "Part of what an account has left that all instances together hold.", &s.Ledger.Share, 0.01, 0.9)),
 		laceyaml.Group("machine", "What the instance may use of its machine.",
 			laceyaml.Number("cores", "Processor time for each second; in a large fleet the strongest instances take the callers.",
-				&s.Machine.Cores, leastCores, mostCores)),
+				&s.Machine.Cores, leastCores, mostCores),
+			laceyaml.Number("link", "What the link carries in each direction, in Mbit/s; 0: not known.", &s.Machine.Link, 0, mostLink)),
 	}
 }
 
@@ -126,6 +133,9 @@
 	mostCores  = 1024
 )
 
+// mostLink bounds what a link may carry, in Mbit/s.
+const mostLink = 1e6
+
 const addressForm = "host:port with a numeric port"
 
 func address(name, doc string, p *laceunit.Address) laceyaml.Field {
--- a/lib/lacenode/setting_test.go
+++ b/lib/lacenode/setting_test.go
@@ -5,6 +5,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/sebdah/goldie/v2"
 )
@@ -54,13 +55,13 @@
 		"{{bounds.grace_s}}", "8", "{{bounds.budget_window_s}}", "10", "{{bounds.retry_budget_ratio}}", "0.2",
 		"{{bounds.budget_slack}}", "54", "{{node_name}}", "router-1", "{{region}}", "r1", "{{zone}}", "z1",
 		"{{listen.front}}", "10.0.0.1:8227", "{{listen.ready_address}}", "10.0.0.1:8220",
-		"{{limits.cpu_share}}", "0.192", "{{listen.directory}}", "10.0.0.1:8224", "{{listen.control}}", "10.0.0.1:8229",
+		"{{limits.cpu_share}}", "0.192", "{{bounds.apply_ms}}", "2000", "{{limits.link_mbps}}", "10.0", "{{listen.directory}}", "10.0.0.1:8224", "{{listen.control}}", "10.0.0.1:8229",
 	).Replace(string(text))
 	s, err := Decode([]byte(filled))
 	if err != nil {
 		t.Fatalf("%v in\n%s", err, filled)
 	}
-	if s.Retry.Ratio != 0.2 || len(s.Seeds) != 1 || s.Peer == "" || s.Machine.Cores != 0.192 {
+	if s.Retry.Ratio != 0.2 || len(s.Seeds) != 1 || s.Peer == "" || s.Machine.Cores != 0.192 || s.Machine.Link != 10 || s.Apply != 2*time.Second {
 		t.Errorf("settings %+v", s)
 	}
 }
--- a/lib/lacenode/standby.go
+++ b/lib/lacenode/standby.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 
 	"lacewingcove/lib/lacekernel"
 	"lacewingcove/lib/lacelog"
@@ -27,6 +28,30 @@
 		o = x.freshness.Decide(x.view(), rand.IntN)
 	}
 	x.apply(o)
+	x.note()
+}
+
+// note writes a line when a copy that partners keep current becomes old, and when it is current again.
+func (x *exchange) note() {
+	n := x.node
+	now := n.pulse.Now()
+	for _, f := range n.followers {
+		s := f.Status()
+		old := now.Sub(s.Reached) > contactAge
+		if old == x.old[f.Prefix()] {
+			continue
+		}
+		x.old[f.Prefix()] = old
+		event := lacelog.Regained
+		if old {
+			event = lacelog.Lost
+		}
+		n.log.Write(event, append([]lacelog.Pair{
+			lacelog.P("prefix", f.Prefix()), lacelog.P(lacelog.Reason, "news of partners"), lacelog.P("partner", x.origin.Partner),
+			lacelog.P(lacelog.Revision, s.Revision), lacelog.P(lacelog.Age, age(now, s.Reached).Milliseconds()),
+			lacelog.P("lacking", s.Lacking > 0), lacelog.P("transfers", x.transfers.active()),
+		}, n.vitals.pairs()...)...)
+	}
 }
 
 // view returns what the decision where news comes from is made on.
@@ -38,7 +63,7 @@
 		Store:   n.pulse.Contact(),
 		Reached: x.reached(),
 	}
-	for _, m := range n.board.Partners() {
+	for _, m := range n.board.Sources() {
 		if m.Peer == "" {
 			continue
 		}
@@ -59,9 +84,17 @@
 	return oldest
 }
 
+// arriving reports whether an answer of the store is on its way, which is not given up for a partner that may know less.
+func (x *exchange) arriving() bool {
+	return slices.ContainsFunc(x.node.followers, (*lacemirror.Follower).Arriving)
+}
+
 // apply carries out where news comes from. Only this loop switches the copies: a question that is still under way when the
 // instance takes callers again must not leave it without the store.
 func (x *exchange) apply(o lacemirror.Origin) {
+	if o.Indirect && !x.origin.Indirect && x.arriving() {
+		return
+	}
 	for _, f := range x.node.followers {
 		f.Indirect(o.Indirect)
 	}
--- a/lib/lacenode/vital.go
+++ b/lib/lacenode/vital.go
@@ -33,6 +33,8 @@
 type vital struct {
 	at      time.Time
 	in, out int64
+	// control are the bytes of calls to the store and other instances, in both directions.
+	control int64
 	// lag is how late the look was, which is how long this process waited for the processor.
 	lag  time.Duration
 	call time.Duration
@@ -88,6 +90,8 @@
 		in:   in,
 		out:  out,
 		call: v.call,
+
+		control: v.controlBytes(),
 	}
 	if !last.at.IsZero() {
 		x.lag = max(now.Sub(last.at)-interval, 0)
@@ -97,6 +101,11 @@
 	v.call = 0
 }
 
+func (v *vitals) controlBytes() int64 {
+	in, out := v.control.Bytes()
+	return in + out
+}
+
 // worst returns the largest delays lately.
 func (v *vitals) worst() vital {
 	v.mu.Lock()
@@ -115,12 +124,14 @@
 	v.mu.Lock()
 	oldest := v.samples[v.next]
 	v.mu.Unlock()
-	var kbitIn, kbitOut int64
+	var kbitIn, kbitOut, kbitControl int64
 	if ms := time.Since(oldest.at).Milliseconds(); !oldest.at.IsZero() && ms > 0 {
 		kbitIn, kbitOut = bitsOfByte*(in-oldest.in)/ms, bitsOfByte*(out-oldest.out)/ms
+		kbitControl = bitsOfByte * (v.controlBytes() - oldest.control) / ms
 	}
 	return []lacelog.Pair{
-		lacelog.P("in_kbps", kbitIn), lacelog.P("out_kbps", kbitOut), lacelog.P("call_ms", w.call.Milliseconds()),
+		lacelog.P("in_kbps", kbitIn), lacelog.P("out_kbps", kbitOut),
+		lacelog.P("control_kbps", kbitControl), lacelog.P("call_ms", w.call.Milliseconds()),
 		lacelog.P("lag_ms", w.lag.Milliseconds()),
 	}
 }
