lacerelay: an old configuration denies nothing, and one that is known to be replaced answers nothing

Cause: 'no such route' and 'unknown key' were answered from any copy, however old. The age was known; nothing asked for it. Ruled out: refusing everything from old copies, since instances that are cut off serve on purpose. Change: a copy of more than the time in which a configuration has to be in force (setting apply) says 503 with Retry-After in place of 401, 404 and 402; what it allows is served. An instance that knows for a third of that time of a newer configuration that has not arrived refuses every request as not run. In an outage of the store callers of unknown routes hear 503 until it is over.

--- a/lib/lacenode/node.go
+++ b/lib/lacenode/node.go
@@ -172,10 +172,11 @@
 			Ratio:  n.settings.Retry.Ratio,
 			Slack:  n.settings.Retry.Slack,
 		},
-		Shares:  n.limits,
-		Members: n.board.Count,
-		Log:     n.log,
-		Metrics: lacerelay.NewMetrics(n.registry),
+		Shares:   n.limits,
+		Standing: n.standing,
+		Members:  n.board.Count,
+		Log:      n.log,
+		Metrics:  lacerelay.NewMetrics(n.registry),
 	})
 	n.follow(store)
 	return nil
@@ -249,6 +250,22 @@
 	return n.routes.Load() != nil && n.followers[serversFollower].Status().Revision > 0 && !n.leaving.Load()
 }
 
+// supersededPart is the part of the time in which a configuration has to be in force that an instance serves on from an older one
+// although it knows of the newer. The rest is what that news may take to come here.
+const supersededPart = 3
+
+// standing tells what the routing table may be used for.
+func (n *Node) standing() lacerelay.Standing {
+	s, now := n.followers[configsFollower].Status(), n.pulse.Now()
+	switch {
+	case s.Lacking > 0 && now.Sub(s.Lacking) > n.settings.Apply/supersededPart:
+		return lacerelay.Superseded
+	case now.Sub(s.Reached) > n.settings.Apply:
+		return lacerelay.Old
+	}
+	return lacerelay.InForce
+}
+
 // meaning returns what a server's entry says. Servers write theirs again at each report, most of which say nothing new.
 func (n *Node) meaning(e laceplatform.Entry) any {
 	b, err := n.adapter.Backend(e)
--- a/lib/lacerelay/relay.go
+++ b/lib/lacerelay/relay.go
@@ -67,6 +67,8 @@
 	Retries  RetryBounds
 	// Shares is told what answers say about the limits of their servers; nil for nobody.
 	Shares laceshare.Shares
+	// Standing tells what the routing table may be used for; nil for everything.
+	Standing func() Standing
 	// Members is how many instances share the retry budget.
 	Members func() int
 	Log     *lacelog.Logger
@@ -122,6 +124,7 @@
 	account  laceunit.AccountID
 	rank     int
 	version  laceunit.Version
+	standing Standing
 	body     []byte
 	arrived  time.Time
 	deadline time.Time
@@ -208,12 +211,16 @@
 	if r.stopping.Load() {
 		return fault(lacefault.Draining, "instance is stopping", stopRetry)
 	}
+	j.standing = r.standing()
+	if j.standing == Superseded {
+		return fault(lacefault.Stale, "a newer configuration has not arrived yet", staleRetry)
+	}
 	var ok bool
 	if j.route, ok = table.Match(j.call.Host, j.call.Path); !ok {
-		return fault(lacefault.NotFound, "no route", 0)
+		return j.standing.lacks(fault(lacefault.NotFound, "no route", 0))
 	}
 	if f := j.authorize(table); f != nil {
-		return f
+		return j.standing.lacks(f)
 	}
 	if j.service, ok = j.route.Target(xxhash.Sum64String(string(j.call.Attempt))); !ok {
 		return fault(lacefault.NoServer, "route has no service", startRetry)
@@ -290,7 +297,7 @@
 		lacelog.P(lacelog.Age, time.Since(state.Drawn).Milliseconds()),
 	}
 	if verdict == lacequota.Spent {
-		return fault(lacefault.BudgetSpent, "prepaid tokens are spent", 0)
+		return j.standing.lacks(fault(lacefault.BudgetSpent, "prepaid tokens are spent", 0))
 	}
 	return fault(lacefault.BudgetBlocked, "prepaid tokens are not at this instance", budgetRetry(state))
 }
