lacedirectory: one line a second sums up many changes of members

Cause: each instance writes a line for each other one, so that the lines of a start grow with the square of the fleet. Ruled out: a lower rate for the event in lacelog. It drops lines in the order in which they come, so that what was left out is known by number but not by state, and lapses that follow a start are hidden. Change: within a second the first three changes keep lines of their own; one line with state=several then tells how many were listed, gone and lapsed in that second, and how many members there are. The number that takes callers ("active") is written at most three times a second, and its latest value at the end of the second. The board's clock is a field, for tests. Conclusion: an instance writes at most eight lines a second about members, whatever the size of the fleet.

--- a/lib/lacedirectory/board.go
+++ b/lib/lacedirectory/board.go
@@ -27,6 +27,7 @@
 type Board struct {
 	self Member
 	log  *lacelog.Logger
+	now  func() time.Time
 
 	mu      sync.Mutex
 	members map[laceunit.InstanceID]Member
@@ -44,6 +45,13 @@
 	order  []Member
 	// sharing is how many would take callers if no entry had gone lately.
 	sharing int
+	// candidates is from how many members active was chosen, told how many take callers by the last line.
+	candidates int
+	told       int
+	// noted counts changes of members by state for the summary, chosen those of the number that takes callers.
+	noted  period
+	states map[string]int
+	chosen period
 }
 
 // lapse is a member whose entry has gone at a moment.
@@ -57,6 +65,8 @@
 	return &Board{
 		self:    self,
 		log:     log,
+		now:     time.Now,
+		states:  map[string]int{},
 		members: map[laceunit.InstanceID]Member{},
 		until:   map[laceunit.InstanceID]time.Time{},
 		missing: map[laceunit.Holder]time.Time{},
@@ -78,7 +88,7 @@
 		b.active = nil
 	}
 	if !known || !old.same(m) {
-		b.note(m, "listed")
+		b.note(m, stateListed)
 	}
 }
 
@@ -96,7 +106,7 @@
 		return
 	}
 	b.drop(now, m)
-	b.note(m, "gone")
+	b.note(m, stateGone)
 }
 
 // drop takes a member out of the list; the lock must be held.
@@ -117,7 +127,7 @@
 	b.absent, b.active = true, nil
 }
 
-// Tick drops members whose entries have not come back in time.
+// Tick drops members whose entries have not come back in time, and writes the summary of what changed.
 func (b *Board) Tick(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -126,7 +136,7 @@
 			continue
 		}
 		m := b.members[id]
-		b.note(m, "lapsed")
+		b.note(m, stateLapsed)
 		delete(b.until, id)
 		b.drop(now, m)
 	}
@@ -136,6 +146,7 @@
 			b.active = nil
 		}
 	}
+	b.summarize(b.now())
 }
 
 // choose returns the set that takes callers; the lock must be held.
@@ -155,7 +166,7 @@
 		members = append(members, self)
 	}
 	slices.SortFunc(members, func(x, y Member) int { return cmp.Compare(x.Holder.Instance, y.Holder.Instance) })
-	was := len(b.order)
+	b.candidates = len(members)
 	b.active = activeSet(members)
 	b.sharing = len(b.active)
 	if b.outOfReach() {
@@ -171,10 +182,7 @@
 			b.order = append(b.order, m)
 		}
 	}
-	if len(b.order) != was {
-		b.log.Write(lacelog.Active, lacelog.P("active", len(b.order)), lacelog.P("members", len(members)),
-			lacelog.P("self", b.active[b.self.Holder.Instance]))
-	}
+	b.noteActive(b.now())
 	return b.active
 }
 
@@ -331,8 +339,3 @@
 		return 2
 	}
 }
-
-func (b *Board) note(m Member, state string) {
-	b.log.Write(lacelog.Member, lacelog.P("member", m.Holder.String()), lacelog.P("zone", m.Place.Zone),
-		lacelog.P("address", m.Caller), lacelog.P("state", state), lacelog.P("members", len(b.members)))
-}
