--- a/lib/lacepack/pack_test.go
+++ b/lib/lacepack/pack_test.go
@@ -38,6 +38,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		t.Logf("%s: %d of %d bytes", name, len(packed), len(c.text))
 		if len(packed) > c.most {
 			t.Errorf("%s: %d bytes of %d, %d wanted", name, len(packed), len(c.text), c.most)
 		}
