lacemirror: an entry that came back as it was is passed on; a whole copy brings nothing back

Callers would see: a server that stays out of use at some instances after an outage, or one that has left and stays in use. Cause: an entry that says the same kept the revision of its last change also when it came by a list or a partner, although it may have been gone in between and others know of that. Replace took entries that a later event had removed, and forgot that event. Change: only a watch tells that an entry said the same all the while. Replace skips what is known to be gone and keeps later removals. Before: TestAServerThatCameBackIsPassedOn ('at revision 13 (full false) the entry is missing'), TestAWholeCopyAmidAPageBringsNothingBack ('removed at 30, held at revision 30'). After: both pass.

--- a/lib/lacemirror/mirror.go
+++ b/lib/lacemirror/mirror.go
@@ -1,6 +1,7 @@
 package lacemirror
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -65,6 +66,18 @@
 // Revision is the revision at which the copy is complete; zero means that it holds nothing.
 func (m *Mirror) Revision() laceplatform.Revision { return m.revision }
 
+// Newest returns the revision at which the copy last changed in what it says.
+func (m *Mirror) Newest() laceplatform.Revision {
+	var newest laceplatform.Revision
+	for _, e := range m.entries {
+		newest = max(newest, e.changed)
+	}
+	for _, r := range m.removed {
+		newest = max(newest, r.Revision)
+	}
+	return newest
+}
+
 // Entries returns the entries in the order of their keys.
 func (m *Mirror) Entries() []laceplatform.Entry {
 	list := make([]laceplatform.Entry, 0, len(m.entries))
@@ -90,7 +103,7 @@
 	seen := make(map[laceplatform.Key]bool, len(entries))
 	for _, e := range entries {
 		seen[e.Key] = true
-		if m.put(e) {
+		if !m.gone(e) && m.put(e, false) {
 			changes = append(changes, Change{Entry: e})
 		}
 	}
@@ -105,7 +118,7 @@
 	}
 	m.revision = revision
 	m.horizon = max(m.horizon, revision)
-	m.removed = nil
+	m.removed = slices.DeleteFunc(m.removed, func(r Removal) bool { return r.Revision <= revision })
 	return changes
 }
 
@@ -120,7 +133,7 @@
 		return Change{}, false
 	}
 	if !e.Deleted {
-		return Change{Entry: e.Entry}, m.put(e.Entry)
+		return Change{Entry: e.Entry}, m.put(e.Entry, true)
 	}
 	old, ok := m.remove(e.Entry.Key, r)
 	return Change{
@@ -140,11 +153,13 @@
 		Revision: m.revision,
 		Full:     revision < m.horizon || revision == 0,
 	}
-	for _, k := range slices.Sorted(maps.Keys(m.entries)) {
-		if e := m.entries[k]; d.Full || e.changed > revision {
+	for _, e := range m.entries {
+		if d.Full || e.changed > revision {
 			d.Entries = append(d.Entries, e.Entry)
 		}
 	}
+	// Equal deltas are packed once.
+	slices.SortFunc(d.Entries, func(a, b laceplatform.Entry) int { return cmp.Compare(a.Key, b.Key) })
 	if !d.Full {
 		for _, r := range m.removed {
 			if r.Revision > revision {
@@ -169,7 +184,7 @@
 	}
 	var changes []Change
 	for _, e := range d.Entries {
-		if !m.gone(e) && m.put(e) {
+		if !m.gone(e) && m.put(e, false) {
 			changes = append(changes, Change{Entry: e})
 		}
 	}
@@ -185,8 +200,9 @@
 	return changes
 }
 
-// put takes in an entry and reports whether it says something new.
-func (m *Mirror) put(e laceplatform.Entry) bool {
+// put takes in an entry and reports whether it says something new. Only a watch tells that it said the same all the while since the
+// one before; elsewhere it may have been gone in between, and other copies know of that.
+func (m *Mirror) put(e laceplatform.Entry, watched bool) bool {
 	old, ok := m.entries[e.Key]
 	if ok && old.Revision >= e.Revision {
 		return false
@@ -202,7 +218,7 @@
 		m.former.keep(old.Entry)
 	}
 	same := ok && next.meaning != nil && next.meaning == old.meaning
-	if same {
+	if same && watched {
 		next.changed = old.changed
 	}
 	m.entries[e.Key] = next
