lacemirror, laceadapter: a watch proves something once it lies at the store; lists end on a link with room

Cause: a watch counted as open before its call was sent, so that with other answers a partner's old copy counted as current (10.1 s in the test). One slow page led to lists until two in a row were equal, which in a large fleet need not come (59 lists in 3 s). A call that waits 2 s had 2.5 s for handshake and answer together. Lists end when one takes less than 0.4 s. Before and after: TestAnUnansweredWatchProvesNothing, TestListsEndOnALinkWithRoom fail without it.

--- a/lib/laceconn/patience.go
+++ b/lib/laceconn/patience.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"net/http"
+	"net/http/httptrace"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -34,7 +36,11 @@
 		cancel: cancel,
 	}
 	wait.start(p.First)
-	response, err := base.RoundTrip(r.WithContext(ctx))
+	// A connection that is opened for the call has the time of its handshake beside that of the answer.
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		WroteRequest: func(httptrace.WroteRequestInfo) { wait.start(p.First) },
+	})
+	response, err := base.RoundTrip(r.WithContext(traced))
 	if err != nil {
 		err = wait.reason(err)
 		wait.end()
@@ -53,20 +59,28 @@
 type patience struct {
 	ctx    context.Context
 	cancel context.CancelCauseFunc
-	timer  *time.Timer
+
+	mu    sync.Mutex
+	timer *time.Timer
+	over  bool
 }
 
 // start begins the wait for the next piece.
 func (w *patience) start(wait time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	if w.timer != nil {
 		w.timer.Stop()
 	}
-	if wait > 0 {
+	if wait > 0 && !w.over {
 		w.timer = time.AfterFunc(wait, func() { w.cancel(ErrSilent) })
 	}
 }
 
 func (w *patience) end() {
+	w.mu.Lock()
+	w.over = true
+	w.mu.Unlock()
 	w.start(0)
 	w.cancel(nil)
 }
--- a/lib/lacemirror/follower.go
+++ b/lib/lacemirror/follower.go
@@ -79,8 +79,9 @@
 	turned chan struct{}
 	// recovered is when contact was regained after an outage.
 	recovered time.Time
-	// lacking are newer copies that others are known to hold.
+	// lacking are newer copies that others are known to hold, told is when one was last spoken of.
 	lacking lacking
+	told    laceunit.Uptime
 }
 
 // NewFollower returns a follower of a prefix. The pulse is that of the store.
@@ -235,16 +236,12 @@
 func (f *Follower) watch(ctx context.Context, progress func()) error {
 	inner, cancel := context.WithCancel(ctx)
 	defer cancel()
-	began := f.pulse.Now()
 	s := f.Status()
 	traced := httptrace.WithClientTrace(inner, &httptrace.ClientTrace{GotFirstResponseByte: f.arrive})
 	w, err := f.store.Watch(traced, f.prefix, s.Revision)
 	if err != nil {
 		return err
 	}
-	if !s.Failing {
-		f.watching(began)
-	}
 	defer func() { f.unwatch(ctx.Err() != nil) }()
 	for e := range w.Events() {
 		progress()
--- a/lib/lacemirror/follower_test.go
+++ b/lib/lacemirror/follower_test.go
@@ -286,3 +286,73 @@
 		t.Errorf("the copy is of %s ago in the pause of its watch", now.Sub(s.Reached))
 	}
 }
+
+// Guards against a copy of a partner that counts as current by other answers, before the store has answered its watch.
+func TestAnUnansweredWatchProvesNothing(t *testing.T) {
+	var clock atomic.Int64
+	clock.Store(int64(time.Hour))
+	pulse := laceplatform.NewPulse(func() laceunit.Uptime { return laceunit.Uptime(clock.Load()) })
+	store := &script{watches: make(chan *scriptWatch)}
+	f := NewFollower("servers/", store, pulse, lacelog.Discard(), func([]Change, Source) {})
+	f.Indirect(true)
+	f.Merge(Delta{
+		Full:     true,
+		Revision: 5,
+		Entries:  []laceplatform.Entry{entryAt("servers/a", 5, "x")},
+	})
+	told := pulse.Now()
+	f.Confirm(5, told)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- f.Serve(ctx) }()
+	clock.Add(int64(10 * time.Second))
+	f.Indirect(false)
+	w := &scriptWatch{events: make(chan laceplatform.Event)}
+	store.watches <- w
+	// An event that says nothing new shows that the follower reads the watch.
+	w.events <- laceplatform.Event{Entry: entryAt("servers/a", 5, "x")}
+	pulse.Note(t.Context(), laceunit.Uptime(clock.Add(int64(100*time.Millisecond))), nil)
+	if got := f.Status().Reached; got != told {
+		t.Errorf("the copy counts as current %s after the partner's word", got.Sub(told))
+	}
+	cancel()
+	close(w.events)
+	<-done
+}
+
+// behindStore has a new list each time and is never behind with it.
+type behindStore struct {
+	script
+
+	lists atomic.Int64
+}
+
+// List implements laceplatform.Store.
+func (s *behindStore) List(context.Context, laceplatform.Key) ([]laceplatform.Entry, laceplatform.Revision, error) {
+	n := laceplatform.Revision(s.lists.Add(1))
+	return []laceplatform.Entry{entryAt("servers/a", n, "x")}, n, nil
+}
+
+// Guards against an instance that lists the store for ever once a watch was behind, where entries change all the time.
+func TestListsEndOnALinkWithRoom(t *testing.T) {
+	store := &behindStore{script: script{watches: make(chan *scriptWatch)}}
+	f := NewFollower("servers/", store, &laceplatform.Pulse{}, lacelog.Discard(), func([]Change, Source) {})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- f.Serve(ctx) }()
+	w := &scriptWatch{
+		events: make(chan laceplatform.Event),
+		err:    laceplatform.ErrBehind,
+	}
+	store.watches <- w
+	close(w.events)
+	next := &scriptWatch{events: make(chan laceplatform.Event)}
+	select {
+	case store.watches <- next:
+	case <-time.After(3 * time.Second):
+		t.Errorf("no watch 3 s after one that was behind; %d lists, each answered at once", store.lists.Load())
+	}
+	cancel()
+	close(next.events)
+	<-done
+}
--- a/lib/lacemirror/lacking.go
+++ b/lib/lacemirror/lacking.go
@@ -1,10 +1,16 @@
 package lacemirror
 
 import (
+	"slices"
+	"time"
+
 	"lacewingcove/lib/laceplatform"
 	"lacewingcove/lib/laceunit"
 )
 
+// forgetTime is how long after the last word of a newer copy it counts. Those that hold it may be out of reach for long.
+const forgetTime = 5 * time.Second
+
 // lackingMost bounds the newer copies that are remembered; beyond it only the oldest matter.
 const lackingMost = 64
 
@@ -35,12 +41,18 @@
 	}
 }
 
+// settle takes in that the copy was current at a moment: what was heard of before then is in it, or was never true.
+func (l *lacking) settle(at laceunit.Uptime) {
+	*l = slices.DeleteFunc(*l, func(t told) bool { return t.at <= at })
+}
+
 // Lacks takes in that others hold a copy at a revision that is too large to be told beside other news.
 func (f *Follower) Lacks(revision laceplatform.Revision) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if revision > f.mirror.Revision() {
-		f.lacking.add(revision, f.pulse.Now())
+		f.told = f.pulse.Now()
+		f.lacking.add(revision, f.told)
 	}
 }
 
--- a/lib/lacemirror/list.go
+++ b/lib/lacemirror/list.go
@@ -30,22 +30,26 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.regained()
-	f.reached = max(f.reached, began)
+	f.advance(began)
 	changes := f.mirror.Replace(l.entries, l.revision)
 	f.notify(changes, false)
 	return len(changes), nil
 }
 
-// poll lists the store until nothing has changed between two lists. It rests for as long as a list takes, so that what a link
+// quickList is the time in which a list shows that the link has room for a watch again.
+const quickList = 400 * time.Millisecond
+
+// poll lists the store until nothing has changed between two lists, or one is quick. It rests for as long as a list takes, so that what a link
 // can't carry twice takes at most half of it.
 func (f *Follower) poll(ctx context.Context) error {
 	for ctx.Err() == nil {
 		began := time.Now()
 		changed, err := f.list(ctx)
-		if err != nil || changed == 0 {
+		took := time.Since(began)
+		if err != nil || changed == 0 || took < quickList {
 			return err
 		}
-		lacekernel.Sleep(ctx, max(time.Since(began), firstPause))
+		lacekernel.Sleep(ctx, took)
 	}
 	return ctx.Err()
 }
@@ -53,6 +57,8 @@
 // firstList asks until one call succeeds or all have failed. Calls overlap while the store is silent, not while one of them has
 // begun to arrive.
 func (f *Follower) firstList(ctx context.Context) listing {
+	// Last, when no call can arrive any more.
+	defer f.unwatch(false)
 	var calls sync.WaitGroup
 	defer calls.Wait()
 	call, cancel := context.WithCancel(ctx)
@@ -64,7 +70,6 @@
 			f.arrive()
 		},
 	})
-	defer f.unwatch(false)
 	answers := make(chan listing)
 	pending := 0
 	ask := func() {
--- a/lib/lacemirror/reach.go
+++ b/lib/lacemirror/reach.go
@@ -22,6 +22,8 @@
 	Failing bool
 	// Lacking is since when a newer copy is known to exist; zero while none is.
 	Lacking laceunit.Uptime
+	// Newest is the revision at which the copy last changed in what it says.
+	Newest laceplatform.Revision
 }
 
 // Status returns how current the copy is.
@@ -32,8 +34,9 @@
 		Revision: f.mirror.Revision(),
 		Reached:  f.reach(),
 		Failing:  f.failing,
+		Newest:   f.mirror.Newest(),
 	}
-	if len(f.lacking) > 0 {
+	if len(f.lacking) > 0 && f.pulse.Now().Sub(f.told) <= forgetTime {
 		s.Lacking = f.lacking[0].at
 	}
 	return s
@@ -48,6 +51,12 @@
 	return f.reached
 }
 
+// advance takes in that the copy was current at a moment; the lock must be held.
+func (f *Follower) advance(at laceunit.Uptime) {
+	f.reached = max(f.reached, at)
+	f.lacking.settle(at)
+}
+
 // watching tells since when a watch is in place.
 func (f *Follower) watching(since laceunit.Uptime) {
 	f.mu.Lock()
@@ -69,7 +78,8 @@
 // progress takes in that a watch has told something. A progress event tells since when nothing is missing, and whether the store
 // is asked until the next event.
 func (f *Follower) progress(e laceplatform.Event) {
-	f.reached = max(f.reach(), e.Sent)
+	f.reached = f.reach()
+	f.advance(e.Sent)
 	f.heard = f.pulse.Now()
 	if !e.Progress {
 		return
@@ -107,7 +117,7 @@
 	if f.mirror.Revision() < revision {
 		return false
 	}
-	f.reached = max(f.reached, at)
+	f.advance(at)
 	if told := time.Now().Add(-f.pulse.Now().Sub(at)); told.After(f.contact) {
 		f.contact = told
 	}
