--- a/lib/lacenode/exchange.go
+++ b/lib/lacenode/exchange.go
@@ -23,7 +23,7 @@
 	// answerWait is how long an answer of another instance may take to begin, pieceWait how long each further piece of it may
 	// take. Silence ends a call, not its length; a round goes on without it after lacemirror.QuestionTimeout.
 	answerWait = 2 * time.Second
-	pieceWait  = time.Second
+	pieceWait  = 2 * time.Second
 )
 
 // exchange asks other instances for what the store does not tell this one.
--- a/lib/lacenode/news.go
+++ b/lib/lacenode/news.go
@@ -30,6 +30,8 @@
 			return "age of an unknown or repeated prefix"
 		case c.GetRevision() <= 0:
 			return "age without a revision"
+		case c.GetNewest() < 0 || c.GetNewest() > c.GetRevision():
+			return "age with a foreign revision"
 		case c.GetAgeMs() < 0 || c.GetAgeMs() > mostAge.Milliseconds():
 			return "age out of bounds"
 		default:
--- a/lib/lacenode/node.go
+++ b/lib/lacenode/node.go
@@ -258,7 +258,7 @@
 func (n *Node) standing() lacerelay.Standing {
 	s, now := n.followers[configsFollower].Status(), n.pulse.Now()
 	switch {
-	case s.Lacking > 0 && now.Sub(s.Lacking) > n.settings.Apply/supersededPart:
+	case s.Lacking > 0 && (now.Sub(s.Lacking) > n.settings.Apply/supersededPart || now.Sub(s.Reached) > n.settings.Apply):
 		return lacerelay.Superseded
 	case now.Sub(s.Reached) > n.settings.Apply:
 		return lacerelay.Old
--- a/lib/lacenode/question.go
+++ b/lib/lacenode/question.go
@@ -114,7 +114,7 @@
 			if !c.GetLarge() {
 				continue
 			}
-			f.Lacks(revision)
+			f.Lacks(laceplatform.Revision(c.GetNewest()))
 			h.large = true
 		}
 		known++
@@ -162,6 +162,7 @@
 				Prefix:   s.GetPrefix(),
 				AgeMs:    age(now, status.Reached).Milliseconds(),
 				Revision: int64(status.Revision),
+				Newest:   int64(status.Newest),
 				Large:    large,
 			})
 		}
--- a/lib/lacenode/standby.go
+++ b/lib/lacenode/standby.go
@@ -15,7 +15,11 @@
 func (x *exchange) follow(ctx context.Context) {
 	x.ask(ctx, x.freshness.Ask(x.view(), rand.IntN))
 	answers := x.taken()
+	stranded := x.stranded()
 	for p, h := range answers {
+		if h.large && stranded {
+			h.reached = 0
+		}
 		x.freshness.Hear(p, h.reached)
 	}
 	x.transfer(ctx, answers)
@@ -31,6 +35,11 @@
 	x.note()
 }
 
+// stranded reports whether large news has not arrived for long and none is arriving.
+func (x *exchange) stranded() bool {
+	return x.node.pulse.Now().Sub(x.reached()) > strandedAge && !x.transfers.moving()
+}
+
 // note writes a line when a copy that partners keep current becomes old, and when it is current again.
 func (x *exchange) note() {
 	n := x.node
--- a/lib/lacenode/transfer.go
+++ b/lib/lacenode/transfer.go
@@ -15,6 +15,11 @@
 	transfersMost = 2
 	// transferHedge is how long a transfer may be without its first byte until a second one begins.
 	transferHedge = 500 * time.Millisecond
+	// transferSlow is how long one may move until a second one begins from another instance.
+	transferSlow = 5 * time.Second
+	// strandedAge is the age of this instance's copies from which partners that are current, but whose news does not arrive, count
+	// as lost.
+	strandedAge = 4 * time.Second
 	// transferLog is the time from which a transfer has a line in the log.
 	transferLog = 300 * time.Millisecond
 )
@@ -41,7 +46,7 @@
 		return nil, false
 	}
 	for _, r := range t.running {
-		if r.moves || now.Sub(r.began) < transferHedge {
+		if age := now.Sub(r.began); age < transferHedge || r.moves && age < transferSlow {
 			return nil, false
 		}
 	}
@@ -74,6 +79,18 @@
 	return !t.whole
 }
 
+// moving reports whether a transfer is under way and brings something.
+func (t *transfers) moving() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range t.running {
+		if r.moves {
+			return true
+		}
+	}
+	return false
+}
+
 // active reports whether a transfer is under way.
 func (t *transfers) active() bool {
 	t.mu.Lock()
--- a/lib/lacerelay/relay.go
+++ b/lib/lacerelay/relay.go
@@ -278,7 +278,7 @@
 	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		return fault(lacefault.TooLarge, "body is too large", 0)
+		return j.standing.lacks(fault(lacefault.TooLarge, "body is too large", 0))
 	}
 	return fault(lacefault.BadRequest, "body could not be read: "+err.Error(), 0)
 }
--- a/lib/lacewire/mirror_pack.go
+++ b/lib/lacewire/mirror_pack.go
@@ -11,8 +11,8 @@
 var ErrDelta = errors.New("wire: packed delta can't be read")
 
 const (
-	// packedLeast is the size from which a delta is packed; smaller ones gain nothing.
-	packedLeast = 512
+	// packedLeast is the size from which a delta is packed: packing takes about a millisecond, and a round has room for smaller ones.
+	packedLeast = 4 << 10
 	// packedMost bounds what another instance may make this one unpack. The store's values have at most 1 MB, and a list of
 	// the members or the servers of the largest fleet is smaller than a few of them.
 	packedMost = 8 << 20
--- a/lib/lacewire/packer.go
+++ b/lib/lacewire/packer.go
@@ -13,7 +13,7 @@
 // value is ready.
 type Packer struct {
 	mu    sync.Mutex
-	known map[packedKey][]byte
+	known map[packedKey]func() ([]byte, error)
 	order []packedKey
 }
 
@@ -23,32 +23,27 @@
 }
 
 func (p *Packer) pack(raw []byte, sum lacepack.Sum, base Base) ([]byte, error) {
-	k := packedKey{
+	return p.once(packedKey{
 		sum:  sum,
 		base: lacepack.Checksum(base.Value),
-	}
-	p.mu.Lock()
-	packed, ok := p.known[k]
-	p.mu.Unlock()
-	if ok {
-		return packed, nil
-	}
-	packed, err := lacepack.Pack(raw, base.Value)
-	if err != nil {
-		return nil, err
-	}
+	}, func() ([]byte, error) { return lacepack.Pack(raw, base.Value) })()
+}
+
+// once returns the packing of a message that all who ask for it share.
+func (p *Packer) once(k packedKey, pack func() ([]byte, error)) func() ([]byte, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.known == nil {
-		p.known = map[packedKey][]byte{}
+	if known, ok := p.known[k]; ok {
+		return known
 	}
-	if _, ok := p.known[k]; !ok {
-		p.known[k] = packed
-		p.order = append(p.order, k)
+	if p.known == nil {
+		p.known = map[packedKey]func() ([]byte, error){}
 	}
-	for len(p.order) > packedKept {
+	p.known[k] = sync.OnceValues(pack)
+	p.order = append(p.order, k)
+	if len(p.order) > packedKept {
 		delete(p.known, p.order[0])
 		p.order = p.order[1:]
 	}
-	return packed, nil
+	return p.known[k]
 }
