lacedirectory: one wide link does not make one source

Found by the review: with one link of 1,000 Mbit/s among links of 100 a single instance watched the store, at any size of the fleet. Change: where the wide ones are fewer than four, those with the widest links follow. TestWhoWatchesTheStoreHasRoom, 'one wide link'.

--- a/lib/lacedirectory/source.go
+++ b/lib/lacedirectory/source.go
@@ -1,6 +1,11 @@
 package lacedirectory
 
-import "lacewingcove/lib/laceunit"
+import (
+	"cmp"
+	"slices"
+
+	"lacewingcove/lib/laceunit"
+)
 
 const (
 	// wideFactor is how many times narrower than the widest link one may be for its instance to watch the store.
@@ -18,8 +23,8 @@
 type Megabits float64
 
 // sourceSet chooses the members that watch the store; the others hear of changes from them. Whole documents pass only the links of
-// these, so that they are chosen by the room on their links: of the active ones those with a wide link, and others with one where
-// these are too few. Like activeSet it depends on nothing but the members.
+// these, so that they are chosen by the room on their links: of the active ones those with a wide link, and those with the widest
+// where these are too few. Like activeSet it depends on nothing but the members.
 func sourceSet(members []Member, active map[laceunit.InstanceID]bool) map[laceunit.InstanceID]bool {
 	var widest Megabits
 	for _, m := range members {
@@ -39,8 +44,9 @@
 			add(m)
 		}
 	}
+	slices.SortStableFunc(order, func(a, b Member) int { return cmp.Compare(b.Link, a.Link) })
 	for _, m := range order {
-		if len(sources) < leastSources && wide(m) && !sources[m.Holder.Instance] {
+		if len(sources) < leastSources && !sources[m.Holder.Instance] {
 			add(m)
 		}
 	}
--- a/lib/lacedirectory/source_test.go
+++ b/lib/lacedirectory/source_test.go
@@ -33,6 +33,10 @@
 			members: append(linked(fleet("wide", 8, 4, 0.8, 0.7), 200), linked(fleet("narrow", 78, 4, 0.192, 0), 10)...),
 			least:   8, most: 8, wideOnly: true,
 		},
+		"one wide link": {
+			members: append(linked(fleet("wide", 1, 1, 0.4, 0.1), 1000), linked(fleet("narrow", 60, 4, 0.4, 0.1), 100)...),
+			least:   leastSources, most: leastSources,
+		},
 		"strong and narrow": {
 			members: append(linked(fleet("narrow", 8, 4, 0.8, 0.1), 10), linked(fleet("wide", 78, 4, 0.192, 0), 200)...),
 			least:   leastSources, most: leastSources, wideOnly: true,
