lacequota: a draw has time by the size of its pages

A draw sends up to 16 whole pages, 42 KB with 13 holders and 137 KB with 43, and had 0.8 s; at 30 KB/s it never ends, and a cut one may have been carried out. It now has 0.8 s and what its size takes at 30 KB/s. Open: pages could be sent as changes; an instance that stands by holds nothing, so that 43 holders have not been seen.

--- a/lib/lacequota/service.go
+++ b/lib/lacequota/service.go
@@ -25,8 +25,11 @@
 	mostInterval   = 2500 * time.Millisecond
 	// drawPause bounds urgent draws. Requests wait for one, so that it is below what they wait.
 	drawPause = 200 * time.Millisecond
-	// callTimeout bounds one call to the store, which answers in milliseconds when it is well.
+	// callTimeout bounds one call to the store, which answers in milliseconds when it is well. The pages that it sends, and gets
+	// back when others were first, have further time by their size: linkRate is what a connection among many gets of a link of
+	// 10 Mbit/s, in bytes a second.
 	callTimeout = 800 * time.Millisecond
+	linkRate    = 30 << 10
 	// conflictTries is how often a change is planned again after another instance's write.
 	conflictTries = 6
 	// drawAccounts is how many accounts one call changes; the store takes 32 entries, of which an account needs two.
@@ -297,7 +300,7 @@
 		if err != nil {
 			return err
 		}
-		call, cancel := context.WithTimeout(ctx, callTimeout)
+		call, cancel := context.WithTimeout(ctx, callTime(swaps))
 		revision, err := s.options.Store.SwapAll(call, swaps)
 		cancel()
 		if err == nil {
@@ -317,6 +320,15 @@
 	return errors.New("quota: pages changed too often")
 }
 
+// callTime is how long a call may take that sends some pages.
+func callTime(swaps []laceplatform.Swap) time.Duration {
+	size := 0
+	for _, x := range swaps {
+		size += len(x.Value)
+	}
+	return callTimeout + time.Duration(size)*time.Second/linkRate
+}
+
 // learn takes in how the pages of some accounts stand. A page that can't be read is never written over.
 func (s *Service) learn(conflict *laceplatform.Conflict, accounts []laceunit.AccountID) error {
 	s.mu.Lock()
