lacereplica: one whole configuration at a time, packed, for as long as it moves

What callers saw: an instance that starts behind a link of 30 kB/s never takes work, and instances that share its link get changes after a minute and refuse work as stale meanwhile.

Cause: an answer of another instance was given 1 s, whatever its size. A whole configuration of 6,800 accounts is 1.6 MB. What had come of it was thrown away, and the next member was asked for the same bytes a second later, several of them in a tick, and the platform too.

Ruled out: only a longer time, because the parallel answers share the link and each takes as many times longer; entry deltas alone, because a replica without a document or inside a gap needs every entry. They stay as they are.

Change: - answers travel packed (lacepack.Transport) and end by 3 s of silence (laceconn.Patient), 2 minutes at most; - a replica asks one member at a time for a delta. Other questions are brief: they leave out who asks, and the answer has the status only, which is what confirmations need. Reads of the platform leave out the bodies while a delta arrives or a member may still bring it; - an instance sends at most two answers of 64 KB or more at once, so that small messages wait for two windows of its link at most; - a notice of more than 16 KB goes without its delta: it is a request, which can't take as long as it moves; the receiver asks.

Conclusion: a change that grows no longer keeps an instance out. Open: a watcher that reads a changed part of the platform (up to 87 KB, a third more in base64) takes up to 3.9 s at 30 kB/s, and a large change comes before the small ones that follow it.

--- a/lib/laceconfig/replica.go
+++ b/lib/laceconfig/replica.go
@@ -51,10 +51,15 @@
 // Ask sends the replica's status to a member and feeds the answer back.
 type Ask struct {
 	To laceunit.Holder
+	// Brief questions leave out who asks; their answers have no delta.
+	Brief bool
 }
 
-// Read reads the head, and the bodies when its version is new, and feeds the result back.
-type Read struct{}
+// Read reads the head and feeds the result back.
+type Read struct {
+	// Brief reads leave out the bodies of a version that is new.
+	Brief bool
+}
 
 // Push sends a notice to members.
 type Push struct {
@@ -105,7 +110,12 @@
 	lost      bool
 	reading   bool
 	asking    map[laceunit.Holder]bool
-	heard     map[laceunit.Holder]heard
+	// fetching is the member that is asked for a delta. There is one at a time, since each would send the same changes and
+	// all of them share the link.
+	fetching laceunit.Holder
+	// unhelped is true when the last member that was asked for a delta had none or didn't answer.
+	unhelped bool
+	heard    map[laceunit.Holder]heard
 }
 
 // NewReplica returns a replica without a document; random decides only which peers are asked.
@@ -156,8 +166,10 @@
 	// Random exchanges alone take about as many seconds as the logarithm of the region's size, so a watcher is
 	// asked at half of Rule.Fresh, and the platform and everyone else before the confirmation gets too old.
 	nearStale := r.older(now, r.rule.Fresh*7/10)
-	if view.Watcher || nearStale {
-		effects = r.read(effects)
+	// A delta that takes longer than a period is a large one; the bodies on the platform are larger.
+	slow := !r.fetching.IsZero()
+	if view.Watcher {
+		effects = r.read(effects, slow)
 	}
 	effects = r.ask(effects, r.pick(func(m Member) bool { return m.Region == view.Region || r.random.IntN(8) == 0 }))
 	if !view.Watcher && r.older(now, r.rule.Fresh/2) {
@@ -166,6 +178,10 @@
 	if nearStale {
 		effects = r.askMembers(effects, now)
 	}
+	if nearStale && !view.Watcher {
+		// A member is asked first, and the platform for the bodies when that brings nothing.
+		effects = r.read(effects, slow || !r.fetching.IsZero() && !r.unhelped)
+	}
 	return effects
 }
 
@@ -185,12 +201,12 @@
 	return effects
 }
 
-func (r *Replica) read(effects []Effect) []Effect {
+func (r *Replica) read(effects []Effect, brief bool) []Effect {
 	if r.reading {
 		return effects
 	}
 	r.reading = true
-	return append(effects, Read{})
+	return append(effects, Read{Brief: brief})
 }
 
 func (r *Replica) ask(effects []Effect, to laceunit.Holder) []Effect {
@@ -198,7 +214,14 @@
 		return effects
 	}
 	r.asking[to] = true
-	return append(effects, Ask{To: to})
+	brief := !r.fetching.IsZero()
+	if !brief {
+		r.fetching = to
+	}
+	return append(effects, Ask{
+		To:    to,
+		Brief: brief,
+	})
 }
 
 func (r *Replica) pick(ok func(Member) bool) laceunit.Holder {
@@ -216,7 +239,7 @@
 	return chosen
 }
 
-// Learned takes the result of a Read whose head was asked for at a time.
+// Learned takes the result of a Read whose head was asked for at a time; the content is nil after a brief one.
 func (r *Replica) Learned(asked time.Duration, version laceunit.Version, content Content) []Effect {
 	r.reading, r.lost = false, false
 	if version < r.entries.version {
@@ -224,6 +247,9 @@
 	}
 	var effects []Effect
 	if version > r.entries.version {
+		if content == nil {
+			return nil
+		}
 		before := r.entries.version
 		if err := r.entries.replace(version, content); err != nil {
 			return []Effect{Reject{From: r.rule.Self, Err: err}}
@@ -269,15 +295,35 @@
 func (r *Replica) Unread() { r.reading, r.lost = false, true }
 
 // Unheard reports that an Ask failed.
-func (r *Replica) Unheard(from laceunit.Holder) { delete(r.asking, from) }
+func (r *Replica) Unheard(from laceunit.Holder) {
+	if r.answered(from) {
+		r.unhelped = true
+	}
+}
+
+// answered notes the end of a question and reports whether it was one for a delta.
+func (r *Replica) answered(from laceunit.Holder) bool {
+	delete(r.asking, from)
+	if from.IsZero() || from != r.fetching {
+		return false
+	}
+	r.fetching = laceunit.Holder{}
+	return true
+}
 
 // Answer takes the answer to a question that was sent at a time.
 func (r *Replica) Answer(asked time.Duration, from laceunit.Holder, m Message) []Effect {
-	delete(r.asking, from)
+	whole := r.answered(from)
+	r.unhelped = r.unhelped || whole
 	if m.Status.From != from {
 		return nil // another incarnation listens at that address now
 	}
 	effects := r.take(m)
+	if whole {
+		r.unhelped = len(effects) == 0
+	} else if m.Status.Version > r.entries.version && r.fetching.IsZero() {
+		effects = r.ask(effects, from)
+	}
 	r.heard[from] = heard{
 		asked:  asked,
 		status: m.Status,
@@ -298,8 +344,11 @@
 	return effects
 }
 
-// Question answers a member's question.
+// Question answers a member's question; one without a sender is brief.
 func (r *Replica) Question(now time.Duration, q Status) (Message, []Effect) {
+	if q.From.IsZero() {
+		return Message{Status: r.Status(now)}, nil
+	}
 	var effects []Effect
 	if q.Version > r.entries.version {
 		effects = r.ask(effects, q.From)
--- a/lib/laceconfig/replica_test.go
+++ b/lib/laceconfig/replica_test.go
@@ -91,10 +91,16 @@
 				}
 				v := laceunit.Version(len(w.history) - 1)
 				content := w.history[v]
+				if e.Brief {
+					content = nil
+				}
 				w.send(packet{drop: r.Unread, deliver: func() { w.run(i, r.Learned(asked, v, content)) }})
 			}})
 		case Ask:
 			j, q := w.index(e.To), r.Status(w.now)
+			if e.Brief {
+				q.From = laceunit.Holder{}
+			}
 			fail := func() { r.Unheard(e.To) }
 			w.send(packet{drop: fail, deliver: func() {
 				m, more := w.fleet[j].Question(w.now, q)
--- a/lib/lacereplica/capacity_test.go
+++ b/lib/lacereplica/capacity_test.go
@@ -128,10 +128,13 @@
 		case laceconfig.Read:
 			s.after(2*time.Millisecond, func() {
 				version, content := s.version, s.content
+				if e.Brief {
+					content = nil
+				}
 				s.after(2*time.Millisecond, func() { s.run(i, r.Learned(asked, version, content)) })
 			})
 		case laceconfig.Ask:
-			s.ask(i, asked, e.To)
+			s.ask(i, asked, e)
 		case laceconfig.Push:
 			for _, h := range e.To {
 				j := s.index(h)
@@ -146,8 +149,12 @@
 	}
 }
 
-func (s *spread) ask(i int, asked time.Duration, to laceunit.Holder) {
+func (s *spread) ask(i int, asked time.Duration, a laceconfig.Ask) {
+	to := a.To
 	j, q := s.index(to), s.nodes[i].Status(s.now)
+	if a.Brief {
+		q.From = laceunit.Holder{}
+	}
 	s.charge(i, j, callBytes+proto.Size(lacewire.FromStatus(q)))
 	s.after(s.delay(i, j), func() {
 		m, more := s.nodes[j].Question(s.now, q)
--- a/lib/lacereplica/effect.go
+++ b/lib/lacereplica/effect.go
@@ -5,6 +5,8 @@
 	"strings"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"lacewingcove/lib/laceconfig"
 	"lacewingcove/lib/laceunit"
 	"lacewingcove/lib/lacewire"
@@ -26,12 +28,18 @@
 		case laceconfig.Reject:
 			s.reject(e.From, e.Err)
 		case laceconfig.Read:
-			s.spawn(loadTimeout, s.read, s.replica.Unread)
+			s.spawn(transferTimeout, func(ctx context.Context) { s.read(ctx, e.Brief) }, s.replica.Unread)
 		case laceconfig.Ask:
-			p, status := s.peers[e.To], s.replica.Status(s.now())
-			s.spawn(callTimeout, func(ctx context.Context) { s.ask(ctx, e.To, p, status) }, func() { s.replica.Unheard(e.To) })
+			p, status, timeout := s.peers[e.To], s.replica.Status(s.now()), transferTimeout
+			if e.Brief {
+				status.From, timeout = laceunit.Holder{}, callTimeout
+			}
+			s.spawn(timeout, func(ctx context.Context) { s.ask(ctx, e.To, p, status) }, func() { s.replica.Unheard(e.To) })
 		case laceconfig.Push:
 			m := lacewire.FromMessage(e.Message)
+			if proto.Size(m) > noticeBytes {
+				m.Delta = nil
+			}
 			for _, to := range e.To {
 				p := s.peers[to]
 				s.spawn(callTimeout, func(ctx context.Context) { s.notify(ctx, p, m) }, func() {})
@@ -62,22 +70,22 @@
 func (s *Service) sweep(rank int) {
 	sweeper, ok := s.source.(Sweeper)
 	if ok && s.ticks%sweepTicks == 0 && rank == 0 {
-		s.spawn(loadTimeout, func(ctx context.Context) { _, _ = sweeper.Sweep(ctx) }, func() {})
+		s.spawn(transferTimeout, func(ctx context.Context) { _, _ = sweeper.Sweep(ctx) }, func() {})
 	}
 	s.ticks++
 }
 
-func (s *Service) read(ctx context.Context) {
+func (s *Service) read(ctx context.Context, short bool) {
 	asked := s.now()
-	brief, cancel := context.WithTimeout(ctx, callTimeout)
+	brief, cancel := context.WithTimeout(ctx, headTimeout)
 	defer cancel()
 	head, err := s.source.Head(brief)
 	var snap laceconfig.Snapshot
-	if err == nil && head.Version > s.Document().Version {
+	if err == nil && !short && head.Version > s.Document().Version {
 		snap, err = s.source.Load(ctx, head)
 	}
 	s.do(func() []laceconfig.Effect {
-		if err != nil || (snap.Content == nil && head.Version > s.replica.Version()) {
+		if err != nil || (snap.Content == nil && !short && head.Version > s.replica.Version()) {
 			s.replica.Unread()
 			return nil
 		}
--- a/lib/lacereplica/service.go
+++ b/lib/lacereplica/service.go
@@ -12,6 +12,8 @@
 	"github.com/thejerf/suture/v4"
 
 	"lacewingcove/lib/laceconfig"
+	"lacewingcove/lib/laceconn"
+	"lacewingcove/lib/lacepack"
 	"lacewingcove/lib/laceunit"
 	"lacewingcove/lib/lacewire"
 )
@@ -19,11 +21,26 @@
 // Watchers is how many instances of a region follow the platform: the lowest-ranked live ones.
 const Watchers = 2
 
-// callTimeout bounds one call to a peer or the platform, so that the answer counts before config.fresh is over.
-const callTimeout = time.Second
-
-// loadTimeout bounds the read of a new version's bodies.
-const loadTimeout = 10 * time.Second
+const (
+	// headTimeout bounds the read of the head, which does not grow: four of them fit into config.fresh, so that a lost answer
+	// does not make an instance stale.
+	headTimeout = time.Second
+	// callTimeout bounds one small call to a peer, so that the answer counts before config.fresh is over. A
+	// link of 30 kB/s that carries two large transfers delays a packet by 2.2 s.
+	callTimeout = 3 * time.Second
+	// silence is how long a peer may send nothing of an answer.
+	silence = callTimeout
+	// transferTimeout bounds an answer that grows with the configuration: the design scale's takes 17 s at 30 kB/s. One that
+	// moves is not given up before, since whoever asks again needs the same bytes.
+	transferTimeout = 2 * time.Minute
+	// noticeBytes bounds a notice, which takes half a second at 30 kB/s. The receiver asks for a larger change, because an
+	// answer may take as long as it moves and a request may not.
+	noticeBytes = 16 << 10
+	// transferBytes is the size from which an answer counts as a large transfer, and transfers how many of them an instance
+	// sends at once: each delays the small messages on its link by a window of about 32 KB.
+	transferBytes = 64 << 10
+	transfers     = 2
+)
 
 // parallel bounds the calls in progress.
 const parallel = 256
@@ -95,6 +112,7 @@
 	ticks    int
 	document atomic.Pointer[laceconfig.Document]
 	slots    chan struct{}
+	sending  chan struct{}
 	ctx      context.Context
 	cancel   context.CancelFunc
 	calls    sync.WaitGroup
@@ -106,7 +124,7 @@
 	s := &Service{
 		source:  source,
 		fleet:   fleet,
-		client:  client,
+		client:  patient(client),
 		install: func(laceconfig.Document) {},
 		reject:  func(laceunit.Holder, error) {},
 		scheme:  "http",
@@ -114,6 +132,7 @@
 		replica: laceconfig.NewReplica(rule, rand.New(rand.NewPCG(uint64(rule.Self.Incarnation), uint64(time.Now().UnixNano())))),
 		peers:   map[laceunit.Holder]Peer{},
 		slots:   make(chan struct{}, parallel),
+		sending: make(chan struct{}, transfers),
 		ctx:     ctx,
 		cancel:  cancel,
 	}
@@ -125,6 +144,17 @@
 	return s
 }
 
+// patient returns a client that takes packed answers, for as long as they move.
+func patient(client *http.Client) *http.Client {
+	p := *client
+	p.Transport = &lacepack.Transport{Base: &laceconn.Patient{
+		Base:    client.Transport,
+		First:   silence,
+		Between: silence,
+	}}
+	return &p
+}
+
 // Document returns the document in force; its version is 0 before the first one.
 func (s *Service) Document() laceconfig.Document { return *s.document.Load() }
 
@@ -194,14 +224,16 @@
 }
 
 // Exchange implements lacewire.Config.
-func (s *Service) Exchange(_ context.Context, q *lacewire.ConfigStatus) (*lacewire.ConfigMessage, error) {
+func (s *Service) Exchange(ctx context.Context, q *lacewire.ConfigStatus) (*lacewire.ConfigMessage, error) {
 	var m laceconfig.Message
 	s.do(func() []laceconfig.Effect {
 		var effects []laceconfig.Effect
 		m, effects = s.replica.Question(s.now(), lacewire.ToStatus(q))
 		return effects
 	})
-	return lacewire.FromMessage(m), nil
+	answer := lacewire.FromMessage(m)
+	s.admit(ctx, answer)
+	return answer, nil
 }
 
 // Notify implements lacewire.Config.
@@ -213,7 +245,7 @@
 // Handler returns the HTTP handler for peers, and the path that it serves.
 func (s *Service) Handler() (path string, handler http.Handler) {
 	h := lacewire.NewConfigServer(s)
-	return h.PathPrefix(), h
+	return h.PathPrefix(), s.bounded(lacepack.Handler(h))
 }
 
 func (s *Service) view() laceconfig.View {
