laceplatform: a read ends by silence, a write has the time that its size takes

Cause: one call had 2 s over all endpoints, whatever the size of its answer or of its value. At 30 kB/s that is 60 kB; a value of 290 KB is 386 kB of base64.

Ruled out: a longer timeout, because it is also how long a silent endpoint is waited for before the next one is asked; compression, because the platform's protocol is not ours. Progress of an upload can't be seen, since the system takes a value into its buffers at once, so that a write is given time by its size: the timeout and one second for each 30 kB.

Change: platform.timeout bounds the silence of reads (laceconn.Patient), shared by the endpoints as before. The caller's context bounds the whole, and 2 minutes do where it has none. A watch ends when no byte comes for a time, not when no message does.

--- a/lib/laceplatform/client.go
+++ b/lib/laceplatform/client.go
@@ -10,12 +10,13 @@
 
 	"github.com/pkg/errors"
 
+	"lacewingcove/lib/laceconn"
 	"lacewingcove/lib/laceunit"
 )
 
 // Defaults of the client.
 const (
-	// DefaultTimeout bounds a call over all endpoints; the platform answers in milliseconds when it is well.
+	// DefaultTimeout bounds the silence of a call over all endpoints; the platform answers in milliseconds when it is well.
 	DefaultTimeout = 2 * time.Second
 	// DefaultIdle is how long a watch may stay silent before it is opened again. A connection that was cut without
 	// notice looks like a quiet one, and each reopening costs a call.
@@ -24,6 +25,13 @@
 	DefaultPause = 50 * time.Millisecond
 )
 
+const (
+	// mostCall bounds an answer that moves; it leaves a link of 30 kB/s time for 3.6 MB.
+	mostCall = 2 * time.Minute
+	// narrowRate is the slowest link, in bytes a second, on which the largest value still gets through.
+	narrowRate = 30_000
+)
+
 // ErrEndpoints means that a client was given no endpoint.
 var ErrEndpoints = errors.New("platform: no endpoints")
 
@@ -39,7 +47,6 @@
 	observer  Observer
 	tls       DialTLS
 	transport *http.Transport
-	http      *http.Client
 	// preferred is the index of the endpoint that answered last.
 	preferred atomic.Int64
 }
@@ -47,7 +54,8 @@
 // Option changes a client at construction.
 type Option func(*Client)
 
-// WithTimeout sets the deadline of each call.
+// WithTimeout sets how long a call may go without a byte of an answer. A write has as much time as its size takes on a narrow
+// link beside that.
 func WithTimeout(timeout time.Duration) Option {
 	return func(c *Client) { c.timeout = timeout }
 }
@@ -114,12 +122,20 @@
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
 	}
-	c.http = &http.Client{
-		Transport: c.transport,
+	return c, nil
+}
+
+// patient returns an HTTP client for one attempt whose answer may take as long as it moves; zero stands for no bound.
+func (c *Client) patient(first, between time.Duration) *http.Client {
+	return &http.Client{
+		Transport: &laceconn.Patient{
+			Base:    c.transport,
+			First:   first,
+			Between: between,
+		},
 		// A redirected write may be carried out twice.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
-	return c, nil
 }
 
 // within bounds the time of a connection; nil leaves https to the transport.
--- a/lib/laceplatform/exchange.go
+++ b/lib/laceplatform/exchange.go
@@ -37,11 +37,25 @@
 	effect effect
 	path   string
 	body   any
+	text   []byte
+}
+
+// bound returns how long a call may take as a whole: a read may take as long as its answer moves, and what else there is has
+// short answers.
+func (c *Client) bound(r request) time.Duration {
+	if r.effect == reads {
+		return mostCall
+	}
+	return c.timeout + time.Duration(len(r.text))*time.Second/narrowRate
 }
 
 // call sends a request, to one endpoint after the other while that is safe, and decodes the answer.
 func (c *Client) call(ctx context.Context, r request, answer any) error {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	var err error
+	if r.text, err = json.Marshal(r.body); err != nil {
+		return errors.WithMessage(ErrUnavailable, err.Error())
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.bound(r))
 	defer cancel()
 	first := int(c.preferred.Load())
 	last := ErrUnavailable
@@ -81,14 +95,23 @@
 	return err == nil || errors.Is(err, errBusy) || !errors.Is(err, ErrUnavailable) && !errors.Is(err, ErrUnknown)
 }
 
-// attempt sends a request to one endpoint. A request that may be repeated gets its share of the time that is left.
-func (c *Client) attempt(ctx context.Context, endpoint string, r request, answer any, shares int) error {
-	if deadline, ok := ctx.Deadline(); ok && r.effect != once {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, time.Until(deadline)/time.Duration(shares))
-		defer cancel()
+// client returns the HTTP client of an attempt. One that may be repeated leaves a share of the time in which an answer has to
+// begin to the other endpoints.
+func (c *Client) client(ctx context.Context, r request, shares int) *http.Client {
+	if r.effect == once {
+		return c.patient(0, 0) // The bound of the call holds.
+	}
+	first := c.timeout / time.Duration(len(c.endpoints))
+	if deadline, ok := ctx.Deadline(); ok {
+		first = min(first, time.Until(deadline)/time.Duration(shares))
 	}
-	response, err := c.send(ctx, endpoint, r)
+	// Zero would stand for no bound.
+	return c.patient(max(first, 1), c.timeout)
+}
+
+// attempt sends a request to one endpoint.
+func (c *Client) attempt(ctx context.Context, endpoint string, r request, answer any, shares int) error {
+	response, err := c.send(ctx, c.client(ctx, r, shares), endpoint, r)
 	if err != nil {
 		return err
 	}
@@ -108,16 +131,12 @@
 
 // send posts a request and returns the response. The failure is ErrUnavailable only if no connection was there to
 // send on; once there was one, the request may have arrived.
-func (c *Client) send(ctx context.Context, endpoint string, r request) (*http.Response, error) {
-	body, err := json.Marshal(r.body)
-	if err != nil {
-		return nil, errors.WithMessage(ErrUnavailable, err.Error())
-	}
+func (c *Client) send(ctx context.Context, client *http.Client, endpoint string, r request) (*http.Response, error) {
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	})
-	post, err := http.NewRequestWithContext(ctx, http.MethodPost, endpoint+r.path, bytes.NewReader(body))
+	post, err := http.NewRequestWithContext(ctx, http.MethodPost, endpoint+r.path, bytes.NewReader(r.text))
 	if err != nil {
 		return nil, errors.WithMessage(ErrUnavailable, err.Error())
 	}
@@ -125,7 +144,7 @@
 	if c.name != "" {
 		post.Header.Set(ClientHeader, c.name)
 	}
-	response, err := c.http.Do(post)
+	response, err := client.Do(post)
 	switch {
 	case err == nil:
 		return response, nil
--- a/lib/laceplatform/watch.go
+++ b/lib/laceplatform/watch.go
@@ -126,23 +126,28 @@
 		cancel: cancel,
 		timer:  time.AfterFunc(c.timeout, cancel),
 	}
-	response, err := c.send(inner, endpoint, request{ //nolint:bodyclose // stream.close closes the body.
-		path: PathWatch,
-		body: WatchRequest{
-			Create: WatchCreate{
-				Key:      rangeStart(w.prefix),
-				End:      RangeEnd([]byte(w.prefix)),
-				Start:    int64(w.after) + 1,
-				Progress: true,
-			},
+	text, err := json.Marshal(WatchRequest{
+		Create: WatchCreate{
+			Key:      rangeStart(w.prefix),
+			End:      RangeEnd([]byte(w.prefix)),
+			Start:    int64(w.after) + 1,
+			Progress: true,
 		},
 	})
+	if err != nil {
+		s.close()
+		return nil, errors.WithMessage(ErrUnavailable, err.Error())
+	}
+	response, err := c.send(inner, c.patient(0, 0), endpoint, request{ //nolint:bodyclose // stream.close closes the body.
+		path: PathWatch,
+		text: text,
+	})
 	if err != nil {
 		s.close()
 		return nil, err
 	}
 	s.response = response
-	s.decoder = json.NewDecoder(response.Body)
+	s.decoder = json.NewDecoder(s)
 	if response.StatusCode != http.StatusOK {
 		s.close()
 		return nil, errors.WithMessage(ErrUnavailable, response.Status)
@@ -159,17 +164,28 @@
 	response *http.Response
 	decoder  *json.Decoder
 	cancel   context.CancelFunc
-	// timer ends the connection when it stays silent.
-	timer *time.Timer
+	// timer ends the connection when it stays silent for a time.
+	timer  *time.Timer
+	within time.Duration
 	// compacted is set when the platform ended the watch for good.
 	compacted bool
 }
 
-// read returns the next message, or fails when none comes within a time.
+// Read implements io.Reader for the decoder; a message may take as long as it moves.
+func (s *stream) Read(p []byte) (int, error) {
+	n, err := s.response.Body.Read(p)
+	if n > 0 {
+		s.timer.Reset(s.within)
+	}
+	return n, err
+}
+
+// read returns the next message, or fails when nothing comes within a time.
 func (s *stream) read(within time.Duration) (WatchResponse, error) {
 	if s.compacted {
 		return WatchResponse{}, ErrCompacted
 	}
+	s.within = within
 	s.timer.Reset(within)
 	defer s.timer.Stop() // A reader that is slow to take the changes is not a silent connection.
 	var m WatchResult
