lacefleet: the record and the list of alive keys have more time than a small call

What callers saw: with 340 members an instance behind a link of 30 kB/s never joins, and one that has joined never learns who is alive.

Cause: one read of the record (26,898 bytes, 36 kB of base64) or one list of 340 alive keys (about 35 kB) had 1 s, the bound that tells a lost platform by its renewals. At 30 kB/s each takes 1.1 to 1.2 s, and the next try begins anew.

Ruled out: a longer Settings.Call, because renewals and their loss are measured with it; a list by watch alone, because a watch starts from a list.

Leases, renewals and single keys keep Settings.Call.

Open: each join or leave sends the whole record to each member (27 KB).

--- a/lib/lacefleet/fleet.go
+++ b/lib/lacefleet/fleet.go
@@ -92,8 +92,11 @@
 	// TTL and Renew are the time to live of the alive key (10 s) and the interval of its renewal (3 s).
 	TTL   time.Duration
 	Renew time.Duration
-	// Call is the deadline of one platform call, 1 s by default; a slower platform counts as failing.
+	// Call is the deadline of one small platform call, 1 s by default; a slower platform counts as failing.
 	Call time.Duration
+	// Transfer is the deadline of a read or write of the record and of a list of the alive keys, TTL by default: these grow with
+	// the fleet, and after TTL the others have removed this instance. With 340 members each takes over a second at 30 kB/s.
+	Transfer time.Duration
 	// Lost is how long calls must have failed before the platform counts as lost, 1 s by default.
 	Lost time.Duration
 	// Probe is the interval between probes of other members, 1 s by default.
@@ -111,6 +114,7 @@
 	set(&s.TTL, 10*time.Second)
 	set(&s.Renew, 3*time.Second)
 	set(&s.Call, time.Second)
+	set(&s.Transfer, s.TTL)
 	set(&s.Lost, time.Second)
 	set(&s.Probe, time.Second)
 	set(&s.Keep, 30*time.Second)
--- a/lib/lacefleet/follow.go
+++ b/lib/lacefleet/follow.go
@@ -41,7 +41,7 @@
 // followAlive keeps the view of the alive keys current.
 func (s *Service) followAlive(ctx context.Context) {
 	s.repeat(ctx, func() error {
-		call, cancel := context.WithTimeout(ctx, s.settings.Call)
+		call, cancel := context.WithTimeout(ctx, s.settings.Transfer)
 		defer cancel()
 		list, revision, err := s.store.List(call, alivePrefix)
 		if err != nil {
--- a/lib/lacefleet/record.go
+++ b/lib/lacefleet/record.go
@@ -30,7 +30,7 @@
 
 // read returns the agreed record, which is zero before the first join.
 func (s *Service) read(ctx context.Context) (lacemember.Record, laceplatform.Revision, error) {
-	call, cancel := context.WithTimeout(ctx, s.settings.Call)
+	call, cancel := context.WithTimeout(ctx, s.settings.Transfer)
 	defer cancel()
 	e, err := s.store.Get(call, membersKey)
 	if errors.Is(err, laceplatform.ErrMissing) {
@@ -87,7 +87,7 @@
 	if err != nil {
 		return errors.Wrap(err, "fleet: encode members")
 	}
-	call, cancel := context.WithTimeout(ctx, s.settings.Call)
+	call, cancel := context.WithTimeout(ctx, s.settings.Transfer)
 	defer cancel()
 	_, err = s.store.Swap(call, laceplatform.Swap{
 		Key:    membersKey,
