--- a/lib/lacewriter/combiner.go
+++ b/lib/lacewriter/combiner.go
@@ -31,6 +31,9 @@
 	// arrivalDecay is the time constant of the rate of arrivals: long against the gaps at the rates that matter, short
 	// enough to notice a burst.
 	arrivalDecay = 50 * time.Millisecond
+	// transferTimeout bounds the first load of a shard and one snapshot of it, which grow with its budgets and requests: a ring of
+	// 1 MB takes 45 s at 30 kB/s. What a load has read is of use only to itself, so that it is not given up while it moves.
+	transferTimeout = 2 * time.Minute
 )
 
 // Combiner commits the records of one shard in batches, with at most one append in flight.
@@ -272,6 +275,11 @@
 
 // commit appends a batch, in several entries if it is too large for one, and answers its items.
 func (c *Combiner) commit(ctx context.Context, batch []*item) {
+	loaded, err := c.load(ctx)
+	if err != nil {
+		c.answer(batch, nil, err)
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	var records []laceledger.Record
@@ -284,10 +292,12 @@
 		records, items = append(records, it.record), append(items, it)
 	}
 	if len(items) == 0 {
-		c.answer(barriers, nil, c.log.Refresh(ctx))
+		if !loaded {
+			err = c.log.Refresh(ctx)
+		}
+		c.answer(barriers, nil, err)
 		return
 	}
-	var err error
 	for len(items) > 0 {
 		c.spend(time.Now())
 		var verdicts []laceledger.Verdict
@@ -308,6 +318,13 @@
 	}
 }
 
+// load reads the log before the first commit; it reports whether it has done so now.
+func (c *Combiner) load(ctx context.Context) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
+	defer cancel()
+	return c.log.Load(ctx)
+}
+
 func (c *Combiner) answer(items []*item, verdicts []laceledger.Verdict, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -334,7 +351,7 @@
 			continue
 		}
 		// A failure is tried again after the next append.
-		one, cancel := context.WithTimeout(ctx, c.timeout)
+		one, cancel := context.WithTimeout(ctx, transferTimeout)
 		_ = c.log.Snapshot(one)
 		cancel()
 	}
--- a/lib/lacewriter/log.go
+++ b/lib/lacewriter/log.go
@@ -125,6 +125,15 @@
 	return err
 }
 
+// Load loads the log if that has not been done; it reports whether it has done so now.
+func (l *Log) Load(ctx context.Context) (bool, error) {
+	if err := acquire(ctx, l.appendLock); err != nil {
+		return false, err
+	}
+	defer func() { <-l.appendLock }()
+	return l.ensure(ctx)
+}
+
 // ensure loads the log if that has not been done; it reports whether it has done so now.
 func (l *Log) ensure(ctx context.Context) (bool, error) {
 	l.mu.Lock()
