lacepeer: answers travel packed and end by silence, a large request has the time that its size takes

What callers saw: after an outage, joiners behind a link of 30 kB/s stay without the right to run non-idempotent requests, and journals that other instances are to submit stay where they are.

Cause: a call had 2 s, whatever its size. An acknowledgement carries the record of each home that a member is bound to: 8,420,425 bytes with 340 members, 281 s at 30 kB/s.

Change: the client takes packed answers (lacepack.Transport), for as long as they move (laceconn.Patient, 2 s of silence as before), 30 s at most; a request may take one second for each 30 kB beside that.

Open: the ids of started requests in a promise can't be packed (8,016 bytes for 1,000).

--- a/lib/lacepeer/client.go
+++ b/lib/lacepeer/client.go
@@ -18,8 +18,11 @@
 )
 
 const (
-	// defaultDeadline bounds calls whose context has no earlier deadline.
+	// defaultDeadline bounds the silence of a peer.
 	defaultDeadline = 2 * time.Second
+	// transferDeadline bounds calls whose context has no earlier deadline. Their answers grow with the fleet: the bindings of 340
+	// members are 8.4 MB, packed 10 KB.
+	transferDeadline = 30 * time.Second
 	// defaultCalls bounds the calls under way to one peer, so that a silent one can't hold all memory.
 	defaultCalls = 256
 	// maxPeers bounds the remembered addresses; the design scale has 340.
@@ -35,7 +38,7 @@
 // WithScheme sets the scheme of addresses that have none; http by default.
 func WithScheme(scheme string) Option { return func(c *Client) { c.scheme = scheme } }
 
-// WithDeadline sets the bound of one call.
+// WithDeadline sets how long a peer may be silent; a large request has the time that its size takes beside that.
 func WithDeadline(deadline time.Duration) Option { return func(c *Client) { c.deadline = deadline } }
 
 // WithCalls sets how many calls to one peer may be under way.
@@ -76,6 +79,7 @@
 	for _, o := range options {
 		o(c)
 	}
+	c.http = patient(c.http, c.deadline)
 	return c
 }
 
@@ -215,7 +219,7 @@
 	return transfer, nil
 }
 
-// do runs one call under the deadline, the concurrency bound and the fault hook.
+// do runs one call under the deadlines, the concurrency bound and the fault hook.
 func (c *Client) do(ctx context.Context, to lacemember.Member, run func(context.Context, lacewire.Peer) error) error {
 	if err := c.hook(c.self, to.Holder.Instance); err != nil {
 		return err
@@ -227,7 +231,7 @@
 	default:
 		return ErrBusy
 	}
-	call, cancel := context.WithTimeout(ctx, c.deadline)
+	call, cancel := context.WithTimeout(ctx, transferDeadline)
 	defer cancel()
 	if err := run(call, r.wire); err != nil {
 		return convert(err)
--- a/lib/lacepeer/server.go
+++ b/lib/lacepeer/server.go
@@ -9,6 +9,7 @@
 
 	"lacewingcove/lib/lacejournal"
 	"lacewingcove/lib/lacemember"
+	"lacewingcove/lib/lacepack"
 	"lacewingcove/lib/laceunit"
 	"lacewingcove/lib/lacewire"
 )
@@ -50,7 +51,7 @@
 		wallet:  wallet,
 		slots:   make(chan struct{}, maxServing),
 	}
-	return http.MaxBytesHandler(s.bounded(lacewire.NewPeerServer(s)), maxBody)
+	return http.MaxBytesHandler(s.bounded(lacepack.Handler(lacewire.NewPeerServer(s))), maxBody)
 }
 
 func (s *Server) bounded(next http.Handler) http.Handler {
