lacefleet: a question whose answer is under way is not sent again

Cause: deliver gave each message 2 s, and the machine repeats unanswered questions each second, because it can't tell a lost answer from one that moves.

Ruled out: a longer interval of repetition, because lost messages have to be repeated soon.

Change: a call has 30 s, and the transport ends a silent one after 2 s as before. Of probes, promises and acknowledgements one is under way to a member at a time; the machine's next repetition asks again.

Before and after (cd lib && go test -run AskedForOnce ./lacefleet): - before: narrow_test.go:113: asked 5 times, answered 0 times - after: pass.

Conclusion: repetitions no longer take the link from the answer that they ask for.

--- a/lib/lacefleet/dispatch.go
+++ b/lib/lacefleet/dispatch.go
@@ -4,13 +4,17 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"lacewingcove/lib/lacekernel"
 	"lacewingcove/lib/lacemember"
+	"lacewingcove/lib/laceunit"
 )
 
 const (
-	// peerDeadline bounds one call to a peer.
-	peerDeadline = 2 * time.Second
+	// peerDeadline bounds one call to a peer; the transport ends a silent one before. Answers grow with the fleet and the
+	// requests that have been started, and an answer that is given up is asked for again.
+	peerDeadline = 30 * time.Second
 	// tickEvery is the resolution of the machine's timers.
 	tickEvery = 250 * time.Millisecond
 	// lostProbes is how many members are probed in each interval while the platform is lost.
@@ -57,18 +61,37 @@
 	}
 }
 
+// errNotSent means that there is no way to other instances, or that the same question is under way.
+var errNotSent = errors.New("fleet: message not sent")
+
+// question is one that is under way; its answer may be large.
+type question struct {
+	to   laceunit.Holder
+	kind string
+}
+
+// begin reports whether a message is to be sent. The machine repeats questions each second, and a second answer of the same
+// member would take the link from the first.
+func (s *Service) begin(q question) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.asking[q] {
+		return false
+	}
+	s.asking[q] = true
+	return true
+}
+
+func (s *Service) end(q question) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.asking, q)
+}
+
 func (s *Service) deliver(ctx context.Context, send lacemember.Send) {
-	call, cancel := context.WithTimeout(ctx, peerDeadline)
-	defer cancel()
-	var answer lacemember.Message
-	var err error
-	switch {
-	case send.To.Holder == s.Self():
-		answer, err = s.Receive(call, send.Message)
-	case s.transport == nil:
+	answer, err := s.call(ctx, send)
+	if errors.Is(err, errNotSent) {
 		return
-	default:
-		answer, err = s.transport.Call(call, send.To, send.Message)
 	}
 	s.metrics.sent.WithLabelValues(kindOf(send.Message), result(err)).Inc()
 	if err == nil && answer != nil {
@@ -76,6 +99,31 @@
 	}
 }
 
+// call sends a message to a member, which may be this one.
+func (s *Service) call(ctx context.Context, send lacemember.Send) (lacemember.Message, error) {
+	call, cancel := context.WithTimeout(ctx, peerDeadline)
+	defer cancel()
+	if send.To.Holder == s.Self() {
+		return s.Receive(call, send.Message)
+	}
+	if s.transport == nil {
+		return nil, errNotSent
+	}
+	switch send.Message.(type) {
+	case lacemember.PromiseAsk, lacemember.AckAsk, lacemember.ProbeAsk:
+		q := question{
+			to:   send.To.Holder,
+			kind: kindOf(send.Message),
+		}
+		if !s.begin(q) {
+			return nil, errNotSent
+		}
+		// Before the machine takes the answer, because of which it may ask again.
+		defer s.end(q)
+	}
+	return s.transport.Call(call, send.To, send.Message)
+}
+
 func (s *Service) readHistory(ctx context.Context, read lacemember.ReadHistory) {
 	if s.history == nil {
 		return
--- a/lib/lacefleet/narrow_test.go
+++ b/lib/lacefleet/narrow_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"lacewingcove/lib/lacemember"
 	"lacewingcove/lib/laceplatform"
+	"lacewingcove/lib/laceunit"
 )
 
 // narrow is a store whose large values and lists take as long as a full link does; small calls pass at once.
@@ -72,3 +76,48 @@
 		return len(s.alive) > 0
 	})
 }
+
+// slowPeer answers after some time and counts what it is asked.
+type slowPeer struct {
+	calls atomic.Int64
+	done  atomic.Int64
+}
+
+func (p *slowPeer) Call(ctx context.Context, _ lacemember.Member, _ lacemember.Message) (lacemember.Message, error) {
+	p.calls.Add(1)
+	select {
+	case <-time.After(8 * time.Second):
+		p.done.Add(1)
+		return lacemember.AckReply{}, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// Guards against an acknowledgement that never arrives: the bindings that it carries take longer than a call had, and each
+// repetition asked for them again.
+func TestALargeAcknowledgementIsAskedForOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		peer := &slowPeer{}
+		s := New(&client{platform: newPlatform()}, Settings{Instance: "i"}, WithTransport(peer))
+		to := lacemember.Member{Holder: laceunit.Holder{Instance: "j", Incarnation: 2}}
+		for range 5 {
+			go s.deliver(t.Context(), lacemember.Send{
+				To:      to,
+				Message: lacemember.AckAsk{},
+			})
+			<-time.After(time.Second)
+		}
+		<-time.After(time.Minute)
+		if peer.calls.Load() != 1 || peer.done.Load() != 1 {
+			t.Errorf("asked %d times, answered %d times", peer.calls.Load(), peer.done.Load())
+		}
+		s.deliver(t.Context(), lacemember.Send{
+			To:      to,
+			Message: lacemember.AckAsk{},
+		})
+		if peer.done.Load() != 2 {
+			t.Error("a later question was not sent")
+		}
+	})
+}
--- a/lib/lacefleet/service.go
+++ b/lib/lacefleet/service.go
@@ -64,6 +64,7 @@
 	alive   map[laceunit.InstanceID]laceunit.Incarnation
 	missing map[laceunit.Holder]time.Duration
 	unknown bool
+	asking  map[question]bool
 	told    []func([]laceunit.Holder)
 	changed chan struct{}
 	mode    lacemember.Mode
@@ -88,6 +89,7 @@
 		start:    time.Now(),
 		alive:    map[laceunit.InstanceID]laceunit.Incarnation{},
 		missing:  map[laceunit.Holder]time.Duration{},
+		asking:   map[question]bool{},
 		changed:  make(chan struct{}),
 		effects:  make(chan lacemember.Effect, sendQueue),
 		suspect:  make(chan struct{}, 1),
