lacefeed: the instance list may take longer than a period

What callers saw: nothing with today's 12 to 16 servers. With 1,500 servers an instance behind a link of 30 kB/s never sees a server leave.

Cause: one poll of the list had one period, 1 s. The list of 1,500 servers is about 180 KB, 6 s at 30 kB/s, and the next poll began anew.

Ruled out: packing, because the list is an outside service's (net/http takes gzip where that serves it).

Change: the list has 30 s, and ends by a period of silence (laceconn.Patient). Polls of loads keep the period.

Before and after (cd lib && go test -run LargeList ./lacefeed): - before: narrow_test.go:64: leaving servers get work - after: pass, two runs with -race.

Conclusion: the list arrives. Open: at 30 kB/s a mark among 1,500 servers is seen after 6 s and more, not within the 3 s of guarantee 6.

--- a/lib/lacefeed/feed.go
+++ b/lib/lacefeed/feed.go
@@ -11,6 +11,7 @@
 	"lacewingcove/lib/lacebackend"
 	"lacewingcove/lib/lacebalancer"
 	"lacewingcove/lib/laceconfig"
+	"lacewingcove/lib/laceconn"
 	"lacewingcove/lib/laceunit"
 )
 
@@ -32,8 +33,8 @@
 type Setting struct {
 	// List is the base URL of the instance list; without one only the configuration tells what is leaving.
 	List laceunit.Address
-	// Period is the time between polls, and bounds one poll. A mark is seen after two periods at the latest, or three
-	// when one poll fails, which keeps to the 3 s of guarantee 6.
+	// Period is the time between polls, and bounds a poll of loads and the silence of one of the list. A mark is seen after two
+	// periods at the latest, or three when one poll fails, which keeps to the 3 s of guarantee 6.
 	Period time.Duration
 	// Subset is how many servers are asked for their load in one period; a larger fleet is sampled.
 	Subset int
@@ -47,6 +48,8 @@
 	// at an estimated 350 bytes for a request and its answer.
 	defaultSubset   = 12
 	defaultParallel = 4
+	// listTimeout bounds a list that moves; the list of 1,500 servers is 180 KB, 6 s at 30 kB/s.
+	listTimeout = 30 * time.Second
 )
 
 // Option changes a feed at construction.
@@ -68,6 +71,7 @@
 	servers  Servers
 	reporter Reporter
 	sink     Sink
+	base     *http.Transport
 	client   *http.Client
 	random   *rand.Rand
 
@@ -84,7 +88,7 @@
 		servers:   servers,
 		reporter:  reporter,
 		sink:      sink,
-		client:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
+		base:      &http.Transport{MaxIdleConnsPerHost: 1},
 		marks:     marks{},
 		sequences: map[laceunit.ServerID]uint64{},
 	}
@@ -103,6 +107,11 @@
 	if f.setting.Parallel <= 0 {
 		f.setting.Parallel = defaultParallel
 	}
+	f.client = &http.Client{Transport: &laceconn.Patient{
+		Base:    f.base,
+		First:   f.setting.Period,
+		Between: f.setting.Period,
+	}}
 	return f
 }
 
@@ -110,10 +119,10 @@
 func (f *Feed) Serve(ctx context.Context) error {
 	f.Refresh()
 	var wg sync.WaitGroup
-	defer f.client.CloseIdleConnections()
+	defer f.base.CloseIdleConnections()
 	// The list has its own loop, so that slow servers can't delay a leaving mark.
-	wg.Go(func() { f.every(ctx, f.pollList) })
-	wg.Go(func() { f.every(ctx, f.pollLoads) })
+	wg.Go(func() { f.every(ctx, listTimeout, f.pollList) })
+	wg.Go(func() { f.every(ctx, f.setting.Period, f.pollLoads) })
 	wg.Wait()
 	return ctx.Err()
 }
@@ -129,12 +138,12 @@
 	})
 }
 
-// every runs a poll once per period; the first one at once.
-func (f *Feed) every(ctx context.Context, poll func(context.Context)) {
+// every runs a poll once per period, the first one at once; a timeout bounds it.
+func (f *Feed) every(ctx context.Context, timeout time.Duration, poll func(context.Context)) {
 	t := time.NewTicker(f.setting.Period)
 	defer t.Stop()
 	for ctx.Err() == nil {
-		inner, cancel := context.WithTimeout(ctx, f.setting.Period)
+		inner, cancel := context.WithTimeout(ctx, timeout)
 		poll(inner)
 		cancel()
 		select {
