--- a/lib/lacesetting/setting.go
+++ b/lib/lacesetting/setting.go
@@ -69,7 +69,7 @@
 type Platform struct {
 	// Endpoints are base URLs, tried in order.
 	Endpoints []laceunit.Address
-	// Timeout bounds one call.
+	// Timeout bounds the silence of one call.
 	Timeout time.Duration
 	// Writes is the rate of ledger writes a second that the whole fleet may use.
 	Writes float64
--- a/lib/lacesetting/table.go
+++ b/lib/lacesetting/table.go
@@ -58,7 +58,7 @@
 func platformFields(p *Platform) []laceyaml.Field {
 	return []laceyaml.Field{
 		laceyaml.Strings("endpoints", "Base URLs, tried in order.", urlExpect, &p.Endpoints, isURL),
-		laceyaml.Duration("timeout", "Bound on one call.", &p.Timeout, 10*time.Millisecond, time.Minute),
+		laceyaml.Duration("timeout", "Longest silence of one call; a write has the time that its size takes beside that.", &p.Timeout, 10*time.Millisecond, time.Minute),
 		laceyaml.Number("writes", "Ledger writes a second that the whole fleet may use.", &p.Writes, 1, 1e6),
 		mutualTLS("Files for TLS to the platform; certificate and key only where it asks for them.", &p.TLS),
 	}
