--- a/lib/lacereplica/effect.go
+++ b/lib/lacereplica/effect.go
@@ -77,7 +77,7 @@
 
 func (s *Service) read(ctx context.Context, short bool) {
 	asked := s.now()
-	brief, cancel := context.WithTimeout(ctx, callTimeout)
+	brief, cancel := context.WithTimeout(ctx, headTimeout)
 	defer cancel()
 	head, err := s.source.Head(brief)
 	var snap laceconfig.Snapshot
--- a/lib/lacereplica/service.go
+++ b/lib/lacereplica/service.go
@@ -22,7 +22,10 @@
 const Watchers = 2
 
 const (
-	// callTimeout bounds one small call to a peer or the platform, so that the answer counts before config.fresh is over. A
+	// headTimeout bounds the read of the head, which does not grow: four of them fit into config.fresh, so that a lost answer
+	// does not make an instance stale.
+	headTimeout = time.Second
+	// callTimeout bounds one small call to a peer, so that the answer counts before config.fresh is over. A
 	// link of 30 kB/s that carries two large transfers delays a packet by 2.2 s.
 	callTimeout = 3 * time.Second
 	// silence is how long a peer may send nothing of an answer.
