lacelimit: requests are admitted by the bytes that they take of the machine's link

What callers saw: at an instance behind 10 Mbit/s that they stay with, requests end late (p50 800 ms at an objective of 150 ms), and what the instance has to know (configuration, servers, leases, draws) waits behind bodies for 0.3 to 1 s and more. Change: Link, a decision without network, goroutine or clock. A bucket of bytes fills with three quarters of the link's rate and holds 100 ms of it; a request costs its body and the expected answer of its route in each direction, corrected at its end. Six classes (rank, account above its even part or not) each leave a part of the bucket to the one before. Refused requests are told when there is room, behind those refused before; those that come back at that time go before new ones. Calls to the store above 100 ms while more than half of the link is in use lower the rate, down to a tenth; slow calls on an idle link change nothing. The zero value refuses nothing. Nothing uses it yet.

--- /dev/null
+++ b/lib/lacelimit/link_test.go
@@ -0,0 +1,200 @@
+package lacelimit
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"lacewingcove/lib/laceunit"
+)
+
+// Bounds on what the admission of a link does, from the brief of the incident CONFIG.
+const (
+	mostQueue = 250 * time.Millisecond
+	// leastUse is the part of the link that has to be used under overload.
+	leastUse = 0.6
+	// leastKept is the part of the callers that find room when they were told to.
+	leastKept = 0.5
+	// leastServed is the part of its requests that an account below its even part gets at the first or a further try; with
+	// requests admitted in the order in which they come it would be less than half.
+	leastServed = 0.8
+)
+
+// gate decides about requests; the naive version admits each.
+type gate interface {
+	Admit(now time.Time, r LinkRequest) LinkVerdict
+	End(now time.Time, r LinkRequest, v LinkVerdict, p Passage)
+}
+
+type naive struct{}
+
+func (naive) Admit(time.Time, LinkRequest) LinkVerdict         { return LinkVerdict{Admitted: true} }
+func (naive) End(time.Time, LinkRequest, LinkVerdict, Passage) {}
+
+// faults returns which of the bounds an outcome breaks.
+func faults(o outcome) []string {
+	var all []string
+	if o.queue > mostQueue {
+		all = append(all, fmt.Sprintf("queue: control waits %s behind data", o.queue))
+	}
+	if o.used < leastUse {
+		all = append(all, fmt.Sprintf("use: %.2f of the link is used", o.used))
+	}
+	if o.silent > 0 {
+		all = append(all, fmt.Sprintf("silent: %d refusals name no time to come back", o.silent))
+	}
+	if o.told > 0 && float64(o.kept) < leastKept*float64(o.told) {
+		all = append(all, fmt.Sprintf("kept: %d of %d found room when they were told to", o.kept, o.told))
+	}
+	first, last := o.given[0]/o.asked[0], o.given[len(o.given)-1]/o.asked[len(o.asked)-1]
+	if last < leastServed && first < last+0.2 {
+		all = append(all, fmt.Sprintf("rank: %.2f of rank 0 and %.2f of the last rank are served", first, last))
+	}
+	return all
+}
+
+// Guards against an instance that takes more than its link carries, so that what it has to know waits behind bodies.
+func TestLinkLeavesRoomForControl(t *testing.T) {
+	for seed := int64(1); seed <= 3; seed++ {
+		for _, factor := range []float64{1, 1.5, 2, 3} {
+			l := load{
+				seed:   seed,
+				rate:   1_250_000,
+				factor: factor,
+				shares: []float64{1, 1, 1, 1, 1, 1},
+				ranks:  []float64{1, 2, 4},
+				length: 10 * time.Second,
+			}
+			o := play(l, &Link{Rate: l.rate})
+			t.Logf("seed %d, %.1f times the link: queue %s, used %.2f, kept %d of %d, served by rank %.2f of %.0f",
+				seed, factor, o.queue, o.used, o.kept, o.told, o.given, o.asked)
+			for _, f := range faults(o) {
+				t.Errorf("seed %d, %.1f times the link: %s", seed, factor, f)
+			}
+			if seed > 1 || factor == 1 {
+				continue
+			}
+			if n := faults(play(l, naive{})); !slices.ContainsFunc(n, func(f string) bool { return strings.HasPrefix(f, "queue") }) {
+				t.Errorf("seed %d, %.1f times the link: the version that admits each request passes: %v", seed, factor, n)
+			}
+		}
+	}
+}
+
+// Guards against an account that fills the link and has the requests of others refused.
+func TestLinkIsSharedByAccounts(t *testing.T) {
+	for seed := int64(1); seed <= 3; seed++ {
+		l := load{
+			seed:   seed,
+			rate:   1_250_000,
+			factor: 2,
+			shares: []float64{10, 1, 1, 1, 1},
+			ranks:  []float64{0, 1, 0},
+			length: 10 * time.Second,
+		}
+		o := play(l, &Link{Rate: l.rate})
+		t.Logf("seed %d: queue %s, used %.2f, served by account %v", seed, o.queue, o.used, o.account)
+		for i, a := range o.account[1:] {
+			if float64(a[1]) < leastServed*float64(a[0]) {
+				t.Errorf("seed %d: account %d got %d of %d requests beside one with ten times its load", seed, i+1, a[1], a[0])
+			}
+		}
+		if o.used < leastUse || o.queue > mostQueue {
+			t.Errorf("seed %d: %.2f of the link is used, control waits %s", seed, o.used, o.queue)
+		}
+	}
+}
+
+// looks makes a link see seconds with a part of it in use and a delay of the instance's calls.
+func looks(l *Link, now time.Time, seconds int, use float64, call time.Duration) time.Time {
+	const look = 250 * time.Millisecond
+	moved := l.pace.in
+	for range seconds * int(time.Second/look) {
+		now = now.Add(look)
+		moved += laceunit.Bytes(use * l.Rate * look.Seconds())
+		l.Observe(now, moved, moved/2, call)
+	}
+	return now
+}
+
+// Guards against requests that are refused because the store is slow, and against a rate that stays above what a link
+// carries, or below it when the delay has gone.
+func TestRateFollowsTheDelayOfAFullLink(t *testing.T) {
+	l, now := &Link{Rate: 1_250_000}, time.Unix(1000, 0)
+	full := l.AdmittedRate()
+	now = looks(l, now, 30, 0.3, time.Second)
+	if l.AdmittedRate() != full {
+		t.Errorf("a slow store and an idle link: %.0f of %.0f admitted", l.AdmittedRate(), full)
+	}
+	for range 20 {
+		now = now.Add(200 * time.Millisecond)
+		if v := l.Admit(now, LinkRequest{Body: 10_000}); !v.Admitted {
+			t.Errorf("a slow store and an idle link: refused for %s", v.Wait)
+		}
+	}
+	now = looks(l, now, 1, 0.3, time.Millisecond)
+	now = looks(l, now, 1, 0.9, time.Second)
+	if r := l.AdmittedRate(); r >= full || r < full/2 {
+		t.Errorf("a full link for a second: %.0f of %.0f admitted", r, full)
+	}
+	now = looks(l, now, 60, 0.9, time.Second)
+	if r := l.AdmittedRate(); r < 0.099*full || r > 0.101*full {
+		t.Errorf("a full link for long: %.0f of %.0f admitted", r, full)
+	}
+	now = looks(l, now, 2, 0.9, time.Millisecond)
+	if r := l.AdmittedRate(); r > full/2 {
+		t.Errorf("two seconds after the delay: %.0f of %.0f admitted", r, full)
+	}
+	looks(l, now, 30, 0.9, time.Millisecond)
+	if l.AdmittedRate() != full {
+		t.Errorf("long after the delay: %.0f of %.0f admitted", l.AdmittedRate(), full)
+	}
+}
+
+// Guards against refusals where the rate of the link is not known.
+func TestUnknownLinkRefusesNothing(t *testing.T) {
+	var l Link
+	now := time.Unix(1000, 0)
+	for i := range 10_000 {
+		r := LinkRequest{Body: 1 << 20}
+		l.Observe(now, laceunit.Bytes(i)<<20, 0, time.Second)
+		v := l.Admit(now, r)
+		if !v.Admitted {
+			t.Fatalf("request %d was refused for %s", i, v.Wait)
+		}
+		l.End(now, r, v, Passage{
+			Answer: 1 << 20,
+			Whole:  true,
+		})
+		now = now.Add(time.Millisecond)
+	}
+}
+
+// Guards against memory that grows with the accounts, routes and callers that have come.
+func TestLinkMemoryIsBounded(t *testing.T) {
+	l, now := &Link{Rate: 100_000}, time.Unix(1000, 0)
+	for i := range 20_000 {
+		now = now.Add(time.Millisecond)
+		r := LinkRequest{
+			Account: laceunit.AccountID(fmt.Sprint(i)),
+			Route:   fmt.Sprint(i),
+			Key:     uint64(i),
+		}
+		if v := l.Admit(now, r); v.Admitted || i%3 == 0 {
+			l.End(now, r, v, Passage{
+				Answer: 100,
+				Whole:  true,
+			})
+		}
+	}
+	if a, r, p := len(l.accounts.all), len(l.routes.all), len(l.promises.all); a > mostAccounts || r > mostRoutes || p > mostPromises {
+		t.Errorf("%d accounts, %d routes and %d promises are kept", a, r, p)
+	}
+	now = now.Add(time.Minute)
+	l.Admit(now, LinkRequest{})
+	if a, p := len(l.accounts.all), len(l.promises.all); a > 1 || p > 0 {
+		t.Errorf("%d accounts and %d promises are kept a minute after the last request", a, p)
+	}
+}
