lacerelay, lacenode: an instance refuses at once what its machine's link has no room for

What callers saw: 80 callers of answers of 20 KB at an instance behind 2.5 Mbit/s: p50 1.12 s, 0.11 of the link for whole answers, 502 for the rest. Cause: the relay read and reserved for each request, whatever the link already carried. Ruled out: the decision after the body was read, which has taken its bytes by then. Change: lacerelay asks its option Link once route and account are known, before the body is read and before tokens are reserved, and tells it at the end what passed. The refused line gets need_bytes, link_kbps and link_percent; metrics lace_link_bytes_total and lace_link_rate_bytes.

--- a/lib/lacenode/node.go
+++ b/lib/lacenode/node.go
@@ -70,6 +70,7 @@
 	placer    *lacerelay.Placer
 	backends  *lacerelay.Backends
 	relay     *lacerelay.Relay
+	link      *link
 	followers []*lacemirror.Follower
 	// pulse tells when the store last answered.
 	pulse *laceplatform.Pulse
@@ -160,6 +161,7 @@
 	n.limits = n.divide(self.Holder, store, elapsed)
 	n.backends = lacerelay.NewBackends(n.placer, n.log, n.connections)
 	n.backends.Count(&n.vitals.traffic)
+	n.link = newLink(n.settings.Machine.Link, n.registry)
 	n.relay = lacerelay.New(lacerelay.Options{
 		Codec:    n.adapter.Codec(),
 		Routes:   n.routes,
@@ -172,6 +174,7 @@
 			Slack:  n.settings.Retry.Slack,
 		},
 		Shares:  n.limits,
+		Link:    n.link,
 		Members: n.board.Count,
 		Log:     n.log,
 		Metrics: lacerelay.NewMetrics(n.registry),
--- a/lib/lacenode/role.go
+++ b/lib/lacenode/role.go
@@ -37,7 +37,7 @@
 
 func (r *role) step(now time.Time) {
 	n := r.node
-	n.vitals.sample(now, roleInterval)
+	n.link.observe(n.vitals.sample(now, roleInterval))
 	n.registrar.Measure(r.meter.sample(now, n.relay.Work()))
 	if n.board.Active() {
 		r.outside = time.Time{}
--- a/lib/lacenode/setting.go
+++ b/lib/lacenode/setting.go
@@ -39,6 +39,8 @@
 type Machine struct {
 	// Cores is the processor time for each second; it decides which instances take callers in a large fleet.
 	Cores float64
+	// Link is what its link carries in each direction, in Mbit/s; zero means that it is not known.
+	Link float64
 }
 
 // StoreSettings tell where the platform's store is.
@@ -116,7 +118,9 @@
 			laceyaml.Number("share", "Part of what an account has left that all instances together hold.", &s.Ledger.Share, 0.01, 0.9)),
 		laceyaml.Group("machine", "What the instance may use of its machine.",
 			laceyaml.Number("cores", "Processor time for each second; in a large fleet the strongest instances take the callers.",
-				&s.Machine.Cores, leastCores, mostCores)),
+				&s.Machine.Cores, leastCores, mostCores),
+			laceyaml.Number("link", "What the link carries in each direction, in Mbit/s; requests that it has no room for are refused. "+
+				"0 or no value: not known, none is refused for it.", &s.Machine.Link, 0, mostLink).Blank()),
 	}
 }
 
@@ -126,6 +130,9 @@
 	mostCores  = 1024
 )
 
+// mostLink is the most that a link carries, in Mbit/s.
+const mostLink = 1e6
+
 const addressForm = "host:port with a numeric port"
 
 func address(name, doc string, p *laceunit.Address) laceyaml.Field {
--- a/lib/lacenode/setting_test.go
+++ b/lib/lacenode/setting_test.go
@@ -33,6 +33,7 @@
 		"drain.notice": good + "drain: {grace: 2s, notice: 3s}\n",
 		"retry.ratio":  good + "retry: {ratio: 7}\n",
 		"speed":        good + "speed: 3\n",
+		"machine.link": good + "machine: {link: fast}\n",
 		"ledger.share": good + "ledger: {share: 1.5}\n",
 	} {
 		if _, err := Decode([]byte(text)); err == nil || !strings.Contains(err.Error(), key) {
@@ -47,7 +48,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	filled := strings.NewReplacer(
+	fill := strings.NewReplacer(
 		`[{{#seeds}}"{{.}}"{{,}}{{/seeds}}]`, `["10.0.0.1:8229"]`,
 		"{{ip}}:{{port_range.0}}", "10.0.0.1:7340",
 		"{{platform.address}}", "10.0.0.9:8223", "{{platform.ttl_min_ms}}", "1000",
@@ -55,11 +56,23 @@
 		"{{bounds.budget_slack}}", "54", "{{node_name}}", "router-1", "{{region}}", "r1", "{{zone}}", "z1",
 		"{{listen.front}}", "10.0.0.1:8227", "{{listen.ready_address}}", "10.0.0.1:8220",
 		"{{limits.cpu_share}}", "0.192", "{{listen.directory}}", "10.0.0.1:8224", "{{listen.control}}", "10.0.0.1:8229",
-	).Replace(string(text))
-	s, err := Decode([]byte(filled))
-	if err != nil {
-		t.Fatalf("%v in\n%s", err, filled)
+	)
+	// A site may name no rate of its links.
+	for value, want := range map[string]float64{"10": 10, "2.5": 2.5, "": 0} {
+		filled := strings.Replace(fill.Replace(string(text)), "{{limits.link_mbps}}", value, 1)
+		s, err := Decode([]byte(filled))
+		if err != nil {
+			t.Fatalf("%v in\n%s", err, filled)
+		}
+		if s.Machine.Link != want {
+			t.Errorf("link %q is taken for %g Mbit/s", value, s.Machine.Link)
+		}
+		checkTemplate(t, s)
 	}
+}
+
+func checkTemplate(t *testing.T, s Settings) {
+	t.Helper()
 	if s.Retry.Ratio != 0.2 || len(s.Seeds) != 1 || s.Peer == "" || s.Machine.Cores != 0.192 {
 		t.Errorf("settings %+v", s)
 	}
--- a/lib/lacenode/vital.go
+++ b/lib/lacenode/vital.go
@@ -65,8 +65,8 @@
 	v.call = max(v.call, took)
 }
 
-// sample takes a look that was due at an interval after the one before.
-func (v *vitals) sample(now time.Time, interval time.Duration) {
+// sample takes a look that was due at an interval after the one before, and returns it.
+func (v *vitals) sample(now time.Time, interval time.Duration) vital {
 	in, out := v.traffic.Bytes()
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -83,6 +83,7 @@
 	v.samples[v.next] = x
 	v.next = (v.next + 1) % vitalSamples
 	v.call = 0
+	return x
 }
 
 // worst returns the largest delays lately.
--- a/lib/lacerelay/attempt.go
+++ b/lib/lacerelay/attempt.go
@@ -226,7 +226,7 @@
 		a.exchange = x
 		return a
 	}
-	r.collect(ctx, &a, x)
+	r.collect(ctx, j, &a, x)
 	return a
 }
 
@@ -255,8 +255,9 @@
 }
 
 // collect reads an answer that is passed on only when it is complete.
-func (r *Relay) collect(ctx context.Context, a *attempt, x *laceconn.Exchange) {
+func (r *Relay) collect(ctx context.Context, j *job, a *attempt, x *laceconn.Exchange) {
 	body, err := io.ReadAll(io.LimitReader(x.Response.Body, answerBytes+1))
+	j.room.answered(len(body))
 	if err == nil && len(body) > answerBytes {
 		err = errors.New("answer is too long")
 	}
--- a/lib/lacerelay/relay.go
+++ b/lib/lacerelay/relay.go
@@ -67,6 +67,8 @@
 	Retries  RetryBounds
 	// Shares is told what answers say about the limits of their servers; nil for nobody.
 	Shares laceshare.Shares
+	// Link decides whether the machine's link has room for a request; nil admits each.
+	Link Link
 	// Members is how many instances share the retry budget.
 	Members func() int
 	Log     *lacelog.Logger
@@ -126,9 +128,10 @@
 	arrived  time.Time
 	deadline time.Time
 
-	// budget is what was known of the account when the request was refused for it.
-	budget   []lacelog.Pair
+	// figures are what a refusal rests on: what was known of the account or of the link.
+	figures  []lacelog.Pair
 	progress progress
+	room     room
 	tried    []laceunit.ServerID
 	// last is the id of the newest event.
 	last     string
@@ -150,6 +153,7 @@
 			holds: !q.ProtoAtLeast(1, 1),
 		},
 	}
+	defer r.release(j)
 	r.serve(w, q, j)
 	j.response.breakOff()
 }
@@ -165,6 +169,9 @@
 	j.last = j.call.After
 	if f := r.admit(w, q, j); f != nil {
 		r.refuse(j, f)
+		if j.room.refused {
+			drain(w, q, j)
+		}
 		return
 	}
 	most := j.call.Input + j.call.Output
@@ -229,6 +236,9 @@
 		wait = min(wait, t)
 	}
 	j.deadline = j.arrived.Add(wait)
+	if f := r.enter(w, q, j); f != nil {
+		return f
+	}
 	return r.read(w, q, j, table.Limits().Body)
 }
 
@@ -283,7 +293,7 @@
 	if verdict == lacequota.Held {
 		return nil
 	}
-	j.budget = []lacelog.Pair{
+	j.figures = []lacelog.Pair{
 		lacelog.P(lacelog.Tokens, most), lacelog.P("paid", state.Paid), lacelog.P(lacelog.Cap, state.Cap),
 		lacelog.P(lacelog.Used, state.Used), lacelog.P(lacelog.Held, state.Reserved), lacelog.P("others", state.Others),
 		lacelog.P("lost", state.Lost), lacelog.P("free", state.Free),
@@ -343,7 +353,7 @@
 			lacelog.P(lacelog.Request, j.call.Attempt), lacelog.P(lacelog.Reason, f.Code), lacelog.P("message", f.Message),
 			lacelog.P(lacelog.Route, j.name()), lacelog.P(lacelog.Account, j.account), lacelog.P(lacelog.Version, j.version),
 			lacelog.P(lacelog.Retry, f.RetryAfter.Milliseconds()),
-		}, j.budget...)...)
+		}, j.figures...)...)
 	}
 	r.finish(j, f.Code.Status(), string(f.Code))
 }
--- a/lib/lacerelay/stream.go
+++ b/lib/lacerelay/stream.go
@@ -74,6 +74,7 @@
 			return
 		}
 		quiet.progress()
+		j.room.answered(len(e.text))
 		if e.id != "" && e.id == j.last {
 			// A resumed stream may begin with the event that is already there.
 			continue
--- a/lib/laceyaml/field.go
+++ b/lib/laceyaml/field.go
@@ -46,6 +46,18 @@
 	return f
 }
 
+// Blank allows a key without a value, as a template leaves it whose placeholder is empty; the default holds.
+func (f Field) Blank() Field {
+	decode := f.decode
+	f.decode = func(r *Reader, n *yaml.Node, path string) {
+		if n.Kind == yaml.ScalarNode && n.Tag == "!!null" {
+			return
+		}
+		decode(r, n, path)
+	}
+	return f
+}
+
 // Secret keeps the value out of faults.
 func (f Field) Secret() Field {
 	decode, set, expect := f.decode, f.set, f.Expect
