--- a/lib/lacenode/node.go
+++ b/lib/lacenode/node.go
@@ -70,6 +70,7 @@
 	placer    *lacerelay.Placer
 	backends  *lacerelay.Backends
 	relay     *lacerelay.Relay
+	link      *link
 	followers []*lacemirror.Follower
 	// pulse tells when the store last answered.
 	pulse *laceplatform.Pulse
@@ -161,6 +162,7 @@
 	n.limits = n.divide(self.Holder, store, elapsed)
 	n.backends = lacerelay.NewBackends(n.placer, n.log, n.connections)
 	n.backends.Count(&n.vitals.traffic)
+	n.link = newLink(n.settings.Machine.Link, n.registry)
 	n.relay = lacerelay.New(lacerelay.Options{
 		Codec:    n.adapter.Codec(),
 		Routes:   n.routes,
@@ -174,6 +176,7 @@
 		},
 		Shares:   n.limits,
 		Standing: n.standing,
+		Link:     n.link,
 		Members:  n.board.Count,
 		Log:      n.log,
 		Metrics:  lacerelay.NewMetrics(n.registry),
--- a/lib/lacenode/role.go
+++ b/lib/lacenode/role.go
@@ -38,7 +38,7 @@
 
 func (r *role) step(now time.Time) {
 	n := r.node
-	n.vitals.sample(now, roleInterval)
+	n.link.observe(n.vitals.sample(now, roleInterval))
 	n.registrar.Measure(r.meter.sample(now, n.relay.Work()))
 	outside := lasting(now, &r.outside, !n.board.Active())
 	// Callers that stay with an instance, or its planned stop, are no reason to watch the store.
--- a/lib/lacenode/setting.go
+++ b/lib/lacenode/setting.go
@@ -123,7 +123,8 @@
 		laceyaml.Group("machine", "What the instance may use of its machine.",
 			laceyaml.Number("cores", "Processor time for each second; in a large fleet the strongest instances take the callers.",
 				&s.Machine.Cores, leastCores, mostCores),
-			laceyaml.Number("link", "What the link carries in each direction, in Mbit/s; 0: not known.", &s.Machine.Link, 0, mostLink)),
+			laceyaml.Number("link", "What the link carries in each direction, in Mbit/s; requests that it has no room for are refused. "+
+				"0 or no value: not known, none is refused for it.", &s.Machine.Link, 0, mostLink).Blank()),
 	}
 }
 
