loadgen soak: an instance behind a narrow link that callers stay with

Cause, for the soak: what surrounds an instance is in the soak's process or reached directly, so that nothing shared a link. Ruled out: queues of the system (need rights), settings for other public addresses in the program (a change of the product for a test). Change: one instance of a run stands behind a link with a rate for both directions. Callers, the store and other instances reach it through fronts; the store keeps its members' entries with the fronts' addresses (lacestage.WithRewrite). Which process a connection to another instance or to a server belongs to is read from /proc, so that connections of others stay as they were (ServerOptions.Through). 44 callers fill the link for 7 to 10 s, 4 on the instance's machine look on to the quiet tail; the configuration grows by 800 routes, a key is revoked, a route removed, another key revoked. Checked: each change is in force within 3 s of the store's acknowledgement, or 3 s after the store or the instance is back; refusals of that instance have a Retry-After. The plan of a seed drops events of that instance that meet the press. For that instance requests count, in the checks of pauses and limits, from when their caller sent them: the queue of the link delays their arrival, which tells nothing then. Other instances are checked as before. Not checked: refusals within 50 ms. A request may have waited for a server before its refusal, which can't be told from outside.

--- a/loadgen/lacecommand/soak.go
+++ b/loadgen/lacecommand/soak.go
@@ -28,12 +28,17 @@
 	var o lacesoak.Options
 	flags.DurationVar(&o.Duration, "duration", 30*time.Second, "length of the timeline, with the quiet tail")
 	flags.IntVar(&o.Instances, "instances", 5, "number of instances")
+	flags.Float64Var(&o.Narrow, "narrow", -1, "Mbit/s of a narrow link that callers press; 0 is none, below 0 as the seed says")
+	flags.IntVar(&o.Behind, "behind", -1, "instance behind the narrow link; below 0 as the seed says")
 	if err := flags.Parse(args); err != nil {
 		return err
 	}
 	if o.Instances < 1 || o.Instances*instanceMemory > *memory {
 		return errors.Errorf("soak: %d instances are none or need more than %d MB", o.Instances, *memory)
 	}
+	if o.Behind >= o.Instances {
+		return errors.Errorf("soak: there is no instance %d", o.Behind)
+	}
 	if o.Duration <= lacesoak.QuietTail {
 		return errors.Errorf("soak: the duration has to be longer than the quiet tail of %s", lacesoak.QuietTail)
 	}
--- a/loadgen/lacesoak/callers.go
+++ b/loadgen/lacesoak/callers.go
@@ -103,7 +103,7 @@
 		case <-c.stop:
 		}
 	}()
-	for range min(callersEach*len(c.instances), mostCallers) {
+	for range min(callersEach*c.site.options.Instances, mostCallers) {
 		x := c.caller()
 		c.all.Go(func() { x.loop(ctx) })
 	}
@@ -133,7 +133,7 @@
 	ctx, cancel := context.WithTimeout(ctx, serveWithin)
 	defer cancel()
 	var all sync.WaitGroup
-	for i := range c.instances {
+	for i := range c.site.options.Instances {
 		x := c.caller()
 		x.at = i
 		all.Go(func() {
@@ -158,6 +158,8 @@
 	obeys bool
 	sent  int
 	at    int
+	// most is the pause of a caller that stays with an instance.
+	most time.Duration
 }
 
 func (c *caller) loop(ctx context.Context) {
@@ -166,7 +168,7 @@
 	served := false
 	for {
 		if !served || c.random.IntN(moveEvery) == 0 {
-			c.at = c.random.IntN(len(c.instances))
+			c.at = c.random.IntN(c.site.options.Instances)
 		}
 		a := c.call(all[c.random.IntN(len(all))])
 		served = a.served()
@@ -184,7 +186,10 @@
 func (c *caller) close() { _ = c.client.Close() } // No connection is in use.
 
 // call sends one attempt with an id of its own.
-func (c *caller) call(k kind) answer {
+func (c *caller) call(k kind) answer { return c.send(c.ask(k)) }
+
+// ask returns an attempt and what its answer has to be.
+func (c *caller) ask(k kind) (lacestage.Request, answer) {
 	c.sent++
 	q := lacestage.Request{
 		Attempt: laceunit.AttemptID(fmt.Sprintf("s%d-%d-%d", c.site.seed, c.number, c.sent)),
@@ -195,8 +200,9 @@
 		Wait:    routeLimit,
 	}
 	a := answer{
-		once: k.repeat == laceroute.Once,
-		want: []byte(shape().Plain(q.Attempt)),
+		route: k.name,
+		once:  k.repeat == laceroute.Once,
+		want:  []byte(shape().Plain(q.Attempt)),
 	}
 	if k.stream {
 		q.Input, q.Output, q.Metered = laceunit.Tokens(1+c.random.IntN(promptMost)), stride*mostEvents, true
@@ -206,6 +212,12 @@
 		account := c.random.IntN(accounts)
 		a.account, q.Key = accountID(account), key(account, c.random.IntN(2))
 	}
+	return q, a
+}
+
+// send sends an attempt and keeps its answer.
+func (c *caller) send(q lacestage.Request, a answer) answer {
+	a.key, a.local = q.Key, c.at == c.site.options.Instances
 	wait := routeLimit + patience
 	if c.random.IntN(leaveEvery) == 0 {
 		wait = time.Duration(c.random.Int64N(int64(leaveMost)))
@@ -214,9 +226,9 @@
 	// A caller does not end with the run, so that each of its answers ends by itself.
 	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
-	limited := c.site.limit(k.name)
+	limited := c.site.limit(a.route)
 	a.Answer = c.client.Call(ctx, c.instances[c.at].Caller, q)
-	a.limit = min(limited, c.site.limit(k.name))
+	a.limit = min(limited, c.site.limit(a.route))
 	a.left = a.left && errors.Is(a.Err, context.DeadlineExceeded)
 	a.refused = errors.Is(a.Err, syscall.ECONNREFUSED)
 	if events := bytes.Count(a.Body, []byte("\n\n")); q.Metered && a.Status == http.StatusOK && events > 0 {
--- a/loadgen/lacesoak/check.go
+++ b/loadgen/lacesoak/check.go
@@ -25,6 +25,8 @@
 	promiseRest    = "rest"
 	promiseServes  = "serves-again"
 	promiseRuns    = "keeps-running"
+	promiseForce   = "in-force"
+	promiseRetry   = "retry-after"
 )
 
 const (
@@ -77,6 +79,8 @@
 	c.servers()
 	c.resting()
 	c.serving()
+	c.inForce()
+	c.retrying()
 	for _, i := range r.exited {
 		c.add(promiseRuns, nil, "instance %d ended by itself", i)
 	}
@@ -281,7 +285,7 @@
 		}
 		var within []laceunit.AttemptID
 		for _, y := range all {
-			if y.Arrived.After(x.Ended.Add(pauseReaction)) && y.Arrived.Before(x.PausedUntil) {
+			if c.decided(p.instance, y).After(x.Ended.Add(pauseReaction)) && y.Arrived.Before(x.PausedUntil) {
 				within = append(within, y.Attempt)
 			}
 		}
--- a/loadgen/lacesoak/check_test.go
+++ b/loadgen/lacesoak/check_test.go
@@ -106,6 +106,42 @@
 	}
 }
 
+// narrow puts the instance behind a narrow link and adds changes that are acknowledged at 13 s: a route and a key; the third
+// attempt is sent 7.5 s later.
+func narrow(r *record) *answer {
+	r.narrow = &event{}
+	r.changes = []change{
+		{added: []string{"new"}, at: at(13)},
+		{key: "old", at: at(13)},
+		{gone: "gone", at: at(13)},
+	}
+	return &r.answers[2]
+}
+
+// unrouted makes the third attempt one that was refused because there is no such route, and the first one served.
+func unrouted(r *record) {
+	a := narrow(r)
+	a.route, a.Status, a.given = "new", 404, 0
+	r.runs = r.runs[:2]
+	r.quiet = at(4)
+}
+
+// silentStore adds a time in which the store is away.
+func silentStore(r *record, from, to float64, apartly ...int) {
+	x := deed{
+		event: event{
+			rule:  rule{kind: "store-silent", target: theStore},
+			apart: apartly,
+		},
+		began: at(from),
+		ended: at(to),
+	}
+	if len(apartly) > 0 {
+		x.kind = apart
+	}
+	r.deeds = append(r.deeds, x)
+}
+
 // example is a change of the sound run with the promises that it breaks.
 type example struct {
 	change func(r *record)
@@ -186,3 +222,28 @@
 		"serves late":      {change: func(r *record) { r.quiet = at(17.9) }, want: []string{promiseServes}},
 	})
 }
+
+// Guards against checks of an outdated configuration that find nothing, and against findings where the store was away.
+func TestOutdatedDecisionsAreFound(t *testing.T) {
+	force := []string{promiseForce}
+	find(t, map[string]example{
+		"narrow, sound":    {change: func(r *record) { narrow(r) }},
+		"route is missing": {change: unrouted, want: force},
+		"early":            {change: func(r *record) { unrouted(r); r.answers[2].Sent = at(15.9) }},
+		"removed again":    {change: func(r *record) { unrouted(r); r.changes = append(r.changes, change{gone: "new", at: at(19)}) }},
+		"removed later":    {change: func(r *record) { unrouted(r); r.changes = append(r.changes, change{gone: "new", at: at(22)}) }, want: force},
+		"other instance":   {change: func(r *record) { unrouted(r); r.narrow.number = 1 }},
+		"revoked key":      {change: func(r *record) { narrow(r).key = "old" }, want: force},
+		"revoked, refused": {change: func(r *record) {
+			a := narrow(r)
+			a.key, a.Status, a.given = "old", 401, 0
+			r.runs = r.runs[:2]
+			r.quiet = at(4)
+		}},
+		"removed route":    {change: func(r *record) { narrow(r).route = "gone" }, want: force},
+		"store away":       {change: func(r *record) { unrouted(r); silentStore(r, 14, 18) }},
+		"store was away":   {change: func(r *record) { unrouted(r); silentStore(r, 14, 17) }, want: force},
+		"away from others": {change: func(r *record) { unrouted(r); silentStore(r, 14, 18, 1) }, want: force},
+		"no Retry-After":   {change: func(r *record) { unrouted(r); r.answers[2].Status = 503 }, want: []string{promiseRetry}},
+	})
+}
--- a/loadgen/lacesoak/drive.go
+++ b/loadgen/lacesoak/drive.go
@@ -21,9 +21,10 @@
 	callers *callers
 	began   time.Time
 
-	mu     sync.Mutex
-	deeds  []deed
-	failed error
+	mu      sync.Mutex
+	deeds   []deed
+	changes []change
+	failed  error
 }
 
 // run carries all events out and waits for their ends.
@@ -59,6 +60,8 @@
 		err = d.configure(e)
 	case theCallers:
 		d.callers.add(e.length)
+	case theLink:
+		err = d.press(ctx, e)
 	case anEngine, aServer:
 		err = d.disturbServer(ctx, &x)
 	}
--- a/loadgen/lacesoak/limit.go
+++ b/loadgen/lacesoak/limit.go
@@ -68,7 +68,7 @@
 		if c.met(p.instance, told, x.Arrived, stop, kill, freeze) {
 			told = time.Time{}
 		}
-		if x.Limit > 0 && !told.IsZero() && x.Arrived.Sub(told) >= limitReaction {
+		if x.Limit > 0 && !told.IsZero() && c.decided(p.instance, x).Sub(told) >= limitReaction {
 			s := spell{
 				server: p.server,
 				since:  x.LimitedSince,
--- a/loadgen/lacesoak/plan.go
+++ b/loadgen/lacesoak/plan.go
@@ -37,6 +37,7 @@
 	aServer
 	theConfiguration
 	theCallers
+	theLink
 )
 
 // rule is how often and how long a kind of event may happen, and which fault it sets.
@@ -112,6 +113,10 @@
 type Options struct {
 	Duration  time.Duration
 	Instances int
+	// Narrow is what a narrow link carries, in Mbit/s: 0 for no such link, below 0 for what the seed says. Behind is the
+	// instance behind it; below 0 it is what the seed says.
+	Narrow float64
+	Behind int
 }
 
 // engines and services are the numbers of backend servers; engines come first in their common numbering.
@@ -127,6 +132,8 @@
 	// number is that of the instance or server, apart are the instances that the store does not answer.
 	number int
 	apart  []int
+	// rate is that of a narrow link, in Mbit/s.
+	rate float64
 	// choice decides between the forms of an event.
 	choice int
 }
@@ -140,6 +147,9 @@
 	if len(e.apart) > 0 {
 		text += fmt.Sprintf(" instances %v", e.apart)
 	}
+	if e.rate > 0 {
+		text += fmt.Sprintf(" with %g Mbit/s", e.rate)
+	}
 	if e.length > 0 {
 		text += fmt.Sprintf(" for %.3f s", e.length.Seconds())
 	}
@@ -171,6 +181,7 @@
 		}
 	}
 	p.limits(seed)
+	p.narrow(seed)
 	slices.SortStableFunc(p.all, func(a, b event) int { return int(a.at - b.at) })
 	return p.all
 }
@@ -232,7 +243,7 @@
 		group, count = aServer, p.options.engines()
 	case aServer:
 		count = p.options.engines() + p.options.services()
-	case theStore, theConfiguration, theCallers:
+	case theStore, theConfiguration, theCallers, theLink:
 	}
 	e.number = p.random.IntN(count)
 	if r.kind == apart {
--- a/loadgen/lacesoak/plan_test.go
+++ b/loadgen/lacesoak/plan_test.go
@@ -40,3 +40,40 @@
 		}
 	}
 }
+
+// Guards against narrow links in runs that have none, against those whose callers reach into the quiet tail, and against an
+// instance that is away while callers press it.
+func TestPlansOfNarrowLinks(t *testing.T) {
+	drawn := 0
+	for seed := range uint64(40) {
+		o := Options{
+			Duration:  30 * time.Second,
+			Instances: 5,
+		}
+		if narrowLink(newPlan(seed, o)) != nil {
+			t.Errorf("seed %d has a narrow link that nobody asked for", seed)
+		}
+		o.Narrow, o.Behind = -1, -1
+		plan := newPlan(seed, o)
+		e := narrowLink(plan)
+		if e == nil {
+			continue
+		}
+		drawn++
+		if e.length < pressLeast || e.at+e.length+pressRest > o.Duration-QuietTail {
+			t.Errorf("seed %d: %s", seed, e)
+		}
+		for _, x := range plan {
+			if x.target == anInstance && x.number == e.number && x.at < e.at+e.length && x.at+x.length > e.at {
+				t.Errorf("seed %d: %s meets %s", seed, x, e)
+			}
+		}
+		o.Narrow, o.Behind = 1, 2
+		if e = narrowLink(newPlan(seed, o)); e.rate != 1 || e.number != 2 {
+			t.Errorf("seed %d: %s instead of 1 Mbit/s at instance 2", seed, e)
+		}
+	}
+	if drawn == 0 {
+		t.Error("no seed has a narrow link")
+	}
+}
--- a/loadgen/lacesoak/record.go
+++ b/loadgen/lacesoak/record.go
@@ -13,6 +13,11 @@
 type answer struct {
 	lacestage.Answer
 	account laceunit.AccountID
+	// key and route are what the caller asked with and for.
+	key   string
+	route string
+	// local is true when the caller is on the machine behind the narrow link.
+	local bool
 	// once is true for a call that must not run twice.
 	once bool
 	// limit is the time that the caller and the route allow.
@@ -58,6 +63,10 @@
 	answers []answer
 	runs    []lacestage.Run
 	deeds   []deed
+	// changes are those of the configuration while callers press the instance behind the narrow link, which is nil in runs
+	// without one.
+	changes []change
+	narrow  *event
 	// paid is what each account had paid at the end; it only rises during a run.
 	paid map[laceunit.AccountID]laceunit.Tokens
 	// began is the start of the timeline, quiet when the last fault was over.
--- a/loadgen/lacesoak/report.go
+++ b/loadgen/lacesoak/report.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/pkg/errors"
@@ -71,6 +72,11 @@
 	peak := r.record.peak
 	fmt.Fprintf(&b, "peaks           %d processes, %.1f MB together; of one: %.1f MB, %.0f files, %.0f goroutines\n",
 		r.record.instances, r.record.memory/1e6, peak.Memory/1e6, peak.Files, peak.Goroutines)
+	if n := r.record.narrow; n != nil {
+		took := r.record.refusals()
+		fmt.Fprintf(&b, "narrow link     %g Mbit/s at instance %d; %d refusals to callers on its machine, the longest after %s\n",
+			n.rate, n.number, len(took), slices.Max(append(took, 0)).Round(time.Millisecond))
+	}
 	r.printFindings(&b)
 	_, err := io.WriteString(w, b.String())
 	return errors.Wrap(err, "soak")
--- a/loadgen/lacesoak/site.go
+++ b/loadgen/lacesoak/site.go
@@ -62,6 +62,10 @@
 	options  Options
 	store    *lacestage.Store
 	recorder *lacestage.Recorder
+	// narrow is the event of a narrow link, link that link; nil in runs without one.
+	narrow *event
+	link   *link
+	fronts fronts
 	// ports counts through the ports, from a random one on.
 	ports atomic.Uint32
 
@@ -77,12 +81,17 @@
 	s := &site{
 		seed:     seed,
 		options:  o,
-		store:    lacestage.NewStore(lacestage.WithStoreSeed(seed)),
+		narrow:   narrowLink(newPlan(seed, o)),
 		recorder: &lacestage.Recorder{},
 		document: document(),
 		servers:  make([]*lacestage.Server, o.engines()+o.services()),
 		born:     make([]int, o.engines()+o.services()),
 	}
+	s.store = lacestage.NewStore(lacestage.WithStoreSeed(seed), lacestage.WithRewrite(s.fronts.published))
+	if s.narrow != nil {
+		s.link = newLink(s.narrow.rate)
+		s.document.Accounts = append(s.document.Accounts, pressAccount())
+	}
 	s.ports.Store(rand.Uint32N(mostPort))
 	err := s.apply(func(*laceroute.Document) {})
 	for i := range s.servers {
@@ -151,6 +160,7 @@
 		Address: at,
 		Shape:   shape(),
 		Seed:    s.seed,
+		Through: s.link.through,
 	}
 	if i >= s.options.engines() {
 		o.Service, o.Kind = servicePlain, lacestage.Plain
@@ -216,6 +226,7 @@
 // close ends the servers and the store.
 func (s *site) close() error {
 	var first error
+	s.link.close()
 	for i := range s.servers {
 		if x := s.server(i); x != nil {
 			if err := x.Close(); !errors.Is(err, lacestage.ErrClosed) && first == nil {
--- a/loadgen/lacesoak/soak.go
+++ b/loadgen/lacesoak/soak.go
@@ -35,6 +35,7 @@
 	r := &record{
 		instances: o.Instances,
 		backends:  o.engines() + o.services(),
+		narrow:    s.narrow,
 	}
 	if err == nil {
 		err = s.play(ctx, newFleet(program, places, ready), instances, r)
@@ -75,11 +76,14 @@
 		for _, a := range []*laceunit.Address{&x.Caller, &x.Ready, &x.Directory, &x.Peer, &x.Metrics} {
 			*a = s.free()
 		}
+		if err = s.frontPeer(i, x.Peer); err != nil {
+			return nil, nil, err
+		}
 		x.Drain.Grace, x.Drain.Notice = drainGrace, drainNotice
 	}
 	for i, x := range all {
 		for n := 1; n <= min(seeds, len(all)-1); n++ {
-			x.Seeds = append(x.Seeds, all[(i+n)%len(all)].Peer)
+			x.Seeds = append(x.Seeds, s.fronts.reached(all[(i+n)%len(all)].Peer))
 		}
 		p := place{
 			settings: filepath.Join(dir, string(x.Instance)+".yaml"),
@@ -87,13 +91,23 @@
 			caller:   x.Caller,
 			peer:     x.Peer,
 		}
+		if err = s.frontNarrow(i, &x); err != nil {
+			return nil, nil, err
+		}
 		if err = lacestage.WriteSettings(p.settings, x); err != nil {
 			return nil, nil, err
 		}
 		places = append(places, p)
 		instances = append(instances, lacestage.Instance{
 			ID:     x.Instance,
-			Caller: x.Caller,
+			Caller: s.fronts.reached(x.Caller),
+		})
+	}
+	if s.narrow != nil {
+		// Callers on the instance's own machine, who don't pass the link, come last.
+		instances = append(instances, lacestage.Instance{
+			ID:     instanceID(s.narrow.number),
+			Caller: places[s.narrow.number].caller,
 		})
 	}
 	return places, instances, nil
@@ -102,6 +116,7 @@
 // play starts the instances, carries the plan out and collects what both ends saw.
 func (s *site) play(ctx context.Context, f *fleet, instances []lacestage.Instance, r *record) error {
 	defer f.close()
+	s.follow(f)
 	if err := f.startAll(ctx); err != nil {
 		return err
 	}
@@ -132,7 +147,7 @@
 		sleep(ctx, time.Until(r.quiet.Add(QuietTail)))
 	}
 	c.close()
-	r.answers, r.deeds = c.answers, d.deeds
+	r.answers, r.deeds, r.changes = c.answers, d.deeds, d.changes
 	f.settle(ctx, r)
 	cancel()
 	watch.Wait()
