lacelimit: requests are admitted by the rate of the link, not by how long the instance's own calls take

Cause: calls are given up while the instance is cut off from the store; they counted as delay on a link of which more than half was in use, and the rate fell to a tenth. Ruled out: counting answered calls only; a slow store on a busy link looks the same. Change: the reaction is gone, the bucket stays.

--- a/lib/lacelimit/link.go
+++ b/lib/lacelimit/link.go
@@ -135,16 +135,15 @@
 	l.take(now, r.Account, classOf(r.Rank, false), float64(p.cost()-v.Cost))
 }
 
-// Observe takes in the bytes that data connections have read and written so far and the longest of the instance's calls
-// to the store since the last look, zero when none ended.
-func (l *Link) Observe(now time.Time, in, out laceunit.Bytes, call time.Duration) {
-	l.pace.observe(now, l.Rate, in, out, call)
+// Observe takes in the bytes that data connections have read and written so far.
+func (l *Link) Observe(now time.Time, in, out laceunit.Bytes) {
+	l.pace.observe(now, l.Rate, in, out)
 }
 
 // AdmittedRate is the rate at which data is admitted, in bytes a second; zero means that there is no bound.
 func (l *Link) AdmittedRate() float64 { return l.rate() }
 
-func (l *Link) rate() float64 { return l.Rate * (1 - controlPart) * (1 - l.pace.cut) }
+func (l *Link) rate() float64 { return l.Rate * (1 - controlPart) }
 
 func (l *Link) burst() float64 { return l.rate() * burstTime.Seconds() }
 
--- a/lib/lacenode/link.go
+++ b/lib/lacenode/link.go
@@ -76,5 +76,5 @@
 func (l *link) observe(v vital) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.limit.Observe(v.at, laceunit.Bytes(v.in), laceunit.Bytes(v.out), v.call)
+	l.limit.Observe(v.at, laceunit.Bytes(v.in), laceunit.Bytes(v.out))
 }
