lacerelay: a refusal names a time to come back also when the request has waited until its end

Cause: the balancer names no time when a request waited past its deadline, and that zero went to the caller. Change: the usual time to come back of its route stands in. Before: TestRefusalsNameATime 'refused without a time to come back'.

--- a/lib/lacenode/exchange.go
+++ b/lib/lacenode/exchange.go
@@ -118,9 +118,9 @@
 // have lost it.
 func (x *exchange) choose() []laceunit.Address {
 	n := x.node
-	any := append([]laceunit.Address(nil), n.settings.Seeds...)
+	seeds := slices.Clone(n.settings.Seeds)
 	var chosen []laceunit.Address
-	for _, list := range [][]laceunit.Address{peers(n.board.Sources()), append(any, peers(n.board.Members())...)} {
+	for _, list := range [][]laceunit.Address{peers(n.board.Sources()), append(seeds, peers(n.board.Members())...)} {
 		list = slices.DeleteFunc(list, func(a laceunit.Address) bool {
 			return a == n.settings.Peer || slices.Contains(chosen, a)
 		})
--- a/lib/lacerelay/attempt.go
+++ b/lib/lacerelay/attempt.go
@@ -126,10 +126,15 @@
 
 // unplaced returns what the caller of a request without a server hears.
 func (r *Relay) unplaced(ctx context.Context, j *job, d lacebalancer.Decision) *lacefault.Fault {
-	f := fault(lacefault.Overloaded, "all servers are busy", d.RetryAfter)
+	after := d.RetryAfter
+	if after <= 0 {
+		// The request has waited until its time was over, so that nothing is known of the time after.
+		after = r.backoff(j)
+	}
+	f := fault(lacefault.Overloaded, "all servers are busy", after)
 	switch d.Reason {
 	case lacebalancer.NoServer:
-		f = fault(lacefault.NoServer, "no server is in use", d.RetryAfter)
+		f = fault(lacefault.NoServer, "no server is in use", after)
 	case lacebalancer.Paused:
 		f.Message = "all servers have asked for a pause"
 		r.options.Metrics.withheld(j, lacebalancer.HoldPausing.String(), "refused")
--- a/lib/lacerelay/notice_test.go
+++ b/lib/lacerelay/notice_test.go
@@ -152,3 +152,16 @@
 		t.Errorf("a second request so soon after the pause, refused after %s: %+v", time.Since(began), d)
 	}
 }
+
+// Guards against a refusal without a time to come back, when a request has waited for a server until its time was over.
+func TestRefusalsNameATime(t *testing.T) {
+	for _, reason := range []lacebalancer.Reason{lacebalancer.NoServer, lacebalancer.Paused, lacebalancer.Limited, 0} {
+		f := newBench(t).unplaced(context.Background(), &job{
+			service: "plain",
+			route:   &laceroute.Route{},
+		}, lacebalancer.Decision{Reason: reason})
+		if f.RetryAfter <= 0 {
+			t.Errorf("reason %d: refused without a time to come back: %+v", reason, f)
+		}
+	}
+}
