lacelimit: the first requests of a process are not refused on a link that is not in use

Cause: half of the burst was expected of an answer before one was seen, 4.7 MB on a link of 1,000 Mbit/s, so that of the first requests of each process two were admitted; 14 refusals in second 0 and 31 in second 36, after all processes were killed. Change: 16 KB are expected, at most half of the burst. TestAWideLinkTakesTheFirstRequests fails before ('request 1 was refused for 5ms').

--- a/lib/lacelimit/link.go
+++ b/lib/lacelimit/link.go
@@ -93,7 +93,7 @@
 // Admit decides about a request; an admitted one has to be ended.
 func (l *Link) Admit(now time.Time, r LinkRequest) LinkVerdict {
 	v := LinkVerdict{
-		Cost: l.routes.expect(now, r, laceunit.Bytes(l.burst()*firstPart)).cost(),
+		Cost: l.routes.expect(now, r, laceunit.Bytes(min(firstAnswer, l.burst()*firstPart))).cost(),
 		Rate: l.rate(),
 		Use:  l.pace.use,
 	}
--- a/lib/lacelimit/link_test.go
+++ b/lib/lacelimit/link_test.go
@@ -122,6 +122,20 @@
 	}
 }
 
+// Guards against a process that refuses its first requests on a wide link, because it has not seen an answer yet.
+func TestAWideLinkTakesTheFirstRequests(t *testing.T) {
+	l, now := &Link{Rate: 125_000_000}, time.Unix(1000, 0)
+	for i := range 200 {
+		if v := l.Admit(now, LinkRequest{
+			Account: laceunit.AccountID(fmt.Sprint("a", i%3)),
+			Route:   fmt.Sprint("r", i%5),
+			Body:    12_000,
+		}); !v.Admitted {
+			t.Fatalf("request %d was refused for %s", i, v.Wait)
+		}
+	}
+}
+
 // Guards against refusals where the rate of the link is not known.
 func TestUnknownLinkRefusesNothing(t *testing.T) {
 	var l Link
--- a/lib/lacelimit/linkuse.go
+++ b/lib/lacelimit/linkuse.go
@@ -19,8 +19,10 @@
 	evenSlack = 1.25
 	// sizeWeight is the weight of the newest answer in a route's average.
 	sizeWeight = 0.1
-	// firstPart of the burst is expected of an answer before any was seen, so that few are admitted until one has ended.
-	firstPart = 0.5
+	// firstAnswer is expected of an answer before any was seen, at most firstPart of the burst. What it really took is charged at
+	// its end, and a link that is not in use must not refuse the first requests of a process.
+	firstAnswer = 16 << 10
+	firstPart   = 0.5
 	// routeIdle is how long the sizes of a route are remembered, mostRoutes of how many routes.
 	routeIdle  = 10 * time.Minute
 	mostRoutes = 4096
