--- a/lib/lacemirror/follower_test.go
+++ b/lib/lacemirror/follower_test.go
@@ -251,6 +251,13 @@
 	}
 }
 
+// watching puts a watch in place.
+func (f *Follower) watching(since laceunit.Uptime) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.watched, f.heard = since, since
+}
+
 // Guards against a copy that counts as current because small answers overtake the large one that a watch is bringing.
 func TestAnswersThatOvertakeAWatchSayNothing(t *testing.T) {
 	now := laceunit.Uptime(time.Minute)
--- a/lib/lacemirror/reach.go
+++ b/lib/lacemirror/reach.go
@@ -57,13 +57,6 @@
 	f.lacking.settle(at)
 }
 
-// watching tells since when a watch is in place.
-func (f *Follower) watching(since laceunit.Uptime) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.watched, f.heard = since, since
-}
-
 // unwatch tells that a watch has ended. One that has failed may have been silent since its last event, so that what the store
 // answered elsewhere meanwhile says nothing about the copy.
 func (f *Follower) unwatch(sound bool) {
--- a/lib/lacenode/node.go
+++ b/lib/lacenode/node.go
@@ -253,31 +253,6 @@
 	return n.routes.Load() != nil && n.followers[serversFollower].Status().Revision > 0 && !n.leaving.Load()
 }
 
-// supersededPart is the part of the time in which a configuration has to be in force that an instance serves on from an older one
-// although it knows of the newer. The rest is what that news may take to come here.
-const supersededPart = 3
-
-// standing tells what the routing table may be used for.
-func (n *Node) standing() lacerelay.Standing {
-	s, now := n.followers[configsFollower].Status(), n.pulse.Now()
-	switch {
-	case s.Lacking > 0 && (now.Sub(s.Lacking) > n.settings.Apply/supersededPart || now.Sub(s.Reached) > n.settings.Apply):
-		return lacerelay.Superseded
-	case now.Sub(s.Reached) > n.settings.Apply:
-		return lacerelay.Old
-	}
-	return lacerelay.InForce
-}
-
-// meaning returns what a server's entry says. Servers write theirs again at each report, most of which say nothing new.
-func (n *Node) meaning(e laceplatform.Entry) any {
-	b, err := n.adapter.Backend(e)
-	if err != nil {
-		return nil
-	}
-	return b
-}
-
 // The indices of the copies of the configuration, of the backend servers and of what instances write.
 const (
 	configsFollower = 0
