lacemirror: an answer amid a page of a watch can be read

Callers would see: an instance that follows partners loses a round of news now and then, with a line 'rejected'. Cause: while a page of the watch is taken in, entries are newer than the revision at which the copy is complete; the confirmation named that revision, and the asker took the whole answer for malformed. Change: what is newer than the copy's revision does not count.

--- a/lib/lacemirror/mirror.go
+++ b/lib/lacemirror/mirror.go
@@ -66,7 +66,7 @@
 // Revision is the revision at which the copy is complete; zero means that it holds nothing.
 func (m *Mirror) Revision() laceplatform.Revision { return m.revision }
 
-// Newest returns the revision at which the copy last changed in what it says.
+// Newest returns the revision at which the copy last changed in what it says, as far as it is complete.
 func (m *Mirror) Newest() laceplatform.Revision {
 	var newest laceplatform.Revision
 	for _, e := range m.entries {
@@ -75,7 +75,7 @@
 	for _, r := range m.removed {
 		newest = max(newest, r.Revision)
 	}
-	return newest
+	return min(newest, m.revision)
 }
 
 // Entries returns the entries in the order of their keys.
--- a/lib/lacenode/transfer_test.go
+++ b/lib/lacenode/transfer_test.go
@@ -175,3 +175,16 @@
 		t.Error("no transfer after the end of the others")
 	}
 }
+
+// Guards against an answer that counts as malformed because the answering instance has taken in a part of a page of its watch, whose
+// changes are newer than the revision at which its copy is complete.
+func TestAnAnswerAmidAPageIsSound(t *testing.T) {
+	one, two := newPeered(t, "op/", "servers/"), newPeered(t, "op/", "servers/")
+	one.written(t, 5, routesText(10))
+	d := delta("servers/", 6, "servers/2")
+	d.Entries[0].Revision = 7
+	one.node.followers[serversFollower].Merge(lacewire.ToDelta(d))
+	if h, _ := two.round(t, one, roundBytes); h.large || two.node.followers[serversFollower].Status().Revision != 6 {
+		t.Errorf("the answer brought %+v", two.node.followers[serversFollower].Status())
+	}
+}
