--- a/lib/lacelog/log_test.go
+++ b/lib/lacelog/log_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 
+	"github.com/pkg/errors"
 	"github.com/sebdah/goldie/v2"
 )
 
@@ -91,3 +92,22 @@
 		t.Error("got a timeline of a request that no line has")
 	}
 }
+
+// Guards against lines that are as long as a text that a caller, a server or an entry of the store contains.
+func TestLongTextIsTruncated(t *testing.T) {
+	type id string
+	var out bytes.Buffer
+	l := New(&out, "router-1")
+	long := strings.Repeat("x", 1<<20)
+	l.Write(InputRejected, P(Reason, long), P(Request, id(long)), P("short", id("y")))
+	l.Error(errors.New(long), long)
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if n := out.Len(); n > 8*maxTextBytes {
+		t.Errorf("two lines have %d bytes", n)
+	}
+	if !strings.Contains(out.String(), "xxx"+truncationMark) || !strings.Contains(out.String(), `"short":"y"`) {
+		t.Errorf("values are missing: %s", out.String())
+	}
+}
--- a/lib/lacelog/logger.go
+++ b/lib/lacelog/logger.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"log/slog"
+	"reflect"
+	"strings"
 	"sync"
 	"sync/atomic"
 
@@ -21,6 +23,9 @@
 	priorityRate = 200
 	// burstSeconds is the burst that an event type is allowed, in seconds at its rate limit.
 	burstSeconds = 2
+	// maxTextBytes bounds the length of a text value, truncationMark is appended to a longer one.
+	maxTextBytes   = 512
+	truncationMark = "..."
 )
 
 // Pair is the key of a field with its value.
@@ -100,7 +105,7 @@
 	}
 	values := make([]any, 0, 2*len(pairs)+2)
 	for _, p := range pairs {
-		values = append(values, string(p.Field), p.Value)
+		values = append(values, string(p.Field), truncate(p.Value))
 	}
 	if suppressed > 0 {
 		values = append(values, string(Suppressed), suppressed)
@@ -108,6 +113,15 @@
 	l.log.Info(string(event), values...)
 }
 
+// truncate shortens long text, of which callers, servers and entries of the store choose the length.
+func truncate(value any) any {
+	v := reflect.ValueOf(value)
+	if v.Kind() != reflect.String || v.Len() <= maxTextBytes {
+		return value
+	}
+	return strings.ToValidUTF8(v.String()[:maxTextBytes], "") + truncationMark
+}
+
 // Error writes an InternalError line.
 func (l *Logger) Error(err error, reason string, pairs ...Pair) {
 	l.Write(InternalError, append([]Pair{P(Reason, reason), P("error", err.Error())}, pairs...)...)
