relay, conn: a refusal that a server sends once more is no answer to the same request

Callers of a route with several attempts had a request run twice: with one server left, the second attempt went out on the connection that had carried the refusal. A copy of the refusal has the id of the request, so that it passed for the answer to the attempt that the server was running. Copies for other requests were told apart by their id already. Change: after a refusal the same request gets a new connection at that server. The control information of an answer that belongs to another request (pause, limit, load) is no longer applied. Measured: TestRepeatedRefusalsAreNoAnswer failed with 'request 0 ran 2 times, the caller got 200'; passes.

--- a/lib/laceconn/pool.go
+++ b/lib/laceconn/pool.go
@@ -61,6 +61,11 @@
 	if c := p.takeIdle(); c != nil {
 		return c, nil
 	}
+	return p.Open(ctx)
+}
+
+// Open opens a new connection; it fails like Get.
+func (p *Pool) Open(ctx context.Context) (*Conn, error) {
 	p.mu.Lock()
 	if p.closed {
 		p.mu.Unlock()
--- a/lib/lacerelay/attempt.go
+++ b/lib/lacerelay/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -223,7 +224,12 @@
 		a.outcome, a.reason, a.neutral = attemptNotSent, "server has gone or time is over", true
 		return a
 	}
-	conn, err := pool.Get(ctx)
+	acquire := pool.Get
+	if slices.Contains(j.refusedBy, d.Server) {
+		// On a connection with an earlier refusal of this request, a copy of that would pass as the answer.
+		acquire = pool.Open
+	}
+	conn, err := acquire(ctx)
 	if err != nil {
 		a.outcome, a.reason = attemptNotSent, err.Error()
 		a.neutral = ctx.Err() != nil || errors.Is(err, laceconn.ErrPoolExhausted) || errors.Is(err, laceconn.ErrClosed)
@@ -253,14 +259,14 @@
 		return a
 	}
 	a.reply = r.options.Codec.DecodeReply(x.Response)
-	a.status, a.header = x.Response.StatusCode, x.Response.Header
-	a.framed = x.Response.ContentLength >= 0 || len(x.Response.TransferEncoding) > 0
-	r.applyReply(j, d, &a.reply)
 	if a.reply.Attempt != j.call.Attempt && (a.reply.Attempt != "" || !x.Fresh) {
 		x.Abort()
 		a.outcome, a.reason = attemptBroken, "answer belongs to another request"
 		return a
 	}
+	a.status, a.header = x.Response.StatusCode, x.Response.Header
+	a.framed = x.Response.ContentLength >= 0 || len(x.Response.TransferEncoding) > 0
+	r.applyReply(j, d, &a.reply)
 	if j.route.Stream && a.status == http.StatusOK && a.reply.HasReceipt && j.response.canContinueWith(a.header) {
 		a.exchange = x
 		return a
@@ -331,6 +337,7 @@
 		}
 	case attemptNotRun:
 		result = lacebalancer.Busy
+		j.refusedBy = append(j.refusedBy, d.Server)
 	case attemptBroken, attemptStalled:
 		result = lacebalancer.Failure
 	case attemptTimedOut:
--- a/lib/lacerelay/relay.go
+++ b/lib/lacerelay/relay.go
@@ -142,6 +142,8 @@
 	history       attemptHistory
 	link          linkUsage
 	tried         []laceunit.ServerID
+	// refusedBy are the servers that stated that they did not run the request.
+	refusedBy []laceunit.ServerID
 	// lastEventID is the id of the latest event, at which another server would resume the stream.
 	lastEventID string
 	response    response
