relay: an answer without a length is not complete if its server has crashed

Streams that end inside an event were broken off already. Measured: two of six cases of TestUnframedResponsesEndWithTheirServer failed ('status 200, "ok", error <nil>'); all pass.

--- a/lib/lacerelay/crash.go
+++ b/lib/lacerelay/crash.go
@@ -26,13 +26,16 @@
 		r.reportSuccess(j)
 		return
 	}
-	if a.outcome != attemptBroken || !a.connectionLost {
+	if !a.mayHaveLostServer() {
 		return
 	}
 	sending, ok := r.options.Picker.Sending(d.Ticket)
 	if !ok || !r.options.Backends.hasCrashed(ctx, d.Server, sending.StartTime) {
 		return
 	}
+	if a.outcome == attemptComplete {
+		a.outcome, a.reason = attemptBroken, "server crashed at the end of an answer without a length"
+	}
 	if !a.settled {
 		r.reportCrash(j, d.Server, sending.StartTime)
 	}
@@ -64,6 +67,12 @@
 	return true
 }
 
+// mayHaveLostServer reports whether an attempt may have ended because its server crashed. An answer without a length ends
+// with its connection, which looks the same when the server crashes.
+func (a *attempt) mayHaveLostServer() bool {
+	return a.outcome == attemptBroken && a.connectionLost || a.outcome == attemptComplete && !a.framed
+}
+
 // provesServer reports whether the server has written a whole answer and was still there at its end, which the end of
 // the connection alone does not show.
 func (a *attempt) provesServer() bool {
