quarantine: instances pass on what the store does not take; tests of the service

Change: queries between instances, which are made while the copies are stale, carry the records that are not in the store yet, in both directions; a verdict that is missing in the store is written by any instance that uses it.

--- a/lib/lacenode/query.go
+++ b/lib/lacenode/query.go
@@ -30,6 +30,7 @@
 		request: &lacewire.MirrorQuery{
 			Instance: string(r.node.settings.Instance),
 			Limit:    maxDeltaBytes,
+			Unsaved:  r.unsavedRecords(),
 		},
 		bases: map[string]lacewire.Base{},
 	}
@@ -99,6 +100,7 @@
 	for _, d := range deltas {
 		r.follower(d.Prefix).Merge(d)
 	}
+	r.applyUnsaved(string(peer), answer.GetUnsaved())
 	return r.confirmCopies(sentAt, answer.GetConfirmed()), nil
 }
 
@@ -141,7 +143,11 @@
 
 // Fetch implements lacewire.Mirror.
 func (r *replicator) Fetch(_ context.Context, q *lacewire.MirrorQuery) (*lacewire.MirrorNews, error) {
-	answer := &lacewire.MirrorNews{Direct: !r.node.replicating.Load()}
+	r.applyUnsaved(q.GetInstance(), q.GetUnsaved())
+	answer := &lacewire.MirrorNews{
+		Direct:  !r.node.replicating.Load(),
+		Unsaved: r.unsavedRecords(),
+	}
 	now, malformed := r.node.tracker.Now(), false
 	for _, s := range q.GetStates() {
 		f := r.follower(laceplatform.Key(s.GetPrefix()))
--- a/lib/lacequarantine/publisher.go
+++ b/lib/lacequarantine/publisher.go
@@ -43,8 +43,11 @@
 	// changed wakes the writer.
 	changed chan struct{}
 
-	mu       sync.Mutex
-	report   []Crash
+	mu     sync.Mutex
+	report []Crash
+	// reportVersion is when the report was last changed, in milliseconds.
+	reportVersion int64
+
 	verdicts map[VerdictID]pendingVerdict
 	renewals map[VerdictID]laceplatform.LeaseID
 	entries  map[laceplatform.Key]storedEntry
@@ -70,7 +73,7 @@
 func (p *publisher) reportChanged(crashes []Crash) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.report = crashes
+	p.report, p.reportVersion = crashes, max(time.Now().UnixMilli(), p.reportVersion+1)
 	wake(p.changed)
 }
 
@@ -119,6 +122,14 @@
 	return ok
 }
 
+// scheduled reports whether a verdict is to be written.
+func (p *publisher) scheduled(id VerdictID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, ok := p.verdicts[id]
+	return ok
+}
+
 // keep schedules a renewal of the lease of a verdict that was used after the last one, if it is due.
 func (p *publisher) keep(v Verdict, usedAt time.Time) {
 	p.mu.Lock()
--- a/lib/lacequarantine/service.go
+++ b/lib/lacequarantine/service.go
@@ -20,6 +20,8 @@
 	idleInterval  = time.Second
 	// lapseAge is how long a verdict stays in force after the last request that it refused.
 	lapseAge = 10 * time.Minute
+	// adoptAge is how long a verdict may be missing in the store until any instance writes it.
+	adoptAge = 3 * time.Second
 	// maxRelaxDelay bounds the random wait before a change is published that many instances know of.
 	maxRelaxDelay = 300 * time.Millisecond
 )
@@ -50,6 +52,8 @@
 	// enforced are the verdicts in force.
 	enforced map[VerdictID]Verdict
 	attempts attemptSet
+	// received are records of other instances that are not in the store yet.
+	received map[laceplatform.Key]passedOn
 }
 
 // New returns a service; the caller must run Serve.
@@ -60,6 +64,7 @@
 		crashed:   make(chan struct{}, 1),
 		usedAt:    map[VerdictID]time.Time{},
 		enforced:  map[VerdictID]Verdict{},
+		received:  map[laceplatform.Key]passedOn{},
 	}
 }
 
@@ -314,16 +319,20 @@
 	return !s.tracker.JudgeAt().IsZero()
 }
 
-// renew extends the leases of the verdicts in use, and removes those that are neither in use nor in the store.
+// renew extends the leases of the verdicts in use, publishes those that are not in the store, since their origin may
+// have ended before it could, and removes those that are neither in use nor in the store.
 func (s *Service) renew() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, at := range s.usedAt {
-		v := s.enforced[id]
-		if time.Since(at) < lapseAge {
-			s.publisher.keep(v, at)
-		} else if !s.publisher.stored(id) {
+		v, stored := s.enforced[id], s.publisher.stored(id)
+		switch {
+		case time.Since(at) >= lapseAge && !stored:
 			s.removeLocally(id)
+		case stored:
+			s.publisher.keep(v, at)
+		case v.State == Blocked && time.Since(v.EnforcedAt) > adoptAge && !s.publisher.scheduled(id):
+			s.publisher.verdictChanged(v, rand.N(maxRelaxDelay))
 		}
 	}
 }
