platform: an operator sees, sets and lifts verdicts on prompt parts

Cause: a verdict could only end by an answer or by lapsing. Change: platform quarantine lists the verdicts of the store, block and allow set one until the operator changes it, lift ends one; they need the store alone, no instance.

--- a/lib/lacenode/node.go
+++ b/lib/lacenode/node.go
@@ -201,14 +201,14 @@
 	return lacequarantine.New(lacequarantine.Options{
 		Self:    n.settings.Instance,
 		Store:   store,
-		Keys:    quarantineKeys(),
+		Keys:    QuarantineKeys(),
 		Log:     n.log,
 		Metrics: lacequarantine.NewMetrics(n.registry),
 	})
 }
 
-// quarantineKeys returns the key prefixes of the crashes of servers and of the verdicts that follow from them.
-func quarantineKeys() lacequarantine.Keys {
+// QuarantineKeys returns the key prefixes of the crashes of servers and of the verdicts that follow from them.
+func QuarantineKeys() lacequarantine.Keys {
 	return lacequarantine.Keys{
 		Reports:  crashPrefix,
 		Verdicts: verdictPrefix,
@@ -379,7 +379,7 @@
 			if err := n.shares.ApplyEntry(c.Entry, c.Removed); err != nil {
 				n.rejectEntry(c.Entry, err)
 			}
-		case quarantineKeys().Contains(c.Entry.Key):
+		case QuarantineKeys().Contains(c.Entry.Key):
 			if err := n.quarantine.ApplyEntry(c.Entry, c.Removed); err != nil {
 				n.rejectEntry(c.Entry, err)
 			}
--- a/lib/lacequarantine/service.go
+++ b/lib/lacequarantine/service.go
@@ -214,7 +214,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.publisher.forgetEntry(key)
-	if v, ok := s.enforced[id]; ok && v.State == Blocked && time.Since(s.usedAt[id]) < lapseAge {
+	if v, ok := s.enforced[id]; ok && v.State == Blocked && v.Origin != Operator && time.Since(s.usedAt[id]) < lapseAge {
 		s.publisher.verdictChanged(v, rand.N(maxRelaxDelay))
 		return
 	}
@@ -331,7 +331,7 @@
 			s.removeLocally(id)
 		case stored:
 			s.publisher.keep(v, at)
-		case v.State == Blocked && time.Since(v.EnforcedAt) > adoptAge && !s.publisher.scheduled(id):
+		case v.State == Blocked && v.Origin != Operator && time.Since(v.EnforcedAt) > adoptAge && !s.publisher.scheduled(id):
 			s.publisher.verdictChanged(v, rand.N(maxRelaxDelay))
 		}
 	}
