--- a/lib/lacequarantine/crash.go
+++ b/lib/lacequarantine/crash.go
@@ -29,6 +29,15 @@
 	prompts map[laceunit.InstanceID][][]Part
 }
 
+// size returns the number of requests in all reports.
+func (c *serverCrash) size() int {
+	n := 0
+	for _, prompts := range c.prompts {
+		n += len(prompts)
+	}
+	return n
+}
+
 // find returns a prompt with all parts of a combination.
 func (c *serverCrash) find(combination []Part) ([]Part, bool) {
 	for _, prompts := range c.prompts {
--- a/lib/lacequarantine/judge.go
+++ b/lib/lacequarantine/judge.go
@@ -1,6 +1,7 @@
 package lacequarantine
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -72,8 +73,8 @@
 // blockedElsewhere returns a combination that was blocked before, or is blocked for another model, and a crash with it.
 func (t *Tracker) blockedElsewhere(open []*serverCrash) ([]Part, []*serverCrash) {
 	for _, c := range open {
-		for _, prompts := range c.prompts {
-			for _, p := range prompts {
+		for _, reporter := range slices.Sorted(maps.Keys(c.prompts)) {
+			for _, p := range c.prompts[reporter] {
 				if combination := t.knownCombination(p); combination != nil {
 					return combination, []*serverCrash{c}
 				}
@@ -86,7 +87,8 @@
 // knownCombination returns the parts of a prompt whose content is, or was, blocked for any model.
 func (t *Tracker) knownCombination(prompt []Part) []Part {
 	for _, known := range []map[VerdictID]Verdict{t.verdicts, t.former} {
-		for _, v := range known {
+		for _, id := range slices.Sorted(maps.Keys(known)) {
+			v := known[id]
 			if v.State != Blocked {
 				continue
 			}
--- a/lib/lacequarantine/tracker.go
+++ b/lib/lacequarantine/tracker.go
@@ -1,6 +1,7 @@
 package lacequarantine
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -20,12 +21,13 @@
 	reportDelay = 150 * time.Millisecond
 	// evidenceAge is how long a crash counts.
 	evidenceAge = 10 * time.Minute
-	// maxCrashes, maxPrompts, maxSuspects and maxVerdicts bound the state: the crashes that are remembered, the reported
-	// requests of each instance on a crash, the parts of each of them and the verdicts.
-	maxCrashes  = 64
-	maxPrompts  = 16
-	maxSuspects = 16
-	maxVerdicts = 256
+	// maxCrashes, maxCrashPrompts, maxPrompts, maxSuspects and maxVerdicts bound the state: the crashes that are
+	// remembered, the requests on one crash in all reports and in each, the parts of each of them and the verdicts.
+	maxCrashes      = 64
+	maxCrashPrompts = 128
+	maxPrompts      = 16
+	maxSuspects     = 8
+	maxVerdicts     = 256
 )
 
 // Tracker turns the crashes of servers into verdicts on parts. The zero value is empty.
@@ -85,8 +87,12 @@
 	for _, p := range prompt {
 		t.history.recordSuccess(now, p)
 	}
+	if len(t.verdicts) == 0 {
+		return nil
+	}
 	var changed []Verdict
-	for id, v := range t.verdicts {
+	for _, id := range slices.Sorted(maps.Keys(t.verdicts)) {
+		v := t.verdicts[id]
 		if len(intersect(v.Parts, prompt)) == 0 {
 			continue
 		}
@@ -139,7 +145,8 @@
 	if t.judgeAt.IsZero() {
 		t.judgeAt = now.Add(reportDelay)
 	}
-	c.prompts[reporter] = report.Prompts[:min(len(report.Prompts), maxPrompts)]
+	c.prompts[reporter] = nil
+	c.prompts[reporter] = report.Prompts[:min(len(report.Prompts), maxPrompts, maxCrashPrompts-c.size())]
 	for _, v := range t.verdicts {
 		t.exempt(v, c)
 	}
