quarantine: a verdict that is removed while it is written is written again

Seen once in a run of the package beside others: TestVerdictOutlivesItsLease, 'timed out waiting for the verdict to be written again'; 2 of 30 runs, ten at a time. Cause: the response to the write arrived after the removal of the record, which was then taken to be in the store; and a write that ended removed the later one that was scheduled for the same verdict. Change: removals keep their revision, and a scheduled write has a number of its own.

--- a/lib/lacenode/node.go
+++ b/lib/lacenode/node.go
@@ -380,6 +380,9 @@
 				n.rejectEntry(c.Entry, err)
 			}
 		case QuarantineKeys().Contains(c.Entry.Key):
+			if c.Removed {
+				c.Entry.Revision = source.Revision
+			}
 			if err := n.quarantine.ApplyEntry(c.Entry, c.Removed); err != nil {
 				n.rejectEntry(c.Entry, err)
 			}
--- a/lib/lacequarantine/publisher.go
+++ b/lib/lacequarantine/publisher.go
@@ -23,9 +23,11 @@
 	maxWriteAttempts = 2
 )
 
-// storedEntry is what is known of a record in the store.
+// storedEntry is what is known of a record in the store. A removed one keeps its revision, since the response to the
+// write of the record may arrive after its removal.
 type storedEntry struct {
 	revision laceplatform.Revision
+	removed  bool
 	lease    laceplatform.LeaseID
 	// renewedAt is when the record was written or its lease renewed, as far as this instance knows.
 	renewedAt time.Time
@@ -35,6 +37,8 @@
 type pendingVerdict struct {
 	verdict Verdict
 	due     time.Time
+	// serial distinguishes it from a later one for the same verdict.
+	serial uint64
 }
 
 // publisher writes the report and the verdicts of an instance to the store. What could not be written stays pending.
@@ -48,9 +52,10 @@
 	// reportVersion is when the report was last changed, in milliseconds.
 	reportVersion int64
 
-	verdicts map[VerdictID]pendingVerdict
-	renewals map[VerdictID]laceplatform.LeaseID
-	entries  map[laceplatform.Key]storedEntry
+	verdicts   map[VerdictID]pendingVerdict
+	lastSerial uint64
+	renewals   map[VerdictID]laceplatform.LeaseID
+	entries    map[laceplatform.Key]storedEntry
 	// reportLease is the lease of the report, which is replaced when half of its time has passed.
 	reportLease   laceplatform.LeaseID
 	reportLeaseAt time.Time
@@ -81,9 +86,11 @@
 func (p *publisher) verdictChanged(v Verdict, delay time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.lastSerial++
 	p.verdicts[v.ID] = pendingVerdict{
 		verdict: v,
 		due:     time.Now().Add(delay),
+		serial:  p.lastSerial,
 	}
 	wake(p.changed)
 }
@@ -108,18 +115,30 @@
 	}
 }
 
-func (p *publisher) forgetEntry(key laceplatform.Key) {
+// recordRemoval records that a record was removed at a revision.
+func (p *publisher) recordRemoval(key laceplatform.Key, revision laceplatform.Revision) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	delete(p.entries, key)
+	p.entries[key] = storedEntry{
+		revision: max(revision, p.entries[key].revision),
+		removed:  true,
+	}
+}
+
+// expected returns the revision at which a record is expected in the store, zero if it does not exist; the lock must be
+// held.
+func (p *publisher) expected(key laceplatform.Key) laceplatform.Revision {
+	if e := p.entries[key]; !e.removed {
+		return e.revision
+	}
+	return 0
 }
 
 // stored reports whether a verdict is in the store.
 func (p *publisher) stored(id VerdictID) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	_, ok := p.entries[p.options.Keys.Verdict(id)]
-	return ok
+	return p.expected(p.options.Keys.Verdict(id)) > 0
 }
 
 // scheduled reports whether a verdict is to be written.
@@ -135,7 +154,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e, ok := p.entries[p.options.Keys.Verdict(v.ID)]
-	if ok && v.State == Blocked && e.lease != 0 && usedAt.After(e.renewedAt) && time.Since(e.renewedAt) >= renewInterval {
+	if ok && !e.removed && v.State == Blocked && e.lease != 0 && usedAt.After(e.renewedAt) && time.Since(e.renewedAt) >= renewInterval {
 		p.renewals[v.ID] = e.lease
 		wake(p.changed)
 	}
@@ -197,20 +216,20 @@
 // counts.
 func (p *publisher) writeVerdicts(ctx context.Context) error {
 	p.mu.Lock()
-	due := make([]Verdict, 0, len(p.verdicts))
+	due := make([]pendingVerdict, 0, len(p.verdicts))
 	for _, v := range p.verdicts {
 		if !time.Now().Before(v.due) {
-			due = append(due, v.verdict)
+			due = append(due, v)
 		}
 	}
 	p.mu.Unlock()
 	for _, v := range due {
-		if err := p.writeVerdict(ctx, v); err != nil && !errors.Is(err, laceplatform.ErrConflict) {
+		if err := p.writeVerdict(ctx, v.verdict); err != nil && !errors.Is(err, laceplatform.ErrConflict) {
 			return err
 		}
 		p.mu.Lock()
-		if p.verdicts[v.ID].verdict.At.Equal(v.At) {
-			delete(p.verdicts, v.ID)
+		if p.verdicts[v.verdict.ID].serial == v.serial {
+			delete(p.verdicts, v.verdict.ID)
 		}
 		p.mu.Unlock()
 	}
@@ -228,7 +247,7 @@
 	}
 	key := p.options.Keys.Verdict(v.ID)
 	p.mu.Lock()
-	expect := p.entries[key].revision
+	expect := p.expected(key)
 	p.mu.Unlock()
 	return p.swap(ctx, key, value, expect, lease)
 }
@@ -307,12 +326,12 @@
 	var err error
 	for range maxWriteAttempts {
 		p.mu.Lock()
-		expect, lease := p.entries[key].revision, p.reportLease
+		expect, lease := p.expected(key), p.reportLease
 		p.mu.Unlock()
 		if err = p.swap(ctx, key, value, expect, lease); !errors.Is(err, laceplatform.ErrConflict) {
 			break
 		}
-		p.forgetEntry(key)
+		p.recordRemoval(key, 0)
 		if conflict := new(laceplatform.Conflict); errors.As(err, &conflict) && conflict.Entry(key).Revision > 0 {
 			p.recordEntry(conflict.Entry(key))
 		}
@@ -348,7 +367,7 @@
 	defer p.mu.Unlock()
 	delete(p.renewals, id)
 	key := p.options.Keys.Verdict(id)
-	if e, ok := p.entries[key]; ok {
+	if e, ok := p.entries[key]; ok && !e.removed {
 		e.renewedAt = time.Now()
 		p.entries[key] = e
 	}
--- a/lib/lacequarantine/service.go
+++ b/lib/lacequarantine/service.go
@@ -147,10 +147,11 @@
 	return reported
 }
 
-// ApplyEntry applies a store entry or its removal.
+// ApplyEntry applies a store entry, or its removal, at the revision of the entry.
 func (s *Service) ApplyEntry(e laceplatform.Entry, removed bool) error {
 	if instance, ok := suffix(e.Key, s.options.Keys.Reports); ok {
 		if removed {
+			s.publisher.recordRemoval(e.Key, e.Revision)
 			return nil
 		}
 		return s.applyReport(laceunit.InstanceID(instance), e)
@@ -160,7 +161,7 @@
 		return ErrRecord
 	}
 	if removed {
-		s.removeVerdict(VerdictID(id), e.Key)
+		s.removeVerdict(VerdictID(id), e)
 		return nil
 	}
 	v, err := DecodeVerdict(VerdictID(id), e.Value)
@@ -210,10 +211,10 @@
 
 // removeVerdict handles the removal of a verdict's key. The lease of the key may have expired during an outage of the
 // store, so that a verdict that is in use is published again.
-func (s *Service) removeVerdict(id VerdictID, key laceplatform.Key) {
+func (s *Service) removeVerdict(id VerdictID, e laceplatform.Entry) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.publisher.forgetEntry(key)
+	s.publisher.recordRemoval(e.Key, e.Revision)
 	if v, ok := s.enforced[id]; ok && v.State == Blocked && v.Origin != Operator && time.Since(s.usedAt[id]) < lapseAge {
 		s.publisher.verdictChanged(v, rand.N(maxRelaxDelay))
 		return
--- a/lib/lacequarantine/service_test.go
+++ b/lib/lacequarantine/service_test.go
@@ -70,6 +70,7 @@
 	f.entries = map[laceplatform.Key]laceplatform.Entry{}
 	f.mu.Unlock()
 	for _, e := range entries {
+		e.Revision++
 		for _, s := range services {
 			if err := s.ApplyEntry(e, true); err != nil {
 				t.Fatal(err)
