lacenode: an instance is ready once it knows what the others have written

Cause: an instance that had just started took requests for some milliseconds before it knew which prompts crash servers. Change: readiness needs the copy of lace/fleet/ as well.

--- a/lib/lacenode/node.go
+++ b/lib/lacenode/node.go
@@ -279,10 +279,11 @@
 	return nil
 }
 
-// Ready reports whether the instance accepts requests: it has the configuration and the list of backend servers, and it
-// is not stopping.
+// Ready reports whether the instance accepts requests: it has the configuration, the list of backend servers and what
+// the other instances have written, such as which prompts crash servers, and it is not stopping.
 func (n *Node) Ready() bool {
-	return n.routes.Load() != nil && n.followers[serversFollower].Status().Revision > 0 && !n.draining.Load()
+	return n.routes.Load() != nil && n.followers[serversFollower].Status().Revision > 0 &&
+		n.followers[fleetFollower].Status().Revision > 0 && !n.draining.Load()
 }
 
 // Indices of the followers of the configuration, of the backend servers and of what instances write.
