--- a/loadgen/lacesoak/check.go
+++ b/loadgen/lacesoak/check.go
@@ -27,6 +27,7 @@
 	guaranteeRunning     = "keeps-running"
 	guaranteePropagation = "in-force"
 	guaranteeRetryAfter  = "retry-after"
+	guaranteeQuarantine  = "quarantine"
 )
 
 const (
@@ -83,6 +84,7 @@
 	c.checkRecovery()
 	c.checkPropagation()
 	c.checkRetryAfter()
+	c.checkQuarantine()
 	for _, i := range r.exited {
 		c.addViolation(guaranteeRunning, nil, "instance %d exited unexpectedly", i)
 	}
--- a/loadgen/lacesoak/injector.go
+++ b/loadgen/lacesoak/injector.go
@@ -146,7 +146,8 @@
 	return j.apply(func(c *laceroute.Document) {
 		switch e.kind {
 		case eventRouteTimeout:
-			r := &c.Routes[e.variant%len(c.Routes)]
+			// The first route is that of serviceFragile, which no event affects.
+			r := &c.Routes[1+e.variant%(len(c.Routes)-1)]
 			r.Timeout = defaultTimeout + shortTimeout - r.Timeout
 		case eventKeyRevoked:
 			c.Accounts[accountRevoked].Keys = c.Accounts[accountRevoked].Keys[:1]
--- a/loadgen/lacesoak/record.go
+++ b/loadgen/lacesoak/record.go
@@ -22,6 +22,8 @@
 	nonIdempotent bool
 	// timeout is the lower of the route's timeouts before and after the request; the caller's own is never lower.
 	timeout time.Duration
+	// crashing is true for a request that crashes the server that begins to respond to it.
+	crashing bool
 	// want is the expected body.
 	want []byte
 	// deliveredTokens are the tokens of the events that the caller received, and of the prompt if there was any event.
@@ -81,6 +83,8 @@
 	peakTotalMemory float64
 	// final is the resource usage of each running instance after the quiet period.
 	final map[int]laceprocess.Usage
+	// crashes are the times of the crashes of serviceFragile, in order.
+	crashes []time.Time
 	// exited are the instances that exited unexpectedly.
 	exited []int
 	// instances and backends are the numbers of instances and backend servers.
--- a/loadgen/lacesoak/soak.go
+++ b/loadgen/lacesoak/soak.go
@@ -35,7 +35,7 @@
 	specs, instances, err := t.writeSettings(dir)
 	r := &record{
 		instances: o.Instances,
-		backends:  o.engineCount() + o.serviceCount(),
+		backends:  o.engineCount() + o.serviceCount() + fragileServers,
 		slowLink:  t.slowLink,
 	}
 	if err == nil {
@@ -144,6 +144,12 @@
 		done:      make(chan struct{}),
 	}
 	c.start(0)
+	fragile := &fragileService{testbed: t}
+	fragileCtx, stopFragile := context.WithCancel(ctx)
+	defer stopFragile()
+	if t.slowLink == nil {
+		fragile.start(fragileCtx, c)
+	}
 	j := &injector{
 		testbed: t,
 		fleet:   f,
@@ -158,6 +164,11 @@
 		c.probe(ctx)
 		sleep(ctx, time.Until(r.faultsEnded.Add(QuietPeriod)))
 	}
+	stopFragile()
+	crashes, fragileErr := fragile.wait()
+	if r.crashes = crashes; err == nil {
+		err = fragileErr
+	}
 	c.close()
 	r.responses, r.injections, r.changes = c.responses, j.injections, j.changes
 	f.awaitBaseline(ctx, r)
