quarantine, relay: reports are not changed while they are written; no probe without need

A report grew in place while the writer encoded it. And each broken attempt at a plain service, whose callers wait 100 to 150 ms in all, waited up to 150 ms for the probe that tells a crash from a cut, although nothing used the result. Change: the report is copied before it grows; the server of a request without shared parts is probed only after an answer without a length.

--- a/lib/lacequarantine/service.go
+++ b/lib/lacequarantine/service.go
@@ -128,6 +128,8 @@
 
 // addReport adds a request to this instance's report on a crash; the lock must be held.
 func (s *Service) addReport(now time.Time, server laceunit.ServerID, startTime int64, suspects []Part) Crash {
+	// The writer still uses the former list.
+	s.reported = slices.Clone(s.reported)
 	i := slices.IndexFunc(s.reported, func(c Crash) bool { return c.Server == server && c.StartTime == startTime })
 	if i < 0 {
 		i = len(s.reported)
@@ -143,7 +145,7 @@
 		c.Prompts = append(slices.Clone(c.Prompts), suspects)
 	}
 	reported := *c
-	s.reported = slices.Clone(s.reported[max(0, len(s.reported)-maxReported):])
+	s.reported = s.reported[max(0, len(s.reported)-maxReported):]
 	return reported
 }
 
--- a/lib/lacequarantine/service_test.go
+++ b/lib/lacequarantine/service_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"testing"
@@ -311,3 +312,13 @@
 		t.Error("a request with harmless parts gets no second server")
 	}
 }
+
+// Guards against a report that changes while it is written, when several requests end with one server.
+func TestReportGrowsWhileItIsWritten(t *testing.T) {
+	f, services := newFleet(t, "i1")
+	for i := range 200 {
+		services[0].ReportCrash(laceunit.ServerID(fmt.Sprint("s", i/maxPrompts)), 1, []Part{part("new-%d", i)})
+		services[0].Unsaved()
+	}
+	await(t, "the report in the store", func() bool { return f.count(testKeys().Reports) == 1 })
+}
--- a/lib/lacerelay/crash.go
+++ b/lib/lacerelay/crash.go
@@ -26,7 +26,7 @@
 		r.reportSuccess(j)
 		return
 	}
-	if !a.mayHaveLostServer() {
+	if !a.mayHaveLostServer() || a.outcome != attemptComplete && len(j.call.Parts) == 0 {
 		return
 	}
 	sending, ok := r.options.Picker.Sending(d.Ticket)
--- a/lib/lacerelay/metric.go
+++ b/lib/lacerelay/metric.go
@@ -38,7 +38,7 @@
 		}, []string{"service", "cause", "decision"}),
 		crashes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lace_relay_crashed_attempts_total",
-			Help: "Attempts that broke off because their server crashed, by service.",
+			Help: "Attempts at prompts with shared parts that broke off because their server crashed, by service.",
 		}, []string{"service"}),
 		requestSeconds: histogram("lace_relay_request_seconds", "Time from a request's arrival to its end."),
 		firstEventSeconds: histogram("lace_relay_first_event_seconds",
