--- a/lib/lacenode/node.go
+++ b/lib/lacenode/node.go
@@ -196,25 +196,6 @@
 	return nil
 }
 
-// newQuarantine returns the service that keeps requests with prompt parts that crash servers away from the servers.
-func (n *Node) newQuarantine(store Store) *lacequarantine.Service {
-	return lacequarantine.New(lacequarantine.Options{
-		Self:    n.settings.Instance,
-		Store:   store,
-		Keys:    QuarantineKeys(),
-		Log:     n.log,
-		Metrics: lacequarantine.NewMetrics(n.registry),
-	})
-}
-
-// QuarantineKeys returns the key prefixes of the crashes of servers and of the verdicts that follow from them.
-func QuarantineKeys() lacequarantine.Keys {
-	return lacequarantine.Keys{
-		Reports:  crashPrefix,
-		Verdicts: verdictPrefix,
-	}
-}
-
 // newShareService returns the service that keeps this instance within its shares of the rate limits of servers.
 func (n *Node) newShareService(self laceunit.Holder, store Store, clock func() time.Time) *laceshare.Service {
 	return laceshare.New(laceshare.Options{
--- a/lib/lacenode/unsaved.go
+++ b/lib/lacenode/quarantine.go
@@ -6,6 +6,25 @@
 	"lacewingcove/lib/lacewire"
 )
 
+// newQuarantine returns the service that keeps requests with prompt parts that crash servers away from the servers.
+func (n *Node) newQuarantine(store Store) *lacequarantine.Service {
+	return lacequarantine.New(lacequarantine.Options{
+		Self:    n.settings.Instance,
+		Store:   store,
+		Keys:    QuarantineKeys(),
+		Log:     n.log,
+		Metrics: lacequarantine.NewMetrics(n.registry),
+	})
+}
+
+// QuarantineKeys returns the key prefixes of the crashes of servers and of the verdicts that follow from them.
+func QuarantineKeys() lacequarantine.Keys {
+	return lacequarantine.Keys{
+		Reports:  crashPrefix,
+		Verdicts: verdictPrefix,
+	}
+}
+
 // unsavedRecords returns the records for other instances that are not in the store yet.
 func (r *replicator) unsavedRecords() []*lacewire.UnsavedRecord {
 	if r.node.quarantine == nil {
