quarantine: a library call and an existing method in place of two loops

Cause: read in the last pass over the change: sameIDs wrote out slices.EqualFunc, and unexplained counted what serverCrash.size counts. Change: they call these; behaviour stays.

--- a/lib/lacequarantine/judge.go
+++ b/lib/lacequarantine/judge.go
@@ -62,12 +62,7 @@
 			}
 		}
 	}
-	for _, prompts := range c.prompts {
-		if len(prompts) > 0 {
-			return true
-		}
-	}
-	return false
+	return c.size() > 0
 }
 
 // blockedElsewhere returns a combination that was blocked before, or is blocked for another model, and a crash with it.
--- a/lib/lacequarantine/verdict.go
+++ b/lib/lacequarantine/verdict.go
@@ -1,6 +1,7 @@
 package lacequarantine
 
 import (
+	"slices"
 	"time"
 
 	"lacewingcove/lib/laceunit"
@@ -63,15 +64,7 @@
 
 // sameIDs reports whether two sorted combinations have the same content, possibly for different models.
 func sameIDs(a, b []Part) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i].ID != b[i].ID {
-			return false
-		}
-	}
-	return true
+	return slices.EqualFunc(a, b, func(x, y Part) bool { return x.ID == y.ID })
 }
 
 // blockIndex finds the verdict that blocks a request. It is immutable, so that requests read it without a lock. Each
