review case 5: a server that asks for a pause gets requests for its predecessor

A server at the address of a crashed one of another service answers 503 with Retry-After and goes on getting requests that are meant for the former one.

Cause: a pause belongs to the id and start of a server; the former server at that address stays in use while its entry stands. It takes the place of the case of a service with one server, which review/REPORT.md still names.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -8,4 +8,4 @@
     exit 2
   fi
 done
-exec review/bin/stand single review/5/record.txt
+exec review/bin/stand reused review/5/record.txt
--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -60,7 +60,10 @@
 			continue
 		}
 		c.instance = f.instances[n%len(f.instances)]
-		c.path, c.key = "/plan/x", keyOf(0)
+		if c.path == "" {
+			c.path = "/plan/x"
+		}
+		c.key = keyOf(0)
 		calls.Go(func() { got(c, f.do(c)) })
 	}
 }
--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -41,8 +41,12 @@
 func (f *fleet) do(c call) result {
 	ctx, cancel := context.WithTimeout(context.Background(), c.timeout)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.instance.caller+c.path,
-		strings.NewReader(strings.Repeat("p", 600)))
+	plain := strings.HasPrefix(c.path, plainPath)
+	method, body := http.MethodPost, io.Reader(strings.NewReader(strings.Repeat("p", 600)))
+	if plain {
+		method, body = http.MethodGet, nil
+	}
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+c.instance.caller+c.path, body)
 	if err != nil {
 		return result{err: err.Error()}
 	}
@@ -51,9 +55,11 @@
 	r.Header.Set("Lacewingcove-Attempt-Id", c.id)
 	r.Header.Set("Lacewingcove-Deadline-Ms", strconv.FormatInt(c.timeout.Milliseconds(), 10))
 	r.Header.Set("Lacewingcove-Key", c.key)
-	r.Header.Set("Lacewingcove-Model", "m")
-	r.Header.Set("Lacewingcove-Token-Usage", fmt.Sprintf("%d,%d", c.input, c.output))
-	r.Header.Set("Lacewingcove-Prompt-Prefix", strings.Join(c.parts, ","))
+	if !plain {
+		r.Header.Set("Lacewingcove-Model", "m")
+		r.Header.Set("Lacewingcove-Token-Usage", fmt.Sprintf("%d,%d", c.input, c.output))
+		r.Header.Set("Lacewingcove-Prompt-Prefix", strings.Join(c.parts, ","))
+	}
 	f.record.line("client sends %s to %s parts %s", c.id, c.instance.name, strings.Join(c.parts, ","))
 	x := receive(r)
 	f.record.line("client got %s status %d events %d complete %t receipt %s %s", c.id, x.status, x.events, x.complete,
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -27,6 +27,7 @@
 		"short":    runShort,
 		"single":   runSingle,
 		"tokens":   runTokens,
+		"reused":   runReused,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand CASE RECORD")
--- a/review/stand/server.go
+++ b/review/stand/server.go
@@ -29,13 +29,17 @@
 	unframedEvery int
 	// deadly is the id of a part that crashes the server when it begins to write an answer; empty means none.
 	deadly string
+	// errorEvery makes every n-th answer to a plain request an error of the server. Zero means none.
+	errorEvery int
+	// pause is how long after its start the server turns requests away with Retry-After.
+	pause time.Duration
 }
 
 func (o serverOptions) arguments() []string {
 	return []string{
 		"server", "-id", o.id, "-address", o.address, "-log", o.log, "-slots", strconv.Itoa(o.slots),
 		"-first", o.first.String(), "-gap", o.gap.String(), "-unframed", strconv.Itoa(o.unframedEvery),
-		"-deadly", o.deadly,
+		"-deadly", o.deadly, "-errors", strconv.Itoa(o.errorEvery), "-pause", o.pause.String(),
 	}
 }
 
@@ -46,13 +50,14 @@
 	listener net.Listener
 	running  atomic.Int64
 	answers  atomic.Int64
+	started  time.Time
 }
 
 // tokensPerEvent is the number of tokens in an event of a stream.
 const tokensPerEvent = 6
 
 func runServer(arguments []string) error {
-	b := &backend{}
+	b := &backend{started: time.Now()}
 	flags := flag.NewFlagSet("server", flag.ContinueOnError)
 	flags.StringVar(&b.id, "id", "", "")
 	flags.StringVar(&b.address, "address", "", "")
@@ -62,6 +67,8 @@
 	flags.DurationVar(&b.gap, "gap", 20*time.Millisecond, "")
 	flags.IntVar(&b.unframedEvery, "unframed", 0, "")
 	flags.StringVar(&b.deadly, "deadly", "", "")
+	flags.IntVar(&b.errorEvery, "errors", 0, "")
+	flags.DurationVar(&b.pause, "pause", 0, "")
 	if err := flags.Parse(arguments); err != nil {
 		return err
 	}
@@ -120,6 +127,7 @@
 // serve answers a request and reports whether the connection can be used for another one.
 func (b *backend) serve(c net.Conn, r *http.Request, gone <-chan struct{}) bool {
 	attempt := r.Header.Get("Lacewingcove-Attempt-Id")
+	b.record("reached by %s expects %s", attempt, r.Header.Get("Lacewingcove-Expect-Instance"))
 	reject := func(status, header string) bool {
 		_, err := fmt.Fprintf(c, "HTTP/1.1 %s\r\nLacewingcove-Attempt-Id: %s\r\n%s\r\nContent-Length: 0\r\n\r\n",
 			status, attempt, header)
@@ -136,6 +144,14 @@
 		return reject("503 Service Unavailable", "Lacewingcove-Not-Executed: 1")
 	}
 	defer b.running.Add(-1)
+	if left := b.pause - time.Since(b.started); left > 0 {
+		b.record("pauses %s ms %d", attempt, left.Milliseconds())
+		return reject("503 Service Unavailable",
+			fmt.Sprintf("Lacewingcove-Not-Executed: 1\r\nRetry-After: %.3f", left.Seconds()))
+	}
+	if strings.HasPrefix(r.URL.Path, plainPath) {
+		return b.servePlain(c, attempt, gone)
+	}
 	_, outputText, _ := strings.Cut(r.Header.Get("Lacewingcove-Token-Usage"), ",")
 	output, _ := strconv.Atoi(outputText)
 	count := max(output/tokensPerEvent, 1)
@@ -210,3 +226,25 @@
 		return false
 	}
 }
+
+// plainPath is the beginning of the paths that get a single body.
+const plainPath = "/check/"
+
+// servePlain answers a request with a single body.
+func (b *backend) servePlain(c net.Conn, attempt string, gone <-chan struct{}) bool {
+	number := b.answers.Add(1)
+	if !wait(b.first, gone) {
+		b.record("left %s", attempt)
+		return false
+	}
+	status := "200 OK"
+	if b.errorEvery > 0 && number%int64(b.errorEvery) == 0 {
+		status = "500 Internal Server Error"
+	}
+	b.record("ends %s status %s", attempt, status)
+	body := strings.Repeat("b", 800)
+	_, err := fmt.Fprintf(c, "HTTP/1.1 %s\r\nLacewingcove-Attempt-Id: %s\r\nLacewingcove-Server-Signature: %s.%s\r\n"+
+		"Lacewingcove-Server-Load: %d,0,%d\r\nContent-Length: %d\r\n\r\n%s",
+		status, attempt, b.id, attempt, b.running.Load(), b.slots, len(body), body)
+	return err == nil
+}
