lacedirectory: the strongest tier alone is active while it carries the load

Cause: in a fleet with three tiers (6 of 0.8 cores, 14 of 0.48, 44 of 0.144) all 20 strong instances were active at a load of 1.2 cores. Each held a twentieth of every account, too little for a partition of 8 s, and made its own store calls. Change: of strong instances that differ in capacity, the strongest ones are active alone while they are at least four and below 60% busy. Fleets whose strong instances are alike choose as before. Measured: TestActiveSetFitsFleet without the change: "two strong tiers: 20 of 64 members are active, want 6 to 6".

--- a/lib/lacedirectory/active.go
+++ b/lib/lacedirectory/active.go
@@ -50,7 +50,7 @@
 		load += m.Load
 	}
 	required := max(minActiveShare*total, load/targetUtilization)
-	minCount := countStrong(order)
+	minCount := countNeeded(order, countStrong(order), load)
 	switch {
 	case minCount < minStrong:
 		minCount = maxAllActive
@@ -78,6 +78,19 @@
 	return n
 }
 
+// countNeeded returns how many of the strong members are active at least. Where strong members differ in capacity, the
+// strongest ones suffice as long as they carry the load: with fewer active members, each sees more requests of an
+// account and of a prompt, and holds enough of the account's tokens for them.
+func countNeeded(order []Member, strong int, load Cores) int {
+	for n := minStrong; n < strong; n++ {
+		weakest := order[n-1].Capacity
+		if order[n].Capacity < weakest && load <= strongUtilization*Cores(n)*weakest {
+			return n
+		}
+	}
+	return strong
+}
+
 // rankMembers sorts members by descending capacity; members of equal capacity alternate between zones, so that any
 // prefix of the list is spread over them.
 func rankMembers(members []Member) []Member {
--- a/lib/lacedirectory/active_test.go
+++ b/lib/lacedirectory/active_test.go
@@ -41,6 +41,21 @@
 		"alike":                {members: fleet("a", 300, 6, 0.192, 0), least: 30, most: 60},
 		"uniform and busy":     {members: fleet("a", 300, 6, 0.192, 0.15), least: 200, most: 300},
 		"all strong ones lost": {members: fleet("weak", 277, 6, 0.192, 0), least: 30, most: 60},
+		"two strong tiers": {
+			members: append(append(fleet("strong", 6, 3, 0.8, 0.2), fleet("middle", 14, 3, 0.48, 0)...),
+				fleet("weak", 44, 3, 0.144, 0)...),
+			least: 6, most: 6,
+		},
+		"two strong tiers, the first overloaded": {
+			members: append(append(fleet("strong", 6, 3, 0.8, 0.6), fleet("middle", 14, 3, 0.48, 0)...),
+				fleet("weak", 44, 3, 0.144, 0)...),
+			least: 20, most: 20,
+		},
+		"first tier too small to lose a member": {
+			members: append(append(fleet("strong", 2, 2, 0.8, 0.2), fleet("middle", 14, 3, 0.48, 0)...),
+				fleet("weak", 44, 3, 0.144, 0)...),
+			least: 16, most: 16,
+		},
 		"few strong": {
 			members: append(fleet("strong", 2, 2, 0.8, 0.1), fleet("weak", 60, 3, 0.192, 0)...),
 			least:   12, most: 20,
