lacewire: messages between instances and the writer of budgets

Cause: every instance rewrites the budget entry of each account it serves by compare-and-swap, and most writes conflict. Change: service BudgetWriter with Propose. A proposal carries the floor that its holder keeps to, the cap that it asks for, what waiting requests lack, and the instant that orders the proposals of an incarnation. An answer carries the holder's allocation and the sums of the budget instead of the whole entry, which has about 120 bytes per instance.

--- a/lib/lacewire/grant.twirp.go
+++ b/lib/lacewire/grant.twirp.go
@@ -504,7 +504,7 @@
 }
 
 func (s *grantServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor1, 0
+	return twirpFileDescriptor2, 0
 }
 
 func (s *grantServer) ProtocGenTwirpVersion() string {
@@ -518,7 +518,7 @@
 	return baseServicePath(s.pathPrefix, "lacewingcove", "Grant")
 }
 
-var twirpFileDescriptor1 = []byte{
+var twirpFileDescriptor2 = []byte{
 	// 147 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xe2, 0xe2, 0x4e, 0x2f, 0x4a, 0xcc,
 	0x2b, 0xd1, 0x2b, 0x28, 0xca, 0x2f, 0xc9, 0x17, 0xe2, 0xc9, 0x49, 0x4c, 0x4e, 0x2d, 0xcf, 0xcc,
--- a/lib/lacewire/ledger.twirp.go
+++ b/lib/lacewire/ledger.twirp.go
@@ -1340,7 +1340,7 @@
 }
 
 func (s *ledgerServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor2, 0
+	return twirpFileDescriptor3, 0
 }
 
 func (s *ledgerServer) ProtocGenTwirpVersion() string {
@@ -1354,7 +1354,7 @@
 	return baseServicePath(s.pathPrefix, "lacewingcove", "Ledger")
 }
 
-var twirpFileDescriptor2 = []byte{
+var twirpFileDescriptor3 = []byte{
 	// 1979 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xc4, 0x59, 0x4f, 0x6f, 0x23, 0x49,
 	0x15, 0x8f, 0xdd, 0xed, 0xb6, 0x5d, 0x71, 0x86, 0x4c, 0x31, 0x8c, 0x7a, 0xb3, 0xab, 0xc5, 0xdb,
--- a/lib/lacewire/loan.twirp.go
+++ b/lib/lacewire/loan.twirp.go
@@ -505,7 +505,7 @@
 }
 
 func (s *lenderServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor3, 0
+	return twirpFileDescriptor4, 0
 }
 
 func (s *lenderServer) ProtocGenTwirpVersion() string {
@@ -519,7 +519,7 @@
 	return baseServicePath(s.pathPrefix, "lacewire", "Lender")
 }
 
-var twirpFileDescriptor3 = []byte{
+var twirpFileDescriptor4 = []byte{
 	// 226 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x54, 0x90, 0xc1, 0x4a, 0x03, 0x31,
 	0x10, 0x86, 0x89, 0x9b, 0xae, 0xed, 0x1c, 0x3c, 0x8c, 0x22, 0xb1, 0x82, 0x2c, 0x3d, 0x2d, 0x08,
--- a/lib/lacewire/mirror.twirp.go
+++ b/lib/lacewire/mirror.twirp.go
@@ -504,7 +504,7 @@
 }
 
 func (s *mirrorServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor4, 0
+	return twirpFileDescriptor5, 0
 }
 
 func (s *mirrorServer) ProtocGenTwirpVersion() string {
@@ -518,7 +518,7 @@
 	return baseServicePath(s.pathPrefix, "lacewire", "Mirror")
 }
 
-var twirpFileDescriptor4 = []byte{
+var twirpFileDescriptor5 = []byte{
 	// 554 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x9c, 0x54, 0xcb, 0x6e, 0xd3, 0x40,
 	0x14, 0x95, 0x13, 0xc7, 0x49, 0x6e, 0x13, 0x09, 0x8d, 0xda, 0x32, 0x14, 0x16, 0x91, 0xd9, 0x64,
--- a/lib/lacewire/peer.twirp.go
+++ b/lib/lacewire/peer.twirp.go
@@ -2456,7 +2456,7 @@
 }
 
 func (s *peerServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor5, 0
+	return twirpFileDescriptor6, 0
 }
 
 func (s *peerServer) ProtocGenTwirpVersion() string {
@@ -2470,7 +2470,7 @@
 	return baseServicePath(s.pathPrefix, "lacewingcove.peer", "Peer")
 }
 
-var twirpFileDescriptor5 = []byte{
+var twirpFileDescriptor6 = []byte{
 	// 1201 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xcc, 0x58, 0xcd, 0x8e, 0x1b, 0x45,
 	0x10, 0xd6, 0x8c, 0xc7, 0x7f, 0xe5, 0x5d, 0x07, 0x5a, 0x08, 0x0d, 0xce, 0x9f, 0x19, 0x14, 0xb4,
