lacenode, lacedirectory: budgets are written by one instance for each group

Change: the writer of a group is the first in rendezvous order of the active members that watch the store. Proposals go over twirp to the address for other instances; malformed ones are rejected and counted. Setting quota.combine: auto (default, in fleets with standby instances) or off.

--- a/lib/lacenode/listen.go
+++ b/lib/lacenode/listen.go
@@ -105,6 +105,7 @@
 	peerMux := http.NewServeMux()
 	peerMux.Handle(lacewire.MirrorPathPrefix, lacewire.NewMirrorServer(mirror))
 	peerMux.Handle(lacewire.LenderPathPrefix, lacewire.NewLenderServer(lenderServer{n}))
+	peerMux.Handle(lacewire.BudgetWriterPathPrefix, lacewire.NewBudgetWriterServer(budgetServer{n}))
 	peerMux.Handle("/metrics", metrics)
 	metricsMux := http.NewServeMux()
 	metricsMux.Handle("/metrics", metrics)
--- a/lib/lacenode/node.go
+++ b/lib/lacenode/node.go
@@ -161,6 +161,8 @@
 		WarmUp:  discoveryTime,
 		Log:     n.log,
 		Metrics: lacequota.NewMetrics(n.registry),
+
+		Combination: n.newCombination(),
 	})
 	balancer, err := newBalancer(rand.IntN)
 	if err != nil {
--- a/lib/lacenode/setting.go
+++ b/lib/lacenode/setting.go
@@ -71,8 +71,20 @@
 type Quota struct {
 	// Share is the fraction of the remaining balance of an account that all instances together hold.
 	Share float64
+	// Combine is whether one instance writes the budgets of a group of accounts for all.
+	Combine CombineMode
 }
 
+// CombineMode is when updates of budgets are combined.
+type CombineMode string
+
+// The modes.
+const (
+	// CombineAuto combines them in fleets with standby instances, CombineOff never.
+	CombineAuto CombineMode = "auto"
+	CombineOff  CombineMode = "off"
+)
+
 // Default returns the default settings.
 func Default() Settings {
 	return Settings{
@@ -89,7 +101,8 @@
 		ApplyTimeout: 3 * time.Second,
 		DirectoryTTL: time.Second,
 		Quota: Quota{
-			Share: lacequota.DefaultShare,
+			Share:   lacequota.DefaultShare,
+			Combine: CombineAuto,
 		},
 		Machine: Machine{Cores: 1},
 	}
@@ -127,6 +140,9 @@
 		laceyaml.Group("ledger", "Division of prepaid budgets.",
 			laceyaml.Number("share", "Part of what an account has left that all instances together hold.",
 				&s.Quota.Share, 0.01, 0.9)),
+		laceyaml.Group("quota", "Updates of prepaid budgets.",
+			laceyaml.Choice("combine", "Whether one instance writes the budgets of a group of accounts for all: auto in "+
+				"fleets with instances that stand by, off never.", &s.Quota.Combine, CombineAuto, CombineOff)),
 		laceyaml.Group("machine", "What the instance may use of its machine.",
 			laceyaml.Number("cores",
 				"Processor time for each second; in a large fleet the strongest instances take the callers.",
