--- a/lib/lacequota/propose.go
+++ b/lib/lacequota/propose.go
@@ -89,7 +89,7 @@
 		Used:    max(p.used-p.chargedElsewhere, 0),
 		Rate:    p.rate(now),
 		Ceiling: min(minCap+soft, want),
-		SentAt:  p.sentAt.after(at),
+		SentAt:  p.sentAt.after(at).stored(),
 		Fresh:   !p.allocated,
 		Paid:    p.paid,
 		Version: p.version,
@@ -127,7 +127,7 @@
 		// Everything that may be spent here is counted as spent in the stored budget.
 		p.chargedElsewhere, p.ceiling, p.allocated = p.cap, p.cap, false
 		p.updateDue = p.updateDue || !x.Close
-	case stored && st.Found && st.Own.SentAt == x.SentAt.stored():
+	case stored && st.Found && st.Own.SentAt == x.SentAt:
 		p.cap, p.ceiling = st.Own.Cap+p.chargedElsewhere, st.Own.Ceiling+p.chargedElsewhere
 		p.allocated = true
 		p.reported = p.sentUsed
