--- a/lib/lacequota/wallet.go
+++ b/lib/lacequota/wallet.go
@@ -50,7 +50,7 @@
 	// milliseconds while the writer reaches the store; the rest covers an outage of the store of several seconds.
 	combinedOutageDuration  = 6 * time.Second
 	combinedWorkingRequests = 1
-	// combinedCeilingRequests replaces largeRequests for ceilings there. With one request, a sixth more writes were made
+	// combinedCeilingRequests replaces largeRequests for ceilings there. With one request, more writes were made
 	// for requests that wait (TestFleetLoad with 30 s: 672 calls with idleDuration of 6 s, 625 with 10 s, 556 with two
 	// requests).
 	combinedCeilingRequests = 2
