--- a/lib/lacequota/loan.go
+++ b/lib/lacequota/loan.go
@@ -64,7 +64,7 @@
 func (w *Wallet) Borrow(account laceunit.AccountID, amount laceunit.Tokens) {
 	p := w.portion(account)
 	p.cap += amount
-	p.ceiling += amount
+	p.ceilings.raise(amount)
 	p.chargedElsewhere += amount
 	p.borrowed += amount
 	p.paidBasis = max(p.paidBasis, p.paid)
@@ -144,7 +144,10 @@
 		}
 	}
 	now := time.Now()
-	lenders := s.cache[account].budget.lenders(s.options.Self, s.options.Members.Live)
+	lenders := s.wallet.portion(account).lenders
+	if len(lenders) == 0 {
+		lenders = s.cache[account].budget.lenders(s.options.Self, s.options.Members.Live)
+	}
 	if s.options.Lender == nil || len(lenders) == 0 || now.Sub(s.loanRefusedAt[account]) < loanRetryDelay {
 		s.mu.Unlock()
 		return false
--- a/lib/lacequota/wallet.go
+++ b/lib/lacequota/wallet.go
@@ -45,6 +45,20 @@
 	// many more clients, which would all wait for an update.
 	workingFraction        = 0.2
 	standbyWorkingFraction = 0.5
+	// combinedOutageDuration and combinedWorkingRequests replace outageDuration and workingRequests where one instance
+	// writes the budgets for all: tokens are drawn within milliseconds while the writer reaches the store, so that only
+	// partitions of 8 s to 9 s are to be covered.
+	combinedOutageDuration  = 9 * time.Second
+	combinedWorkingRequests = 1
+	// soleOutageDuration and soleShare replace outageDuration and the fleet's share there for an account that only one
+	// instance uses: what it holds is missing nowhere else, and it can't borrow during a partition.
+	soleOutageDuration = 15 * time.Second
+	soleShare          = 0.6
+	// combinedCeilingRequests replaces largeRequests for ceilings there. A ceiling that is reached has to be written
+	// again while requests wait.
+	combinedCeilingRequests = 2
+	// idleDuration is how long after its last request an account's headroom is kept in such a fleet.
+	idleDuration = 10 * time.Second
 	// largeRequests is how many requests of the largest recent size the headroom covers in addition to the average.
 	largeRequests = 1
 )
@@ -80,9 +94,10 @@
 	version    laceunit.Version
 	// cap bounds used plus reserved. It never exceeds the stored cap of this incarnation plus chargedElsewhere.
 	cap laceunit.Tokens
-	// ceiling bounds the same until CeilingTTL after the latest update was sent, whether or not it was answered.
-	ceiling laceunit.Tokens
-	sentAt  Instant
+	// ceilings bound the same for some time after each write or proposal was sent.
+	ceilings ceilings
+	// sentAt is when the newest of them was sent.
+	sentAt Instant
 	// paidBasis is what was paid when the sum of all caps was last known not to exceed it.
 	paidBasis laceunit.Tokens
 	// chargedElsewhere is the part of cap that is counted as spent outside the stored allocation of this incarnation:
@@ -97,8 +112,12 @@
 	reserved laceunit.Tokens
 	// unmet is the largest reservation that the cap did not cover since the last update.
 	unmet laceunit.Tokens
+	// waiting is the sum of the reservations that wait for an update.
+	waiting laceunit.Tokens
 	// reported is the value of used in the last update that the store confirmed.
 	reported laceunit.Tokens
+	// sentUsed is the value of used in the newest proposal.
+	sentUsed laceunit.Tokens
 	// othersSpent is the lower bound of what other instances had spent at the last update.
 	othersSpent laceunit.Tokens
 	updatedAt   time.Time
@@ -109,6 +128,18 @@
 	usedElsewhere bool
 	// updateDue is true if an update should follow soon.
 	updateDue bool
+	// allocated is true if the stored budget is known to have an allocation of this incarnation.
+	allocated bool
+	// shortUntil is until when other instances count as lacking tokens of the account, which are not held idle here.
+	shortUntil time.Time
+	// unavailableAt is when a writer last answered that the account lacks the tokens that requests need.
+	unavailableAt time.Time
+	// checkedAt is when it was last computed whether a proposal is due.
+	checkedAt time.Time
+	// lenders are the instances that held the most unspent tokens at the last answer of a writer.
+	lenders []laceunit.InstanceID
+	// standing is the state of the account at the last update.
+	standing Standing
 	// demand is the exponentially decayed sum of requested tokens as of demandAt.
 	demand   float64
 	demandAt time.Time
@@ -134,6 +165,9 @@
 	return math.Exp(-float64(now.Sub(p.demandAt)) / float64(rateWindow))
 }
 
+// need is how many tokens beyond its spend and reservations an instance needs for the requests that are not covered.
+func (p *portion) need() laceunit.Tokens { return max(p.unmet, p.waiting) }
+
 // rate is the recent demand in tokens per second. Shortly after the first request, the sum covers less than the whole
 // window.
 func (p *portion) rate(now time.Time) laceunit.Tokens {
@@ -209,6 +243,11 @@
 	return Insufficient
 }
 
+// AddWaiting adds the tokens of a request that waits for an update; a negative number removes them.
+func (w *Wallet) AddWaiting(account laceunit.AccountID, tokens laceunit.Tokens) {
+	w.portion(account).waiting += tokens
+}
+
 // maxSpentAge is the maximum age of the fleet's known spend for a verdict of Exhausted. Spend only grows, so staleness
 // matters only if the total was raised in the meantime.
 const maxSpentAge = 2 * time.Second
@@ -223,10 +262,7 @@
 // limit is what may be spent in total at a point in time: the ceiling until CeilingTTL after the latest update,
 // otherwise the cap. It is scaled down if the total is lower than the one that the cap is based on.
 func (w *Wallet) limit(p *portion, at Instant) laceunit.Tokens {
-	limit := p.cap
-	if at.BootID != "" && at.SinceBoot-p.sentAt.SinceBoot < CeilingTTL {
-		limit = min(limit, p.ceiling)
-	}
+	limit := p.ceilings.limit(at, p.cap)
 	if p.paid >= p.paidBasis {
 		return limit
 	}
@@ -257,7 +293,7 @@
 // canGrow reports whether an update may raise the limit: there was none yet, some tokens were unallocated, or the
 // ceiling is below the cap.
 func (p *portion) canGrow() bool {
-	return p.updatedAt.IsZero() || p.unallocated > 0 || p.ceiling < p.cap
+	return p.updatedAt.IsZero() || p.unallocated > 0 || p.ceilings.below(p.cap)
 }
 
 // CanGrow reports whether an update may raise the limit of an account.
