lacequarantine: tests report crashes that are always minCrashGap apart

Cause: crashThrice waited for ticks. After a late tick, as on a busy machine, the next one comes sooner, so that two crashes were less than 100 ms apart, counted as one, and no verdict was reached: "service_test.go:218: timed out waiting for the verdict in the store" in TestVerdictOutlivesItsLease, once in a run with -race at a load of 30.

Change: the wait begins when the report has been made. No bound is changed.

--- a/lib/lacequarantine/service_test.go
+++ b/lib/lacequarantine/service_test.go
@@ -176,11 +176,10 @@
 
 // crashThrice reports three crashes of servers with a prompt, in turn at instances, and an answer to another request.
 func crashThrice(services []*Service, prompt []Part) {
-	gap := time.NewTicker(minCrashGap + 20*time.Millisecond)
-	defer gap.Stop()
 	for i, server := range []laceunit.ServerID{"s1", "s2", "s3"} {
 		services[i%len(services)].ReportCrash(server, 1, prompt)
-		<-gap.C
+		// A ticker would come sooner after a late tick, and the crashes would count as one.
+		<-time.After(minCrashGap + 20*time.Millisecond)
 	}
 	for _, s := range services {
 		s.ReportSuccess([]Part{part("base")})
