lacequarantine: no number of unanswered parts hides one that crashes servers

Cause: a report on a crash held the first 8 parts of a request that the instance had not seen answered. A part behind them was in no report, whatever it did; and what three crashes of one request had in common was blocked without it, so that sound requests with the same documents were refused. Crashes of one server id were never evidence, since they may have a cause of its own; a service with one server has no other.

Change: the evidence of a crash is all unanswered parts of its requests, as far as a report has room: 128 parts as before (16 x 8), of one request or of many. If there are more, parts of earlier crashes come first, the others in an order that differs from crash to crash. A report never exceeds the length that others accept; ids that callers choose could make it longer. Crashes of one server id count if there are four of them, and only if it or another server has answered a request since the last but one.

--- a/lib/lacequarantine/crash.go
+++ b/lib/lacequarantine/crash.go
@@ -38,6 +38,15 @@
 	return n
 }
 
+// parts returns the number of parts in all reports.
+func (c *serverCrash) parts() int {
+	n := 0
+	for _, prompts := range c.prompts {
+		n += countParts(prompts)
+	}
+	return n
+}
+
 // find returns a prompt with all parts of a combination.
 func (c *serverCrash) find(combination []Part) ([]Part, bool) {
 	for _, prompts := range c.prompts {
--- a/lib/lacequarantine/record.go
+++ b/lib/lacequarantine/record.go
@@ -44,8 +44,24 @@
 	Servers []string   `json:"servers,omitempty"`
 }
 
-// EncodeReport returns the stored form of the crashes that an instance observed.
+// EncodeReport returns the stored form of the crashes that an instance observed. If it would be longer than a record may
+// be, as ids can be that callers choose, the earliest crashes are left out, and then parts of the last one.
 func EncodeReport(crashes []Crash) ([]byte, error) {
+	text, err := encodeCrashes(crashes)
+	for limit := maxReportParts / 2; err == nil && len(text) > maxRecordBytes && limit > 0; {
+		if len(crashes) > 1 {
+			crashes = crashes[1:]
+		} else {
+			last := crashes[0]
+			last.Prompts = fitPrompts(last.Prompts, limit)
+			crashes, limit = []Crash{last}, limit/2
+		}
+		text, err = encodeCrashes(crashes)
+	}
+	return text, err
+}
+
+func encodeCrashes(crashes []Crash) ([]byte, error) {
 	encoded := reportJSON{Crashes: make([]crashJSON, 0, len(crashes))}
 	for _, c := range crashes {
 		x := crashJSON{
--- a/lib/lacequarantine/record_test.go
+++ b/lib/lacequarantine/record_test.go
@@ -51,6 +51,36 @@
 	}
 }
 
+// Guards against reports that other instances reject as too long, because of ids that callers choose.
+func TestReportsAreNeverTooLong(t *testing.T) {
+	var crashes []Crash
+	for i := range maxReported {
+		c := Crash{
+			Server: laceunit.ServerID(strings.Repeat("s", i+1)),
+			At:     time.UnixMilli(1_700_000_005_678),
+		}
+		for k := range maxPrompts {
+			var prompt []Part
+			for n := range MaxParts {
+				prompt = append(prompt, part("%02d%02d%s", k, n, strings.Repeat("<", MaxIDBytes-4)))
+			}
+			c.addPrompt(prompt)
+		}
+		if n := countParts(c.Prompts); n != maxReportParts {
+			t.Errorf("a report holds %d parts", n)
+		}
+		crashes = append(crashes, c)
+	}
+	text, err := EncodeReport(crashes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	decoded, err := DecodeReport(text)
+	if err != nil || decoded[len(decoded)-1].Server != crashes[maxReported-1].Server {
+		t.Errorf("a report of %d bytes: %d crashes, error %v", len(text), len(decoded), err)
+	}
+}
+
 // Guards against records of another writer that end the process, grow its state or block everything.
 func TestMalformedRecords(t *testing.T) {
 	long := strings.Repeat("x", MaxIDBytes+1)
--- a/lib/lacequarantine/service.go
+++ b/lib/lacequarantine/service.go
@@ -114,11 +114,10 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	s.tracker.RecordUnsettled(now, parts)
-	suspects := s.tracker.Suspects(parts)
+	suspects, accused := s.tracker.Suspects(parts, server, startTime)
 	if len(suspects) == 0 {
 		return true
 	}
-	accused := s.tracker.AccusedBefore(suspects, server, startTime)
 	c := s.addReport(now, server, startTime, suspects)
 	s.tracker.RecordCrash(now, s.options.Self, c)
 	s.publisher.reportChanged(s.reported)
@@ -141,9 +140,7 @@
 		s.options.Metrics.countCrash()
 	}
 	c := &s.reported[i]
-	if len(c.Prompts) < maxPrompts {
-		c.Prompts = append(slices.Clone(c.Prompts), suspects)
-	}
+	c.addPrompt(suspects)
 	reported := *c
 	s.reported = s.reported[max(0, len(s.reported)-maxReported):]
 	return reported
--- a/lib/lacequarantine/tracker.go
+++ b/lib/lacequarantine/tracker.go
@@ -9,10 +9,12 @@
 )
 
 const (
-	// minCrashes is how many crashes a combination of parts must have in common until it is blocked, and minServers how
-	// many servers must have crashed.
-	minCrashes = 3
-	minServers = 2
+	// minCrashes is how many crashes a combination of parts must have in common until it is blocked, if at least
+	// minServers servers have crashed. Crashes of one server, which starts again under its id, may have a cause of its
+	// own: it takes minLoneCrashes of them. A service may have no other server.
+	minCrashes     = 3
+	minServers     = 2
+	minLoneCrashes = 4
 	// minCrashGap is the time between two crashes from which they count separately. Servers that lose power together
 	// crash at the same moment, with whatever runs on them.
 	minCrashGap = 100 * time.Millisecond
@@ -21,18 +23,21 @@
 	reportDelay = 150 * time.Millisecond
 	// evidenceAge is how long a crash counts.
 	evidenceAge = 10 * time.Minute
-	// maxCrashes, maxCrashPrompts, maxPrompts, maxSuspects and maxVerdicts bound the state: the crashes that are
-	// remembered, the requests on one crash in all reports and in each, the parts of each of them and the verdicts.
+	// maxCrashes, maxCrashPrompts, maxPrompts and maxVerdicts bound the state: the crashes that are remembered, the
+	// requests on one crash in all reports and in each, and the verdicts. maxCrashParts and maxReportParts bound the parts
+	// of these requests; a single request in a report may have all of them.
 	maxCrashes      = 64
 	maxCrashPrompts = 128
 	maxPrompts      = 16
-	maxSuspects     = 8
+	maxCrashParts   = 1024
+	maxReportParts  = 128
 	maxVerdicts     = 256
 )
 
 // Tracker turns the crashes of servers into verdicts on parts. The zero value is empty.
 //
-// A combination of parts is blocked when minCrashes servers crashed, one after the other, each with a request that had
+// The evidence is the same for and against a part: whether the server was there after it had written an answer on it. A
+// combination of parts is blocked when minCrashes servers crashed, one after the other, each with a request that had
 // all its parts and no answer yet, and no server has written an answer on any of them, while other requests got
 // theirs. Of the combinations that explain the same crashes the largest one is blocked, which is the narrowest: a part
 // that only occurs together with the cause stays usable without it.
@@ -50,33 +55,6 @@
 	lacksSuccess bool
 }
 
-// Suspects returns the parts of a prompt on which no server has written an answer, at most maxSuspects.
-func (t *Tracker) Suspects(prompt []Part) []Part {
-	var suspects []Part
-	for _, p := range prompt {
-		if !t.history.harmless(p) && !slices.Contains(suspects, p) && len(suspects) < maxSuspects {
-			suspects = append(suspects, p.clone())
-		}
-	}
-	return suspects
-}
-
-// AccusedBefore reports whether one of the suspect parts of a request was in the reports on an earlier crash than that of
-// its server.
-func (t *Tracker) AccusedBefore(suspects []Part, server laceunit.ServerID, startTime int64) bool {
-	for _, c := range t.crashes {
-		if c.server == server && c.startTime == startTime {
-			continue
-		}
-		for _, p := range suspects {
-			if _, ok := c.find([]Part{p}); ok {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // RecordSuccess records that a server has written an answer to a request. It returns the verdicts that change by that:
 // a part on which servers write answers leaves its combination, and a combination of which no part is left is lifted.
 func (t *Tracker) RecordSuccess(now time.Time, prompt []Part) []Verdict {
@@ -146,7 +124,8 @@
 		t.judgeAt = now.Add(reportDelay)
 	}
 	c.prompts[reporter] = nil
-	c.prompts[reporter] = report.Prompts[:min(len(report.Prompts), maxPrompts, maxCrashPrompts-c.size())]
+	prompts := report.Prompts[:min(len(report.Prompts), maxPrompts, maxCrashPrompts-c.size())]
+	c.prompts[reporter] = fitPrompts(prompts, min(maxReportParts, maxCrashParts-c.parts()))
 	for _, v := range t.verdicts {
 		t.exempt(v, c)
 	}
