lacerelay: the presence of the server after its answer is the evidence for its end and for its prompt

Cause: an answer without a length ends with its connection, whether the server ended it or was cut off. It counted as truncated only if a server in use refused connections, so that the answers of a server that left by plan always counted as complete. And it cleared no part of its prompt, so that on a service with only such answers nothing ever succeeded, and no crash was evidence. The probe of a server that crashed could be accepted by its listener microseconds before that closed, and a result was shared with connections that were lost after the probe had begun.

Change: there is one evidence, and it serves both. After such an answer the server is probed, also one that leaves or has no entry any more. Only if it listens, and does so for 20 ms, the answer is complete and clears its parts; without a result the answer is truncated: it is resumed elsewhere if its route permits, else the caller's connection is aborted. Only a refusal by a server in use is a crash, as before. Answers to HEAD need no probe. A probe is shared only with connections that were lost before it began. It remains that a server which closes its listener before its last answers gets them counted as truncated if they have no length: nothing distinguishes them.

--- a/lib/laceconn/pool.go
+++ b/lib/laceconn/pool.go
@@ -5,7 +5,6 @@
 	"context"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -94,17 +93,6 @@
 	return c, nil
 }
 
-// RefusesConnections reports whether the server's machine answers and refuses a new connection, so that no process
-// listens at the address.
-func (p *Pool) RefusesConnections(ctx context.Context) bool {
-	conn, err := Dial(ctx, "tcp", string(p.address))
-	if err == nil {
-		conn.Close()
-		return false
-	}
-	return errors.Is(err, syscall.ECONNREFUSED)
-}
-
 // takeIdle returns the most recently used idle connection that is still open, or nil. It closes unusable ones.
 func (p *Pool) takeIdle() *Conn {
 	now := time.Now()
--- a/lib/lacerelay/attempt.go
+++ b/lib/lacerelay/attempt.go
@@ -33,6 +33,7 @@
 // attempt is one try at a backend server with its result.
 type attempt struct {
 	server   laceunit.ServerID
+	backend  *backend
 	outcome  attemptOutcome
 	status   int
 	header   http.Header
@@ -219,15 +220,16 @@
 func (r *Relay) send(ctx context.Context, j *job, d lacebalancer.Decision) attempt {
 	a := attempt{server: d.Server}
 	remaining := time.Until(j.deadline)
-	pool, ok := r.options.Backends.Pool(d.Server)
+	server, ok := r.options.Backends.find(d.Server)
 	if !ok || remaining < minRemainingTime {
 		a.outcome, a.reason, a.neutral = attemptNotSent, "server has gone or time is over", true
 		return a
 	}
-	acquire := pool.Get
+	a.backend = server
+	acquire := server.pool.Get
 	if slices.Contains(j.refusedBy, d.Server) {
 		// On a connection with an earlier refusal of this request, a copy of that would pass as the answer.
-		acquire = pool.Open
+		acquire = server.pool.Open
 	}
 	conn, err := acquire(ctx)
 	if err != nil {
@@ -265,7 +267,7 @@
 		return a
 	}
 	a.status, a.header = x.Response.StatusCode, x.Response.Header
-	a.framed = x.Response.ContentLength >= 0 || len(x.Response.TransferEncoding) > 0
+	a.framed = x.Response.ContentLength >= 0 || len(x.Response.TransferEncoding) > 0 || j.call.Method == http.MethodHead
 	r.applyReply(j, d, &a.reply)
 	if j.route.Stream && a.status == http.StatusOK && a.reply.HasReceipt && j.response.canContinueWith(a.header) {
 		a.exchange = x
--- a/lib/lacerelay/backend.go
+++ b/lib/lacerelay/backend.go
@@ -129,15 +129,12 @@
 	return ok && x.StartTime == startTime
 }
 
-// Pool returns the connection pool of a server.
-func (b *Backends) Pool(id laceunit.ServerID) (*laceconn.Pool, bool) {
+// find returns a server that is in use.
+func (b *Backends) find(id laceunit.ServerID) (*backend, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	x, ok := b.byID[id]
-	if !ok {
-		return nil, false
-	}
-	return x.pool, true
+	return x, ok
 }
 
 // MarkLeaving handles a response in which the server of a ticket announces that it is leaving (draining). Idle
--- a/lib/lacerelay/crash.go
+++ b/lib/lacerelay/crash.go
@@ -6,21 +6,25 @@
 	"time"
 
 	"lacewingcove/lib/lacebalancer"
+	"lacewingcove/lib/laceconn"
 	"lacewingcove/lib/lacelog"
 	"lacewingcove/lib/lacequarantine"
-	"lacewingcove/lib/laceunit"
 )
 
 const (
-	// crashProbeTimeout bounds the connection attempt that tells a crash from a reset connection. A machine without a
-	// listener refuses at once; one that does not answer is cut off, which is no crash.
+	// crashProbeTimeout bounds the probe that tells a crash from a reset connection. A machine without a listener refuses
+	// at once; one that does not answer is cut off, which is no crash.
 	crashProbeTimeout = 150 * time.Millisecond
+	// endProbeTimeout bounds the probe after an answer without a length, which without a result counts as truncated. It
+	// leaves room for packets that queue on a busy link.
+	endProbeTimeout = 500 * time.Millisecond
 	// settledAge is how long a server must go on writing a response until the request counts as harmless. A part that
 	// crashes servers does so when the response begins.
 	settledAge = 500 * time.Millisecond
 )
 
-// observeServer records whether the server of an attempt survived the request.
+// observeServer records whether the server of an attempt was there after it had written its answer, which is the evidence
+// for and against the parts of a prompt, and whether an answer without a length is complete.
 func (r *Relay) observeServer(ctx context.Context, j *job, d lacebalancer.Decision, a *attempt) {
 	if a.provesServer() {
 		r.reportSuccess(j)
@@ -29,15 +33,26 @@
 	if !a.mayHaveLostServer() || a.outcome != attemptComplete && len(j.call.Parts) == 0 {
 		return
 	}
-	sending, ok := r.options.Picker.Sending(d.Ticket)
-	if !ok || !r.options.Backends.hasCrashed(ctx, d.Server, sending.StartTime) {
-		return
+	timeout := crashProbeTimeout
+	if a.outcome == attemptComplete {
+		timeout = endProbeTimeout
 	}
+	presence := r.options.Backends.probe(ctx, a.backend, timeout)
 	if a.outcome == attemptComplete {
-		a.outcome, a.reason = attemptBroken, "server crashed at the end of an answer without a length"
+		if presence == laceconn.Present {
+			if a.status < http.StatusMultipleChoices && a.hasContent() {
+				r.reportSuccess(j)
+			}
+			return
+		}
+		a.outcome, a.reason = interruptionOutcome(ctx), "server was gone after an answer without a length"
+		a.connectionLost = true
+	}
+	if presence != laceconn.Refusing || !r.options.Backends.inUse(a.backend) {
+		return
 	}
 	if !a.settled {
-		r.reportCrash(j, d.Server, sending.StartTime)
+		r.reportCrash(j, d.Server, a.backend.StartTime)
 	}
 	r.options.Metrics.countCrash(j)
 	r.options.Log.Write(lacelog.Crash, lacelog.P(lacelog.Request, j.call.Attempt), lacelog.P(lacelog.ServerID, d.Server),
@@ -79,15 +94,35 @@
 	return a.outcome == attemptComplete && a.status < http.StatusMultipleChoices && a.framed
 }
 
-// hasCrashed reports whether an incarnation of a server that is not leaving refuses connections.
-func (b *Backends) hasCrashed(ctx context.Context, id laceunit.ServerID, startTime int64) bool {
-	b.mu.Lock()
-	x, ok := b.byID[id]
-	b.mu.Unlock()
-	if !ok || x.StartTime != startTime || x.Leaving || b.picker.IsLeaving(id, startTime) {
-		return false
+// hasContent reports whether a part of the body has arrived.
+func (a *attempt) hasContent() bool { return len(a.body) > 0 || !a.firstEventAt.IsZero() }
+
+// probe reports whether a server listens. Nothing is known if another process has its address or id meanwhile.
+func (b *Backends) probe(ctx context.Context, x *backend, timeout time.Duration) laceconn.Presence {
+	if x == nil || b.isReplaced(x) {
+		return laceconn.PresenceUnknown
 	}
-	probeCtx, cancel := context.WithTimeout(ctx, crashProbeTimeout)
+	probeCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return x.probe.run(time.Now(), func() bool { return x.pool.RefusesConnections(probeCtx) })
+	presence := x.probe.run(time.Now(), func() laceconn.Presence { return x.pool.Probe(probeCtx) })
+	if presence == laceconn.Present && b.isReplaced(x) {
+		return laceconn.PresenceUnknown
+	}
+	return presence
+}
+
+// isReplaced reports whether a later process has the id of a server.
+func (b *Backends) isReplaced(x *backend) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	current, ok := b.byID[x.ID]
+	return ok && current.StartTime != x.StartTime
+}
+
+// inUse reports whether a server is registered and not leaving. One that leaves closes its listener by plan.
+func (b *Backends) inUse(x *backend) bool {
+	b.mu.Lock()
+	current, ok := b.byID[x.ID]
+	b.mu.Unlock()
+	return ok && current.StartTime == x.StartTime && !current.Leaving && !b.picker.IsLeaving(x.ID, x.StartTime)
 }
--- a/lib/lacerelay/crash_test.go
+++ b/lib/lacerelay/crash_test.go
@@ -8,6 +8,7 @@
 
 	"lacewingcove/lib/lacebalancer"
 	"lacewingcove/lib/laceconfig"
+	"lacewingcove/lib/laceconn"
 	"lacewingcove/lib/lacelog"
 	"lacewingcove/lib/laceunit"
 )
@@ -29,6 +30,17 @@
 		t.Fatal(err)
 	}
 	closed.Close()
+	dying, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		// A process that ends closes its connections and its listener one after the other.
+		if c, acceptErr := dying.Accept(); acceptErr == nil {
+			dying.Close()
+			c.Close()
+		}
+	}()
 	register := func(id laceunit.ServerID, address net.Addr, leaving bool) Backend {
 		return Backend{
 			ID:        id,
@@ -43,13 +55,28 @@
 		register("listening", listener.Addr(), false),
 		register("crashed", closed.Addr(), false),
 		register("leaving", closed.Addr(), true),
+		register("dying", dying.Addr(), false),
 	}, nil, time.Time{})
-	for id, want := range map[laceunit.ServerID]bool{"listening": false, "crashed": true, "leaving": false, "gone": false} {
-		if got := b.hasCrashed(context.Background(), id, 7); got != want {
+	crashed := func(x *backend) bool {
+		return b.probe(context.Background(), x, time.Second) == laceconn.Refusing && b.inUse(x)
+	}
+	for id, want := range map[laceunit.ServerID]bool{
+		"listening": false, "crashed": true, "leaving": false, "dying": true,
+	} {
+		x, _ := b.find(id)
+		if got := crashed(x); got != want {
 			t.Errorf("%s: crashed is %v", id, got)
 		}
 	}
-	if b.hasCrashed(context.Background(), "crashed", 8) {
-		t.Error("the crash is attributed to a later incarnation")
+	former, _ := b.find("crashed")
+	gone, _ := b.find("dying")
+	restarted := register("crashed", closed.Addr(), false)
+	restarted.StartTime = 8
+	b.Apply(time.Now(), []Backend{restarted}, []laceunit.ServerID{"dying"}, time.Time{})
+	if crashed(former) {
+		t.Error("the crash of a former incarnation is attributed to a later one")
+	}
+	if crashed(gone) {
+		t.Error("a server without an entry has crashed")
 	}
 }
