lacerelay: of two entries with one address the later start counts

Failing first (TestLaterStartAtAnAddressCounts, code before): "former is in use true, gets requests true" in the cases "one after the other", "in one list" and "renewed entry".

Cause: the entry of a server that has ended stands for up to three status report intervals, while its address may be given to another server after 2 s. Requests that were meant for the former one went to the process at its address, also in a pause for which that had asked.

Change: of the servers with one address only the one that was started last is in use. The others stay registered, but get no requests and have no connections (state "superseded" in the log), until the later one has gone or moved.

--- /dev/null
+++ b/lib/lacerelay/address_test.go
@@ -0,0 +1,103 @@
+package lacerelay
+
+import (
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lacewingcove/lib/lacebalancer"
+	"lacewingcove/lib/laceconfig"
+	"lacewingcove/lib/laceconn"
+	"lacewingcove/lib/lacelog"
+	"lacewingcove/lib/laceunit"
+)
+
+// Guards against requests to the address of a server that has ended while its entry stands: the server that was started
+// there later gets them, even while it asks for a pause.
+func TestLaterStartAtAnAddressCounts(t *testing.T) {
+	server := func(id laceunit.ServerID, startTime int64) Backend {
+		return Backend{
+			ID:        id,
+			Service:   "model",
+			Address:   "127.0.0.1:9",
+			Slots:     4,
+			StartTime: startTime,
+		}
+	}
+	former, later := server("former", 7), server("later", 9)
+	renewed := former
+	renewed.Slots = 5
+	type change struct {
+		registered []Backend
+		removed    []laceunit.ServerID
+	}
+	for name, c := range map[string]struct {
+		changes []change
+		want    map[laceunit.ServerID]bool
+	}{
+		"one after the other": {
+			changes: []change{{registered: []Backend{former}}, {registered: []Backend{later}}},
+			want:    map[laceunit.ServerID]bool{"later": true},
+		},
+		"in one list": {
+			changes: []change{{registered: []Backend{later, former}}},
+			want:    map[laceunit.ServerID]bool{"later": true},
+		},
+		"renewed entry": {
+			changes: []change{{registered: []Backend{former, later}}, {registered: []Backend{renewed}}},
+			want:    map[laceunit.ServerID]bool{"later": true},
+		},
+		"the later one is gone": {
+			changes: []change{{registered: []Backend{former, later}}, {removed: []laceunit.ServerID{"later"}}},
+			want:    map[laceunit.ServerID]bool{"former": true},
+		},
+		"started again elsewhere": {
+			changes: []change{{registered: []Backend{former, later}}, {registered: []Backend{{
+				ID:        "later",
+				Service:   "model",
+				Address:   "127.0.0.1:10",
+				Slots:     4,
+				StartTime: 11,
+			}}}},
+			want: map[laceunit.ServerID]bool{"former": true, "later": true},
+		},
+		"same start": {
+			changes: []change{{registered: []Backend{former, server("later", 7)}}},
+			want:    map[laceunit.ServerID]bool{"former": true, "later": true},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			balancer, err := lacebalancer.New(laceconfig.Routing{}, func(int) int { return 0 })
+			if err != nil {
+				t.Fatal(err)
+			}
+			picker := NewPicker(balancer)
+			b := NewBackends(picker, lacelog.Discard(), func(laceunit.ServiceID) int { return 0 })
+			for _, x := range c.changes {
+				b.Apply(time.Now(), x.registered, x.removed, time.Time{})
+			}
+			picked := map[laceunit.ServerID]bool{}
+			for range 8 {
+				d := picker.Pick(t.Context(), lacebalancer.Request{
+					Pool:     servicePool("model"),
+					Deadline: time.Now(),
+				})
+				if d.Verdict == lacebalancer.Assigned {
+					picked[d.Server] = true
+				}
+			}
+			for _, id := range []laceunit.ServerID{"former", "later"} {
+				x, used := b.find(id)
+				if used != c.want[id] || picked[id] != c.want[id] {
+					t.Errorf("%s is in use %v, gets requests %v", id, used, picked[id])
+				}
+				if used {
+					if _, err := x.pool.Get(t.Context()); errors.Is(err, laceconn.ErrClosed) {
+						t.Errorf("the connections of %s are closed", id)
+					}
+				}
+			}
+		})
+	}
+}
--- a/lib/lacerelay/backend.go
+++ b/lib/lacerelay/backend.go
@@ -39,6 +39,8 @@
 	Backend
 	pool  *laceconn.Pool
 	probe *crashProbe
+	// superseded is true while a server that was started later has the address; the pool is closed then.
+	superseded bool
 	// expiresAt is when a server without an entry in the store is removed; zero while it has one.
 	expiresAt time.Time
 	// limit is the rate limit of the last response.
@@ -126,7 +128,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	x, ok := b.byID[id]
-	return ok && x.StartTime == startTime
+	return ok && x.StartTime == startTime && !x.superseded
 }
 
 // find returns a server that is in use.
@@ -134,7 +136,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	x, ok := b.byID[id]
-	return x, ok
+	return x, ok && !x.superseded
 }
 
 // MarkLeaving handles a response in which the server of a ticket announces that it is leaving (draining). Idle
@@ -215,12 +217,12 @@
 	if old != nil && old.Address == x.Address && old.StartTime == x.StartTime {
 		updated.pool, updated.probe = old.pool, old.probe
 		updated.headerErrorLogged, updated.limit = old.headerErrorLogged, old.limit
+		updated.superseded = old.superseded
 	} else {
 		if old != nil {
 			b.remove(old, "restarted")
 		}
-		updated.pool = laceconn.NewPool(x.Address, b.maxConns(x.Service))
-		updated.pool.CountTraffic(b.traffic)
+		updated.pool = b.newPool(x)
 		updated.probe = &crashProbe{}
 	}
 	b.byID[x.ID] = &updated
@@ -254,7 +256,11 @@
 
 func (b *Backends) publish() {
 	servers := make(map[laceunit.ServerID]laceconfig.Server, len(b.byID))
+	b.resolveAddresses()
 	for id, x := range b.byID {
+		if x.superseded {
+			continue
+		}
 		servers[id] = laceconfig.Server{
 			Kind:      laceconfig.KindService,
 			Address:   x.Address,
--- a/lib/lacerelay/crash.go
+++ b/lib/lacerelay/crash.go
@@ -111,12 +111,12 @@
 	return presence
 }
 
-// isReplaced reports whether a later process has the id of a server.
+// isReplaced reports whether a later process has the id or the address of a server.
 func (b *Backends) isReplaced(x *backend) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	current, ok := b.byID[x.ID]
-	return ok && current.StartTime != x.StartTime
+	return ok && (current.StartTime != x.StartTime || current.superseded)
 }
 
 // inUse reports whether a server is registered and not leaving. One that leaves closes its listener by plan.
@@ -124,5 +124,5 @@
 	b.mu.Lock()
 	current, ok := b.byID[x.ID]
 	b.mu.Unlock()
-	return ok && current.StartTime == x.StartTime && !current.Leaving && !b.picker.IsLeaving(x.ID, x.StartTime)
+	return ok && current.StartTime == x.StartTime && !current.superseded && !current.Leaving && !b.picker.IsLeaving(x.ID, x.StartTime)
 }
