lacecaller: a status query that has begun is completed

Cause: the time for which an outcome is asked for also ended the query under way. With one query that took longer, as on a busy machine, an outcome stayed unknown that an instance knew.

Change: that time ends the repetition; a query that has begun has the timeout of an attempt, and there is always one.

--- a/loadgen/lacecaller/caller.go
+++ b/loadgen/lacecaller/caller.go
@@ -161,28 +161,39 @@
 	return sleep(ctx, d) == nil
 }
 
-// resolveOutcome polls the status of the request until its outcome is known or StatusQueryTimeout has passed. An id
-// that is not found leaves the outcome unknown, since an earlier attempt may still be in flight.
+// resolveOutcome polls the status of the request until its outcome is known or StatusQueryTimeout has passed. A query that
+// has begun by then is completed, since it may take longer on a busy machine. An id that is not found leaves the outcome
+// unknown, since an earlier attempt may still be in flight.
 func (l *retryLoop) resolveOutcome(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, l.caller.retry.StatusQueryTimeout)
+	pollCtx, cancel := context.WithTimeout(ctx, l.caller.retry.StatusQueryTimeout)
 	defer cancel()
-	for ctx.Err() == nil {
-		address, err := l.caller.directory.Pick(ctx, l.result.Address)
-		if err == nil {
-			l.result.Address = address
-			var s RequestStatus
-			if s, err = l.caller.QueryStatus(ctx, address, l.call); err == nil && s.Found &&
-				s.Outcome != lacefault.Unknown {
-				l.result.Outcome, l.result.FromStatusQuery = s.Outcome, true
-				return
-			}
+	for {
+		if outcome := l.queryOutcome(ctx); outcome != lacefault.Unknown {
+			l.result.Outcome, l.result.FromStatusQuery = outcome, true
+			return
 		}
-		if sleep(ctx, statusPollInterval) != nil {
+		if sleep(pollCtx, statusPollInterval) != nil {
 			return
 		}
 	}
 }
 
+// queryOutcome queries the status of the request once.
+func (l *retryLoop) queryOutcome(ctx context.Context) lacefault.Outcome {
+	ctx, cancel := context.WithTimeout(ctx, l.caller.retry.AttemptTimeout)
+	defer cancel()
+	address, err := l.caller.directory.Pick(ctx, l.result.Address)
+	if err != nil {
+		return lacefault.Unknown
+	}
+	l.result.Address = address
+	s, err := l.caller.QueryStatus(ctx, address, l.call)
+	if err != nil || !s.Found {
+		return lacefault.Unknown
+	}
+	return s.Outcome
+}
+
 type wireRequestStatus struct {
 	Outcome string `json:"outcome"`
 	State   string `json:"state"`
--- a/loadgen/laceload/fake_test.go
+++ b/loadgen/laceload/fake_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"lacewingcove/lib/laceemulator"
 	"lacewingcove/lib/laceunit"
@@ -28,6 +29,8 @@
 	billed   map[string]laceunit.Tokens
 	// redirect is the instance address in refusals.
 	redirect string
+	// statusDelay is how long a status query takes.
+	statusDelay time.Duration
 }
 
 func newFakeFleet(t *testing.T, fault string) *fakeFleet {
@@ -167,6 +170,7 @@
 }
 
 func (f *fakeFleet) requestStatus(w http.ResponseWriter, r *http.Request) {
+	<-time.After(f.statusDelay)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	tokens := f.billed[r.PathValue("id")]
--- a/loadgen/laceload/run_test.go
+++ b/loadgen/laceload/run_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/sebdah/goldie/v2"
 
@@ -80,11 +81,16 @@
 	}
 }
 
-// Guards against calls that are given up without a status query after their responses were lost.
+// Guards against calls that are given up without an answered status query after their responses were lost, also if the
+// query takes longer than outcomes are asked for.
 func TestLostResponsesAreResolved(t *testing.T) {
-	r := runSmall(t, newFakeFleet(t, "all responses lost"))
-	if r.Violations.Any() || r.Requests.Unknown > 0 || r.Requests.Done != r.Requests.Sent {
-		t.Errorf("%+v", r.Requests)
+	for _, delay := range []time.Duration{0, 60 * time.Millisecond} {
+		f := newFakeFleet(t, "all responses lost")
+		f.statusDelay = delay
+		r := runSmall(t, f)
+		if r.Violations.Any() || r.Requests.Unknown > 0 || r.Requests.Done != r.Requests.Sent {
+			t.Errorf("status queries take %v: %+v", delay, r.Requests)
+		}
 	}
 }
 
