lacerouter: test processes do not share ports, and a chat that ends early fails its test

Cause, read from the code: a test process took ports from 97 x its process id on, but a run of the package takes 188 (measured), so that processes with adjacent ids overlapped; the ports from 20000 on are also those of the tests of platform/laceadapter. freePort closes a port before its router listens on it, so that another process could take it in between: a router found its port in use, or the requests of one test reached the router of another, which refuses them. The hang of 2 minutes is openStreams: it waited for the first chunk of a chat that had ended without one.

Change: each test process claims a block of 800 ports from 12000 to 19999 by a listener that it holds until its end (TestPortsAreClaimedByOneProcess). openStreams fails with the status and the error of a chat that ends before its first chunk. No bound is changed.

--- a/router/lacerouter/fleet_test.go
+++ b/router/lacerouter/fleet_test.go
@@ -160,21 +160,73 @@
 }
 
 // The ports of the routers are below the ephemeral port range, because an outgoing connection can take an ephemeral
-// port between its selection and the start of the router. Concurrent runs on the same machine start at different ports.
+// port between its selection and the start of the router. They are also below those of the other programs' tests. Each
+// test process claims a block of them, since another one could otherwise take a port in that time as well: its router
+// would then not start, or the requests of one test would reach the router of another.
 const (
 	firstPort = 12000
-	lastPort  = 32000
+	blockSize = 800
+	blocks    = 10
 )
 
-var portCounter atomic.Int64 //nolint:gochecknoglobals // parallel tests share the ports of the machine
+//nolint:gochecknoglobals // parallel tests share the ports of the process
+var (
+	portCounter atomic.Int64
+	portBlock   = sync.OnceValues(claimPorts)
+)
+
+// claimPorts returns a block of ports that no other test process has: a listener on its first port holds it until the
+// process ends.
+func claimPorts() (claim net.Listener, err error) {
+	var config net.ListenConfig
+	for n := range blocks {
+		claim, err = config.Listen(context.Background(), "tcp", fmt.Sprint("127.0.0.1:", firstPort+n*blockSize))
+		if err == nil {
+			return claim, nil
+		}
+	}
+	return nil, err
+}
+
+// firstOf returns the port that claims a block.
+func firstOf(claim net.Listener) int64 {
+	return int64(claim.Addr().(*net.TCPAddr).Port)
+}
+
+// Guards against two test processes that use the same ports.
+func TestPortsAreClaimedByOneProcess(t *testing.T) {
+	own, err := portBlock()
+	if err != nil {
+		t.Fatal(err)
+	}
+	other, err := claimPorts()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.Close()
+	if firstOf(own) == firstOf(other) {
+		t.Errorf("two claims of the block from port %d", firstOf(own))
+	}
+	_, port, err := net.SplitHostPort(freePort(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n, err := strconv.ParseInt(port, 10, 64); err != nil || n <= firstOf(own) || n >= firstOf(own)+blockSize {
+		t.Errorf("port %s is not in the block from %d, error %v", port, firstOf(own), err)
+	}
+}
 
 // freePort returns an address that is not used by another test of this run and has no listener.
 func freePort(t *testing.T) string {
 	t.Helper()
 	var config net.ListenConfig
-	for range lastPort - firstPort {
-		n := (int64(os.Getpid())*97 + portCounter.Add(1)) % (lastPort - firstPort)
-		address := fmt.Sprint("127.0.0.1:", firstPort+n)
+	claim, err := portBlock()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range blockSize {
+		n := 1 + portCounter.Add(1)%(blockSize-1)
+		address := fmt.Sprint("127.0.0.1:", firstOf(claim)+n)
 		if l, err := config.Listen(context.Background(), "tcp", address); err == nil {
 			_ = l.Close()
 			return address
--- a/router/lacerouter/process_test.go
+++ b/router/lacerouter/process_test.go
@@ -29,24 +29,29 @@
 	return ids
 }
 
-// openStreams starts n chats at a router and returns when each has received its first chunk. The returned function
+// openStreams starts n chats at a router and returns when each has received its first chunk; it fails if one ends before. The returned function
 // waits for the end of the chats.
 func openStreams(r *router, n, maxTokens int) (wait func() map[string]chatResponse) {
 	var mu sync.Mutex
 	var workers sync.WaitGroup
 	responses := map[string]chatResponse{}
 	for _, id := range longRequestIDs(n, maxTokens) {
-		first := make(chan struct{})
+		first, ended := make(chan struct{}), make(chan chatResponse, 1)
 		workers.Add(1)
 		go func() {
 			defer workers.Done()
 			c := r.chat(id, maxTokens, first)
+			ended <- c
 			mu.Lock()
 			defer mu.Unlock()
 			responses[id] = c
 		}()
 		select {
 		case <-first:
+		case c := <-ended:
+			if c.text == "" {
+				r.cluster.t.Fatalf("%s ended before its first chunk: status %d, error %q", id, c.status, c.errorText)
+			}
 		case <-r.exited:
 			r.cluster.t.Fatalf("%s exited", r.name)
 		}
