laceconn: a request whose caller has left is not sent

From the review: servers still worked half a second after callers had left, with an account at 56 times its usual load.

Failing first (TestCanceledRequestIsNotSent, code before): "error context canceled: conn: connection broke", "the server got 59 bytes".

Cause: Send wrote a request also if its context had ended before, for instance in the queue for a server, and closed the connection only then. The server began work for nobody.

Change: nothing is written then; the connection is closed and the request counts as not sent.

--- a/lib/laceconn/conn.go
+++ b/lib/laceconn/conn.go
@@ -76,6 +76,11 @@
 // Send writes a request and reads the response header. Cancelling the context closes the connection, which makes the
 // server abort the request. The connection is also closed after an error.
 func (c *Conn) Send(ctx context.Context, r *http.Request) (*Exchange, error) {
+	if err := ctx.Err(); err != nil {
+		// The request would reach the server before the connection is closed.
+		c.Discard()
+		return nil, errors.Wrap(ErrNotSent, err.Error())
+	}
 	stop := context.AfterFunc(ctx, func() { c.net.Close() })
 	x := &Exchange{
 		Fresh:     c.fresh,
--- a/lib/laceconn/conn_test.go
+++ b/lib/laceconn/conn_test.go
@@ -135,3 +135,40 @@
 		t.Errorf("new connection after the first was closed: %v", err)
 	}
 }
+
+// Guards against a request that reaches a server although its caller has left before it was sent.
+func TestCanceledRequestIsNotSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	received := make(chan int, 1)
+	for range 20 {
+		go func() {
+			c, acceptErr := l.Accept()
+			if acceptErr != nil {
+				return
+			}
+			defer c.Close()
+			n, _ := c.Read(make([]byte, 100))
+			received <- n
+		}()
+		conn, err := NewPool(laceunit.Address(l.Addr().String()), 0).Get(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		r, err := http.NewRequest(http.MethodGet, "http://s/", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err = conn.Send(ctx, r); !errors.Is(err, ErrNotSent) {
+			t.Errorf("error %v", err)
+		}
+		if n := <-received; n > 0 {
+			t.Errorf("the server got %d bytes", n)
+		}
+	}
+}
