lacerelay: blank lines count towards the size of an event

From the review: a body of newlines without end keeps a core busy until the request's time limit.

Failing first (TestEventSizeIsBounded, case "newlines", code before): "read 8388608 bytes of one event, error EOF".

Cause: blank lines between events were skipped without a bound.

Change: they count towards the 1 MB of the event that follows. A server that sends more has its answer broken off.

--- a/lib/lacerelay/stream.go
+++ b/lib/lacerelay/stream.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// maxEventBytes limits the size of one event of a stream.
+	// maxEventBytes limits the size of one event of a stream, with the blank lines before it.
 	maxEventBytes = 1 << 20
 	// readBufferBytes is large enough for several events, so that events that arrive together are sent together.
 	readBufferBytes = 8 << 10
@@ -34,10 +34,11 @@
 // readEvent returns the next event; io.EOF means that the stream ended between two events.
 func readEvent(r *bufio.Reader) (event, error) {
 	var e event
+	skipped := 0
 	for {
 		line, err := r.ReadSlice('\n')
 		e.raw = append(e.raw, line...)
-		if len(e.raw) > maxEventBytes {
+		if skipped+len(e.raw) > maxEventBytes {
 			return event{}, errEventTooLong
 		}
 		if errors.Is(err, bufio.ErrBufferFull) {
@@ -53,7 +54,8 @@
 		last := bytes.TrimRight(e.raw[start:], "\r\n")
 		if len(last) == 0 {
 			if len(bytes.TrimSpace(e.raw)) == 0 {
-				e.raw = nil
+				skipped += len(e.raw)
+				e.raw = e.raw[:0]
 				continue
 			}
 			return e, nil
--- a/lib/lacerelay/stream_test.go
+++ b/lib/lacerelay/stream_test.go
@@ -22,13 +22,14 @@
 	return n, nil
 }
 
-// Guards against a server that sends an endless event: buffering it until the caller's deadline would exhaust the
-// memory of the instance.
+// Guards against a server that sends an endless event, or newlines without end instead: buffering it until the caller's
+// deadline would exhaust the memory of the instance, and skipping them would keep a core busy.
 func TestEventSizeIsBounded(t *testing.T) {
 	const limit = 8 << 20
 	for name, text := range map[string]string{
 		"lines":    strings.Repeat("data: x\n", 64),
 		"one line": strings.Repeat("x", 512),
+		"newlines": strings.Repeat("\n", 512),
 	} {
 		source := &endlessReader{text: text}
 		_, err := readEvent(bufio.NewReaderSize(io.LimitReader(source, limit), readBufferBytes))
