laceconn: a probe that is reset during the handshake is repeated

Change: a reset counts as the end of the connection, so that the server is probed once more after 20 ms.

--- a/lib/laceconn/probe.go
+++ b/lib/laceconn/probe.go
@@ -29,14 +29,10 @@
 // Probe reports whether a process listens at the server's address, and goes on to do so for probeHold.
 func (p *Pool) Probe(ctx context.Context) Presence {
 	until := time.Now().Add(probeHold)
-	conn, presence := p.probeOnce(ctx)
-	if presence != Present {
+	presence, ended := p.probeOnce(ctx, until)
+	if !ended {
 		return presence
 	}
-	defer conn.Close()
-	if staysOpen(conn, until) {
-		return Present
-	}
 	// The process has closed the connection, or has ended.
 	timer := time.NewTimer(time.Until(until))
 	defer timer.Stop()
@@ -45,23 +41,22 @@
 		return PresenceUnknown
 	case <-timer.C:
 	}
-	second, presence := p.probeOnce(ctx)
-	if presence == Present {
-		second.Close()
-	}
+	presence, _ = p.probeOnce(ctx, until)
 	return presence
 }
 
-// probeOnce opens a connection, which the caller must close if the result is Present.
-func (p *Pool) probeOnce(ctx context.Context) (net.Conn, Presence) {
+// probeOnce opens a connection, and returns also whether the remote side ended it before a point in time.
+func (p *Pool) probeOnce(ctx context.Context, until time.Time) (presence Presence, ended bool) {
 	conn, err := Dial(ctx, "tcp", string(p.address))
 	switch {
 	case err == nil:
-		return conn, Present
+		defer conn.Close()
+		return Present, !staysOpen(conn, until)
 	case errors.Is(err, syscall.ECONNREFUSED):
-		return nil, Refusing
+		return Refusing, false
 	default:
-		return nil, PresenceUnknown
+		// A listener that closes during the handshake resets the connection.
+		return PresenceUnknown, errors.Is(err, syscall.ECONNRESET)
 	}
 }
 
