--- a/lib/lacebalancer/balancer.go
+++ b/lib/lacebalancer/balancer.go
@@ -57,6 +57,8 @@
 	responseStarted bool
 	// rateLimited is true when the request counts against the rate limit of its server.
 	rateLimited bool
+	// placement is nil unless the request describes its prompt.
+	placement *placement
 }
 
 type waiter struct {
@@ -77,6 +79,8 @@
 	reportsStale bool
 	// latency is the moving average latency of successful requests in seconds.
 	latency float64
+	// demand is known while requests describe their prompts.
+	demand demand
 }
 
 // Option configures a new balancer.
@@ -210,6 +214,7 @@
 			name:         name,
 			queue:        lacelimit.NewQueue[waiter](0),
 			reportsStale: true,
+			demand:       newDemand(),
 		}
 		b.applyRouting(p)
 		b.pools[name] = p
@@ -258,6 +263,7 @@
 	delete(b.assigned, ticket)
 	s := assigned.server
 	s.addInFlight(now, -1)
+	assigned.endPlacement(result, now)
 	if assigned.probe {
 		s.probeInFlight = false
 	}
--- a/lib/lacebalancer/pick.go
+++ b/lib/lacebalancer/pick.go
@@ -48,10 +48,18 @@
 }
 
 func (b *Balancer) enqueue(now time.Time, p *pool, w waiter) (Decision, []Decision) {
+	var startBy time.Time
+	if w.request.Prompt != nil {
+		startBy = b.deadline(now, w.request)
+		if wait := b.queueWait(p); now.Add(wait).After(startBy) {
+			return refusal(w.ticket, NotInTime, boundRetryAfter(wait)), nil
+		}
+	}
 	displaced, ok := p.queue.Push(lacelimit.Item[waiter]{
 		Account:  w.request.Account,
 		Priority: w.request.Priority,
 		Deadline: b.deadline(now, w.request),
+		StartBy:  startBy,
 		Value:    w,
 	})
 	if !ok {
@@ -147,6 +155,7 @@
 	if !s.reportTime.IsZero() {
 		age = now.Sub(s.reportTime)
 	}
+	placed, report := b.place(now, p, s, w.request.Prompt)
 	s.addInFlight(now, 1)
 	if probe {
 		s.probeInFlight = true
@@ -164,6 +173,7 @@
 		slowStart:   s.pause,
 		assignedAt:  now,
 		rateLimited: s.rateLimiter != nil,
+		placement:   placed,
 	}
 	return Decision{
 		Ticket:  w.ticket,
@@ -173,6 +183,7 @@
 
 		LoadEstimate: estimate,
 		ReportAge:    age,
+		Placement:    report,
 	}, true
 }
 
@@ -233,6 +244,9 @@
 	if len(candidates) == 0 {
 		return nil, false
 	}
+	if r.Prompt != nil {
+		return b.choose(now, p, candidates, r.Prompt), false
+	}
 	return p.policy.Choose(candidates, r.Prefix, b.random), false
 }
 
@@ -267,6 +281,9 @@
 
 // deadline returns when a queued request expires.
 func (b *Balancer) deadline(now time.Time, r Request) time.Time {
+	if r.Prompt != nil && !r.Deadline.IsZero() {
+		return r.Deadline.Add(-b.pools[r.Pool].serviceTime(r.Prompt))
+	}
 	latest := now.Add(b.routing.QueueTimeout)
 	if r.Deadline.IsZero() || r.Deadline.After(latest) {
 		return latest
@@ -275,13 +292,20 @@
 }
 
 // queueRetryAfter estimates a retry delay as the time that the pool needs to serve its queue.
-func (b *Balancer) queueRetryAfter(p *pool) time.Duration {
+func (b *Balancer) queueRetryAfter(p *pool) time.Duration { return boundRetryAfter(b.queueWait(p)) }
+
+func boundRetryAfter(wait time.Duration) time.Duration {
+	return min(max(wait, 100*time.Millisecond), 30*time.Second)
+}
+
+// queueWait estimates the time that the pool needs to serve its queue and one more request.
+func (b *Balancer) queueWait(p *pool) time.Duration {
 	var slots float64
 	for _, s := range p.servers {
 		slots += s.Capacity()
 	}
 	wait := p.latency * float64(p.queue.Len()+1) / max(slots, 1)
-	return min(max(time.Duration(wait*float64(time.Second)), 100*time.Millisecond), 30*time.Second)
+	return time.Duration(wait * float64(time.Second))
 }
 
 func refusal(ticket Ticket, reason Reason, after time.Duration) Decision {
--- a/lib/lacebalancer/policy_test.go
+++ b/lib/lacebalancer/policy_test.go
@@ -102,6 +102,25 @@
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
+// BenchmarkPickByTokens measures one Pick, Progress and Done of a request with a prompt.
+func BenchmarkPickByTokens(b *testing.B) {
+	for _, n := range []int{10, 140, 1500} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			lb := balancer(b, laceconfig.Routing{}, engines(n, 64))
+			r := request()
+			before := cpu()
+			for i := 0; b.Loop(); i++ {
+				r.Prompt = prompt(5382, 6610)
+				r.Prompt.Parts[1].Hash = mix(uint64(i%100)) | 1
+				d, _ := lb.Pick(start(), r)
+				lb.Progress(start(), d.Ticket, 1)
+				lb.Done(start(), d.Ticket, Success, time.Second)
+			}
+			b.ReportMetric(float64(cpu()-before)/float64(b.N), "cpu-ns/op")
+		})
+	}
+}
+
 // BenchmarkPick measures one Pick and Done.
 func BenchmarkPick(b *testing.B) {
 	for _, policy := range []string{PolicyRoundRobin, PolicyLeast, PolicyAffinity} {
--- a/lib/lacebalancer/request.go
+++ b/lib/lacebalancer/request.go
@@ -42,8 +42,12 @@
 	NonIdempotent bool
 	// Retry marks a retry, which is counted against the retry budget.
 	Retry bool
-	// Deadline bounds the time in the queue; the zero time stands for the configured maximum.
+	// Deadline bounds the time in the queue; the zero time stands for the configured maximum. With a prompt it is the
+	// time limit of the request, which is queued as long as it can still be served until then.
 	Deadline time.Time
+	// Prompt enables token-aware placement: the server is chosen by what the prompt would meet and cause there. Nil
+	// selects the policy of the routing settings.
+	Prompt *Prompt
 }
 
 // Ticket identifies a request from Pick to Done or Cancel.
@@ -82,6 +86,8 @@
 	Paused
 	// RateLimited means that the rate limits of the pool's servers permit no request before the deadline.
 	RateLimited
+	// NotInTime means that no server can serve the request before its time limit.
+	NotInTime
 )
 
 // Decision is the result of Pick, or of a later call for a queued request.
@@ -96,6 +102,8 @@
 	// the estimate is based on, zero without one.
 	LoadEstimate float64
 	ReportAge    time.Duration
+	// Placement is the estimate by which a request with a prompt was placed; nil for other requests.
+	Placement *Placement
 }
 
 // Result is the outcome of an attempt at a server.
--- a/lib/lacebalancer/server.go
+++ b/lib/lacebalancer/server.go
@@ -33,6 +33,9 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Slowdown says how long work takes on the server's machine at present, in percent of the usual time; zero means
+	// unknown.
+	Slowdown int
 }
 
 // loadChange is the start (1) or end (-1) of a request of this instance.
@@ -73,6 +76,10 @@
 	cachedPrefixes map[uint64]struct{}
 	loadEstimate   float64
 	salt           uint64
+	slowdown       slowdown
+	// expectedSlowdown is the slowdown at the time of the last estimate.
+	expectedSlowdown float64
+	engine           engineState
 }
 
 func newServer(id laceunit.ServerID) *server {
@@ -106,6 +113,9 @@
 // Capacity implements Candidate.
 func (s *server) Capacity() float64 { return float64(max(s.slots, 1)) }
 
+// Slowdown implements Candidate.
+func (s *server) Slowdown() float64 { return s.expectedSlowdown }
+
 // HasCached implements Candidate.
 func (s *server) HasCached(prefix uint64) bool {
 	_, ok := s.cachedPrefixes[prefix]
@@ -144,6 +154,7 @@
 	s.history = s.history[:kept]
 	s.reportTime = madeAt
 	s.localAtReport = local
+	s.slowdown.report(load.Slowdown, madeAt)
 	s.setRemoteLoad(float64(max(0, load.Running+load.Waiting-local)))
 	if load.Slots > 0 && s.slots == 0 {
 		s.slots = load.Slots
@@ -167,6 +178,7 @@
 // linearly by the mean remote load of the pool, scaled by how much this instance prefers the server: the other
 // instances are assumed to prefer the same servers.
 func (s *server) updateLoadEstimate(now time.Time, mean meanLoad) {
+	s.expectedSlowdown = s.slowdown.at(now)
 	reportWeight := 0.0
 	if age := now.Sub(s.reportTime); !s.reportTime.IsZero() && age < maxReportAge {
 		reportWeight = 1 - float64(age)/float64(maxReportAge)
--- a/lib/lacelimit/queue.go
+++ b/lib/lacelimit/queue.go
@@ -1,6 +1,7 @@
 package lacelimit
 
 import (
+	"slices"
 	"time"
 
 	"lacewingcove/lib/laceunit"
@@ -15,7 +16,10 @@
 	Account  laceunit.AccountID
 	Priority laceunit.Priority
 	Deadline time.Time
-	Value    T
+	// StartBy orders the items of an account: those that must start earlier come first. Items with the zero time are
+	// served in the order of arrival.
+	StartBy time.Time
+	Value   T
 
 	// sequence is the position of the item in the order of arrival.
 	sequence uint64
@@ -162,7 +166,7 @@
 func (l *priorityLevel[T]) add(item Item[T]) {
 	for i := range l.queues {
 		if l.queues[i].account == item.Account {
-			l.queues[i].items = append(l.queues[i].items, item)
+			l.queues[i].insert(item)
 			return
 		}
 	}
@@ -172,6 +176,14 @@
 	})
 }
 
+func (q *accountQueue[T]) insert(item Item[T]) {
+	position := len(q.items)
+	for !item.StartBy.IsZero() && position > 0 && q.items[position-1].StartBy.After(item.StartBy) {
+		position--
+	}
+	q.items = slices.Insert(q.items, position, item)
+}
+
 // oldest returns the indexes of the level and the account queue of the item that has waited longest.
 func (q *Queue[T]) oldest() (levelIndex, queueIndex int) {
 	best := ^uint64(0)
--- a/lib/lacerelay/attempt.go
+++ b/lib/lacerelay/attempt.go
@@ -44,6 +44,8 @@
 	connectionLost bool
 	// framed is true when the response states its length or is chunked, so that its end is not that of its connection.
 	framed bool
+	// events counts the events of the stream that arrived.
+	events int
 	// firstEventAt is when the first event of a stream arrived, settled is true once the server has kept writing the
 	// response for settledAge.
 	firstEventAt time.Time
@@ -105,7 +107,10 @@
 	started := time.Now()
 	a := r.send(attemptCtx, j, d)
 	if a.exchange != nil {
-		r.forwardStream(attemptCtx, j, &a, timer, begun)
+		r.forwardStream(attemptCtx, j, &a, timer, func() {
+			r.options.Picker.Progress(d.Ticket, 1)
+			begun()
+		})
 	}
 	r.observeServer(ctx, j, d, &a)
 	r.recordAttempt(j, d, &a, started)
@@ -123,6 +128,10 @@
 	if queueDeadline.After(j.deadline) {
 		queueDeadline = j.deadline
 	}
+	if j.prompt != nil {
+		// The balancer knows until when the request can still be served.
+		queueDeadline = j.deadline
+	}
 	prefix := j.call.Prefix
 	if !j.route.PrefixAffinity {
 		prefix = 0
@@ -135,12 +144,19 @@
 		Exclude:       j.tried,
 		NonIdempotent: !retrySafe(j.route),
 		Deadline:      queueDeadline,
+		Prompt:        j.prompt,
 	})
+	j.expectedFirstEvent = 0
+	if d.Placement != nil {
+		j.expectedFirstEvent = d.Placement.FirstEvent
+	}
 	if d.Verdict == lacebalancer.Assigned {
-		r.options.Log.Write(lacelog.Placed, lacelog.P(lacelog.Request, j.call.Attempt), lacelog.P(lacelog.ServerID, d.Server),
+		r.options.Log.Write(lacelog.Placed, append([]lacelog.Pair{
+			lacelog.P(lacelog.Request, j.call.Attempt), lacelog.P(lacelog.ServerID, d.Server),
 			lacelog.P(lacelog.Service, j.service), lacelog.P(lacelog.AttemptNumber, j.history.sent+1),
 			lacelog.P(lacelog.Load, d.LoadEstimate), lacelog.P(lacelog.Age, d.ReportAge.Milliseconds()),
-			lacelog.P("waited_ms", time.Since(now).Milliseconds()))
+			lacelog.P("waited_ms", time.Since(now).Milliseconds()),
+		}, placementFields(d)...)...)
 	}
 	return d
 }
@@ -365,6 +381,9 @@
 		j.history.mayHaveRun = true
 	}
 	j.tried = append(j.tried, d.Server)
+	if a.events > 1 {
+		r.options.Picker.Progress(d.Ticket, a.events)
+	}
 	r.options.Picker.Done(d.Ticket, result, duration)
 	r.options.Metrics.countAttempt(j, a.outcome)
 	r.options.Log.Write(lacelog.Attempt, lacelog.P(lacelog.Request, j.call.Attempt), lacelog.P(lacelog.ServerID, d.Server),
--- a/lib/lacerelay/codec.go
+++ b/lib/lacerelay/codec.go
@@ -35,6 +35,10 @@
 	Prefix uint64
 	// Parts are the parts of the prompt that are shared with other calls.
 	Parts []lacequarantine.Part
+	// PromptParts are the shared parts with their tokens, LengthHint is the caller's estimate of the tokens to generate;
+	// zero means none.
+	PromptParts []lacebalancer.Part
+	LengthHint  laceunit.Tokens
 	// Header is the header that is forwarded to the server.
 	Header http.Header
 }
--- a/lib/lacerelay/picker.go
+++ b/lib/lacerelay/picker.go
@@ -115,6 +115,13 @@
 	p.notify(p.balancer.Done(p.now(), t, result, latency))
 }
 
+// Progress records how many events of a response have arrived.
+func (p *Picker) Progress(t lacebalancer.Ticket, events int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.balancer.Progress(p.now(), t, events)
+}
+
 // ReportLoad updates the load of a server from the report in a response.
 func (p *Picker) ReportLoad(id laceunit.ServerID, load lacebalancer.Load) {
 	p.mu.Lock()
--- a/lib/lacerelay/relay.go
+++ b/lib/lacerelay/relay.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
+	"lacewingcove/lib/lacebalancer"
 	"lacewingcove/lib/lacefault"
 	"lacewingcove/lib/lacelimit"
 	"lacewingcove/lib/lacelog"
@@ -129,13 +130,17 @@
 	route          *laceroute.Route
 	service        laceunit.ServiceID
 	tokensPerEvent int
-	account        laceunit.AccountID
-	rank           int
-	version        laceunit.Version
-	freshness      Freshness
-	body           []byte
-	arrived        time.Time
-	deadline       time.Time
+	// prompt is what the request needs at an engine; nil unless the service's requests are placed by their tokens.
+	prompt *lacebalancer.Prompt
+	// expectedFirstEvent is the estimate of the time to the first event at the picked server; zero means unknown.
+	expectedFirstEvent time.Duration
+	account            laceunit.AccountID
+	rank               int
+	version            laceunit.Version
+	freshness          Freshness
+	body               []byte
+	arrived            time.Time
+	deadline           time.Time
 
 	// refusalFields are log fields that explain a refusal: the state of the account or of the link.
 	refusalFields []lacelog.Pair
@@ -243,6 +248,7 @@
 	}
 	if s, known := table.Service(j.service); known && s.Engine != nil {
 		j.tokensPerEvent = s.Engine.MaxTokensPerEvent
+		j.describePrompt(table, s.Engine)
 	}
 	timeout := j.call.Timeout
 	if timeout <= 0 {
--- a/lib/lacerelay/stall.go
+++ b/lib/lacerelay/stall.go
@@ -22,6 +22,9 @@
 	// maxResponseTimeoutShare is the share of the remaining time that an attempt may use without progress, so that
 	// there is time left for a retry.
 	maxResponseTimeoutShare = 0.6
+	// expectedFirstEventFactor is the response timeout as a multiple of the estimated time to the first event. An attempt
+	// that is given up makes another server process the whole prompt again.
+	expectedFirstEventFactor = 3
 	// idleTimeoutGaps is the idle timeout between events as a multiple of the route's longest gap that is still on
 	// time.
 	idleTimeoutGaps = 3
@@ -56,7 +59,8 @@
 		gap = defaultGap
 	}
 	s := &stallTimer{idleTimeout: idleTimeoutGaps * gap}
-	s.timer = time.AfterFunc(responseTimeout(j.route, time.Until(j.deadline)), func() {
+	timeout := max(responseTimeout(j.route, time.Until(j.deadline)), expectedFirstEventFactor*j.expectedFirstEvent)
+	s.timer = time.AfterFunc(timeout, func() {
 		if r.withRetryBudget(j.service, func(b *lacelimit.RetryBudget) bool {
 			return b.Covers(time.Now(), r.options.Members())
 		}) {
--- a/lib/lacerelay/stream.go
+++ b/lib/lacerelay/stream.go
@@ -78,6 +78,7 @@
 		if a.firstEventAt.IsZero() {
 			begun()
 		}
+		a.events++
 		if a.recordProgress(time.Now()) {
 			r.reportSuccess(j)
 		}
--- a/lib/laceroute/document.go
+++ b/lib/laceroute/document.go
@@ -64,6 +64,8 @@
 type Engine struct {
 	// MaxTokensPerEvent is the maximum number of tokens in one stream event.
 	MaxTokensPerEvent int
+	// MemoryTokens is the number of tokens that each server can hold; zero means unknown.
+	MemoryTokens int64
 }
 
 // Account is a client account with the API keys that identify it.
--- a/lib/laceroute/table.go
+++ b/lib/laceroute/table.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"lacewingcove/lib/laceunit"
 )
@@ -12,6 +13,7 @@
 	version     laceunit.Version
 	routes      map[string]map[string]*Route
 	services    map[laceunit.ServiceID]*Service
+	objectives  map[laceunit.ServiceID]Objectives
 	keys        map[string]*Account
 	accounts    []Account
 	keyRequired bool
@@ -24,6 +26,7 @@
 		version:     d.Version,
 		routes:      map[string]map[string]*Route{},
 		services:    map[laceunit.ServiceID]*Service{},
+		objectives:  map[laceunit.ServiceID]Objectives{},
 		keys:        map[string]*Account{},
 		accounts:    d.Accounts,
 		keyRequired: d.KeyRequired,
@@ -36,6 +39,13 @@
 			t.routes[host] = map[string]*Route{}
 		}
 		t.routes[host][r.Prefix] = r
+		for _, target := range r.Targets {
+			o := t.objectives[target.Service]
+			t.objectives[target.Service] = Objectives{
+				Latency:  shortest(o.Latency, r.LatencyObjective),
+				EventGap: shortest(o.EventGap, r.MaxEventGap),
+			}
+		}
 	}
 	for i := range d.Services {
 		t.services[d.Services[i].ID] = &d.Services[i]
@@ -66,6 +76,33 @@
 	return s, ok
 }
 
+// Objectives are the shortest objectives of the routes of a service; zero means none.
+type Objectives struct {
+	Latency  time.Duration
+	EventGap time.Duration
+}
+
+// shortObjective is the longest objective that the prefill of one long prompt of another request can break: 50,000
+// tokens keep an engine busy for about 0.7 s.
+const shortObjective = 500 * time.Millisecond
+
+// shortest returns the shorter of two objectives; zero means none.
+func shortest(a, b time.Duration) time.Duration {
+	if a <= 0 || b > 0 && b < a {
+		return b
+	}
+	return a
+}
+
+// TokenPlacement returns the shortest objectives of the routes of a service, and whether its requests are placed by
+// their tokens: its servers are engines, and a route has a short objective.
+func (t *Table) TokenPlacement(id laceunit.ServiceID) (Objectives, bool) {
+	o := t.objectives[id]
+	s := t.services[id]
+	return o, s != nil && s.Engine != nil &&
+		(o.Latency > 0 && o.Latency <= shortObjective || o.EventGap > 0 && o.EventGap <= shortObjective)
+}
+
 // Account returns the client account of an API key.
 func (t *Table) Account(key string) (*Account, bool) {
 	a, ok := t.keys[key]
