--- a/lib/lacerelay/prompt.go
+++ b/lib/lacerelay/prompt.go
@@ -13,13 +13,16 @@
 	if !ok || !j.call.Metered {
 		return
 	}
+	// Parts that claim more tokens than the prompt has are cut.
 	own := j.call.Input
-	for _, p := range j.call.PromptParts {
+	for i := range j.call.PromptParts {
+		p := &j.call.PromptParts[i]
+		p.Tokens = min(p.Tokens, own)
 		own -= p.Tokens
 	}
 	j.prompt = &lacebalancer.Prompt{
 		Parts:          j.call.PromptParts,
-		OwnTokens:      max(own, 0),
+		OwnTokens:      own,
 		MaxOutput:      j.call.MaxOutput,
 		LengthHint:     j.call.LengthHint,
 		TokensPerEvent: engine.MaxTokensPerEvent,
