laceroute: test when requests are placed by tokens

The condition had no test: a service without engines, or with long objectives only, must keep its policy, and a new configuration must turn the placement on and off.

--- a/lib/laceroute/table_test.go
+++ b/lib/laceroute/table_test.go
@@ -1,6 +1,9 @@
 package laceroute
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 func newTestTable() *Table {
 	return NewTable(Document{
@@ -70,3 +73,34 @@
 		t.Error("a route without services has a target")
 	}
 }
+
+// Guards against token placement of services whose routes do not need it, and against one that a new configuration does not
+// turn on or off.
+func TestTokenPlacement(t *testing.T) {
+	engine := &Engine{MaxTokensPerEvent: 7}
+	for name, c := range map[string]struct {
+		engine       *Engine
+		latency, gap time.Duration
+		want         bool
+	}{
+		"no objective":    {engine: engine},
+		"long objectives": {engine: engine, latency: shortObjective + 1, gap: shortObjective + 1},
+		"short latency":   {engine: engine, latency: shortObjective, want: true},
+		"short gap":       {engine: engine, latency: time.Second, gap: 300 * time.Millisecond, want: true},
+		"plain service":   {latency: 120 * time.Millisecond},
+	} {
+		table := NewTable(Document{
+			Routes: []Route{
+				{Name: "slow", Prefix: "/slow/", Targets: []Target{{Service: "s"}}, LatencyObjective: 9 * time.Second},
+				{Name: "c", Prefix: "/", Targets: []Target{{Service: "s"}}, LatencyObjective: c.latency, MaxEventGap: c.gap},
+			},
+			Services: []Service{{ID: "s", Engine: c.engine}},
+		})
+		if _, got := table.TokenPlacement("s"); got != c.want {
+			t.Errorf("%s: token placement is %v, want %v", name, got, c.want)
+		}
+		if _, got := table.TokenPlacement("unknown"); got {
+			t.Errorf("%s: token placement of an unknown service", name)
+		}
+	}
+}
