lacebalancer: bound placement state, let homes grow with load, test fairness

Up to 512 chains of prompt parts were remembered of each server, tens of MB with 1,500 servers. Absurd prompts gave estimates that overflowed. A fourth figure near zero drew all requests to its server, and it also changed the choice for requests without a prompt. A refusal for lack of time counted the queue of less urgent requests and kept the retry it had paid. Shared parts were prefilled at 16 servers whatever their load.

- 32,768 chains are remembered over all servers; full: 1.3 MB with 140 servers, 1.8 MB with 1,500.
- Tokens and estimates are bounded; fourth figures outside of 25 to 1,000 are ignored.
The least-loaded choice no longer uses the fourth figure.
- The wait of the queue counts requests of the same or a higher priority.
- Each further home of a chain counts by how far requests spill over from the one before, by its load relative to the pool. 1,000 instead of 3,000 repeated tokens count as a late answer.
- The estimate ranks the homes once for each choice.

--- a/lib/lacebalancer/balancer.go
+++ b/lib/lacebalancer/balancer.go
@@ -42,6 +42,7 @@
 	lastTicket   Ticket
 	retryBudget  float64
 	scratch      []*server
+	placer       placer
 	// salt selects this instance's rendezvous order for pools whose load reports are stale.
 	salt uint64
 }
--- a/lib/lacebalancer/engine.go
+++ b/lib/lacebalancer/engine.go
@@ -6,33 +6,41 @@
 )
 
 const (
-	// speedPrior is how many samples the mean of the pool counts as in the speed of a server.
+	// speedPrior is the number of samples that the mean of the pool counts as in the speed of a server: one slow answer
+	// does not make a server slow.
 	speedPrior = 3
-	// minRelativeTime and maxRelativeTime bound the learned time of a server relative to the mean of the pool.
+	// minRelativeTime and maxRelativeTime bound the learned time of a server relative to the mean of the pool, somewhat
+	// beyond the differences between machines of one pool.
 	minRelativeTime = 0.4
 	maxRelativeTime = 3
 	// slowdownMemory is how quickly a reported slowdown reverts to its mean: it changes many times a second.
 	slowdownMemory = 300 * time.Millisecond
-	// usualSlowdown is the value of the fourth figure of a load report that means "as usual", maxSlowdown the highest
-	// that is believed.
+	// usualSlowdown is the value of the fourth figure of a load report that means "as usual". Values outside of
+	// minSlowdown to maxSlowdown are ignored: a server that claims to need hardly any time would get all requests.
 	usualSlowdown = 100
+	minSlowdown   = 25
 	maxSlowdown   = 1000
-	// chainMemory is how long a server is assumed to keep a chain of parts after its last use by this instance.
+	// chainMemory is how long a server is assumed to keep a chain of parts after its last use by this instance. Engines
+	// evict the least recently used parts when requests need the memory.
 	chainMemory = 30 * time.Second
-	// maxChains bounds the chains that are remembered of each server.
-	maxChains = 512
-	// homes is how many servers of the rendezvous order are considered as homes of a chain. All instances use the same
-	// order, so that the first ones have probably cached it.
+	// maxChains bounds the remembered chains of all servers together, about 2 MB; minChains is how many are remembered of
+	// each server at least.
+	maxChains = 1 << 15
+	minChains = 16
+	// homes is the most servers of a chain's rendezvous order that count as its homes. All instances use the same order.
 	homes = 16
 	// homeShare is the assumed probability that the first home has cached a chain that this instance has not sent there
-	// lately; each further home has homeDecay of that of the one before.
-	homeShare = 0.9
-	homeDecay = 0.85
-	// sampledServers is how many servers without a cached part are compared. With all of them, instances with the same
-	// old reports choose the same servers: in TestPlacementUnderLoad this had more late answers and twice the repeated
-	// tokens at the double load.
+	// lately. That of each further home is the one before times the probability that requests spill over from there:
+	// the home's load relative to the mean of the pool, less spillOffset, and between minSpill and maxSpill. So a
+	// chain with few requests stays at few servers, and a chain that loads its homes gets more of them.
+	homeShare   = 0.9
+	spillOffset = 0.8
+	minSpill    = 0.2
+	maxSpill    = 0.95
+	// sampledServers is the number of servers without a cached part that are compared. If all were, instances with the
+	// same old reports would choose the same servers.
 	sampledServers = 4
-	// sampledCached is how many servers with most of the cached parts are compared.
+	// sampledCached is the number of compared servers that have most of the cached parts. It bounds the time of a choice.
 	sampledCached = 24
 )
 
@@ -45,7 +53,9 @@
 	perEvent lowerAverage
 	// expectedCached is the expected number of cached tokens of the prompt of the last decision.
 	expectedCached float64
-	chains         map[uint64]time.Time
+	// chains are the hashes of the chains that this instance has sent there, with the time of the last use in
+	// nanoseconds.
+	chains map[uint64]int64
 }
 
 // slowdown is how long work takes on a machine, relative to the usual time.
@@ -56,7 +66,7 @@
 }
 
 func (s *slowdown) report(value int, at time.Time) {
-	if value <= 0 || value > maxSlowdown {
+	if value < minSlowdown || value > maxSlowdown {
 		return
 	}
 	s.last, s.lastAt = float64(value)/usualSlowdown, at
@@ -89,35 +99,49 @@
 	firstEventAt time.Time
 }
 
+// home is a server that probably has cached a chain.
+type home struct {
+	server *server
+	rank   uint64
+	// cached is the probability that it has.
+	cached float64
+}
+
 // placer chooses the server for one prompt by the estimated lateness.
 type placer struct {
 	pool   *pool
 	prompt *Prompt
 	now    time.Time
-	shared float64
-	// chain is the hash of all shared parts, zero without any; homeRanks are its highest rendezvous ranks.
-	chain     uint64
-	homeRanks [homes]uint64
+	// shared is the number of tokens in shared parts, input that of the whole prompt.
+	shared, input float64
+	// oldestUse is the time before which a use of a chain no longer counts, in nanoseconds.
+	oldestUse int64
+	// chain is the hash of all shared parts, zero without any; homes are the servers of its highest rendezvous ranks,
+	// known once ranked is true.
+	chain  uint64
+	ranked bool
+	homes  [homes]home
 }
 
-func newPlacer(now time.Time, p *pool, prompt *Prompt) *placer {
-	c := &placer{
+func newPlacer(now time.Time, p *pool, prompt *Prompt) placer {
+	c := placer{
 		pool:   p,
 		prompt: prompt,
 		now:    now,
 		shared: prompt.sharedTokens(),
+		input:  prompt.inputTokens(),
+
+		oldestUse: now.Add(-chainMemory).UnixNano(),
 	}
 	if n := len(prompt.Parts); n > 0 {
 		c.chain = prompt.Parts[n-1].Hash
-		c.rankHomes()
 	}
 	return c
 }
 
 // choose returns the candidate of least cost among those that may have a part of the prompt cached and a random sample of
 // the others.
-func (b *Balancer) choose(now time.Time, p *pool, candidates []*server, prompt *Prompt) *server {
-	c := newPlacer(now, p, prompt)
+func (c *placer) choose(candidates []*server, random Random) *server {
 	best := candidates[0]
 	lowest := math.Inf(1)
 	most := 0.0
@@ -134,17 +158,17 @@
 	n := len(candidates)
 	withPart := sample{left: cached, wanted: sampledCached}
 	others := sample{left: n - cached, wanted: sampledServers}
-	offset := b.random(n)
+	offset := random(n)
 	for i := range candidates {
 		s := candidates[(i+offset)%n]
 		group := &others
 		if s.engine.expectedCached > most/2 {
 			group = &withPart
 		}
-		if !group.take(b.random) {
+		if !group.take(random) {
 			continue
 		}
-		if e := c.estimate(s); e.cost < lowest {
+		if e := c.estimate(s, c.workload(s.engine.expectedCached)); e.cost < lowest {
 			best, lowest = s, e.cost
 		}
 	}
@@ -166,22 +190,37 @@
 	return taken
 }
 
-// rankHomes finds the highest rendezvous ranks of the chain among all servers of the pool.
+// rankHomes finds the homes of the chain among all servers of the pool.
 func (c *placer) rankHomes() {
+	c.ranked = true
 	for _, s := range c.pool.servers {
 		if s.leaving {
 			continue
 		}
 		rank := mix(s.seed ^ c.chain)
-		if rank <= c.homeRanks[homes-1] {
+		if rank <= c.homes[homes-1].rank {
 			continue
 		}
-		for i := range c.homeRanks {
-			if rank > c.homeRanks[i] {
-				rank, c.homeRanks[i] = c.homeRanks[i], rank
-			}
+		i := homes - 1
+		for ; i > 0 && c.homes[i-1].rank < rank; i-- {
+			c.homes[i] = c.homes[i-1]
+		}
+		c.homes[i] = home{
+			server: s,
+			rank:   rank,
 		}
 	}
+	mean := c.pool.meanLoad()
+	meanRequests := max(mean.localLoad+mean.remoteLoad, 0.5)
+	probability := homeShare
+	for i := range c.homes {
+		h := &c.homes[i]
+		if h.server == nil {
+			return
+		}
+		h.cached = probability
+		probability *= min(max(h.server.loadEstimate/meanRequests-spillOffset, minSpill), maxSpill)
+	}
 }
 
 // cachedTokens returns the expected number of shared tokens that the server has cached.
@@ -189,40 +228,44 @@
 	if c.chain == 0 {
 		return 0
 	}
-	home := 0.0
-	if rank := mix(s.seed ^ c.chain); rank >= c.homeRanks[homes-1] {
-		home = homeShare * c.shared
-		for i := 0; i < homes && c.homeRanks[i] > rank; i++ {
-			home *= homeDecay
+	if !c.ranked {
+		c.rankHomes()
+	}
+	atHome := 0.0
+	if mix(s.seed^c.chain) >= c.homes[homes-1].rank {
+		for i := range c.homes {
+			if c.homes[i].server == s {
+				atHome = c.homes[i].cached * c.shared
+			}
 		}
 	}
 	cached := 0.0
 	for _, p := range c.prompt.Parts {
-		if at, ok := s.engine.chains[p.Hash]; !ok || c.now.Sub(at) > chainMemory {
+		if at, ok := s.engine.chains[p.Hash]; !ok || at < c.oldestUse {
 			break
 		}
 		cached += float64(p.Tokens)
 	}
-	return max(cached, home)
+	return min(max(cached, atHome), c.shared)
 }
 
-func (c *placer) workload(s *server) workload {
+func (c *placer) workload(cached float64) workload {
 	return workload{
 		objectives:     c.prompt.Objectives,
 		strictest:      c.prompt.Strictest,
-		prompt:         c.shared + float64(c.prompt.OwnTokens),
-		cached:         c.cachedTokens(s),
+		prompt:         c.input,
+		cached:         cached,
 		shared:         c.shared,
-		memory:         c.shared + float64(c.prompt.OwnTokens) + c.prompt.output(),
+		memory:         c.input + c.prompt.output(),
 		tokensPerEvent: float64(max(c.prompt.TokensPerEvent, 1)),
 	}
 }
 
-func (c *placer) estimate(s *server) estimate {
+func (c *placer) estimate(s *server, w workload) estimate {
 	d := &c.pool.demand
 	relative := s.relativeTime(c.now, d)
 	remote := max(s.loadEstimate-float64(s.localLoad), 0)
-	return estimateAt(c.workload(s), engineLoad{
+	return estimateAt(w, engineLoad{
 		perToken:    d.perToken.value * relative,
 		perEvent:    d.perEvent.value * relative,
 		ownPrefill:  s.engine.prefill,
@@ -244,46 +287,55 @@
 }
 
 // place records that a request with a prompt was assigned to a server.
-func (b *Balancer) place(now time.Time, p *pool, s *server, prompt *Prompt) (*placement, *Placement) {
-	if prompt == nil {
+func (b *Balancer) place(c *placer, s *server) (*placement, *Placement) {
+	if c == nil {
 		return nil, nil
 	}
-	c := newPlacer(now, p, prompt)
-	w, e := c.workload(s), c.estimate(s)
+	w := c.workload(c.cachedTokens(s))
+	e, d := c.estimate(s, w), &c.pool.demand
 	x := &placement{
 		tokens:       max(w.prompt-w.cached, 1),
 		memory:       w.memory,
 		before:       s.engine.prefill,
-		relativeTime: s.relativeTime(now, &p.demand),
+		relativeTime: s.relativeTime(c.now, d),
 	}
 	s.engine.prefill += x.tokens
 	s.engine.memory += x.memory
-	s.engine.remember(now, prompt.Parts)
-	p.demand.add(x.tokens, x.memory, milliseconds(prompt.Objectives.FirstEvent))
+	s.engine.remember(c.now, c.prompt.Parts, max(maxChains/max(len(b.servers), 1), minChains))
+	d.add(x.tokens, x.memory, milliseconds(c.prompt.Objectives.FirstEvent))
 	return x, &Placement{
 		Prefill:    int(x.tokens),
 		Cached:     int(w.cached),
-		FirstEvent: time.Duration(e.first * float64(time.Millisecond)),
-		Pause:      time.Duration(e.pause * float64(time.Millisecond)),
+		FirstEvent: duration(e.first),
+		Pause:      duration(e.pause),
 	}
 }
 
-// remember records that the server has processed a chain of parts.
-func (e *engineState) remember(now time.Time, parts []Part) {
+// remember records that the server has processed a chain of parts. Beyond the bound it forgets chains that have not been
+// used within chainMemory, then arbitrary others until a quarter is free, so that few requests pay for it.
+func (e *engineState) remember(now time.Time, parts []Part, bound int) {
 	if e.chains == nil {
-		e.chains = map[uint64]time.Time{}
-	}
-	for _, p := range parts {
-		e.chains[p.Hash] = now
+		e.chains = map[uint64]int64{}
 	}
-	if len(e.chains) <= maxChains {
-		return
-	}
-	for h, at := range e.chains {
-		if now.Sub(at) > chainMemory || len(e.chains) > maxChains {
+	if len(e.chains)+len(parts) > bound {
+		oldest := now.Add(-chainMemory).UnixNano()
+		for h, at := range e.chains {
+			if at < oldest {
+				delete(e.chains, h)
+			}
+		}
+		for h := range e.chains {
+			if len(e.chains)+len(parts) <= bound-bound/4 {
+				break
+			}
 			delete(e.chains, h)
 		}
 	}
+	for _, p := range parts {
+		if len(e.chains) < bound {
+			e.chains[p.Hash] = now.UnixNano()
+		}
+	}
 }
 
 // Progress records how many events of a response have arrived; with the first one the prefill of the request is over.
@@ -327,11 +379,21 @@
 
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
+// maxEstimate is far above the time limit of any request.
+const maxEstimate = time.Hour
+
+// duration converts estimated milliseconds.
+func duration(ms float64) time.Duration {
+	return time.Duration(min(ms, milliseconds(maxEstimate)) * float64(time.Millisecond))
+}
+
 // serviceTime returns the least time that a prompt takes on a server of mean speed without other requests. Without a
 // hint, only the prompt is counted: most answers are much shorter than their maximum.
 func (p *pool) serviceTime(prompt *Prompt) time.Duration {
 	d := &p.demand
-	events := float64(prompt.LengthHint) / float64(max(prompt.TokensPerEvent, 1))
-	ms := float64(prompt.OwnTokens)*d.perToken.value + events*d.perEvent.value
-	return time.Duration(ms * float64(time.Millisecond))
+	events := 0.0
+	if prompt.LengthHint > 0 {
+		events = prompt.output() / float64(max(prompt.TokensPerEvent, 1))
+	}
+	return duration(float64(prompt.OwnTokens)*d.perToken.value + events*d.perEvent.value)
 }
--- a/lib/lacebalancer/estimate.go
+++ b/lib/lacebalancer/estimate.go
@@ -8,25 +8,27 @@
 )
 
 const (
-	// chunkTokens is how many prompt tokens an engine processes between two decoding steps.
+	// chunkTokens is the number of prompt tokens that an engine processes between two decoding steps.
 	chunkTokens = 1024
 	// maxBusyShare bounds the estimated share of time that an engine spends on the prompts of other instances, so that
 	// the estimated wait stays finite.
 	maxBusyShare = 0.9
+	// maxTokens is far above the size of any prompt or answer.
+	maxTokens = 1 << 30
 	// pauseOnset is the share of the pause objective from which a pause counts as partly late, fully at
 	// 2-pauseOnset: the estimate is not exact.
 	pauseOnset = 0.7
-	// repeatedTokens is how many shared tokens that are prefilled again cost as much as one late answer. By the prices
-	// in docs/hard-load.md (4.2 million tokens cost 0.025 to 0.046 of the value of 14,600 answers) these are about
-	// 10,000. A cached copy also serves later requests; in TestPlacementUnderLoad 10,000 had a third more repeated
-	// tokens than 2,500 with as many late answers.
-	repeatedTokens = 3000
-	// overdueWeight is the cost of each further multiple of the objective that an answer is late.
+	// repeatedTokens is the number of shared tokens whose repeated prefill counts as one late answer. A token that is
+	// prefilled again keeps an engine from others' prompts, and its copy takes memory from the parts of other chains.
+	repeatedTokens = 1000
+	// overdueWeight is the cost, in late answers, of each further multiple of the objective by which an answer is late: it
+	// is of less use to its caller the later it is.
 	overdueWeight = 0.25
-	// expectedWeight is the cost of a second until the first event, for a choice between servers where nothing is late.
+	// expectedWeight is the cost, in late answers, of a second until the first event. It decides between servers where no
+	// answer is expected to be late.
 	expectedWeight = 0.05
-	// fillOnset is the share of the slots from which a server may reject a request, since other instances send it
-	// requests at the same time.
+	// fillOnset is the share of the slots in use from which a server may be full when a request arrives, since other
+	// instances send it requests at the same time.
 	fillOnset = 0.5
 )
 
@@ -62,19 +64,25 @@
 
 // sharedTokens returns the number of tokens in the shared parts.
 func (p *Prompt) sharedTokens() float64 {
-	var n laceunit.Tokens
+	n := 0.0
 	for _, part := range p.Parts {
-		n += part.Tokens
+		n += float64(part.Tokens)
 	}
-	return float64(n)
+	return min(max(n, 0), maxTokens)
+}
+
+// inputTokens returns the number of tokens of the whole prompt.
+func (p *Prompt) inputTokens() float64 {
+	return min(p.sharedTokens()+max(float64(p.OwnTokens), 0), maxTokens)
 }
 
 // output returns the expected number of output tokens. Half of the hints are too low.
 func (p *Prompt) output() float64 {
-	if p.LengthHint > 0 && (p.MaxOutput == 0 || p.LengthHint < p.MaxOutput) {
-		return float64(p.LengthHint)
+	n := p.MaxOutput
+	if p.LengthHint > 0 && (n == 0 || p.LengthHint < n) {
+		n = p.LengthHint
 	}
-	return float64(p.MaxOutput)
+	return min(float64(n), maxTokens)
 }
 
 // demand is what the requests of a pool need on average. The other instances are assumed to get the same kinds.
@@ -226,7 +234,7 @@
 	value, samples float64
 }
 
-// averageSamples is the number of samples that an average covers.
+// averageSamples is the number of samples that an average covers: a few seconds of requests at one instance.
 const averageSamples = 32
 
 func (a *average) add(x float64) {
@@ -240,6 +248,8 @@
 }
 
 const (
+	// initialPerToken, initialPerEvent and initialDuration are milliseconds that are assumed until requests have ended:
+	// those of an engine of average size under light load.
 	initialPerToken = 1.0 / 60
 	initialPerEvent = 30
 	initialDuration = 1000
@@ -248,7 +258,8 @@
 	// minSampleTokens is the least prefill from which the time per token is learned: with less, the time to the first
 	// event is that of the event.
 	minSampleTokens = 2000
-	// fallWeight and riseWeight are the least weights of samples below and above the value.
+	// fallWeight and riseWeight are the least weights of samples below and above the value. Most high samples contain
+	// waits; those of an engine that has become slower raise the value within some tens of requests.
 	fallWeight = 0.2
 	riseWeight = 0.04
 )
--- a/lib/lacebalancer/pick.go
+++ b/lib/lacebalancer/pick.go
@@ -51,7 +51,10 @@
 	var startBy time.Time
 	if w.request.Prompt != nil {
 		startBy = b.deadline(now, w.request)
-		if wait := b.queueWait(p); now.Add(wait).After(startBy) {
+		if wait := p.queueWait(p.queue.LenFrom(w.request.Priority)); now.Add(wait).After(startBy) {
+			if w.request.Retry {
+				b.retryBudget++
+			}
 			return refusal(w.ticket, NotInTime, boundRetryAfter(wait)), nil
 		}
 	}
@@ -147,7 +150,12 @@
 
 // assign assigns a request to a server if one has capacity for it.
 func (b *Balancer) assign(now time.Time, p *pool, w waiter) (Decision, bool) {
-	s, probe := b.selectServer(now, p, w.request)
+	var placing *placer
+	if w.request.Prompt != nil {
+		placing = &b.placer
+		*placing = newPlacer(now, p, w.request.Prompt)
+	}
+	s, probe := b.selectServer(now, p, w.request, placing)
 	if s == nil {
 		return Decision{}, false
 	}
@@ -155,7 +163,7 @@
 	if !s.reportTime.IsZero() {
 		age = now.Sub(s.reportTime)
 	}
-	placed, report := b.place(now, p, s, w.request.Prompt)
+	placed, report := b.place(placing, s)
 	s.addInFlight(now, 1)
 	if probe {
 		s.probeInFlight = true
@@ -190,7 +198,9 @@
 // selectServer returns the server for a request, nil for none, and whether the request is a probe. An ejected server
 // whose ejection time is over gets the next request as a probe, so that it is reinstated even while others have
 // capacity.
-func (b *Balancer) selectServer(now time.Time, p *pool, r Request) (*server, bool) {
+//
+// With a placer, it chooses among the candidates instead of the pool's policy.
+func (b *Balancer) selectServer(now time.Time, p *pool, r Request, placing *placer) (*server, bool) {
 	utilizationLimit := baseUtilization + utilizationPerPriority*float64(max(r.Priority, laceunit.PriorityDraft))
 	mean := p.meanLoad()
 	exclude := r.Exclude
@@ -244,8 +254,8 @@
 	if len(candidates) == 0 {
 		return nil, false
 	}
-	if r.Prompt != nil {
-		return b.choose(now, p, candidates, r.Prompt), false
+	if placing != nil {
+		return placing.choose(candidates, b.random), false
 	}
 	return p.policy.Choose(candidates, r.Prefix, b.random), false
 }
@@ -292,19 +302,21 @@
 }
 
 // queueRetryAfter estimates a retry delay as the time that the pool needs to serve its queue.
-func (b *Balancer) queueRetryAfter(p *pool) time.Duration { return boundRetryAfter(b.queueWait(p)) }
+func (b *Balancer) queueRetryAfter(p *pool) time.Duration {
+	return boundRetryAfter(p.queueWait(p.queue.Len()))
+}
 
 func boundRetryAfter(wait time.Duration) time.Duration {
 	return min(max(wait, 100*time.Millisecond), 30*time.Second)
 }
 
-// queueWait estimates the time that the pool needs to serve its queue and one more request.
-func (b *Balancer) queueWait(p *pool) time.Duration {
+// queueWait estimates the time that the pool needs to serve a number of queued requests and one more.
+func (p *pool) queueWait(queued int) time.Duration {
 	var slots float64
 	for _, s := range p.servers {
 		slots += s.Capacity()
 	}
-	wait := p.latency * float64(p.queue.Len()+1) / max(slots, 1)
+	wait := p.latency * float64(queued+1) / max(slots, 1)
 	return time.Duration(wait * float64(time.Second))
 }
 
--- a/lib/lacebalancer/policy.go
+++ b/lib/lacebalancer/policy.go
@@ -28,8 +28,6 @@
 	// Load is the estimated number of requests at the server, Capacity how many it runs concurrently.
 	Load() float64
 	Capacity() float64
-	// Slowdown is how long work takes on the server's machine at present, relative to the usual time.
-	Slowdown() float64
 	// HasCached reports whether the server is known to have the prefix in its cache.
 	HasCached(prefix uint64) bool
 }
@@ -136,9 +134,7 @@
 	return candidates[best]
 }
 
-// relativeLoad returns the load relative to the capacity, as time: on a machine that is slow at present each request
-// takes longer.
-func relativeLoad(c Candidate) float64 { return (c.Load() + 1) / c.Capacity() * c.Slowdown() }
+func relativeLoad(c Candidate) float64 { return (c.Load() + 1) / c.Capacity() }
 
 // mix is the finalizer of splitmix64; it spreads each input bit over the result.
 func mix(x uint64) uint64 {
--- a/lib/lacebalancer/server.go
+++ b/lib/lacebalancer/server.go
@@ -77,9 +77,7 @@
 	loadEstimate   float64
 	salt           uint64
 	slowdown       slowdown
-	// expectedSlowdown is the slowdown at the time of the last estimate.
-	expectedSlowdown float64
-	engine           engineState
+	engine         engineState
 }
 
 func newServer(id laceunit.ServerID) *server {
@@ -113,9 +111,6 @@
 // Capacity implements Candidate.
 func (s *server) Capacity() float64 { return float64(max(s.slots, 1)) }
 
-// Slowdown implements Candidate.
-func (s *server) Slowdown() float64 { return s.expectedSlowdown }
-
 // HasCached implements Candidate.
 func (s *server) HasCached(prefix uint64) bool {
 	_, ok := s.cachedPrefixes[prefix]
@@ -178,7 +173,6 @@
 // linearly by the mean remote load of the pool, scaled by how much this instance prefers the server: the other
 // instances are assumed to prefer the same servers.
 func (s *server) updateLoadEstimate(now time.Time, mean meanLoad) {
-	s.expectedSlowdown = s.slowdown.at(now)
 	reportWeight := 0.0
 	if age := now.Sub(s.reportTime); !s.reportTime.IsZero() && age < maxReportAge {
 		reportWeight = 1 - float64(age)/float64(maxReportAge)
--- a/lib/lacelimit/queue.go
+++ b/lib/lacelimit/queue.go
@@ -56,6 +56,20 @@
 // Len returns the number of items.
 func (q *Queue[T]) Len() int { return q.length }
 
+// LenFrom returns the number of items with at least the given priority.
+func (q *Queue[T]) LenFrom(priority laceunit.Priority) int {
+	n := 0
+	for _, l := range q.levels {
+		if l.priority < priority {
+			break
+		}
+		for i := range l.queues {
+			n += len(l.queues[i].items)
+		}
+	}
+	return n
+}
+
 // Top returns the highest priority in the queue, and false when the queue is empty.
 func (q *Queue[T]) Top() (laceunit.Priority, bool) {
 	if q.length == 0 {
@@ -68,7 +82,7 @@
 func (q *Queue[T]) SetBound(bound int) { q.bound = bound }
 
 // Push adds an item. When the queue is full, the item is rejected or displaces another one, which is returned: the
-// newest item of the account with the most items at the lowest priority, if that priority is below the new item's, or
+// last item of the account with the most items at the lowest priority, if that priority is below the new item's, or
 // equal to it while that account has at least two more items there than the new item's account.
 func (q *Queue[T]) Push(item Item[T]) (displaced *Item[T], ok bool) {
 	if q.length >= q.bound {
--- a/lib/lacelimit/queue_test.go
+++ b/lib/lacelimit/queue_test.go
@@ -162,3 +162,21 @@
 		}
 	}
 }
+
+// Guards against requests of an account that are served late because less urgent ones came first, and against an urgent
+// account that skips the turns of the others.
+func TestQueueOrdersByTimeLeft(t *testing.T) {
+	q := NewQueue[int](16)
+	for _, i := range []struct{ value, startBy int }{{1, 90}, {2, 20}, {3, 50}} {
+		it := item("a", 1, i.value)
+		it.StartBy = time.Unix(int64(i.startBy), 0)
+		q.Push(it)
+	}
+	q.Push(item("b", 1, 4))
+	q.Push(item("b", 1, 5))
+	q.Push(item("a", 2, 6))
+	if got := q.LenFrom(2); got != 1 {
+		t.Errorf("%d items from priority 2, want 1", got)
+	}
+	assertValues(t, popAll(q), 6, 2, 4, 3, 5, 1)
+}
