lacerelay: metric of the estimated time to the first event

Nothing told how good the estimates are by which requests are placed. lace_relay_first_event_ratio is the time to the first event of an attempt relative to its estimate, by service.

--- a/lib/lacerelay/attempt.go
+++ b/lib/lacerelay/attempt.go
@@ -109,6 +109,7 @@
 	if a.exchange != nil {
 		r.forwardStream(attemptCtx, j, &a, timer, func() {
 			r.options.Picker.Progress(d.Ticket, 1)
+			r.options.Metrics.observeEstimate(j, time.Since(started))
 			begun()
 		})
 	}
--- a/lib/lacerelay/metric.go
+++ b/lib/lacerelay/metric.go
@@ -15,6 +15,7 @@
 	crashes           *prometheus.CounterVec
 	requestSeconds    *prometheus.HistogramVec
 	firstEventSeconds *prometheus.HistogramVec
+	firstEventRatio   *prometheus.HistogramVec
 }
 
 // NewMetrics returns metrics that are registered with r.
@@ -43,8 +44,14 @@
 		requestSeconds: histogram("lace_relay_request_seconds", "Time from a request's arrival to its end."),
 		firstEventSeconds: histogram("lace_relay_first_event_seconds",
 			"Time from a request's arrival to the first event of its stream."),
+		firstEventRatio: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "lace_relay_first_event_ratio",
+			Help:    "Time from an attempt's start to its first event, relative to the estimate by which it was placed.",
+			Buckets: prometheus.ExponentialBuckets(firstRatioBucket, bucketFactor, ratioBuckets),
+		}, []string{"service"}),
 	}
-	r.MustRegister(m.requests, m.attempts, m.notices, m.withheld, m.crashes, m.requestSeconds, m.firstEventSeconds)
+	r.MustRegister(m.requests, m.attempts, m.notices, m.withheld, m.crashes, m.requestSeconds, m.firstEventSeconds,
+		m.firstEventRatio)
 	return m
 }
 
@@ -63,6 +70,12 @@
 	buckets      = 13
 )
 
+// The buckets of the observed relative to the estimated time range from 1/8 to 16.
+const (
+	firstRatioBucket = 0.125
+	ratioBuckets     = 8
+)
+
 func (m *Metrics) observeRequest(j *job, outcome string, duration time.Duration) {
 	if m != nil {
 		m.requests.WithLabelValues(string(j.service), outcome).Inc()
@@ -99,3 +112,10 @@
 		m.firstEventSeconds.WithLabelValues(string(j.service)).Observe(latency.Seconds())
 	}
 }
+
+// observeEstimate compares the time to the first event with the estimate, if the attempt was placed by one.
+func (m *Metrics) observeEstimate(j *job, latency time.Duration) {
+	if m != nil && j.expectedFirstEvent > 0 {
+		m.firstEventRatio.WithLabelValues(string(j.service)).Observe(latency.Seconds() / j.expectedFirstEvent.Seconds())
+	}
+}
