lacebalancer: compare the load test with the choice by requests too

TestPlacementUnderLoad had lost the comparison with the choice by the number of requests (late, paused, refused, rejected, prefilled) at 2.5 times the rates.

--- a/lib/lacebalancer/placement_test.go
+++ b/lib/lacebalancer/placement_test.go
@@ -54,8 +54,23 @@
 	return list
 }
 
+// total returns the shares of late, paused and refused requests of all kinds in percent.
+func (r playResult) total() (late, paused, unserved float64) {
+	rate := 0.0
+	for _, k := range r.kinds {
+		rate += k.rate
+	}
+	for _, k := range r.kinds {
+		late += k.late * k.rate / rate
+		paused += k.paused * k.rate / rate
+		unserved += k.unserved * k.rate / rate
+	}
+	return late, paused, unserved
+}
+
 // Guards against a placement that serves a kind of request late or not at all to the gain of another, or that gains time
-// by prefilling shared parts at many servers. The choice by the number of requests must fail the same check.
+// by prefilling shared parts at many servers. At twice the rates the choice by the number of requests must fail the same
+// check; at 2.5 times, where no choice meets it, the placement must be better than that choice.
 func TestPlacementUnderLoad(t *testing.T) {
 	for _, c := range []struct {
 		fleet                func() engineFleet
@@ -67,6 +82,13 @@
 		if list := playEngines(c.fleet, false, 2, 15000, 2).violations(c.maxLate, c.maxRepeated); len(list) == 0 {
 			t.Errorf("%s, seed %d: the choice by the number of requests passes", c.fleet().name, seed)
 		}
+		before, after := playEngines(c.fleet, false, 2, 15000, 2.5), playEngines(c.fleet, true, 2, 15000, 2.5)
+		late, paused, unserved := after.total()
+		lateBefore, pausedBefore, unservedBefore := before.total()
+		if late > 0.8*lateBefore || paused > pausedBefore+0.1 || unserved > unservedBefore+0.1 ||
+			after.rejected > before.rejected || after.repeated > 2*before.repeated {
+			t.Errorf("%s, seed %d: %+v, by the number of requests %+v", c.fleet().name, seed, after, before)
+		}
 	}
 }
 
