--- a/lib/lacebalancer/server.go
+++ b/lib/lacebalancer/server.go
@@ -33,6 +33,9 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Slowdown says how long work takes on the server's machine at present, in percent of the usual time; zero means
+	// unknown.
+	Slowdown int
 }
 
 // loadChange is the start (1) or end (-1) of a request of this instance.
@@ -73,6 +76,8 @@
 	cachedPrefixes map[uint64]struct{}
 	loadEstimate   float64
 	salt           uint64
+	slowdown       slowdown
+	engine         engineState
 }
 
 func newServer(id laceunit.ServerID) *server {
@@ -144,6 +149,7 @@
 	s.history = s.history[:kept]
 	s.reportTime = madeAt
 	s.localAtReport = local
+	s.slowdown.report(load.Slowdown, madeAt)
 	s.setRemoteLoad(float64(max(0, load.Running+load.Waiting-local)))
 	if load.Slots > 0 && s.slots == 0 {
 		s.slots = load.Slots
--- a/lib/lacelimit/queue.go
+++ b/lib/lacelimit/queue.go
@@ -1,6 +1,7 @@
 package lacelimit
 
 import (
+	"slices"
 	"time"
 
 	"lacewingcove/lib/laceunit"
@@ -15,7 +16,10 @@
 	Account  laceunit.AccountID
 	Priority laceunit.Priority
 	Deadline time.Time
-	Value    T
+	// StartBy orders the items of an account: those that must start earlier come first. Items with the zero time are
+	// served in the order of arrival.
+	StartBy time.Time
+	Value   T
 
 	// sequence is the position of the item in the order of arrival.
 	sequence uint64
@@ -52,6 +56,20 @@
 // Len returns the number of items.
 func (q *Queue[T]) Len() int { return q.length }
 
+// LenFrom returns the number of items with at least the given priority.
+func (q *Queue[T]) LenFrom(priority laceunit.Priority) int {
+	n := 0
+	for _, l := range q.levels {
+		if l.priority < priority {
+			break
+		}
+		for i := range l.queues {
+			n += len(l.queues[i].items)
+		}
+	}
+	return n
+}
+
 // Top returns the highest priority in the queue, and false when the queue is empty.
 func (q *Queue[T]) Top() (laceunit.Priority, bool) {
 	if q.length == 0 {
@@ -64,7 +82,7 @@
 func (q *Queue[T]) SetBound(bound int) { q.bound = bound }
 
 // Push adds an item. When the queue is full, the item is rejected or displaces another one, which is returned: the
-// newest item of the account with the most items at the lowest priority, if that priority is below the new item's, or
+// last item of the account with the most items at the lowest priority, if that priority is below the new item's, or
 // equal to it while that account has at least two more items there than the new item's account.
 func (q *Queue[T]) Push(item Item[T]) (displaced *Item[T], ok bool) {
 	if q.length >= q.bound {
@@ -162,7 +180,7 @@
 func (l *priorityLevel[T]) add(item Item[T]) {
 	for i := range l.queues {
 		if l.queues[i].account == item.Account {
-			l.queues[i].items = append(l.queues[i].items, item)
+			l.queues[i].insert(item)
 			return
 		}
 	}
@@ -172,6 +190,14 @@
 	})
 }
 
+func (q *accountQueue[T]) insert(item Item[T]) {
+	position := len(q.items)
+	for !item.StartBy.IsZero() && position > 0 && q.items[position-1].StartBy.After(item.StartBy) {
+		position--
+	}
+	q.items = slices.Insert(q.items, position, item)
+}
+
 // oldest returns the indexes of the level and the account queue of the item that has waited longest.
 func (q *Queue[T]) oldest() (levelIndex, queueIndex int) {
 	best := ^uint64(0)
