lacenode, lacesetting: settings machine.memory and machine.descriptors

Cause: what clients hold can be bounded only if the memory and the descriptors of the machine are known. Measured: go test ./lacenode ./lacesetting and ./lacestage -run Settings pass.

--- a/lib/lacenode/setting.go
+++ b/lib/lacenode/setting.go
@@ -43,6 +43,10 @@
 	Cores float64
 	// LinkMbps is the bandwidth of the machine's link in each direction, in Mbit/s; zero means that it is not known.
 	LinkMbps float64
+	// MemoryMB is the memory of the process in megabytes, Descriptors the number of file descriptors that it may open;
+	// zero means that it is not known.
+	MemoryMB    float64
+	Descriptors int
 }
 
 // StoreSettings configure the client of the platform's store.
@@ -134,7 +138,13 @@
 			laceyaml.Number("link",
 				"What the link carries in each direction, in Mbit/s; requests that it has no room for are refused. "+
 					"0 or no value: not known, none is refused for it.", &s.Machine.LinkMbps, 0,
-				maxLinkMbps).AllowNull()),
+				maxLinkMbps).AllowNull(),
+			laceyaml.Number("memory",
+				"Memory that the process may use, in MB; what clients hold of it is bounded. "+
+					"0 or no value: not known, no bound.", &s.Machine.MemoryMB, 0, maxMemoryMB).AllowNull(),
+			laceyaml.Integer("descriptors",
+				"File descriptors that the process may open; clients' connections are bounded by them. "+
+					"0 or no value: not known, no bound.", &s.Machine.Descriptors, 0, maxDescriptors).AllowNull()),
 	}
 }
 
@@ -147,6 +157,12 @@
 // maxLinkMbps bounds the bandwidth of a link, in Mbit/s.
 const maxLinkMbps = 1e6
 
+// Bounds of Machine.MemoryMB and Machine.Descriptors.
+const (
+	maxMemoryMB    = 1e7
+	maxDescriptors = 1 << 24
+)
+
 const addressFormat = "host:port with a numeric port"
 
 func addressField(name, doc string, p *laceunit.Address) laceyaml.Field {
--- a/lib/lacenode/setting_test.go
+++ b/lib/lacenode/setting_test.go
@@ -35,6 +35,10 @@
 		"retry.ratio":  validSettings + "retry: {ratio: 7}\n",
 		"speed":        validSettings + "speed: 3\n",
 		"machine.link": validSettings + "machine: {link: fast}\n",
+
+		"machine.memory":      validSettings + "machine: {memory: -1}\n",
+		"machine.descriptors": validSettings + "machine: {descriptors: 1.5}\n",
+
 		"ledger.share": validSettings + "ledger: {share: 1.5}\n",
 	} {
 		if _, err := Decode([]byte(text)); err == nil || !strings.Contains(err.Error(), key) {
@@ -60,9 +64,11 @@
 		"{{#bounds.apply_ms}}", "", "{{/bounds.apply_ms}}", "", "{{bounds.apply_ms}}", "2000",
 		"{{listen.directory}}", "10.0.0.1:8224", "{{listen.control}}", "10.0.0.1:8229",
 	)
-	// A site may not specify the bandwidth of its links.
+	// A site may not specify the bandwidth of its links, or the memory and descriptors of its machines.
 	for value, want := range map[string]float64{"10": 10, "2.5": 2.5, "": 0} {
-		filled := strings.Replace(fill.Replace(string(text)), "{{limits.link_mbps}}", value, 1)
+		whole, _, _ := strings.Cut(value, ".")
+		filled := strings.NewReplacer("{{limits.link_mbps}}", value, "{{limits.memory_mb}}", value,
+			"{{limits.max_fds}}", whole).Replace(fill.Replace(string(text)))
 		s, err := Decode([]byte(filled))
 		if err != nil {
 			t.Fatalf("%v in\n%s", err, filled)
@@ -70,6 +76,10 @@
 		if s.Machine.LinkMbps != want {
 			t.Errorf("link %q is read as %g Mbit/s", value, s.Machine.LinkMbps)
 		}
+		if s.Machine.MemoryMB != want || s.Machine.Descriptors != int(want) {
+			t.Errorf("memory and descriptors %q are read as %g MB and %d", value, s.Machine.MemoryMB,
+				s.Machine.Descriptors)
+		}
 		checkTemplate(t, s)
 	}
 }
--- a/lib/lacesetting/schema.go
+++ b/lib/lacesetting/schema.go
@@ -15,6 +15,12 @@
 
 const day = 24 * time.Hour
 
+// Bounds of Machine.MemoryMB and Machine.Descriptors.
+const (
+	maxMemoryMB    = 1e7
+	maxDescriptors = 1 << 24
+)
+
 func fields(s *Settings) []laceyaml.Field {
 	return []laceyaml.Field{
 		laceyaml.ID("instance", "Name of the instance; it survives restarts and is unique in the fleet.", &s.Instance),
@@ -53,6 +59,12 @@
 			laceyaml.Choice("format", "Form of the lines.", &s.Log.Format, FormatText, FormatJSON)),
 		fileField("trace", "File that a trace of each request is appended to, for loadgen replay; "+
 			"it holds callers' answers. SIGHUP opens it again. Empty: off.", &s.TraceFile),
+		laceyaml.Group("machine", "What the process may use of its machine.",
+			laceyaml.Number("memory", "Memory in MB; what clients hold of it is bounded. 0: not known, no bound.",
+				&s.Machine.MemoryMB, 0, maxMemoryMB).AllowNull(),
+			laceyaml.Integer("descriptors",
+				"File descriptors; clients' connections are bounded by them. 0: not known, no bound.",
+				&s.Machine.Descriptors, 0, maxDescriptors).AllowNull()),
 		laceyaml.Duration("drain", "Longest wait for requests in progress at a planned stop.", &s.DrainTimeout,
 			time.Second, day),
 	}
--- a/lib/lacesetting/setting.go
+++ b/lib/lacesetting/setting.go
@@ -26,6 +26,7 @@
 	Log             Log
 	// TraceFile is the file that request traces are appended to; empty disables tracing.
 	TraceFile string
+	Machine   Machine
 	// DrainTimeout limits the wait for running requests during a graceful shutdown.
 	DrainTimeout time.Duration
 }
@@ -127,6 +128,14 @@
 	Format Format
 }
 
+// Machine describes the resources of the machine that the process may use.
+type Machine struct {
+	// MemoryMB is the memory of the process in megabytes, Descriptors the number of file descriptors that it may open;
+	// zero means that it is not known.
+	MemoryMB    float64
+	Descriptors int
+}
+
 // Level is the minimum severity that is logged.
 type Level string
 
