lacelistener, laceresource: what clients hold of memory and descriptors is bounded

Cause: net/http holds heads, the programs hold bodies and answers without a bound for all clients together. A header line of four bytes takes about 90 in memory, and three times that while a request is served. Change: laceresource decides (pure): one budget of bytes and one of connections for clients and one for other instances, from machine.memory and machine.descriptors. When it is short, the holder with the most memory and idle time is closed first, then requests are refused; a quarter of the memory is left for ordinary requests. lacelistener measures heads before net/http parses them, bodies and answers while they are read in pieces, and closes. Both programs use it on each listener, and set the memory limit of the runtime.

--- a/lib/lacegateway/chat.go
+++ b/lib/lacegateway/chat.go
@@ -4,7 +4,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -16,6 +15,7 @@
 	"lacewingcove/lib/laceconfig"
 	"lacewingcove/lib/lacefault"
 	"lacewingcove/lib/laceledger"
+	"lacewingcove/lib/lacelistener"
 	"lacewingcove/lib/lacerequest"
 	"lacewingcove/lib/laceunit"
 )
@@ -26,6 +26,12 @@
 // defaultMaxBody is the size limit of request bodies in bytes if the configuration sets none.
 const defaultMaxBody = 4 << 20
 
+// decodedCopies is how often a body is held beside itself: decoded, and encoded for a server.
+const decodedCopies = 2
+
+// memoryRetryAfter is the Retry-After when clients hold all memory, which large requests return within seconds.
+const memoryRetryAfter = time.Second
+
 // bodyTimeout bounds the time that a caller may take to send the request body.
 const bodyTimeout = 30 * time.Second
 
@@ -193,15 +199,25 @@
 	// The deadline is removed after the body, because it would also stop the detection of callers that disconnect.
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	holding := lacelistener.FromContext(r.Context())
+	body, err := holding.ReadAll(r.Body, r.ContentLength, limit, lacelistener.Body)
+	if err == nil {
+		err = holding.Charge(decodedCopies*int64(len(body)), lacelistener.Body)
+	}
 	_ = control.SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
 	switch {
-	case errors.As(err, &tooLarge):
+	case errors.Is(err, lacelistener.ErrShort):
+		w.Header().Set("Connection", "close")
+		f := refusal(lacefault.Overloaded, "clients hold all memory")
+		f.RetryAfter = memoryRetryAfter
+		return nil, f
+	case lacelistener.IsTooLong(err):
+		w.Header().Set("Connection", "close")
 		return nil, refusal(lacefault.TooLarge, "the body exceeds "+laceunit.Tokens(limit).String()+" bytes")
 	case err != nil:
 		return nil, refusal(lacefault.BadRequest, "the body could not be read")
 	}
+	holding.Run()
 	return body, nil
 }
 
--- a/lib/lacelog/event.go
+++ b/lib/lacelog/event.go
@@ -45,6 +45,9 @@
 	Crash Event = "crash"
 	// Done is the outcome of a request as seen by its client.
 	Done Event = "done"
+	// ClientShortage is the begin or the end of a time in which clients hold all memory or connections that they may
+	// hold.
+	ClientShortage Event = "clients"
 	// InternalError is an error that no client sees.
 	InternalError Event = "fault"
 )
--- a/lib/lacenode/listen.go
+++ b/lib/lacenode/listen.go
@@ -13,6 +13,7 @@
 
 	"lacewingcove/lib/laceconn"
 	"lacewingcove/lib/lacekernel"
+	"lacewingcove/lib/lacelistener"
 	"lacewingcove/lib/laceunit"
 	"lacewingcove/lib/lacewire"
 )
@@ -38,9 +39,10 @@
 	serveErr error
 }
 
-// listen starts an HTTP server on an address; traffic counts its bytes if it is not nil.
+// listen starts an HTTP server on an address; the guard bounds what its clients hold, and traffic counts its bytes if it is not nil.
 func (n *Node) listen(
-	ctx context.Context, address laceunit.Address, handler http.Handler, traffic *laceconn.Traffic,
+	ctx context.Context, address laceunit.Address, handler http.Handler, guard *lacelistener.Guard,
+	traffic *laceconn.Traffic,
 ) (*listener, error) {
 	config := net.ListenConfig{KeepAlive: keepAliveInterval}
 	socket, err := config.Listen(ctx, "tcp", string(address))
@@ -57,9 +59,10 @@
 		},
 		done: make(chan struct{}),
 	}
+	guarded := guard.Protect(l.server, traffic.WrapListener(socket), false)
 	go func() {
 		defer close(l.done)
-		l.serveErr = l.server.Serve(traffic.WrapListener(socket))
+		l.serveErr = l.server.Serve(guarded)
 	}()
 	return l, nil
 }
@@ -92,7 +95,7 @@
 }
 
 func (n *Node) openListeners(ctx context.Context) (*listeners, error) {
-	caller, err := n.listen(ctx, n.settings.CallerAddress, n.relay, &n.monitor.dataTraffic)
+	caller, err := n.listen(ctx, n.settings.CallerAddress, n.relay, n.clientGuard, &n.monitor.dataTraffic)
 	if err != nil {
 		return nil, err
 	}
@@ -111,16 +114,17 @@
 	for _, x := range []struct {
 		address laceunit.Address
 		handler http.Handler
+		guard   *lacelistener.Guard
 	}{
-		{address: n.settings.ReadyAddress, handler: n.adapter.ReadyHandler(n.Ready)},
-		{address: n.settings.DirectoryAddress, handler: n.adapter.DirectoryHandler(n)},
-		{address: n.settings.PeerAddress, handler: peerMux},
-		{address: n.settings.MetricsAddress, handler: metricsMux},
+		{address: n.settings.ReadyAddress, handler: n.adapter.ReadyHandler(n.Ready), guard: n.clientGuard},
+		{address: n.settings.DirectoryAddress, handler: n.adapter.DirectoryHandler(n), guard: n.clientGuard},
+		{address: n.settings.PeerAddress, handler: peerMux, guard: n.peerGuard},
+		{address: n.settings.MetricsAddress, handler: metricsMux, guard: n.peerGuard},
 	} {
 		if x.address == "" {
 			continue
 		}
-		l, err := n.listen(ctx, x.address, x.handler, nil)
+		l, err := n.listen(ctx, x.address, x.handler, x.guard, nil)
 		if err != nil {
 			if closeErr := all.Close(); closeErr != nil {
 				n.log.Error(closeErr, "failed to close the listeners")
--- a/lib/lacenode/node.go
+++ b/lib/lacenode/node.go
@@ -14,6 +14,7 @@
 	"lacewingcove/lib/laceconfig"
 	"lacewingcove/lib/lacedirectory"
 	"lacewingcove/lib/lacekernel"
+	"lacewingcove/lib/lacelistener"
 	"lacewingcove/lib/lacelog"
 	"lacewingcove/lib/lacemirror"
 	"lacewingcove/lib/laceplatform"
@@ -78,7 +79,10 @@
 	backends   *lacerelay.Backends
 	relay      *lacerelay.Relay
 	link       *link
-	followers  []*lacemirror.Follower
+	// clientGuard bounds what callers hold of the machine, peerGuard what other instances do.
+	clientGuard *lacelistener.Guard
+	peerGuard   *lacelistener.Guard
+	followers   []*lacemirror.Follower
 	// tracker records when the store was last reachable.
 	tracker *laceplatform.ConnectivityTracker
 	// monitor measures what may explain the loss of a dependency.
@@ -173,6 +177,7 @@
 	n.backends = lacerelay.NewBackends(n.picker, n.log, n.maxConnections)
 	n.backends.CountTraffic(&n.monitor.dataTraffic)
 	n.link = newLink(n.settings.Machine.LinkMbps, n.registry)
+	n.newGuards()
 	n.relay = lacerelay.New(lacerelay.Options{
 		Codec:    n.adapter.Codec(),
 		Routes:   n.routes,
--- a/lib/lacenode/run.go
+++ b/lib/lacenode/run.go
@@ -30,6 +30,7 @@
 func (n *Node) Run(ctx context.Context, stop, hangup <-chan os.Signal, load SettingsLoader) error {
 	inner, cancel := context.WithCancel(ctx)
 	defer cancel()
+	limitMemory(n.settings.Machine)
 	servers, err := n.openListeners(inner)
 	if err != nil {
 		return err
--- a/lib/lacerelay/attempt.go
+++ b/lib/lacerelay/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -13,6 +12,7 @@
 	"lacewingcove/lib/lacebalancer"
 	"lacewingcove/lib/laceconn"
 	"lacewingcove/lib/lacefault"
+	"lacewingcove/lib/lacelistener"
 	"lacewingcove/lib/lacelog"
 	"lacewingcove/lib/laceunit"
 )
@@ -303,16 +303,16 @@
 
 // readResponse buffers a response, which is forwarded only if it is complete.
 func (r *Relay) readResponse(ctx context.Context, j *job, a *attempt, x *laceconn.Exchange) {
-	body, err := io.ReadAll(io.LimitReader(x.Response.Body, maxResponseBytes+1))
+	body, err := j.holding.ReadAll(x.Response.Body, x.Response.ContentLength, maxResponseBytes, lacelistener.Answer)
 	j.link.addReceived(len(body))
-	if err == nil && len(body) > maxResponseBytes {
-		err = errors.New("answer is too long")
-	}
 	x.Finish(err == nil, a.reply.KeepAlive)
 	switch {
+	case errors.Is(err, lacelistener.ErrShort):
+		// The server is not to blame, and another one would answer as much.
+		a.outcome, a.reason = attemptTimedOut, "no memory for the answer"
 	case err != nil:
 		a.outcome, a.reason = interruptionOutcome(ctx), "answer was cut: "+err.Error()
-		a.connectionLost = len(body) <= maxResponseBytes
+		a.connectionLost = !lacelistener.IsTooLong(err)
 	case a.reply.NotRun:
 		a.outcome, a.reason = attemptNotRun, http.StatusText(a.status)
 	case a.status < http.StatusMultipleChoices && !a.reply.HasReceipt:
@@ -376,6 +376,7 @@
 
 // deliver completes the caller's response with the server's.
 func (r *Relay) deliver(ctx context.Context, j *job, a *attempt) {
+	j.holding.Settle()
 	write := j.response.writeComplete
 	if a.exchange != nil {
 		write = j.response.finishStream
--- a/lib/lacerelay/relay.go
+++ b/lib/lacerelay/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -13,6 +12,7 @@
 
 	"lacewingcove/lib/lacefault"
 	"lacewingcove/lib/lacelimit"
+	"lacewingcove/lib/lacelistener"
 	"lacewingcove/lib/lacelog"
 	"lacewingcove/lib/lacequota"
 	"lacewingcove/lib/laceroute"
@@ -44,6 +44,9 @@
 	storeDownAge        = 3 * time.Second
 	// drainingRetryAfter is the Retry-After of a stopping instance, whose callers should retry at another one.
 	drainingRetryAfter = 10 * time.Millisecond
+	// memoryRetryAfter is the Retry-After when clients hold all memory. What large requests hold is returned within
+	// seconds, and other instances may have memory.
+	memoryRetryAfter = time.Second
 )
 
 // Quota reserves tokens of client accounts.
@@ -134,8 +137,10 @@
 	version        laceunit.Version
 	freshness      Freshness
 	body           []byte
-	arrived        time.Time
-	deadline       time.Time
+	// holding bounds the memory of the request; nil bounds nothing.
+	holding  *lacelistener.Holding
+	arrived  time.Time
+	deadline time.Time
 
 	// refusalFields are log fields that explain a refusal: the state of the account or of the link.
 	refusalFields []lacelog.Pair
@@ -158,6 +163,7 @@
 	}
 	j := &job{
 		arrived: time.Now(),
+		holding: lacelistener.FromContext(q.Context()),
 		response: response{
 			codec:    r.options.Codec,
 			w:        w,
@@ -200,6 +206,7 @@
 	})
 	ctx, cancel := context.WithDeadline(q.Context(), j.deadline)
 	defer cancel()
+	j.holding.Run()
 	r.runAttempts(ctx, j)
 }
 
@@ -292,17 +299,22 @@
 	if maxBytes <= 0 {
 		maxBytes = 1 << 20
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, q.Body, maxBytes))
+	j.holding.Assign(string(j.account))
+	body, err := j.holding.ReadAll(q.Body, q.ContentLength, maxBytes, lacelistener.Body)
 	_ = control.SetReadDeadline(time.Time{})
-	if err == nil {
+	switch {
+	case err == nil:
 		j.body = body
 		return nil
-	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	case lacelistener.IsTooLong(err):
+		w.Header().Set("Connection", "close")
 		return j.freshness.orStale(newRefusal(lacefault.TooLarge, "body is too large", 0))
+	case errors.Is(err, lacelistener.ErrShort):
+		w.Header().Set("Connection", "close")
+		return newRefusal(lacefault.Overloaded, "clients hold all memory", memoryRetryAfter)
+	default:
+		return newRefusal(lacefault.BadRequest, "body could not be read: "+err.Error(), 0)
 	}
-	return newRefusal(lacefault.BadRequest, "body could not be read: "+err.Error(), 0)
 }
 
 func (r *Relay) reserveTokens(ctx context.Context, j *job, maxTokens laceunit.Tokens) *lacefault.Fault {
--- a/router/lacerouter/assemble.go
+++ b/router/lacerouter/assemble.go
@@ -61,7 +61,7 @@
 		return err
 	}
 	mux := peerMux{ServeMux: http.NewServeMux()}
-	server, err := listen(ctx, i.settings.Peer.Listen, mux, transport.serverTLS, i.logger)
+	server, err := listen(ctx, i.settings.Peer.Listen, mux, transport.serverTLS, i.peerGuard, i.logger)
 	if err != nil {
 		return err
 	}
--- a/router/lacerouter/assemble_service.go
+++ b/router/lacerouter/assemble_service.go
@@ -160,7 +160,7 @@
 		OnEdit:    replica.Refresh,
 		Now:       time.Now,
 	})
-	server, err := listen(ctx, i.settings.Admin.Listen, handler, config, i.logger)
+	server, err := listen(ctx, i.settings.Admin.Listen, handler, config, i.clientGuard, i.logger)
 	if err != nil {
 		return err
 	}
@@ -203,7 +203,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/", i.gateway.Handler())
 	mux.Handle("GET /metrics", promhttp.HandlerFor(i.registry, promhttp.HandlerOpts{}))
-	server, err := listen(ctx, i.settings.Caller.Listen, mux, config, i.logger)
+	server, err := listen(ctx, i.settings.Caller.Listen, mux, config, i.clientGuard, i.logger)
 	if err != nil {
 		return err
 	}
--- a/router/lacerouter/instance.go
+++ b/router/lacerouter/instance.go
@@ -11,6 +11,7 @@
 	"lacewingcove/lib/lacegateway"
 	"lacewingcove/lib/lacejournal"
 	"lacewingcove/lib/lacekernel"
+	"lacewingcove/lib/lacelistener"
 	"lacewingcove/lib/lacepeer"
 	"lacewingcove/lib/lacesetting"
 	"lacewingcove/lib/lacetls"
@@ -59,6 +60,9 @@
 	ledger         *deferredLedger
 	gateway        *lacegateway.Gateway
 	stopRequested  chan struct{}
+	// clientGuard bounds what callers and operators hold of the machine, peerGuard what other instances do.
+	clientGuard *lacelistener.Guard
+	peerGuard   *lacelistener.Guard
 	// certificateSources and reloaders don't change after Start has returned.
 	certificateSources map[lacesetting.TLS]*lacetls.Source
 	reloaders          []reloader
@@ -66,7 +70,7 @@
 
 // New returns an instance that is not started yet.
 func New(settings lacesetting.Settings, logger logr.Logger) *Instance {
-	return &Instance{
+	i := &Instance{
 		settings:           settings,
 		logger:             logger,
 		kernel:             lacekernel.New(),
@@ -76,10 +80,13 @@
 		stopRequested:      make(chan struct{}, 1),
 		certificateSources: map[lacesetting.TLS]*lacetls.Source{},
 	}
+	i.newGuards()
+	return i
 }
 
 // Start joins the fleet and serves callers. It retries to join until the context is done.
 func (i *Instance) Start(ctx context.Context) error {
+	i.limitMemory()
 	steps := []func(context.Context) error{
 		i.addPlatform,
 		i.addTransport,
--- a/router/lacerouter/server.go
+++ b/router/lacerouter/server.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
 
+	"lacewingcove/lib/lacelistener"
 	"lacewingcove/lib/laceunit"
 )
 
@@ -30,8 +31,11 @@
 }
 
 // listen opens an address and serves it until Close. It opens the address before it returns, so that a port in use is a
-// startup error and not just a log line.
-func listen(ctx context.Context, address laceunit.Address, handler http.Handler, config *tls.Config, logger logr.Logger) (*listener, error) {
+// startup error and not just a log line. The guard bounds what its clients hold.
+func listen(
+	ctx context.Context, address laceunit.Address, handler http.Handler, config *tls.Config,
+	guard *lacelistener.Guard, logger logr.Logger,
+) (*listener, error) {
 	var listenConfig net.ListenConfig
 	socket, err := listenConfig.Listen(ctx, "tcp", string(address))
 	if err != nil {
@@ -48,9 +52,10 @@
 		},
 		done: make(chan struct{}),
 	}
+	guarded := guard.Protect(l.server, socket, config != nil)
 	go func() {
 		defer close(l.done)
-		if err := l.serve(socket); !errors.Is(err, http.ErrServerClosed) {
+		if err := l.serve(guarded); !errors.Is(err, http.ErrServerClosed) {
 			logger.Error(err, "listener failed", "address", address)
 		}
 	}()
