--- a/lib/laceemulator/crowd.go
+++ b/lib/laceemulator/crowd.go
@@ -1,6 +1,7 @@
 package laceemulator
 
 import (
+	"context"
 	"io"
 	"net"
 	"sync"
@@ -48,7 +49,8 @@
 }
 
 func (c *Crowd) run(address string, data io.Reader) {
-	conn, err := net.DialTimeout("tcp", address, crowdDialTimeout)
+	dialer := &net.Dialer{Timeout: crowdDialTimeout}
+	conn, err := dialer.DialContext(context.Background(), "tcp", address)
 	if err != nil || !c.add(conn) {
 		c.sending.Done()
 		return
--- a/lib/lacelistener/conn.go
+++ b/lib/lacelistener/conn.go
@@ -55,14 +55,11 @@
 
 // open charges a new connection; it returns nil if there is no room for it.
 func (g *Guard) open(inner net.Conn, opaque bool) *conn {
-	now := time.Now()
+	now := g.options.Now()
 	g.mu.Lock()
-	h, victim, ok := g.budget.Open(now, ownerOf(inner.RemoteAddr()))
-	closed, refused := 0, 0
-	var closers []*conn
-	if victim != nil {
-		closed, closers = 1, g.detach([]*laceresource.Holder{victim})
-	}
+	h, victims, ok := g.budget.Open(now, ownerOf(inner.RemoteAddr()))
+	closers := g.detach(victims)
+	refused := 0
 	var c *conn
 	if ok {
 		c = &conn{
@@ -76,12 +73,7 @@
 	} else {
 		refused = 1
 	}
-	var notices []Shortage
-	if closed+refused > 0 {
-		notices = g.recordShortage(now, reasonConnections, closed, refused)
-	} else {
-		notices = g.endShortage(now)
-	}
+	notices := g.recordShortage(now, reasonConnections, len(victims), refused)
 	g.mu.Unlock()
 	g.notify(notices)
 	closeAll(closers)
@@ -138,7 +130,7 @@
 		lines = bytes.Count(p[:n], []byte{'\n'})
 	}
 	if cost := text*textFactor + c.lines.Add(int64(lines))*lineBytes; cost > laceresource.HeadAllowance && !c.chargeHead(cost) {
-		_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalTimeout))
+		_ = c.SetWriteDeadline(time.Now().Add(refusalTimeout))
 		_, _ = c.Conn.Write([]byte(refusal)) // The connection is closed in any case.
 		c.Conn.Close()
 		return 0, &net.OpError{
@@ -154,7 +146,7 @@
 func (c *conn) chargeHead(cost int64) bool {
 	c.guard.mu.Lock()
 	missing := cost - c.charged
-	c.guard.budget.Progress(time.Now(), c.holder)
+	c.guard.budget.Progress(c.guard.options.Now(), c.holder)
 	c.guard.mu.Unlock()
 	if missing <= 0 {
 		return true
@@ -174,7 +166,7 @@
 
 // progress records that the client has sent or read data.
 func (c *conn) progress() {
-	now := time.Now()
+	now := c.guard.options.Now()
 	c.guard.mu.Lock()
 	c.guard.budget.Progress(now, c.holder)
 	c.guard.mu.Unlock()
--- a/lib/lacelistener/guard.go
+++ b/lib/lacelistener/guard.go
@@ -31,6 +31,8 @@
 	Name string
 	// OnShort is called when the first client is refused or closed, and after the shortage; nil means no call.
 	OnShort func(s Shortage)
+	// Now returns the time; nil means time.Now.
+	Now func() time.Time
 	// Registerer registers the metrics; nil means none.
 	Registerer prometheus.Registerer
 }
@@ -65,6 +67,9 @@
 
 // New returns a guard.
 func New(options Options) *Guard {
+	if options.Now == nil {
+		options.Now = time.Now
+	}
 	g := &Guard{
 		options: options,
 		budget:  laceresource.NewBudget(options.Limits),
@@ -125,7 +130,7 @@
 func (g *Guard) tryCharge(
 	h *laceresource.Holder, bytes int64, reason string, first bool,
 ) (laceresource.Verdict, <-chan struct{}) {
-	now := time.Now()
+	now := g.options.Now()
 	g.mu.Lock()
 	verdict, victims := g.budget.Charge(now, h, bytes)
 	if verdict == laceresource.Granted {
@@ -150,7 +155,7 @@
 // refuse counts a refused request.
 func (g *Guard) refuse(reason string) error {
 	g.mu.Lock()
-	notices := g.recordShortage(time.Now(), reason, 0, 1)
+	notices := g.recordShortage(g.options.Now(), reason, 0, 1)
 	g.mu.Unlock()
 	g.notify(notices)
 	return ErrShort
@@ -201,12 +206,12 @@
 // recordShortage counts closed connections and refused requests, and returns the changes of state to report.
 func (g *Guard) recordShortage(now time.Time, reason string, closed, refused int) []Shortage {
 	notices := g.endShortage(now)
-	g.metrics.count(reason, closed, refused)
-	g.closed += closed
-	g.refused += refused
 	if closed == 0 && refused == 0 {
 		return notices
 	}
+	g.metrics.count(reason, closed, refused)
+	g.closed += closed
+	g.refused += refused
 	if g.shortAt.IsZero() {
 		notices = append(notices, g.shortage(true, reason))
 	}
--- a/lib/lacelistener/handler.go
+++ b/lib/lacelistener/handler.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"strings"
-	"time"
 
 	"lacewingcove/lib/laceresource"
 )
@@ -13,8 +12,9 @@
 	// headCopies is how often the handlers hold the lines of a head: as parsed, without the headers of the connection,
 	// and as sent to a server.
 	headCopies = 3
-	// fieldBytes is the memory of a field of a query.
+	// fieldBytes is the memory of a field of a query, tokenBytes that of a name in a list in the Connection header.
 	fieldBytes = 200
+	tokenBytes = 64
 	// retryAfterSeconds is the Retry-After of a request that there is no memory for. What large requests hold is returned
 	// within seconds.
 	retryAfterSeconds = "1"
@@ -86,7 +86,7 @@
 	h.running = false
 	h.guard.mu.Lock()
 	defer h.guard.mu.Unlock()
-	h.guard.budget.Settle(time.Now(), h.holder)
+	h.guard.budget.Settle(h.guard.options.Now(), h.holder)
 }
 
 // close returns all memory at the end of the request.
@@ -104,6 +104,8 @@
 			next.ServeHTTP(w, r)
 			return
 		}
+		// net/http reports no change of state for a request that it has read together with the one before.
+		c.inRequest.Store(true)
 		h := &Holding{
 			guard:  g,
 			holder: c.holder,
@@ -136,5 +138,8 @@
 		}
 	}
 	cost := int64(lines*lineBytes+text*textFactor) * headCopies
+	for _, v := range r.Header["Connection"] {
+		cost += int64(strings.Count(v, ",")) * tokenBytes
+	}
 	return cost + int64(strings.Count(r.URL.RawQuery, "&"))*fieldBytes
 }
--- a/lib/laceresource/budget.go
+++ b/lib/laceresource/budget.go
@@ -68,16 +68,29 @@
 // Connections returns how many connections are open.
 func (b *Budget) Connections() int { return len(b.open) }
 
-// Open adds a connection. If there are too many, it returns another holder that has to be closed for it, and if no
-// other can be closed, it reports false.
-func (b *Budget) Open(now time.Time, owner Owner) (h, victim *Holder, ok bool) {
+// Open adds a connection. It returns holders that have to be closed for it, and reports false if there is no room and
+// none can be made.
+func (b *Budget) Open(now time.Time, owner Owner) (*Holder, []*Holder, bool) {
+	var victims []*Holder
 	if b.limits.Connections > 0 && len(b.open)-b.closing >= b.limits.Connections {
-		if victim = b.idlest(now, owner); victim == nil {
+		victim := b.idlest(now, owner)
+		if victim == nil {
 			return nil, nil, false
 		}
 		b.markClosing(victim)
+		victims = append(victims, victim)
 	}
-	h = &Holder{
+	if b.limits.Bytes > 0 {
+		more, ok := b.victims(now, nil, 0, b.bytes-b.closingBytes+ConnectionBytes-b.limits.Bytes)
+		if !ok {
+			return nil, victims, false
+		}
+		for _, v := range more {
+			b.markClosing(v)
+		}
+		victims = append(victims, more...)
+	}
+	h := &Holder{
 		owner:      owner,
 		progressAt: now,
 		open:       true,
@@ -86,7 +99,7 @@
 	b.open = append(b.open, h)
 	b.usageOf(owner).connections++
 	b.add(h, ConnectionBytes)
-	return h, victim, true
+	return h, victims, true
 }
 
 // Close ends the connection of a holder. Memory that its requests still hold counts until it is released.
@@ -167,8 +180,8 @@
 }
 
 // victims returns the holders to close so that an amount of memory becomes free for a holder: those with the most
-// memory that have been idle for longest, first those of owners that hold the most. None of them has a smaller claim to
-// be closed than the holder itself; it reports false if these are not enough.
+// memory that have been idle for longest, first those of owners that hold the most. Each of them holds more or has been
+// idle for longer than the holder, which is nil for a new connection; it reports false if these are not enough.
 func (b *Budget) victims(now time.Time, h *Holder, bytes, missing int64) ([]*Holder, bool) {
 	if missing <= 0 {
 		return nil, true
@@ -177,7 +190,10 @@
 		return float64(bytes) * (now.Sub(x.progressAt) + minIdle).Seconds() * float64(b.owners[x.owner].bytes)
 	}
 	var victims []*Holder
-	own := weight(h, h.bytes+bytes)
+	var own float64
+	if h != nil {
+		own = weight(h, h.bytes+bytes)
+	}
 	for missing > 0 {
 		var next *Holder
 		most := own
