--- a/lib/lacegateway/key.go
+++ b/lib/lacegateway/key.go
@@ -10,6 +10,7 @@
 	"lacewingcove/lib/laceconfig"
 	"lacewingcove/lib/lacefault"
 	"lacewingcove/lib/laceledger"
+	"lacewingcove/lib/lacelistener"
 	"lacewingcove/lib/laceunit"
 )
 
@@ -80,6 +81,7 @@
 	if !ok {
 		return caller{}, nil, refusal(lacefault.Unauthorized, "unknown API key")
 	}
+	lacelistener.FromContext(r.Context()).Assign(string(c.id))
 	if name := laceunit.BudgetID(r.Header.Get(headerBudget)); name != "" {
 		if !hasBudget(c.account, name) {
 			return caller{}, nil, refusal(lacefault.Forbidden, "the client account has no such budget")
