lacelistener: heads are dropped when their requests end

Cause: net/http keeps a request for half a second after its response if the body was not read. With one processor, refused heads of many lines took 149.8 MB of 144 MB, although they were not charged any more (TestManyHeaderLines, no value, finished, GOMAXPROCS=1). Change: the handler removes the head from the request at its end and before a refusal.

--- a/lib/lacelistener/handler.go
+++ b/lib/lacelistener/handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/url"
 	"strings"
 
 	"lacewingcove/lib/laceresource"
@@ -110,9 +111,15 @@
 			guard:  g,
 			holder: c.holder,
 		}
-		defer h.close()
+		defer func() {
+			dropHead(r)
+			h.close()
+		}()
 		// The exact cost replaces what was charged while the head was read.
 		err := h.Charge(headCost(r)-laceresource.HeadAllowance, reasonHead)
+		if err != nil {
+			dropHead(r)
+		}
 		g.mu.Lock()
 		c.releaseHeadLocked()
 		g.mu.Unlock()
@@ -127,6 +134,13 @@
 	})
 }
 
+// dropHead removes what a request holds of its head. net/http keeps the request for half a second after its response when
+// the body was not read, so that refused requests would hold memory that is not charged any more; it has read what it
+// needs of the head before the handler.
+func dropHead(r *http.Request) {
+	r.Header, r.URL, r.RequestURI = http.Header{}, &url.URL{}, ""
+}
+
 // headCost returns the memory of the head of a request while it is served.
 func headCost(r *http.Request) int64 {
 	lines, text := 0, len(r.RequestURI)
