laceconn: handshake time-outs are a kind of error of their own

A caller could not tell a handshake that was not answered in time from a refused connection. Pool.Open now keeps ErrHandshakeTimeout in the chain (it still is ErrNotSent). Counted connections can close their sending side, which net/http needs to let a response arrive before it closes a connection with unread data. No measurement.

--- a/lib/laceconn/dial.go
+++ b/lib/laceconn/dial.go
@@ -20,8 +20,8 @@
 	controlDialTimeout = 1500 * time.Millisecond
 )
 
-// errHandshakeTimeout means that the remote host did not answer the handshake in time.
-var errHandshakeTimeout = errors.New("handshake was not answered in time")
+// ErrHandshakeTimeout means that the remote host did not answer the handshake in time; nothing was sent.
+var ErrHandshakeTimeout = errors.Wrap(ErrNotSent, "handshake was not answered in time")
 
 // Dial opens a connection that detects network partitions by TCP keepalive probes and TCP_USER_TIMEOUT. When
 // dialTimeout expires, it fails only if the remote host has not completed the handshake. A process that is short of CPU
@@ -36,7 +36,7 @@
 	h := &handshake{}
 	timer := time.AfterFunc(timeout, func() {
 		if !h.isComplete() {
-			cancel(errHandshakeTimeout)
+			cancel(ErrHandshakeTimeout)
 		}
 	})
 	defer timer.Stop()
@@ -51,8 +51,8 @@
 	}
 	conn, err := dialer.DialContext(dialCtx, network, address)
 	var opErr *net.OpError
-	if errors.As(err, &opErr) && errors.Is(context.Cause(dialCtx), errHandshakeTimeout) {
-		opErr.Err = errHandshakeTimeout
+	if errors.As(err, &opErr) && errors.Is(context.Cause(dialCtx), ErrHandshakeTimeout) {
+		opErr.Err = ErrHandshakeTimeout
 	}
 	return conn, err
 }
--- a/lib/laceconn/pool.go
+++ b/lib/laceconn/pool.go
@@ -85,6 +85,9 @@
 	conn, err := Dial(ctx, "tcp", string(p.address))
 	if err != nil {
 		p.remove(c)
+		if errors.Is(err, ErrHandshakeTimeout) {
+			return nil, errors.Wrap(ErrHandshakeTimeout, string(p.address))
+		}
 		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
 	conn = p.traffic.WrapConn(conn)
--- a/lib/laceconn/traffic.go
+++ b/lib/laceconn/traffic.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync/atomic"
 	"syscall"
@@ -56,6 +57,15 @@
 	return n, err
 }
 
+// CloseWrite closes the sending side, so that the peer reads what was sent before a reset can discard it.
+func (c *countedConn) CloseWrite() error {
+	w, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return w.CloseWrite()
+}
+
 // SyscallConn implements syscall.Conn, which Conn.isReusable needs to check idle connections without reading from them.
 func (c *countedConn) SyscallConn() (syscall.RawConn, error) {
 	s, ok := c.Conn.(syscall.Conn)
