lacelimit: admission counts both directions, refused requests and the measured use

A saturated link collapsed: what refused requests take was not charged, so that served requests fell while refusals rose.

--- a/lib/lacelimit/link_test.go
+++ b/lib/lacelimit/link_test.go
@@ -118,9 +118,12 @@
 func TestUtilizationDoesNotCauseRefusals(t *testing.T) {
 	l, now := &Link{Rate: 1_250_000}, time.Unix(1000, 0)
 	full := l.AdmittedRate()
-	l.Observe(now, 0, 0)
+	l.Observe(now, LinkTraffic{})
 	now = now.Add(time.Second)
-	l.Observe(now, 500_000, 1_000_000)
+	l.Observe(now, LinkTraffic{
+		In:  500_000,
+		Out: 1_000_000,
+	})
 	if l.AdmittedRate() != full {
 		t.Errorf("%.0f of %.0f admitted", l.AdmittedRate(), full)
 	}
@@ -149,15 +152,12 @@
 	now := time.Unix(1000, 0)
 	for i := range 10_000 {
 		r := LinkRequest{Body: 1 << 20}
-		l.Observe(now, laceunit.Bytes(i)<<20, 0)
+		l.Observe(now, LinkTraffic{In: laceunit.Bytes(i) << 20})
 		v := l.Admit(now, r)
 		if !v.Admitted {
 			t.Fatalf("request %d was refused for %s", i, v.Wait)
 		}
-		l.End(now, r, v, Transfer{
-			Response: 1 << 20,
-			Complete: true,
-		})
+		l.End(now, r, v, whole(1<<20, 1<<20))
 		now = now.Add(time.Millisecond)
 	}
 }
@@ -173,19 +173,16 @@
 			Key:     uint64(i),
 		}
 		if v := l.Admit(now, r); v.Admitted || i%3 == 0 {
-			l.End(now, r, v, Transfer{
-				Response: 100,
-				Complete: true,
-			})
+			l.End(now, r, v, whole(0, 100))
 		}
 	}
-	if a, r, p := len(l.accounts.accounts), len(l.routes.routes), len(l.reservations.pending); a > maxAccounts ||
-		r > maxRoutes || p > maxReservations {
-		t.Errorf("%d accounts, %d routes and %d reservations are kept", a, r, p)
+	if a, r, k, p := len(l.accounts.accounts), len(l.routes.routes), len(l.guarantees.kinds), len(l.reservations.pending); a > maxAccounts ||
+		r > maxRoutes || k > maxKinds || p > maxReservations {
+		t.Errorf("%d accounts, %d routes, %d kinds and %d reservations are kept", a, r, k, p)
 	}
 	now = now.Add(time.Minute)
 	l.Admit(now, LinkRequest{})
-	if a, p := len(l.accounts.accounts), len(l.reservations.pending); a > 1 || p > 0 {
-		t.Errorf("%d accounts and %d reservations are kept a minute after the last request", a, p)
+	if a, k, p := len(l.accounts.accounts), len(l.guarantees.kinds), len(l.reservations.pending); a > 1 || k > 1 || p > 0 {
+		t.Errorf("%d accounts, %d kinds and %d reservations are kept a minute after the last request", a, k, p)
 	}
 }
--- a/lib/lacelimit/linkreservation.go
+++ b/lib/lacelimit/linkreservation.go
@@ -18,7 +18,7 @@
 	dueAt time.Time
 	key   uint64
 	class class
-	cost  float64
+	cost  volume
 	// repeated reports whether the request was refused again although it had a reservation.
 	repeated bool
 }
@@ -27,7 +27,7 @@
 type reservations struct {
 	pending []reservation
 	// reserved is the number of reserved bytes of each class.
-	reserved [classCount]float64
+	reserved [classCount]volume
 	// claimed and expired count the recent reservations whose callers retried and those whose callers did not.
 	claimed, expired decayingSum
 }
@@ -35,7 +35,7 @@
 func (r *reservations) add(x reservation) {
 	if len(r.pending) < maxReservations {
 		r.pending = append(r.pending, x)
-		r.reserved[x.class] += x.cost
+		r.release(x, -1)
 	}
 }
 
@@ -44,7 +44,7 @@
 	r.pending = slices.DeleteFunc(r.pending, func(x reservation) bool {
 		expired := now.Sub(x.dueAt) > reservationGrace
 		if expired {
-			r.reserved[x.class] -= x.cost
+			r.release(x, 1)
 			r.expired.add(now, 1)
 		}
 		return expired
@@ -61,29 +61,41 @@
 	if i < 0 {
 		return
 	}
-	r.reserved[r.pending[i].class] -= r.pending[i].cost
+	r.release(r.pending[i], 1)
 	r.pending = slices.Delete(r.pending, i, i+1)
 	r.claimed.add(now, 1)
 }
 
+// release subtracts the bytes of a reservation, times a factor, from the reserved ones.
+func (r *reservations) release(x reservation, factor float64) {
+	for d := range directionCount {
+		r.reserved[x.class][d] -= factor * x.cost[d]
+	}
+}
+
 // expectedBytes estimates how many of the bytes that a class and higher ones have reserved will be claimed, by the
 // fraction of reservations that were claimed recently.
-func (r *reservations) expectedBytes(now time.Time, c class) float64 {
+func (r *reservations) expectedBytes(now time.Time, d direction, c class) float64 {
 	sum := 0.0
 	for _, bytes := range r.reserved[:c+1] {
-		sum += max(bytes, 0)
+		sum += max(bytes[d], 0)
 	}
+	return sum * r.claimedFraction(now)
+}
+
+// claimedFraction returns the fraction of the recent reservations whose callers retried, 1 if there were none.
+func (r *reservations) claimedFraction(now time.Time) float64 {
 	claimed, expired := r.claimed.value(now), r.expired.value(now)
-	return sum * (claimed + 1) / (claimed + expired + 1)
+	return (claimed + 1) / (claimed + expired + 1)
 }
 
 // dueBytes returns the reserved bytes of a class and higher ones whose retry time has come, or whose callers were
 // refused again at an earlier retry.
-func (r *reservations) dueBytes(now time.Time, c class) float64 {
+func (r *reservations) dueBytes(now time.Time, d direction, c class) float64 {
 	sum := 0.0
 	for _, x := range r.pending {
 		if x.class <= c && (x.repeated || !now.Before(x.dueAt)) {
-			sum += x.cost
+			sum += x.cost[d]
 		}
 	}
 	return sum
--- a/lib/lacelimit/linksim_test.go
+++ b/lib/lacelimit/linksim_test.go
@@ -55,16 +55,11 @@
 	events   events
 	// freeAt is when each direction has transmitted everything queued on it.
 	freeAt     [2]time.Time
-	bytesMoved [2]float64
+	bytesMoved volume
 	startedAt  time.Time
 	outcome
 }
 
-const (
-	directionIn = iota
-	directionOut
-)
-
 const (
 	// maxAttempts is how many times a caller sends a request.
 	maxAttempts = 4
@@ -101,13 +96,24 @@
 	})
 }
 
+// whole returns the transfer of a request that was sent once and answered.
+func whole(body, response laceunit.Bytes) Transfer {
+	return Transfer{
+		Body:      body,
+		Sent:      body,
+		Response:  response,
+		Forwarded: response,
+		Complete:  true,
+	}
+}
+
 // meanTransfers returns the mean size of the bodies and responses of each route.
 func meanTransfers() []Transfer {
 	return []Transfer{
-		{Body: 200, Response: 3_000},
-		{Body: 4_000, Response: 12_000},
-		{Body: 1_000, Response: 30_000},
-		{Body: 15_000, Response: 1_000},
+		whole(200, 3_000),
+		whole(4_000, 12_000),
+		whole(1_000, 30_000),
+		whole(15_000, 1_000),
 	}
 }
 
@@ -115,7 +121,7 @@
 func meanCost() float64 {
 	sum := 0.0
 	for _, k := range meanTransfers() {
-		sum += float64(k.cost())
+		sum += k.volume()[directionIn]
 	}
 	return sum / float64(len(meanTransfers()))
 }
@@ -129,11 +135,7 @@
 		return laceunit.Bytes(float64(mean) * (0.5 + s.random.Float64()))
 	}
 	x := &simRequest{
-		transfer: Transfer{
-			Body:     vary(meanTransfers()[route].Body),
-			Response: vary(meanTransfers()[route].Response),
-			Complete: true,
-		},
+		transfer: whole(vary(meanTransfers()[route].Body), vary(meanTransfers()[route].Response)),
 	}
 	account := pickWeighted(s.random, s.accountShares)
 	x.request = LinkRequest{
@@ -210,15 +212,15 @@
 }
 
 // transmit sends bytes in a direction and records the queueing delay that they cause for the next message.
-func (s *simulation) transmit(now time.Time, direction int, bytes laceunit.Bytes, then func(now time.Time)) {
-	if s.freeAt[direction].Before(now) {
-		s.freeAt[direction] = now
+func (s *simulation) transmit(now time.Time, d direction, bytes laceunit.Bytes, then func(now time.Time)) {
+	if s.freeAt[d].Before(now) {
+		s.freeAt[d] = now
 	}
 	transmissionTime := time.Duration(float64(bytes) / s.rate * float64(time.Second))
-	s.freeAt[direction] = s.freeAt[direction].Add(transmissionTime)
-	s.bytesMoved[direction] += float64(bytes)
-	s.controlDelay = max(s.controlDelay, s.freeAt[direction].Sub(now))
-	s.schedule(s.freeAt[direction], then)
+	s.freeAt[d] = s.freeAt[d].Add(transmissionTime)
+	s.bytesMoved[d] += float64(bytes)
+	s.controlDelay = max(s.controlDelay, s.freeAt[d].Sub(now))
+	s.schedule(s.freeAt[d], then)
 }
 
 // event is a callback scheduled for a time.
--- a/lib/lacelimit/linkstats.go
+++ b/lib/lacelimit/linkstats.go
@@ -123,23 +123,30 @@
 	s.lastSeen = now
 }
 
+// transfer returns the mean transfer of a request that is sent to one server.
+func (s *routeSize) transfer() Transfer {
+	return Transfer{
+		Body:      laceunit.Bytes(s.body),
+		Sent:      laceunit.Bytes(s.body),
+		Response:  laceunit.Bytes(s.response),
+		Forwarded: laceunit.Bytes(s.response),
+	}
+}
+
 // estimate returns the expected transfer of a request; initial is the expected response before any was observed.
 func (s *routeSizes) estimate(now time.Time, r LinkRequest, initial laceunit.Bytes) Transfer {
 	size := s.routes[r.Route]
 	if size == nil {
 		size = &s.overall
 	}
-	t := Transfer{
-		Body:     laceunit.Bytes(size.body),
-		Response: laceunit.Bytes(size.response),
-	}
+	t := size.transfer()
 	if size.lastSeen.IsZero() {
-		t.Response = initial
+		t.Response, t.Forwarded = initial, initial
 	} else {
 		size.lastSeen = now
 	}
 	if r.Body >= 0 {
-		t.Body = r.Body
+		t.Body, t.Sent = r.Body, r.Body
 	}
 	return t
 }
