--- a/lib/lacelog/event.go
+++ b/lib/lacelog/event.go
@@ -28,6 +28,8 @@
 	SyncSource Event = "news"
 	// Transfer is a fetch of changes from a peer that exceeded the size limit of a round and was slow, or failed.
 	Transfer Event = "transfer"
+	// Link is a change between a saturated link and one with room.
+	Link Event = "link"
 	// RateLimit is a change of this instance's share of a rate limit that a backend server has announced.
 	RateLimit Event = "limit"
 	// Quarantine is a new, changed or ended verdict on prompt parts that crash backend servers.
--- a/lib/lacenode/listen.go
+++ b/lib/lacenode/listen.go
@@ -120,7 +120,7 @@
 		if x.address == "" {
 			continue
 		}
-		l, err := n.listen(ctx, x.address, x.handler, nil)
+		l, err := n.listen(ctx, x.address, x.handler, &n.monitor.controlTraffic)
 		if err != nil {
 			if closeErr := all.Close(); closeErr != nil {
 				n.log.Error(closeErr, "failed to close the listeners")
--- a/lib/lacenode/monitor.go
+++ b/lib/lacenode/monitor.go
@@ -7,7 +7,9 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"lacewingcove/lib/laceconn"
+	"lacewingcove/lib/lacelimit"
 	"lacewingcove/lib/lacelog"
+	"lacewingcove/lib/laceunit"
 )
 
 const (
@@ -81,8 +83,20 @@
 	m.maxStoreCall = max(m.maxStoreCall, duration)
 }
 
-// sample takes a sample that was due one interval after the previous one, and returns it.
-func (m *resourceMonitor) sample(now time.Time, interval time.Duration) resourceSample {
+// linkTraffic returns what has been transferred over the machine's link so far.
+func (m *resourceMonitor) linkTraffic() lacelimit.LinkTraffic {
+	in, out := m.dataTraffic.Bytes()
+	controlIn, controlOut := m.controlTraffic.Bytes()
+	return lacelimit.LinkTraffic{
+		In:         laceunit.Bytes(in + controlIn),
+		Out:        laceunit.Bytes(out + controlOut),
+		ControlIn:  laceunit.Bytes(controlIn),
+		ControlOut: laceunit.Bytes(controlOut),
+	}
+}
+
+// sample takes a sample that was due one interval after the previous one.
+func (m *resourceMonitor) sample(now time.Time, interval time.Duration) {
 	in, out := m.dataTraffic.Bytes()
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -101,7 +115,6 @@
 	m.samples[m.nextSample] = s
 	m.nextSample = (m.nextSample + 1) % sampleCount
 	m.maxStoreCall = 0
-	return s
 }
 
 func (m *resourceMonitor) controlBytes() int64 {
--- a/lib/lacenode/node.go
+++ b/lib/lacenode/node.go
@@ -172,7 +172,7 @@
 	n.quarantine = n.newQuarantine(store)
 	n.backends = lacerelay.NewBackends(n.picker, n.log, n.maxConnections)
 	n.backends.CountTraffic(&n.monitor.dataTraffic)
-	n.link = newLink(n.settings.Machine.LinkMbps, n.registry)
+	n.link = newLink(n.settings.Machine.LinkMbps, n.monitor.linkTraffic, n.registry)
 	n.relay = lacerelay.New(lacerelay.Options{
 		Codec:    n.adapter.Codec(),
 		Routes:   n.routes,
--- a/lib/lacenode/role.go
+++ b/lib/lacenode/role.go
@@ -40,7 +40,8 @@
 
 func (r *role) step(now time.Time) {
 	n := r.node
-	n.link.observe(n.monitor.sample(now, roleInterval))
+	n.monitor.sample(now, roleInterval)
+	n.link.step(now, n.log)
 	n.registrar.SetLoad(r.loadMeter.sample(now, n.relay.CPUTime()))
 	inactive := hasLasted(now, &r.inactiveSince, !n.directory.Active())
 	// Neither callers that keep using an instance nor its planned stop are a reason to watch the store.
--- a/lib/lacerelay/attempt.go
+++ b/lib/lacerelay/attempt.go
@@ -100,10 +100,10 @@
 // runAttempt sends the request to the picked server, and forwards the events if the response is a stream. It calls
 // begun when the first event has arrived.
 func (r *Relay) runAttempt(ctx context.Context, j *job, d lacebalancer.Decision, begun func()) attempt {
-	attemptCtx, timer, cancel := r.withStallTimer(ctx, j)
-	defer cancel()
 	started := time.Now()
-	a := r.send(attemptCtx, j, d)
+	attemptCtx, timer, cancel := r.withStallTimer(ctx, j, d.Server)
+	defer cancel()
+	a := r.send(attemptCtx, j, d, timer)
 	if a.exchange != nil {
 		r.forwardStream(attemptCtx, j, &a, timer, begun)
 	}
@@ -216,8 +216,9 @@
 }
 
 // send sends the request to the picked server and reads the response, or only its header if it is a stream.
-func (r *Relay) send(ctx context.Context, j *job, d lacebalancer.Decision) attempt {
+func (r *Relay) send(ctx context.Context, j *job, d lacebalancer.Decision, timer *stallTimer) attempt {
 	a := attempt{server: d.Server}
+	started := time.Now()
 	remaining := time.Until(j.deadline)
 	pool, ok := r.options.Backends.Pool(d.Server)
 	if !ok || remaining < minRemainingTime {
@@ -232,7 +233,7 @@
 	conn, err := acquire(ctx)
 	if err != nil {
 		a.outcome, a.reason = attemptNotSent, err.Error()
-		a.neutral = ctx.Err() != nil || errors.Is(err, laceconn.ErrPoolExhausted) || errors.Is(err, laceconn.ErrClosed)
+		a.neutral = r.connectionErrorIsNeutral(ctx, j, d.Server, err, started)
 		r.placementRevoked(j, d, &a)
 		return a
 	}
@@ -258,6 +259,7 @@
 		r.handleSendError(ctx, j, &a, err)
 		return a
 	}
+	r.silence.end(d.Server)
 	a.reply = r.options.Codec.DecodeReply(x.Response)
 	if a.reply.Attempt != j.call.Attempt && (a.reply.Attempt != "" || !x.Fresh) {
 		x.Abort()
@@ -271,10 +273,18 @@
 		a.exchange = x
 		return a
 	}
-	r.readResponse(ctx, j, &a, x)
+	r.readResponse(ctx, j, &a, x, timer)
 	return a
 }
 
+// connectionErrorIsNeutral reports whether the server did not cause that no connection to it was available.
+func (r *Relay) connectionErrorIsNeutral(
+	ctx context.Context, j *job, server laceunit.ServerID, err error, started time.Time,
+) bool {
+	return ctx.Err() != nil || errors.Is(err, laceconn.ErrPoolExhausted) || errors.Is(err, laceconn.ErrClosed) ||
+		errors.Is(err, laceconn.ErrHandshakeTimeout) && r.excused(j, server, started, excusedHandshake)
+}
+
 func (r *Relay) handleSendError(ctx context.Context, j *job, a *attempt, err error) {
 	a.reason = err.Error()
 	if errors.Is(err, laceconn.ErrNotSent) {
@@ -302,8 +312,10 @@
 }
 
 // readResponse buffers a response, which is forwarded only if it is complete.
-func (r *Relay) readResponse(ctx context.Context, j *job, a *attempt, x *laceconn.Exchange) {
-	body, err := io.ReadAll(io.LimitReader(x.Response.Body, maxResponseBytes+1))
+func (r *Relay) readResponse(
+	ctx context.Context, j *job, a *attempt, x *laceconn.Exchange, timer *stallTimer,
+) {
+	body, err := io.ReadAll(io.LimitReader(timer.observe(x.Response.Body), maxResponseBytes+1))
 	j.link.addReceived(len(body))
 	if err == nil && len(body) > maxResponseBytes {
 		err = errors.New("answer is too long")
@@ -342,7 +354,7 @@
 		result = lacebalancer.Failure
 	case attemptTimedOut:
 		result = lacebalancer.Neutral
-		if a.status == 0 {
+		if a.status == 0 && !r.excused(j, d.Server, started, excusedAnswer) {
 			// The server sent no response header before the deadline.
 			result = lacebalancer.Failure
 		}
--- a/lib/lacerelay/link.go
+++ b/lib/lacerelay/link.go
@@ -1,7 +1,9 @@
 package lacerelay
 
 import (
+	"bytes"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -16,8 +18,12 @@
 // Link does admission control by the bandwidth of the machine's network link.
 type Link interface {
 	Admit(now time.Time, r lacelimit.LinkRequest) lacelimit.LinkVerdict
+	// Refused reports how many bytes of the body of a refused request have arrived.
+	Refused(now time.Time, body laceunit.Bytes)
 	// End reports how many bytes an admitted request has transferred.
 	End(now time.Time, r lacelimit.LinkRequest, v lacelimit.LinkVerdict, p lacelimit.Transfer)
+	// Saturated reports whether the link was lately used to its capacity, so that packets are delayed by it.
+	Saturated(now time.Time) bool
 }
 
 // linkUsage is the use of the machine's network link by one request.
@@ -43,6 +49,7 @@
 		Route:   j.route.Name,
 		Body:    laceunit.Bytes(q.ContentLength),
 		Key:     retryKey(j, q.ContentLength),
+		Jitter:  rand.Float64(),
 	}
 	j.link.verdict = r.options.Link.Admit(j.arrived, j.link.request)
 	v := j.link.verdict
@@ -57,21 +64,48 @@
 	// Without full duplex, the server would read the body before it sends the response, although the link has no
 	// capacity for it. An error means that the response does not wait for the body anyway.
 	_ = http.NewResponseController(w).EnableFullDuplex()
+	if !keepsConnection(q) {
+		closeAfterResponse(w)
+	}
 	return newRefusal(lacefault.Overloaded, "the link of the instance is full", v.Wait)
 }
 
 // drain discards the unread body of a refused request after the response was sent. Otherwise net/http reads it and then
 // drops the connection (go 1.26, full duplex: "invalid concurrent Body.Read call"). Errors close the connection.
-func drain(w http.ResponseWriter, q *http.Request, j *job) {
+func (r *Relay) drain(w http.ResponseWriter, q *http.Request, j *job) {
 	control := http.NewResponseController(w)
 	_ = control.Flush()
+	if !keepsConnection(q) {
+		// With an expired deadline, net/http reads nothing when it closes the body.
+		_ = control.SetReadDeadline(j.arrived)
+		r.options.Link.Refused(time.Now(), keptBodyBytes)
+		return
+	}
 	_ = control.SetReadDeadline(j.arrived.Add(bodyReadTimeout))
-	_, _ = io.Copy(io.Discard, io.LimitReader(q.Body, drainBytes))
+	n, _ := io.Copy(io.Discard, q.Body)
 	_ = control.SetReadDeadline(time.Time{})
+	r.options.Link.Refused(time.Now(), laceunit.Bytes(n))
 }
 
-// drainBytes limits how much of a refused body is read to keep its connection open; net/http itself would read as much.
-const drainBytes = 256 << 10
+// keptBodyBytes is the largest body of a refused request that is read to keep its connection open. The caller has sent
+// as much before it can get the refusal (ten packets, the initial window of TCP), so that reading it takes nothing more
+// of the link.
+const keptBodyBytes = 14 << 10
+
+// keepsConnection reports whether the connection of a refused request stays open.
+func keepsConnection(q *http.Request) bool {
+	return q.ContentLength >= 0 && q.ContentLength <= keptBodyBytes
+}
+
+// closeAfterResponse lets net/http close the connection after the response as it does for a body that exceeds its limit:
+// it closes the sending side first and waits before it closes the receiving side, since a reset could overtake the
+// response. There is no other way to request this.
+func closeAfterResponse(w http.ResponseWriter) {
+	w.Header().Set("Connection", "close")
+	var excess [1]byte
+	// The error is that the limit is exceeded.
+	_, _ = http.MaxBytesReader(w, io.NopCloser(bytes.NewReader(excess[:])), 0).Read(excess[:])
+}
 
 const (
 	bitsPerByte    = 8
@@ -96,8 +130,10 @@
 		return
 	}
 	r.options.Link.End(time.Now(), j.link.request, j.link.verdict, lacelimit.Transfer{
-		Body:     laceunit.Bytes(len(j.body) * max(j.history.sent, 1)),
-		Response: j.link.received,
-		Complete: j.response.complete && !j.response.startedAt.IsZero(),
+		Body:      laceunit.Bytes(len(j.body)),
+		Sent:      laceunit.Bytes(len(j.body) * j.history.sent),
+		Response:  j.link.received,
+		Forwarded: j.response.sent,
+		Complete:  j.response.complete && !j.response.startedAt.IsZero(),
 	})
 }
--- a/lib/lacerelay/metric.go
+++ b/lib/lacerelay/metric.go
@@ -13,6 +13,7 @@
 	notices           *prometheus.CounterVec
 	withheld          *prometheus.CounterVec
 	crashes           *prometheus.CounterVec
+	excused           *prometheus.CounterVec
 	requestSeconds    *prometheus.HistogramVec
 	firstEventSeconds *prometheus.HistogramVec
 }
@@ -40,11 +41,16 @@
 			Name: "lace_relay_crashed_attempts_total",
 			Help: "Attempts at prompts with shared parts that broke off because their server crashed, by service.",
 		}, []string{"service"}),
+		excused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lace_relay_excused_total",
+			Help: "Time-outs of servers that are put down to this instance's saturated link, by service and cause.",
+		}, []string{"service", "cause"}),
 		requestSeconds: histogram("lace_relay_request_seconds", "Time from a request's arrival to its end."),
 		firstEventSeconds: histogram("lace_relay_first_event_seconds",
 			"Time from a request's arrival to the first event of its stream."),
 	}
-	r.MustRegister(m.requests, m.attempts, m.notices, m.withheld, m.crashes, m.requestSeconds, m.firstEventSeconds)
+	r.MustRegister(m.requests, m.attempts, m.notices, m.withheld, m.crashes, m.excused, m.requestSeconds,
+		m.firstEventSeconds)
 	return m
 }
 
@@ -94,6 +100,12 @@
 	}
 }
 
+func (m *Metrics) countExcused(j *job, cause string) {
+	if m != nil {
+		m.excused.WithLabelValues(string(j.service), cause).Inc()
+	}
+}
+
 func (m *Metrics) observeFirstEvent(j *job, latency time.Duration) {
 	if m != nil {
 		m.firstEventSeconds.WithLabelValues(string(j.service)).Observe(latency.Seconds())
--- a/lib/lacerelay/relay.go
+++ b/lib/lacerelay/relay.go
@@ -91,6 +91,7 @@
 	keepAlivesDisabled atomic.Bool
 	running            atomic.Int64
 	cpuTime            atomic.Int64
+	silence            silence
 
 	mu      sync.Mutex
 	retries map[laceunit.ServiceID]*lacelimit.RetryBudget
@@ -181,7 +182,7 @@
 	if f := r.admit(w, q, j); f != nil {
 		r.refuse(j, f)
 		if j.link.refused {
-			drain(w, q, j)
+			r.drain(w, q, j)
 		}
 		return
 	}
--- a/lib/lacerelay/response.go
+++ b/lib/lacerelay/response.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"lacewingcove/lib/lacefault"
+	"lacewingcove/lib/laceunit"
 )
 
 var (
@@ -35,6 +36,8 @@
 	// startedAt is when the first part was sent to the caller, complete is true once the response is completed.
 	startedAt time.Time
 	complete  bool
+	// sent is how many bytes of the body were sent to the caller.
+	sent laceunit.Bytes
 	// events counts the events that were sent to the caller, bufferedEvents those in the buffer.
 	events         int
 	bufferedEvents int
@@ -67,7 +70,7 @@
 		s.writeHeader(-1)
 	}
 	s.events++
-	if _, err := s.w.Write(raw); err != nil || flushLater {
+	if err := s.write(raw); err != nil || flushLater {
 		return err
 	}
 	return s.flush()
@@ -93,6 +96,12 @@
 	s.w.WriteHeader(s.status)
 }
 
+func (s *response) write(p []byte) error {
+	n, err := s.w.Write(p)
+	s.sent += laceunit.Bytes(n)
+	return err
+}
+
 func (s *response) flush() error {
 	if s.startedAt.IsZero() {
 		return nil
@@ -106,7 +115,7 @@
 	if s.buffered {
 		s.writeHeader(len(s.buffer))
 		s.events = s.bufferedEvents
-		_, err := s.w.Write(s.buffer)
+		err := s.write(s.buffer)
 		s.complete = err == nil
 		return err
 	}
@@ -127,7 +136,7 @@
 	}
 	s.status, s.header = a.status, a.header
 	s.writeHeader(len(a.body))
-	_, err := s.w.Write(a.body)
+	err := s.write(a.body)
 	s.complete = err == nil
 	return err
 }
--- a/lib/lacerelay/stall.go
+++ b/lib/lacerelay/stall.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"lacewingcove/lib/lacelimit"
 	"lacewingcove/lib/laceroute"
+	"lacewingcove/lib/laceunit"
 )
 
 // errStalled means that an attempt was aborted because the server made no progress for too long.
@@ -31,9 +34,13 @@
 
 // stallTimer aborts an attempt that makes no progress: one without a first event or complete response within the
 // response timeout, or without the next event within the idle timeout. Only attempts that can be retried are aborted.
+// While the instance's own link is saturated, a part of a response is progress as well, and an attempt is aborted only
+// if its server is silent for longer than the link explains.
 type stallTimer struct {
 	timer       *time.Timer
 	idleTimeout time.Duration
+	// progressAt is when the last part of the response arrived, or when the attempt began, in nanoseconds.
+	progressAt atomic.Int64
 }
 
 // responseTimeout returns how long an attempt may take until the first event of a stream or the end of another
@@ -45,7 +52,9 @@
 
 // withStallTimer returns a context for the next attempt, which is canceled when the server makes no progress for too
 // long and the request can be retried at another server.
-func (r *Relay) withStallTimer(ctx context.Context, j *job) (context.Context, *stallTimer, context.CancelFunc) {
+func (r *Relay) withStallTimer(
+	ctx context.Context, j *job, server laceunit.ServerID,
+) (context.Context, *stallTimer, context.CancelFunc) {
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	stop := func() { cancel(nil) }
 	if !retrySafe(j.route) || j.history.sent+1 >= j.route.MaxAttempts {
@@ -56,22 +65,57 @@
 		gap = defaultGap
 	}
 	s := &stallTimer{idleTimeout: idleTimeoutGaps * gap}
-	s.timer = time.AfterFunc(responseTimeout(j.route, time.Until(j.deadline)), func() {
+	s.recordProgress()
+	timeout := responseTimeout(j.route, time.Until(j.deadline))
+	s.timer = time.AfterFunc(time.Until(j.deadline), func() {
+		if attemptCtx.Err() == nil && r.excused(j, server, s.lastProgress(), excusedRepeat) {
+			s.timer.Reset(timeout)
+			return
+		}
 		if r.withRetryBudget(j.service, func(b *lacelimit.RetryBudget) bool {
 			return b.Covers(time.Now(), r.options.Members())
 		}) {
 			cancel(errStalled)
 		}
 	})
+	// The function uses the timer, which is assigned by now.
+	s.timer.Reset(timeout)
 	return attemptCtx, s, func() {
-		s.timer.Stop()
 		stop()
+		s.timer.Stop()
 	}
 }
 
 // reset starts the idle timeout anew after an event has arrived.
 func (s *stallTimer) reset() {
 	if s.timer != nil {
+		s.recordProgress()
 		s.timer.Reset(s.idleTimeout)
 	}
 }
+
+func (s *stallTimer) recordProgress() { s.progressAt.Store(time.Now().UnixNano()) }
+
+func (s *stallTimer) lastProgress() time.Time { return time.Unix(0, s.progressAt.Load()) }
+
+// observe returns a reader that records progress when parts of a response arrive.
+func (s *stallTimer) observe(r io.Reader) io.Reader {
+	return &progressReader{
+		reader: r,
+		timer:  s,
+	}
+}
+
+type progressReader struct {
+	reader io.Reader
+	timer  *stallTimer
+}
+
+// Read implements io.Reader.
+func (p *progressReader) Read(b []byte) (int, error) {
+	n, err := p.reader.Read(b)
+	if n > 0 {
+		p.timer.recordProgress()
+	}
+	return n, err
+}
