laceconn: handshakes behind a saturated link take longer or use an idle connection

Behind a saturated link, handshakes with sound servers exceeded 400 ms, and a request waited for one although an open connection to the server had become idle. While the pool's owner reports that the link delays packets, a handshake may take 1.5 s, or half of the time that the request has left, and ends when a connection becomes idle. Release keeps a reused connection on which nothing was sent.

--- a/lib/laceconn/conn.go
+++ b/lib/laceconn/conn.go
@@ -181,6 +181,16 @@
 	}
 }
 
+// Release returns a connection on which nothing was sent. A reused one becomes idle again until its earlier deadline; a
+// new one is closed, since servers close connections that have not carried a request.
+func (c *Conn) Release() {
+	if c.fresh {
+		c.Discard()
+		return
+	}
+	c.pool.returnIdle(c)
+}
+
 // Discard closes the connection and removes it from the pool.
 func (c *Conn) Discard() {
 	c.pool.remove(c)
--- a/lib/laceconn/dial.go
+++ b/lib/laceconn/dial.go
@@ -18,6 +18,9 @@
 	// on them for its state, so that the timeout allows for the queueing delay of packets on a saturated link. It is
 	// longer than the kernel's initial retransmission timeout, so that a single lost packet doesn't fail the handshake.
 	controlDialTimeout = 1500 * time.Millisecond
+	// maxDelayedDialTimeout is the handshake timeout for connections to backend servers while the link delays packets. A
+	// handshake with another server would take as long. It is longer than the kernel's initial retransmission timeout.
+	maxDelayedDialTimeout = 1500 * time.Millisecond
 )
 
 // ErrHandshakeTimeout means that the remote host did not answer the handshake in time; nothing was sent.
@@ -27,18 +30,29 @@
 // dialTimeout expires, it fails only if the remote host has not completed the handshake. A process that is short of CPU
 // time notices a completed handshake late, and a net.Dialer with a timeout would then fail for a healthy server.
 func Dial(ctx context.Context, network, address string) (net.Conn, error) {
-	return dial(ctx, network, address, dialTimeout)
+	return dial(ctx, network, address, func(time.Duration) time.Duration { return dialTimeout })
 }
 
-func dial(ctx context.Context, network, address string, timeout time.Duration) (net.Conn, error) {
+// dial is like Dial; timeout returns the current handshake timeout, given the time since the handshake began.
+func dial(
+	ctx context.Context, network, address string, timeout func(elapsed time.Duration) time.Duration,
+) (net.Conn, error) {
 	dialCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	h := &handshake{}
-	timer := time.AfterFunc(timeout, func() {
-		if !h.isComplete() {
+	started := time.Now()
+	var timer *time.Timer
+	armed := make(chan struct{})
+	timer = time.AfterFunc(timeout(0), func() {
+		<-armed
+		elapsed := time.Since(started)
+		if rest := timeout(elapsed) - elapsed; rest > 0 {
+			timer.Reset(rest)
+		} else if !h.isComplete() {
 			cancel(ErrHandshakeTimeout)
 		}
 	})
+	close(armed)
 	defer timer.Stop()
 	dialer := &net.Dialer{
 		KeepAliveConfig: net.KeepAliveConfig{
--- a/lib/laceconn/dial_test.go
+++ b/lib/laceconn/dial_test.go
@@ -1,6 +1,7 @@
 package laceconn
 
 import (
+	"bufio"
 	"context"
 	"net"
 	"runtime"
@@ -69,6 +70,63 @@
 	}
 }
 
+// Guards against a handshake that is given up behind a saturated link while the request has time left, and against one
+// that leaves no time for another server.
+func TestDelayedHandshakeTakesLonger(t *testing.T) {
+	for _, c := range []struct{ remaining, least, most time.Duration }{
+		{10 * time.Second, maxDelayedDialTimeout, 4 * maxDelayedDialTimeout},
+		{4 * dialTimeout, 2*dialTimeout - 50*time.Millisecond, 4 * dialTimeout},
+	} {
+		p := NewPool(listenWithFullBacklog(t), 0)
+		p.ExtendHandshakes(func() bool { return true })
+		ctx, cancel := context.WithTimeout(context.Background(), c.remaining)
+		started := time.Now()
+		_, err := p.Get(ctx)
+		if elapsed := time.Since(started); !errors.Is(err, ErrHandshakeTimeout) || elapsed < c.least || elapsed > c.most {
+			t.Errorf("remaining %s: failed after %s: %v", c.remaining, elapsed, err)
+		}
+		cancel()
+	}
+}
+
+// Guards against requests that wait for a handshake behind a saturated link although an open connection is idle.
+func TestIdleConnectionEndsDelayedHandshake(t *testing.T) {
+	p := NewPool(listenWithFullBacklog(t), 0)
+	p.ExtendHandshakes(func() bool { return true })
+	near, far := net.Pipe()
+	defer far.Close()
+	open := &Conn{
+		net:    near,
+		pool:   p,
+		reader: bufio.NewReader(near),
+	}
+	got := make(chan *Conn)
+	go func() {
+		c, err := p.Get(context.Background())
+		if err != nil {
+			t.Errorf("no connection: %v", err)
+		}
+		got <- c
+	}()
+	for waiting := 0; waiting == 0; runtime.Gosched() {
+		p.mu.Lock()
+		waiting = len(p.waiting)
+		p.mu.Unlock()
+	}
+	p.putIdle(open, time.Minute)
+	c := <-got
+	if c != open {
+		t.Error("the idle connection was not used")
+	}
+	if c != nil {
+		c.Release()
+	}
+	if p.takeIdle() != open {
+		t.Error("a released connection is not idle")
+	}
+	open.Discard()
+}
+
 // listenWithFullBacklog returns the address of a listening socket whose accept backlog is full, so that the kernel
 // doesn't answer further handshakes.
 func listenWithFullBacklog(t *testing.T) laceunit.Address {
--- a/lib/laceconn/pool.go
+++ b/lib/laceconn/pool.go
@@ -35,12 +35,16 @@
 type Pool struct {
 	address laceunit.Address
 	traffic *Traffic
+	// delayed reports whether the instance's link delays packets; nil means never.
+	delayed func() bool
 
 	mu       sync.Mutex
 	maxConns int
 	idle     []*Conn
 	open     map[*Conn]struct{}
-	closed   bool
+	// waiting are the handshakes that end when a connection becomes idle, the oldest first.
+	waiting []*waiter
+	closed  bool
 }
 
 // NewPool returns a pool of at most maxConns connections; zero means no limit.
@@ -55,12 +59,39 @@
 // CountTraffic enables counting the bytes of the pool's connections; it must be called before Get.
 func (p *Pool) CountTraffic(t *Traffic) { p.traffic = t }
 
+// ExtendHandshakes lets handshakes take longer while delayed reports that the instance's link delays packets, and ends
+// them when an open connection becomes idle; it must be called before Get.
+func (p *Pool) ExtendHandshakes(delayed func() bool) { p.delayed = delayed }
+
+// errIdle ends a handshake because an open connection can be used instead.
+var errIdle = errors.New("conn: another connection is idle")
+
+// waiter is a call of Get that waits for a handshake; end ends the handshake.
+type waiter struct{ end context.CancelCauseFunc }
+
 // Get returns an idle connection or opens a new one; it fails once the pool is closed. Each of its errors means that
 // nothing was sent.
 func (p *Pool) Get(ctx context.Context) (*Conn, error) {
 	if c := p.takeIdle(); c != nil {
 		return c, nil
 	}
+	dialCtx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	w := &waiter{end: end}
+	p.mu.Lock()
+	p.waiting = append(p.waiting, w)
+	p.mu.Unlock()
+	c, err := p.Open(dialCtx)
+	p.mu.Lock()
+	p.waiting = slices.DeleteFunc(p.waiting, func(x *waiter) bool { return x == w })
+	p.mu.Unlock()
+	if err == nil || !errors.Is(context.Cause(dialCtx), errIdle) {
+		return c, err
+	}
+	if idle := p.takeIdle(); idle != nil {
+		return idle, nil
+	}
+	// Another request has taken the connection.
 	return p.Open(ctx)
 }
 
@@ -82,7 +113,7 @@
 	// The connection is counted before it is dialed, so that concurrent calls don't exceed the limit.
 	p.open[c] = struct{}{}
 	p.mu.Unlock()
-	conn, err := Dial(ctx, "tcp", string(p.address))
+	conn, err := dial(ctx, "tcp", string(p.address), p.handshakeTimeout(ctx))
 	if err != nil {
 		p.remove(c)
 		if errors.Is(err, ErrHandshakeTimeout) {
@@ -97,6 +128,21 @@
 	return c, nil
 }
 
+// handshakeTimeout returns the handshake timeout as a function of the time since the handshake began. While the link
+// delays packets, it leaves half of the time until the deadline of the context for an attempt at another server.
+func (p *Pool) handshakeTimeout(ctx context.Context) func(elapsed time.Duration) time.Duration {
+	extended := maxDelayedDialTimeout
+	if deadline, ok := ctx.Deadline(); ok {
+		extended = max(min(extended, time.Until(deadline)/2), dialTimeout)
+	}
+	return func(elapsed time.Duration) time.Duration {
+		if elapsed > 0 && p.delayed != nil && p.delayed() {
+			return extended
+		}
+		return dialTimeout
+	}
+}
+
 // RefusesConnections reports whether the server's machine answers and refuses a new connection, so that no process
 // listens at the address.
 func (p *Pool) RefusesConnections(ctx context.Context) bool {
@@ -133,6 +179,11 @@
 		timeout = defaultIdleTimeout
 	}
 	c.idleDeadline = time.Now().Add(timeout - min(idleTimeoutMargin, timeout/4))
+	p.returnIdle(c)
+}
+
+// returnIdle makes an open connection available until its idle deadline.
+func (p *Pool) returnIdle(c *Conn) {
 	p.mu.Lock()
 	if p.closed {
 		p.mu.Unlock()
@@ -140,7 +191,14 @@
 		return
 	}
 	p.idle = append(p.idle, c)
+	var w *waiter
+	if len(p.waiting) > 0 && p.delayed != nil && p.delayed() {
+		w, p.waiting = p.waiting[0], p.waiting[1:]
+	}
 	p.mu.Unlock()
+	if w != nil {
+		w.end(errIdle)
+	}
 }
 
 // Expire closes idle connections whose idle timeout has passed. The owner of the pool must call it periodically.
--- a/lib/laceconn/traffic.go
+++ b/lib/laceconn/traffic.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync/atomic"
 	"syscall"
+	"time"
 )
 
 // Traffic counts the bytes that are read from and written to connections. A nil Traffic counts nothing.
@@ -91,7 +92,7 @@
 
 // DialControl opens a connection to the store or another instance and counts its bytes.
 func (t *Traffic) DialControl(ctx context.Context, network, address string) (net.Conn, error) {
-	c, err := dial(ctx, network, address, controlDialTimeout)
+	c, err := dial(ctx, network, address, func(time.Duration) time.Duration { return controlDialTimeout })
 	if err != nil {
 		return nil, err
 	}
