lacerelay: a delayed handshake is tried again and starts no silence of its server

Three handshakes that the instance's own link delayed refused a request as no_backend_server, although nothing was sent. A server's second time-out long after the first counted as silence for all the time between, which ejected servers that get few requests. Delayed handshakes now allow three further attempts. A silence starts anew after 4 s without a time-out, needs three time-outs, and counts handshakes and responses separately, since a failed server may still answer handshakes.

--- a/lib/lacenode/node.go
+++ b/lib/lacenode/node.go
@@ -173,6 +173,7 @@
 	n.backends = lacerelay.NewBackends(n.picker, n.log, n.maxConnections)
 	n.backends.CountTraffic(&n.monitor.dataTraffic)
 	n.link = newLink(n.settings.Machine.LinkMbps, n.monitor.linkTraffic, n.registry)
+	n.backends.ExtendHandshakes(func() bool { return n.link.Saturated(time.Now()) })
 	n.relay = lacerelay.New(lacerelay.Options{
 		Codec:    n.adapter.Codec(),
 		Routes:   n.routes,
--- a/lib/lacerelay/attempt.go
+++ b/lib/lacerelay/attempt.go
@@ -50,6 +50,8 @@
 	settled      bool
 	// neutral is true when nothing was sent for a reason that the server did not cause.
 	neutral bool
+	// delayed is true when nothing was sent because the instance's own link delayed the handshake.
+	delayed bool
 	// revoked is true when nothing was sent because the server became unavailable (leaving, paused or rate limited)
 	// after it was picked.
 	revoked bool
@@ -234,16 +236,17 @@
 	if err != nil {
 		a.outcome, a.reason = attemptNotSent, err.Error()
 		a.neutral = r.connectionErrorIsNeutral(ctx, j, d.Server, err, started)
+		a.delayed = a.neutral && ctx.Err() == nil && errors.Is(err, laceconn.ErrHandshakeTimeout)
 		r.placementRevoked(j, d, &a)
 		return a
 	}
+	r.silence.endHandshake(d.Server)
 	if r.placementRevoked(j, d, &a) {
-		// The connection is not kept for later, since servers close connections that have not carried a request.
-		conn.Discard()
+		conn.Release()
 		return a
 	}
 	if a.refusal = r.quarantineFault(j); a.refusal != nil {
-		conn.Discard()
+		conn.Release()
 		a.outcome, a.reason, a.neutral = attemptNotSent, a.refusal.Message, true
 		return a
 	}
@@ -340,7 +343,11 @@
 	result := lacebalancer.Success
 	switch a.outcome {
 	case attemptNotSent:
-		if !a.revoked {
+		switch {
+		case a.revoked:
+		case a.delayed && j.history.delayed < maxDelayed:
+			j.history.delayed++
+		default:
 			j.history.notSent++
 		}
 		result = lacebalancer.Unreachable
--- a/lib/lacerelay/backend.go
+++ b/lib/lacerelay/backend.go
@@ -60,6 +60,8 @@
 	maxConns func(laceunit.ServiceID) int
 	// traffic counts the bytes of all connections; nil disables the count.
 	traffic *laceconn.Traffic
+	// delayed reports whether the instance's link delays packets; nil means never.
+	delayed func() bool
 }
 
 // NewBackends returns an empty set; maxConns returns how many connections this instance may open to each server of a
@@ -76,6 +78,10 @@
 // CountTraffic enables counting the bytes of the connections to servers; it must be called before Apply.
 func (b *Backends) CountTraffic(t *laceconn.Traffic) { b.traffic = t }
 
+// ExtendHandshakes lets handshakes with servers take longer while delayed reports that the instance's link delays
+// packets; it must be called before Apply.
+func (b *Backends) ExtendHandshakes(delayed func() bool) { b.delayed = delayed }
+
 // Apply adds or updates registered servers, and removes those whose entries were removed. Entries may have expired only
 // because the store was unavailable, so that their servers stay in use until graceEnd.
 func (b *Backends) Apply(now time.Time, registered []Backend, removed []laceunit.ServerID, graceEnd time.Time) {
@@ -224,6 +230,7 @@
 		}
 		updated.pool = laceconn.NewPool(x.Address, b.maxConns(x.Service))
 		updated.pool.CountTraffic(b.traffic)
+		updated.pool.ExtendHandshakes(b.delayed)
 		updated.probe = &crashProbe{}
 	}
 	b.byID[x.ID] = &updated
--- a/lib/lacerelay/retry.go
+++ b/lib/lacerelay/retry.go
@@ -51,11 +51,18 @@
 // maxNotSent limits how many attempts of a request may end without being sent, mostly since the server is unreachable.
 const maxNotSent = 3
 
+// maxDelayed limits how many further attempts may end because the instance's own link delayed the handshake. Each takes
+// up to half of the time that the request has left, so that more of them would leave no time for a response.
+const maxDelayed = 3
+
 // attemptHistory summarizes the attempts of a request so far.
 type attemptHistory struct {
-	// sent counts the attempts that were sent to a server, notSent those that were not, apart from revoked ones.
+	// sent counts the attempts that were sent to a server, notSent those that were not, apart from revoked and delayed
+	// ones.
 	sent    int
 	notSent int
+	// delayed counts the attempts whose handshake was delayed by the instance's own link, up to maxDelayed.
+	delayed int
 	// mayHaveRun is true when a server may have run the request in one of the attempts.
 	mayHaveRun bool
 	// notResumable is true when no other server can resume the stream, since its latest event has no id.
--- a/lib/lacerelay/silence.go
+++ b/lib/lacerelay/silence.go
@@ -12,7 +12,7 @@
 	// the link is saturated. A queue on the link delays answers of all servers for less than that, since callers with a
 	// time limit of 1.5 s are gone by then; only a server that has failed is silent for longer.
 	maxExcusedSilence = 2 * time.Second
-	// maxSilentServers bounds the number of tracked servers; time-outs of further ones count against them.
+	// maxSilentServers bounds the number of tracked silences; time-outs of further ones count against them.
 	maxSilentServers = 4096
 )
 
@@ -23,36 +23,72 @@
 	excusedRepeat    = "repeat"
 )
 
-// silence tracks since when servers have answered nothing while the instance's link was saturated. The zero value is
-// ready to use.
+// minExcusedTimeouts is how many time-outs of a silent server are excused however long it is silent. At an instance that
+// sends a server one request a second, two handshakes in a row are lost on a saturated link now and then.
+const minExcusedTimeouts = 3
+
+// maxExcusedGap is the time without a time-out after which the next one of a server begins a new silence: the server got
+// no request in the meantime that it could have answered.
+const maxExcusedGap = 2 * maxExcusedSilence
+
+// silence tracks since when servers have answered nothing while the instance's link was saturated. Handshakes and
+// responses count separately, since a server that has failed may still answer handshakes. The zero value is ready to
+// use.
 type silence struct {
-	mu    sync.Mutex
-	since map[laceunit.ServerID]time.Time
+	mu      sync.Mutex
+	servers map[silentServer]silentPeriod
+}
+
+// silentServer is a server that has not answered handshakes, or not responded.
+type silentServer struct {
+	server    laceunit.ServerID
+	handshake bool
+}
+
+type silentPeriod struct {
+	since, last time.Time
+	timeouts    int
 }
 
 // excuses reports whether a time-out of a server that was last heard from at some time is attributed to the link.
-func (s *silence) excuses(now time.Time, server laceunit.ServerID, heard time.Time) bool {
+func (s *silence) excuses(now time.Time, x silentServer, heard time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	since, ok := s.since[server]
-	if !ok {
-		if len(s.since) >= maxSilentServers {
-			return false
-		}
-		if s.since == nil {
-			s.since = map[laceunit.ServerID]time.Time{}
-		}
-		since = heard
-		s.since[server] = heard
+	p, ok := s.servers[x]
+	if !ok && len(s.servers) >= maxSilentServers {
+		return false
 	}
-	return now.Sub(since) < maxExcusedSilence
+	if s.servers == nil {
+		s.servers = map[silentServer]silentPeriod{}
+	}
+	if !ok || now.Sub(p.last) > maxExcusedGap {
+		p = silentPeriod{since: heard}
+	}
+	p.last = now
+	p.timeouts++
+	s.servers[x] = p
+	return now.Sub(p.since) < maxExcusedSilence || p.timeouts < minExcusedTimeouts
 }
 
-// end records that a server has answered.
+// end records that a server has responded.
 func (s *silence) end(server laceunit.ServerID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.since, server)
+	delete(s.servers, silentServer{server: server})
+	delete(s.servers, silentServer{
+		server:    server,
+		handshake: true,
+	})
+}
+
+// endHandshake records that a server has answered a handshake, or that a connection to it is open.
+func (s *silence) endHandshake(server laceunit.ServerID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.servers, silentServer{
+		server:    server,
+		handshake: true,
+	})
 }
 
 // excused reports whether the time-out of an attempt is attributed to the instance's own link rather than to the server:
@@ -60,7 +96,11 @@
 // server after the other, and what is sent to a second server uses the link twice.
 func (r *Relay) excused(j *job, server laceunit.ServerID, heard time.Time, cause string) bool {
 	now := time.Now()
-	if r.options.Link == nil || !r.options.Link.Saturated(now) || !r.silence.excuses(now, server, heard) {
+	x := silentServer{
+		server:    server,
+		handshake: cause == excusedHandshake,
+	}
+	if r.options.Link == nil || !r.options.Link.Saturated(now) || !r.silence.excuses(now, x, heard) {
 		return false
 	}
 	r.options.Metrics.countExcused(j, cause)
--- a/lib/lacerelay/silence_test.go
+++ b/lib/lacerelay/silence_test.go
@@ -102,15 +102,41 @@
 // blamed although it has answered since its first time-out.
 func TestSilentServerIsBlamedOnSaturatedLink(t *testing.T) {
 	var s silence
+	x := silentServer{server: "s1"}
 	start := time.Unix(1000, 0)
-	if !s.excuses(start.Add(time.Second), "s1", start) || !s.excuses(start.Add(1900*time.Millisecond), "s1", start) {
+	if !s.excuses(start.Add(time.Second), x, start) || !s.excuses(start.Add(1900*time.Millisecond), x, start) {
 		t.Error("a time-out shortly after the last answer is blamed on the server")
 	}
-	if s.excuses(start.Add(maxExcusedSilence), "s1", start.Add(time.Second)) {
+	if s.excuses(start.Add(maxExcusedSilence), x, start.Add(time.Second)) {
 		t.Error("a server that has long been silent is excused")
 	}
 	s.end("s1")
-	if !s.excuses(start.Add(3*time.Second), "s1", start.Add(2*time.Second)) {
+	if !s.excuses(start.Add(3*time.Second), x, start.Add(2*time.Second)) {
 		t.Error("a server that has answered is blamed for its earlier silence")
 	}
+	if !s.excuses(start.Add(time.Minute), x, start.Add(58*time.Second)) {
+		t.Error("a server that got no request for long is blamed at its first time-out since")
+	}
+}
+
+// Guards against a refusal after handshakes that the instance's own link has delayed while the request can still be
+// sent, and against attempts without end.
+func TestDelayedHandshakeIsTriedAgain(t *testing.T) {
+	b := newTestRelay(t)
+	j := slowJob()
+	var attempts int
+	for next := actionRetry; next == actionRetry; attempts++ {
+		d := b.pick()
+		a := attempt{
+			server:  d.Server,
+			outcome: attemptNotSent,
+			neutral: true,
+			delayed: true,
+		}
+		b.recordAttempt(j, d, &a, time.Now())
+		next = nextAction(j.route, j.history, a.outcome, a.status, func() bool { return false })
+	}
+	if attempts != maxDelayed+maxNotSent || j.history.mayHaveRun {
+		t.Errorf("%d attempts, may have run %t", attempts, j.history.mayHaveRun)
+	}
 }
