lacelimit: retry times are spread while the link is saturated

Callers that were refused together returned within a quarter of a short wait of each other. While the link is saturated, waits that are shorter than a third of the time a caller has left are spread up to that third; longer ones stay as they are. TestLinkWithRoomDecidesAsBefore compares an idle link of 10 Mbit/s and links of 200 and 1,000 Mbit/s with the earlier admission: all results are the same.

--- a/lib/lacelimit/link.go
+++ b/lib/lacelimit/link.go
@@ -58,6 +58,8 @@
 	// maxJitter is the largest fraction of a wait that is added to it, so that callers that were refused together don't
 	// return together.
 	maxJitter = 0.25
+	// retryTimeFraction is the largest part of the time it has left that a caller waits until its retry.
+	retryTimeFraction = 1.0 / 3
 	// minWait keeps callers from retrying before anything can have changed.
 	minWait = 5 * time.Millisecond
 )
@@ -101,6 +103,8 @@
 	Body laceunit.Bytes
 	// Key identifies a request across its retries.
 	Key uint64
+	// Remaining is the time until the deadline of the request; zero means that it is not known.
+	Remaining time.Duration
 	// Jitter is a random number in [0, 1) that spreads the retry time.
 	Jitter float64
 }
@@ -169,6 +173,7 @@
 	v.Wait = l.waitTime(now, v.class, added, index >= 0)
 	l.reservations.claim(now, index)
 	if v.Wait > 0 && !covered {
+		v.Wait = l.spreadWait(now, r, v.Wait)
 		l.reservations.add(reservation{
 			dueAt:    now.Add(v.Wait),
 			key:      r.Key,
@@ -176,7 +181,9 @@
 			cost:     added,
 			repeated: index >= 0,
 		})
-		v.Wait += time.Duration(r.Jitter * maxJitter * float64(v.Wait)).Truncate(time.Millisecond)
+		if !l.Saturated(now) {
+			v.Wait += time.Duration(r.Jitter * maxJitter * float64(v.Wait)).Truncate(time.Millisecond)
+		}
 		return v
 	}
 	l.guarantees.charge(k, v.cost[l.tightest()], guaranteed, v.Wait > 0)
@@ -186,6 +193,17 @@
 	return v
 }
 
+// spreadWait returns when the caller of a refused request should retry, given the time until the buckets have capacity.
+// While the link is saturated, that time is short for all requests that are refused together, and most of them would be
+// refused again. They are spread over the time in which their callers retry at all.
+func (l *Link) spreadWait(now time.Time, r LinkRequest, wait time.Duration) time.Duration {
+	latest := time.Duration(retryTimeFraction * float64(r.Remaining))
+	if !l.Saturated(now) || latest <= wait {
+		return wait
+	}
+	return wait + time.Duration(r.Jitter*float64(latest-wait)).Truncate(time.Millisecond)
+}
+
 // addedBytes returns what the admission of a request adds to what passes the link. What has arrived of it when it is
 // refused passes the link in vain, and again when its caller retries.
 func addedBytes(t Transfer) volume {
--- a/lib/lacelimit/saturation_test.go
+++ b/lib/lacelimit/saturation_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand"
+	"reflect"
 	"slices"
 	"testing"
 	"time"
@@ -57,6 +58,13 @@
 // transfer returns the transfer of a completed request.
 func (k callKind) transfer() Transfer { return whole(k.body, laceunit.Bytes(k.events)*k.eventBytes) }
 
+// saturatingAdmitter is an admitter that counts refused requests and measures the link.
+type saturatingAdmitter interface {
+	admitter
+	Refused(now time.Time, body laceunit.Bytes)
+	Observe(now time.Time, t LinkTraffic)
+}
+
 // saturatingLoad plays arrivals at a multiple of what a link carries. The link transmits one message after the other in
 // each direction; what callers send before they can learn of a refusal passes it whether the request is admitted or not.
 type saturatingLoad struct {
@@ -65,11 +73,7 @@
 	factor   float64
 	duration time.Duration
 
-	admitter interface {
-		admitter
-		Refused(now time.Time, body laceunit.Bytes)
-		Observe(now time.Time, t LinkTraffic)
-	}
+	admitter  saturatingAdmitter
 	random    *rand.Rand
 	startedAt time.Time
 	events    events
@@ -179,7 +183,7 @@
 	}
 	factor := s.factor
 	if now.Sub(s.startedAt) < rampTime {
-		factor = initialFactor
+		factor = min(factor, initialFactor)
 	}
 	gap := s.random.ExpFloat64() * mean / sum / (factor * s.rate)
 	s.at(now.Add(time.Duration(gap*float64(time.Second))), s.arrive)
@@ -200,6 +204,7 @@
 func (s *saturatingLoad) send(now, deadline time.Time, i int, r LinkRequest, isRetry bool) {
 	first := laceunit.Bytes(arrived(r.Body)) - headerBytes/2
 	s.transmit(now, directionIn, first+headerBytes/2, func(arrived time.Time) {
+		r.Remaining = deadline.Sub(arrived)
 		v := s.admitter.Admit(arrived, r)
 		if v.Admitted {
 			s.transmit(arrived, directionIn, r.Body-first, func(now time.Time) { s.forward(now, deadline, i, r, v) })
@@ -334,3 +339,53 @@
 		r.refused/r.carried, percentile(r.refusals, 0.95), percentile(r.controlDelays, 0.95),
 		percentile(r.waits, 0.5), percentile(r.waits, 0.95))
 }
+
+// Guards against decisions on idle and wide links that differ from those of the earlier admission.
+func TestLinkWithRoomDecidesAsBefore(t *testing.T) {
+	for _, c := range []struct{ rate, use float64 }{{1_250_000, 0.05}, {25_000_000, 0.2}, {125_000_000, 0.04}} {
+		play := func(a saturatingAdmitter) saturation {
+			l := &saturatingLoad{
+				kinds:    censusKinds(),
+				rate:     c.rate,
+				factor:   c.use,
+				duration: 10 * time.Second,
+				admitter: a,
+			}
+			return l.play(1)
+		}
+		now, before := play(&Link{Rate: c.rate}), play(&admittedOnly{rate: c.rate})
+		if len(now.waits) > 0 || !reflect.DeepEqual(now, before) {
+			t.Errorf("rate %.0f: %s; before: %s", c.rate, now, before)
+		}
+	}
+}
+
+// Guards against callers that were refused together and return together while the link is saturated, and against a
+// spread on a link with room.
+func TestRefusedCallersAreSpread(t *testing.T) {
+	for _, saturated := range []bool{true, false} {
+		l, now := &Link{Rate: 1_250_000}, time.Unix(1000, 0)
+		if saturated {
+			l.utilization.saturatedUntil = now.Add(time.Second)
+		}
+		latest, spread := 5*time.Second, 0
+		for i := range 400 {
+			v := l.Admit(now, LinkRequest{
+				Rank:      2,
+				Body:      830,
+				Key:       uint64(i),
+				Remaining: 3 * latest,
+				Jitter:    0.9,
+			})
+			if v.Wait > latest*4/5 && v.Wait <= latest {
+				spread++
+			}
+			if !v.Admitted {
+				break
+			}
+		}
+		if (spread > 0) != saturated {
+			t.Errorf("saturated %t: %d refused callers return late", saturated, spread)
+		}
+	}
+}
--- a/lib/lacerelay/link.go
+++ b/lib/lacerelay/link.go
@@ -50,6 +50,8 @@
 		Body:    laceunit.Bytes(q.ContentLength),
 		Key:     retryKey(j, q.ContentLength),
 		Jitter:  rand.Float64(),
+
+		Remaining: j.deadline.Sub(j.arrived),
 	}
 	j.link.verdict = r.options.Link.Admit(j.arrived, j.link.request)
 	v := j.link.verdict
