--- a/lib/lacerelay/silence.go
+++ b/lib/lacerelay/silence.go
@@ -23,8 +23,8 @@
 	excusedRepeat    = "repeat"
 )
 
-// minExcusedTimeouts is how many time-outs of a silent server are excused however long it is silent. At an instance that
-// sends a server one request a second, two handshakes in a row are lost on a saturated link now and then.
+// minExcusedTimeouts is the number of time-outs from which a silent server is blamed, however long it is silent: a server
+// that gets few requests may be silent for long with two delayed ones.
 const minExcusedTimeouts = 3
 
 // maxExcusedGap is the time without a time-out after which the next one of a server begins a new silence: the server got
