lacerelay: handshakes on a saturated link don't count as slow responses

The timer for slow responses ran during a handshake too, so that handshakes of 1.5 s counted as silence of the server and could be ended after 300 ms. Before a request is sent, the timer waits while the link is saturated.

--- a/lib/laceconn/dial.go
+++ b/lib/laceconn/dial.go
@@ -45,6 +45,9 @@
 	armed := make(chan struct{})
 	timer = time.AfterFunc(timeout(0), func() {
 		<-armed
+		if dialCtx.Err() != nil {
+			return
+		}
 		elapsed := time.Since(started)
 		if rest := timeout(elapsed) - elapsed; rest > 0 {
 			timer.Reset(rest)
--- a/lib/lacerelay/attempt.go
+++ b/lib/lacerelay/attempt.go
@@ -251,6 +251,7 @@
 		return a
 	}
 	j.history.sent++
+	timer.begin()
 	x, err := conn.Send(ctx, r.options.Codec.EncodeRequest(j.call, j.body, AttemptParams{
 		Server:      d.Server,
 		Account:     j.account,
--- a/lib/lacerelay/silence.go
+++ b/lib/lacerelay/silence.go
@@ -12,6 +12,8 @@
 	// the link is saturated. A queue on the link delays answers of all servers for less than that, since callers with a
 	// time limit of 1.5 s are gone by then; only a server that has failed is silent for longer.
 	maxExcusedSilence = 2 * time.Second
+	// maxExcusedHandshakes is the same for handshakes, in which two of 1.5 s may be delayed one after the other.
+	maxExcusedHandshakes = 4 * time.Second
 	// maxSilentServers bounds the number of tracked silences; time-outs of further ones count against them.
 	maxSilentServers = 4096
 )
@@ -29,7 +31,7 @@
 
 // maxExcusedGap is the time without a time-out after which the next one of a server begins a new silence: the server got
 // no request in the meantime that it could have answered.
-const maxExcusedGap = 2 * maxExcusedSilence
+const maxExcusedGap = 4 * time.Second
 
 // silence tracks since when servers have answered nothing while the instance's link was saturated. Handshakes and
 // responses count separately, since a server that has failed may still answer handshakes. The zero value is ready to
@@ -67,7 +69,11 @@
 	p.last = now
 	p.timeouts++
 	s.servers[x] = p
-	return now.Sub(p.since) < maxExcusedSilence || p.timeouts < minExcusedTimeouts
+	limit := maxExcusedSilence
+	if x.handshake {
+		limit = maxExcusedHandshakes
+	}
+	return now.Sub(p.since) < limit || p.timeouts < minExcusedTimeouts
 }
 
 // end records that a server has responded.
@@ -100,9 +106,14 @@
 		server:    server,
 		handshake: cause == excusedHandshake,
 	}
-	if r.options.Link == nil || !r.options.Link.Saturated(now) || !r.silence.excuses(now, x, heard) {
+	if !r.linkSaturated(now) || !r.silence.excuses(now, x, heard) {
 		return false
 	}
 	r.options.Metrics.countExcused(j, cause)
 	return true
 }
+
+// linkSaturated reports whether the instance's own link is known to delay packets.
+func (r *Relay) linkSaturated(now time.Time) bool {
+	return r.options.Link != nil && r.options.Link.Saturated(now)
+}
--- a/lib/lacerelay/silence_test.go
+++ b/lib/lacerelay/silence_test.go
@@ -114,6 +114,19 @@
 	if !s.excuses(start.Add(3*time.Second), x, start.Add(2*time.Second)) {
 		t.Error("a server that has answered is blamed for its earlier silence")
 	}
+	x.handshake = true
+	for at := time.Second; at < maxExcusedHandshakes; at += time.Second {
+		if !s.excuses(start.Add(at), x, start) {
+			t.Errorf("a delayed handshake is blamed on the server after %s", at)
+		}
+	}
+	if s.excuses(start.Add(maxExcusedHandshakes), x, start) {
+		t.Error("a server that has long answered no handshake is excused")
+	}
+	s.endHandshake("s1")
+	if !s.excuses(start.Add(maxExcusedHandshakes), x, start.Add(time.Second)) {
+		t.Error("a server that has answered a handshake is blamed for earlier ones")
+	}
 	if !s.excuses(start.Add(time.Minute), x, start.Add(58*time.Second)) {
 		t.Error("a server that got no request for long is blamed at its first time-out since")
 	}
--- a/lib/lacerelay/stall.go
+++ b/lib/lacerelay/stall.go
@@ -41,6 +41,8 @@
 	idleTimeout time.Duration
 	// progressAt is when the last part of the response arrived, or when the attempt began, in nanoseconds.
 	progressAt atomic.Int64
+	// sent is true once there is a connection to send the request on.
+	sent atomic.Bool
 }
 
 // responseTimeout returns how long an attempt may take until the first event of a stream or the end of another
@@ -68,7 +70,9 @@
 	s.recordProgress()
 	timeout := responseTimeout(j.route, time.Until(j.deadline))
 	s.timer = time.AfterFunc(time.Until(j.deadline), func() {
-		if attemptCtx.Err() == nil && r.excused(j, server, s.lastProgress(), excusedRepeat) {
+		// Before the request is sent, the handshake has a timeout of its own on a saturated link.
+		delayed := !s.sent.Load() && r.linkSaturated(time.Now())
+		if attemptCtx.Err() == nil && (delayed || r.excused(j, server, s.lastProgress(), excusedRepeat)) {
 			s.timer.Reset(timeout)
 			return
 		}
@@ -94,6 +98,12 @@
 	}
 }
 
+// begin records that the request is about to be sent.
+func (s *stallTimer) begin() {
+	s.recordProgress()
+	s.sent.Store(true)
+}
+
 func (s *stallTimer) recordProgress() { s.progressAt.Store(time.Now().UnixNano()) }
 
 func (s *stallTimer) lastProgress() time.Time { return time.Unix(0, s.progressAt.Load()) }
