--- a/lib/lacerelay/attempt.go
+++ b/lib/lacerelay/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"slices"
 	"strings"
 	"time"
 
@@ -220,34 +219,8 @@
 // send sends the request to the picked server and reads the response, or only its header if it is a stream.
 func (r *Relay) send(ctx context.Context, j *job, d lacebalancer.Decision, timer *stallTimer) attempt {
 	a := attempt{server: d.Server}
-	started := time.Now()
-	remaining := time.Until(j.deadline)
-	pool, ok := r.options.Backends.Pool(d.Server)
-	if !ok || remaining < minRemainingTime {
-		a.outcome, a.reason, a.neutral = attemptNotSent, "server has gone or time is over", true
-		return a
-	}
-	acquire := pool.Get
-	if slices.Contains(j.refusedBy, d.Server) {
-		// On a connection with an earlier refusal of this request, a copy of that would pass as the answer.
-		acquire = pool.Open
-	}
-	conn, err := acquire(ctx)
-	if err != nil {
-		a.outcome, a.reason = attemptNotSent, err.Error()
-		a.neutral = r.connectionErrorIsNeutral(ctx, j, d.Server, err, started)
-		a.delayed = a.neutral && ctx.Err() == nil && errors.Is(err, laceconn.ErrHandshakeTimeout)
-		r.placementRevoked(j, d, &a)
-		return a
-	}
-	r.silence.endHandshake(d.Server)
-	if r.placementRevoked(j, d, &a) {
-		conn.Release()
-		return a
-	}
-	if a.refusal = r.quarantineFault(j); a.refusal != nil {
-		conn.Release()
-		a.outcome, a.reason, a.neutral = attemptNotSent, a.refusal.Message, true
+	conn := r.connect(ctx, j, d, &a)
+	if conn == nil {
 		return a
 	}
 	j.history.sent++
@@ -281,14 +254,6 @@
 	return a
 }
 
-// connectionErrorIsNeutral reports whether the server did not cause that no connection to it was available.
-func (r *Relay) connectionErrorIsNeutral(
-	ctx context.Context, j *job, server laceunit.ServerID, err error, started time.Time,
-) bool {
-	return ctx.Err() != nil || errors.Is(err, laceconn.ErrPoolExhausted) || errors.Is(err, laceconn.ErrClosed) ||
-		errors.Is(err, laceconn.ErrHandshakeTimeout) && r.excused(j, server, started, excusedHandshake)
-}
-
 func (r *Relay) handleSendError(ctx context.Context, j *job, a *attempt, err error) {
 	a.reason = err.Error()
 	if errors.Is(err, laceconn.ErrNotSent) {
@@ -344,13 +309,7 @@
 	result := lacebalancer.Success
 	switch a.outcome {
 	case attemptNotSent:
-		switch {
-		case a.revoked:
-		case a.delayed && j.history.delayed < maxDelayed:
-			j.history.delayed++
-		default:
-			j.history.notSent++
-		}
+		j.history.countNotSent(a)
 		result = lacebalancer.Unreachable
 		if a.neutral {
 			result = lacebalancer.Neutral
