lacelimit, lacerelay: tests detect a spread without saturation and a silence without end

Two deliberately wrong versions passed: retry times spread on a link with room, and a silence that goes on after a pause without time-outs.

--- a/lib/lacelimit/saturation_test.go
+++ b/lib/lacelimit/saturation_test.go
@@ -377,9 +377,12 @@
 				Remaining: 3 * latest,
 				Jitter:    0.9,
 			})
-			if v.Wait > latest*4/5 && v.Wait <= latest {
+			if v.Wait > latest*4/5 {
 				spread++
 			}
+			if v.Wait > latest {
+				t.Errorf("saturated %t: a caller that waits %s at most gets %s", saturated, latest, v.Wait)
+			}
 			if !v.Admitted {
 				break
 			}
--- a/lib/lacerelay/silence_test.go
+++ b/lib/lacerelay/silence_test.go
@@ -127,6 +127,9 @@
 	if !s.excuses(start.Add(maxExcusedHandshakes), x, start.Add(time.Second)) {
 		t.Error("a server that has answered a handshake is blamed for earlier ones")
 	}
+	for range minExcusedTimeouts {
+		s.excuses(start.Add(maxExcusedHandshakes), x, start.Add(time.Second))
+	}
 	if !s.excuses(start.Add(time.Minute), x, start.Add(58*time.Second)) {
 		t.Error("a server that got no request for long is blamed at its first time-out since")
 	}
