lacequota: an update without a store call does not delay the next one

Configuring an instance triggers an update that finds no account due. Urgent updates keep 200 ms from the one before, so that the first request after a start waited up to 200 ms of the 240 ms it may wait, and was refused with budget_unavailable on a busy machine. Only updates that call the store count now; calls stay 200 ms apart.

--- a/lib/lacequota/service.go
+++ b/lib/lacequota/service.go
@@ -211,8 +211,13 @@
 		case <-timer.C:
 		}
 		interval := min(max(minInterval, intervalPerInstance*time.Duration(s.options.Members.Size())), maxInterval)
-		last = time.Now()
-		if err := s.updateAll(ctx, interval/2); err != nil && ctx.Err() == nil {
+		started := time.Now()
+		called, err := s.updateAll(ctx, interval/2)
+		if called {
+			// An update that found nothing to write does not delay the first request after it.
+			last = started
+		}
+		if err != nil && ctx.Err() == nil {
 			s.markFailed()
 			s.options.Log.Error(err, "budget update failed", lacelog.P(lacelog.Age, s.sinceLastUpdate().Milliseconds()))
 			s.options.Metrics.countFailure()
@@ -243,7 +248,8 @@
 // Release returns what is neither spent nor reserved and waits until it is written, at the end of a planned stop.
 func (s *Service) Release(ctx context.Context) error {
 	s.setHeadroom(HeadroomNone)
-	return s.updateAll(ctx, 0)
+	_, err := s.updateAll(ctx, 0)
+	return err
 }
 
 // markFailed records that the store failed and makes waiting requests try a loan.
@@ -281,19 +287,20 @@
 }
 
 // updateAll updates the accounts that are due until a call fails. Urgent accounts are updated first and separately,
-// since an update of many budgets is more likely to conflict with writes of other instances.
-func (s *Service) updateAll(ctx context.Context, minAge time.Duration) error {
+// since an update of many budgets is more likely to conflict with writes of other instances. It reports whether any
+// account was due, so that the store was called.
+func (s *Service) updateAll(ctx context.Context, minAge time.Duration) (called bool, err error) {
 	s.mu.Lock()
 	urgent, others := s.wallet.Due(time.Now(), s.options.Clock(), minAge, s.headroomPolicy())
 	s.mu.Unlock()
 	for _, accounts := range [][]laceunit.AccountID{urgent, others} {
 		for batch := range slices.Chunk(accounts, maxAccountsPerCall) {
 			if err := s.update(ctx, batch); err != nil {
-				return err
+				return true, err
 			}
 		}
 	}
-	return nil
+	return len(urgent)+len(others) > 0, nil
 }
 
 // update writes the budgets of some accounts with this instance's new caps by compare-and-swap. It starts from the
