--- a/lib/laceconn/traffic.go
+++ b/lib/laceconn/traffic.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync/atomic"
 	"syscall"
+	"time"
 )
 
 // Traffic counts the bytes that are read from and written to connections. A nil Traffic counts nothing.
@@ -56,6 +58,15 @@
 	return n, err
 }
 
+// CloseWrite closes the sending side, so that the peer reads what was sent before a reset can discard it.
+func (c *countedConn) CloseWrite() error {
+	w, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return w.CloseWrite()
+}
+
 // SyscallConn implements syscall.Conn, which Conn.isReusable needs to check idle connections without reading from them.
 func (c *countedConn) SyscallConn() (syscall.RawConn, error) {
 	s, ok := c.Conn.(syscall.Conn)
@@ -81,7 +92,7 @@
 
 // DialControl opens a connection to the store or another instance and counts its bytes.
 func (t *Traffic) DialControl(ctx context.Context, network, address string) (net.Conn, error) {
-	c, err := dial(ctx, network, address, controlDialTimeout)
+	c, err := dial(ctx, network, address, func(time.Duration) time.Duration { return controlDialTimeout })
 	if err != nil {
 		return nil, err
 	}
--- a/lib/lacenode/listen.go
+++ b/lib/lacenode/listen.go
@@ -125,7 +125,7 @@
 		if x.address == "" {
 			continue
 		}
-		l, err := n.listen(ctx, x.address, x.handler, x.guard, nil)
+		l, err := n.listen(ctx, x.address, x.handler, x.guard, &n.monitor.controlTraffic)
 		if err != nil {
 			if closeErr := all.Close(); closeErr != nil {
 				n.log.Error(closeErr, "failed to close the listeners")
--- a/lib/lacerelay/address.go
+++ b/lib/lacerelay/address.go
@@ -41,5 +41,6 @@
 func (b *Backends) newPool(x Backend) *laceconn.Pool {
 	pool := laceconn.NewPool(x.Address, b.maxConns(x.Service))
 	pool.CountTraffic(b.traffic)
+	pool.ExtendHandshakes(b.delayed)
 	return pool
 }
--- a/lib/lacerelay/attempt.go
+++ b/lib/lacerelay/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"strings"
 	"time"
 
@@ -53,6 +52,8 @@
 	settled      bool
 	// neutral is true when nothing was sent for a reason that the server did not cause.
 	neutral bool
+	// delayed is true when nothing was sent because the instance's own link delayed the handshake.
+	delayed bool
 	// revoked is true when nothing was sent because the server became unavailable (leaving, paused or rate limited)
 	// after it was picked.
 	revoked bool
@@ -103,10 +104,10 @@
 // runAttempt sends the request to the picked server, and forwards the events if the response is a stream. It calls
 // begun when the first event has arrived.
 func (r *Relay) runAttempt(ctx context.Context, j *job, d lacebalancer.Decision, begun func()) attempt {
-	attemptCtx, timer, cancel := r.withStallTimer(ctx, j)
-	defer cancel()
 	started := time.Now()
-	a := r.send(attemptCtx, j, d)
+	attemptCtx, timer, cancel := r.withStallTimer(ctx, j, d.Server)
+	defer cancel()
+	a := r.send(attemptCtx, j, d, timer)
 	if a.exchange != nil {
 		r.forwardStream(attemptCtx, j, &a, timer, func() {
 			r.options.Picker.Progress(d.Ticket, 1)
@@ -234,38 +235,14 @@
 }
 
 // send sends the request to the picked server and reads the response, or only its header if it is a stream.
-func (r *Relay) send(ctx context.Context, j *job, d lacebalancer.Decision) attempt {
+func (r *Relay) send(ctx context.Context, j *job, d lacebalancer.Decision, timer *stallTimer) attempt {
 	a := attempt{server: d.Server}
-	remaining := time.Until(j.deadline)
-	server, ok := r.options.Backends.find(d.Server)
-	if !ok || remaining < minRemainingTime {
-		a.outcome, a.reason, a.neutral = attemptNotSent, "server has gone or time is over", true
-		return a
-	}
-	a.backend = server
-	acquire := server.pool.Get
-	if slices.Contains(j.refusedBy, d.Server) {
-		// On a connection with an earlier refusal of this request, a copy of that would pass as the answer.
-		acquire = server.pool.Open
-	}
-	conn, err := acquire(ctx)
-	if err != nil {
-		a.outcome, a.reason = attemptNotSent, err.Error()
-		a.neutral = ctx.Err() != nil || errors.Is(err, laceconn.ErrPoolExhausted) || errors.Is(err, laceconn.ErrClosed)
-		r.placementRevoked(j, d, &a)
-		return a
-	}
-	if r.placementRevoked(j, d, &a) {
-		// The connection is not kept for later, since servers close connections that have not carried a request.
-		conn.Discard()
-		return a
-	}
-	if a.refusal = r.quarantineFault(j); a.refusal != nil {
-		conn.Discard()
-		a.outcome, a.reason, a.neutral = attemptNotSent, a.refusal.Message, true
+	conn := r.connect(ctx, j, d, &a)
+	if conn == nil {
 		return a
 	}
 	j.history.sent++
+	timer.begin()
 	x, err := conn.Send(ctx, r.options.Codec.EncodeRequest(j.call, j.body, AttemptParams{
 		Server:      d.Server,
 		Account:     j.account,
@@ -277,6 +254,7 @@
 		r.handleSendError(ctx, j, &a, err)
 		return a
 	}
+	r.silence.end(d.Server)
 	a.reply = r.options.Codec.DecodeReply(x.Response)
 	if a.reply.Attempt != j.call.Attempt && (a.reply.Attempt != "" || !x.Fresh) {
 		x.Abort()
@@ -290,7 +268,7 @@
 		a.exchange = x
 		return a
 	}
-	r.readResponse(ctx, j, &a, x)
+	r.readResponse(ctx, j, &a, x, timer)
 	return a
 }
 
@@ -321,8 +299,11 @@
 }
 
 // readResponse buffers a response, which is forwarded only if it is complete.
-func (r *Relay) readResponse(ctx context.Context, j *job, a *attempt, x *laceconn.Exchange) {
-	body, err := j.holding.ReadAll(x.Response.Body, x.Response.ContentLength, maxResponseBytes, lacelistener.Answer)
+func (r *Relay) readResponse(
+	ctx context.Context, j *job, a *attempt, x *laceconn.Exchange, timer *stallTimer,
+) {
+	body, err := j.holding.ReadAll(
+		timer.observe(x.Response.Body), x.Response.ContentLength, maxResponseBytes, lacelistener.Answer)
 	j.link.addReceived(len(body))
 	x.Finish(err == nil, a.reply.KeepAlive)
 	switch {
@@ -347,9 +328,7 @@
 	result := lacebalancer.Success
 	switch a.outcome {
 	case attemptNotSent:
-		if !a.revoked {
-			j.history.notSent++
-		}
+		j.history.countNotSent(a)
 		result = lacebalancer.Unreachable
 		if a.neutral {
 			result = lacebalancer.Neutral
@@ -361,7 +340,7 @@
 		result = lacebalancer.Failure
 	case attemptTimedOut:
 		result = lacebalancer.Neutral
-		if a.status == 0 {
+		if a.status == 0 && !r.excused(j, d.Server, started, excusedAnswer) {
 			// The server sent no response header before the deadline.
 			result = lacebalancer.Failure
 		}
