lacequota: a successor in the same merge relies on the newest ceiling

Cause: Merge lowered the cap and set the instant of an accepted proposal, but kept the stored ceiling. The closed allocation was also stored again. Change: the ceiling is set with the instant; the proposal of a closed predecessor is superseded.

--- a/lib/lacequota/proposal.go
+++ b/lib/lacequota/proposal.go
@@ -204,7 +204,8 @@
 		m.Outcomes[i] = OutcomeApplied
 	default:
 		m.closePredecessors(p.Sender)
-		own.Cap, own.SentAt = p.Floor, p.SentAt
+		// A successor in the same merge relies on the ceiling together with the instant.
+		own.Cap, own.Ceiling, own.SentAt = p.Floor, p.Ceiling, p.SentAt
 		m.Budget.Allocations[p.Sender.Holder] = own
 		m.Outcomes[i], m.granted[i] = OutcomeApplied, p.Floor
 	}
@@ -227,6 +228,11 @@
 			continue
 		}
 		m.close(h, x, x.maxSpentBefore(s.StartedAt))
+		for i, p := range m.proposals {
+			if p.Sender.Holder == h && m.Outcomes[i] == OutcomeApplied {
+				m.Outcomes[i] = OutcomeSuperseded
+			}
+		}
 	}
 }
 
--- a/lib/lacequota/proposal_test.go
+++ b/lib/lacequota/proposal_test.go
@@ -105,3 +105,24 @@
 		t.Errorf("limit %d after the answer, %d before", after, before)
 	}
 }
+
+// Guards against closing a process at an old ceiling with the instant of its last proposal, when that is merged together
+// with the first proposal of its successor: the old ceiling had ended and more was spent.
+func TestPredecessorInSameMergeIsClosedAtItsCeiling(t *testing.T) {
+	at := func(s int) Instant { return Instant{BootID: "a", SinceBoot: time.Duration(s) * time.Second} }
+	old, next := laceunit.Holder{Instance: "router", Incarnation: 1}, laceunit.Holder{Instance: "router", Incarnation: 2}
+	stored := Budget{Paid: 10_000, Allocations: map[laceunit.Holder]Allocation{
+		old: {Cap: 5_000, Ceiling: 1_000, SentAt: at(100)},
+	}}
+	m := Merge(stored, []Proposal{
+		{Sender: Sender{Holder: old, StartedAt: at(1)}, Least: 4_000, Floor: 5_000, Want: 5_000, Used: 4_000,
+			Ceiling: 4_500, SentAt: at(110)},
+		{Sender: Sender{Holder: next, StartedAt: at(112)}, Want: 500, SentAt: at(113), Fresh: true},
+	}, func(laceunit.Holder, Allocation) (laceunit.Tokens, bool) { return 0, false }, false)
+	if n := m.Budget.ClosedCap; n != 4_500 {
+		t.Errorf("closed at %d, want the ceiling 4500", n)
+	}
+	if _, found := m.Budget.Allocations[old]; found {
+		t.Error("the closed allocation was stored again")
+	}
+}
