--- a/lib/lacequota/proposal.go
+++ b/lib/lacequota/proposal.go
@@ -204,7 +204,8 @@
 		m.Outcomes[i] = OutcomeApplied
 	default:
 		m.closePredecessors(p.Sender)
-		own.Cap, own.SentAt = p.Floor, p.SentAt
+		// A successor in the same merge relies on the ceiling together with the instant.
+		own.Cap, own.Ceiling, own.SentAt = p.Floor, p.Ceiling, p.SentAt
 		m.Budget.Allocations[p.Sender.Holder] = own
 		m.Outcomes[i], m.granted[i] = OutcomeApplied, p.Floor
 	}
@@ -227,6 +228,11 @@
 			continue
 		}
 		m.close(h, x, x.maxSpentBefore(s.StartedAt))
+		for i, p := range m.proposals {
+			if p.Sender.Holder == h && m.Outcomes[i] == OutcomeApplied {
+				m.Outcomes[i] = OutcomeSuperseded
+			}
+		}
 	}
 }
 
@@ -319,6 +325,15 @@
 	}
 	m.Budget.Allocations[h] = a
 	limited := p.Need > 0 && old.Ceiling < p.Least+p.Need && a.Ceiling > old.Ceiling
+	if p.Need > 0 && p.Least+p.Need <= p.Floor && !limited {
+		// The sender's cap covers the requests, but an earlier ceiling or a lower total limits it. A write that shows that
+		// the caps do not exceed the total ends that; otherwise other holders have to return tokens first.
+		limited = m.Budget.Committed() <= m.Budget.Paid
+		if !limited {
+			m.Outcomes[i] = OutcomeUnavailable
+			m.Lacking += p.Need
+		}
+	}
 	m.Material = m.Material || limited || a.Used != old.Used ||
 		isMaterial(a.Cap-old.Cap, max(a.Cap, old.Cap)-p.Least)
 }
