--- a/lib/lacequota/proposal_test.go
+++ b/lib/lacequota/proposal_test.go
@@ -115,8 +115,10 @@
 		old: {Cap: 5_000, Ceiling: 1_000, SentAt: at(100)},
 	}}
 	m := Merge(stored, []Proposal{
-		{Sender: Sender{Holder: old, StartedAt: at(1)}, Least: 4_000, Floor: 5_000, Want: 5_000, Used: 4_000,
-			Ceiling: 4_500, SentAt: at(110)},
+		{
+			Sender: Sender{Holder: old, StartedAt: at(1)}, Least: 4_000, Floor: 5_000, Want: 5_000, Used: 4_000,
+			Ceiling: 4_500, SentAt: at(110),
+		},
 		{Sender: Sender{Holder: next, StartedAt: at(112)}, Want: 500, SentAt: at(113), Fresh: true},
 	}, func(laceunit.Holder, Allocation) (laceunit.Tokens, bool) { return 0, false }, false)
 	if n := m.Budget.ClosedCap; n != 4_500 {
