--- a/lib/lacequota/writer.go
+++ b/lib/lacequota/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -15,6 +16,11 @@
 var ErrWriter = errors.New("quota: proposals were not answered")
 
 const (
+	// maxGroups bounds the groups with waiting proposals: 21,000 accounts make 1,313.
+	maxGroups = 4096
+	// cacheIdleTimeout is how long the copy of an account's budget is kept after the last call that returned or wrote it.
+	// A copy that old is probably outdated, so that the next write would conflict with or without it.
+	cacheIdleTimeout = time.Minute
 	// maxPending bounds the proposals that wait for the writes of a group: 16 accounts with 340 instances are 5,440.
 	maxPending = 8192
 	// maxProposalAge is the age from which a proposal is not written. Its sender has written directly by then; a writer
@@ -50,6 +56,7 @@
 	writtenAt map[GroupID]time.Time
 	// shortages are until when requests at some instance lack tokens of an account.
 	shortages map[laceunit.AccountID]time.Time
+	evictedAt time.Time
 }
 
 // verifiedBudget is a stored budget with the time of the call that returned or wrote it.
@@ -132,10 +139,12 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	g, running := w.groups[group]
-	if w.ctx == nil || w.ctx.Err() != nil || running && len(g.pending)+len(proposals) > maxPending {
+	if w.ctx == nil || w.ctx.Err() != nil || running && len(g.pending)+len(proposals) > maxPending ||
+		!running && len(w.groups) >= maxGroups {
 		return nil, ErrWriter
 	}
 	now := time.Now()
+	w.evictIdle(now)
 	// Within is counted from the last write, so that a proposal after a pause is not delayed without need.
 	due := now.Add(urgentDelay)
 	if t := w.writtenAt[group].Add(max(within, minWriteInterval)); due.Before(t) {
@@ -171,6 +180,20 @@
 	return channels, nil
 }
 
+// evictIdle drops what is known of accounts and groups without proposals, at most once per cacheIdleTimeout; the lock
+// must be held.
+func (w *Writer) evictIdle(now time.Time) {
+	if now.Sub(w.evictedAt) < cacheIdleTimeout {
+		return
+	}
+	w.evictedAt = now
+	maps.DeleteFunc(w.cache, func(_ laceunit.AccountID, b verifiedBudget) bool {
+		return now.Sub(b.verifiedAt) >= cacheIdleTimeout
+	})
+	maps.DeleteFunc(w.writtenAt, func(_ GroupID, at time.Time) bool { return now.Sub(at) >= cacheIdleTimeout })
+	maps.DeleteFunc(w.shortages, func(_ laceunit.AccountID, until time.Time) bool { return now.After(until) })
+}
+
 // run writes the proposals of a group until there are none.
 func (w *Writer) run(ctx context.Context, id GroupID, g *batch) {
 	defer w.flushes.Done()
@@ -270,6 +293,8 @@
 // mergedAccount is the result for one account.
 type mergedAccount struct {
 	Merged
+	// cached is the copy of the stored budget that the proposals were merged into.
+	cached Budget
 	// written is true if the budget has to be written before the proposals are answered.
 	written bool
 }
@@ -279,6 +304,7 @@
 	m := Merge(c.budget, proposals, ended, holdIdle)
 	return mergedAccount{
 		Merged:  m,
+		cached:  c.budget,
 		written: m.Material || m.Lacking > 0 && now.Sub(c.verifiedAt) > verifiedAge,
 	}
 }
@@ -377,7 +403,9 @@
 	now := time.Now()
 	for _, a := range accounts {
 		m := merged[a]
+		b := m.cached
 		if m.written {
+			b = m.Budget
 			w.cache[a] = verifiedBudget{
 				cachedBudget: cachedBudget{
 					budget:   m.Budget,
@@ -386,7 +414,6 @@
 				verifiedAt: now,
 			}
 		}
-		b := w.cache[a].budget
 		for i, p := range pending[a] {
 			answer := m.answer(i, p.proposal.Sender.Holder, b, now.Before(w.shortages[a]), w.members.Live)
 			w.metrics.countProposal(answer.Outcome)
