review: one spoiled load report ends a service at an instance

Cause: lib/lacebalancer keeps the last report of each server in the mean load of the pool however old it is; above the limit nothing is sent, so that no newer report arrives.

--- a/review/stand-2/cases.go
+++ b/review/stand-2/cases.go
@@ -2,11 +2,8 @@
 
 import (
 	"fmt"
-	"io"
 	"net"
-	"os"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -84,7 +81,7 @@
 	}
 	var orders []*server
 	for i := range 4 {
-		x, err := newServer(s.store, fmt.Sprintf("i-order-%d", i), "wuno96b", 6, plain(200*time.Millisecond))
+		x, err := newServer(s.store, fmt.Sprintf("i-order-%d", i), "wuno96b", 6, plain(200*time.Millisecond, ""))
 		if err != nil {
 			s.record.printf("%v", err)
 			return failed
@@ -159,106 +156,138 @@
 	return held
 }
 
-// endlessBody: some model servers send bytes without end in place of their events.
-func endlessBody(s *stage) int {
-	return endless(s, func(s *server, c net.Conn, r *run) bool {
-		if _, err := io.WriteString(c, head(r, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")+"\r\n"); err != nil {
-			return false
-		}
-		for sent := 0; ; sent += 64 << 10 {
-			size := 64 << 10
-			if sent > 900<<10 {
-				size = 1 << 10
-			}
-			if writeChunk(c, strings.Repeat("x", size)) != nil {
-				return false
-			}
-			time.Sleep(100 * time.Millisecond)
-		}
-	})
+// tally counts the requests of one kind and those that were served.
+type tally struct {
+	mu           sync.Mutex
+	sent, served map[string]int
 }
 
-// endlessHead: some model servers send header lines without end.
-func endlessHead(s *stage) int {
-	return endless(s, func(s *server, c net.Conn, r *run) bool {
-		if _, err := io.WriteString(c, head(r, "")); err != nil {
-			return false
-		}
-		for line := 0; ; time.Sleep(100 * time.Millisecond) {
-			var b strings.Builder
-			for range 70 {
-				line++
-				fmt.Fprintf(&b, "%x:\r\n", line)
-			}
-			if _, err := io.WriteString(c, b.String()); err != nil {
-				return false
-			}
+func (t *tally) add(kind string, served bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sent[kind]++
+	if served {
+		t.served[kind]++
+	}
+}
+
+// share returns the part of a kind of request that was served; the empty kind stands for all.
+func (t *tally) share(kind string) float64 {
+	sent, served := 0, 0
+	for k, n := range t.sent {
+		if kind == "" || k == kind {
+			sent += n
+			served += t.served[k]
 		}
-	})
+	}
+	return float64(served) / float64(max(sent, 1))
 }
 
-func endless(s *stage, faulty behaviour) int {
-	for i := range 9 {
-		f := stream(64, 30*time.Millisecond, nil)
-		if s.trouble && i < 5 {
-			f = faulty
+// request sends a client's request: one attempt, and after a refusal one more at the other machine, as the pages say.
+func (s *stage) request(i int, c call) (outcome, bool) {
+	deadline := time.Now().Add(c.timeout)
+	k := &client{address: s.machines[i%len(s.machines)].front}
+	o := k.do(c)
+	k.close()
+	s.record.printf("%s %v", c.path, o)
+	if o.status != 503 {
+		return o, o.whole && o.status == 200
+	}
+	after, _ := strconv.ParseFloat(o.header.Get("Retry-After"), 64)
+	left := time.Until(deadline)
+	time.Sleep(min(time.Duration(after*float64(time.Second)), left/3))
+	c.timeout = time.Until(deadline)
+	k = &client{address: s.machines[(i+1)%len(s.machines)].front}
+	o = k.do(c)
+	k.close()
+	s.record.printf("%s again: %v", c.path, o)
+	return o, o.whole && o.status == 200
+}
+
+// load: two of four servers spoil a few of their answers for some seconds, twice: the figure of running requests in
+// Lacewingcove-Server-Load has digits too many.
+func load(s *stage) int {
+	var spoil atomic.Bool
+	var spoiled, running [4]atomic.Int64
+	for i := range 4 {
+		n := int64(0)
+		var mu sync.Mutex
+		x, err := newServer(s.store, fmt.Sprintf("i-order-%d", i), "wuno96b", 6, func(sv *server, c net.Conn, r *run) bool {
+			now := running[i].Add(1)
+			defer running[i].Add(-1)
+			time.Sleep(30 * time.Millisecond)
+			figures := fmt.Sprintf("%d,%d,6", min(now, 6), max(now-6, 0))
+			mu.Lock()
+			if s.trouble && i < 2 && spoil.Load() {
+				// One in twenty.
+				if n%20 == 0 {
+					figures = fmt.Sprintf("%d00000,0,6", min(now, 6))
+					spoiled[i].Add(1)
+					s.record.printf("%s i-order-%d spoils its answer to %s: Lacewingcove-Server-Load: %s", time.Now().Format("15:04:05.000"), i, r.id, figures)
+				}
+				n++
+			}
+			mu.Unlock()
+			return plain(0, "Lacewingcove-Server-Load: "+figures+"\r\n")(sv, c, r)
+		})
+		if err != nil || x == nil {
+			s.record.printf("%v", err)
+			return failed
 		}
-		if _, err := newServer(s.store, "i-model-"+strconv.Itoa(i), "huvo11a", 64, f); err != nil {
+	}
+	for i := range 9 {
+		if _, err := newServer(s.store, fmt.Sprintf("i-model-%d", i), "huvo11a", 64, stream(10, 20*time.Millisecond, nil)); err != nil {
 			s.record.printf("%v", err)
 			return failed
 		}
 	}
-	s.configure(1, []document{streamingRoute(false, 1)}, []document{modelService()}, 100_000_000)
-	if err := s.addMachines(1); err != nil {
+	lookup := plainRoute("safe", 2)
+	lookup["name"], lookup["path_prefix"] = "r-lohu930", "/lohu930/"
+	s.configure(1, []document{streamingRoute(false, 1), plainRoute("unsafe", 2), lookup}, []document{modelService(), plainService()}, 1_000_000_000)
+	if err := s.addMachines(2); err != nil {
 		s.record.printf("%v", err)
 		return failed
 	}
-	m := s.machines[0]
-	time.Sleep(3 * time.Second)
+	time.Sleep(4 * time.Second)
 	began := time.Now()
-	var workers sync.WaitGroup
-	peak := 0.0
-	killed := false
-	stop := make(chan struct{})
-	workers.Go(func() {
-		for {
-			select {
-			case <-stop:
-				return
-			case <-time.After(100 * time.Millisecond):
-			}
-			mb := m.residentMB()
-			peak = max(peak, mb)
-			if mb > memoryMB && !killed {
-				killed = true
-				s.record.printf("%s %s holds %.0f MB of %d: the platform kills it", time.Now().Format("15:04:05.000"), m.name, mb, memoryMB)
-				m.kill()
-			}
+	go func() {
+		for _, at := range []time.Duration{5 * time.Second, 16 * time.Second} {
+			time.Sleep(time.Until(began.Add(at)))
+			spoil.Store(true)
+			time.Sleep(6 * time.Second)
+			spoil.Store(false)
 		}
-	})
+	}()
+	t := &tally{sent: map[string]int{}, served: map[string]int{}}
+	late := &tally{sent: map[string]int{}, served: map[string]int{}}
 	var clients sync.WaitGroup
-	rate := 53
-	if t, err := strconv.Atoi(os.Getenv("RATE")); err == nil {
-		rate = t
-	}
-	for i := 0; time.Since(began) < 25*time.Second; i++ {
+	send := func(kind string, perSecond float64, c call) {
 		clients.Go(func() {
-			k := &client{address: m.front}
-			defer k.close()
-			c := generation("1000,384", fmt.Sprintf("%08x:1000", i+1))
-			// The kinds of request of the sheet with their time limits: 13.1, 21.1 and 19.4 a second.
-			c.timeout = [...]time.Duration{15, 12, 3, 12, 3, 15, 12, 3}[i%8] * time.Second
-			o := k.do(c)
-			s.record.printf("%v", o)
+			for i := 0; time.Since(began) < 80*time.Second; i++ {
+				clients.Go(func() {
+					sentAt := time.Since(began)
+					_, ok := s.request(i, c)
+					t.add(kind, ok)
+					if sentAt > 30*time.Second {
+						late.add(kind, ok)
+					}
+				})
+				time.Sleep(time.Duration(float64(time.Second) / perSecond))
+			}
 		})
-		time.Sleep(time.Second / time.Duration(rate))
 	}
+	send("restock-order", 13.4, call{method: "POST", path: "/puxa403/2f", body: `{"article":17}`, timeout: 1500 * time.Millisecond})
+	send("stock-check", 8, call{method: "GET", path: "/lohu930/2f", timeout: 1500 * time.Millisecond})
+	send("generation", 53.6, generation("300,60", "0000001f:300,91bd3f06:10"))
 	clients.Wait()
-	close(stop)
-	workers.Wait()
-	s.record.printf("peak memory by the process's own metrics: %.0f MB of %d", peak, memoryMB)
-	if killed || !m.running() {
-		return broken
+	all, verdict := t.share(""), held
+	for _, kind := range []string{"restock-order", "stock-check", "generation"} {
+		s.record.printf("%s: %d of %d served (%.3f; all kinds %.3f), from 8 s after the last spoiled answers on %d of %d", kind, t.served[kind],
+			t.sent[kind], t.share(kind), all, late.served[kind], late.sent[kind])
+		if t.share(kind) < all/4 {
+			verdict = broken
+		}
 	}
-	return held
+	s.record.printf("spoiled answers: %d", spoiled[0].Load()+spoiled[1].Load())
+	return verdict
 }
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -101,8 +101,7 @@
 	cases := map[string]func(*stage) int{
 		"usage": usage,
 		"limit": limit,
-		"body":  endlessBody,
-		"head":  endlessHead,
+		"load":  load,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand-2 CASE RECORD")
--- a/review/stand-2/router.go
+++ b/review/stand-2/router.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"bytes"
 	"fmt"
 	"net"
@@ -125,25 +124,6 @@
 	}
 }
 
-// residentMB returns the memory of the process by its own metrics, 0 if it doesn't answer.
-func (m *machine) residentMB() float64 {
-	client := http.Client{Timeout: time.Second}
-	r, err := client.Get("http://" + m.metrics + "/metrics")
-	if err != nil {
-		return 0
-	}
-	defer r.Body.Close()
-	lines := bufio.NewScanner(r.Body)
-	lines.Buffer(nil, 1<<20)
-	for lines.Scan() {
-		if text, ok := strings.CutPrefix(lines.Text(), "process_resident_memory_bytes "); ok {
-			n, _ := strconv.ParseFloat(text, 64)
-			return n / 1e6
-		}
-	}
-	return 0
-}
-
 // peakMB returns the largest memory of a process that has ended.
 func (m *machine) peakMB() float64 {
 	if u, ok := m.command.ProcessState.SysUsage().(*syscall.Rusage); ok {
--- a/review/stand-2/server.go
+++ b/review/stand-2/server.go
@@ -103,7 +103,7 @@
 			return
 		}
 		r := &run{
-			id: q.Header.Get("Lacewingcove-Attempt-Id"), at: time.Now(), path: q.URL.RequestURI(), header: q.Header, body: body,
+			id: q.Header.Get("Lacewingcove-Attempt-Id"), at: time.Now(), path: q.RequestURI, header: q.Header, body: body,
 		}
 		if e := q.Header.Get("Lacewingcove-Expect-Instance"); e != "" && e != s.id {
 			fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nLacewingcove-Attempt-Id: %s\r\nContent-Length: 0\r\n\r\n", r.id)
@@ -136,12 +136,12 @@
 		r.id, extra)
 }
 
-// plain answers with a body after some time of work.
-func plain(work time.Duration) behaviour {
+// plain answers with a body after some time of work; extra holds further header lines.
+func plain(work time.Duration, extra string) behaviour {
 	return func(s *server, c net.Conn, r *run) bool {
 		time.Sleep(work)
 		body := strings.Repeat("x", 800)
-		lines := fmt.Sprintf("Content-Type: text/plain\r\nContent-Length: %d\r\n", len(body))
+		lines := fmt.Sprintf("Content-Type: text/plain\r\nContent-Length: %d\r\n%s", len(body), extra)
 		_, err := io.WriteString(c, head(r, lines)+"\r\n"+body)
 		return err == nil
 	}
