--- a/review/stand-2/cases.go
+++ b/review/stand-2/cases.go
@@ -25,10 +25,15 @@
 	}
 	time.Sleep(3 * time.Second)
 	if s.trouble {
+		most := int64(1<<63 - 1)
+		if s.control {
+			// Larger than the balance, without an overflow.
+			most = 1_000_000
+		}
 		k := &client{address: s.machines[0].front}
-		o := k.do(generation(fmt.Sprintf("1000,%d", int64(1<<63-1)), "c0ffee01:1000"))
+		o := k.do(generation(fmt.Sprintf("1000,%d", most), "c0ffee01:1000"))
 		k.close()
-		s.record.printf("request with the largest number as its most output tokens: %v", o)
+		s.record.printf("request with at most %d output tokens: %v", most, o)
 	}
 	var served, tokens int64
 	for i := range 60 {
@@ -65,7 +70,10 @@
 // limit: the store is down for some seconds, and the model servers are in need at that time: they name a Server-Limit.
 // Orders to the other service go on meanwhile.
 func limit(s *stage) int {
-	const figure = "9223372036854775807"
+	figure := "9223372036854775807"
+	if s.control {
+		figure = "1000"
+	}
 	var inNeed atomic.Bool
 	said := func() string {
 		if inNeed.Load() {
@@ -144,7 +152,7 @@
 		time.Sleep(time.Second)
 		inNeed.Store(true)
 		note("the model servers name Server-Limit: %s", figure)
-		time.Sleep(5 * time.Second)
+		time.Sleep(4500 * time.Millisecond)
 		s.store.setSilent(false)
 		note("the store answers")
 	}
@@ -222,6 +230,10 @@
 				// One in twenty.
 				if n%20 == 0 {
 					figures = fmt.Sprintf("%d00000,0,6", min(now, 6))
+					if s.control {
+						// Wrong bytes that can't be taken for figures.
+						figures = "?" + figures
+					}
 					spoiled[i].Add(1)
 					s.record.printf("%s i-order-%d spoils its answer to %s: Lacewingcove-Server-Load: %s", time.Now().Format("15:04:05.000"), i, r.id, figures)
 				}
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -26,6 +26,8 @@
 	machines []*machine
 	record   *record
 	trouble  bool
+	// control replaces the value that a claim blames by another one of the same disruption.
+	control bool
 }
 
 type document map[string]any
@@ -122,7 +124,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return failed
 	}
-	s := &stage{dir: dir, record: &record{w: out}, trouble: os.Getenv("TROUBLE") != "0"}
+	s := &stage{dir: dir, record: &record{w: out}, trouble: os.Getenv("TROUBLE") != "0", control: os.Getenv("CONTROL") == "1"}
 	defer s.close()
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
