laceconn: a response with an invalid status is broken

Callers saw: a server sent a response with status 000. A second response that followed it on the connection reached the caller with status 200; a response with status 600 was forwarded as it was.

Cause: http.ReadResponse accepts any three digits, also with a sign, and Conn.readResponse skipped every status below 200 as an interim response.

Change: ResponseConn checks the bytes of a response head before net/http parses them: version HTTP/1.x, a status from 100 to 599 other than 101, interim responses included. It also replaces the limit of the head, which now counts the bytes of heads only. An invalid head makes the attempt broken, with the retries and the blame that this has.

Evidence: TestInvalidHeadsAreBroken fails on the code before: status_000_as_interim_response: /orders/1: status 200, "id: 1\ndata: a\n\n" status_600: /chat/1: status 600, "id: 1\ndata: a\n\n" It passes now: 502, sent once, and another server serves the idempotent call. TestUnusualResponsesAreForwarded passes before and after.

--- a/lib/laceconn/conn.go
+++ b/lib/laceconn/conn.go
@@ -28,8 +28,6 @@
 const (
 	// readBufferBytes has room for a response header and for an event of a stream.
 	readBufferBytes = 8 << 10
-	// maxHeaderBytes limits the response header, including the interim (1xx) responses before it.
-	maxHeaderBytes = 64 << 10
 	// maxSyncWriteBytes is the largest body that is written completely before the response is read. A server may respond
 	// to a larger one before it has read it, and a small TCP window would then block the writer.
 	maxSyncWriteBytes = 2 << 10
@@ -39,10 +37,9 @@
 
 // Conn is a connection to a backend server.
 type Conn struct {
-	net          net.Conn
-	pool         *Pool
-	reader       *bufio.Reader
-	headerReader headerLimitReader
+	net    *ResponseConn
+	pool   *Pool
+	reader *bufio.Reader
 	// fresh is true until the first response has been read. Data on a fresh connection can't belong to an earlier request.
 	fresh bool
 	// idleDeadline is when the idle connection expires, shortly before the server may close it.
@@ -88,6 +85,7 @@
 		writeDone: make(chan error, 1),
 		stop:      stop,
 	}
+	c.net.ExpectResponse()
 	out := &countingWriter{conn: c.net}
 	write := func() { x.writeDone <- r.Write(out) }
 	if r.ContentLength > maxSyncWriteBytes {
@@ -115,42 +113,12 @@
 	return nil, errors.Wrap(ErrBroken, err.Error())
 }
 
-// headerLimitReader limits the size of a response header; bytes of the body that are read ahead count as well.
-type headerLimitReader struct {
-	conn net.Conn
-	// remaining is how many bytes may be read until the end of the header; the limit is only enabled while a header is
-	// read.
-	remaining int
-	enabled   bool
-}
-
-// Read implements io.Reader.
-func (h *headerLimitReader) Read(p []byte) (int, error) {
-	if !h.enabled {
-		return h.conn.Read(p)
-	}
-	if h.remaining <= 0 {
-		return 0, errors.New("header of the answer is too long")
-	}
-	n, err := h.conn.Read(p[:min(len(p), h.remaining)])
-	h.remaining -= n
-	return n, err
-}
-
 // readResponse reads a response header and skips interim (1xx) responses.
 func (c *Conn) readResponse(r *http.Request) (*http.Response, error) {
-	c.headerReader.remaining, c.headerReader.enabled = maxHeaderBytes, true
-	defer func() { c.headerReader.enabled = false }()
 	for {
 		response, err := http.ReadResponse(c.reader, r)
-		if err != nil {
-			return nil, err
-		}
-		if response.StatusCode >= http.StatusOK {
-			return response, nil
-		}
-		if response.StatusCode == http.StatusSwitchingProtocols {
-			return nil, errors.New("server switched protocols")
+		if err != nil || response.StatusCode >= http.StatusOK {
+			return response, err
 		}
 	}
 }
@@ -207,11 +175,10 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	sc, ok := c.net.(syscall.Conn)
-	if !ok {
+	raw, err := c.net.SyscallConn()
+	if errors.Is(err, syscall.ENOTSUP) {
 		return true
 	}
-	raw, err := sc.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/lib/laceconn/dial_test.go
+++ b/lib/laceconn/dial_test.go
@@ -96,7 +96,7 @@
 	near, far := net.Pipe()
 	defer far.Close()
 	open := &Conn{
-		net:    near,
+		net:    NewResponseConn(near),
 		pool:   p,
 		reader: bufio.NewReader(near),
 	}
--- a/lib/laceconn/pool.go
+++ b/lib/laceconn/pool.go
@@ -120,10 +120,8 @@
 		}
 		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
-	conn = p.traffic.WrapConn(conn)
-	c.net = conn
-	c.headerReader.conn = conn
-	c.reader = bufio.NewReaderSize(&c.headerReader, readBufferBytes)
+	c.net = NewResponseConn(p.traffic.WrapConn(conn))
+	c.reader = bufio.NewReaderSize(c.net, readBufferBytes)
 	return c, nil
 }
 
--- /dev/null
+++ b/lib/laceconn/responsehead.go
@@ -0,0 +1,108 @@
+package laceconn
+
+import (
+	"bytes"
+	"net/http"
+	"strconv"
+
+	"github.com/pkg/errors"
+)
+
+// ErrInvalidResponse means that a server sent bytes that are not a valid HTTP/1 response.
+var ErrInvalidResponse = errors.New("conn: invalid response")
+
+const (
+	// maxHeaderBytes limits the response head, including the interim (1xx) responses before it.
+	maxHeaderBytes = 64 << 10
+	// minStatus and maxStatus are the bounds of valid status codes (RFC 9110, section 15).
+	minStatus = 100
+	maxStatus = 599
+)
+
+// responseHead checks the bytes of a response head as they arrive, from the first interim (1xx) response to the empty
+// line of the final one. It is stricter than net/http, which accepts any three-digit number as a status. The zero value
+// expects a status line.
+type responseHead struct {
+	// line holds the bytes of a line that has not ended.
+	line []byte
+	// size counts the bytes so far.
+	size int
+	// status is the status of the current response; 0 before its status line.
+	status int
+}
+
+// started reports whether a part of the head has arrived.
+func (h *responseHead) started() bool { return h.size > 0 }
+
+// write checks the next bytes. It returns whether the head ended within them; what follows it belongs to the body.
+func (h *responseHead) write(p []byte) (done bool, err error) {
+	for len(p) > 0 {
+		part, rest, ended := bytes.Cut(p, []byte{'\n'})
+		h.size += len(p) - len(rest)
+		if h.size > maxHeaderBytes {
+			return false, errors.Wrap(ErrInvalidResponse, "head is too long")
+		}
+		p = rest
+		h.line = append(h.line, part...)
+		if !ended {
+			return false, nil
+		}
+		line := bytes.TrimSuffix(h.line, []byte{'\r'})
+		done, err = h.checkLine(line)
+		if done || err != nil {
+			return done, err
+		}
+		h.line = h.line[:0]
+	}
+	return false, nil
+}
+
+// checkLine checks a complete line and returns whether it ends the head of a final response.
+func (h *responseHead) checkLine(line []byte) (done bool, err error) {
+	switch {
+	case h.status == 0:
+		return false, h.checkStatusLine(line)
+	case len(line) > 0:
+		return false, nil
+	case h.status >= http.StatusOK:
+		return true, nil
+	}
+	h.status = 0
+	return false, nil
+}
+
+// checkStatusLine checks a status line: the version, the status, and optionally a blank and the reason phrase.
+func (h *responseHead) checkStatusLine(line []byte) error {
+	const prefix, codeAt, codeEnd = "HTTP/1.", 9, 12
+	if !bytes.HasPrefix(line, []byte(prefix)) || len(line) < codeEnd || !isDigit(line[codeAt-2]) || line[codeAt-1] != ' ' {
+		return errors.Wrap(ErrInvalidResponse, "status line")
+	}
+	code, reason := line[codeAt:codeEnd], line[codeEnd:]
+	for _, b := range code {
+		if !isDigit(b) {
+			return errors.Wrap(ErrInvalidResponse, "status is not a number")
+		}
+		h.status = h.status*10 + int(b-'0')
+	}
+	if len(reason) > 0 && reason[0] != ' ' || !isText(reason) {
+		return errors.Wrap(ErrInvalidResponse, "reason phrase")
+	}
+	if h.status < minStatus || h.status > maxStatus || h.status == http.StatusSwitchingProtocols {
+		return errors.Wrap(ErrInvalidResponse, "status "+strconv.Quote(string(code)))
+	}
+	return nil
+}
+
+func isDigit(b byte) bool { return '0' <= b && b <= '9' }
+
+// isText reports whether bytes may stand in a field value or a reason phrase: visible characters, blanks, tabs, and
+// bytes above ASCII.
+func isText(p []byte) bool {
+	const del = 0x7f
+	for _, b := range p {
+		if b < ' ' && b != '\t' || b == del {
+			return false
+		}
+	}
+	return true
+}
