laceconn: a response with an invalid field is broken

Callers saw: a server sent a response in whose head the name of a field held a blank. The response was delivered; with "Content-Length : 1" its length was taken from elsewhere, so that the body was not the server's.

Cause: net/textproto accepts blanks in the name of a field (go.dev/issue/34540) and joins a line that begins with a blank to the one before it, also in interim responses. With Transfer-Encoding beside Content-Length, or in HTTP/1.0, net/http ignores one of them.

Change: responseHead checks each field line of a head and of the interim heads before it: the name is a token, the value has no control bytes, no line is continued, at most 1,000 fields, and the framing is not ambiguous.

Fields with odd but legal names and no reason phrase are forwarded (TestUnusualResponsesAreForwarded, TestUnusualValidHeads).

--- a/lib/laceconn/responsehead.go
+++ b/lib/laceconn/responsehead.go
@@ -14,21 +14,28 @@
 const (
 	// maxHeaderBytes limits the response head, including the interim (1xx) responses before it.
 	maxHeaderBytes = 64 << 10
+	// maxHeaderFields limits the field lines of a response head, since each takes more memory than its text.
+	maxHeaderFields = 1000
 	// minStatus and maxStatus are the bounds of valid status codes (RFC 9110, section 15).
 	minStatus = 100
 	maxStatus = 599
 )
 
 // responseHead checks the bytes of a response head as they arrive, from the first interim (1xx) response to the empty
-// line of the final one. It is stricter than net/http, which accepts any three-digit number as a status. The zero value
-// expects a status line.
+// line of the final one. It is stricter than net/http, which accepts any three-digit number as a status, and blanks in
+// field names. The zero value expects a status line.
 type responseHead struct {
 	// line holds the bytes of a line that has not ended.
 	line []byte
-	// size counts the bytes so far.
-	size int
+	// size and fields count the bytes and the field lines so far.
+	size, fields int
 	// status is the status of the current response; 0 before its status line.
 	status int
+	// minorVersion is the minor version of HTTP of the current response.
+	minorVersion byte
+	// hasLength and hasTransferEncoding are true after such fields.
+	hasLength           bool
+	hasTransferEncoding bool
 }
 
 // started reports whether a part of the head has arrived.
@@ -63,11 +70,15 @@
 	case h.status == 0:
 		return false, h.checkStatusLine(line)
 	case len(line) > 0:
-		return false, nil
-	case h.status >= http.StatusOK:
+		return false, h.checkField(line)
+	}
+	if err := h.checkFraming(); err != nil {
+		return false, err
+	}
+	if h.status >= http.StatusOK {
 		return true, nil
 	}
-	h.status = 0
+	h.status, h.hasLength, h.hasTransferEncoding = 0, false, false
 	return false, nil
 }
 
@@ -77,6 +88,7 @@
 	if !bytes.HasPrefix(line, []byte(prefix)) || len(line) < codeEnd || !isDigit(line[codeAt-2]) || line[codeAt-1] != ' ' {
 		return errors.Wrap(ErrInvalidResponse, "status line")
 	}
+	h.minorVersion = line[codeAt-2]
 	code, reason := line[codeAt:codeEnd], line[codeEnd:]
 	for _, b := range code {
 		if !isDigit(b) {
@@ -93,6 +105,37 @@
 	return nil
 }
 
+// checkField checks a field line. A line that begins with a blank would continue the line before it; that syntax is
+// obsolete (RFC 9112, section 5.2), and the line could be taken for a field of its own.
+func (h *responseHead) checkField(line []byte) error {
+	if h.fields++; h.fields > maxHeaderFields {
+		return errors.Wrap(ErrInvalidResponse, "too many fields")
+	}
+	name, value, hasColon := bytes.Cut(line, []byte{':'})
+	if !hasColon || !isToken(name) {
+		return errors.Wrap(ErrInvalidResponse, "field name")
+	}
+	if !isText(value) {
+		return errors.Wrap(ErrInvalidResponse, "value of field "+string(name))
+	}
+	switch {
+	case bytes.EqualFold(name, []byte("Content-Length")):
+		h.hasLength = true
+	case bytes.EqualFold(name, []byte("Transfer-Encoding")):
+		h.hasTransferEncoding = true
+	}
+	return nil
+}
+
+// checkFraming rejects a head that leaves open where the body ends (RFC 9112, section 6.1). net/http would ignore one of
+// the fields.
+func (h *responseHead) checkFraming() error {
+	if h.hasTransferEncoding && (h.hasLength || h.minorVersion == '0') {
+		return errors.Wrap(ErrInvalidResponse, "Transfer-Encoding beside a length or in HTTP/1.0")
+	}
+	return nil
+}
+
 func isDigit(b byte) bool { return '0' <= b && b <= '9' }
 
 // isText reports whether bytes may stand in a field value or a reason phrase: visible characters, blanks, tabs, and
@@ -106,3 +149,14 @@
 	}
 	return true
 }
+
+// isToken reports whether bytes are a field name (RFC 9110, section 5.6.2).
+func isToken(p []byte) bool {
+	for _, b := range p {
+		isLetter := 'a' <= b|0x20 && b|0x20 <= 'z'
+		if !isLetter && !isDigit(b) && bytes.IndexByte([]byte("!#$%&'*+-.^_`|~"), b) < 0 {
+			return false
+		}
+	}
+	return len(p) > 0
+}
--- a/lib/laceconn/responsehead_test.go
+++ b/lib/laceconn/responsehead_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/pkg/errors"
@@ -33,6 +34,7 @@
 		"unknown status":                "HTTP/1.1 299 X\r\n\r\n",
 		"highest status":                "HTTP/1.1 599 X\r\n\r\n",
 		"line feeds only":               "HTTP/1.1 200 OK\nX-A: 1\n\n",
+		"all characters of a name":      "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09azAZ: 1\r\n\r\n",
 		"empty value":                   "HTTP/1.1 200 OK\r\nX-A:\r\nX-B: \r\n\r\n",
 		"no blank before the value":     "HTTP/1.1 200 OK\r\nX-A:1\r\n\r\n",
 		"tabs in the value":             "HTTP/1.1 200 OK\r\nX-A:\ta\tb\t\r\n\r\n",
@@ -41,6 +43,7 @@
 		"repeated fields":               "HTTP/1.1 200 OK\r\nX-A: 1\r\nX-A: 1\r\n\r\n",
 		"interim responses":             "HTTP/1.1 100 C\r\n\r\nHTTP/1.1 102\r\nX-A: 1\r\n\r\nHTTP/1.1 199 X\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
 		"version after interim version": "HTTP/1.0 103 X\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"most fields":                   "HTTP/1.1 200 OK\r\n" + strings.Repeat("X-A: 1\r\n", maxHeaderFields) + "\r\n",
 	} {
 		for _, pieceBytes := range []int{1, 7, len(head) + 4} {
 			rest, done, err := checkHead(head+"body", pieceBytes)
@@ -55,21 +58,35 @@
 func TestInvalidHeads(t *testing.T) {
 	const ok = "HTTP/1.1 200 OK\r\n"
 	for name, head := range map[string]string{
-		"status 000":                    "HTTP/1.1 000 X\r\n\r\n",
-		"status 099":                    "HTTP/1.1 099 X\r\n\r\n",
-		"status 600":                    "HTTP/1.1 600 X\r\n\r\n",
-		"status with a sign":            "HTTP/1.1 +20 X\r\n\r\n",
-		"status of two digits":          "HTTP/1.1 20 X\r\n\r\n",
-		"status of four digits":         "HTTP/1.1 2000 X\r\n\r\n",
-		"no status":                     "HTTP/1.1\r\n\r\n",
-		"protocols switched":            "HTTP/1.1 101 X\r\n\r\n",
-		"two blanks":                    "HTTP/1.1  200 X\r\n\r\n",
-		"tab behind the version":        "HTTP/1.1\t200 X\r\n\r\n",
-		"HTTP/2":                        "HTTP/2.0 200 X\r\n\r\n",
-		"version in lower case":         "http/1.1 200 X\r\n\r\n",
-		"empty line first":              "\r\n" + ok + "\r\n",
-		"control byte in the reason":    "HTTP/1.1 200 \x00\r\n\r\n",
-		"carriage return in the reason": "HTTP/1.1 200 O\rK\r\n\r\n",
+		"status 000":                     "HTTP/1.1 000 X\r\n\r\n",
+		"status 099":                     "HTTP/1.1 099 X\r\n\r\n",
+		"status 600":                     "HTTP/1.1 600 X\r\n\r\n",
+		"status with a sign":             "HTTP/1.1 +20 X\r\n\r\n",
+		"status of two digits":           "HTTP/1.1 20 X\r\n\r\n",
+		"status of four digits":          "HTTP/1.1 2000 X\r\n\r\n",
+		"no status":                      "HTTP/1.1\r\n\r\n",
+		"protocols switched":             "HTTP/1.1 101 X\r\n\r\n",
+		"two blanks":                     "HTTP/1.1  200 X\r\n\r\n",
+		"tab behind the version":         "HTTP/1.1\t200 X\r\n\r\n",
+		"HTTP/2":                         "HTTP/2.0 200 X\r\n\r\n",
+		"version in lower case":          "http/1.1 200 X\r\n\r\n",
+		"empty line first":               "\r\n" + ok + "\r\n",
+		"control byte in the reason":     "HTTP/1.1 200 \x00\r\n\r\n",
+		"carriage return in the reason":  "HTTP/1.1 200 O\rK\r\n\r\n",
+		"blank within the name":          ok + "X A: 1\r\n\r\n",
+		"blank behind the name":          ok + "X-A : 1\r\n\r\n",
+		"blank before the name":          ok + " X-A: 1\r\n\r\n",
+		"continued line":                 ok + "X-A: 1\r\n 2\r\n\r\n",
+		"control byte in the name":       ok + "X\x01A: 1\r\n\r\n",
+		"byte above ASCII in the name":   ok + "X\xe4: 1\r\n\r\n",
+		"empty name":                     ok + ": 1\r\n\r\n",
+		"no colon":                       ok + "X-A\r\n\r\n",
+		"control byte in the value":      ok + "X-A: \x7f\r\n\r\n",
+		"carriage return in the value":   ok + "X-A: 1\rX-B: 2\r\n\r\n",
+		"length beside chunks":           ok + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"chunks in HTTP/1.0":             "HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+		"too many fields":                ok + strings.Repeat("X-A: 1\r\n", maxHeaderFields+1) + "\r\n",
+		"too many fields, interim heads": strings.Repeat("HTTP/1.1 103 X\r\nX-A: 1\r\n\r\n", maxHeaderFields+1) + ok + "\r\n",
 	} {
 		for _, prefix := range []string{"", "HTTP/1.1 103 X\r\nX-A: 1\r\n\r\n"} {
 			for _, pieceBytes := range []int{1, len(prefix + head)} {
@@ -107,6 +124,11 @@
 		if got, _ := io.ReadAll(c.reader); string(got) != rest || r.StatusCode < minStatus || r.StatusCode > maxStatus {
 			t.Errorf("status %d, rest %q, want %q", r.StatusCode, got, rest)
 		}
+		for name := range r.Header {
+			if !isToken([]byte(name)) {
+				t.Errorf("field %q", name)
+			}
+		}
 	})
 }
 
