laceconn: calls by net/http reject invalid responses

Callers saw, on the own interface: a reply of a service with status 000 or with a blank in the name of a field counted as a complete reply, and a 503 with such a field as a promise that the request had not run. The store's clients, calls between instances, load reports, the instance list, lacectl and the callers of the load tool took such responses as well, and a part of a response without a length after a reset during the upload.

Cause: these readers use http.Transport, which accepts the same heads as http.ReadResponse and loses the report of a reset in the same way.

Change: laceconn.Transport sends by net/http on connections of type ResponseConn, below which TLS runs.

--- a/lacectl/lacecontrol/option.go
+++ b/lacectl/lacecontrol/option.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"lacewingcove/lib/laceadmin"
+	"lacewingcove/lib/laceconn"
 	"lacewingcove/lib/lacetls"
 )
 
@@ -84,7 +85,7 @@
 	c := &laceadmin.Client{
 		Token: strings.TrimSpace(string(token)),
 		HTTP: &http.Client{
-			Transport: transport,
+			Transport: laceconn.NewTransport(transport),
 			Timeout:   o.timeout,
 		},
 	}
--- a/lib/lacebackend/http.go
+++ b/lib/lacebackend/http.go
@@ -15,6 +15,7 @@
 
 	"github.com/pkg/errors"
 
+	"lacewingcove/lib/laceconn"
 	"lacewingcove/lib/laceunit"
 )
 
@@ -63,33 +64,32 @@
 
 // WithTLS sets the TLS configuration for servers whose address has the scheme https.
 func WithTLS(config *tls.Config) Option {
-	return func(h *HTTPClient) { h.transport.TLSClientConfig = config }
+	return func(h *HTTPClient) { h.tls = config }
 }
 
 // HTTPClient is a Client that uses net/http.
 type HTTPClient struct {
 	limits    Limits
-	transport *http.Transport
+	tls       *tls.Config
+	transport *laceconn.Transport
 }
 
 // New returns a client.
 func New(options ...Option) *HTTPClient {
-	h := &HTTPClient{
-		limits: DefaultLimits(),
-		// The transport's transparent decompression is disabled because it hides the declared content length. Proxies from
-		// the environment are ignored.
-		transport: &http.Transport{
-			DisableCompression:     true,
-			MaxIdleConnsPerHost:    64,
-			MaxResponseHeaderBytes: 64 << 10,
-			IdleConnTimeout:        time.Minute,
-		},
-	}
+	h := &HTTPClient{limits: DefaultLimits()}
 	for _, o := range options {
 		o(h)
 	}
-	h.transport.DialContext = (&net.Dialer{Timeout: h.limits.DialTimeout}).DialContext
-	h.transport.TLSHandshakeTimeout = h.limits.DialTimeout
+	// The transport's transparent decompression is disabled because it hides the declared content length. Proxies from
+	// the environment are ignored. Each kind of call limits its body.
+	h.transport = laceconn.NewTransport(&http.Transport{
+		DialContext:         (&net.Dialer{Timeout: h.limits.DialTimeout}).DialContext,
+		TLSClientConfig:     h.tls,
+		TLSHandshakeTimeout: h.limits.DialTimeout,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: 64,
+		IdleConnTimeout:     time.Minute,
+	})
 	return h
 }
 
@@ -143,6 +143,8 @@
 		fault.Effect, fault.Reason = EffectNone, ErrUnreachable
 	case ctx.Err() != nil:
 		fault.Reason = ErrTimeout
+	case errors.Is(err, laceconn.ErrInvalidResponse):
+		fault.Reason = ErrMalformed
 	}
 	return nil, fault
 }
--- a/lib/lacebackend/http_test.go
+++ b/lib/lacebackend/http_test.go
@@ -81,6 +81,17 @@
 			ErrWrongAttempt, EffectUnknown,
 		},
 		{"closed", rawHandler(""), ErrConnectionLost, EffectUnknown},
+		{
+			"status 000", rawHandler("HTTP/1.1 000 X\r\nLace-Attempt: a\r\nContent-Length: 2\r\n\r\nok"),
+			ErrMalformed, EffectUnknown,
+		},
+		{"blank in a name", rawHandler(okReply("a", "X A: 1\r\nContent-Length: 2\r\n\r\nok")), ErrMalformed, EffectUnknown},
+		{
+			"invalid refusal",
+			rawHandler("HTTP/1.1 503 No\r\nX A: 1\r\nLace-Attempt: a\r\nLace-Outcome: not_run\r\nContent-Length: 0\r\n\r\n"),
+			ErrMalformed, EffectUnknown,
+		},
+		{"cut in the head", rawHandler("HTTP/1.1 200 OK\r\nLace-Attempt: a\r\nContent-Le"), ErrConnectionLost, EffectUnknown},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			h, server := startServer(t, c.handler)
--- a/lib/laceconn/conn.go
+++ b/lib/laceconn/conn.go
@@ -93,7 +93,7 @@
 	} else {
 		write()
 	}
-	response, err := c.readResponse(r) //nolint:bodyclose // The user of the exchange reads the body.
+	response, err := ReadResponse(c.reader, r) //nolint:bodyclose // The user of the exchange reads the body.
 	if err == nil {
 		x.Response = response
 		return x, nil
@@ -113,16 +113,6 @@
 	return nil, errors.Wrap(ErrBroken, err.Error())
 }
 
-// readResponse reads a response header and skips interim (1xx) responses.
-func (c *Conn) readResponse(r *http.Request) (*http.Response, error) {
-	for {
-		response, err := http.ReadResponse(c.reader, r)
-		if err != nil || response.StatusCode >= http.StatusOK {
-			return response, err
-		}
-	}
-}
-
 // Finish ends the exchange. The connection is reused if the response was read completely and no further data follows
 // it. idleTimeout is how long the server keeps an idle connection open; zero means that it did not specify it.
 func (x *Exchange) Finish(complete bool, idleTimeout time.Duration) {
--- a/lib/laceconn/responseconn.go
+++ b/lib/laceconn/responseconn.go
@@ -1,8 +1,10 @@
 package laceconn
 
 import (
+	"bufio"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"syscall"
@@ -94,6 +96,16 @@
 	return io.EOF
 }
 
+// ReadResponse reads a response header and skips interim (1xx) responses. The reader must read from a ResponseConn.
+func ReadResponse(reader *bufio.Reader, r *http.Request) (*http.Response, error) {
+	for {
+		response, err := http.ReadResponse(reader, r)
+		if err != nil || response.StatusCode >= http.StatusOK {
+			return response, err
+		}
+	}
+}
+
 // Write implements net.Conn.
 func (c *ResponseConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
--- a/lib/laceconn/responsehead_test.go
+++ b/lib/laceconn/responsehead_test.go
@@ -115,13 +115,13 @@
 			_, _ = io.WriteString(server, input)
 			server.Close()
 		}()
-		c := &Conn{reader: bufio.NewReader(NewResponseConn(client))}
-		r, err := c.readResponse(&http.Request{Method: http.MethodHead})
+		reader := bufio.NewReader(NewResponseConn(client))
+		r, err := ReadResponse(reader, &http.Request{Method: http.MethodHead})
 		if err != nil {
 			return // net/http is stricter, for example with lengths.
 		}
 		defer r.Body.Close()
-		if got, _ := io.ReadAll(c.reader); string(got) != rest || r.StatusCode < minStatus || r.StatusCode > maxStatus {
+		if got, _ := io.ReadAll(reader); string(got) != rest || r.StatusCode < minStatus || r.StatusCode > maxStatus {
 			t.Errorf("status %d, rest %q, want %q", r.StatusCode, got, rest)
 		}
 		for name := range r.Header {
--- a/lib/laceemulator/engine.go
+++ b/lib/laceemulator/engine.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"lacewingcove/lib/laceconn"
 	"lacewingcove/lib/laceunit"
 )
 
@@ -69,7 +70,7 @@
 	e := &Engine{
 		faultInjector: newFaultInjector(options.Seed, options.Faults),
 		options:       options,
-		client:        &http.Client{},
+		client:        &http.Client{Transport: laceconn.NewTransport(&http.Transport{})},
 		batch: batch{
 			slots:       options.Slots,
 			prefillRate: options.PrefillRate,
--- a/lib/lacefeed/feed.go
+++ b/lib/lacefeed/feed.go
@@ -74,7 +74,7 @@
 	servers    Servers
 	reports    ReportClient
 	sink       Sink
-	transport  *http.Transport
+	transport  *laceconn.Transport
 	listClient *http.Client
 	random     *rand.Rand
 
@@ -91,7 +91,7 @@
 		servers:       servers,
 		reports:       reports,
 		sink:          sink,
-		transport:     &http.Transport{MaxIdleConnsPerHost: 1},
+		transport:     laceconn.NewTransport(&http.Transport{MaxIdleConnsPerHost: 1}),
 		leaving:       leavingServers{},
 		lastSequences: map[laceunit.ServerID]uint64{},
 	}
--- a/lib/lacenode/replicator.go
+++ b/lib/lacenode/replicator.go
@@ -68,11 +68,11 @@
 }
 
 // peerTransport returns a transport for calls to peers that counts their bytes.
-func peerTransport(traffic *laceconn.Traffic) *http.Transport {
-	return &http.Transport{
+func peerTransport(traffic *laceconn.Traffic) *laceconn.Transport {
+	return laceconn.NewTransport(&http.Transport{
 		DialContext:     traffic.DialControl,
 		IdleConnTimeout: time.Minute,
-	}
+	})
 }
 
 // newPeerClient returns an HTTP client for short calls to peers.
--- a/lib/lacepack/http.go
+++ b/lib/lacepack/http.go
@@ -25,19 +25,15 @@
 
 // Transport requests packed responses and unpacks them.
 type Transport struct {
-	// Base sends the requests; nil means http.DefaultTransport.
+	// Base sends the requests.
 	Base http.RoundTripper
 }
 
 // RoundTrip implements http.RoundTripper. It buffers a packed response completely before it returns.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	base := t.Base
-	if base == nil {
-		base = http.DefaultTransport
-	}
 	r = r.Clone(r.Context())
 	r.Header.Set("Accept-Encoding", Encoding)
-	response, err := base.RoundTrip(r)
+	response, err := t.Base.RoundTrip(r)
 	if err != nil || response.Header.Get("Content-Encoding") != Encoding {
 		return response, err
 	}
--- a/lib/lacepack/http_test.go
+++ b/lib/lacepack/http_test.go
@@ -79,7 +79,7 @@
 			w.Header().Set(headerChecksum, sum)
 			_, _ = w.Write(packed)
 		}))
-		client := &http.Client{Transport: &Transport{}}
+		client := &http.Client{Transport: &Transport{Base: http.DefaultTransport}}
 		if response, err := client.Get(s.URL); err == nil {
 			response.Body.Close()
 			t.Errorf("%s: the response was accepted", name)
--- a/lib/lacepeer/client.go
+++ b/lib/lacepeer/client.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"github.com/twitchtv/twirp"
 
+	"lacewingcove/lib/laceconn"
 	"lacewingcove/lib/lacejournal"
 	"lacewingcove/lib/laceledger"
 	"lacewingcove/lib/lacemember"
@@ -72,7 +73,7 @@
 func NewClient(self laceunit.InstanceID, options ...Option) *Client {
 	c := &Client{
 		self:        self,
-		http:        &http.Client{},
+		http:        &http.Client{Transport: laceconn.NewTransport(&http.Transport{})},
 		scheme:      "http",
 		idleTimeout: defaultIdleTimeout,
 		maxCalls:    defaultMaxCalls,
--- a/lib/laceplatform/client.go
+++ b/lib/laceplatform/client.go
@@ -47,7 +47,7 @@
 	reconnectDelay   time.Duration
 	observer         Observer
 	dialTLS          DialTLS
-	transport        *http.Transport
+	transport        *laceconn.Transport
 	// preferred is the index of the endpoint that responded last.
 	preferred atomic.Int64
 }
@@ -114,7 +114,7 @@
 	dialer := &net.Dialer{
 		Timeout: c.timeout / time.Duration(len(c.endpoints)),
 	}
-	c.transport = &http.Transport{
+	c.transport = laceconn.NewTransport(&http.Transport{
 		DialContext:         dialer.DialContext,
 		DialTLSContext:      c.dialTLS.withTimeout(dialer.Timeout),
 		TLSHandshakeTimeout: dialer.Timeout,
@@ -122,7 +122,7 @@
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
-	}
+	})
 	return c, nil
 }
 
--- a/loadgen/lacecommand/run.go
+++ b/loadgen/lacecommand/run.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"lacewingcove/lib/laceadmin"
+	"lacewingcove/lib/laceconn"
 	"lacewingcove/loadgen/laceload"
 	"lacewingcove/loadgen/laceworkload"
 )
@@ -79,7 +80,10 @@
 	}
 	c := &laceadmin.Client{
 		Token: strings.TrimSpace(string(token)),
-		HTTP:  &http.Client{Timeout: adminTimeout},
+		HTTP: &http.Client{
+			Timeout:   adminTimeout,
+			Transport: laceconn.NewTransport(&http.Transport{}),
+		},
 	}
 	for _, a := range admin {
 		c.Addresses = append(c.Addresses, string(a))
--- a/loadgen/laceexperiment/fleet.go
+++ b/loadgen/laceexperiment/fleet.go
@@ -14,6 +14,7 @@
 
 	"github.com/pkg/errors"
 
+	"lacewingcove/lib/laceconn"
 	"lacewingcove/lib/laceunit"
 	"lacewingcove/loadgen/laceprocess"
 	"lacewingcove/loadgen/laceworkload"
@@ -66,11 +67,14 @@
 	ctx context.Context, e Experiment, v Variant, w laceworkload.Workload, dir, seed string, in inputFiles,
 ) (*fleet, error) {
 	f := &fleet{
-		experiment:   e,
-		variant:      v,
-		workload:     w,
-		dir:          dir,
-		client:       &http.Client{Timeout: standinTimeout},
+		experiment: e,
+		variant:    v,
+		workload:   w,
+		dir:        dir,
+		client: &http.Client{
+			Timeout:   standinTimeout,
+			Transport: laceconn.NewTransport(&http.Transport{}),
+		},
 		killed:       map[int]bool{},
 		restartDelay: defaultRestartDelay,
 		stopping:     make(chan struct{}),
--- a/loadgen/laceexperiment/provisioner.go
+++ b/loadgen/laceexperiment/provisioner.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net/http"
 	"os"
 	"time"
 
@@ -72,7 +71,7 @@
 	}}
 	return &provisioner{
 		store:  client,
-		ledger: lacewriter.New(client, self, shards, noPeers{}, &http.Client{}),
+		ledger: lacewriter.New(client, self, shards, noPeers{}, laceload.NewClient()),
 	}, nil
 }
 
--- a/loadgen/laceload/run.go
+++ b/loadgen/laceload/run.go
@@ -12,6 +12,7 @@
 	"github.com/oklog/ulid/v2"
 	"github.com/pkg/errors"
 
+	"lacewingcove/lib/laceconn"
 	"lacewingcove/lib/laceunit"
 	"lacewingcove/loadgen/lacecaller"
 	"lacewingcove/loadgen/laceworkload"
@@ -88,12 +89,12 @@
 // NewClient returns an HTTP client that keeps idle connections to every instance.
 func NewClient() *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: laceconn.NewTransport(&http.Transport{
 			DialContext:         newDialer().DialContext,
 			MaxIdleConnsPerHost: maxIdleConns,
 			IdleConnTimeout:     time.Minute,
 			DisableCompression:  true,
-		},
+		}),
 	}
 }
 
--- a/loadgen/lacesoak/fleet.go
+++ b/loadgen/lacesoak/fleet.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"lacewingcove/lib/laceconn"
 	"lacewingcove/lib/laceunit"
 	"lacewingcove/loadgen/laceprocess"
 )
@@ -53,10 +54,13 @@
 
 func newFleet(program string, specs []instanceSpec, isReady func(context.Context, instanceSpec) bool) *fleet {
 	return &fleet{
-		program:      program,
-		specs:        specs,
-		isReady:      isReady,
-		client:       http.Client{Timeout: sampleTimeout},
+		program: program,
+		specs:   specs,
+		isReady: isReady,
+		client: http.Client{
+			Timeout:   sampleTimeout,
+			Transport: laceconn.NewTransport(&http.Transport{}),
+		},
 		processes:    make([]*laceprocess.Process, len(specs)),
 		expectedDown: make([]bool, len(specs)),
 	}
--- a/router/lacerouter/transport.go
+++ b/router/lacerouter/transport.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"lacewingcove/lib/laceconn"
 	"lacewingcove/lib/lacetls"
 )
 
@@ -29,15 +30,13 @@
 		MaxIdleConnsPerHost: maxIdlePeerConnections,
 		IdleConnTimeout:     peerIdleTimeout,
 	}
-	p := peerTransport{
-		client: &http.Client{Transport: transport},
-		scheme: "http",
-	}
+	p := peerTransport{scheme: "http"}
 	if source != nil {
 		transport.DialTLSContext = source.Dialer(peerDialTimeout)
 		p.serverTLS = source.MutualServerConfig()
 		p.scheme = "https"
 	}
+	p.client = &http.Client{Transport: laceconn.NewTransport(transport)}
 	return p
 }
 
