laceconn: bytes that are no response are rejected at once

A server that sent other bytes without a line end was read until the limit of 64 KB or the caller's deadline, and each such connection held what had arrived. The beginning of a line is now compared with that of a status line before the line ends (TestOtherBytesAreRejectedAtOnce, which fails without checkPart: "x": done false, error <nil>).

--- a/lib/laceconn/responsehead.go
+++ b/lib/laceconn/responsehead.go
@@ -19,6 +19,8 @@
 	// minStatus and maxStatus are the bounds of valid status codes (RFC 9110, section 15).
 	minStatus = 100
 	maxStatus = 599
+	// versionPrefix is the beginning of a status line; the minor version, a blank and the status follow.
+	versionPrefix = "HTTP/1."
 )
 
 // responseHead checks the bytes of a response head as they arrive, from the first interim (1xx) response to the empty
@@ -52,7 +54,7 @@
 		p = rest
 		h.line = append(h.line, part...)
 		if !ended {
-			return false, nil
+			return false, h.checkPart()
 		}
 		line := bytes.TrimSuffix(h.line, []byte{'\r'})
 		done, err = h.checkLine(line)
@@ -64,6 +66,15 @@
 	return false, nil
 }
 
+// checkPart checks a line that has not ended, so that bytes that are no response are rejected before a line ends.
+func (h *responseHead) checkPart() error {
+	n := min(len(h.line), len(versionPrefix))
+	if h.status == 0 && string(h.line[:n]) != versionPrefix[:n] {
+		return errors.Wrap(ErrInvalidResponse, "status line")
+	}
+	return nil
+}
+
 // checkLine checks a complete line and returns whether it ends the head of a final response.
 func (h *responseHead) checkLine(line []byte) (done bool, err error) {
 	switch {
@@ -84,8 +95,8 @@
 
 // checkStatusLine checks a status line: the version, the status, and optionally a blank and the reason phrase.
 func (h *responseHead) checkStatusLine(line []byte) error {
-	const prefix, codeAt, codeEnd = "HTTP/1.", 9, 12
-	if !bytes.HasPrefix(line, []byte(prefix)) || len(line) < codeEnd || !isDigit(line[codeAt-2]) || line[codeAt-1] != ' ' {
+	const codeAt, codeEnd = len(versionPrefix) + 2, len(versionPrefix) + 5
+	if !bytes.HasPrefix(line, []byte(versionPrefix)) || len(line) < codeEnd || !isDigit(line[codeAt-2]) || line[codeAt-1] != ' ' {
 		return errors.Wrap(ErrInvalidResponse, "status line")
 	}
 	h.minorVersion = line[codeAt-2]
--- a/lib/laceconn/responsehead_test.go
+++ b/lib/laceconn/responsehead_test.go
@@ -98,6 +98,15 @@
 	}
 }
 
+// Guards against bytes that are no response and that are read until a line ends or the limit is reached.
+func TestOtherBytesAreRejectedAtOnce(t *testing.T) {
+	for _, text := range []string{"x", "\x00", "HTTP/2", "HTTQ", "http", " "} {
+		if _, done, err := checkHead(text, len(text)); done || !errors.Is(err, ErrInvalidResponse) {
+			t.Errorf("%q: done %v, error %v", text, done, err)
+		}
+	}
+}
+
 // Guards against any head that net/http accepts and that this check accepts, but of which they disagree where it ends or
 // which status it has.
 func FuzzResponseHead(f *testing.F) {
