lacerelay: large events are charged to the memory for clients

Callers saw: faulty servers sent bytes without end in an event of a stream. The instance kept up to 1 MB of each for as long as the caller waited, and went over the memory of its machine, which ends the requests of all.

Cause: bodies are charged to the guard of the clients, but the event that is being read and the stream that is buffered for an HTTP/1.0 caller were not.

Change: both use lacelistener.Buffer, which charges what exceeds 16 KB. When there is no memory left the attempt ends without blame for the server, as a body's does.

--- a/lib/lacerelay/attempt.go
+++ b/lib/lacerelay/attempt.go
@@ -308,8 +308,7 @@
 	x.Finish(err == nil, a.reply.KeepAlive)
 	switch {
 	case errors.Is(err, lacelistener.ErrShort):
-		// The server is not to blame, and another one would answer as much.
-		a.outcome, a.reason = attemptTimedOut, "no memory for the answer"
+		a.recordNoMemory()
 	case err != nil:
 		a.outcome, a.reason = interruptionOutcome(ctx), "answer was cut: "+err.Error()
 		a.connectionLost = !lacelistener.IsTooLong(err)
@@ -322,6 +321,10 @@
 	}
 }
 
+// recordNoMemory records that there is no memory for the rest of the response. The server is not to blame, and another one
+// would answer as much.
+func (a *attempt) recordNoMemory() { a.outcome, a.reason = attemptTimedOut, "no memory for the answer" }
+
 // recordAttempt records the outcome of an attempt and reports it to the balancer.
 func (r *Relay) recordAttempt(j *job, d lacebalancer.Decision, a *attempt, started time.Time) {
 	duration := time.Since(started)
--- a/lib/lacerelay/relay.go
+++ b/lib/lacerelay/relay.go
@@ -167,13 +167,15 @@
 	if r.keepAlivesDisabled.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	holding := lacelistener.FromContext(q.Context())
 	j := &job{
 		arrived: time.Now(),
-		holding: lacelistener.FromContext(q.Context()),
+		holding: holding,
 		response: response{
 			codec:    r.options.Codec,
 			w:        w,
 			buffered: !q.ProtoAtLeast(1, 1),
+			buffer:   lacelistener.NewBuffer(holding, lacelistener.Answer),
 		},
 	}
 	defer r.releaseLink(j)
--- a/lib/lacerelay/response.go
+++ b/lib/lacerelay/response.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"lacewingcove/lib/lacefault"
+	"lacewingcove/lib/lacelistener"
 	"lacewingcove/lib/laceunit"
 )
 
@@ -28,7 +29,7 @@
 	// buffered is true when events are buffered until the end of their stream, because the caller can't distinguish a
 	// truncated stream from a complete one (HTTP/1.0).
 	buffered bool
-	buffer   []byte
+	buffer   lacelistener.Buffer
 	// status and header are those of the server that sent the first event, also after the stream is resumed at another
 	// one.
 	status int
@@ -59,9 +60,11 @@
 func (s *response) writeEvent(a *attempt, raw []byte, flushLater bool) error {
 	s.adoptHeader(a)
 	if s.buffered {
-		s.buffer = append(s.buffer, raw...)
+		if err := s.buffer.Append(raw); err != nil {
+			return err
+		}
 		s.bufferedEvents++
-		if len(s.buffer) > maxResponseBytes {
+		if len(s.buffer.Bytes()) > maxResponseBytes {
 			return errBufferFull
 		}
 		return nil
@@ -113,9 +116,9 @@
 func (s *response) finishStream(a *attempt) error {
 	s.adoptHeader(a)
 	if s.buffered {
-		s.writeHeader(len(s.buffer))
+		s.writeHeader(len(s.buffer.Bytes()))
 		s.events = s.bufferedEvents
-		err := s.write(s.buffer)
+		err := s.write(s.buffer.Bytes())
 		s.complete = err == nil
 		return err
 	}
--- a/lib/lacerelay/stream.go
+++ b/lib/lacerelay/stream.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"lacewingcove/lib/lacelistener"
 )
 
 const (
@@ -31,13 +33,34 @@
 	hasData bool
 }
 
-// readEvent returns the next event; io.EOF means that the stream ended between two events.
-func readEvent(r *bufio.Reader) (event, error) {
+// eventReader reads the events of a stream. It charges large events to the holding of the request.
+type eventReader struct {
+	reader *bufio.Reader
+	buffer lacelistener.Buffer
+}
+
+func newEventReader(r io.Reader, holding *lacelistener.Holding) *eventReader {
+	return &eventReader{
+		reader: bufio.NewReaderSize(r, readBufferBytes),
+		buffer: lacelistener.NewBuffer(holding, lacelistener.Answer),
+	}
+}
+
+// close returns the memory of the last event.
+func (r *eventReader) close() { r.buffer.Close() }
+
+// next returns the next event, which is valid until the following call; io.EOF means that the stream ended between two
+// events.
+func (r *eventReader) next() (event, error) {
 	var e event
 	skipped := 0
+	r.buffer.Reset()
 	for {
-		line, err := r.ReadSlice('\n')
-		e.raw = append(e.raw, line...)
+		line, err := r.reader.ReadSlice('\n')
+		if memoryErr := r.buffer.Append(line); memoryErr != nil {
+			return event{}, memoryErr
+		}
+		e.raw = r.buffer.Bytes()
 		if skipped+len(e.raw) > maxEventBytes {
 			return event{}, errEventTooLong
 		}
@@ -55,7 +78,7 @@
 		if len(last) == 0 {
 			if len(bytes.TrimSpace(e.raw)) == 0 {
 				skipped += len(e.raw)
-				e.raw = e.raw[:0]
+				r.buffer.Reset()
 				continue
 			}
 			return e, nil
@@ -69,9 +92,10 @@
 
 // forwardStream forwards the events of a response as they arrive. It calls begun at the first one.
 func (r *Relay) forwardStream(ctx context.Context, j *job, a *attempt, timer *stallTimer, begun func()) {
-	reader := bufio.NewReaderSize(a.exchange.Response.Body, readBufferBytes)
+	events := newEventReader(a.exchange.Response.Body, j.holding)
+	defer events.close()
 	for {
-		e, err := readEvent(reader)
+		e, err := events.next()
 		if err != nil {
 			r.endStream(ctx, j, a, err)
 			return
@@ -91,15 +115,18 @@
 		}
 		j.recordEvent(e)
 		startedAt := j.response.startedAt
-		err = j.response.writeEvent(a, e.raw, reader.Buffered() > 0)
+		err = j.response.writeEvent(a, e.raw, events.reader.Buffered() > 0)
 		if startedAt.IsZero() && !j.response.startedAt.IsZero() {
 			r.options.Metrics.observeFirstEvent(j, j.response.startedAt.Sub(j.arrived))
 		}
 		if err != nil {
 			a.exchange.Abort()
 			a.outcome, a.reason = attemptCallerGone, err.Error()
-			if errors.Is(err, errBufferFull) {
+			switch {
+			case errors.Is(err, errBufferFull):
 				a.outcome, j.history.notResumable = attemptBroken, true
+			case errors.Is(err, lacelistener.ErrShort):
+				a.recordNoMemory()
 			}
 			return
 		}
@@ -126,6 +153,10 @@
 	// Events before a truncated one may not have been flushed yet. If the caller is gone, the next write fails.
 	_ = j.response.flush()
 	a.exchange.Abort()
+	if errors.Is(cause, lacelistener.ErrShort) {
+		a.recordNoMemory()
+		return
+	}
 	a.outcome, a.reason = interruptionOutcome(ctx), cause.Error()
 	a.connectionLost = !errors.Is(cause, errEventTooLong)
 }
--- a/lib/lacerelay/stream_test.go
+++ b/lib/lacerelay/stream_test.go
@@ -1,7 +1,6 @@
 package lacerelay
 
 import (
-	"bufio"
 	"io"
 	"strings"
 	"testing"
@@ -32,7 +31,7 @@
 		"newlines": strings.Repeat("\n", 512),
 	} {
 		source := &endlessReader{text: text}
-		_, err := readEvent(bufio.NewReaderSize(io.LimitReader(source, limit), readBufferBytes))
+		_, err := newEventReader(io.LimitReader(source, limit), nil).next()
 		if err == nil || source.read > 2*maxEventBytes {
 			t.Errorf("%s: read %d bytes of one event, error %v", name, source.read, err)
 		}
@@ -41,17 +40,17 @@
 
 // Guards against events that are modified while they are forwarded.
 func TestReadEventKeepsBytes(t *testing.T) {
-	r := bufio.NewReader(strings.NewReader("\n\nid: 1\ndata: a\ndata: b\n\nid: 2\r\ndata: c\r\n\r\ndata: cut"))
+	r := newEventReader(strings.NewReader("\n\nid: 1\ndata: a\ndata: b\n\nid: 2\r\ndata: c\r\n\r\ndata: cut"), nil)
 	for _, want := range []event{
 		{raw: []byte("id: 1\ndata: a\ndata: b\n\n"), id: "1"},
 		{raw: []byte("id: 2\r\ndata: c\r\n\r\n"), id: "2"},
 	} {
-		got, err := readEvent(r)
+		got, err := r.next()
 		if err != nil || string(got.raw) != string(want.raw) || got.id != want.id {
 			t.Errorf("event %q with id %q, error %v", got.raw, got.id, err)
 		}
 	}
-	if _, err := readEvent(r); err == nil || errors.Is(err, io.EOF) {
+	if _, err := r.next(); err == nil || errors.Is(err, io.EOF) {
 		t.Errorf("stream that ends within an event: error %v", err)
 	}
 }
