laceconn: responses of the store and of instances have a limit

Seen in tests: a store or another instance that sends a body without end was read until its connection closed, and a message of a watch without end was kept as a whole. The process would run out of memory.

Cause: the client of the platform's store and the generated twirp clients read whole bodies; the decoder of a watch has no limit.

--- a/lacectl/lacecontrol/option.go
+++ b/lacectl/lacecontrol/option.go
@@ -85,7 +85,7 @@
 	c := &laceadmin.Client{
 		Token: strings.TrimSpace(string(token)),
 		HTTP: &http.Client{
-			Transport: laceconn.NewTransport(transport),
+			Transport: laceconn.NewTransport(transport, 0),
 			Timeout:   o.timeout,
 		},
 	}
--- a/lib/lacebackend/http.go
+++ b/lib/lacebackend/http.go
@@ -89,7 +89,7 @@
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     time.Minute,
-	})
+	}, 0)
 	return h
 }
 
--- a/lib/laceconn/roundtrip.go
+++ b/lib/laceconn/roundtrip.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -10,14 +11,20 @@
 	"github.com/pkg/errors"
 )
 
-// Transport is an http.RoundTripper that sends requests by net/http on connections of type ResponseConn. It is for calls to
-// the store, to other instances and to the control interfaces of servers; requests of callers use Pool.
+// ErrResponseTooLong means that the body of a response exceeds the limit of a Transport.
+var ErrResponseTooLong = errors.New("conn: response is too long")
+
+// Transport is an http.RoundTripper that sends requests by net/http on connections of type ResponseConn, and limits the
+// size of response bodies. It is for calls to the store, to other instances and to the control interfaces of servers;
+// requests of callers use Pool.
 type Transport struct {
-	base *http.Transport
+	base         *http.Transport
+	maxBodyBytes int64
 }
 
-// NewTransport returns a transport that takes over base.
-func NewTransport(base *http.Transport) *Transport {
+// NewTransport returns a transport that takes over base. A response body of more than maxBodyBytes fails with
+// ErrResponseTooLong after that many bytes; zero means no limit.
+func NewTransport(base *http.Transport, maxBodyBytes int64) *Transport {
 	dialContext, dialTLS := base.DialContext, base.DialTLSContext
 	if dialContext == nil {
 		dialContext = (&net.Dialer{}).DialContext
@@ -33,7 +40,10 @@
 		}
 	}
 	base.DialContext, base.DialTLSContext = wrapDial(dialContext), wrapDial(dialTLS)
-	return &Transport{base: base}
+	return &Transport{
+		base:         base,
+		maxBodyBytes: maxBodyBytes,
+	}
 }
 
 type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
@@ -85,8 +95,39 @@
 			}
 		},
 	})
-	return t.base.RoundTrip(r.WithContext(ctx))
+	response, err := t.base.RoundTrip(r.WithContext(ctx))
+	if err != nil {
+		return nil, err
+	}
+	if t.maxBodyBytes > 0 {
+		response.Body = &limitedBody{
+			ReadCloser: response.Body,
+			remaining:  t.maxBodyBytes,
+		}
+	}
+	return response, nil
 }
 
 // CloseIdleConnections closes the idle connections; http.Client calls it.
 func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
+
+// limitedBody is a response body that fails when it is longer than its limit.
+type limitedBody struct {
+	io.ReadCloser
+	// remaining is how many bytes may be read.
+	remaining int64
+}
+
+// Read implements io.Reader.
+func (b *limitedBody) Read(p []byte) (int, error) {
+	// One byte more shows whether the body is longer.
+	if int64(len(p)) > b.remaining+1 {
+		p = p[:b.remaining+1]
+	}
+	n, err := b.ReadCloser.Read(p)
+	if int64(n) > b.remaining {
+		n, err = int(b.remaining), ErrResponseTooLong
+	}
+	b.remaining -= int64(n)
+	return n, err
+}
--- a/lib/laceconn/roundtrip_test.go
+++ b/lib/laceconn/roundtrip_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -24,6 +25,8 @@
 		"control byte in a reason":       "HTTP/1.1 200 \x01\r\nContent-Length: 2\r\n\r\nok",
 		"head without end":               "HTTP/1.1 200 OK\r\n" + strings.Repeat("X-A: "+strings.Repeat("x", 1000)+"\r\n", 100),
 		"head that ends in a line":       "HTTP/1.1 200 OK\r\nContent-Len",
+		"body longer than the limit":     "HTTP/1.1 200 OK\r\nContent-Length: 65\r\n\r\n" + strings.Repeat("x", 65),
+		"body without end":               "HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("x", 1<<20),
 		"zero bytes instead of a status": strings.Repeat("\x00", 1<<20),
 	} {
 		for _, reused := range []bool{false, true} {
@@ -35,7 +38,7 @@
 				fmt.Fprint(c, text)
 				c.Close()
 			})
-			client := http.Client{Transport: NewTransport(&http.Transport{})}
+			client := http.Client{Transport: NewTransport(&http.Transport{}, 64)}
 			post := func() ([]byte, error) {
 				r, err := client.Post("http://"+string(address), "text/plain", strings.NewReader("x"))
 				if err != nil {
@@ -49,7 +52,7 @@
 					t.Fatalf("%s: first response %q, error %v", name, body, err)
 				}
 			}
-			if body, err := post(); err == nil {
+			if body, err := post(); err == nil || len(body) > 64 {
 				t.Errorf("%s, reused %v: %d bytes, error %v", name, reused, len(body), err)
 			}
 			client.CloseIdleConnections()
@@ -57,10 +60,35 @@
 	}
 }
 
+// Guards against a response that is rejected although it has exactly the allowed length, and against an error that does
+// not say that it is longer.
+func TestTransportLimitsBodies(t *testing.T) {
+	for _, c := range []struct {
+		length int
+		want   error
+	}{{length: 64}, {length: 65, want: ErrResponseTooLong}} {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, strings.Repeat("x", c.length))
+		}))
+		client := http.Client{Transport: NewTransport(&http.Transport{}, 64)}
+		r, err := client.Get(s.URL)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(r.Body)
+		r.Body.Close()
+		if !errors.Is(err, c.want) || len(body) != 64 {
+			t.Errorf("length %d: %d bytes, error %v", c.length, len(body), err)
+		}
+		client.CloseIdleConnections()
+		s.Close()
+	}
+}
+
 // Guards against a part of a response without a length that looks complete after a reset during the upload.
 func TestTransportReportsResets(t *testing.T) {
 	address := startUnframedServer(t, func(c *net.TCPConn) { _ = c.SetLinger(0) })
-	transport := NewTransport(&http.Transport{})
+	transport := NewTransport(&http.Transport{}, 0)
 	defer transport.CloseIdleConnections()
 	const plays = 500
 	body := make([]byte, uploadBytes)
@@ -98,7 +126,7 @@
 	if !ok {
 		t.Fatal("the client of the test server has no transport")
 	}
-	client := http.Client{Transport: NewTransport(&http.Transport{TLSClientConfig: trusted.TLSClientConfig})}
+	client := http.Client{Transport: NewTransport(&http.Transport{TLSClientConfig: trusted.TLSClientConfig}, 0)}
 	defer client.CloseIdleConnections()
 	for range 3 {
 		r, err := client.Get(s.URL)
--- a/lib/laceemulator/engine.go
+++ b/lib/laceemulator/engine.go
@@ -70,7 +70,7 @@
 	e := &Engine{
 		faultInjector: newFaultInjector(options.Seed, options.Faults),
 		options:       options,
-		client:        &http.Client{Transport: laceconn.NewTransport(&http.Transport{})},
+		client:        &http.Client{Transport: laceconn.NewTransport(&http.Transport{}, 0)},
 		batch: batch{
 			slots:       options.Slots,
 			prefillRate: options.PrefillRate,
--- a/lib/lacefeed/feed.go
+++ b/lib/lacefeed/feed.go
@@ -91,7 +91,7 @@
 		servers:       servers,
 		reports:       reports,
 		sink:          sink,
-		transport:     laceconn.NewTransport(&http.Transport{MaxIdleConnsPerHost: 1}),
+		transport:     laceconn.NewTransport(&http.Transport{MaxIdleConnsPerHost: 1}, maxListBytes),
 		leaving:       leavingServers{},
 		lastSequences: map[laceunit.ServerID]uint64{},
 	}
--- a/lib/lacenode/replicator.go
+++ b/lib/lacenode/replicator.go
@@ -25,6 +25,8 @@
 	// them after lacemirror.QueryTimeout.
 	firstByteTimeout = 2 * time.Second
 	readTimeout      = 2 * time.Second
+	// maxPeerResponseBytes bounds a response of a peer; the configuration of the design scale takes 1.6 MB.
+	maxPeerResponseBytes = 16 << 20
 )
 
 // replicator fetches changes of the store from peers while this instance does not watch the store or can't reach it,
@@ -72,7 +74,7 @@
 	return laceconn.NewTransport(&http.Transport{
 		DialContext:     traffic.DialControl,
 		IdleConnTimeout: time.Minute,
-	})
+	}, maxPeerResponseBytes)
 }
 
 // newPeerClient returns an HTTP client for short calls to peers.
--- a/lib/lacepeer/client.go
+++ b/lib/lacepeer/client.go
@@ -26,6 +26,8 @@
 	maxCallDuration = 30 * time.Second
 	// defaultMaxCalls bounds the concurrent calls to one peer, so that an unresponsive peer can't use up the memory.
 	defaultMaxCalls = 256
+	// maxResponseBytes bounds a response of a client without options.
+	maxResponseBytes = 64 << 20
 	// maxPeers bounds the addresses with a cached client; the design scale is 340 peers.
 	maxPeers = 2048
 )
@@ -73,7 +75,7 @@
 func NewClient(self laceunit.InstanceID, options ...Option) *Client {
 	c := &Client{
 		self:        self,
-		http:        &http.Client{Transport: laceconn.NewTransport(&http.Transport{})},
+		http:        &http.Client{Transport: laceconn.NewTransport(&http.Transport{}, maxResponseBytes)},
 		scheme:      "http",
 		idleTimeout: defaultIdleTimeout,
 		maxCalls:    defaultMaxCalls,
--- a/lib/laceplatform/client.go
+++ b/lib/laceplatform/client.go
@@ -122,7 +122,7 @@
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
-	})
+	}, 0)
 	return c, nil
 }
 
--- a/lib/laceplatform/invalid_response_test.go
+++ b/lib/laceplatform/invalid_response_test.go
@@ -1,7 +1,10 @@
 package laceplatform_test
 
 import (
+	"io"
+	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"github.com/pkg/errors"
@@ -31,3 +34,33 @@
 		s.Close()
 	}
 }
+
+// Guards against a message of a watch that has no end and fills the memory.
+func TestWatchMessageWithoutEnd(t *testing.T) {
+	const maxBytes = 96 << 20
+	sent := make(chan int, 1)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		total, chunk := 0, `{"result":"`+strings.Repeat("x", 1<<20)
+		for total < maxBytes {
+			n, err := io.WriteString(w, chunk)
+			total += n
+			if err != nil {
+				break
+			}
+			chunk = chunk[len(chunk)-1<<20:]
+		}
+		sent <- total
+	}))
+	defer s.Close()
+	c, err := laceplatform.NewClient([]laceunit.Address{laceunit.Address(s.URL)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err = c.Watch(t.Context(), "k", 0); !errors.Is(err, laceplatform.ErrUnavailable) {
+		t.Errorf("error %v", err)
+	}
+	if n := <-sent; n >= maxBytes {
+		t.Errorf("the server could send %d bytes of a message", n)
+	}
+}
--- a/lib/laceplatform/watch.go
+++ b/lib/laceplatform/watch.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"lacewingcove/lib/laceconn"
 	"lacewingcove/lib/lacekernel"
 )
 
@@ -167,6 +168,8 @@
 	// timer closes the connection when it receives no data for idleTimeout.
 	timer       *time.Timer
 	idleTimeout time.Duration
+	// remaining is how many bytes the current message may still have.
+	remaining int
 	// compacted is set when the platform has ended the watch because of a compaction, so that it can't resume.
 	compacted bool
 }
@@ -177,6 +180,9 @@
 	if n > 0 {
 		s.timer.Reset(s.idleTimeout)
 	}
+	if s.remaining -= n; s.remaining < 0 {
+		return 0, laceconn.ErrResponseTooLong
+	}
 	return n, err
 }
 
@@ -186,6 +192,7 @@
 		return WatchResponse{}, ErrCompacted
 	}
 	s.idleTimeout = idleTimeout
+	s.remaining = maxResponseBytes
 	s.timer.Reset(idleTimeout)
 	defer s.timer.Stop() // A slow consumer of the events must not look like an idle connection.
 	var m WatchResult
--- a/loadgen/lacecommand/run.go
+++ b/loadgen/lacecommand/run.go
@@ -82,7 +82,7 @@
 		Token: strings.TrimSpace(string(token)),
 		HTTP: &http.Client{
 			Timeout:   adminTimeout,
-			Transport: laceconn.NewTransport(&http.Transport{}),
+			Transport: laceconn.NewTransport(&http.Transport{}, 0),
 		},
 	}
 	for _, a := range admin {
--- a/loadgen/laceexperiment/fleet.go
+++ b/loadgen/laceexperiment/fleet.go
@@ -73,7 +73,7 @@
 		dir:        dir,
 		client: &http.Client{
 			Timeout:   standinTimeout,
-			Transport: laceconn.NewTransport(&http.Transport{}),
+			Transport: laceconn.NewTransport(&http.Transport{}, maxBodyBytes),
 		},
 		killed:       map[int]bool{},
 		restartDelay: defaultRestartDelay,
--- a/loadgen/laceload/run.go
+++ b/loadgen/laceload/run.go
@@ -94,7 +94,7 @@
 			MaxIdleConnsPerHost: maxIdleConns,
 			IdleConnTimeout:     time.Minute,
 			DisableCompression:  true,
-		}),
+		}, 0),
 	}
 }
 
--- a/loadgen/lacesoak/fleet.go
+++ b/loadgen/lacesoak/fleet.go
@@ -20,6 +20,8 @@
 	// request to one of them, since a frozen process does not respond.
 	sampleInterval = 500 * time.Millisecond
 	sampleTimeout  = 300 * time.Millisecond
+	// maxSampleBytes bounds the response with the metrics of a process.
+	maxSampleBytes = 16 << 20
 	// readyInterval is the time between two readiness checks of a started process, readyTimeout bounds its start.
 	readyInterval = 20 * time.Millisecond
 	readyTimeout  = 20 * time.Second
@@ -59,7 +61,7 @@
 		isReady: isReady,
 		client: http.Client{
 			Timeout:   sampleTimeout,
-			Transport: laceconn.NewTransport(&http.Transport{}),
+			Transport: laceconn.NewTransport(&http.Transport{}, maxSampleBytes),
 		},
 		processes:    make([]*laceprocess.Process, len(specs)),
 		expectedDown: make([]bool, len(specs)),
--- a/router/lacerouter/transport.go
+++ b/router/lacerouter/transport.go
@@ -16,6 +16,8 @@
 	// peerDialTimeout bounds the connection setup and the TLS handshake: a dial continues after the call that started
 	// it has been canceled.
 	peerDialTimeout = 5 * time.Second
+	// maxPeerResponseBytes bounds a response of another instance; the bindings of 340 members take 8.4 MB.
+	maxPeerResponseBytes = 64 << 20
 )
 
 // peerTransport holds the HTTP client and the TLS configuration for calls between instances.
@@ -36,7 +38,7 @@
 		p.serverTLS = source.MutualServerConfig()
 		p.scheme = "https"
 	}
-	p.client = &http.Client{Transport: laceconn.NewTransport(transport)}
+	p.client = &http.Client{Transport: laceconn.NewTransport(transport, maxPeerResponseBytes)}
 	return p
 }
 
