lacegateway: responses of servers are charged to the memory for clients

Seen in tests of the own interface: 100 callers whose service sends a body without end, up to 8 MB each, or whose engine sends large chunks without end, took 897 to 985 MB on a machine of 144 MB.

Cause: lacebackend bounds each response but not all of them together, and a chat that is not streamed is collected without a bound of its own.

Change: bodies, large events, large chunks that wait for the caller, and collected chats are charged to the guard of the clients. A response may outlive its caller's connection, so that it has a holding of its own (Holding.Detach), which is never closed for the sake of others. Without memory the attempt fails with ErrNoMemory, which is no failure of the server.

--- a/lib/lacebackend/client.go
+++ b/lib/lacebackend/client.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"lacewingcove/lib/lacelistener"
 	"lacewingcove/lib/laceunit"
 )
 
@@ -27,6 +28,8 @@
 	// FirstChunk is the index of the first chunk to send. With a value above 0, the engine resumes the stream of the
 	// request with the same id.
 	FirstChunk int
+	// Memory is charged for large events; nil bounds only their size. It is in use until the stream is closed.
+	Memory *lacelistener.Holding
 	// OnNotice is called once the response header has arrived, before Generate returns; it may be nil.
 	OnNotice func(Notice)
 }
@@ -59,6 +62,8 @@
 	Query  string
 	Header http.Header
 	Body   []byte
+	// Memory is charged for the body of the response; nil bounds only its size.
+	Memory *lacelistener.Holding
 	// OnNotice is called once the response header has arrived, before Invoke returns; it may be nil.
 	OnNotice func(Notice)
 }
--- a/lib/lacebackend/decoder.go
+++ b/lib/lacebackend/decoder.go
@@ -99,8 +99,10 @@
 
 // readError returns the reason for an error of the event reader.
 func readError(err error) error {
-	if errors.Is(err, ErrTooLong) {
-		return ErrTooLong
+	for _, reason := range []error{ErrTooLong, ErrNoMemory} {
+		if errors.Is(err, reason) {
+			return reason
+		}
 	}
 	return errors.Wrap(ErrIncomplete, err.Error())
 }
--- a/lib/lacebackend/decoder_test.go
+++ b/lib/lacebackend/decoder_test.go
@@ -17,7 +17,7 @@
 // decode returns the text and the last chunk of a stream that starts at an index.
 func decode(input string, nextIndex int) (string, Chunk, error) {
 	d := decoder{
-		events:    newEventReader(strings.NewReader(input), 256, 4096),
+		events:    newEventReader(strings.NewReader(input), 256, 4096, nil),
 		attempt:   "a",
 		nextIndex: nextIndex,
 	}
@@ -95,7 +95,7 @@
 func TestDecoderResultIsPermanent(t *testing.T) {
 	for input, want := range map[string]error{chunk0 + endChunk: io.EOF, chunk1 + chunk0 + endChunk: ErrChunkOrder} {
 		d := decoder{
-			events:  newEventReader(strings.NewReader(input), 256, 4096),
+			events:  newEventReader(strings.NewReader(input), 256, 4096, nil),
 			attempt: "a",
 		}
 		for range 3 {
@@ -112,7 +112,7 @@
 func FuzzDecoder(f *testing.F) {
 	f.Fuzz(func(t *testing.T, input string, start uint8) {
 		d := decoder{
-			events:    newEventReader(strings.NewReader(input), 256, 4096),
+			events:    newEventReader(strings.NewReader(input), 256, 4096, nil),
 			attempt:   "a",
 			nextIndex: int(start),
 		}
--- a/lib/lacebackend/error.go
+++ b/lib/lacebackend/error.go
@@ -46,6 +46,8 @@
 	ErrTrailingData = errors.New("backend: data after the end marker")
 	// ErrTooLong means that the response exceeds a size limit.
 	ErrTooLong = errors.New("backend: response too long")
+	// ErrNoMemory means that the responses of all requests together take all memory that they may.
+	ErrNoMemory = errors.New("backend: no memory for the response")
 	// ErrWrongLength means that the response does not have its declared length, or declares none.
 	ErrWrongLength = errors.New("backend: wrong response length")
 	// ErrMalformed means that the response can't be parsed.
--- a/lib/lacebackend/generate.go
+++ b/lib/lacebackend/generate.go
@@ -59,7 +59,7 @@
 	}
 	timer.Stop()
 	s.decoder = decoder{
-		events:    newEventReader(resp.Body, h.limits.MaxEventBytes, h.limits.MaxStreamBytes),
+		events:    newEventReader(resp.Body, h.limits.MaxEventBytes, h.limits.MaxStreamBytes, request.Memory),
 		attempt:   request.Attempt,
 		nextIndex: request.FirstChunk,
 		onEnd:     func() { timer.Reset(h.limits.EndTimeout) },
--- a/lib/lacebackend/invoke.go
+++ b/lib/lacebackend/invoke.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"lacewingcove/lib/lacelistener"
 	"lacewingcove/lib/laceunit"
 )
 
@@ -63,9 +64,15 @@
 	if resp.ContentLength > maxBytes && !noBody {
 		return Reply{}, replyError(EffectRan, ErrTooLong, nil)
 	}
-	body, err := readLimited(resp.Body, maxBytes)
+	length := resp.ContentLength
+	if noBody {
+		length = 0
+	}
+	body, err := request.Memory.ReadAll(resp.Body, length, maxBytes, lacelistener.Answer)
 	switch {
-	case errors.Is(err, ErrTooLong):
+	case errors.Is(err, lacelistener.ErrShort):
+		return Reply{}, replyError(EffectRan, ErrNoMemory, nil)
+	case lacelistener.IsTooLong(err):
 		return Reply{}, replyError(EffectRan, ErrTooLong, nil)
 	case errors.Is(err, io.ErrUnexpectedEOF):
 		return Reply{}, replyError(EffectRan, ErrWrongLength, err)
--- a/lib/lacebackend/sse.go
+++ b/lib/lacebackend/sse.go
@@ -6,6 +6,8 @@
 	"io"
 
 	"github.com/pkg/errors"
+
+	"lacewingcove/lib/lacelistener"
 )
 
 // eventReader reads the data of server-sent events, one event at a time, and limits their size.
@@ -14,22 +16,25 @@
 	// maxEventBytes limits the size of an event and of a line; remaining is how many bytes may still be read in total.
 	maxEventBytes int
 	remaining     int64
-	data          []byte
-	lineBuffer    []byte
+	data          lacelistener.Buffer
+	line          lacelistener.Buffer
 }
 
-func newEventReader(r io.Reader, maxEventBytes int, maxTotalBytes int64) *eventReader {
+// newEventReader returns a reader that charges large events to a holding, which may be nil.
+func newEventReader(r io.Reader, maxEventBytes int, maxTotalBytes int64, memory *lacelistener.Holding) *eventReader {
 	return &eventReader{
 		reader:        bufio.NewReaderSize(r, 4096),
 		maxEventBytes: maxEventBytes,
 		remaining:     maxTotalBytes,
+		data:          lacelistener.NewBuffer(memory, lacelistener.Answer),
+		line:          lacelistener.NewBuffer(memory, lacelistener.Answer),
 	}
 }
 
 // next returns the data of the next event, which is valid until the next call. It returns io.EOF only if the input ends
 // between events.
 func (e *eventReader) next() ([]byte, error) {
-	e.data = e.data[:0]
+	e.data.Reset()
 	hasData := false
 	for {
 		line, err := e.readLine()
@@ -41,7 +46,7 @@
 		}
 		if len(line) == 0 {
 			if hasData {
-				return e.data, nil
+				return e.data.Bytes(), nil
 			}
 			continue
 		}
@@ -52,30 +57,34 @@
 		value = bytes.TrimPrefix(value, []byte(":"))
 		value = bytes.TrimPrefix(value, []byte(" "))
 		if hasData {
-			e.data = append(e.data, '\n')
+			value = append([]byte{'\n'}, value...)
 		}
 		hasData = true
-		if len(e.data)+len(value) > e.maxEventBytes {
+		if len(e.data.Bytes())+len(value) > e.maxEventBytes {
 			return nil, ErrTooLong
 		}
-		e.data = append(e.data, value...)
+		if err := e.data.Append(value); err != nil {
+			return nil, ErrNoMemory
+		}
 	}
 }
 
 func (e *eventReader) readLine() ([]byte, error) {
-	e.lineBuffer = e.lineBuffer[:0]
+	e.line.Reset()
 	for {
 		part, err := e.reader.ReadSlice('\n')
 		e.remaining -= int64(len(part))
-		if e.remaining < 0 || len(e.lineBuffer)+len(part) > e.maxEventBytes {
+		if e.remaining < 0 || len(e.line.Bytes())+len(part) > e.maxEventBytes {
 			return nil, ErrTooLong
 		}
-		e.lineBuffer = append(e.lineBuffer, part...)
+		if e.line.Append(part) != nil {
+			return nil, ErrNoMemory
+		}
 		switch {
 		case err == nil:
-			return bytes.TrimSuffix(bytes.TrimSuffix(e.lineBuffer, []byte("\n")), []byte("\r")), nil
+			return bytes.TrimSuffix(bytes.TrimSuffix(e.line.Bytes(), []byte("\n")), []byte("\r")), nil
 		case errors.Is(err, bufio.ErrBufferFull):
-		case errors.Is(err, io.EOF) && len(e.lineBuffer) > 0:
+		case errors.Is(err, io.EOF) && len(e.line.Bytes()) > 0:
 			return nil, io.ErrUnexpectedEOF
 		default:
 			return nil, err
--- a/lib/lacegateway/attempt.go
+++ b/lib/lacegateway/attempt.go
@@ -9,6 +9,7 @@
 
 	"lacewingcove/lib/lacebackend"
 	"lacewingcove/lib/laceledger"
+	"lacewingcove/lib/lacelistener"
 	"lacewingcove/lib/lacerequest"
 	"lacewingcove/lib/laceunit"
 )
@@ -59,6 +60,8 @@
 	call.Attempt = e.Attempt
 	call.FirstChunk = e.FirstChunk
 	call.OnNotice = d.noticeHandler(picked)
+	call.Memory = d.task.holding.Detach()
+	defer call.Memory.Close()
 	stream, err := d.gateway.deps.Backend.Generate(ctx, picked.Address, call)
 	if err != nil {
 		d.reportFailure(e.Attempt, err)
@@ -78,15 +81,36 @@
 		case c.End:
 			end = &c
 		default:
-			d.postInput(lacerequest.Chunk{
-				Attempt: e.Attempt,
-				Index:   c.Index,
-				Text:    c.Text,
-			})
+			if err := d.sendChunk(e.Attempt, c); err != nil {
+				d.reportFailure(e.Attempt, err)
+				return
+			}
 		}
 	}
 }
 
+// largeChunk is the size from which the text of a chunk is charged until it is written to the caller. Chunks have a few
+// tokens, and those that wait take little then.
+const largeChunk = 1 << 10
+
+// sendChunk passes a chunk to the machine.
+func (d *driver) sendChunk(attempt laceunit.AttemptID, c lacebackend.Chunk) error {
+	m := message{input: lacerequest.Chunk{
+		Attempt: attempt,
+		Index:   c.Index,
+		Text:    c.Text,
+	}}
+	if len(c.Text) > largeChunk {
+		memory := d.task.holding.Detach()
+		if err := memory.Charge(int64(len(c.Text)), lacelistener.Answer); err != nil {
+			return errors.Wrap(lacebackend.ErrNoMemory, err.Error())
+		}
+		m.onAccept, m.onDiscard = func() { d.unsent = append(d.unsent, memory) }, memory.Close
+	}
+	d.send(m)
+	return nil
+}
+
 // reportComplete reports that an engine's response is complete.
 func (d *driver) reportComplete(attempt laceunit.AttemptID, end lacebackend.Chunk) {
 	result := ResultSuccess
@@ -107,12 +131,15 @@
 
 // invoke calls a plain service.
 func (d *driver) invoke(ctx context.Context, picked PickResult, attempt laceunit.AttemptID) {
+	memory := d.task.holding.Detach()
 	invocation := *d.task.invocation
+	invocation.Memory = memory
 	invocation.RequestID = d.backendRequest()
 	invocation.Attempt = attempt
 	invocation.OnNotice = d.noticeHandler(picked)
 	reply, err := d.gateway.deps.Backend.Invoke(ctx, picked.Address, invocation)
 	if err != nil {
+		memory.Close()
 		d.reportFailure(attempt, err)
 		return
 	}
@@ -127,8 +154,10 @@
 		},
 		onAccept: func() {
 			d.header = reply.Header
+			d.replies = append(d.replies, memory)
 			d.reportResult(ResultSuccess)
 		},
+		onDiscard: memory.Close,
 	})
 }
 
@@ -143,6 +172,10 @@
 	if errors.As(err, &fault) && (fault == errBlocked || fault.Status == http.StatusServiceUnavailable && fault.RetryAfter > 0) {
 		result = ResultUnavailable
 	}
+	if errors.Is(err, lacebackend.ErrNoMemory) {
+		// The server is not to blame for what other responses hold.
+		result = ResultCanceled
+	}
 	d.gateway.metrics.attemptFailed(class)
 	d.send(message{
 		input: lacerequest.Failed{
--- a/lib/lacegateway/chat.go
+++ b/lib/lacegateway/chat.go
@@ -186,7 +186,7 @@
 		},
 		timeout: engineTimeout,
 	}
-	t.sink = newChatSink(w, chat, id)
+	t.sink = newChatSink(w, chat, id, lacelistener.FromContext(r.Context()))
 	g.run(w, r, t)
 }
 
--- a/lib/lacegateway/driver.go
+++ b/lib/lacegateway/driver.go
@@ -13,6 +13,7 @@
 	"lacewingcove/lib/lacegrant"
 	"lacewingcove/lib/lacejournal"
 	"lacewingcove/lib/laceledger"
+	"lacewingcove/lib/lacelistener"
 	"lacewingcove/lib/laceplatform"
 	"lacewingcove/lib/lacerequest"
 	"lacewingcove/lib/lacetrace"
@@ -40,9 +41,12 @@
 
 	pickResult PickResult
 	// attemptOpen is true while the result of the attempt has not been reported to the picker.
-	attemptOpen       bool
-	cancelAttempt     context.CancelFunc
-	header            http.Header
+	attemptOpen   bool
+	cancelAttempt context.CancelFunc
+	header        http.Header
+	// replies is the memory of the replies that the machine may still hold, unsent that of large chunks.
+	replies           []*lacelistener.Holding
+	unsent            []*lacelistener.Holding
 	firstByteRecorded bool
 	// output is the number of output tokens that the account's rate limit is charged at the end.
 	output laceunit.Tokens
@@ -102,6 +106,8 @@
 		d.cancelAttempt()
 	}
 	d.reportResult(ResultCanceled)
+	closeAll(d.replies)
+	closeAll(d.unsent)
 	d.gateway.running.Add(1)
 	go func() {
 		defer d.gateway.running.Done()
@@ -112,6 +118,12 @@
 	}()
 }
 
+func closeAll(list []*lacelistener.Holding) {
+	for _, memory := range list {
+		memory.Close()
+	}
+}
+
 func (d *driver) step(m message) {
 	if m.onAccept != nil {
 		m.onAccept()
@@ -177,6 +189,8 @@
 		if err := d.task.sink.writeChunk(e.Text); err != nil {
 			d.runAsync(func() { d.postInput(lacerequest.Gone{}) })
 		}
+		closeAll(d.unsent)
+		d.unsent = nil
 	case lacerequest.Reply:
 		g.metrics.requestCompleted(g.now().Sub(d.started))
 		d.task.sink.reply(e.Response, d.header, e.Missing)
--- a/lib/lacegateway/run.go
+++ b/lib/lacegateway/run.go
@@ -10,6 +10,7 @@
 	"lacewingcove/lib/lacefault"
 	"lacewingcove/lib/lacegrant"
 	"lacewingcove/lib/laceledger"
+	"lacewingcove/lib/lacelistener"
 	"lacewingcove/lib/lacemember"
 	"lacewingcove/lib/lacerequest"
 	"lacewingcove/lib/laceunit"
@@ -37,7 +38,9 @@
 	invocation  *lacebackend.InvokeRequest
 	timeout     time.Duration
 	sink        sink
-	decision    lacemember.Decision
+	// holding bounds the memory of the request; nil bounds nothing.
+	holding  *lacelistener.Holding
+	decision lacemember.Decision
 }
 
 // run admits a request, reserves its ceiling and runs its state machine until the final response has been sent.
@@ -63,6 +66,7 @@
 	var output laceunit.Tokens
 	defer func() { release(output) }()
 	t.pickRequest.NonIdempotent = !t.spec.Idempotent
+	t.holding = lacelistener.FromContext(r.Context())
 	t.spec.Request = t.ledgerRequest()
 	t.spec.Budget = t.caller.budget
 	t.spec.LedgerAttempt = laceunit.AttemptID(g.holder.String() + "/" + strconv.FormatUint(sequence, 36))
--- a/lib/lacegateway/sink.go
+++ b/lib/lacegateway/sink.go
@@ -5,13 +5,13 @@
 	"fmt"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"lacewingcove/lib/lacefault"
 	"lacewingcove/lib/laceledger"
+	"lacewingcove/lib/lacelistener"
 	"lacewingcove/lib/laceunit"
 )
 
@@ -60,22 +60,28 @@
 	model   laceunit.ModelID
 	stream  bool
 	started bool
-	text    strings.Builder
+	// text collects a response that is not streamed, noMemory is true when there was no memory for it.
+	text     lacelistener.Buffer
+	noMemory bool
 }
 
-func newChatSink(w http.ResponseWriter, chat chatRequest, id laceunit.RequestID) *chatSink {
+func newChatSink(
+	w http.ResponseWriter, chat chatRequest, id laceunit.RequestID, holding *lacelistener.Holding,
+) *chatSink {
 	return &chatSink{
 		w:      w,
 		id:     id,
 		model:  chat.Model,
 		stream: chat.Stream,
+		text:   lacelistener.NewBuffer(holding, lacelistener.Answer),
 	}
 }
 
 func (s *chatSink) writeChunk(text string) error {
 	if !s.stream {
-		s.text.WriteString(text)
-		return nil
+		err := s.text.AppendString(text)
+		s.noMemory = s.noMemory || err != nil
+		return err
 	}
 	delta := &wireDelta{Content: text}
 	if !s.started {
@@ -108,7 +114,7 @@
 	_ = json.NewEncoder(s.w).Encode(s.completion("chat.completion", wireChoice{
 		Message: &wireDelta{
 			Role:    "assistant",
-			Content: s.text.String(),
+			Content: string(s.text.Bytes()),
 		},
 		Finish: &stop,
 	}, usage))
@@ -119,6 +125,13 @@
 // refuse sends the fault as the response, or as the last event of a stream that has started. Such a stream has no end
 // marker, so the caller can detect that it is truncated.
 func (s *chatSink) refuse(fault *lacefault.Fault) {
+	if s.noMemory {
+		fault = &lacefault.Fault{
+			Outcome: lacefault.Unknown,
+			Code:    lacefault.BackendServerFailed,
+			Message: "no memory for the response",
+		}
+	}
 	if !s.started {
 		s.w.Header().Set(headerRequestID, string(s.id))
 		writeFault(s.w, fault)
--- a/lib/lacelistener/buffer.go
+++ b/lib/lacelistener/buffer.go
@@ -26,16 +26,28 @@
 
 // Append appends data; it returns ErrShort if there is no memory for it.
 func (b *Buffer) Append(data []byte) error {
-	if free := cap(b.data) - len(b.data); len(data) > free {
-		if err := b.grow(max(2*cap(b.data), len(b.data)+len(data))); err != nil {
-			return err
-		}
+	err := b.reserve(len(data))
+	if err == nil {
+		b.data = append(b.data, data...)
 	}
-	b.data = append(b.data, data...)
-	return nil
+	return err
 }
 
-func (b *Buffer) grow(size int) error {
+// AppendString appends text like Append.
+func (b *Buffer) AppendString(text string) error {
+	err := b.reserve(len(text))
+	if err == nil {
+		b.data = append(b.data, text...)
+	}
+	return err
+}
+
+// reserve makes room for a number of bytes.
+func (b *Buffer) reserve(n int) error {
+	if cap(b.data)-len(b.data) >= n {
+		return nil
+	}
+	size := max(2*cap(b.data), len(b.data)+n)
 	if size > uncharged {
 		if err := b.holding.Charge(int64(size), b.reason); err != nil {
 			return err
--- a/lib/lacelistener/handler.go
+++ b/lib/lacelistener/handler.go
@@ -57,6 +57,28 @@
 	h.guard.release(h.holder, bytes)
 }
 
+// Detach returns a holding for a response that may outlive the request and its connection. Its owner must close it.
+func (h *Holding) Detach() *Holding {
+	if h == nil {
+		return nil
+	}
+	h.guard.mu.Lock()
+	defer h.guard.mu.Unlock()
+	return &Holding{
+		guard:  h.guard,
+		holder: h.guard.budget.Detach(h.holder.Owner()),
+	}
+}
+
+// Close returns all memory of a detached holding.
+func (h *Holding) Close() {
+	if h == nil {
+		return
+	}
+	h.guard.release(h.holder, h.bytes)
+	h.bytes = 0
+}
+
 // Assign names the account of the request.
 func (h *Holding) Assign(account string) {
 	if h == nil || account == "" {
--- a/lib/laceresource/budget.go
+++ b/lib/laceresource/budget.go
@@ -37,6 +37,9 @@
 	index   int
 }
 
+// Owner returns whom the holder belongs to.
+func (h *Holder) Owner() Owner { return h.owner }
+
 // usage is what the holders of an owner hold.
 type usage struct {
 	connections int
@@ -102,6 +105,15 @@
 	return h, victims, true
 }
 
+// Detach returns a holder for an owner without a connection. It is never closed for the sake of others.
+func (b *Budget) Detach(owner Owner) *Holder {
+	return &Holder{
+		owner:   owner,
+		running: 1,
+		open:    true,
+	}
+}
+
 // Close ends the connection of a holder. Memory that its requests still hold counts until it is released.
 func (b *Budget) Close(h *Holder) {
 	if !h.open {
--- a/router/lacerouter/clientlimits_test.go
+++ b/router/lacerouter/clientlimits_test.go
@@ -30,7 +30,13 @@
 // answers an ordinary request, both while the connections are open and afterwards.
 func withstands(t *testing.T, clients int, payload func(int) io.Reader, address func(r *router) string) {
 	t.Helper()
-	tc := newTestCluster(t)
+	newTestCluster(t).withstands(t, clients, payload, address)
+}
+
+func (tc *testCluster) withstands(
+	t *testing.T, clients int, payload func(int) io.Reader, address func(r *router) string,
+) {
+	t.Helper()
 	r := tc.start("router-1", "-machine.memory", fmt.Sprint(limitedMemoryMB),
 		"-machine.descriptors", fmt.Sprint(limitedDescriptors))
 	calls := 0
--- a/router/lacerouter/cluster_test.go
+++ b/router/lacerouter/cluster_test.go
@@ -109,6 +109,12 @@
 
 // newFundedTestCluster returns a cluster whose budget has the given number of tokens.
 func newFundedTestCluster(t *testing.T, paid laceunit.Tokens) *testCluster {
+	t.Helper()
+	return newTestClusterWith(t, paid, func(document string) string { return document })
+}
+
+// newTestClusterWith returns a cluster with a modified configuration.
+func newTestClusterWith(t *testing.T, paid laceunit.Tokens, modify func(document string) string) *testCluster {
 	t.Helper()
 	tc := &testCluster{
 		t:             t,
@@ -153,7 +159,7 @@
 		server.CloseClientConnections()
 		server.Close()
 	})
-	tc.applyConfiguration(fmt.Sprintf(documentTemplate, addresses...))
+	tc.applyConfiguration(modify(fmt.Sprintf(documentTemplate, addresses...)))
 	tc.topUp("first", paid)
 	return tc
 }
