lacerelay: requests that can't end are refused at a planned stop

Callers saw: a request whose body was still arriving when an instance began to stop was passed on late in the grace period, and so was one that waited for a server. At the end both were cut without an answer, also those that may not be repeated. Requests at a server were cut without an answer as well.

Cause: only the beginning of a request checked whether the instance stops, and the listener closed the connections of what was left.

Change: before each attempt, a request that may not end before the instance does is refused as not run (503, draining), or fails if it has been sent. Those that wait are refused when the instance stops, so that their callers can use another one at once.

--- a/lib/lacenode/run.go
+++ b/lib/lacenode/run.go
@@ -19,6 +19,8 @@
 	// consecutive polls must find none: a request that has just arrived is not counted yet.
 	idlePollInterval  = 20 * time.Millisecond
 	requiredIdlePolls = 5
+	// abortTimeout bounds the wait for the answers to requests that are aborted at the end of a planned stop.
+	abortTimeout = 300 * time.Millisecond
 	// releaseTimeout bounds the release of tokens and shares at the end of a planned stop.
 	releaseTimeout = 300 * time.Millisecond
 )
@@ -78,13 +80,14 @@
 	n.relay.DisableKeepAlives()
 	n.quota.Drain()
 	n.log.Write(lacelog.Stop, lacelog.P("state", "draining"), lacelog.P("running", n.relay.Running()))
-	ctx, cancel := context.WithDeadline(context.Background(), startedAt.Add(n.settings.Drain.GracePeriod-killMargin))
+	end := startedAt.Add(n.settings.Drain.GracePeriod - killMargin)
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	if err := n.registrar.Deregister(ctx); err != nil {
 		n.log.Error(err, "failed to deregister from the store")
 	}
 	lacekernel.Sleep(ctx, time.Until(startedAt.Add(n.settings.Drain.LameDuckPeriod)))
-	n.relay.Stop()
+	n.relay.Stop(end)
 	n.shutDownListener(ctx, servers.caller)
 	releaseCtx, cancelRelease := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancelRelease()
@@ -97,8 +100,9 @@
 	return n.kernel.Close()
 }
 
-// shutDownListener waits for the running requests and then closes the listener. The shutdown of net/http alone would
-// wait for connections that callers have opened and not used, or keep open without need, until its context ends.
+// shutDownListener waits for the running requests, aborts those that are left when the context ends, and then closes the
+// listener. The shutdown of net/http alone would wait for connections that callers have opened and not used, or keep open
+// without need, until its context ends.
 func (n *Node) shutDownListener(ctx context.Context, l *listener) {
 	shutdownDone := make(chan struct{})
 	go func() {
@@ -108,13 +112,27 @@
 				lacelog.P("running", n.relay.Running()))
 		}
 	}()
+	n.awaitIdle(shutdownDone)
+	if n.relay.Running() > 0 {
+		n.relay.Abort()
+		abortCtx, cancel := context.WithTimeout(context.Background(), abortTimeout)
+		defer cancel()
+		n.awaitIdle(abortCtx.Done())
+	}
+	if err := l.Close(); err != nil {
+		n.log.Error(err, "failed to close the listener")
+	}
+	<-shutdownDone
+}
+
+// awaitIdle waits until no request is running, or until done is closed.
+func (n *Node) awaitIdle(done <-chan struct{}) {
 	ticker := time.NewTicker(idlePollInterval)
 	defer ticker.Stop()
-	idlePolls := 0
-	for idlePolls < requiredIdlePolls {
+	for idlePolls := 0; idlePolls < requiredIdlePolls; {
 		select {
-		case <-shutdownDone:
-			idlePolls = requiredIdlePolls
+		case <-done:
+			return
 		case <-ticker.C:
 			idlePolls++
 			if n.relay.Running() > 0 {
@@ -122,8 +140,4 @@
 			}
 		}
 	}
-	if err := l.Close(); err != nil {
-		n.log.Error(err, "failed to close the listener")
-	}
-	<-shutdownDone
 }
--- a/lib/lacerelay/attempt.go
+++ b/lib/lacerelay/attempt.go
@@ -80,7 +80,11 @@
 				newRefusal(lacefault.NoBackendServer, "server refused: "+a.reason, r.retryAfter(j)))
 			return
 		case actionFail:
-			r.failRequest(ctx, j, &a, r.attemptFault(&a))
+			f := r.attemptFault(&a)
+			if a.outcome == attemptStopped {
+				f = stoppingFault(j)
+			}
+			r.failRequest(ctx, j, &a, f)
 			return
 		}
 	}
@@ -95,6 +99,9 @@
 		if f := r.quarantineFault(j); f != nil {
 			return attempt{}, f
 		}
+		if r.shutdown.refuses(j) {
+			return attempt{}, stoppingFault(j)
+		}
 		return attempt{}, r.pickFault(ctx, j, decision)
 	}
 	a := r.runAttempt(attemptCtx, j, decision, untrack)
@@ -107,6 +114,7 @@
 	started := time.Now()
 	attemptCtx, timer, cancel := r.withStallTimer(ctx, j, d.Server)
 	defer cancel()
+	defer r.shutdown.endSend(j)
 	a := r.send(attemptCtx, j, d, timer)
 	if a.exchange != nil {
 		r.forwardStream(attemptCtx, j, &a, timer, func() {
@@ -289,6 +297,8 @@
 		return attemptStalled
 	case errors.Is(context.Cause(ctx), errQuarantined):
 		return attemptBlocked
+	case errors.Is(context.Cause(ctx), errStopping):
+		return attemptStopped
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return attemptTimedOut
 	case ctx.Err() != nil:
@@ -347,7 +357,7 @@
 			// The server sent no response header before the deadline.
 			result = lacebalancer.Failure
 		}
-	case attemptCallerGone, attemptBlocked:
+	case attemptCallerGone, attemptBlocked, attemptStopped:
 		result = lacebalancer.Neutral
 	case attemptComplete:
 		if a.status >= http.StatusInternalServerError {
--- a/lib/lacerelay/connect.go
+++ b/lib/lacerelay/connect.go
@@ -39,7 +39,10 @@
 		conn.Release()
 		return nil
 	}
-	if a.refusal = r.quarantineFault(j); a.refusal != nil {
+	if a.refusal = r.quarantineFault(j); a.refusal == nil && !r.shutdown.beginSend(j) {
+		a.refusal = stoppingFault(j)
+	}
+	if a.refusal != nil {
 		conn.Release()
 		a.outcome, a.reason, a.neutral = attemptNotSent, a.refusal.Message, true
 		return nil
--- a/lib/lacerelay/relay.go
+++ b/lib/lacerelay/relay.go
@@ -96,6 +96,7 @@
 	running            atomic.Int64
 	cpuTime            atomic.Int64
 	silence            silence
+	shutdown           shutdown
 
 	mu      sync.Mutex
 	retries map[laceunit.ServiceID]*lacelimit.RetryBudget
@@ -112,8 +113,15 @@
 // DisableKeepAlives closes each connection after its response, so that callers reconnect elsewhere.
 func (r *Relay) DisableKeepAlives() { r.keepAlivesDisabled.Store(true) }
 
-// Stop refuses new requests; running requests continue.
-func (r *Relay) Stop() { r.stopping.Store(true) }
+// Stop refuses new requests, and those that have not been sent to a server and may not end before the given time. Running
+// requests continue.
+func (r *Relay) Stop(end time.Time) {
+	r.stopping.Store(true)
+	r.shutdown.start(end)
+}
+
+// Abort ends the running requests. Those without a part of their response are answered.
+func (r *Relay) Abort() { r.shutdown.abort() }
 
 // Running returns how many requests are being served.
 func (r *Relay) Running() int { return int(r.running.Load()) }
@@ -152,7 +160,9 @@
 	refusalFields []lacelog.Pair
 	history       attemptHistory
 	link          linkUsage
-	tried         []laceunit.ServerID
+	// sending is true while the request is at a server, and once its response has begun; the lock of the shutdown protects it.
+	sending bool
+	tried   []laceunit.ServerID
 	// refusedBy are the servers that stated that they did not run the request.
 	refusedBy []laceunit.ServerID
 	// lastEventID is the id of the latest event, at which another server would resume the stream.
@@ -212,8 +222,11 @@
 		b.Request(j.arrived)
 		return true
 	})
-	ctx, cancel := context.WithDeadline(q.Context(), j.deadline)
-	defer cancel()
+	deadlineCtx, cancelDeadline := context.WithDeadline(q.Context(), j.deadline)
+	defer cancelDeadline()
+	ctx, cancel := context.WithCancelCause(deadlineCtx)
+	defer cancel(nil)
+	defer r.shutdown.track(j, cancel)()
 	j.holding.Run()
 	r.runAttempts(ctx, j)
 }
@@ -240,7 +253,7 @@
 	}
 	j.version = table.Version()
 	if r.stopping.Load() {
-		return newRefusal(lacefault.Draining, "instance is stopping", drainingRetryAfter)
+		return stoppingFault(j)
 	}
 	j.freshness = r.tableFreshness()
 	if j.freshness == Superseded {
--- a/lib/lacerelay/retry.go
+++ b/lib/lacerelay/retry.go
@@ -27,11 +27,13 @@
 	attemptCallerGone
 	// attemptBlocked means that the attempt was aborted because a part of the prompt crashes servers.
 	attemptBlocked
+	// attemptStopped means that the attempt was aborted because the instance stops.
+	attemptStopped
 )
 
 // String returns the outcome as it appears in logs and metrics.
 func (o attemptOutcome) String() string {
-	return [...]string{"", "whole", "not_sent", "not_run", "broken", "silent", "late", "caller_left", "blocked"}[o]
+	return [...]string{"", "whole", "not_sent", "not_run", "broken", "silent", "late", "caller_left", "blocked", "stopped"}[o]
 }
 
 // action is the next step after an attempt.
