lacegateway: requests left at the end of a drain are answered

On the own interface, requests that were still running when the drain timeout ended were cut when the listener closed, without an answer. Their attempts are now aborted at that point, so that the callers get a fault with an unknown outcome before the listener closes.

--- a/lib/lacegateway/attempt.go
+++ b/lib/lacegateway/attempt.go
@@ -19,7 +19,7 @@
 	if d.cancelAttempt != nil {
 		d.cancelAttempt()
 	}
-	ctx, cancel := d.context(d.task.timeout)
+	ctx, cancel := context.WithTimeout(d.gateway.attempts, d.task.timeout)
 	d.cancelAttempt = cancel
 	picked := d.pickResult
 	d.runAsync(func() {
--- a/lib/lacegateway/driver.go
+++ b/lib/lacegateway/driver.go
@@ -233,7 +233,7 @@
 	request := d.task.pickRequest
 	request.Exclude, request.Prefer, request.Retry = e.Exclude, e.Prefer, e.Retry
 	d.runAsync(func() {
-		ctx, cancel := d.context(d.task.timeout)
+		ctx, cancel := context.WithTimeout(d.gateway.attempts, d.task.timeout)
 		defer cancel()
 		picked, fault := d.gateway.deps.Picker.Pick(ctx, request)
 		if fault != nil {
--- a/lib/lacegateway/fake_test.go
+++ b/lib/lacegateway/fake_test.go
@@ -103,6 +103,8 @@
 	hideRuns bool
 	// unblock, if set, blocks streams after their first chunk until it is closed.
 	unblock chan struct{}
+	// started, if set, receives a value for the first run.
+	started chan struct{}
 }
 
 func (b *fakeBackend) count(request lacebackend.ScopedRequestID) int {
@@ -115,6 +117,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.runs[request]++
+	select {
+	case b.started <- struct{}{}:
+	default:
+	}
 	return b.err
 }
 
--- a/lib/lacegateway/gateway.go
+++ b/lib/lacegateway/gateway.go
@@ -182,6 +182,10 @@
 	resolver *Resolver
 	recorder *lacetrace.Recorder
 
+	// attempts is the context of all attempts at servers; abort ends it.
+	attempts context.Context //nolint:containedctx // It has the lifetime of the gateway.
+	abort    context.CancelFunc
+
 	mu           sync.Mutex
 	draining     bool
 	running      sync.WaitGroup
@@ -202,6 +206,7 @@
 		g.metrics = NewMetrics(nil)
 	}
 	g.resolver = newResolver(deps, g.now, g.metrics)
+	g.attempts, g.abort = context.WithCancel(context.Background())
 	return g
 }
 
@@ -229,7 +234,8 @@
 	g.draining = true
 }
 
-// Drain refuses new requests and waits until the running ones have ended, with their background work.
+// Drain refuses new requests and waits until the running ones have ended, with their background work. When the context
+// ends, it aborts their attempts, so that they are answered, and returns its error.
 func (g *Gateway) Drain(ctx context.Context) error {
 	g.StartDraining()
 	done := make(chan struct{})
@@ -241,6 +247,7 @@
 	case <-done:
 		return nil
 	case <-ctx.Done():
+		g.abort()
 		return ctx.Err()
 	}
 }
