laceconn: a response with an invalid trailer field is broken

A response in chunks whose trailer has a field with a blank in its name was complete; net/http accepts such names there as in a head. The body fails at its end instead.

--- a/lib/laceconn/responseconn.go
+++ b/lib/laceconn/responseconn.go
@@ -100,8 +100,12 @@
 func ReadResponse(reader *bufio.Reader, r *http.Request) (*http.Response, error) {
 	for {
 		response, err := http.ReadResponse(reader, r)
-		if err != nil || response.StatusCode >= http.StatusOK {
-			return response, err
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK {
+			checkTrailer(response)
+			return response, nil
 		}
 	}
 }
--- a/lib/laceconn/roundtrip.go
+++ b/lib/laceconn/roundtrip.go
@@ -99,6 +99,7 @@
 	if err != nil {
 		return nil, err
 	}
+	checkTrailer(response)
 	if t.maxBodyBytes > 0 {
 		response.Body = &limitedBody{
 			ReadCloser: response.Body,
--- a/lib/laceconn/roundtrip_test.go
+++ b/lib/laceconn/roundtrip_test.go
@@ -27,6 +27,7 @@
 		"head that ends in a line":       "HTTP/1.1 200 OK\r\nContent-Len",
 		"body longer than the limit":     "HTTP/1.1 200 OK\r\nContent-Length: 65\r\n\r\n" + strings.Repeat("x", 65),
 		"body without end":               "HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("x", 1<<20),
+		"blank in a trailer field":       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX A: 1\r\n\r\n",
 		"zero bytes instead of a status": strings.Repeat("\x00", 1<<20),
 	} {
 		for _, reused := range []bool{false, true} {
