lacerelay: a request that begins to wait during a stop is refused at once

A request whose body arrived after the instance had begun to stop waited for a server before it was refused. It is refused before a server is picked.

--- a/lib/laceconn/probe_test.go
+++ b/lib/laceconn/probe_test.go
@@ -34,7 +34,7 @@
 		t.Fatal(err)
 	}
 	_, _ = c.Read(make([]byte, 1))
-	_, _ = io.WriteString(c, "half an answer")
+	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nhalf an answer")
 	os.Exit(0)
 }
 
--- a/lib/laceconn/responseconn.go
+++ b/lib/laceconn/responseconn.go
@@ -96,20 +96,6 @@
 	return io.EOF
 }
 
-// ReadResponse reads a response header and skips interim (1xx) responses. The reader must read from a ResponseConn.
-func ReadResponse(reader *bufio.Reader, r *http.Request) (*http.Response, error) {
-	for {
-		response, err := http.ReadResponse(reader, r)
-		if err != nil {
-			return nil, err
-		}
-		if response.StatusCode >= http.StatusOK {
-			checkTrailer(response)
-			return response, nil
-		}
-	}
-}
-
 // Write implements net.Conn.
 func (c *ResponseConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
@@ -140,3 +126,17 @@
 	}
 	return s.SyscallConn()
 }
+
+// ReadResponse reads a response header and skips interim (1xx) responses. The reader must read from a ResponseConn.
+func ReadResponse(reader *bufio.Reader, r *http.Request) (*http.Response, error) {
+	for {
+		response, err := http.ReadResponse(reader, r)
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK {
+			checkTrailer(response)
+			return response, nil
+		}
+	}
+}
--- a/lib/lacegateway/driver.go
+++ b/lib/lacegateway/driver.go
@@ -44,7 +44,8 @@
 	attemptOpen   bool
 	cancelAttempt context.CancelFunc
 	header        http.Header
-	// replies is the memory of the replies that the machine may still hold, unsent that of large chunks.
+	// replies is the memory of the replies that the machine may still hold, unsent that of the large chunks which have not
+	// been written to the caller.
 	replies           []*lacelistener.Holding
 	unsent            []*lacelistener.Holding
 	firstByteRecorded bool
--- a/lib/lacegateway/gateway.go
+++ b/lib/lacegateway/gateway.go
@@ -183,7 +183,7 @@
 	recorder *lacetrace.Recorder
 
 	// attempts is the context of all attempts at servers; abort ends it.
-	attempts context.Context //nolint:containedctx // It has the lifetime of the gateway.
+	attempts context.Context
 	abort    context.CancelFunc
 
 	mu           sync.Mutex
--- a/lib/lacerelay/attempt.go
+++ b/lib/lacerelay/attempt.go
@@ -94,6 +94,9 @@
 func (r *Relay) tryServer(ctx context.Context, j *job) (attempt, *lacefault.Fault) {
 	attemptCtx, untrack, cancel := r.trackAttempt(ctx, j)
 	defer cancel()
+	if r.shutdown.refuses(j) {
+		return attempt{}, stoppingFault(j)
+	}
 	decision := r.pickServer(attemptCtx, j)
 	if decision.Verdict != lacebalancer.Assigned {
 		if f := r.quarantineFault(j); f != nil {
--- a/lib/lacerelay/shutdown.go
+++ b/lib/lacerelay/shutdown.go
@@ -31,6 +31,9 @@
 		s.jobs = map[*job]context.CancelCauseFunc{}
 	}
 	s.jobs[j] = cancel
+	if s.refusesLocked(j) {
+		cancel(errStopping)
+	}
 	return func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -44,7 +47,7 @@
 	defer s.mu.Unlock()
 	s.end = end
 	for j, cancel := range s.jobs {
-		if !j.sending && j.deadline.After(end) {
+		if s.refusesLocked(j) {
 			cancel(errStopping)
 		}
 	}
@@ -63,7 +66,7 @@
 func (s *shutdown) beginSend(j *job) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	j.sending = j.sending || s.end.IsZero() || !j.deadline.After(s.end)
+	j.sending = !s.refusesLocked(j)
 	return j.sending
 }
 
@@ -79,6 +82,10 @@
 func (s *shutdown) refuses(j *job) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.refusesLocked(j)
+}
+
+func (s *shutdown) refusesLocked(j *job) bool {
 	return !j.sending && !s.end.IsZero() && j.deadline.After(s.end)
 }
 
