--- a/lib/laceconn/reset_test.go
+++ b/lib/laceconn/reset_test.go
@@ -1,12 +1,12 @@
 package laceconn
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 
 	"lacewingcove/lib/laceunit"
@@ -25,28 +25,17 @@
 // that has no length, and then calls end.
 func startUnframedServer(t *testing.T, end func(c *net.TCPConn)) laceunit.Address {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-					return
-				}
-				fmt.Fprint(c, "HTTP/1.1 200 OK\r\n\r\npart")
-				end(c.(*net.TCPConn))
-			}()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
 		}
-	}()
-	return laceunit.Address(l.Addr().String())
+		defer c.Close()
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\n\r\npart")
+		end(c.(*net.TCPConn))
+	}))
+	t.Cleanup(s.Close)
+	return laceunit.Address(s.Listener.Addr().String())
 }
 
 // startUpload starts an upload and returns its exchange once the response head has arrived.
