lacegateway: a lack of memory ends a request instead of repeating it

An attempt without memory for its response was repeated twice, and each attempt read a large response again. Such a failure is final now, as it is in the relay, and the memory of large chunks is returned one by one as they are written.

Evidence: TestFinalFailureIsNotRetried fails without the condition: "final true: retried true".

--- a/lib/lacegateway/attempt.go
+++ b/lib/lacegateway/attempt.go
@@ -172,7 +172,8 @@
 	if errors.As(err, &fault) && (fault == errBlocked || fault.Status == http.StatusServiceUnavailable && fault.RetryAfter > 0) {
 		result = ResultUnavailable
 	}
-	if errors.Is(err, lacebackend.ErrNoMemory) {
+	noMemory := errors.Is(err, lacebackend.ErrNoMemory)
+	if noMemory {
 		// The server is not to blame for what other responses hold.
 		result = ResultCanceled
 	}
@@ -181,6 +182,7 @@
 		input: lacerequest.Failed{
 			Attempt: attempt,
 			Class:   class,
+			Final:   noMemory,
 		},
 		onAccept: func() { d.reportResult(result) },
 	})
--- a/lib/lacegateway/driver.go
+++ b/lib/lacegateway/driver.go
@@ -190,8 +190,10 @@
 		if err := d.task.sink.writeChunk(e.Text); err != nil {
 			d.runAsync(func() { d.postInput(lacerequest.Gone{}) })
 		}
-		closeAll(d.unsent)
-		d.unsent = nil
+		if len(e.Text) > largeChunk && len(d.unsent) > 0 {
+			d.unsent[0].Close()
+			d.unsent = d.unsent[1:]
+		}
 	case lacerequest.Reply:
 		g.metrics.requestCompleted(g.now().Sub(d.started))
 		d.task.sink.reply(e.Response, d.header, e.Missing)
--- a/lib/lacerequest/input.go
+++ b/lib/lacerequest/input.go
@@ -50,6 +50,8 @@
 type Failed struct {
 	Attempt laceunit.AttemptID
 	Class   FailureClass
+	// Final is true if another attempt would fail for the same reason, such as a lack of memory.
+	Final bool
 }
 
 // Durable is the ledger's verdict on an Intent or a Takeover.
--- a/lib/lacerequest/response.go
+++ b/lib/lacerequest/response.go
@@ -184,12 +184,12 @@
 	fault := m.serverFault()
 	if m.emitted > 0 {
 		// Another run may generate different text, so a response that was partly sent is resumed only at the same server.
-		if in.Class == MayHaveRun && m.attempts < m.spec.MaxAttempts {
+		if in.Class == MayHaveRun && m.attempts < m.spec.MaxAttempts && !in.Final {
 			return m.dispatch()
 		}
 		return m.abandon(fault)
 	}
-	if m.attempts >= m.spec.MaxAttempts {
+	if m.attempts >= m.spec.MaxAttempts || in.Final {
 		return m.abandon(fault)
 	}
 	m.buffered, m.ended, m.response = nil, nil, nil
--- a/lib/lacetrace/line.go
+++ b/lib/lacetrace/line.go
@@ -56,6 +56,7 @@
 		return wireLine{Failed: &wireFailed{
 			Attempt: string(in.Attempt),
 			Ran:     ran,
+			Final:   in.Final,
 		}}
 	default:
 		return newWireRecordLine(in)
--- a/lib/lacetrace/wire.go
+++ b/lib/lacetrace/wire.go
@@ -67,6 +67,7 @@
 type wireFailed struct {
 	Attempt string `json:"attempt"`
 	Ran     string `json:"ran"`
+	Final   bool   `json:"final,omitempty"`
 }
 
 type wireVerdict struct {
