lacebalancer: load reports that no response can correct lapse

Cause: the mean remote load of a pool is the sum of the last reports, however old or large they are. Once the mean exceeds the utilization limit, no server is a candidate, so that no request is sent, no response brings a report, and the mean stays. The size of the figure is one way to get there; any moment in which all servers look full is another.

While no server can take a request, a server whose report is older than a few mean latencies gets one request, whose response corrects it; at most one in that time for each pool and instance, and none to a server that this instance fills by itself. Slots known from a report only are updated by later reports. Engines and services of the own interface are chosen by the same balancer.

TestRequestsWithoutPromptAreUnaffected pins hashes of decisions. Without probes the former hashes hold and stay in the test; with probes, which the load of that test causes, there are new ones beside them.

--- a/lib/lacebalancer/balancer.go
+++ b/lib/lacebalancer/balancer.go
@@ -76,6 +76,9 @@
 	remoteLoad float64
 	// localLoad is the number of requests that this instance has in flight at the servers.
 	localLoad int
+	// nextLoadProbe is when a server that counts as full may be probed, nextReportSweep when old reports are removed.
+	nextLoadProbe   time.Time
+	nextReportSweep time.Time
 	// reportsStale is true while less than half of the servers have a fresh load report.
 	reportsStale bool
 	// latency is the moving average latency of successful requests in seconds.
--- a/lib/lacebalancer/engine_test.go
+++ b/lib/lacebalancer/engine_test.go
@@ -11,14 +11,26 @@
 )
 
 // Guards against a choice for requests without a prompt that token-aware placement changes: the hashes are those of the
-// balancer without it. A fourth figure of load reports must not change it either.
+// balancer without it, before and since it probes servers that count as full. A fourth figure of load reports must not
+// change it either.
 func TestRequestsWithoutPromptAreUnaffected(t *testing.T) {
-	for policy, want := range map[string]uint64{
-		PolicyRoundRobin: 0x8e9e76407b974774, PolicyLeast: 0xfc0cd0d81012623a, PolicyAffinity: 0xaac654a7810298a5,
+	for _, c := range []struct {
+		policy string
+		probes bool
+		want   uint64
+	}{
+		{PolicyRoundRobin, false, 0x8e9e76407b974774},
+		{PolicyLeast, false, 0xfc0cd0d81012623a},
+		{PolicyAffinity, false, 0xaac654a7810298a5},
+		{PolicyRoundRobin, true, 0x20aff9dbded0aeca},
+		{PolicyLeast, true, 0x4c643c0e38f3d87f},
+		{PolicyAffinity, true, 0xd82c006a780e9950},
 	} {
 		for _, slowdown := range []int{0, 100} {
-			if got := decisionsWithoutPrompt(t, policy, func(l *Load) { l.Slowdown = slowdown * (1 + l.Running) }); got != want {
-				t.Errorf("%s, slowdown %d with each request, seed %d: hash of the decisions is %#x, want %#x", policy, slowdown, seed, got, want)
+			got := decisionsWithoutPrompt(t, c.policy, c.probes, func(l *Load) { l.Slowdown = slowdown * (1 + l.Running) })
+			if got != c.want {
+				t.Errorf("%s, probes %t, slowdown %d with each request, seed %d: hash of the decisions is %#x, want %#x",
+					c.policy, c.probes, slowdown, seed, got, c.want)
 			}
 		}
 	}
--- a/lib/lacebalancer/pick.go
+++ b/lib/lacebalancer/pick.go
@@ -202,7 +202,8 @@
 // With a placer, it chooses among the candidates instead of the pool's policy.
 func (b *Balancer) selectServer(now time.Time, p *pool, r Request, placing *placer) (*server, bool) {
 	utilizationLimit := baseUtilization + utilizationPerPriority*float64(max(r.Priority, laceunit.PriorityDraft))
-	mean := p.meanLoad()
+	p.expireReports(now)
+	mean, overloaded := p.meanLoad(), p.newLoadProbe()
 	exclude := r.Exclude
 	if p.allExcluded(now, exclude) {
 		exclude = nil
@@ -215,10 +216,7 @@
 			continue
 		}
 		if s.ejected {
-			if !s.probeInFlight && !s.atSlowStartLimit() && !s.rateLimited(now) &&
-				(probeTarget == nil || s.ejectedUntil.Before(probeTarget.ejectedUntil)) {
-				probeTarget = s
-			}
+			probeTarget = s.orEarlierProbe(now, probeTarget)
 			continue
 		}
 		if s.rateLimited(now) {
@@ -234,7 +232,11 @@
 		}
 		s.salt = p.rendezvousSalt(b.salt)
 		s.updateLoadEstimate(now, mean)
-		if s.atSlowStartLimit() || s.slots > 0 && s.loadEstimate >= utilizationLimit*float64(s.slots) {
+		if s.atSlowStartLimit() {
+			continue
+		}
+		if limit := utilizationLimit * float64(s.slots); s.slots > 0 && s.loadEstimate >= limit {
+			overloaded.consider(now, s, limit)
 			continue
 		}
 		if now.Before(s.suspectUntil) {
@@ -252,7 +254,7 @@
 		candidates = slices.DeleteFunc(candidates, func(s *server) bool { return now.Before(s.suspectUntil) })
 	}
 	if len(candidates) == 0 {
-		return nil, false
+		return p.probeLoad(now, overloaded), false
 	}
 	if placing != nil {
 		return placing.choose(candidates, b.random), false
@@ -260,6 +262,16 @@
 	return p.policy.Choose(candidates, r.Prefix, b.random), false
 }
 
+// orEarlierProbe returns the ejected server s if it can be probed before another one, which may be nil, and otherwise that
+// one.
+func (s *server) orEarlierProbe(now time.Time, other *server) *server {
+	if s.probeInFlight || s.atSlowStartLimit() || s.rateLimited(now) ||
+		other != nil && !s.ejectedUntil.Before(other.ejectedUntil) {
+		return other
+	}
+	return s
+}
+
 // rendezvousSalt returns the salt of the pool's rendezvous order: that of the instance while load reports are stale,
 // and a common one otherwise.
 func (p *pool) rendezvousSalt(instanceSalt uint64) uint64 {
--- a/lib/lacebalancer/server.go
+++ b/lib/lacebalancer/server.go
@@ -50,9 +50,11 @@
 	address   laceunit.Address
 	seed      uint64
 	slots     int
-	leaving   bool
-	removed   bool
-	pools     []*pool
+	// slotsReported is true when slots is from a load report, since the configuration does not state it.
+	slotsReported bool
+	leaving       bool
+	removed       bool
+	pools         []*pool
 
 	localLoad int
 	history   []loadChange
@@ -91,7 +93,7 @@
 	s.address, s.startTime = config.Address, config.StartTime
 	s.leaving = leaving || config.Leaving
 	if config.Slots > 0 {
-		s.slots = config.Slots
+		s.slots, s.slotsReported = config.Slots, false
 	}
 }
 
@@ -150,10 +152,14 @@
 	s.reportTime = madeAt
 	s.localAtReport = local
 	s.slowdown.report(load.Slowdown, madeAt)
-	s.setRemoteLoad(float64(max(0, load.Running+load.Waiting-local)))
-	if load.Slots > 0 && s.slots == 0 {
-		s.slots = load.Slots
+	if load.Slots > 0 && (s.slots == 0 || s.slotsReported) {
+		s.slots, s.slotsReported = load.Slots, true
 	}
+	remote := float64(max(0, load.Running+load.Waiting-local))
+	if s.slots > 0 {
+		remote = min(remote, maxReportedLoad*float64(s.slots))
+	}
+	s.setRemoteLoad(remote)
 }
 
 func (s *server) setRemoteLoad(n float64) {
--- a/lib/lacebalancer/unchanged_test.go
+++ b/lib/lacebalancer/unchanged_test.go
@@ -12,12 +12,15 @@
 	"lacewingcove/lib/laceunit"
 )
 
-// decisionsWithoutPrompt returns a hash of the decisions on a fixed load of requests without a prompt. Each load report
-// passes through adjust.
-func decisionsWithoutPrompt(t *testing.T, policy string, adjust func(*Load)) uint64 {
+// decisionsWithoutPrompt returns a hash of the decisions on a fixed load of requests without a prompt, with or without
+// probes of servers that count as full. Each load report passes through adjust.
+func decisionsWithoutPrompt(t *testing.T, policy string, probes bool, adjust func(*Load)) uint64 {
 	t.Helper()
 	random := rand.New(rand.NewPCG(seed, 2))
 	b := balancer(t, laceconfig.Routing{Policy: policy, MaxQueued: 20}, engines(6, 4))
+	if !probes {
+		b.pools[ModelPool("m")].nextLoadProbe = at(time.Hour)
+	}
 	hash := xxhash.New()
 	var assigned []Ticket
 	record := func(decisions ...Decision) {
