lacebalancer: an ejected server is tried again by non-idempotent requests

Failing first (TestNonIdempotentRequestsProbeAfterLongEjection): "2m1s after the ejection: got s1, while s1 is healthy".

Cause: only idempotent requests probe an ejected server while another one is healthy, and only a probe ends an ejection.

Change: an ejected server that no request has probed for two minutes after the end of its ejection is probed by a non-idempotent request too. A failed probe ejects it again, for up to 16 times the base time.

Measured: the test passes; TestEjectionAndProbing, in which a non-idempotent request after a minute is no probe, is unchanged and passes.

--- a/lib/lacebalancer/balancer_test.go
+++ b/lib/lacebalancer/balancer_test.go
@@ -150,6 +150,22 @@
 	}
 }
 
+// Guards against an ejected server of a service without idempotent requests that is never tried again.
+func TestNonIdempotentRequestsProbeAfterLongEjection(t *testing.T) {
+	b := balancer(t, laceconfig.Routing{EjectAfter: 1, EjectionTime: time.Second}, engines(2, 0))
+	b.Done(start(), pick(b, start(), request()).Ticket, Failure, 0)
+	r := request()
+	r.NonIdempotent = true
+	healthy := pick(b, at(time.Second), r).Server
+	for after, probe := range map[time.Duration]bool{time.Second + maxUnprobed - 1: false, time.Second + maxUnprobed: true} {
+		d := pick(b, at(after), r)
+		if (d.Server != healthy) != probe {
+			t.Errorf("%v after the ejection: got %s, while %s is healthy", after, d.Server, healthy)
+		}
+		b.Done(at(after), d.Ticket, Neutral, 0)
+	}
+}
+
 // Guards against a pool that refuses all requests because all its servers are ejected.
 func TestPoolWithAllServersEjectedIsProbedImmediately(t *testing.T) {
 	b := balancer(t, laceconfig.Routing{EjectAfter: 1, EjectionTime: time.Minute}, engines(2, 4))
--- a/lib/lacebalancer/pick.go
+++ b/lib/lacebalancer/pick.go
@@ -197,7 +197,7 @@
 
 // selectServer returns the server for a request, nil for none, and whether the request is a probe. An ejected server
 // whose ejection time is over gets the next request as a probe, so that it is reinstated even while others have
-// capacity.
+// capacity. A non-idempotent request is one only after maxUnprobed.
 //
 // With a placer, it chooses among the candidates instead of the pool's policy.
 func (b *Balancer) selectServer(now time.Time, p *pool, r Request, placing *placer) (*server, bool) {
@@ -247,7 +247,7 @@
 	b.scratch = candidates
 	p.reportsStale = 2*freshCount < healthyCount
 	// With no healthy server left, waiting for the end of the ejection would refuse requests that a probe might serve.
-	if probeTarget != nil && (healthyCount == 0 || !r.NonIdempotent && !now.Before(probeTarget.ejectedUntil)) {
+	if probeTarget != nil && (healthyCount == 0 || probeTarget.mayBeProbedBy(now, r)) {
 		return probeTarget, true
 	}
 	if suspectCount > 0 && suspectCount < len(candidates) {
@@ -272,6 +272,14 @@
 	return s
 }
 
+// mayBeProbedBy reports whether a request may probe an ejected server although another one is healthy.
+func (s *server) mayBeProbedBy(now time.Time, r Request) bool {
+	if r.NonIdempotent {
+		return now.Sub(s.ejectedUntil) >= maxUnprobed
+	}
+	return !now.Before(s.ejectedUntil)
+}
+
 // rendezvousSalt returns the salt of the pool's rendezvous order: that of the instance while load reports are stale,
 // and a common one otherwise.
 func (p *pool) rendezvousSalt(instanceSalt uint64) uint64 {
--- a/lib/lacebalancer/request.go
+++ b/lib/lacebalancer/request.go
@@ -38,7 +38,8 @@
 	Prefix uint64
 	// Exclude lists servers at which earlier attempts failed; they are used only when no other server is available.
 	Exclude []laceunit.ServerID
-	// NonIdempotent requests are not used to probe an ejected server while another one is healthy.
+	// NonIdempotent requests are not used to probe an ejected server while another one is healthy, unless no other request
+	// has probed it for some minutes.
 	NonIdempotent bool
 	// Retry marks a retry, which is counted against the retry budget.
 	Retry bool
--- a/lib/lacebalancer/server.go
+++ b/lib/lacebalancer/server.go
@@ -26,6 +26,9 @@
 	suspectDuration = 30 * time.Second
 	// maxEjectionFactor bounds the exponential backoff of the ejection time after failed probes.
 	maxEjectionFactor = 16
+	// maxUnprobed is how long an ejected server without a probe is spared by non-idempotent requests. A service may get
+	// no others, so that nothing else shows whether the server has recovered.
+	maxUnprobed = 2 * time.Minute
 )
 
 // Load is the load report of a server.
