lacebalancer: a pause applies to every server at its address

The pause was recorded for that server, and the process got requests by its own entry in its pause.

Failing first (TestPauseAppliesToEveryEntryOfAnAddress on the code before): "in the pause: {Ticket:2 Verdict:1 Server:later Address:127.0.0.1:9", with a later entry of another service, of the same service, and of the same id.

Change: pauses and their slow start belong to the address, and are kept whether the entries there come or go. This replaces the separate list of pauses of servers without an entry. A server without an address keeps its own. Queued requests are decided by the same state.

--- a/lib/lacebalancer/balancer.go
+++ b/lib/lacebalancer/balancer.go
@@ -36,7 +36,7 @@
 	assigned       map[Ticket]assignedRequest
 	waiting        map[Ticket]*pool
 	leavingServers leavingServers
-	unlistedPauses unlistedPauses
+	pauses         pauses
 	// rateLimiters are those of the servers with a rate limit, whether they are listed or not.
 	rateLimiters map[incarnation]*rateLimiter
 	lastTicket   Ticket
@@ -99,15 +99,15 @@
 // New returns a balancer without servers.
 func New(routing laceconfig.Routing, random Random, options ...Option) (*Balancer, error) {
 	b := &Balancer{
-		random:         random,
-		pools:          map[Pool]*pool{},
-		servers:        map[laceunit.ServerID]*server{},
-		assigned:       map[Ticket]assignedRequest{},
-		waiting:        map[Ticket]*pool{},
-		unlistedPauses: unlistedPauses{},
-		rateLimiters:   map[incarnation]*rateLimiter{},
-		retryBudget:    initialRetryBudget,
-		salt:           mix(uint64(random(rendezvousOrders) + 1)),
+		random:       random,
+		pools:        map[Pool]*pool{},
+		servers:      map[laceunit.ServerID]*server{},
+		assigned:     map[Ticket]assignedRequest{},
+		waiting:      map[Ticket]*pool{},
+		pauses:       pauses{},
+		rateLimiters: map[incarnation]*rateLimiter{},
+		retryBudget:  initialRetryBudget,
+		salt:         mix(uint64(random(rendezvousOrders) + 1)),
 	}
 	for _, o := range options {
 		o(b)
@@ -154,14 +154,13 @@
 
 // Update sets the servers and returns the resulting decisions on queued requests. A server that is leaving or missing
 // gets no new requests from then on; its tickets stay valid. A restarted server starts without the state of its
-// previous incarnation.
+// previous incarnation, except for a pause, which applies to the address.
 func (b *Balancer) Update(
 	now time.Time, servers map[laceunit.ServerID]laceconfig.Server, leaving map[laceunit.ServerID]bool,
 ) []Decision {
 	for id, s := range b.servers {
 		if config, ok := servers[id]; !ok || config.StartTime != s.startTime {
 			s.removed, s.pools = true, nil
-			b.unlistedPauses.save(s)
 			delete(b.servers, id)
 		}
 	}
@@ -176,11 +175,11 @@
 		}
 		config := servers[id]
 		s.configure(config, leaving[id] || b.IsLeaving(id, config.StartTime))
-		b.unlistedPauses.restore(s)
+		s.pause = b.pauses[s.pauseKey()]
 		s.rateLimiter = b.rateLimiters[s.incarnation()]
 		b.addToPools(s, config)
 	}
-	b.unlistedPauses.prune(now)
+	b.pauses.prune(now, b.servers)
 	b.leavingServers.prune(now, func(s incarnation) bool {
 		config, ok := servers[s.id]
 		return ok && config.StartTime == s.startTime
@@ -278,7 +277,7 @@
 	case Success:
 		s.recordSuccess(assigned.probe)
 		if !assigned.responseStarted {
-			b.current(s).raiseSlowStartLimit(now, assigned.slowStart)
+			b.raiseSlowStartLimit(now, assigned)
 		}
 		const weight = 0.05
 		if assigned.pool.latency == 0 {
--- a/lib/lacebalancer/pause.go
+++ b/lib/lacebalancer/pause.go
@@ -1,6 +1,12 @@
 package lacebalancer
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"lacewingcove/lib/laceunit"
+)
 
 const (
 	// initialSlowStartLimit is the concurrency limit of a server at the end of its pause. Each response raises it by one,
@@ -21,67 +27,90 @@
 	inFlight       int
 }
 
-// unlistedPauses are the pauses of servers without an entry, which may reappear.
-type unlistedPauses map[incarnation]*pause
-
-func (p unlistedPauses) save(s *server) {
-	// Without a start time, a server that is listed again can't be distinguished from another incarnation under the same
-	// id.
-	if s.pause != nil && s.startTime != 0 {
-		p[s.incarnation()] = s.pause
-	}
+// pauseKey identifies where a pause applies. A server without an address is identified by its incarnation.
+type pauseKey struct {
+	address laceunit.Address
+	server  incarnation
 }
 
-// restore sets the saved pause of a server, if there is one.
-func (p unlistedPauses) restore(s *server) {
-	if x, ok := p[s.incarnation()]; ok {
-		s.pause = x
-		delete(p, s.incarnation())
+func (s *server) pauseKey() pauseKey {
+	if s.address != "" {
+		return pauseKey{address: s.address}
 	}
+	return pauseKey{server: s.incarnation()}
 }
 
-// prune drops pauses that ended at least unlistedTTL ago and, beyond maxUnlisted, those that end first.
-func (p unlistedPauses) prune(now time.Time) {
-	for s, x := range p {
-		if now.Sub(x.end) >= unlistedTTL {
-			delete(p, s)
-		}
+// pauses are the pauses of all servers, whether they are listed or not. A pause applies to every server at the address
+// that asked for it: the entry of a server that has ended may still be listed while another process has its address, so
+// that it is not known which of them has answered.
+type pauses map[pauseKey]*pause
+
+// prune drops pauses of servers that are not listed: those that ended at least unlistedTTL ago and, beyond maxUnlisted,
+// those that end first.
+func (p pauses) prune(now time.Time, servers map[laceunit.ServerID]*server) {
+	if len(p) == 0 {
+		return
+	}
+	listed := make(map[pauseKey]bool, len(servers))
+	for _, s := range servers {
+		listed[s.pauseKey()] = true
 	}
-	for len(p) > maxUnlisted {
-		var earliest incarnation
-		for s, x := range p {
-			if f, ok := p[earliest]; !ok || x.end.Before(f.end) {
-				earliest = s
-			}
+	var unlisted []pauseKey
+	for key, x := range p {
+		switch {
+		case listed[key]:
+		case now.Sub(x.end) >= unlistedTTL:
+			delete(p, key)
+		default:
+			unlisted = append(unlisted, key)
 		}
-		delete(p, earliest)
+	}
+	if len(unlisted) <= maxUnlisted {
+		return
+	}
+	slices.SortFunc(unlisted, func(a, b pauseKey) int { return p[a].end.Compare(p[b].end) })
+	for _, key := range unlisted[:len(unlisted)-maxUnlisted] {
+		delete(p, key)
 	}
 }
 
-// Pause stops requests to the server of a ticket for a time, as the server has asked. A pause is not a failure: it does
-// not count towards ejection and has no other effect on the server. Of several pauses the latest end applies. Pause
-// reports whether the server was not paused before.
+// Pause stops requests to the address of the server of a ticket for a time, as the server has asked. A pause is not a
+// failure: it does not count towards ejection and has no other effect on the server. Of several pauses the latest end
+// applies. Pause reports whether the address was not paused before.
 func (b *Balancer) Pause(now time.Time, ticket Ticket, length time.Duration) (bool, []Decision) {
 	assigned, ok := b.assigned[ticket]
 	if !ok || length <= 0 {
 		return false, nil
 	}
-	s := b.current(assigned.server)
-	if s.removed {
-		b.unlistedPauses.restore(s)
+	key := assigned.server.pauseKey()
+	x := b.pauses[key]
+	if x == nil {
+		x = &pause{}
+		b.pauses[key] = x
 	}
-	changed := !s.paused(now)
-	if s.pause == nil {
-		s.pause = &pause{}
+	changed := !now.Before(x.end)
+	x.slowStartLimit = initialSlowStartLimit
+	if end := now.Add(length); end.After(x.end) {
+		x.end = end
 	}
-	if s.removed {
-		b.unlistedPauses.save(s)
+	var pools []*pool
+	for _, s := range b.atAddress(key) {
+		s.pause = x
+		pools = append(pools, s.pools...)
 	}
-	s.pause.slowStartLimit = initialSlowStartLimit
-	if end := now.Add(length); end.After(s.pause.end) {
-		s.pause.end = end
+	return changed, b.drainQueues(now, pools)
+}
+
+// atAddress returns the listed servers to which a pause applies, in a fixed order.
+func (b *Balancer) atAddress(key pauseKey) []*server {
+	var found []*server
+	for _, s := range b.servers {
+		if s.pauseKey() == key {
+			found = append(found, s)
+		}
 	}
-	return changed, b.drainQueues(now, s.pools)
+	slices.SortFunc(found, func(x, y *server) int { return cmp.Compare(x.id, y.id) })
+	return found
 }
 
 // ResponseStarted records that the server of a ticket has begun to respond, which raises its slow start limit.
@@ -92,19 +121,23 @@
 	}
 	assigned.responseStarted = true
 	b.assigned[ticket] = assigned
-	s := b.current(assigned.server)
-	s.raiseSlowStartLimit(now, assigned.slowStart)
-	return b.drainQueues(now, s.pools)
+	b.raiseSlowStartLimit(now, assigned)
+	return b.drainQueues(now, b.current(assigned.server).pools)
 }
 
 // raiseSlowStartLimit raises the limit after a response to a request of the slow start. Responses during a further
 // pause don't count, since they don't show how much the server can take after that pause.
-func (s *server) raiseSlowStartLimit(now time.Time, slowStart *pause) {
-	if s.pause == nil || s.pause != slowStart || s.paused(now) {
+func (b *Balancer) raiseSlowStartLimit(now time.Time, assigned assignedRequest) {
+	x, key := assigned.slowStart, assigned.server.pauseKey()
+	if x == nil || b.pauses[key] != x || now.Before(x.end) {
+		return
+	}
+	x.slowStartLimit++
+	if x.slowStartLimit < finalSlowStartLimit {
 		return
 	}
-	s.pause.slowStartLimit++
-	if s.pause.slowStartLimit >= finalSlowStartLimit {
+	delete(b.pauses, key)
+	for _, s := range b.atAddress(key) {
 		s.pause = nil
 	}
 }
--- a/lib/lacebalancer/server.go
+++ b/lib/lacebalancer/server.go
@@ -73,7 +73,7 @@
 	ejectedUntil  time.Time
 	ejectionTime  time.Duration
 	suspectUntil  time.Time
-	// pause is nil unless the server is paused or in the slow start after a pause.
+	// pause is that of the server's address; nil unless it is in effect or in the slow start after it.
 	pause *pause
 	// rateLimiter is nil unless the server has a rate limit.
 	rateLimiter *rateLimiter
--- a/lib/lacerelay/address_test.go
+++ b/lib/lacerelay/address_test.go
@@ -101,3 +101,48 @@
 		})
 	}
 }
+
+// Guards against a pause that applies to one entry of an address only: the server that asked for it was known by the entry
+// of its predecessor, and gets requests by its own entry, queued ones included.
+func TestPauseAppliesToEveryEntryOfAnAddress(t *testing.T) {
+	entry := func(id laceunit.ServerID, service laceunit.ServiceID, startTime int64) Backend {
+		return Backend{
+			ID:        id,
+			Service:   service,
+			Address:   "127.0.0.1:9",
+			Slots:     1,
+			StartTime: startTime,
+		}
+	}
+	for name, later := range map[string]Backend{
+		"another service": entry("later", "price", 9),
+		"same service":    entry("later", "stock", 9),
+		"same id":         entry("former", "stock", 9),
+	} {
+		t.Run(name, func(t *testing.T) {
+			balancer, err := lacebalancer.New(laceconfig.Routing{}, func(int) int { return 0 })
+			if err != nil {
+				t.Fatal(err)
+			}
+			now := time.Unix(1000, 0)
+			picker := NewPicker(balancer, WithClock(func() time.Time { return now }))
+			b := NewBackends(picker, lacelog.Discard(), func(laceunit.ServiceID) int { return 0 })
+			pick := func(service laceunit.ServiceID) lacebalancer.Decision {
+				return picker.Pick(t.Context(), lacebalancer.Request{Pool: servicePool(service)})
+			}
+			b.Apply(now, []Backend{entry("former", "stock", 7)}, nil, time.Time{})
+			d := pick("stock")
+			b.MarkPaused("former", d.Ticket, 8*time.Second)
+			picker.Done(d.Ticket, lacebalancer.Neutral, 0)
+			b.Apply(now, []Backend{later}, nil, time.Time{})
+			now = now.Add(8*time.Second - time.Millisecond)
+			if d := pick(later.Service); d.Verdict != lacebalancer.Refused || d.Reason != lacebalancer.Paused {
+				t.Errorf("in the pause: %+v", d)
+			}
+			now = now.Add(time.Millisecond)
+			if d := pick(later.Service); d.Verdict != lacebalancer.Assigned {
+				t.Errorf("after the pause: %+v", d)
+			}
+		})
+	}
+}
