lacerelay: an answer of another process takes an entry out of use

Failing first (TestLaterStartAtAnAddressCounts on the code before): "former is in use true, gets requests true" in the cases "another process answers for the one that seems later", "at the address of one", "long ago" and "before the new entry", and "later is in use false, gets requests false" in three of them.

Cause: of two entries with one address the later start counts since, but starts are read from the clocks of different machines, and one entry alone was never doubted. What the process itself answered was not used.

Change: a response with 421 whose sender is not the addressed server marks that entry. Of several entries at an address, one that is not marked is in use before one that is; among unmarked ones the later start counts as before. An entry alone is out of use for a second and then tried again, since a wrong answer could not be corrected otherwise. The mark ends with a new start or address.

--- a/lib/lacerelay/address_test.go
+++ b/lib/lacerelay/address_test.go
@@ -14,7 +14,8 @@
 )
 
 // Guards against requests to the address of a server that has ended while its entry stands: the server that was started
-// there later gets them, even while it asks for a pause.
+// there later gets them, even while it asks for a pause. Clocks of servers differ, so that the later start may look like
+// the earlier one until the server has answered.
 func TestLaterStartAtAnAddressCounts(t *testing.T) {
 	server := func(id laceunit.ServerID, startTime int64) Backend {
 		return Backend{
@@ -28,9 +29,14 @@
 	former, later := server("former", 7), server("later", 9)
 	renewed := former
 	renewed.Slots = 5
+	// slow has started later than former, by a clock that is behind.
+	slow := server("later", 5)
 	type change struct {
-		registered []Backend
-		removed    []laceunit.ServerID
+		registered  []Backend
+		removed     []laceunit.ServerID
+		misdirected []laceunit.ServerID
+		// after is the time since the change before.
+		after time.Duration
 	}
 	for name, c := range map[string]struct {
 		changes []change
@@ -62,6 +68,55 @@
 			}}}},
 			want: map[laceunit.ServerID]bool{"former": true, "later": true},
 		},
+		"another process answers for the one that seems later": {
+			changes: []change{{registered: []Backend{former, slow}}, {misdirected: []laceunit.ServerID{"former"}}},
+			want:    map[laceunit.ServerID]bool{"later": true},
+		},
+		"another process answered long ago": {
+			changes: []change{
+				{registered: []Backend{former, slow}},
+				{misdirected: []laceunit.ServerID{"former"}},
+				{after: time.Hour},
+			},
+			want: map[laceunit.ServerID]bool{"later": true},
+		},
+		"another process answers before the new entry": {
+			changes: []change{
+				{registered: []Backend{former}},
+				{misdirected: []laceunit.ServerID{"former"}},
+				{registered: []Backend{slow}},
+			},
+			want: map[laceunit.ServerID]bool{"later": true},
+		},
+		"another process answers at the address of one": {
+			changes: []change{{registered: []Backend{former}}, {misdirected: []laceunit.ServerID{"former"}}},
+			want:    map[laceunit.ServerID]bool{},
+		},
+		"the answer of another process lapses": {
+			changes: []change{
+				{registered: []Backend{former}},
+				{misdirected: []laceunit.ServerID{"former"}},
+				{after: misdirectedPeriod},
+			},
+			want: map[laceunit.ServerID]bool{"former": true},
+		},
+		"another process answers for both": {
+			changes: []change{
+				{registered: []Backend{former, later}},
+				{misdirected: []laceunit.ServerID{"later"}},
+				{misdirected: []laceunit.ServerID{"former"}, after: time.Millisecond},
+				{after: misdirectedPeriod},
+			},
+			want: map[laceunit.ServerID]bool{"later": true},
+		},
+		"started again after the answer of another process": {
+			changes: []change{
+				{registered: []Backend{former}},
+				{misdirected: []laceunit.ServerID{"former"}},
+				{registered: []Backend{server("former", 11)}},
+			},
+			want: map[laceunit.ServerID]bool{"former": true},
+		},
 		"same start": {
 			changes: []change{{registered: []Backend{former, server("later", 7)}}},
 			want:    map[laceunit.ServerID]bool{"former": true, "later": true},
@@ -74,8 +129,14 @@
 			}
 			picker := NewPicker(balancer)
 			b := NewBackends(picker, lacelog.Discard(), func(laceunit.ServiceID) int { return 0 })
+			now := time.Unix(1000, 0)
 			for _, x := range c.changes {
-				b.Apply(time.Now(), x.registered, x.removed, time.Time{})
+				now = now.Add(x.after)
+				b.Apply(now, x.registered, x.removed, time.Time{})
+				for _, id := range x.misdirected {
+					b.MarkMisdirected(now, id, b.byID[id].StartTime)
+				}
+				b.Tick(now)
 			}
 			picked := map[laceunit.ServerID]bool{}
 			for range 8 {
--- a/lib/lacerelay/attempt.go
+++ b/lib/lacerelay/attempt.go
@@ -274,7 +274,7 @@
 	}
 	a.status, a.header = x.Response.StatusCode, x.Response.Header
 	a.framed = x.Response.ContentLength >= 0 || len(x.Response.TransferEncoding) > 0 || j.call.Method == http.MethodHead
-	r.applyReply(j, d, &a.reply)
+	r.applyReply(j, d, &a)
 	if j.route.Stream && a.status == http.StatusOK && a.reply.HasReceipt && j.response.canContinueWith(a.header) {
 		a.exchange = x
 		return a
--- a/lib/lacerelay/backend.go
+++ b/lib/lacerelay/backend.go
@@ -39,8 +39,10 @@
 	Backend
 	pool  *laceconn.Pool
 	probe *crashProbe
-	// superseded is true while a server that was started later has the address; the pool is closed then.
+	// superseded is true while another process has the address; the pool is closed then.
 	superseded bool
+	// misdirectedAt is when another process last answered at the address; zero if none has.
+	misdirectedAt time.Time
 	// expiresAt is when a server without an entry in the store is removed; zero while it has one.
 	expiresAt time.Time
 	// limit is the rate limit of the last response.
@@ -107,6 +109,7 @@
 		changed = true
 	}
 	if changed {
+		b.resolveAddresses(now)
 		b.publish()
 	}
 }
@@ -116,14 +119,18 @@
 func (b *Backends) Tick(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	changed := false
+	changed, refuted := false, false
 	for _, x := range b.byID {
 		x.pool.Expire(now)
+		refuted = refuted || !x.misdirectedAt.IsZero()
 		if !x.expiresAt.IsZero() && !now.Before(x.expiresAt) {
 			b.remove(x, "lapsed")
 			changed = true
 		}
 	}
+	if changed || refuted {
+		changed = b.resolveAddresses(now) || changed
+	}
 	if changed {
 		b.publish()
 	}
@@ -223,7 +230,7 @@
 	if old != nil && old.Address == x.Address && old.StartTime == x.StartTime {
 		updated.pool, updated.probe = old.pool, old.probe
 		updated.headerErrorLogged, updated.limit = old.headerErrorLogged, old.limit
-		updated.superseded = old.superseded
+		updated.superseded, updated.misdirectedAt = old.superseded, old.misdirectedAt
 	} else {
 		if old != nil {
 			b.remove(old, "restarted")
@@ -262,7 +269,6 @@
 
 func (b *Backends) publish() {
 	servers := make(map[laceunit.ServerID]laceconfig.Server, len(b.byID))
-	b.resolveAddresses()
 	for id, x := range b.byID {
 		if x.superseded {
 			continue
--- a/lib/lacerelay/codec.go
+++ b/lib/lacerelay/codec.go
@@ -61,6 +61,8 @@
 	HasReceipt bool
 	// NotRun is true when the server states that it did not run the request.
 	NotRun bool
+	// Misdirected is true when the response is that of another server than the one that the request was meant for.
+	Misdirected bool
 	// Leaving is true when the server announces that it is leaving (draining) and accepts no new requests.
 	Leaving bool
 	// Pause is how long the server asks to get no requests; zero means that it does not ask for a pause.
--- a/lib/lacerelay/connect.go
+++ b/lib/lacerelay/connect.go
@@ -16,6 +16,9 @@
 func (r *Relay) connect(ctx context.Context, j *job, d lacebalancer.Decision, a *attempt) *laceconn.Conn {
 	started, remaining := time.Now(), time.Until(j.deadline)
 	server, ok := r.options.Backends.find(d.Server)
+	if !ok && r.placementRevoked(j, d, a) {
+		return nil
+	}
 	if !ok || remaining < minRemainingTime {
 		a.outcome, a.reason, a.neutral = attemptNotSent, "server has gone or time is over", true
 		return nil
--- a/lib/lacerelay/notice.go
+++ b/lib/lacerelay/notice.go
@@ -1,6 +1,8 @@
 package lacerelay
 
 import (
+	"time"
+
 	"lacewingcove/lib/lacebalancer"
 	"lacewingcove/lib/laceconn"
 	"lacewingcove/lib/laceshare"
@@ -8,16 +10,22 @@
 
 // Values of the metric label for control information in the responses of servers.
 const (
-	noticeLeaving    = "leaving"
-	noticePause      = "pause"
-	noticeUnreadable = "unread"
-	noticeLimit      = "limit"
+	noticeLeaving     = "leaving"
+	noticePause       = "pause"
+	noticeUnreadable  = "unread"
+	noticeLimit       = "limit"
+	noticeMisdirected = "misdirected"
 )
 
 // applyReply applies the control information in a response header: leaving, pause, rate limit and load. It does so
 // before any part of the response is forwarded, so that no caller can see a notice that this instance does not observe
 // yet.
-func (r *Relay) applyReply(j *job, d lacebalancer.Decision, reply *Reply) {
+func (r *Relay) applyReply(j *job, d lacebalancer.Decision, a *attempt) {
+	reply := &a.reply
+	if reply.Misdirected {
+		r.options.Backends.MarkMisdirected(time.Now(), d.Server, a.backend.StartTime)
+		r.options.Metrics.countNotice(j, noticeMisdirected)
+	}
 	if reply.Leaving {
 		r.options.Backends.MarkLeaving(d.Server, d.Ticket)
 		r.options.Metrics.countNotice(j, noticeLeaving)
--- a/lib/lacerelay/notice_test.go
+++ b/lib/lacerelay/notice_test.go
@@ -126,6 +126,9 @@
 		"pauses": {revoked: true, change: func(b *testRelay, o lacebalancer.Decision) {
 			b.options.Backends.MarkPaused("s1", o.Ticket, time.Second)
 		}},
+		"is another process": {revoked: true, change: func(b *testRelay, _ lacebalancer.Decision) {
+			b.options.Backends.MarkMisdirected(time.Now(), "s1", 7)
+		}},
 		"restarts": {revoked: true, change: func(b *testRelay, _ lacebalancer.Decision) {
 			x := b.options.Backends.byID["s1"].Backend
 			x.StartTime = 8
@@ -153,6 +156,40 @@
 	}
 }
 
+// misdirectedCodec decodes every response as that of another server.
+type misdirectedCodec struct{ emptyCodec }
+
+// DecodeReply implements Codec.
+func (misdirectedCodec) DecodeReply(*http.Response) Reply {
+	return Reply{
+		NotRun:      true,
+		Misdirected: true,
+	}
+}
+
+// Guards against requests that go on to reach a process which has answered that it is not the server they are meant for.
+func TestMisdirectedServerGetsNoRequests(t *testing.T) {
+	b := newTestRelay(t)
+	b.options.Codec = misdirectedCodec{}
+	j := &job{
+		route:    &laceroute.Route{},
+		deadline: time.Now().Add(time.Second),
+	}
+	first, second := b.pick(), b.pick()
+	if a := b.send(context.Background(), j, first, &stallTimer{}); a.outcome != attemptNotRun {
+		t.Fatalf("attempt %+v", a)
+	}
+	if a := b.send(context.Background(), j, second, &stallTimer{}); !a.revoked {
+		t.Errorf("the request that was picked before: %+v", a)
+	}
+	if d := b.pick(); d.Verdict != lacebalancer.Refused || d.Reason != lacebalancer.NoServer {
+		t.Errorf("a new request: %+v", d)
+	}
+	if n := b.received.Load(); n != 1 {
+		t.Errorf("the process received %d requests, want 1", n)
+	}
+}
+
 // Guards against a pause that is prolonged by the time for which the machine was suspended, is lost on resume, or makes
 // later requests time out too early.
 func TestPauseElapsesDuringSuspend(t *testing.T) {
