lacequarantine: reports lose no part, request or reporter of a crash

A part on which servers had answered before was suspect at an instance only after three crashes that this instance had observed itself, so that with seven instances up to 21 crashes told nothing.

Change: parts for which there is no room stay as hashes of four bytes, in reports and at the instances that receive them. A crash with the hash of a part is evidence like one with its id; ids are needed at one crash, and a part that was in an earlier crash goes first there, also if the crash has no room left. Answered parts are reported as hashes too, and each crash counts against them once, whoever reports it. An answer adds at most 64 new parts to the history. The record is as before without hashes (golden file unchanged); builds that don't know the new fields ignore them, and prompts in records keep at most 64 parts, which these builds accept.

--- a/lib/lacequarantine/crash.go
+++ b/lib/lacequarantine/crash.go
@@ -16,8 +16,15 @@
 	At time.Time
 	// Prompts holds the suspect parts of each request that ran on the server and had not settled.
 	Prompts [][]Part
+	// Others are the suspect parts for which Prompts has no room, Answered the other parts of the requests, on which
+	// servers have written answers.
+	Others   hashSet
+	Answered hashSet
 }
 
+// noReporter stands for all instances whose reports on a crash had no room.
+const noReporter laceunit.InstanceID = ""
+
 // serverCrash collects the reports of all instances on one crash.
 type serverCrash struct {
 	server    laceunit.ServerID
@@ -27,6 +34,28 @@
 	receivedAt time.Time
 	// prompts holds the suspect parts of requests by the instance that reported them.
 	prompts map[laceunit.InstanceID][][]Part
+	// others and answered are the parts in the reports by their hashes.
+	others, answered hashSet
+}
+
+// empty reports whether there is no suspect part in the reports.
+func (c *serverCrash) empty() bool { return c.size() == 0 && len(c.others) == 0 }
+
+// mayHave reports whether a part was among the suspect ones for which the reports had no room, as far as its hash tells.
+func (c *serverCrash) mayHave(p Part) bool { return c.others.has(p.hash()) }
+
+// explainedBy reports whether a request on the server may have had all parts of a combination.
+func (c *serverCrash) explainedBy(combination []Part) bool {
+	if _, ok := c.find(combination); ok {
+		return true
+	}
+	return !slices.ContainsFunc(combination, func(p Part) bool { return !c.mayHave(p) && !c.lists(p) })
+}
+
+// lists reports whether a part is in a prompt.
+func (c *serverCrash) lists(p Part) bool {
+	_, ok := c.find([]Part{p})
+	return ok
 }
 
 // size returns the number of requests in all reports.
@@ -47,6 +76,34 @@
 	return n
 }
 
+// add adds a report in place of the earlier one of the same instance. It returns whether all of its prompts have room;
+// the hashes of their parts remain otherwise.
+func (c *serverCrash) add(reporter laceunit.InstanceID, report Crash) bool {
+	c.prompts[reporter] = nil
+	prompts := report.Prompts[:min(len(report.Prompts), maxPrompts, max(maxCrashPrompts-c.size(), 0))]
+	prompts = fitPrompts(prompts, max(min(maxReportParts, maxCrashParts-c.parts()), 0))
+	c.prompts[reporter] = prompts
+	c.others = c.others.union(maxCrashHashes, report.Others)
+	if countParts(prompts) == countParts(report.Prompts) {
+		return true
+	}
+	c.others = c.others.with(maxCrashHashes, slices.Concat(report.Prompts...)...)
+	return false
+}
+
+// keepAccused keeps the parts of prompts that were in the reports on other crashes, beside those that have room.
+func (c *serverCrash) keepAccused(prompts [][]Part, accused map[Part]bool) {
+	kept := c.prompts[noReporter]
+	for _, p := range prompts {
+		p = slices.DeleteFunc(slices.Clone(p), func(x Part) bool { return !accused[x] })
+		known := slices.ContainsFunc(kept, func(k []Part) bool { return slices.Equal(k, p) })
+		if len(p) > 0 && !known && len(kept) < maxPrompts {
+			kept = append(slices.Clone(kept), p)
+		}
+	}
+	c.prompts[noReporter] = fitPrompts(kept, maxReportParts)
+}
+
 // find returns a prompt with all parts of a combination.
 func (c *serverCrash) find(combination []Part) ([]Part, bool) {
 	for _, prompts := range c.prompts {
@@ -78,8 +135,9 @@
 	return common, found
 }
 
-// dropPrompts removes the prompts with all parts of a combination.
+// dropPrompts removes the prompts with all parts of a combination, and these parts where there is no prompt.
 func (c *serverCrash) dropPrompts(combination []Part) {
+	c.others, c.answered = c.others.without(combination), c.answered.without(combination)
 	for reporter, prompts := range c.prompts {
 		c.prompts[reporter] = slices.DeleteFunc(slices.Clone(prompts), func(p []Part) bool {
 			return containsAll(p, combination)
--- a/lib/lacequarantine/history.go
+++ b/lib/lacequarantine/history.go
@@ -2,8 +2,12 @@
 
 import "time"
 
-// maxGeneration is the size at which a generation of the history is full; the history holds two.
-const maxGeneration = 4096
+const (
+	// maxGeneration is the size at which a generation of the history is full; the history holds two.
+	maxGeneration = 4096
+	// maxNewParts bounds the parts that one answer adds to the history. The next answer on the same parts adds others.
+	maxNewParts = 64
+)
 
 // partRecord is what is known of a part on which a server has written an answer.
 type partRecord struct {
@@ -18,6 +22,8 @@
 // the older one is forgotten when the younger one is full. The zero value is empty.
 type history struct {
 	young, old map[Part]*partRecord
+	// youngByHash and oldByHash find the same records by the hashes of their parts.
+	youngByHash, oldByHash map[partHash]*partRecord
 }
 
 // find returns the record of a part, or nil.
@@ -28,26 +34,40 @@
 	return h.old[p]
 }
 
-// recordSuccess records that a server has written an answer on a part.
-func (h *history) recordSuccess(now time.Time, p Part) {
-	if r := h.young[p]; r != nil {
-		r.crashes, r.answeredAt = 0, now
-		return
+// recordSuccess records that a server has written an answer on a prompt.
+func (h *history) recordSuccess(now time.Time, prompt []Part) {
+	added := 0
+	for _, p := range prompt {
+		if r := h.young[p]; r != nil {
+			r.crashes, r.answeredAt = 0, now
+			continue
+		}
+		if added++; added > maxNewParts && h.old[p] == nil {
+			continue
+		}
+		h.add(p, &partRecord{answeredAt: now})
 	}
+}
+
+func (h *history) add(p Part, r *partRecord) {
 	if len(h.young) >= maxGeneration || h.young == nil {
 		h.young, h.old = make(map[Part]*partRecord), h.young
+		h.youngByHash, h.oldByHash = make(map[partHash]*partRecord), h.youngByHash
 	}
-	h.young[p.clone()] = &partRecord{answeredAt: now}
+	h.young[p.clone()], h.youngByHash[p.hash()] = r, r
 }
 
-// recordCrash records that a server crashed while a request with a part had not settled.
-func (h *history) recordCrash(now time.Time, p Part) {
-	r := h.find(p)
-	if r == nil || now.Sub(r.lastCrash) < minCrashGap {
+// recordCrash records that a server crashed at a time while a request with a part had not settled.
+func (h *history) recordCrash(at time.Time, part partHash) {
+	r := h.youngByHash[part]
+	if r == nil {
+		r = h.oldByHash[part]
+	}
+	if r == nil || at.Before(r.answeredAt) || at.Sub(r.lastCrash).Abs() < minCrashGap {
 		return
 	}
 	r.crashes++
-	r.lastCrash = now
+	r.lastCrash = at
 }
 
 // harmless reports whether a server has written an answer on a part, and only few have crashed since.
--- a/lib/lacequarantine/judge.go
+++ b/lib/lacequarantine/judge.go
@@ -57,12 +57,12 @@
 func (t *Tracker) unexplained(c *serverCrash) bool {
 	for _, v := range t.verdicts {
 		if v.State == Blocked {
-			if _, ok := c.find(v.Parts); ok {
+			if c.explainedBy(v.Parts) {
 				return false
 			}
 		}
 	}
-	return c.size() > 0
+	return !c.empty()
 }
 
 // blockedElsewhere returns a combination that was blocked before, or is blocked for another model, and a crash with it.
@@ -128,7 +128,8 @@
 	return slices.DeleteFunc(sortParts(parts), t.history.harmless)
 }
 
-// inCommon returns the crashes with a part, and the suspect parts that all of them have in common with it.
+// inCommon returns the crashes with a part, and the suspect parts that all of them have in common with it. Crashes that
+// have it by its hash only follow the others, since they don't tell which parts were in one request.
 func (t *Tracker) inCommon(open []*serverCrash, part Part) ([]Part, []*serverCrash) {
 	var combination []Part
 	var crashes []*serverCrash
@@ -142,6 +143,14 @@
 		}
 		combination, crashes = shared, append(crashes, c)
 	}
+	for _, c := range open {
+		if slices.Contains(crashes, c) || !c.mayHave(part) {
+			continue
+		}
+		combination = slices.DeleteFunc(slices.Clone(combination), func(p Part) bool { return !c.mayHave(p) && !c.lists(p) })
+		crashes = append(crashes, c)
+	}
+	slices.SortStableFunc(crashes, func(a, b *serverCrash) int { return a.at.Compare(b.at) })
 	return sortParts(combination), crashes
 }
 
--- a/lib/lacequarantine/part.go
+++ b/lib/lacequarantine/part.go
@@ -12,8 +12,11 @@
 )
 
 const (
-	// MaxParts bounds how many parts of a request are considered. Callers choose the header that lists them.
-	MaxParts = 64
+	// MaxParts bounds how many parts of a request are considered: more than fit into a header of 16 KB with ids of eight
+	// characters and sizes of three. Callers choose the header that lists them.
+	MaxParts = 2048
+	// MaxRecordParts bounds the parts of a request or a verdict in a record or a line of the log.
+	MaxRecordParts = 64
 	// MaxIDBytes bounds the length of the id of a part.
 	MaxIDBytes = 64
 )
@@ -36,8 +39,9 @@
 	}
 }
 
-// Format returns parts as they appear in logs.
+// Format returns parts as they appear in logs, at most MaxRecordParts of them.
 func Format(parts []Part) []string {
+	parts = parts[:min(len(parts), MaxRecordParts)]
 	list := make([]string, 0, len(parts))
 	for _, p := range parts {
 		list = append(list, p.String())
--- a/lib/lacequarantine/policy_test.go
+++ b/lib/lacequarantine/policy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -35,18 +36,41 @@
 	crashing := func(rate float64, prompt func(s *simulation) []Part) func(*simulation) {
 		return crashingUntil(40*time.Second, rate, prompt)
 	}
-	// Every prompt has documents that only one crashing and one sound request have.
-	documents := func(s *simulation) {
-		var last []Part
-		soundTraffic(s, 20, 40*time.Second)
+	// Every prompt has a number of documents that only one crashing and one sound request have.
+	documents := func(count int) func(*simulation) {
+		return func(s *simulation) {
+			var last []Part
+			soundTraffic(s, 20, 40*time.Second)
+			s.traffic("crashing", 1, 5*time.Second, 35*time.Second, true, func() []Part {
+				last = []Part{part("base")}
+				for i := range count {
+					last = append(last, part("document-%d-%d", s.serial, i))
+				}
+				return append(last[:len(last):len(last)], part("bad"))
+			})
+			s.traffic("sibling", 1, 6*time.Second, 40*time.Second, false, func() []Part { return last })
+			s.run(40 * time.Second)
+		}
+	}
+	// One instance has many requests with parts of their own at each server.
+	busy := func(s *simulation) {
+		s.traffic("sound", 300, 0, 40*time.Second, false, func() []Part {
+			return []Part{part("base"), part("session-%d", s.serial)}
+		})
+		s.traffic("sibling", 2, 0, 40*time.Second, false, func() []Part { return []Part{part("base"), part("caller-x")} })
 		s.traffic("crashing", 1, 5*time.Second, 35*time.Second, true, func() []Part {
-			last = []Part{part("base")}
-			for i := range newDocuments {
-				last = append(last, part("document-%d-%d", s.serial, i))
-			}
-			return append(last[:len(last):len(last)], part("bad"))
+			return []Part{part("base"), part("session-%d", s.serial), part("bad")}
+		})
+		s.run(40 * time.Second)
+	}
+	// Servers answer on the part until a point in time, after which it crashes them.
+	changing := func(s *simulation) {
+		soundTraffic(s, 20, 40*time.Second)
+		s.traffic("before", 10, 0, 2500*time.Millisecond, false, func() []Part { return []Part{part("base"), part("bad")} })
+		s.traffic("sibling", 2, 0, 40*time.Second, false, func() []Part { return []Part{part("base"), part("caller-x")} })
+		s.traffic("crashing", 1, 6*time.Second, 35*time.Second, true, func() []Part {
+			return []Part{part("base"), part("caller-%d", s.random.IntN(20)), part("bad")}
 		})
-		s.traffic("sibling", 1, 6*time.Second, 40*time.Second, false, func() []Part { return last })
 		s.run(40 * time.Second)
 	}
 	oneCaller := func(*simulation) []Part { return []Part{part("base"), part("caller-x"), part("bad")} }
@@ -62,14 +86,14 @@
 		"forged parts":     {instances: 7, servers: 12, run: crashing(1, forged)},
 		"large fleet":      {instances: 86, servers: 60, run: crashing(5, anyCaller)},
 		"large, high rate": {instances: 86, servers: 60, run: crashing(20, oneCaller)},
-		"new documents":    {instances: 3, servers: 9, run: documents},
+		"new documents":    {instances: 3, servers: 9, run: documents(12)},
+		"long prompts":     {instances: 3, servers: 9, run: documents(300)},
+		"busy servers":     {instances: 1, servers: 9, run: busy},
+		"sound before":     {instances: 7, servers: 9, run: changing},
 		"one server":       {instances: 2, servers: 1, run: crashingUntil(80*time.Second, 2, anyCaller)},
 	}
 }
 
-// newDocuments is how many parts that no other prompt has stand before the crashing one.
-const newDocuments = 12
-
 // total returns the results of a policy over several seeds.
 type total struct {
 	late, crashes              int
@@ -123,6 +147,38 @@
 	}
 }
 
+// Guards against a crashing part that is in no report since many requests run on each server that crashes, or many
+// instances report each crash: the request with it is reported last.
+func TestEveryRequestOnACrashCounts(t *testing.T) {
+	for _, c := range []struct{ reporters, requests int }{{1, 1}, {1, 64}, {40, 16}} {
+		var tracker Tracker
+		now := time.Unix(1_700_000_000, 0)
+		for crash := range minCrashes {
+			server := laceunit.ServerID(fmt.Sprint("server-", crash))
+			for reporter := range c.reporters {
+				report := Crash{
+					Server: server,
+					At:     now,
+				}
+				for request := range c.requests {
+					prompt := []Part{part("document-%d-%d-%d", crash, reporter, request)}
+					if reporter == c.reporters-1 && request == c.requests-1 {
+						prompt = append(prompt, part("bad"))
+					}
+					suspects, accused := tracker.Suspects(prompt, server, 0)
+					report.addPrompt(suspects, accused)
+				}
+				tracker.RecordCrash(now, laceunit.InstanceID(fmt.Sprint("instance-", reporter)), report)
+			}
+			now = now.Add(time.Second)
+			tracker.RecordSuccess(now, []Part{part("sound")})
+		}
+		if verdicts := tracker.Judge(now); len(verdicts) != 1 || !slices.Equal(verdicts[0].Parts, []Part{part("bad")}) {
+			t.Errorf("%d requests at each of %d instances: verdicts %+v", c.requests, c.reporters, verdicts)
+		}
+	}
+}
+
 // Guards against verdicts when servers crash for other reasons: alone, all of a sudden together, and by turns.
 func TestCrashesForOtherReasonsBlockNothing(t *testing.T) {
 	crashInTurn := func(servers int) func(s *simulation) {
--- a/lib/lacequarantine/record.go
+++ b/lib/lacequarantine/record.go
@@ -29,6 +29,9 @@
 	Born   int64        `json:"born"`
 	At     int64        `json:"at"`
 	Calls  [][]partJSON `json:"calls"`
+	// Others and Known are hashes of parts.
+	Others []byte `json:"others,omitempty"`
+	Known  []byte `json:"known,omitempty"`
 }
 
 type reportJSON struct {
@@ -54,6 +57,8 @@
 		} else {
 			last := crashes[0]
 			last.Prompts = fitPrompts(last.Prompts, limit)
+			last.Others = last.Others[:min(len(last.Others), maxReportHashes*limit/maxReportParts)]
+			last.Answered = last.Answered[:min(len(last.Answered), maxReportHashes*limit/maxReportParts)]
 			crashes, limit = []Crash{last}, limit/2
 		}
 		text, err = encodeCrashes(crashes)
@@ -68,6 +73,8 @@
 			Server: string(c.Server),
 			Born:   c.StartTime,
 			At:     c.At.UnixMilli(),
+			Others: c.Others.encode(),
+			Known:  c.Answered.encode(),
 		}
 		for _, p := range c.Prompts {
 			x.Calls = append(x.Calls, encodeParts(p))
@@ -104,6 +111,13 @@
 			}
 			c.Prompts = append(c.Prompts, parts)
 		}
+		var err error
+		if c.Others, err = decodeHashes(x.Others); err != nil {
+			return nil, err
+		}
+		if c.Answered, err = decodeHashes(x.Known); err != nil {
+			return nil, err
+		}
 		crashes = append(crashes, c)
 	}
 	return crashes, nil
@@ -174,7 +188,7 @@
 }
 
 func decodeParts(encoded []partJSON) ([]Part, error) {
-	if len(encoded) == 0 || len(encoded) > MaxParts {
+	if len(encoded) == 0 || len(encoded) > MaxRecordParts {
 		return nil, errors.Wrap(ErrRecord, "number of parts is out of bounds")
 	}
 	parts := make([]Part, 0, len(encoded))
--- a/lib/lacequarantine/record_test.go
+++ b/lib/lacequarantine/record_test.go
@@ -51,6 +51,21 @@
 	}
 }
 
+// Guards against records with hashes that other builds can't read.
+func TestRecordFormatWithHashes(t *testing.T) {
+	c := testCrash()
+	c.Others = hashSet(nil).with(maxReportHashes, part("a"), part("b"))
+	c.Answered = hashSet(nil).with(maxReportHashes, part("c"))
+	report, err := EncodeReport([]Crash{c})
+	if err != nil {
+		t.Fatal(err)
+	}
+	goldie.New(t).Assert(t, "hashes", report)
+	if crashes, err := DecodeReport(report); err != nil || !reflect.DeepEqual(crashes, []Crash{c}) {
+		t.Errorf("decoded %+v, error %v", crashes, err)
+	}
+}
+
 // Guards against reports that other instances reject as too long, because of ids that callers choose.
 func TestReportsAreNeverTooLong(t *testing.T) {
 	var crashes []Crash
@@ -62,9 +77,10 @@
 		for k := range maxPrompts {
 			var prompt []Part
 			for n := range MaxParts {
-				prompt = append(prompt, part("%02d%02d%s", k, n, strings.Repeat("<", MaxIDBytes-4)))
+				prompt = append(prompt, part("%02d%04d%s", k, n, strings.Repeat("<", MaxIDBytes-6)))
 			}
-			c.addPrompt(prompt)
+			c.addPrompt(prompt, false)
+			c.addAnswered(prompt)
 		}
 		if n := countParts(c.Prompts); n != maxReportParts {
 			t.Errorf("a report holds %d parts", n)
@@ -93,7 +109,10 @@
 		"long part":         `{"crashes":[{"server":"s","calls":[[["m","` + long + `"]]]}]}`,
 		"too many crashes":  `{"crashes":[` + strings.Repeat(`{"server":"s"},`, maxReported) + `{"server":"s"}]}`,
 		"too many requests": `{"crashes":[{"server":"s","calls":[` + strings.Repeat(`[["m","a"]],`, maxPrompts) + `[["m","a"]]]}]}`,
-		"number too large":  `{"crashes":[{"server":"s","born":1e999}]}`,
+		"cut hash":          `{"crashes":[{"server":"s","others":"AAAAAAA="}]}`,
+		"too many hashes": `{"crashes":[{"server":"s","known":"` +
+			strings.Repeat("AAAA", 1+hashBytes*maxReportHashes/3) + `"}]}`,
+		"number too large": `{"crashes":[{"server":"s","born":1e999}]}`,
 	} {
 		if _, err := DecodeReport([]byte(text)); !errors.Is(err, ErrRecord) {
 			t.Errorf("report, %s: error %v", name, err)
--- a/lib/lacequarantine/report.go
+++ b/lib/lacequarantine/report.go
@@ -11,14 +11,16 @@
 )
 
 // Suspects returns the parts of a prompt on which no server is known to have written an answer, for the report on the
-// crash of a server, and whether one of them was in the reports on an earlier crash. A report may have no room for all
-// of them, so that those come first that were in earlier crashes. The order of the others differs from crash to crash,
-// so that no number or position of other parts keeps one out of all reports.
+// crash of a server, and whether one of them was in the reports on an earlier crash. A report may have room for the
+// hashes of most of them only, so that those come first that were in earlier crashes. The order of the others differs
+// from crash to crash.
 func (t *Tracker) Suspects(prompt []Part, server laceunit.ServerID, startTime int64) (suspects []Part, accused bool) {
+	seen := make(map[Part]bool, len(prompt))
 	for _, p := range prompt {
-		if !t.history.harmless(p) && !slices.Contains(suspects, p) && len(suspects) < MaxParts {
+		if !seen[p] && !t.history.harmless(p) {
 			suspects = append(suspects, p.clone())
 		}
+		seen[p] = true
 	}
 	accusedParts := t.accusedBefore(suspects, server, startTime)
 	crash := string(server) + "\n" + strconv.FormatInt(startTime, 10) + "\n"
@@ -59,15 +61,45 @@
 				}
 			}
 		}
+		if len(c.others) == 0 {
+			continue
+		}
+		for p := range candidates {
+			if c.mayHave(p) {
+				accused[p] = true
+			}
+		}
 	}
 	return accused
 }
 
-// addPrompt adds the suspect parts of a request to a report, as far as the report has room for them.
-func (c *Crash) addPrompt(suspects []Part) {
-	if len(c.Prompts) < maxPrompts {
-		c.Prompts = fitPrompts(append(slices.Clone(c.Prompts), suspects), maxReportParts)
+// answered returns the parts of a prompt on which a server is known to have written an answer.
+func (t *Tracker) answered(prompt []Part) []Part {
+	return slices.DeleteFunc(slices.Clone(prompt), func(p Part) bool { return !t.history.harmless(p) })
+}
+
+// addPrompt adds the parts of a request to a report. The hashes of suspect parts for which it has no room remain. If
+// the report is full, a request whose first parts were in an earlier crash takes the place of another.
+func (c *Crash) addPrompt(suspects []Part, accused bool) {
+	if len(suspects) == 0 {
+		return
+	}
+	prompts := append(slices.Clone(c.Prompts), suspects[:min(len(suspects), MaxRecordParts)])
+	if last := len(prompts) - 1; last >= maxPrompts {
+		if accused {
+			prompts[0], prompts[last] = prompts[last], prompts[0]
+		}
+		c.Others = c.Others.with(maxReportHashes, prompts[last]...)
+		prompts = prompts[:last]
 	}
+	c.Others = c.Others.with(maxReportHashes, slices.Concat(append(prompts, suspects)...)...)
+	c.Prompts = fitPrompts(prompts, maxReportParts)
+	c.Others = c.Others.without(slices.Concat(c.Prompts...))
+}
+
+// addAnswered adds the parts of a request on which servers have written answers.
+func (c *Crash) addAnswered(parts []Part) {
+	c.Answered = c.Answered.with(maxReportHashes-len(c.Others), parts...)
 }
 
 // countParts returns the number of parts in all prompts.
--- a/lib/lacequarantine/service.go
+++ b/lib/lacequarantine/service.go
@@ -113,12 +113,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	s.tracker.RecordUnsettled(now, parts)
 	suspects, accused := s.tracker.Suspects(parts, server, startTime)
-	if len(suspects) == 0 {
-		return true
-	}
-	c := s.addReport(now, server, startTime, suspects)
+	c := s.addReport(now, server, startTime, func(c *Crash) {
+		c.addPrompt(suspects, accused)
+		c.addAnswered(s.tracker.answered(parts))
+	})
 	s.tracker.RecordCrash(now, s.options.Self, c)
 	s.publisher.reportChanged(s.reported)
 	wake(s.crashed)
@@ -126,7 +125,7 @@
 }
 
 // addReport adds a request to this instance's report on a crash; the lock must be held.
-func (s *Service) addReport(now time.Time, server laceunit.ServerID, startTime int64, suspects []Part) Crash {
+func (s *Service) addReport(now time.Time, server laceunit.ServerID, startTime int64, add func(*Crash)) Crash {
 	// The writer still uses the former list.
 	s.reported = slices.Clone(s.reported)
 	i := slices.IndexFunc(s.reported, func(c Crash) bool { return c.Server == server && c.StartTime == startTime })
@@ -140,7 +139,7 @@
 		s.options.Metrics.countCrash()
 	}
 	c := &s.reported[i]
-	c.addPrompt(suspects)
+	add(c)
 	reported := *c
 	s.reported = s.reported[max(0, len(s.reported)-maxReported):]
 	return reported
--- a/lib/lacequarantine/simulation_test.go
+++ b/lib/lacequarantine/simulation_test.go
@@ -284,11 +284,7 @@
 }
 
 func (p *trackerPolicy) crash(now time.Time, s *simServer, prompt []Part) (bool, []news) {
-	p.tracker.RecordUnsettled(now, prompt)
 	suspects, accused := p.tracker.Suspects(prompt, s.id, s.startTime)
-	if len(suspects) == 0 {
-		return true, nil
-	}
 	c := p.reports[s.id]
 	if c.StartTime != s.startTime || c.Server == "" {
 		c = Crash{
@@ -297,7 +293,8 @@
 			At:        now,
 		}
 	}
-	c.addPrompt(suspects)
+	c.addPrompt(suspects, accused)
+	c.addAnswered(p.tracker.answered(prompt))
 	p.reports[s.id] = c
 	p.tracker.RecordCrash(now, p.self, c)
 	return !accused, []news{func(now time.Time, to policy) []news {
--- a/lib/lacequarantine/tracker.go
+++ b/lib/lacequarantine/tracker.go
@@ -25,7 +25,7 @@
 	evidenceAge = 10 * time.Minute
 	// maxCrashes, maxCrashPrompts, maxPrompts and maxVerdicts bound the state: the crashes that are remembered, the
 	// requests on one crash in all reports and in each, and the verdicts. maxCrashParts and maxReportParts bound the parts
-	// of these requests; a single request in a report may have all of them.
+	// of these requests that are kept by their ids.
 	maxCrashes      = 64
 	maxCrashPrompts = 128
 	maxPrompts      = 16
@@ -62,9 +62,7 @@
 	if t.lacksSuccess {
 		t.judgeAt = now
 	}
-	for _, p := range prompt {
-		t.history.recordSuccess(now, p)
-	}
+	t.history.recordSuccess(now, prompt)
 	if len(t.verdicts) == 0 {
 		return nil
 	}
@@ -123,9 +121,11 @@
 	if t.judgeAt.IsZero() {
 		t.judgeAt = now.Add(reportDelay)
 	}
-	c.prompts[reporter] = nil
-	prompts := report.Prompts[:min(len(report.Prompts), maxPrompts, maxCrashPrompts-c.size())]
-	c.prompts[reporter] = fitPrompts(prompts, min(maxReportParts, maxCrashParts-c.parts()))
+	if !c.add(reporter, report) {
+		parts := slices.Concat(report.Prompts...)
+		c.keepAccused(report.Prompts, t.accusedBefore(parts, report.Server, report.StartTime))
+	}
+	t.countAnswered(c, report.Answered)
 	for _, v := range t.verdicts {
 		t.exempt(v, c)
 	}
@@ -133,10 +133,15 @@
 	t.crashes = t.crashes[max(0, len(t.crashes)-maxCrashes):]
 }
 
-// RecordUnsettled records that a server crashed while a request had not settled, for parts that were harmless so far.
-func (t *Tracker) RecordUnsettled(now time.Time, prompt []Part) {
-	for _, p := range prompt {
-		t.history.recordCrash(now, p)
+// countAnswered counts a crash against the parts in a report that were harmless so far, once for each part whoever
+// reports it.
+func (t *Tracker) countAnswered(c *serverCrash, answered hashSet) {
+	before := c.answered
+	c.answered = before.union(maxCrashHashes, answered)
+	for _, h := range c.answered {
+		if !before.has(h) {
+			t.history.recordCrash(c.at, h)
+		}
 	}
 }
 
