laceshare: an absurd rate limit does not end the process

Failing first (TestAbsurdLimits on the code before): "panic: invalid argument to IntN".

Cause: the interval between two requests at that rate is zero nanoseconds, and the first request at the fallback rate gets a random phase within the interval.

Change: limits are lowered to 1,000,000 requests a second, in responses and in records, which no server reaches.

--- a/lib/laceshare/allocator.go
+++ b/lib/laceshare/allocator.go
@@ -109,7 +109,7 @@
 	}
 	l.confirmedAt, l.endedAt = now, time.Time{}
 	if limit >= 0 {
-		l.limit = max(limit, minRate)
+		l.limit = boundRate(limit)
 	}
 	return !hadLimit
 }
--- a/lib/laceshare/allocator_test.go
+++ b/lib/laceshare/allocator_test.go
@@ -1,6 +1,8 @@
 package laceshare
 
 import (
+	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -254,3 +256,32 @@
 		t.Errorf("%+v, %v", parsed, err)
 	}
 }
+
+// Guards against a panic on an absurd limit while the copy of the records is stale.
+func TestAbsurdLimits(t *testing.T) {
+	for _, limit := range []laceunit.Rate{0, 1e9, 1 << 62, math.MaxFloat64} {
+		now := time.Unix(1000, 0)
+		a := NewAllocator(now, laceunit.Holder{Instance: "i1"}, rand.IntN)
+		server := Server{ID: "s1"}
+		a.ObserveLimit(now, server, now, limit)
+		allowance, ok := a.Allowance(now, server, 2*MaxStaleness, 1)
+		if !ok || !(allowance.Rate > 0) || allowance.From.Before(now) || allowance.From.After(now.Add(time.Hour)) {
+			t.Errorf("limit %g: %+v", limit, allowance)
+		}
+		w := a.Plan(now.Add(time.Second), PlanInput{
+			Members: []laceunit.Holder{{Instance: "i1"}},
+			Live:    func(laceunit.Holder) bool { return true },
+			Listed:  func(Server) bool { return true },
+			Demand:  func(Server) lacebalancer.Demand { return lacebalancer.Demand{} },
+		})
+		for _, x := range w {
+			text, err := Encode(x.Record)
+			if err != nil {
+				t.Errorf("limit %g: %v", limit, err)
+			}
+			if _, err := Decode(text); err != nil {
+				t.Errorf("limit %g: %v", limit, err)
+			}
+		}
+	}
+}
--- a/lib/laceshare/record.go
+++ b/lib/laceshare/record.go
@@ -20,8 +20,13 @@
 	// minRate is the lowest limit, in requests a second; lower ones are raised to it. Only a response without a limit ends
 	// a limit.
 	minRate laceunit.Rate = 0.1
+	// maxRate is a limit that no server reaches; higher ones are lowered to it.
+	maxRate laceunit.Rate = 1e6
 )
 
+// boundRate returns the limit that applies for an announced one.
+func boundRate(r laceunit.Rate) laceunit.Rate { return min(max(r, minRate), maxRate) }
+
 // Server identifies one incarnation of a backend server; StartTime distinguishes incarnations with the same ID.
 type Server struct {
 	ID        laceunit.ServerID
@@ -125,7 +130,7 @@
 	if err := json.Unmarshal(text, &decoded); err != nil {
 		return Record{}, errors.Wrap(ErrRecord, err.Error())
 	}
-	r := Record{Limit: laceunit.Rate(decoded.Limit)}
+	r := Record{Limit: min(laceunit.Rate(decoded.Limit), maxRate)}
 	if !(r.Limit >= minRate) || len(decoded.Parts) != partCount(r.Limit) {
 		return Record{}, errors.Wrap(ErrRecord, "limit or number of parts is out of bounds")
 	}
