lacebalancer: a pause of more than 30 s has to be confirmed

A single 503 with a wrong Retry-After took a server out of use for up to an hour; one from each server shut out the service.

Cause: a pause is taken as it is announced, up to an hour, and nothing is sent to the server that could correct it.

Change: one response pauses an address for 30 s at most. The first request after that, one at a time as in every slow start, either gets an ordinary answer, which ends the pause, or confirms it, after which the announced time holds. Requests that were sent before the pause confirm nothing.

--- a/lib/lacebalancer/model_test.go
+++ b/lib/lacebalancer/model_test.go
@@ -355,6 +355,40 @@
 	properties.TestingRun(t)
 }
 
+// Guards against a server that is shut out for long by one wrong pause, and against more than one request to a server
+// that means it.
+func TestLongPausesAreConfirmed(t *testing.T) {
+	for _, wrong := range []bool{true, false} {
+		b := balancer(t, laceconfig.Routing{}, engines(1, 4))
+		// The second request has been sent before the pause and is answered in the same way.
+		first, second := pick(b, start(), request()), pick(b, start(), request())
+		for _, d := range []Decision{first, second} {
+			b.Pause(start(), d.Ticket, time.Hour)
+			b.Done(start(), d.Ticket, Neutral, 0)
+		}
+		end := at(maxUnconfirmedPause)
+		if d := pick(b, end.Add(-1), request()); d.Reason != Paused {
+			t.Fatalf("in the pause: %+v", d)
+		}
+		trial := pick(b, end, request())
+		if d := pick(b, end, request()); trial.Verdict != Assigned || d.Verdict != Waiting {
+			t.Fatalf("at the end of an unconfirmed pause: %+v, %+v", trial, d)
+		}
+		if wrong {
+			b.ResponseStarted(end, trial.Ticket)
+		} else {
+			b.Pause(end, trial.Ticket, time.Hour-maxUnconfirmedPause)
+		}
+		b.Done(end, trial.Ticket, Neutral, 0)
+		if d := pick(b, at(time.Hour-1), request()); (d.Verdict == Assigned) != wrong {
+			t.Errorf("wrong %t: after the trial: %+v", wrong, d)
+		}
+		if d := pick(b, at(time.Hour), request()); !wrong && d.Verdict != Assigned {
+			t.Errorf("at the end of a confirmed pause: %+v", d)
+		}
+	}
+}
+
 // Guards against a model that does not detect a balancer which loses or misapplies leaving marks and pauses.
 func TestModelDetectsInjectedFaults(t *testing.T) {
 	for name, inject := range map[string]func(b *Balancer){
--- a/lib/lacebalancer/pause.go
+++ b/lib/lacebalancer/pause.go
@@ -14,6 +14,9 @@
 	initialSlowStartLimit = 1
 	// finalSlowStartLimit is the concurrency limit at which slow start ends.
 	finalSlowStartLimit = 32
+	// maxUnconfirmedPause is the longest pause that one response can ask for: a wrong figure must not shut out a server for
+	// an hour. A longer one is in effect once the first request after this time is answered in the same way.
+	maxUnconfirmedPause = 30 * time.Second
 	// jitterDivisor sets the maximum jitter of a retry delay, which is the delay divided by it but at least minJitter.
 	jitterDivisor = 4
 	minJitter     = 200 * time.Millisecond
@@ -25,6 +28,20 @@
 	// slowStartLimit limits the concurrent requests that were assigned since the end of a pause, inFlight is their number.
 	slowStartLimit int
 	inFlight       int
+	// shortened is true when the server has asked for a longer pause, and not answered a request since its end.
+	shortened bool
+}
+
+// extend prolongs the pause by a response to a request that was assigned at a time.
+func (x *pause) extend(now, assignedAt time.Time, length time.Duration) {
+	confirmed := x.shortened && !assignedAt.Before(x.end)
+	if length > maxUnconfirmedPause && !confirmed {
+		length, x.shortened = maxUnconfirmedPause, true
+	}
+	if end := now.Add(length); end.After(x.end) {
+		x.end = end
+	}
+	x.slowStartLimit = initialSlowStartLimit
 }
 
 // pauseKey identifies where a pause applies. A server without an address is identified by its incarnation.
@@ -76,7 +93,8 @@
 
 // Pause stops requests to the address of the server of a ticket for a time, as the server has asked. A pause is not a
 // failure: it does not count towards ejection and has no other effect on the server. Of several pauses the latest end
-// applies. Pause reports whether the address was not paused before.
+// applies; one that is longer than maxUnconfirmedPause has to be confirmed. Pause reports whether the address was not
+// paused before.
 func (b *Balancer) Pause(now time.Time, ticket Ticket, length time.Duration) (bool, []Decision) {
 	assigned, ok := b.assigned[ticket]
 	if !ok || length <= 0 {
@@ -89,10 +107,7 @@
 		b.pauses[key] = x
 	}
 	changed := !now.Before(x.end)
-	x.slowStartLimit = initialSlowStartLimit
-	if end := now.Add(length); end.After(x.end) {
-		x.end = end
-	}
+	x.extend(now, assigned.assignedAt, length)
 	var pools []*pool
 	for _, s := range b.atAddress(key) {
 		s.pause = x
@@ -133,6 +148,7 @@
 		return
 	}
 	x.slowStartLimit++
+	x.shortened = false
 	if x.slowStartLimit < finalSlowStartLimit {
 		return
 	}
