--- a/lib/lacequarantine/tracker.go
+++ b/lib/lacequarantine/tracker.go
@@ -130,7 +130,11 @@
 		t.exempt(v, c)
 	}
 	slices.SortStableFunc(t.crashes, func(a, b *serverCrash) int { return a.at.Compare(b.at) })
-	t.crashes = t.crashes[max(0, len(t.crashes)-maxCrashes):]
+	for len(t.crashes) > maxCrashes {
+		// Crashes without a suspect part give way first.
+		i := max(slices.IndexFunc(t.crashes, (*serverCrash).empty), 0)
+		t.crashes = slices.Delete(t.crashes, i, i+1)
+	}
 }
 
 // countAnswered counts a crash against the parts in a report that were harmless so far, once for each part whoever
--- a/lib/lacerelay/address.go
+++ b/lib/lacerelay/address.go
@@ -35,9 +35,9 @@
 	}
 }
 
-// holds reports whether x has a better claim to the address than y, another server there: y has been refuted, or x was
+// outranks reports whether x has a better claim to the address than y, another server there: y has been refuted, or x was
 // started later. Of two refuted ones it is the one that was refuted earlier.
-func (x *backend) holds(now time.Time, y *backend) bool {
+func (x *backend) outranks(now time.Time, y *backend) bool {
 	mine, other := x.claim(now), y.claim(now)
 	switch {
 	case mine != other:
@@ -55,13 +55,13 @@
 func (b *Backends) resolveAddresses(now time.Time) bool {
 	best := make(map[laceunit.Address]*backend, len(b.byID))
 	for _, x := range b.byID {
-		if y := best[x.Address]; y == nil || x.holds(now, y) {
+		if y := best[x.Address]; y == nil || x.outranks(now, y) {
 			best[x.Address] = x
 		}
 	}
 	changed := false
 	for id, x := range b.byID {
-		superseded := best[x.Address].holds(now, x) || x.claim(now) == misdirected
+		superseded := best[x.Address].outranks(now, x) || x.claim(now) == misdirected
 		if superseded == x.superseded {
 			continue
 		}
