--- a/lib/lacequarantine/judge.go
+++ b/lib/lacequarantine/judge.go
@@ -129,7 +129,7 @@
 }
 
 // inCommon returns the crashes with a part, and the suspect parts that all of them have in common with it. Crashes that
-// have it by its hash only follow the others, since they don't tell which parts were in one request.
+// have it by its hash only follow the others, since it is not known which of their parts were in one request.
 func (t *Tracker) inCommon(open []*serverCrash, part Part) ([]Part, []*serverCrash) {
 	var combination []Part
 	var crashes []*serverCrash
