--- a/lib/lacebalancer/balancer.go
+++ b/lib/lacebalancer/balancer.go
@@ -175,7 +175,10 @@
 		}
 		config := servers[id]
 		s.configure(config, leaving[id] || b.IsLeaving(id, config.StartTime))
-		s.pause = b.pauses[s.pauseKey()]
+		s.pause = nil
+		if len(b.pauses) > 0 {
+			s.pause = b.pauses[s.pauseKey()]
+		}
 		s.rateLimiter = b.rateLimiters[s.incarnation()]
 		b.addToPools(s, config)
 	}
