lacequarantine: parts of several requests do not explain a crash

A verdict on a combination explains a crash if one request on the server had all its parts. Since hashes count, a crash also passed as explained when its requests had the parts between them, without any hash, and then was no evidence for a single part.

Change: only a crash that has one of the parts by its hash alone may be explained without such a request. What a crash may have is asked in one place instead of two.

--- a/lib/lacequarantine/crash.go
+++ b/lib/lacequarantine/crash.go
@@ -41,21 +41,23 @@
 // empty reports whether there is no suspect part in the reports.
 func (c *serverCrash) empty() bool { return c.size() == 0 && len(c.others) == 0 }
 
-// mayHave reports whether a part was among the suspect ones for which the reports had no room, as far as its hash tells.
-func (c *serverCrash) mayHave(p Part) bool { return c.others.has(p.hash()) }
+// hashed reports whether a part was among the suspect ones for which the reports had no room, according to its hash.
+func (c *serverCrash) hashed(p Part) bool { return c.others.has(p.hash()) }
 
-// explainedBy reports whether a request on the server may have had all parts of a combination.
+// mayHave reports whether a part is in a prompt or was among those for which the reports had no room.
+func (c *serverCrash) mayHave(p Part) bool {
+	_, ok := c.find([]Part{p})
+	return ok || c.hashed(p)
+}
+
+// explainedBy reports whether a request on the server may have had all parts of a combination. If all of the parts are in
+// prompts, it must be one prompt; of hashes it is not known which request they belong to.
 func (c *serverCrash) explainedBy(combination []Part) bool {
 	if _, ok := c.find(combination); ok {
 		return true
 	}
-	return !slices.ContainsFunc(combination, func(p Part) bool { return !c.mayHave(p) && !c.lists(p) })
-}
-
-// lists reports whether a part is in a prompt.
-func (c *serverCrash) lists(p Part) bool {
-	_, ok := c.find([]Part{p})
-	return ok
+	return slices.ContainsFunc(combination, c.hashed) &&
+		!slices.ContainsFunc(combination, func(p Part) bool { return !c.mayHave(p) })
 }
 
 // size returns the number of requests in all reports.
--- a/lib/lacequarantine/judge.go
+++ b/lib/lacequarantine/judge.go
@@ -147,7 +147,7 @@
 		if slices.Contains(crashes, c) || !c.mayHave(part) {
 			continue
 		}
-		combination = slices.DeleteFunc(slices.Clone(combination), func(p Part) bool { return !c.mayHave(p) && !c.lists(p) })
+		combination = slices.DeleteFunc(slices.Clone(combination), func(p Part) bool { return !c.mayHave(p) })
 		crashes = append(crashes, c)
 	}
 	slices.SortStableFunc(crashes, func(a, b *serverCrash) int { return a.at.Compare(b.at) })
--- a/lib/lacequarantine/policy_test.go
+++ b/lib/lacequarantine/policy_test.go
@@ -179,6 +179,26 @@
 	}
 }
 
+// Guards against a crash that counts as explained by a verdict although no request on the server had all of its parts, so
+// that what crashed the server is never blocked by itself.
+func TestPartsOfSeveralRequestsExplainNoCrash(t *testing.T) {
+	var tracker Tracker
+	now := time.Unix(1_700_000_000, 0)
+	tracker.Apply(now, newVerdict(now, []Part{part("bad"), part("document")}, nil))
+	for crash := range minCrashes {
+		tracker.RecordCrash(now, "instance", Crash{
+			Server:  laceunit.ServerID(fmt.Sprint("server-", crash)),
+			At:      now,
+			Prompts: [][]Part{{part("document")}, {part("bad"), part("other-%d", crash)}},
+		})
+		now = now.Add(time.Second)
+		tracker.RecordSuccess(now, []Part{part("sound")})
+	}
+	if len(tracker.Judge(now)) == 0 {
+		t.Error("the crashes count as explained")
+	}
+}
+
 // Guards against verdicts when servers crash for other reasons: alone, all of a sudden together, and by turns.
 func TestCrashesForOtherReasonsBlockNothing(t *testing.T) {
 	crashInTurn := func(servers int) func(s *simulation) {
--- a/lib/lacequarantine/report.go
+++ b/lib/lacequarantine/report.go
@@ -65,7 +65,7 @@
 			continue
 		}
 		for p := range candidates {
-			if c.mayHave(p) {
+			if c.hashed(p) {
 				accused[p] = true
 			}
 		}
