lacequarantine: one method adds a request to a report

The service and the simulation both collected the suspect parts, then the answered ones, and added them to a report, and looked each part up twice. Tracker.AddRequest does that for both, and for the test of many requests.

Measured: the tests of lacequarantine pass, the simulated loads among them.

--- a/lib/lacequarantine/crash.go
+++ b/lib/lacequarantine/crash.go
@@ -22,7 +22,7 @@
 	Answered hashSet
 }
 
-// noReporter stands for all instances whose reports on a crash had no room.
+// noReporter is the key of the prompts that are kept although the reports of their instances have no room.
 const noReporter laceunit.InstanceID = ""
 
 // serverCrash collects the reports of all instances on one crash.
@@ -34,7 +34,7 @@
 	receivedAt time.Time
 	// prompts holds the suspect parts of requests by the instance that reported them.
 	prompts map[laceunit.InstanceID][][]Part
-	// others and answered are the parts in the reports by their hashes.
+	// others are the suspect parts without room, answered the parts against which the crash has been counted.
 	others, answered hashSet
 }
 
@@ -137,9 +137,9 @@
 	return common, found
 }
 
-// dropPrompts removes the prompts with all parts of a combination, and these parts where there is no prompt.
+// dropPrompts removes the prompts with all parts of a combination, and the hashes of these parts.
 func (c *serverCrash) dropPrompts(combination []Part) {
-	c.others, c.answered = c.others.without(combination), c.answered.without(combination)
+	c.others = c.others.without(combination)
 	for reporter, prompts := range c.prompts {
 		c.prompts[reporter] = slices.DeleteFunc(slices.Clone(prompts), func(p []Part) bool {
 			return containsAll(p, combination)
--- a/lib/lacequarantine/policy_test.go
+++ b/lib/lacequarantine/policy_test.go
@@ -165,8 +165,7 @@
 					if reporter == c.reporters-1 && request == c.requests-1 {
 						prompt = append(prompt, part("bad"))
 					}
-					suspects, accused := tracker.Suspects(prompt, server, 0)
-					report.addPrompt(suspects, accused)
+					tracker.AddRequest(&report, prompt)
 				}
 				tracker.RecordCrash(now, laceunit.InstanceID(fmt.Sprint("instance-", reporter)), report)
 			}
--- a/lib/lacequarantine/report.go
+++ b/lib/lacequarantine/report.go
@@ -73,9 +73,13 @@
 	return accused
 }
 
-// answered returns the parts of a prompt on which a server is known to have written an answer.
-func (t *Tracker) answered(prompt []Part) []Part {
-	return slices.DeleteFunc(slices.Clone(prompt), func(p Part) bool { return !t.history.harmless(p) })
+// AddRequest adds the prompt of a request that ran on a crashed server to the report of this instance. It reports whether
+// a suspect part was in the reports on an earlier crash.
+func (t *Tracker) AddRequest(c *Crash, prompt []Part) bool {
+	suspects, accused := t.Suspects(prompt, c.Server, c.StartTime)
+	c.addPrompt(suspects, accused)
+	c.addAnswered(slices.DeleteFunc(slices.Clone(prompt), func(p Part) bool { return !t.history.harmless(p) }))
+	return accused
 }
 
 // addPrompt adds the parts of a request to a report. The hashes of suspect parts for which it has no room remain. If
--- a/lib/lacequarantine/service.go
+++ b/lib/lacequarantine/service.go
@@ -113,19 +113,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	suspects, accused := s.tracker.Suspects(parts, server, startTime)
-	c := s.addReport(now, server, startTime, func(c *Crash) {
-		c.addPrompt(suspects, accused)
-		c.addAnswered(s.tracker.answered(parts))
-	})
+	c, accused := s.addReport(now, server, startTime, parts)
 	s.tracker.RecordCrash(now, s.options.Self, c)
 	s.publisher.reportChanged(s.reported)
 	wake(s.crashed)
 	return !accused
 }
 
-// addReport adds a request to this instance's report on a crash; the lock must be held.
-func (s *Service) addReport(now time.Time, server laceunit.ServerID, startTime int64, add func(*Crash)) Crash {
+// addReport adds a request to this instance's report on a crash. It also returns whether a suspect part was in the reports
+// on an earlier crash. The lock must be held.
+func (s *Service) addReport(
+	now time.Time, server laceunit.ServerID, startTime int64, parts []Part,
+) (reported Crash, accused bool) {
 	// The writer still uses the former list.
 	s.reported = slices.Clone(s.reported)
 	i := slices.IndexFunc(s.reported, func(c Crash) bool { return c.Server == server && c.StartTime == startTime })
@@ -139,10 +138,10 @@
 		s.options.Metrics.countCrash()
 	}
 	c := &s.reported[i]
-	add(c)
-	reported := *c
+	accused = s.tracker.AddRequest(c, parts)
+	reported = *c
 	s.reported = s.reported[max(0, len(s.reported)-maxReported):]
-	return reported
+	return reported, accused
 }
 
 // ApplyEntry applies a store entry, or its removal, at the revision of the entry.
--- a/lib/lacequarantine/simulation_test.go
+++ b/lib/lacequarantine/simulation_test.go
@@ -284,7 +284,6 @@
 }
 
 func (p *trackerPolicy) crash(now time.Time, s *simServer, prompt []Part) (bool, []news) {
-	suspects, accused := p.tracker.Suspects(prompt, s.id, s.startTime)
 	c := p.reports[s.id]
 	if c.StartTime != s.startTime || c.Server == "" {
 		c = Crash{
@@ -293,8 +292,7 @@
 			At:        now,
 		}
 	}
-	c.addPrompt(suspects, accused)
-	c.addAnswered(p.tracker.answered(prompt))
+	accused := p.tracker.AddRequest(&c, prompt)
 	p.reports[s.id] = c
 	p.tracker.RecordCrash(now, p.self, c)
 	return !accused, []news{func(now time.Time, to policy) []news {
