lacebalancer: an update finds the listed pauses by pointer

While any pause was kept, each update built a map of the keys of all servers. The servers already point to their pauses. No change of behaviour; the comment of a test is reworded.

--- a/lib/lacebalancer/loadprobe_test.go
+++ b/lib/lacebalancer/loadprobe_test.go
@@ -94,7 +94,7 @@
 	return served
 }
 
-// Guards against a service that is shut out for good because of load reports that only further responses of its servers
+// Guards against a service that is refused permanently because of load reports that only further responses of its servers
 // could correct: wrong figures of one server or of all, and servers that were full for a moment.
 func TestReportedLoadLapses(t *testing.T) {
 	absurd := Load{Running: 100000, Slots: 6}
--- a/lib/lacebalancer/pause.go
+++ b/lib/lacebalancer/pause.go
@@ -68,14 +68,16 @@
 	if len(p) == 0 {
 		return
 	}
-	listed := make(map[pauseKey]bool, len(servers))
+	listed := make(map[*pause]bool, len(p))
 	for _, s := range servers {
-		listed[s.pauseKey()] = true
+		if s.pause != nil {
+			listed[s.pause] = true
+		}
 	}
 	var unlisted []pauseKey
 	for key, x := range p {
 		switch {
-		case listed[key]:
+		case listed[x]:
 		case now.Sub(x.end) >= unlistedTTL:
 			delete(p, key)
 		default:
