--- a/lib/lacerelay/address.go
+++ b/lib/lacerelay/address.go
@@ -50,7 +50,7 @@
 }
 
 // resolveAddresses decides which of several servers with one address is in use. The entry of a server that has ended
-// stands for some time, in which its address may be given to another one. It reports whether that has changed a server.
+// remains for some time, in which its address may be given to another one. It reports whether that has changed a server.
 // The lock must be held.
 func (b *Backends) resolveAddresses(now time.Time) bool {
 	best := make(map[laceunit.Address]*backend, len(b.byID))
