lacemirror: a failing test of relayed removals

A server that was removed without an outage is out of use at once where the store is watched, but each instance that has the removal from a peer keeps the server for another second from its arrival.

The test fails: hop 1 and hop 2 are final only in 1s.

--- a/lib/lacemirror/follower_test.go
+++ b/lib/lacemirror/follower_test.go
@@ -374,3 +374,52 @@
 	close(nextWatch.events)
 	<-done
 }
+
+// Guards against a server that stays in use at instances that replicate from peers after its removal became final at
+// the instance that watches the store.
+func TestRelayedRemovalsAreFinalAtOnce(t *testing.T) {
+	const prefix, key laceplatform.Key = "servers/", "servers/a"
+	var last Source
+	follower := func() *Follower {
+		f := NewFollower(prefix, nil, &laceplatform.ConnectivityTracker{}, lacelog.Discard(),
+			func(_ []Change, s Source) { last = s })
+		f.Merge(Delta{
+			Full:     true,
+			Revision: 1,
+			Entries: []laceplatform.Entry{{
+				Key:      key,
+				Revision: 1,
+			}},
+		})
+		return f
+	}
+	watcher := follower()
+	watcher.applyEvent(laceplatform.Event{
+		Entry: laceplatform.Entry{
+			Key:      key,
+			Revision: 2,
+		},
+		Deleted: true,
+	})
+	if !last.RemovalsFinalAt.IsZero() {
+		t.Fatalf("the removal is final only in %s at the instance that watches the store", time.Until(last.RemovalsFinalAt))
+	}
+	watcher.applyEvent(laceplatform.Event{
+		Entry:    laceplatform.Entry{Revision: 2},
+		Progress: true,
+	})
+	source := watcher
+	// Instances also replicate from peers that replicate themselves.
+	for hop := range 2 {
+		replica := follower()
+		d, _, ok := source.DeltaSince(1, Base{})
+		if !ok {
+			t.Fatal("no delta")
+		}
+		replica.Merge(d)
+		if !last.FromPeer || !last.RemovalsFinalAt.IsZero() {
+			t.Errorf("hop %d: the removal is final only in %s", hop+1, time.Until(last.RemovalsFinalAt).Round(time.Millisecond))
+		}
+		source = replica
+	}
+}
