lacemirror: the finality of removals travels with the news

Callers' requests reached a server more than 3 s after its entry was removed (DRAIN).

Cause: the instance that watches the store knows whether a removal can still be undone, but each instance that had it from a peer assumed that it can, for 1 s from the arrival. News that took 2.2 s behind a full link was applied after 3.2 s.

Change: a delta says how long its removals may still be undone (removal_grace_ms; 0: final). The receiver counts from the arrival and passes on what is left. Deltas of older versions, without the field, keep the grace of 1 s.

--- a/lib/lacemirror/follower.go
+++ b/lib/lacemirror/follower.go
@@ -28,8 +28,9 @@
 	// registered again, if their owners are alive. It is a little less than two seconds, the time within which a
 	// server that has really left must be out of use.
 	recoveryGrace = 1800 * time.Millisecond
-	// peerRemovalGrace is the same for removals reported by a peer, which may have been delayed there.
-	peerRemovalGrace = time.Second
+	// DefaultRemovalGrace is the grace of the removals in a delta of an instance that does not say whether they are
+	// final.
+	DefaultRemovalGrace = time.Second
 	// minOutage is the minimum time without contact that counts as an outage of the store.
 	minOutage = 1500 * time.Millisecond
 )
@@ -80,8 +81,8 @@
 	viaPeers bool
 	// modeChanged is closed and replaced when viaPeers changes.
 	modeChanged chan struct{}
-	// recoveredAt is when contact was regained after an outage.
-	recoveredAt time.Time
+	// removalsFinalAt is when the removals that the copy has become final, with those that it gets from the store.
+	removalsFinalAt time.Time
 	// pending are newer revisions that peers are known to have, pendingReportedAt is when one was last reported.
 	pending           pendingRevisions
 	pendingReportedAt laceunit.Uptime
@@ -155,6 +156,7 @@
 	if !ok {
 		return d, nil, false
 	}
+	d.RemovalGrace = max(time.Until(f.removalsFinalAt), 0)
 	value, _ := f.mirror.BaseValue(base)
 	return d, value, true
 }
@@ -177,7 +179,20 @@
 func (f *Follower) Merge(d Delta) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.notify(f.mirror.Merge(d), true)
+	// An older delta than the copy is not applied; its grace does not hold for the removals of the copy.
+	newer := d.Revision > f.mirror.Revision()
+	changes := f.mirror.Merge(d)
+	if newer && d.RemovalGrace > 0 {
+		f.deferRemovals(time.Now().Add(d.RemovalGrace))
+	}
+	f.notify(changes, true)
+}
+
+// deferRemovals records that no removal is final before a time; the lock must be held.
+func (f *Follower) deferRemovals(until time.Time) {
+	if until.After(f.removalsFinalAt) {
+		f.removalsFinalAt = until
+	}
 }
 
 // Serve implements suture.Service.
@@ -284,7 +299,7 @@
 	now := time.Now()
 	silence := now.Sub(f.lastContact)
 	if !f.lastContact.IsZero() && silence > minOutage && f.failing {
-		f.recoveredAt = now
+		f.deferRemovals(now.Add(recoveryGrace))
 	}
 	if f.failing {
 		f.log.Write(lacelog.SyncRestored, lacelog.P("prefix", f.prefix),
@@ -320,12 +335,8 @@
 		FromPeer: fromPeer,
 		Revision: f.mirror.Revision(),
 	}
-	now := time.Now()
-	if graceEnd := f.recoveredAt.Add(recoveryGrace); !f.recoveredAt.IsZero() && now.Before(graceEnd) {
-		source.RemovalsFinalAt = graceEnd
-	}
-	if fromPeer {
-		source.RemovalsFinalAt = now.Add(peerRemovalGrace)
+	if time.Now().Before(f.removalsFinalAt) {
+		source.RemovalsFinalAt = f.removalsFinalAt
 	}
 	f.handler(changes, source)
 }
--- a/lib/lacemirror/mirror.go
+++ b/lib/lacemirror/mirror.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"time"
 
 	"lacewingcove/lib/laceplatform"
 )
@@ -20,6 +21,9 @@
 	Revision laceplatform.Revision
 	Entries  []laceplatform.Entry
 	Removed  []Removal
+	// RemovalGrace is how long the removals may still be undone by owners that register again; zero means that they
+	// are final. The keys that a full delta leaves out count as removals.
+	RemovalGrace time.Duration
 }
 
 // Removal is a tombstone: a key that was removed, with the revision of its removal.
--- a/lib/lacenode/replicator_test.go
+++ b/lib/lacenode/replicator_test.go
@@ -77,6 +77,12 @@
 	return d
 }
 
+// withGrace returns a delta after setting its removal grace in milliseconds.
+func withGrace(d *lacewire.MirrorDelta, ms int64) *lacewire.MirrorDelta {
+	d.RemovalGraceMs = &ms
+	return d
+}
+
 // packDelta returns a delta in the packed form in which instances send large ones.
 func packDelta(t *testing.T, d *lacewire.MirrorDelta) *lacewire.MirrorDelta {
 	t.Helper()
@@ -150,6 +156,8 @@
 		"packed and unpacked": {Deltas: []*lacewire.MirrorDelta{
 			packedWith(func(d *lacewire.MirrorDelta) { d.Entries = delta("a/", 6, "a/2").Entries }),
 		}},
+		"negative removal grace": {Deltas: []*lacewire.MirrorDelta{withGrace(delta("a/", 6, "a/2"), -1)}},
+		"removal grace too long": {Deltas: []*lacewire.MirrorDelta{withGrace(delta("a/", 6, "a/2"), math.MaxInt64)}},
 		"packed against an unknown base": {Deltas: []*lacewire.MirrorDelta{
 			packedWith(func(d *lacewire.MirrorDelta) { d.BaseRevision = 5 }),
 		}},
@@ -276,3 +284,32 @@
 		t.Errorf("an instance without a copy confirms it: %v", answer)
 	}
 }
+
+// Guards against removals that a peer may still take back and that are final here, and against final ones that are
+// kept, whether or not the delta is large; an instance of an older version does not say which they are.
+func TestRemovalGraceTravelsWithDelta(t *testing.T) {
+	var keys []string
+	for i := range 1000 {
+		keys = append(keys, fmt.Sprint("a/", i))
+	}
+	for _, grace := range []time.Duration{0, time.Millisecond, 1800 * time.Millisecond} {
+		small := withGrace(delta("a/", 6, "a/2"), grace.Milliseconds())
+		large := packDelta(t, withGrace(delta("a/", 6, keys...), grace.Milliseconds()))
+		for _, d := range []*lacewire.MirrorDelta{small, large} {
+			unpacked, err := lacewire.UnpackDelta(d, lacewire.Base{})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got := lacewire.ToMirrorDelta(unpacked).RemovalGrace; got != grace {
+				t.Errorf("grace %s, %d entries: received as %s", grace, len(unpacked.GetEntries()), got)
+			}
+		}
+	}
+	if got := lacewire.ToMirrorDelta(delta("a/", 6, "a/2")).RemovalGrace; got != lacemirror.DefaultRemovalGrace {
+		t.Errorf("removals of an older version have a grace of %s", got)
+	}
+	sent := lacemirror.Delta{RemovalGrace: time.Microsecond}
+	if got := lacewire.ToMirrorDelta(lacewire.FromMirrorDelta(sent)).RemovalGrace; got < sent.RemovalGrace {
+		t.Errorf("a grace of %s was sent as %s", sent.RemovalGrace, got)
+	}
+}
--- a/lib/lacenode/validate.go
+++ b/lib/lacenode/validate.go
@@ -11,6 +11,9 @@
 // maxAge bounds the ages in messages of peers. Larger values are implausible, and much larger ones overflow.
 const maxAge = 365 * 24 * time.Hour
 
+// maxRemovalGrace bounds the grace of removals in messages of peers: a removed server stays in use for as long.
+const maxRemovalGrace = 10 * time.Second
+
 // validate returns why the answer of a peer is malformed, or an empty string if it is valid.
 func (r *replicator) validate(answer *lacewire.MirrorNews) string {
 	for _, d := range answer.GetDeltas() {
@@ -19,6 +22,8 @@
 			return "delta of an unknown prefix"
 		case d.GetRevision() <= 0 || d.GetFrom() < 0:
 			return "delta with an invalid revision"
+		case d.GetRemovalGraceMs() < 0 || d.GetRemovalGraceMs() > maxRemovalGrace.Milliseconds():
+			return "delta with a removal grace out of range"
 		case hasInvalidEntry(d):
 			return "delta with an invalid entry"
 		}
--- a/lib/lacewire/mirror_map.go
+++ b/lib/lacewire/mirror_map.go
@@ -1,6 +1,10 @@
 package lacewire
 
 import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
 	"lacewingcove/lib/lacemirror"
 	"lacewingcove/lib/laceplatform"
 )
@@ -12,6 +16,8 @@
 		From:     int64(d.From),
 		Full:     d.Full,
 		Revision: int64(d.Revision),
+		// Rounded up, so that a removal is never final too early.
+		RemovalGraceMs: proto.Int64((d.RemovalGrace + time.Millisecond - 1).Milliseconds()),
 	}
 	for _, e := range d.Entries {
 		m.Entries = append(m.Entries, &MirrorEntry{
@@ -32,10 +38,14 @@
 // ToMirrorDelta maps a delta of a copy of the store.
 func ToMirrorDelta(m *MirrorDelta) lacemirror.Delta {
 	d := lacemirror.Delta{
-		Prefix:   laceplatform.Key(m.GetPrefix()),
-		From:     laceplatform.Revision(m.GetFrom()),
-		Full:     m.GetFull(),
-		Revision: laceplatform.Revision(m.GetRevision()),
+		Prefix:       laceplatform.Key(m.GetPrefix()),
+		From:         laceplatform.Revision(m.GetFrom()),
+		Full:         m.GetFull(),
+		Revision:     laceplatform.Revision(m.GetRevision()),
+		RemovalGrace: lacemirror.DefaultRemovalGrace,
+	}
+	if m.RemovalGraceMs != nil {
+		d.RemovalGrace = time.Duration(m.GetRemovalGraceMs()) * time.Millisecond
 	}
 	for _, e := range m.GetEntries() {
 		d.Entries = append(d.Entries, laceplatform.Entry{
--- a/lib/lacewire/mirror_pack.go
+++ b/lib/lacewire/mirror_pack.go
@@ -43,14 +43,15 @@
 		return nil, err
 	}
 	return &MirrorDelta{
-		Prefix:       m.GetPrefix(),
-		From:         m.GetFrom(),
-		Full:         m.GetFull(),
-		Revision:     m.GetRevision(),
-		Packed:       packed,
-		BaseRevision: base.Revision,
-		Size:         int64(len(raw)),
-		Sum:          uint64(sum),
+		Prefix:         m.GetPrefix(),
+		From:           m.GetFrom(),
+		Full:           m.GetFull(),
+		Revision:       m.GetRevision(),
+		Packed:         packed,
+		BaseRevision:   base.Revision,
+		Size:           int64(len(raw)),
+		Sum:            uint64(sum),
+		RemovalGraceMs: m.RemovalGraceMs,
 	}, nil
 }
 
@@ -77,11 +78,12 @@
 		return nil, errors.Wrap(ErrMalformedDelta, err.Error())
 	}
 	return &MirrorDelta{
-		Prefix:   m.GetPrefix(),
-		From:     m.GetFrom(),
-		Full:     m.GetFull(),
-		Revision: m.GetRevision(),
-		Entries:  content.GetEntries(),
-		Removed:  content.GetRemoved(),
+		Prefix:         m.GetPrefix(),
+		From:           m.GetFrom(),
+		Full:           m.GetFull(),
+		Revision:       m.GetRevision(),
+		Entries:        content.GetEntries(),
+		Removed:        content.GetRemoved(),
+		RemovalGraceMs: m.RemovalGraceMs,
 	}, nil
 }
