lacenode, lacerelay: no request is placed by a list of servers that is late behind a full link

Callers' requests reached servers up to 3.3 s after they had left (DRAIN).

Cause: behind its full link of 9 Mbit/s, edge-norte-z4-16 of census gets the news of a removal after 3.1 s, while callers' data fills the link; requests placed just before go to the server.

Change: while the instance's link is saturated and its copy of the servers is older than 2.5 s, new requests and attempts get 503 (configuration_stale), before their bodies are read, which also frees the link. An instance that reaches nobody with room on its link goes on as before, as do responses that have begun.

The tests fail without the change: they need the new option.

--- a/lib/lacenode/freshness.go
+++ b/lib/lacenode/freshness.go
@@ -1,6 +1,8 @@
 package lacenode
 
 import (
+	"time"
+
 	"lacewingcove/lib/laceplatform"
 	"lacewingcove/lib/lacerelay"
 )
@@ -23,6 +25,14 @@
 	return lacerelay.Fresh
 }
 
+// serversLate reports whether changes of the backend servers are late behind this instance's own link, so that a server
+// may be out of use elsewhere by now. A copy that is old without a saturated link is still used: then nobody has newer
+// information, or nobody can be reached.
+func (n *Node) serversLate() bool {
+	s := n.followers[serversFollower].Status()
+	return n.tracker.Now().Sub(s.SyncedAt) > staleAge && n.link.Saturated(time.Now())
+}
+
 // normalizeServer returns the decoded entry of a backend server, nil if it is malformed. Servers rewrite their entries
 // with each report, mostly without a change of content.
 func (n *Node) normalizeServer(e laceplatform.Entry) any {
--- a/lib/lacenode/freshness_test.go
+++ b/lib/lacenode/freshness_test.go
@@ -4,6 +4,9 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
+	"lacewingcove/lib/lacelimit"
 	"lacewingcove/lib/lacerelay"
 )
 
@@ -47,3 +50,35 @@
 	replica.now = replica.now.Add(10 * time.Second)
 	expect("newer version not reported for 10 s", lacerelay.PossiblyStale)
 }
+
+// Guards against requests that are placed by a list of servers which is old because the instance's own link is full,
+// and against an instance without contact to the store and to peers that refuses everything.
+func TestServersAreLateOnlyBehindSaturatedLink(t *testing.T) {
+	const rate = 1 << 20
+	for _, c := range []struct {
+		age       time.Duration
+		saturated bool
+		late      bool
+	}{
+		{age: 2400 * time.Millisecond, saturated: true},
+		{age: 2600 * time.Millisecond},
+		{age: 2600 * time.Millisecond, saturated: true, late: true},
+	} {
+		source, p := newTestPeer(t, "op/", "servers/"), newTestPeer(t, "op/", "servers/")
+		source.storeValue(t, 5, routesJSON(1))
+		p.queryOnce(t, source, 0)
+		p.now = p.now.Add(c.age)
+		var traffic lacelimit.LinkTraffic
+		p.node.link = newLink(rate*bitsPerByte/bitsPerMegabit, func() lacelimit.LinkTraffic { return traffic },
+			prometheus.NewRegistry())
+		start := time.Now()
+		p.node.link.Saturated(start)
+		if c.saturated {
+			traffic.In = rate
+		}
+		p.node.link.Saturated(start.Add(time.Second))
+		if got := p.node.serversLate(); got != c.late {
+			t.Errorf("servers of %s ago, saturated link %t: late %t", c.age, c.saturated, got)
+		}
+	}
+}
--- a/lib/lacenode/node.go
+++ b/lib/lacenode/node.go
@@ -182,6 +182,7 @@
 		Shares:     n.shares,
 		Quarantine: n.quarantine,
 		Freshness:  n.tableFreshness,
+		Late:       n.serversLate,
 		Link:       n.link,
 		Members:    n.directory.ShareCount,
 		Log:        n.log,
--- a/lib/lacerelay/attempt.go
+++ b/lib/lacerelay/attempt.go
@@ -97,6 +97,9 @@
 	if r.shutdown.refuses(j) {
 		return attempt{}, stoppingFault(j)
 	}
+	if f := r.lateFault(j); f != nil {
+		return attempt{}, f
+	}
 	decision := r.pickServer(attemptCtx, j)
 	if decision.Verdict != lacebalancer.Assigned {
 		if f := r.quarantineFault(j); f != nil {
--- a/lib/lacerelay/freshness.go
+++ b/lib/lacerelay/freshness.go
@@ -31,6 +31,19 @@
 	return r.options.Freshness()
 }
 
+// lateFault returns an error for a request that must not be sent to a server now because changes of the servers are
+// late, or nil. A response that has begun continues: its caller could only start over.
+func (r *Relay) lateFault(j *job) *lacefault.Fault {
+	if r.options.Late == nil || !j.response.startedAt.IsZero() || !r.options.Late() {
+		return nil
+	}
+	f := newRefusal(lacefault.ConfigurationStale, "changes of the servers are late", staleRetryAfter)
+	if j.history.mayHaveRun {
+		f.Outcome, f.Code = lacefault.Unknown, lacefault.BackendServerFailed
+	}
+	return f
+}
+
 // orStale returns a refusal that follows from the table if the table is fresh. Otherwise a newer version might allow
 // the request, so that orStale returns a refusal because of the stale configuration.
 func (f Freshness) orStale(refusal *lacefault.Fault) *lacefault.Fault {
--- a/lib/lacerelay/relay.go
+++ b/lib/lacerelay/relay.go
@@ -79,6 +79,8 @@
 	Quarantine Quarantine
 	// Freshness returns the freshness of the routing table; nil means that it is always fresh.
 	Freshness func() Freshness
+	// Late reports whether changes of the servers are late behind the instance's own link; nil means never.
+	Late func() bool
 	// Link does admission control by the bandwidth of the machine's network link; nil admits every request.
 	Link Link
 	// Members returns how many instances share the retry budget.
@@ -259,6 +261,9 @@
 	if j.freshness == Superseded {
 		return newRefusal(lacefault.ConfigurationStale, "a newer configuration has not arrived yet", staleRetryAfter)
 	}
+	if f := r.lateFault(j); f != nil {
+		return f
+	}
 	var ok bool
 	if j.route, ok = table.Match(j.call.Host, j.call.Path); !ok {
 		return j.freshness.orStale(newRefusal(lacefault.NotFound, "no route", 0))
