lacebalancer, lacerelay: a response has events of one software version

Callers got streams whose events were from servers of two software versions of a service.

Cause: when a server broke a stream off, it was resumed at any server of the service; the version in the entries of the servers was not read.

Change: laceunit.SoftwareVersion is a type of its own, which the registration, the balancer and the relay know. A response that can't be completed is broken off as before.

--- a/lib/lacebalancer/pick.go
+++ b/lib/lacebalancer/pick.go
@@ -16,10 +16,10 @@
 	b.lastTicket++
 	ticket := b.lastTicket
 	p := b.pools[request.Pool]
-	if p == nil || !p.usable() {
+	if p == nil || !p.usable(request.Version) {
 		return refusal(ticket, NoServer, b.routing.EjectionTime), nil
 	}
-	if r, ok := p.stall(now); ok {
+	if r, ok := p.stall(now, request.Version); ok {
 		if r = r.withBacklog(p.queue.Len()); !r.worthQueueing(now, b.deadline(now, request)) {
 			p.recordThrottled(now)
 			return refusal(ticket, r.reason, b.withJitter(r.wait)), nil
@@ -59,7 +59,7 @@
 		}
 	}
 	displaced, ok := p.queue.Push(lacelimit.Item[waiter]{
-		Account:  w.request.Account,
+		Account:  w.request.queueAccount(),
 		Priority: w.request.Priority,
 		Deadline: b.deadline(now, w.request),
 		StartBy:  startBy,
@@ -91,6 +91,15 @@
 	return decision, others
 }
 
+// queueAccount returns the account under which the request is queued. The requests of an account for one version have a
+// queue of their own: while its servers are full, they do not hold up those that other servers can take.
+func (r Request) queueAccount() laceunit.AccountID {
+	if r.Version == nil {
+		return r.Account
+	}
+	return r.Account + "\x00" + laceunit.AccountID(*r.Version)
+}
+
 // drainQueue assigns or refuses as many queued requests of a pool as possible.
 func (b *Balancer) drainQueue(now time.Time, p *pool) []Decision {
 	if p.queue.Len() == 0 {
@@ -104,11 +113,11 @@
 		}
 	}
 	refuse(p.queue.Expire(now), DeadlineExceeded)
-	if !p.usable() {
+	if !p.usable(nil) {
 		refuse(p.queue.Drop(func(lacelimit.Item[waiter]) bool { return true }), NoServer)
 		return decisions
 	}
-	if r, ok := p.stall(now); ok {
+	if r, ok := p.stall(now, nil); ok {
 		for _, i := range p.queue.Drop(func(i lacelimit.Item[waiter]) bool { return !r.worthQueueing(now, i.Deadline) }) {
 			delete(b.waiting, i.Value.ticket)
 			decisions = append(decisions, refusal(i.Value.ticket, r.reason, b.withJitter(r.wait)))
@@ -119,6 +128,7 @@
 	// If no server has capacity for a request, none has for requests of the same or a lower priority either. Without this
 	// shortcut an overloaded pool would scan its servers once per queued account.
 	blockedPriority := laceunit.Priority(-1)
+	versionGone := false
 	for {
 		var decision Decision
 		_, ok := p.queue.Pop(func(w waiter) bool {
@@ -126,18 +136,23 @@
 				return false
 			}
 			d, assigned := b.assign(now, p, w)
-			if !assigned && len(w.request.Exclude) == 0 && !w.request.NonIdempotent {
+			if !assigned && len(w.request.Exclude) == 0 && !w.request.NonIdempotent && w.request.Version == nil {
 				blockedPriority = w.request.Priority
 			}
+			versionGone = versionGone || !assigned && !p.usable(w.request.Version)
 			decision = d
 			return assigned
 		})
 		if !ok {
-			return decisions
+			break
 		}
 		delete(b.waiting, decision.Ticket)
 		decisions = append(decisions, decision)
 	}
+	if versionGone {
+		refuse(p.queue.Drop(func(i lacelimit.Item[waiter]) bool { return !p.usable(i.Value.request.Version) }), NoServer)
+	}
+	return decisions
 }
 
 func (b *Balancer) drainQueues(now time.Time, pools []*pool) []Decision {
@@ -205,14 +220,14 @@
 	p.expireReports(now)
 	mean, overloaded := p.meanLoad(), p.newLoadProbe()
 	exclude := r.Exclude
-	if p.allExcluded(now, exclude) {
+	if p.allExcluded(now, r) {
 		exclude = nil
 	}
 	candidates := b.scratch[:0]
 	var suspectCount, healthyCount, freshCount int
 	var probeTarget *server
 	for _, s := range p.servers {
-		if s.leaving || s.paused(now) || slices.Contains(exclude, s.id) {
+		if s.leaving || !s.has(r.Version) || s.paused(now) || slices.Contains(exclude, s.id) {
 			continue
 		}
 		if s.ejected {
@@ -297,15 +312,20 @@
 	}
 }
 
-// usable reports whether the pool has a server that is not leaving.
-func (p *pool) usable() bool {
-	return slices.ContainsFunc(p.servers, func(s *server) bool { return !s.leaving })
+// usable reports whether the pool has a server of a version, nil for any, that is not leaving.
+func (p *pool) usable(version *laceunit.SoftwareVersion) bool {
+	return slices.ContainsFunc(p.servers, func(s *server) bool { return !s.leaving && s.has(version) })
+}
+
+// has reports whether the server's software has a version; nil stands for any.
+func (s *server) has(version *laceunit.SoftwareVersion) bool {
+	return version == nil || s.version == *version
 }
 
-// allExcluded reports whether exclude contains every server that is available now.
-func (p *pool) allExcluded(now time.Time, exclude []laceunit.ServerID) bool {
-	return len(exclude) > 0 && !slices.ContainsFunc(p.servers, func(s *server) bool {
-		return !s.leaving && !s.unavailable(now) && !slices.Contains(exclude, s.id)
+// allExcluded reports whether a request excludes every server that it could get now.
+func (p *pool) allExcluded(now time.Time, r Request) bool {
+	return len(r.Exclude) > 0 && !slices.ContainsFunc(p.servers, func(s *server) bool {
+		return !s.leaving && s.has(r.Version) && !s.unavailable(now) && !slices.Contains(r.Exclude, s.id)
 	})
 }
 
--- a/lib/lacebalancer/request.go
+++ b/lib/lacebalancer/request.go
@@ -38,6 +38,9 @@
 	Prefix uint64
 	// Exclude lists servers at which earlier attempts failed; they are used only when no other server is available.
 	Exclude []laceunit.ServerID
+	// Version restricts the request to the servers of one software version; nil permits all. A request whose version has
+	// no usable server is refused.
+	Version *laceunit.SoftwareVersion
 	// NonIdempotent requests are not used to probe an ejected server while another one is healthy, unless no other request
 	// has probed it for some minutes.
 	NonIdempotent bool
--- a/lib/lacebalancer/server.go
+++ b/lib/lacebalancer/server.go
@@ -51,6 +51,7 @@
 	id        laceunit.ServerID
 	startTime int64
 	address   laceunit.Address
+	version   laceunit.SoftwareVersion
 	seed      uint64
 	slots     int
 	// slotsReported is true when slots is from a load report, since the configuration does not state it.
@@ -93,7 +94,7 @@
 }
 
 func (s *server) configure(config laceconfig.Server, leaving bool) {
-	s.address, s.startTime = config.Address, config.StartTime
+	s.address, s.startTime, s.version = config.Address, config.StartTime, config.Version
 	s.leaving = leaving || config.Leaving
 	if config.Slots > 0 {
 		s.slots, s.slotsReported = config.Slots, false
--- a/lib/lacebalancer/stall.go
+++ b/lib/lacebalancer/stall.go
@@ -24,13 +24,13 @@
 	return r.queueable && now.Add(r.wait).Before(deadline)
 }
 
-// stall returns the stall of the pool, and false while a server is available.
-func (p *pool) stall(now time.Time) (stall, bool) {
+// stall returns the stall of the pool's servers of a version, nil for all, and false while one of them is available.
+func (p *pool) stall(now time.Time, version *laceunit.SoftwareVersion) (stall, bool) {
 	found := false
 	var shortest stall
 	var rate laceunit.Rate
 	for _, s := range p.servers {
-		if s.leaving {
+		if s.leaving || !s.has(version) {
 			continue
 		}
 		if !s.unavailable(now) {
@@ -79,7 +79,7 @@
 	if p == nil {
 		return 0
 	}
-	r, ok := p.stall(now)
+	r, ok := p.stall(now, nil)
 	if !ok {
 		return 0
 	}
--- a/lib/laceconfig/document.go
+++ b/lib/laceconfig/document.go
@@ -57,6 +57,8 @@
 	Slots int
 	// SupportsFencing is true when the server rejects orders with an outdated fencing token.
 	SupportsFencing bool
+	// Version is the version of the server's software.
+	Version laceunit.SoftwareVersion
 	// Leaving servers receive no new requests.
 	Leaving bool
 	// StartTime distinguishes restarts of a server under the same id, where it is known; it is not a key of the
--- a/lib/lacerelay/attempt.go
+++ b/lib/lacerelay/attempt.go
@@ -159,6 +159,7 @@
 		Priority:      priorityOf(j.rank),
 		Prefix:        prefix,
 		Exclude:       j.tried,
+		Version:       j.softwareVersion,
 		NonIdempotent: !retrySafe(j.route),
 		Deadline:      queueDeadline,
 		Prompt:        j.prompt,
--- a/lib/lacerelay/backend.go
+++ b/lib/lacerelay/backend.go
@@ -30,6 +30,8 @@
 	Zone    laceunit.ZoneID
 	Slots   int
 	Leaving bool
+	// Version is the version of the server's software; empty if the server does not state one.
+	Version laceunit.SoftwareVersion
 	// StartTime distinguishes the processes that were started under one server id.
 	StartTime int64
 }
@@ -263,7 +265,7 @@
 func (b *Backends) logState(x *backend, state string, extra ...lacelog.Pair) {
 	b.log.Write(lacelog.ServerState, append([]lacelog.Pair{
 		lacelog.P(lacelog.ServerID, x.ID), lacelog.P(lacelog.Service, x.Service), lacelog.P("address", x.Address),
-		lacelog.P("zone", x.Zone), lacelog.P("slots", x.Slots), lacelog.P("state", state),
+		lacelog.P("zone", x.Zone), lacelog.P("slots", x.Slots), lacelog.P("software", x.Version), lacelog.P("state", state),
 	}, extra...)...)
 }
 
@@ -279,6 +281,7 @@
 			Place:     laceunit.Place{Zone: x.Zone},
 			Services:  []laceunit.ServiceID{x.Service},
 			Slots:     x.Slots,
+			Version:   x.Version,
 			Leaving:   x.Leaving,
 			StartTime: x.StartTime,
 		}
--- a/lib/lacerelay/relay.go
+++ b/lib/lacerelay/relay.go
@@ -167,6 +167,8 @@
 	tried   []laceunit.ServerID
 	// refusedBy are the servers that stated that they did not run the request.
 	refusedBy []laceunit.ServerID
+	// softwareVersion is that of the servers that wrote the events which the caller has; nil while it has none.
+	softwareVersion *laceunit.SoftwareVersion
 	// lastEventID is the id of the latest event, at which another server would resume the stream.
 	lastEventID string
 	response    response
--- a/lib/laceunit/id.go
+++ b/lib/laceunit/id.go
@@ -22,6 +22,10 @@
 // ServerID identifies a backend server.
 type ServerID string
 
+// SoftwareVersion identifies the version of the software of a backend server. Versions have no order. The events that
+// servers of two versions write do not fit together in one stream.
+type SoftwareVersion string
+
 // ModelID identifies a model.
 type ModelID string
 
