lacerelay: a stream that is taken up reserves no prompt

After a kill of all instances, clients that took streams up were refused, since their accounts could not reserve the prompt again, although only its first request pays for it.

Change: the reservation is what the request can cost, as in its settlement: without the prompt for a resumed stream.

--- a/lib/lacerelay/relay.go
+++ b/lib/lacerelay/relay.go
@@ -219,7 +219,7 @@
 		}
 		return
 	}
-	maxTokens := j.call.Input + j.call.MaxOutput
+	maxTokens := j.input() + j.call.MaxOutput
 	metered := j.call.Metered && j.account != ""
 	if metered {
 		if f := r.reserveTokens(q.Context(), j, maxTokens); f != nil {
@@ -241,18 +241,22 @@
 	r.runAttempts(ctx, j)
 }
 
+// input returns the prompt tokens that a request costs. The prompt of a resumed stream was already paid for by the request
+// that started it.
+func (j *job) input() laceunit.Tokens {
+	if j.call.LastEventID != "" {
+		return 0
+	}
+	return j.call.Input
+}
+
 // consumedTokens returns the cost of a request: its prompt once, and the forwarded events. A request of which the
-// caller received nothing is free, and the prompt of a resumed stream was already paid for by the request that started
-// it.
+// caller received nothing is free.
 func (j *job) consumedTokens() laceunit.Tokens {
 	if j.response.events == 0 {
 		return 0
 	}
-	input := j.call.Input
-	if j.call.LastEventID != "" {
-		input = 0
-	}
-	return input + min(j.call.MaxOutput, laceunit.Tokens(j.response.events*max(j.tokensPerEvent, 1)))
+	return j.input() + min(j.call.MaxOutput, laceunit.Tokens(j.response.events*max(j.tokensPerEvent, 1)))
 }
 
 // admit determines the route, account, service and deadline of a request and reads its body, or returns a refusal.
