--- a/lib/lacestream/service.go
+++ b/lib/lacestream/service.go
@@ -19,7 +19,7 @@
 	// remembered. It is longer than clients wait for an answer.
 	memory = 2 * time.Minute
 	// writeInterval is how often new streams are noted in the store. What began since then is lost with the instance.
-	writeInterval = 250 * time.Millisecond
+	writeInterval = 100 * time.Millisecond
 	// memberInterval lengthens that and the interval of reads in large fleets, by this much for each member.
 	memberInterval = 5 * time.Millisecond
 	// callTimeout bounds a write, readTimeout a read, for which a client waits.
