--- a/lib/lacerelay/relay.go
+++ b/lib/lacerelay/relay.go
@@ -441,7 +441,8 @@
 		lacelog.P(lacelog.Status, status), lacelog.P(lacelog.Route, j.routeName()),
 		lacelog.P(lacelog.Account, j.account),
 		lacelog.P(lacelog.AttemptNumber, j.history.sent), lacelog.P(lacelog.Events, j.response.events),
-		lacelog.P(lacelog.Took, duration.Milliseconds()), lacelog.P(lacelog.Version, j.version))
+		lacelog.P(lacelog.Took, duration.Milliseconds()), lacelog.P(lacelog.Version, j.version),
+		lacelog.P("resumed", j.call.LastEventID != ""))
 }
 
 func (j *job) routeName() string {
