lacegateway: a stream is not resumed at another software version of its server

A stream that was partly sent is resumed only at its server, by the request's id. If other software runs there by now, its text does not fit to what the caller has.

Change: the configuration has servers.ID.version; the request is not sent again to a server whose version has changed since it was picked, and ends as after a failure.

Measured: TestStreamIsNotResumedAtAnotherSoftwareVersion passes; it can't be built without the change.

--- a/lib/laceconfig/schema.go
+++ b/lib/laceconfig/schema.go
@@ -122,6 +122,7 @@
 		laceyaml.IDs("services", "Plain services that the backend server offers.", &s.Services),
 		laceyaml.Integer("slots", "Requests that it runs at once before it queues.", &s.Slots, 1, maxCount),
 		laceyaml.Bool("fencing", "Whether it refuses orders with an old fencing token.", &s.SupportsFencing),
+		laceyaml.ID("version", "Version of its software. A stream is resumed only while it is the same.", &s.Version),
 		laceyaml.Bool("leaving", "Whether it gets no new work.", &s.Leaving),
 	}
 }
--- a/lib/lacegateway/selector.go
+++ b/lib/lacegateway/selector.go
@@ -96,14 +96,16 @@
 		return PickResult{}, false
 	}
 	return PickResult{
-		Server:  id,
-		Address: server.Address,
-		Done:    func(AttemptResult) {},
+		Server:    id,
+		Address:   server.Address,
+		Done:      func(AttemptResult) {},
+		IsBlocked: func() bool { return !s.hasVersion(id, server.Version) },
 	}, true
 }
 
 func (s *Selector) pickResult(decision lacebalancer.Decision) PickResult {
 	assignedAt := s.now()
+	version := s.version(decision.Server)
 	return PickResult{
 		Server:  decision.Server,
 		Address: decision.Address,
@@ -116,7 +118,7 @@
 			})
 		},
 		OnNotice:  func(notice lacebackend.Notice) { s.handleNotice(decision.Ticket, notice) },
-		IsBlocked: func() bool { return s.isBlocked(decision.Ticket) },
+		IsBlocked: func() bool { return s.isBlocked(decision.Ticket) || !s.hasVersion(decision.Server, version) },
 	}
 }
 
@@ -136,6 +138,22 @@
 	})
 }
 
+// version returns the software version of a server; empty if it is not known.
+func (s *Selector) version(id laceunit.ServerID) laceunit.SoftwareVersion {
+	s.runner.mu.Lock()
+	defer s.runner.mu.Unlock()
+	return s.servers[id].Version
+}
+
+// hasVersion reports whether a server still has a software version. A stream that another one has begun can't be resumed
+// there; a server that is no longer listed may complete its streams.
+func (s *Selector) hasVersion(id laceunit.ServerID, version laceunit.SoftwareVersion) bool {
+	s.runner.mu.Lock()
+	defer s.runner.mu.Unlock()
+	server, ok := s.servers[id]
+	return !ok || server.Version == version
+}
+
 // isBlocked reports whether an assigned request must no longer be sent to its server.
 func (s *Selector) isBlocked(ticket lacebalancer.Ticket) bool {
 	s.runner.mu.Lock()
--- a/lib/lacegateway/selector_test.go
+++ b/lib/lacegateway/selector_test.go
@@ -78,3 +78,52 @@
 		t.Errorf("while the server is leaving: %v", fault)
 	}
 }
+
+// Guards against a stream that is resumed at its server although another software version runs there by now.
+func TestStreamIsNotResumedAtAnotherSoftwareVersion(t *testing.T) {
+	balancer, err := lacebalancer.New(laceconfig.Routing{}, rand.New(rand.NewPCG(1, 0)).IntN)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Now()
+	selector := NewSelector(balancer, func() time.Time { return now })
+	server := laceconfig.Server{
+		Kind:    laceconfig.KindEngine,
+		Address: "127.0.0.1:1",
+		Models:  []laceunit.ModelID{"m"},
+		Slots:   8,
+		Version: "v1",
+	}
+	servers := map[laceunit.ServerID]laceconfig.Server{"s1": server}
+	balancer.Update(now, servers, nil)
+	selector.Configure(&laceconfig.Document{Servers: servers})
+	picked, fault := selector.Pick(context.Background(), PickRequest{Model: "m"})
+	if fault != nil {
+		t.Fatal(fault)
+	}
+	preferred, fault := selector.Pick(context.Background(), PickRequest{
+		Model:  "m",
+		Prefer: "s1",
+	})
+	if fault != nil {
+		t.Fatal(fault)
+	}
+	upgraded := server
+	upgraded.Version = "v2"
+	for _, c := range []struct {
+		name    string
+		servers map[laceunit.ServerID]laceconfig.Server
+		blocked bool
+	}{
+		{name: "same version", servers: servers},
+		{name: "no longer listed"},
+		{name: "upgraded", servers: map[laceunit.ServerID]laceconfig.Server{"s1": upgraded}, blocked: true},
+	} {
+		selector.Configure(&laceconfig.Document{Servers: c.servers})
+		if picked.IsBlocked() != c.blocked || preferred.IsBlocked() != c.blocked {
+			t.Errorf("%s: blocked %t, at the preferred server %t", c.name, picked.IsBlocked(), preferred.IsBlocked())
+		}
+	}
+	picked.Done(ResultCanceled)
+	preferred.Done(ResultCanceled)
+}
