--- a/loadgen/lacesoak/callers.go
+++ b/loadgen/lacesoak/callers.go
@@ -34,6 +34,8 @@
 	// One of requestsPerCancel requests is canceled by its caller within maxCancelDelay.
 	requestsPerCancel = 20
 	maxCancelDelay    = 300 * time.Millisecond
+	// maxTakeUps is how often a caller takes up a stream that was broken off.
+	maxTakeUps = 3
 	// probeInterval is the time between two probes of an instance after the last fault.
 	probeInterval = 100 * time.Millisecond
 )
@@ -172,8 +174,12 @@
 		if !succeeded || c.random.IntN(requestsPerSwitch) == 0 {
 			c.instance = c.random.IntN(c.testbed.options.Instances)
 		}
-		a := c.call(kinds[c.random.IntN(len(kinds))])
+		k := kinds[c.random.IntN(len(kinds))]
+		a := c.call(k)
 		succeeded = a.succeeded()
+		if k.stream && k.retryMode == laceroute.Resumable {
+			c.takeUp(k, a)
+		}
 		pause := minThinkTime + time.Duration(c.random.Int64N(int64(maxThinkTime-minThinkTime)))
 		if c.honorsRetryAfter {
 			pause = max(pause, a.RetryAfter)
@@ -190,6 +196,35 @@
 // call sends a request of a kind with a new attempt id.
 func (c *caller) call(k routeKind) response { return c.send(c.newRequest(k)) }
 
+// takeUp takes a stream up that was broken off, at most maxTakeUps times, at any instance.
+func (c *caller) takeUp(k routeKind, broken response) {
+	received := eventCount(broken.Body)
+	for range maxTakeUps {
+		if broken.succeeded() || broken.canceled || received == 0 {
+			return
+		}
+		c.instance = c.random.IntN(c.testbed.options.Instances)
+		q, a := c.newRequest(k)
+		q.LastEventID, q.Resumes = received, broken.Attempt
+		if broken.resumes != "" {
+			q.Resumes = broken.resumes
+		}
+		q.APIKey, a.account, a.resumes = broken.apiKey, broken.account, q.Resumes
+		a.want = []byte(responseShape().StreamBody(q.Resumes, received))
+		a = c.send(q, a)
+		if a.Status == http.StatusOK {
+			received += eventCount(a.Body)
+		}
+		broken.Response, broken.canceled, broken.resumes = a.Response, a.canceled, a.resumes
+		if !sleep(context.Background(), maxThinkTime) {
+			return
+		}
+	}
+}
+
+// eventCount returns the number of complete events in a body.
+func eventCount(body []byte) int { return bytes.Count(body, []byte("\n\n")) }
+
 // newRequest returns a request with a new attempt id and its expected response.
 func (c *caller) newRequest(k routeKind) (lacestage.Request, response) {
 	c.sent++
@@ -234,8 +269,11 @@
 	a.timeout = min(timeoutBefore, c.testbed.routeTimeout(a.route))
 	a.canceled = a.canceled && errors.Is(a.Err, context.DeadlineExceeded)
 	a.connRefused = errors.Is(a.Err, syscall.ECONNREFUSED)
-	if events := bytes.Count(a.Body, []byte("\n\n")); q.Metered && a.Status == http.StatusOK && events > 0 {
-		a.deliveredTokens = q.InputTokens + min(q.MaxOutputTokens, laceunit.Tokens(events*tokensPerEvent))
+	if events := eventCount(a.Body); q.Metered && a.Status == http.StatusOK && events > 0 {
+		a.deliveredTokens = min(q.MaxOutputTokens, laceunit.Tokens(events*tokensPerEvent))
+		if q.LastEventID == 0 {
+			a.deliveredTokens += q.InputTokens
+		}
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/loadgen/lacesoak/check.go
+++ b/loadgen/lacesoak/check.go
@@ -28,6 +28,7 @@
 	guaranteePropagation = "in-force"
 	guaranteeRetryAfter  = "retry-after"
 	guaranteeQuarantine  = "quarantine"
+	guaranteeVersion     = "one-version"
 )
 
 const (
@@ -85,6 +86,7 @@
 	c.checkPropagation()
 	c.checkRetryAfter()
 	c.checkQuarantine()
+	c.checkVersions()
 	for _, i := range r.exited {
 		c.addViolation(guaranteeRunning, nil, "instance %d exited unexpectedly", i)
 	}
@@ -234,6 +236,31 @@
 	}))
 }
 
+// checkVersions looks for streams that were continued at another software version than the one that wrote the event before.
+func (c *checker) checkVersions() {
+	byStream := map[laceunit.AttemptID][]*lacestage.RequestRecord{}
+	for i := range c.serverRecords {
+		x := &c.serverRecords[i]
+		byStream[x.Stream] = append(byStream[x.Stream], x)
+	}
+	for _, records := range byStream {
+		for _, x := range records {
+			if x.LastEventID == 0 || x.LastEvent == 0 {
+				continue
+			}
+			// Several servers may have written the event; the caller has it from one of them.
+			continues := slices.ContainsFunc(records, func(y *lacestage.RequestRecord) bool {
+				return y != x && y.Version == x.Version && y.FirstEvent > 0 && y.FirstEvent <= x.LastEventID &&
+					y.LastEvent >= x.LastEventID && y.Arrived.Before(x.Arrived)
+			})
+			if !continues {
+				c.addViolation(guaranteeVersion, []laceunit.AttemptID{x.Attempt},
+					"%s of version %s continued a stream of another version after event %d", x.Server, x.Version, x.LastEventID)
+			}
+		}
+	}
+}
+
 // path identifies the requests of one instance to one server id.
 type path struct {
 	instance laceunit.InstanceID
--- a/loadgen/lacesoak/check_test.go
+++ b/loadgen/lacesoak/check_test.go
@@ -345,3 +345,30 @@
 		}, want: []string{guaranteeRetryAfter}},
 	})
 }
+
+// Guards against a check that misses a stream of two software versions, and against false positives where several servers
+// have written the last event before it was continued.
+func TestStreamsOfTwoVersionsAreDetected(t *testing.T) {
+	continueAt := func(r *record, version laceunit.SoftwareVersion) {
+		for i := range r.serverRecords {
+			r.serverRecords[i].Stream, r.serverRecords[i].Version = r.serverRecords[i].Attempt, "v1"
+		}
+		first, next := &r.serverRecords[0], &r.serverRecords[1]
+		first.FirstEvent, first.LastEvent = 1, 2
+		next.Stream, next.Version, next.LastEventID, next.FirstEvent, next.LastEvent = first.Stream, version, 2, 3, 4
+	}
+	runCases(t, map[string]checkCase{
+		"same version":  {modify: func(r *record) { continueAt(r, "v1") }},
+		"other version": {modify: func(r *record) { continueAt(r, "v2") }, want: []string{guaranteeVersion}},
+		"other version, nothing written": {modify: func(r *record) {
+			continueAt(r, "v2")
+			r.serverRecords[1].FirstEvent, r.serverRecords[1].LastEvent = 0, 0
+		}},
+		"written by both versions": {modify: func(r *record) {
+			continueAt(r, "v2")
+			other := r.serverRecords[0]
+			other.Attempt, other.Version = "other", "v2"
+			r.serverRecords = append(r.serverRecords, other)
+		}},
+	})
+}
--- a/loadgen/lacesoak/testbed.go
+++ b/loadgen/lacesoak/testbed.go
@@ -157,6 +157,7 @@
 		ID:            laceunit.ServerID(fmt.Sprintf("server-%d-%d", i, t.generations[i])),
 		Service:       serviceModel,
 		Zone:          zoneID(i),
+		Version:       t.softwareVersion(i),
 		Kind:          lacestage.Engine,
 		Slots:         serverSlots,
 		QueueCapacity: serverQueue,
@@ -175,6 +176,15 @@
 	return err
 }
 
+// softwareVersion returns the software version of the current generation of a server. In runs with an odd seed two
+// versions serve side by side, and each new server has the other version than the one that it replaces.
+func (t *testbed) softwareVersion(i int) laceunit.SoftwareVersion {
+	if t.seed%2 == 1 && (i+t.generations[i])%2 == 1 {
+		return "v2"
+	}
+	return "v1"
+}
+
 func responseShape() lacestage.ResponseShape {
 	return lacestage.ResponseShape{
 		MinEvents:    3,
