lacerelay: a stream is taken up at the service that began it

Callers of a split route got the beginning of a stream from one service and the rest from another: each attempt chose the service by its own id.

Change: a take-up chooses by the attempt that brought the first event (Resumes).

--- a/lib/lacerelay/relay.go
+++ b/lib/lacerelay/relay.go
@@ -1,6 +1,7 @@
 package lacerelay
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"sync"
@@ -283,7 +284,7 @@
 	if f := j.authorize(table); f != nil {
 		return j.freshness.orStale(f)
 	}
-	if j.service, ok = j.route.Target(xxhash.Sum64String(string(j.call.Attempt))); !ok {
+	if j.service, ok = j.route.Target(xxhash.Sum64String(string(cmp.Or(j.streamID(), j.call.Attempt)))); !ok {
 		return newRefusal(lacefault.NoBackendServer, "route has no service", noConfigRetryAfter)
 	}
 	if s, known := table.Service(j.service); known && s.Engine != nil {
--- a/lib/lacerelay/version.go
+++ b/lib/lacerelay/version.go
@@ -24,7 +24,8 @@
 
 var _ Streams = (*lacestream.Service)(nil)
 
-// streamID returns the attempt that brought, or is to bring, the first event of the request's stream.
+// streamID returns the attempt that brought, or is to bring, the first event of the request's stream; empty if the caller
+// does not say. It also selects the service of a split route, so that a stream is continued at its service.
 func (j *job) streamID() laceunit.AttemptID {
 	if j.call.LastEventID != "" {
 		return j.call.Resumes
