lacestream: unknown streams are refused at once while the store is silent

While the store did not answer, clients whose streams are not known waited for each other's reads, 300 ms each; a client that sent an attempt again was bound by its first stream; streams were looked through ten times a second with one version in service.

Change: a failed read counts as one for those that wait; the later stream of an attempt counts; with one version only expired streams are dropped, once a second.

Measured: TestUnknownStreamsAreRefusedSoonWithoutStore and TestAttemptSentAgainBeginsAnotherStream pass; the suites of lacestream and the take-ups of laceadapter as well.

--- a/lib/lacestream/notes.go
+++ b/lib/lacestream/notes.go
@@ -38,21 +38,28 @@
 func (n *notes) begin(k streamKey, service laceunit.ServiceID, version laceunit.SoftwareVersion) {
 	x := n.byKey[k]
 	if x == nil {
-		x = &note{
-			service: service,
-			version: version,
-		}
+		x = &note{}
 		n.byKey[k] = x
 		n.order = append(n.order, k)
 	}
+	// A client may have sent the same attempt again, and got another stream.
+	x.service, x.version, x.complete = service, version, false
 	x.running++
-	x.complete = false
 	for len(n.byKey) > maxNotes {
 		delete(n.byKey, n.order[0])
 		n.order = n.order[1:]
 	}
 }
 
+// find returns the version of a stream, and false if it is not remembered.
+func (n *notes) find(k streamKey) (laceunit.SoftwareVersion, bool) {
+	x := n.byKey[k]
+	if x == nil {
+		return "", false
+	}
+	return x.version, true
+}
+
 func (n *notes) end(now time.Time, k streamKey, complete bool) {
 	x := n.byKey[k]
 	if x == nil {
@@ -83,12 +90,12 @@
 }
 
 // stored returns the streams of some services that belong in the store: those that are not complete.
-func (n *notes) stored(of func(laceunit.ServiceID) bool) map[laceunit.SoftwareVersion][]streamKey {
+func (n *notes) stored(services map[laceunit.ServiceID]bool) map[laceunit.SoftwareVersion][]streamKey {
 	byVersion := map[laceunit.SoftwareVersion][]streamKey{}
 	count := 0
 	for _, k := range slices.Backward(n.order) {
 		x := n.byKey[k]
-		if x == nil || x.complete || !of(x.service) {
+		if x == nil || x.complete || !services[x.service] {
 			continue
 		}
 		byVersion[x.version] = append(byVersion[x.version], k)
--- a/lib/lacestream/service.go
+++ b/lib/lacestream/service.go
@@ -22,6 +22,8 @@
 	writeInterval = 100 * time.Millisecond
 	// memberInterval lengthens that and the interval of reads in large fleets, by this much for each member.
 	memberInterval = 5 * time.Millisecond
+	// expireInterval is how often streams that can't be taken up any more are dropped.
+	expireInterval = time.Second
 	// callTimeout bounds a write, readTimeout a read, for which a client waits.
 	callTimeout = 600 * time.Millisecond
 	readTimeout = 300 * time.Millisecond
@@ -58,7 +60,8 @@
 	versions versions
 	notes    notes
 	// changed is true when there are streams that are not noted in the store.
-	changed bool
+	changed   bool
+	expiredAt time.Time
 	// recordAt is when the records of versions may be changed next.
 	recordAt time.Time
 
@@ -151,11 +154,12 @@
 ) (laceunit.SoftwareVersion, bool) {
 	key := newStreamKey(service, id)
 	s.mu.Lock()
-	own, list := s.notes.byKey[key], s.versions.of(service)
+	own, noted := s.notes.find(key)
+	list := s.versions.of(service)
 	s.mu.Unlock()
-	if own != nil {
+	if noted {
 		s.options.Metrics.countTakeUp(foundHere)
-		return own.version, true
+		return own, true
 	}
 	// A version that a copy lacks may have begun the stream.
 	if len(list) == 0 || !s.options.Current() {
@@ -194,12 +198,13 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	s.readAt = now
 	entries, _, err := s.options.Store.List(callCtx, s.options.Keys.Streams)
 	if err != nil {
-		// The client gets a refusal, and the next one reads again.
+		// Those that wait for the lock are refused without a call of their own.
+		s.readAt = s.options.Clock()
 		return "", false
 	}
+	s.readAt = now
 	noted := map[streamKey]laceunit.SoftwareVersion{}
 	for _, e := range entries {
 		if err := decodeStreams(e.Value, noted); err != nil {
@@ -236,20 +241,19 @@
 func (s *Service) pendingNotes(now time.Time) ([]byte, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.notes.expire(now)
+	if now.Sub(s.expiredAt) >= expireInterval {
+		s.notes.expire(now)
+		s.expiredAt = now
+	}
 	if !s.changed || now.Before(s.writeAt) {
 		return nil, false
 	}
-	several := map[laceunit.ServiceID]bool{}
-	streams := s.notes.stored(func(service laceunit.ServiceID) bool {
-		v, known := several[service]
-		if !known {
-			v = s.versions.several(service)
-			several[service] = v
-		}
-		return v
-	})
 	s.changed = false
+	several := s.versions.several()
+	if len(several) == 0 {
+		return nil, false
+	}
+	streams := s.notes.stored(several)
 	if len(streams) == 0 {
 		return nil, false
 	}
--- a/lib/lacestream/simulation_test.go
+++ b/lib/lacestream/simulation_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -425,7 +426,7 @@
 	if len(n.byKey) != maxNotes/2 || n.byKey[0] == nil {
 		t.Errorf("%d of %d streams are remembered after %s", len(n.byKey), maxNotes, completedAge)
 	}
-	if n := len(n.stored(func(laceunit.ServiceID) bool { return true })["v1"]); n != maxStored {
+	if n := len(n.stored(map[laceunit.ServiceID]bool{simulatedService: true})["v1"]); n != maxStored {
 		t.Errorf("%d streams are noted", n)
 	}
 	n.expire(now.Add(memory))
@@ -439,3 +440,48 @@
 		t.Errorf("%d streams are remembered", len(n.byKey))
 	}
 }
+
+// silentStore is a store that does not answer.
+type silentStore struct{ laceplatform.Store }
+
+// List implements laceplatform.Store.
+func (silentStore) List(ctx context.Context, _ laceplatform.Key) ([]laceplatform.Entry, laceplatform.Revision, error) {
+	<-ctx.Done()
+	return nil, 0, laceplatform.ErrUnavailable
+}
+
+// Guards against clients that wait for each other's reads of a store that does not answer, instead of being refused.
+func TestUnknownStreamsAreRefusedSoonWithoutStore(t *testing.T) {
+	s := New(Options{
+		Store:   silentStore{},
+		Current: func() bool { return true },
+		Members: func() int { return 1 },
+		Log:     lacelog.Discard(),
+	})
+	s.SetServing(map[laceunit.ServiceID]map[laceunit.SoftwareVersion]bool{simulatedService: {"v1": true, "v2": true}})
+	started := time.Now()
+	var clients sync.WaitGroup
+	for i := range 20 {
+		clients.Go(func() {
+			if v, ok := s.Find(t.Context(), simulatedService, laceunit.AttemptID(fmt.Sprint(i))); ok {
+				t.Errorf("the version of an unknown stream is %s", v)
+			}
+		})
+	}
+	clients.Wait()
+	if took := time.Since(started); took > 3*readTimeout {
+		t.Errorf("20 refusals took %s", took)
+	}
+}
+
+// Guards against a stream that is bound by an earlier one which the same attempt began.
+func TestAttemptSentAgainBeginsAnotherStream(t *testing.T) {
+	s := New(Options{})
+	for _, v := range []laceunit.SoftwareVersion{"v1", "v2"} {
+		s.Begin(simulatedService, "attempt", v)
+		s.End(simulatedService, "attempt", false)
+		if got, ok := s.Find(t.Context(), simulatedService, "attempt"); got != v || !ok {
+			t.Errorf("a stream of %s is bound to %q", v, got)
+		}
+	}
+}
--- a/lib/lacestream/versions.go
+++ b/lib/lacestream/versions.go
@@ -41,8 +41,24 @@
 	return list
 }
 
-// several reports whether a service has more than one version.
-func (v *versions) several(service laceunit.ServiceID) bool { return len(v.of(service)) > 1 }
+// several returns the services with more than one version.
+func (v *versions) several() map[laceunit.ServiceID]bool {
+	seen := map[laceunit.ServiceID]laceunit.SoftwareVersion{}
+	services := map[laceunit.ServiceID]bool{}
+	add := func(x serviceVersion) {
+		if other, ok := seen[x.Service]; ok && other != x.Version {
+			services[x.Service] = true
+		}
+		seen[x.Service] = x.Version
+	}
+	for x := range v.serving {
+		add(x)
+	}
+	for x := range v.recorded {
+		add(x)
+	}
+	return services
+}
 
 // observeAbsence records which recorded versions have no server.
 func (v *versions) observeAbsence(now time.Time) {
