lacerelay: tokens are kept for streams that are taken up after a restart

After a kill of all instances most clients that took streams up were refused for their budget, although a take-up needs a tenth of the tokens of a new stream.

Cause: what the killed instances held is lost; requests for new streams reserve the rest within 0.2 s, before the clients of interrupted streams return.

Change: for 10 s after its start, an instance refuses a request for a new stream of an account that has lost tokens, unless tokens for four take-ups remain, at most an eighth of what it holds.

--- a/lib/lacerelay/relay.go
+++ b/lib/lacerelay/relay.go
@@ -103,6 +103,7 @@
 	cpuTime            atomic.Int64
 	silence            silence
 	shutdown           shutdown
+	startedAt          time.Time
 
 	mu      sync.Mutex
 	retries map[laceunit.ServiceID]*lacelimit.RetryBudget
@@ -111,8 +112,9 @@
 // New returns a relay.
 func New(options Options) *Relay {
 	return &Relay{
-		options: options,
-		retries: map[laceunit.ServiceID]*lacelimit.RetryBudget{},
+		options:   options,
+		startedAt: time.Now(),
+		retries:   map[laceunit.ServiceID]*lacelimit.RetryBudget{},
 	}
 }
 
@@ -363,7 +365,7 @@
 func (r *Relay) reserveTokens(ctx context.Context, j *job, maxTokens laceunit.Tokens) *lacefault.Fault {
 	reserveCtx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
-	verdict, state := r.options.Quota.Reserve(reserveCtx, j.account, maxTokens)
+	verdict, state := r.reserve(reserveCtx, j, maxTokens)
 	if verdict == lacequota.Reserved {
 		return nil
 	}
--- /dev/null
+++ b/lib/lacerelay/reservation.go
@@ -0,0 +1,60 @@
+package lacerelay
+
+import (
+	"context"
+	"time"
+
+	"lacewingcove/lib/lacequota"
+	"lacewingcove/lib/laceroute"
+	"lacewingcove/lib/laceunit"
+)
+
+const (
+	// restartPeriod is how long after its start an instance keeps tokens for streams that clients take up. When all
+	// instances have been killed, the tokens that they held are lost, and requests for new streams, which need many more,
+	// would take the rest before the clients of interrupted streams return.
+	restartPeriod = 10 * time.Second
+	// keptTakeUps is how many of them the tokens are kept for, of the size of the new request; maxKeptDivisor bounds that
+	// to a fraction of what the instance holds of the account.
+	keptTakeUps    = 4
+	maxKeptDivisor = 8
+)
+
+// reserve reserves tokens for a request. For some time after the start of the instance, a new stream of an account that has
+// lost tokens with other processes is refused unless tokens for streams that are taken up remain.
+func (r *Relay) reserve(
+	ctx context.Context, j *job, tokens laceunit.Tokens,
+) (verdict lacequota.Verdict, state lacequota.State) {
+	if j.call.LastEventID != "" || j.route.RetryMode != laceroute.Resumable || time.Since(r.startedAt) >= restartPeriod {
+		return r.options.Quota.Reserve(ctx, j.account, tokens)
+	}
+	kept := keptTakeUps * j.call.MaxOutput
+	if verdict, state = r.reserveKeeping(ctx, j, tokens, kept); verdict == lacequota.Reserved {
+		return verdict, state
+	}
+	kept = 0
+	if state.Lost > 0 {
+		kept = min(keptTakeUps*j.call.MaxOutput, state.Cap/maxKeptDivisor)
+	}
+	if verdict, state = r.reserveKeeping(ctx, j, tokens, kept); verdict != lacequota.Exhausted || kept == 0 {
+		return verdict, state
+	}
+	// The account may pay for the request, but not for what is kept too.
+	verdict, state = r.options.Quota.Reserve(ctx, j.account, tokens)
+	if verdict == lacequota.Reserved {
+		r.options.Quota.Settle(j.account, tokens, 0)
+		verdict = lacequota.Insufficient
+	}
+	return verdict, state
+}
+
+// reserveKeeping reserves tokens if some more are available, which are not reserved.
+func (r *Relay) reserveKeeping(
+	ctx context.Context, j *job, tokens, kept laceunit.Tokens,
+) (lacequota.Verdict, lacequota.State) {
+	verdict, state := r.options.Quota.Reserve(ctx, j.account, tokens+kept)
+	if verdict == lacequota.Reserved {
+		r.options.Quota.Settle(j.account, kept, 0)
+	}
+	return verdict, state
+}
