--- a/lib/lacebalancer/pick.go
+++ b/lib/lacebalancer/pick.go
@@ -317,7 +317,7 @@
 	return slices.ContainsFunc(p.servers, func(s *server) bool { return !s.leaving && s.has(version) })
 }
 
-// has reports whether the server's software has a version; nil stands for any.
+// has reports whether the server's software has a version; nil means any.
 func (s *server) has(version *laceunit.SoftwareVersion) bool {
 	return version == nil || s.version == *version
 }
--- a/lib/lacenode/freshness.go
+++ b/lib/lacenode/freshness.go
@@ -25,9 +25,9 @@
 	return lacerelay.Fresh
 }
 
-// serversLate reports whether changes of the backend servers are late behind this instance's own link, so that a server
-// may be out of use elsewhere by now. A copy that is old without a saturated link is still used: then nobody has newer
-// information, or nobody can be reached.
+// serversLate reports whether changes of the backend servers are late because this instance's own link is saturated. An
+// old copy is not late on a link with room: the store and the peers are unavailable then, and refusing all requests would
+// not help.
 func (n *Node) serversLate() bool {
 	s := n.followers[serversFollower].Status()
 	return n.tracker.Now().Sub(s.SyncedAt) > staleAge && n.link.Saturated(time.Now())
--- a/lib/lacenode/node.go
+++ b/lib/lacenode/node.go
@@ -192,11 +192,12 @@
 		Quarantine: n.quarantine,
 		Streams:    n.streams,
 		Freshness:  n.tableFreshness,
-		Late:       n.serversLate,
-		Link:       n.link,
-		Members:    n.directory.ShareCount,
-		Log:        n.log,
-		Metrics:    lacerelay.NewMetrics(n.registry),
+
+		ServersLate: n.serversLate,
+		Link:        n.link,
+		Members:     n.directory.ShareCount,
+		Log:         n.log,
+		Metrics:     lacerelay.NewMetrics(n.registry),
 	})
 	n.setUpFollowers(store)
 	return nil
--- a/lib/lacerelay/freshness.go
+++ b/lib/lacerelay/freshness.go
@@ -31,10 +31,10 @@
 	return r.options.Freshness()
 }
 
-// lateFault returns an error for a request that must not be sent to a server now because changes of the servers are
-// late, or nil. A response that has begun continues: its caller could only start over.
+// lateFault returns an error for a request if changes of the servers are late, since the request could be sent to a server
+// that has left, and nil otherwise. A response that has begun continues.
 func (r *Relay) lateFault(j *job) *lacefault.Fault {
-	if r.options.Late == nil || !j.response.startedAt.IsZero() || !r.options.Late() {
+	if r.options.ServersLate == nil || !j.response.startedAt.IsZero() || !r.options.ServersLate() {
 		return nil
 	}
 	f := newRefusal(lacefault.ConfigurationStale, "changes of the servers are late", staleRetryAfter)
--- a/lib/lacerelay/freshness_test.go
+++ b/lib/lacerelay/freshness_test.go
@@ -21,7 +21,7 @@
 		"late after the beginning": {late: true, mayHaveRun: true, begun: true},
 	} {
 		b := newTestRelay(t)
-		b.options.Late = func() bool { return c.late }
+		b.options.ServersLate = func() bool { return c.late }
 		j := slowJob()
 		j.history.mayHaveRun = c.mayHaveRun
 		if c.begun {
--- a/lib/lacerelay/relay.go
+++ b/lib/lacerelay/relay.go
@@ -83,8 +83,9 @@
 	Streams Streams
 	// Freshness returns the freshness of the routing table; nil means that it is always fresh.
 	Freshness func() Freshness
-	// Late reports whether changes of the servers are late behind the instance's own link; nil means never.
-	Late func() bool
+	// ServersLate reports whether changes of the servers are late because the instance's own link is saturated; nil means
+	// never.
+	ServersLate func() bool
 	// Link does admission control by the bandwidth of the machine's network link; nil admits every request.
 	Link Link
 	// Members returns how many instances share the retry budget.
--- a/lib/lacestream/service.go
+++ b/lib/lacestream/service.go
@@ -46,7 +46,7 @@
 	Current func() bool
 	// Members returns the number of instances.
 	Members func() int
-	// Clock returns the time; nil stands for time.Now.
+	// Clock returns the time; nil means time.Now.
 	Clock   func() time.Time
 	Log     *lacelog.Logger
 	Metrics *Metrics
