--- a/lib/lacerelay/freshness.go
+++ b/lib/lacerelay/freshness.go
@@ -23,6 +23,10 @@
 // staleRetryAfter is the Retry-After while a newer configuration is missing, which is requested every 300 ms.
 const staleRetryAfter = 500 * time.Millisecond
 
+// lateRetryAfter is the Retry-After while changes of the servers are late. The link stays saturated for seconds, and the
+// beginning of the body of each retry takes some of it.
+const lateRetryAfter = 2 * time.Second
+
 // tableFreshness returns the freshness of the current routing table.
 func (r *Relay) tableFreshness() Freshness {
 	if r.options.Freshness == nil {
@@ -37,7 +41,7 @@
 	if r.options.ServersLate == nil || !j.response.startedAt.IsZero() || !r.options.ServersLate() {
 		return nil
 	}
-	f := newRefusal(lacefault.ConfigurationStale, "changes of the servers are late", staleRetryAfter)
+	f := newRefusal(lacefault.ConfigurationStale, "changes of the servers are late", lateRetryAfter)
 	if j.history.mayHaveRun {
 		f.Outcome, f.Code = lacefault.Unknown, lacefault.BackendServerFailed
 	}
--- a/lib/lacerelay/link.go
+++ b/lib/lacerelay/link.go
@@ -58,18 +58,23 @@
 	if v.Admitted {
 		return nil
 	}
-	j.link.refused = true
 	j.refusalFields = []lacelog.Pair{
 		lacelog.P("need_bytes", v.Cost), lacelog.P("link_kbps", int64(v.Rate)*bitsPerByte/bitsPerKilobit),
 		lacelog.P("link_percent", int64(v.Utilization*percent)),
 	}
-	// Without full duplex, the server would read the body before it sends the response, although the link has no
-	// capacity for it. An error means that the response does not wait for the body anyway.
+	r.spareLink(w, q, j)
+	return newRefusal(lacefault.Overloaded, "the link of the instance is full", v.Wait)
+}
+
+// spareLink prepares the refusal of a request whose body the link has no capacity for; drain must follow it.
+func (r *Relay) spareLink(w http.ResponseWriter, q *http.Request, j *job) {
+	j.link.refused = true
+	// Without full duplex, the server would read the body before it sends the response. An error means that the response
+	// does not wait for the body anyway.
 	_ = http.NewResponseController(w).EnableFullDuplex()
 	if !keepsConnection(q) {
 		closeAfterResponse(w)
 	}
-	return newRefusal(lacefault.Overloaded, "the link of the instance is full", v.Wait)
 }
 
 // drain discards the unread body of a refused request after the response was sent. Otherwise net/http reads it and then
--- a/lib/lacerelay/relay.go
+++ b/lib/lacerelay/relay.go
@@ -278,6 +278,7 @@
 		return newRefusal(lacefault.ConfigurationStale, "a newer configuration has not arrived yet", staleRetryAfter)
 	}
 	if f := r.lateFault(j); f != nil {
+		r.spareLink(w, q, j)
 		return f
 	}
 	var ok bool
