--- a/lib/lacemirror/follower.go
+++ b/lib/lacemirror/follower.go
@@ -81,7 +81,7 @@
 	viaPeers bool
 	// modeChanged is closed and replaced when viaPeers changes.
 	modeChanged chan struct{}
-	// removalsFinalAt is when the removals that the copy has become final, with those that it gets from the store.
+	// removalsFinalAt is the time before which no removal is final, neither those in the copy nor further ones.
 	removalsFinalAt time.Time
 	// pending are newer revisions that peers are known to have, pendingReportedAt is when one was last reported.
 	pending           pendingRevisions
--- a/lib/lacerelay/reservation.go
+++ b/lib/lacerelay/reservation.go
@@ -40,8 +40,7 @@
 		return verdict, state
 	}
 	// The account may pay for the request, but not for what is kept too.
-	verdict, state = r.options.Quota.Reserve(ctx, j.account, tokens)
-	if verdict == lacequota.Reserved {
+	if verdict, state = r.options.Quota.Reserve(ctx, j.account, tokens); verdict == lacequota.Reserved {
 		r.options.Quota.Settle(j.account, tokens, 0)
 		verdict = lacequota.Insufficient
 	}
