lacenode: an old list of servers is late only while servers change

Change: the refusals need a change of the servers here within the last 10 s. Servers leave in series: releases, changes of their number. The first one after a quiet time is no longer covered.

TestServersAreLateOnlyBehindSaturatedLink has the case.

--- a/lib/lacenode/freshness.go
+++ b/lib/lacenode/freshness.go
@@ -5,6 +5,7 @@
 
 	"lacewingcove/lib/laceplatform"
 	"lacewingcove/lib/lacerelay"
+	"lacewingcove/lib/laceunit"
 )
 
 // supersededDivisor divides ApplyTimeout: for that fraction of it, an instance keeps using a configuration after it has
@@ -25,12 +26,17 @@
 	return lacerelay.Fresh
 }
 
-// serversLate reports whether changes of the backend servers are late because this instance's own link is saturated. An
-// old copy is not late on a link with room: the store and the peers are unavailable then, and refusing all requests would
-// not help.
+// changePeriod is how long after a change of the backend servers further ones are to be expected: releases and changes of
+// their number come in series.
+const changePeriod = 10 * time.Second
+
+// serversLate reports whether changes of the backend servers are to be expected and late because this instance's own link
+// is saturated. An old copy is not late on a link with room: the store and the peers are unavailable then, and refusing
+// all requests would not help.
 func (n *Node) serversLate() bool {
-	s := n.followers[serversFollower].Status()
-	return n.tracker.Now().Sub(s.SyncedAt) > staleAge && n.link.Saturated(time.Now())
+	now := n.tracker.Now()
+	return now.Sub(n.followers[serversFollower].Status().SyncedAt) > staleAge &&
+		now.Sub(laceunit.Uptime(n.serversChangedAt.Load())) < changePeriod && n.link.Saturated(time.Now())
 }
 
 // versionsCurrent reports whether this instance knows the software versions in service: its copies of the servers and of
--- a/lib/lacenode/node.go
+++ b/lib/lacenode/node.go
@@ -104,6 +104,8 @@
 	// instance keep it out of standby.
 	standby     atomic.Bool
 	replicating atomic.Bool
+	// serversChangedAt is the uptime at which the backend servers last changed here.
+	serversChangedAt atomic.Int64
 }
 
 // New creates an instance; Run starts it.
@@ -388,6 +390,7 @@
 		}
 		registered = append(registered, b)
 	}
+	n.serversChangedAt.Store(int64(n.tracker.Now()))
 	n.backends.Apply(time.Now(), registered, removed, source.RemovalsFinalAt)
 }
 
