laceplatform: one overwrite of a key with a single writer

Cause: lacestream repeated the loop by which the directory writes its own key, and read the key after a conflict although the conflict has its entry.

Change: laceplatform.Overwrite serves both. The store of the simulation returns conflicts with their entry, as the platform's does.

--- a/lib/lacedirectory/registrar.go
+++ b/lib/lacedirectory/registrar.go
@@ -190,33 +190,14 @@
 	if err != nil {
 		return err
 	}
-	for range maxWriteAttempts {
-		var revision laceplatform.Revision
-		revision, err = r.store.Swap(ctx, laceplatform.Swap{
-			Key:    r.key,
-			Value:  value,
-			Expect: r.revision,
-			Lease:  lease,
-		})
-		if err == nil {
-			r.revision = revision
-			return nil
-		}
-		if !errors.Is(err, laceplatform.ErrConflict) {
-			break
-		}
-		// A conflict without details means that the key does not exist.
-		r.revision = 0
-		if conflict := new(laceplatform.Conflict); errors.As(err, &conflict) {
-			r.revision = conflict.Entry(r.key).Revision
-		}
-	}
+	r.revision, err = laceplatform.Overwrite(ctx, r.store, laceplatform.Swap{
+		Key:    r.key,
+		Value:  value,
+		Expect: r.revision,
+		Lease:  lease,
+	})
 	if errors.Is(err, laceplatform.ErrLeaseNotFound) {
 		r.lease = 0
 	}
 	return errors.Wrap(err, "directory: write entry")
 }
-
-// maxWriteAttempts is how often a write is attempted: a conflict on the first attempt returns the current revision
-// for the second.
-const maxWriteAttempts = 2
--- a/lib/laceplatform/store.go
+++ b/lib/laceplatform/store.go
@@ -126,3 +126,29 @@
 	Expect Revision
 	Lease  LeaseID
 }
+
+// maxOverwriteAttempts is how often Overwrite attempts a write: a conflict on the first attempt returns the current
+// revision.
+const maxOverwriteAttempts = 2
+
+// Overwrite writes a key that has no other writer, whatever its revision is: an earlier response may have been lost, or
+// the entry may have expired. It returns the latest known revision, also with an error, which is one of the store.
+func Overwrite(ctx context.Context, store Store, swap Swap) (Revision, error) {
+	var err error
+	for range maxOverwriteAttempts {
+		var revision Revision
+		revision, err = store.Swap(ctx, swap)
+		if err == nil {
+			return revision, nil
+		}
+		if !errors.Is(err, ErrConflict) {
+			break
+		}
+		// A conflict without details means that the key does not exist.
+		swap.Expect = 0
+		if conflict := new(Conflict); errors.As(err, &conflict) {
+			swap.Expect = conflict.Entry(swap.Key).Revision
+		}
+	}
+	return swap.Expect, err
+}
--- a/lib/lacestream/service.go
+++ b/lib/lacestream/service.go
@@ -278,38 +278,17 @@
 		s.leaseAt = now
 	}
 	if err == nil {
-		err = s.swapNotes(callCtx, value)
-	}
-	if errors.Is(err, laceplatform.ErrLeaseNotFound) {
-		s.lease, s.written = 0, 0
-	}
-	return errors.Wrap(err, "stream: write notes")
-}
-
-func (s *Service) swapNotes(ctx context.Context, value []byte) error {
-	key := s.options.Keys.streamsKey(s.options.Self)
-	for range 2 {
-		revision, err := s.options.Store.Swap(ctx, laceplatform.Swap{
-			Key:    key,
+		s.written, err = laceplatform.Overwrite(callCtx, s.options.Store, laceplatform.Swap{
+			Key:    s.options.Keys.streamsKey(s.options.Self),
 			Value:  value,
 			Expect: s.written,
 			Lease:  s.lease,
 		})
-		if err == nil {
-			s.written = revision
-			return nil
-		}
-		// Only this process writes the key: the response to an earlier write was lost, or the lease has expired.
-		if !errors.Is(err, laceplatform.ErrConflict) {
-			return err
-		}
-		e, err := s.options.Store.Get(ctx, key)
-		if err != nil && !errors.Is(err, laceplatform.ErrMissing) {
-			return err
-		}
-		s.written = e.Revision
 	}
-	return laceplatform.ErrConflict
+	if errors.Is(err, laceplatform.ErrLeaseNotFound) {
+		s.lease, s.written = 0, 0
+	}
+	return errors.Wrap(err, "stream: write notes")
 }
 
 // recordVersions records the versions in service, and removes the records of those that have not been for a while. A
--- a/lib/lacestream/simulation_test.go
+++ b/lib/lacestream/simulation_test.go
@@ -57,18 +57,6 @@
 	return nil
 }
 
-// Get implements laceplatform.Store.
-func (f *simulatedStore) Get(_ context.Context, key laceplatform.Key) (laceplatform.Entry, error) {
-	e, ok := f.entries[key]
-	switch {
-	case f.down:
-		return laceplatform.Entry{}, laceplatform.ErrUnavailable
-	case !ok:
-		return laceplatform.Entry{}, laceplatform.ErrMissing
-	}
-	return e, nil
-}
-
 // List implements laceplatform.Store.
 func (f *simulatedStore) List(
 	_ context.Context, prefix laceplatform.Key,
@@ -91,7 +79,10 @@
 	case f.down:
 		return 0, laceplatform.ErrUnavailable
 	case f.entries[w.Key].Revision != w.Expect:
-		return 0, laceplatform.ErrConflict
+		if _, ok := f.entries[w.Key]; !ok {
+			return 0, laceplatform.ErrConflict
+		}
+		return 0, &laceplatform.Conflict{Entries: []laceplatform.Entry{f.entries[w.Key]}}
 	}
 	f.revision++
 	f.entries[w.Key] = laceplatform.Entry{
