lacerelay, lacestream: the versions in service are collected once

Cause: with each change of the servers, the relay grouped the versions by service, and the stream service flattened the groups again.

Change: the relay collects the set that the stream service keeps.

Result: one pass; the suites of lacerelay, lacestream and lacenode pass.

--- a/lib/lacerelay/backend.go
+++ b/lib/lacerelay/backend.go
@@ -8,6 +8,7 @@
 	"lacewingcove/lib/laceconfig"
 	"lacewingcove/lib/laceconn"
 	"lacewingcove/lib/lacelog"
+	"lacewingcove/lib/lacestream"
 	"lacewingcove/lib/laceunit"
 )
 
@@ -66,8 +67,8 @@
 	maxConns func(laceunit.ServiceID) int
 	// traffic counts the bytes of all connections; nil disables the count.
 	traffic *laceconn.Traffic
-	// observeVersions gets the software versions of each service; nil disables that.
-	observeVersions func(map[laceunit.ServiceID]map[laceunit.SoftwareVersion]bool)
+	// observeVersions gets the software versions of the servers; nil disables that.
+	observeVersions func(map[lacestream.ServiceVersion]bool)
 	// delayed reports whether the instance's link delays packets; nil means never.
 	delayed func() bool
 }
@@ -90,11 +91,9 @@
 // packets; it must be called before Apply.
 func (b *Backends) ExtendHandshakes(delayed func() bool) { b.delayed = delayed }
 
-// ObserveVersions sets a function that gets the software versions of the servers of each service after every change of the
-// servers. It must be called before Apply.
-func (b *Backends) ObserveVersions(f func(map[laceunit.ServiceID]map[laceunit.SoftwareVersion]bool)) {
-	b.observeVersions = f
-}
+// ObserveVersions sets a function that gets the software versions of the servers after every change of the servers. It must
+// be called before Apply.
+func (b *Backends) ObserveVersions(f func(map[lacestream.ServiceVersion]bool)) { b.observeVersions = f }
 
 // Apply adds or updates registered servers, and removes those whose entries were removed. Entries may have expired only
 // because the store was unavailable, so that their servers stay in use until graceEnd.
@@ -300,16 +299,14 @@
 	}
 }
 
-// versions returns the software versions of the servers of each service.
-func (b *Backends) versions() map[laceunit.ServiceID]map[laceunit.SoftwareVersion]bool {
-	versions := map[laceunit.ServiceID]map[laceunit.SoftwareVersion]bool{}
+// versions returns the software versions of the servers.
+func (b *Backends) versions() map[lacestream.ServiceVersion]bool {
+	versions := map[lacestream.ServiceVersion]bool{}
 	for _, x := range b.byID {
-		list := versions[x.Service]
-		if list == nil {
-			list = map[laceunit.SoftwareVersion]bool{}
-			versions[x.Service] = list
-		}
-		list[x.Version] = true
+		versions[lacestream.ServiceVersion{
+			Service: x.Service,
+			Version: x.Version,
+		}] = true
 	}
 	return versions
 }
--- a/lib/lacestream/record.go
+++ b/lib/lacestream/record.go
@@ -23,14 +23,14 @@
 	Streams laceplatform.Key
 }
 
-// serviceVersion is a software version of a service.
-type serviceVersion struct {
+// ServiceVersion is a software version of a service, and its stored form.
+type ServiceVersion struct {
 	Service laceunit.ServiceID       `json:"service"`
 	Version laceunit.SoftwareVersion `json:"version"`
 }
 
 // versionKey returns the key of the record of a version. The names in it may be too long for a key.
-func (k Keys) versionKey(v serviceVersion) laceplatform.Key {
+func (k Keys) versionKey(v ServiceVersion) laceplatform.Key {
 	return k.Versions + laceplatform.Key(strconv.FormatUint(hash(v.Service, string(v.Version)), 16))
 }
 
@@ -49,15 +49,15 @@
 	return xxhash.Sum64String(string(service) + "\x00" + name)
 }
 
-func encodeVersion(v serviceVersion) ([]byte, error) {
+func encodeVersion(v ServiceVersion) ([]byte, error) {
 	text, err := json.Marshal(v)
 	return text, errors.Wrap(err, "stream: encode version")
 }
 
-func decodeVersion(value []byte) (serviceVersion, error) {
-	var v serviceVersion
+func decodeVersion(value []byte) (ServiceVersion, error) {
+	var v ServiceVersion
 	if err := json.Unmarshal(value, &v); err != nil || v.Service == "" {
-		return serviceVersion{}, errors.Wrap(ErrRecord, "version")
+		return ServiceVersion{}, errors.Wrap(ErrRecord, "version")
 	}
 	return v, nil
 }
--- a/lib/lacestream/service.go
+++ b/lib/lacestream/service.go
@@ -86,24 +86,15 @@
 	return &Service{
 		options: options,
 		versions: versions{
-			serving:  map[serviceVersion]bool{},
-			recorded: map[serviceVersion]recordedVersion{},
+			serving:  map[ServiceVersion]bool{},
+			recorded: map[ServiceVersion]recordedVersion{},
 		},
 		notes: notes{byKey: map[streamKey]*note{}},
 	}
 }
 
-// SetServing sets the software versions of the registered servers of each service.
-func (s *Service) SetServing(byService map[laceunit.ServiceID]map[laceunit.SoftwareVersion]bool) {
-	serving := map[serviceVersion]bool{}
-	for service, list := range byService {
-		for v := range list {
-			serving[serviceVersion{
-				Service: service,
-				Version: v,
-			}] = true
-		}
-	}
+// SetServing sets the software versions of the registered servers. The map must not be changed afterwards.
+func (s *Service) SetServing(serving map[ServiceVersion]bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if maps.Equal(serving, s.versions.serving) {
@@ -327,7 +318,7 @@
 	}
 }
 
-func (s *Service) addVersion(ctx context.Context, v serviceVersion) error {
+func (s *Service) addVersion(ctx context.Context, v ServiceVersion) error {
 	value, err := encodeVersion(v)
 	if err != nil {
 		return err
--- a/lib/lacestream/simulation_test.go
+++ b/lib/lacestream/simulation_test.go
@@ -197,7 +197,7 @@
 			s.apply(x, e, false)
 		}
 	}
-	x.SetServing(map[laceunit.ServiceID]map[laceunit.SoftwareVersion]bool{simulatedService: x.serving})
+	x.SetServing(versionsOf(x.serving))
 	return x
 }
 
@@ -239,7 +239,7 @@
 		for _, x := range s.instances {
 			if x.nextServing != nil && !x.cutOff && !s.now.Before(x.servingAt) {
 				x.serving, x.nextServing = x.nextServing, nil
-				x.SetServing(map[laceunit.ServiceID]map[laceunit.SoftwareVersion]bool{simulatedService: x.serving})
+				x.SetServing(versionsOf(x.serving))
 			}
 			x.step(context.Background())
 		}
@@ -352,6 +352,18 @@
 	t.Logf("%d take-ups were known and %d were not", found, unknown)
 }
 
+// versionsOf returns software versions as those of the simulated service.
+func versionsOf(versions map[laceunit.SoftwareVersion]bool) map[ServiceVersion]bool {
+	serving := map[ServiceVersion]bool{}
+	for v := range versions {
+		serving[ServiceVersion{
+			Service: simulatedService,
+			Version: v,
+		}] = true
+	}
+	return serving
+}
+
 func version(n int) laceunit.SoftwareVersion { return laceunit.SoftwareVersion(fmt.Sprint("v", n)) }
 
 // Guards against streams that are refused although their instance had time to note them, after all instances were
@@ -449,7 +461,7 @@
 		Members: func() int { return 1 },
 		Log:     lacelog.Discard(),
 	})
-	s.SetServing(map[laceunit.ServiceID]map[laceunit.SoftwareVersion]bool{simulatedService: {"v1": true, "v2": true}})
+	s.SetServing(versionsOf(map[laceunit.SoftwareVersion]bool{"v1": true, "v2": true}))
 	started := time.Now()
 	var clients sync.WaitGroup
 	for i := range 20 {
--- a/lib/lacestream/versions.go
+++ b/lib/lacestream/versions.go
@@ -13,9 +13,9 @@
 // take up their streams.
 type versions struct {
 	// serving are those of the registered servers.
-	serving map[serviceVersion]bool
+	serving map[ServiceVersion]bool
 	// recorded are those in the store.
-	recorded map[serviceVersion]recordedVersion
+	recorded map[ServiceVersion]recordedVersion
 }
 
 // recordedVersion is the record of a version in the store.
@@ -45,7 +45,7 @@
 func (v *versions) several() map[laceunit.ServiceID]bool {
 	seen := map[laceunit.ServiceID]laceunit.SoftwareVersion{}
 	services := map[laceunit.ServiceID]bool{}
-	add := func(x serviceVersion) {
+	add := func(x ServiceVersion) {
 		if other, ok := seen[x.Service]; ok && other != x.Version {
 			services[x.Service] = true
 		}
@@ -74,8 +74,8 @@
 }
 
 // missing returns the versions in service that the store has no record of.
-func (v *versions) missing() []serviceVersion {
-	var list []serviceVersion
+func (v *versions) missing() []ServiceVersion {
+	var list []ServiceVersion
 	for x := range v.serving {
 		if _, ok := v.recorded[x]; !ok {
 			list = append(list, x)
@@ -85,8 +85,8 @@
 }
 
 // outdated returns the records of versions whose streams can't be taken up any more.
-func (v *versions) outdated(now time.Time) []serviceVersion {
-	var list []serviceVersion
+func (v *versions) outdated(now time.Time) []ServiceVersion {
+	var list []ServiceVersion
 	for x, r := range v.recorded {
 		if !r.absentSince.IsZero() && now.Sub(r.absentSince) >= memory {
 			list = append(list, x)
@@ -95,8 +95,8 @@
 	return sorted(list)
 }
 
-func sorted(list []serviceVersion) []serviceVersion {
-	slices.SortFunc(list, func(a, b serviceVersion) int {
+func sorted(list []ServiceVersion) []ServiceVersion {
+	slices.SortFunc(list, func(a, b ServiceVersion) int {
 		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Version, b.Version))
 	})
 	return list
