lacesoak: a take-up keeps the id of its stream

Cause: each response carried the attempt that began its stream, which only the next take-up read.

Change: the loop of take-ups has the id; the field is gone.

--- a/lib/lacenode/freshness_test.go
+++ b/lib/lacenode/freshness_test.go
@@ -52,8 +52,8 @@
 }
 
 // Guards against requests that are placed by a list of servers which is old because the instance's own link is full while
-// servers change, and against an instance that refuses everything without contact to the store and to peers, or because of
-// changes that nobody makes.
+// servers change, and against an instance that refuses everything without contact to the store and to peers, or while
+// no server changes.
 func TestServersAreLateOnlyBehindSaturatedLink(t *testing.T) {
 	const rate = 1 << 20
 	for _, c := range []struct {
--- a/loadgen/lacesoak/callers.go
+++ b/loadgen/lacesoak/callers.go
@@ -198,24 +198,21 @@
 
 // takeUp takes a stream up that was broken off, at most maxTakeUps times, at any instance.
 func (c *caller) takeUp(k routeKind, broken response) {
-	received := eventCount(broken.Body)
+	stream, received := broken.Attempt, eventCount(broken.Body)
 	for range maxTakeUps {
 		if broken.succeeded() || broken.canceled || received == 0 {
 			return
 		}
 		c.instance = c.random.IntN(c.testbed.options.Instances)
 		q, a := c.newRequest(k)
-		q.LastEventID, q.Resumes = received, broken.Attempt
-		if broken.resumes != "" {
-			q.Resumes = broken.resumes
-		}
-		q.APIKey, a.account, a.resumes = broken.apiKey, broken.account, q.Resumes
-		a.want = []byte(responseShape().StreamBody(q.Resumes, received))
+		q.LastEventID, q.Resumes = received, stream
+		q.APIKey, a.account = broken.apiKey, broken.account
+		a.want = []byte(responseShape().StreamBody(stream, received))
 		a = c.send(q, a)
 		if a.Status == http.StatusOK {
 			received += eventCount(a.Body)
 		}
-		broken.Response, broken.canceled, broken.resumes = a.Response, a.canceled, a.resumes
+		broken = a
 		if !sleep(context.Background(), maxThinkTime) {
 			return
 		}
--- a/loadgen/lacesoak/record.go
+++ b/loadgen/lacesoak/record.go
@@ -16,8 +16,6 @@
 	// apiKey and route are the key that the caller sent and the route that it requested.
 	apiKey string
 	route  string
-	// resumes is the attempt that began the stream that the caller took up; empty for other requests.
-	resumes laceunit.AttemptID
 	// local is true if the caller runs on the machine behind the slow link and bypasses the link.
 	local bool
 	// nonIdempotent is true for a call that must not run twice.
