lacerelay: one correction of refusals after an earlier attempt

Cause: the refusal for late servers repeated what those without a server and for blocked prompts do when a server may have run the request.

Change: attemptHistory.correctOutcome serves the three.

Result: the suite of lacerelay passes.

--- a/lib/lacerelay/attempt.go
+++ b/lib/lacerelay/attempt.go
@@ -205,9 +205,7 @@
 		f.Message = "all servers get as many requests as they have said they take"
 		r.options.Metrics.countWithheld(j, lacebalancer.BlockRateLimited.String(), "refused")
 	}
-	if j.history.mayHaveRun {
-		f.Outcome, f.Code = lacefault.Unknown, lacefault.BackendServerFailed
-	}
+	j.history.correctOutcome(f)
 	if ctx.Err() != nil && j.history.mayHaveRun {
 		f.Code = lacefault.TimedOut
 	}
--- a/lib/lacerelay/freshness.go
+++ b/lib/lacerelay/freshness.go
@@ -42,9 +42,7 @@
 		return nil
 	}
 	f := newRefusal(lacefault.ConfigurationStale, "changes of the servers are late", lateRetryAfter)
-	if j.history.mayHaveRun {
-		f.Outcome, f.Code = lacefault.Unknown, lacefault.BackendServerFailed
-	}
+	j.history.correctOutcome(f)
 	return f
 }
 
--- a/lib/lacerelay/quarantine.go
+++ b/lib/lacerelay/quarantine.go
@@ -55,8 +55,8 @@
 		after = provisionalRetryAfter
 	}
 	f := newRefusal(lacefault.PromptQuarantined, "a part of the prompt crashes backend servers", after)
-	if j.history.mayHaveRun {
-		f.Outcome, f.Code, f.RetryAfter = lacefault.Unknown, lacefault.BackendServerFailed, 0
+	if j.history.correctOutcome(f) {
+		f.RetryAfter = 0
 	}
 	return f
 }
--- a/lib/lacerelay/retry.go
+++ b/lib/lacerelay/retry.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 
+	"lacewingcove/lib/lacefault"
 	"lacewingcove/lib/laceroute"
 )
 
@@ -73,6 +74,15 @@
 	suspect bool
 }
 
+// correctOutcome changes a refusal to a failure if a server may have run the request in an earlier attempt, and reports
+// whether it has.
+func (h attemptHistory) correctOutcome(f *lacefault.Fault) bool {
+	if h.mayHaveRun {
+		f.Outcome, f.Code = lacefault.Unknown, lacefault.BackendServerFailed
+	}
+	return h.mayHaveRun
+}
+
 // nextAction returns the next step after an attempt, given its outcome and HTTP status. It calls takeRetry, which
 // consumes retry budget, only if the request would be retried.
 func nextAction(
