lacerelay: what ServersLate requires

Cause: the refusal for late servers counts the bodies at the link, which may be nil in other uses of the relay. Change: the comment says so.

--- a/lib/lacerelay/relay.go
+++ b/lib/lacerelay/relay.go
@@ -84,7 +84,7 @@
 	// Freshness returns the freshness of the routing table; nil means that it is always fresh.
 	Freshness func() Freshness
 	// ServersLate reports whether changes of the servers are late because the instance's own link is saturated; nil means
-	// never.
+	// never. It requires Link.
 	ServersLate func() bool
 	// Link does admission control by the bandwidth of the machine's network link; nil admits every request.
 	Link Link
