--- a/lib/laceplatform/store.go
+++ b/lib/laceplatform/store.go
@@ -58,7 +58,8 @@
 // Key is a key of the store.
 type Key string
 
-// Revision is the store-wide revision at which a key was last written; zero means that it does not exist.
+// Revision is the store-wide revision at which a key was last written; zero means that it does not exist. Revisions of a
+// later era are greater than those of an earlier one.
 type Revision int64
 
 // LeaseID identifies a lease; zero means no lease.
