lacemirror, laceadapter: a revision counts only within its era

Seen by callers: after a restore of the store an old configuration stays in force and servers that have left get requests, on all instances, until the store's revisions have passed those of the lost history. Cause: the list of a restored store has a lower revision than the copy. Mirror.Replace dropped it, after Follower.list had marked the copy as current. The watch after the copy's revision was refused, and the next list dropped again. Peers compare revisions in the same way. Ruled out for the record: compaction while a list is under way, and a silent watch; both end with a list that is applied. Change: the store's client joins era and number; a revision of a later era is newer than any of an earlier one. A dropped list is a failure. Contents that a copy knows to be newer than the backup, by their writer's own count, are kept. Messages between instances carry the era beside the plain number, so that older builds read them as before.

--- a/lib/lacelog/event.go
+++ b/lib/lacelog/event.go
@@ -12,6 +12,8 @@
 	// arrive again.
 	SyncLost     Event = "lost"
 	SyncRestored Event = "regained"
+	// StoreRestored is a copy that was replaced because the store was restored from a backup.
+	StoreRestored Event = "restored"
 	// Config is a new configuration version in force, InputRejected a stored entry or a message of another instance that
 	// can't be decoded.
 	Config        Event = "config"
--- a/lib/lacemirror/follower.go
+++ b/lib/lacemirror/follower.go
@@ -28,6 +28,9 @@
 	// registered again, if their owners are alive. It is a little less than two seconds, the time within which a
 	// server that has really left must be out of use.
 	recoveryGrace = 1800 * time.Millisecond
+	// restoreGrace is how long after the first list of a restored store its entries may take to be written again that the
+	// backup did not have: servers write each 1.2 s.
+	restoreGrace = 1400 * time.Millisecond
 	// DefaultRemovalGrace is the grace of the removals in a delta of an instance that does not say whether they are
 	// final.
 	DefaultRemovalGrace = time.Second
@@ -83,6 +86,8 @@
 	modeChanged chan struct{}
 	// removalsFinalAt is the time before which no removal is final, neither those in the copy nor further ones.
 	removalsFinalAt time.Time
+	// restoredUntil is until when owners may register entries again that were lost when the store was restored.
+	restoredUntil time.Time
 	// pending are newer revisions that peers are known to have, pendingReportedAt is when one was last reported.
 	pending           pendingRevisions
 	pendingReportedAt laceunit.Uptime
@@ -157,6 +162,9 @@
 		return d, nil, false
 	}
 	d.RemovalGrace = max(time.Until(f.removalsFinalAt), 0)
+	if revision.Era() < d.Revision.Era() {
+		d.RemovalGrace = max(time.Until(f.restoredUntil), d.RemovalGrace)
+	}
 	value, _ := f.mirror.BaseValue(base)
 	return d, value, true
 }
@@ -175,14 +183,26 @@
 	f.mirror.normalize = normalize
 }
 
+// SetSequencer sets a function that returns the position of an entry among all that its writer has written, and false if
+// it has none. When the store is restored from a backup, contents that are known to be newer than the backup are kept.
+// SetSequencer must be called before Serve.
+func (f *Follower) SetSequencer(sequence func(laceplatform.Entry) (Sequence, bool)) {
+	f.mirror.sequence = sequence
+}
+
 // Merge applies a delta from another instance.
 func (f *Follower) Merge(d Delta) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	// An older delta than the copy is not applied; its grace does not hold for the removals of the copy.
-	newer := d.Revision > f.mirror.Revision()
+	previous := f.mirror.Revision()
 	changes := f.mirror.Merge(d)
-	if newer && d.RemovalGrace > 0 {
+	if f.recordEra(previous, len(changes)) {
+		f.restoredUntil = time.Now().Add(d.RemovalGrace)
+		f.notifyUntil(changes, true, f.restoredUntil)
+		return
+	}
+	if d.Revision > previous && d.RemovalGrace > 0 {
 		f.deferRemovals(time.Now().Add(d.RemovalGrace))
 	}
 	f.notify(changes, true)
@@ -195,6 +215,20 @@
 	}
 }
 
+// recordEra records that the copy may have moved to a later era of the store since a revision, and reports whether it
+// has. The lock must be held.
+func (f *Follower) recordEra(previous laceplatform.Revision, changes int) bool {
+	current := f.mirror.Revision()
+	if previous == 0 || current.Era() == previous.Era() {
+		return false
+	}
+	f.restoredUntil = time.Now().Add(restoreGrace)
+	f.log.Write(lacelog.StoreRestored, lacelog.P("prefix", f.prefix), lacelog.P("era", current.Era()),
+		lacelog.P(lacelog.Revision, current.Number()), lacelog.P("previous_era", previous.Era()),
+		lacelog.P("previous_revision", previous.Number()), lacelog.P("changes", changes))
+	return true
+}
+
 // Serve implements suture.Service.
 func (f *Follower) Serve(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -325,7 +359,13 @@
 	f.failing = true
 }
 
+// notify passes changes on; the lock must be held.
 func (f *Follower) notify(changes []Change, fromPeer bool) {
+	f.notifyUntil(changes, fromPeer, time.Time{})
+}
+
+// notifyUntil is notify with removals that are not final before a time.
+func (f *Follower) notifyUntil(changes []Change, fromPeer bool, finalAt time.Time) {
 	f.signalLoaded()
 	f.pending.dropUpTo(f.mirror.Revision())
 	if len(changes) == 0 {
@@ -335,8 +375,11 @@
 		FromPeer: fromPeer,
 		Revision: f.mirror.Revision(),
 	}
-	if time.Now().Before(f.removalsFinalAt) {
-		source.RemovalsFinalAt = f.removalsFinalAt
+	if f.removalsFinalAt.After(finalAt) {
+		finalAt = f.removalsFinalAt
+	}
+	if time.Now().Before(finalAt) {
+		source.RemovalsFinalAt = finalAt
 	}
 	f.handler(changes, source)
 }
--- a/lib/lacemirror/list.go
+++ b/lib/lacemirror/list.go
@@ -13,6 +13,10 @@
 	"lacewingcove/lib/laceplatform"
 )
 
+// errOutdatedList means that a list of the store is older than the copy, so that it does not show that the copy is
+// current.
+var errOutdatedList = errors.New("mirror: list is older than the copy")
+
 // listResult is the result of one list call.
 type listResult struct {
 	entries  []laceplatform.Entry
@@ -29,9 +33,18 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	previous := f.mirror.Revision()
+	changes, ok := f.mirror.Replace(l.entries, l.revision)
+	if !ok {
+		return 0, errors.Wrapf(errOutdatedList, "list at %d, copy at %d", l.revision, previous)
+	}
 	f.recordContact()
 	f.markSynced(began)
-	changes := f.mirror.Replace(l.entries, l.revision)
+	if f.recordEra(previous, len(changes)) {
+		// Owners register entries again that the backup did not have.
+		f.notifyUntil(changes, false, f.restoredUntil)
+		return len(changes), nil
+	}
 	f.notify(changes, false)
 	return len(changes), nil
 }
--- a/lib/lacemirror/mirror.go
+++ b/lib/lacemirror/mirror.go
@@ -50,6 +50,11 @@
 	// normalize returns the content of an entry as a comparable value, nil if it can't be parsed; without this
 	// function every write counts as a change.
 	normalize func(laceplatform.Entry) any
+	// sequence returns the position of an entry in what its writer wrote; without this function no order is known.
+	sequence func(laceplatform.Entry) (Sequence, bool)
+	// removed are the last contents of entries that were removed, by key; removedKeys has the keys in order.
+	removed     map[laceplatform.Key]laceplatform.Entry
+	removedKeys []laceplatform.Key
 }
 
 // mirrorEntry is an entry of the copy.
@@ -98,11 +103,14 @@
 	return e.Entry, ok
 }
 
-// Replace replaces the copy by a list that was complete at a revision; entries of the list may be newer than that.
-func (m *Mirror) Replace(entries []laceplatform.Entry, revision laceplatform.Revision) []Change {
+// Replace replaces the copy by a list that was complete at a revision; entries of the list may be newer than that. It
+// reports whether it did: a list that is older than the copy is dropped.
+func (m *Mirror) Replace(entries []laceplatform.Entry, revision laceplatform.Revision) ([]Change, bool) {
 	if revision < m.revision {
-		// The list is older than the copy.
-		return nil
+		return nil, false
+	}
+	if m.revision > 0 && revision.Era() > m.revision.Era() {
+		entries = m.withoutRollback(entries)
 	}
 	var changes []Change
 	seen := make(map[laceplatform.Key]bool, len(entries))
@@ -124,7 +132,7 @@
 	m.revision = revision
 	m.horizon = max(m.horizon, revision)
 	m.tombstones = slices.DeleteFunc(m.tombstones, func(r Removal) bool { return r.Revision <= revision })
-	return changes
+	return changes, true
 }
 
 // ApplyEvent applies one event of a watch.
@@ -156,7 +164,7 @@
 		Prefix:   m.prefix,
 		From:     revision,
 		Revision: m.revision,
-		Full:     revision < m.horizon || revision == 0,
+		Full:     revision < m.horizon || revision == 0 || revision.Era() != m.revision.Era(),
 	}
 	for _, e := range m.entries {
 		if d.Full || e.changed > revision {
@@ -181,11 +189,11 @@
 		return nil
 	}
 	if d.Full {
-		return m.Replace(d.Entries, d.Revision)
+		changes, _ := m.Replace(d.Entries, d.Revision)
+		return changes
 	}
-	if d.From > m.revision {
-		// Unreachable unless the copy has gone back behind the revision in its request; the delta can't be applied
-		// with a gap.
+	if d.From > m.revision || d.From.Era() != m.revision.Era() {
+		// Unreachable unless the copy has changed since its request; the delta can't be applied with a gap.
 		return nil
 	}
 	var changes []Change
@@ -258,5 +266,6 @@
 		return laceplatform.Entry{}, false
 	}
 	delete(m.entries, key)
+	m.rememberRemoved(old.Entry)
 	return old.Entry, true
 }
--- a/lib/lacemirror/status.go
+++ b/lib/lacemirror/status.go
@@ -44,7 +44,12 @@
 
 // lastSynced returns the latest time at which the copy is known to have been current; the lock must be held.
 func (f *Follower) lastSynced() laceunit.Uptime {
-	at := f.tracker.Connectivity().LastReachable
+	c := f.tracker.Connectivity()
+	at := c.LastReachable
+	if c.Era != f.mirror.Revision().Era() {
+		// The responses are those of a store that was restored since.
+		return f.syncedAt
+	}
 	if f.watchingSince > 0 && at >= f.watchingSince && at.Sub(f.lastEvent) <= maxWatchSilence {
 		return max(f.syncedAt, at)
 	}
@@ -107,7 +112,7 @@
 func (f *Follower) Confirm(revision laceplatform.Revision, at laceunit.Uptime) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.mirror.Revision() < revision {
+	if current := f.mirror.Revision(); current < revision || current.Era() != revision.Era() {
 		return false
 	}
 	f.markSynced(at)
--- a/lib/lacenode/adapter.go
+++ b/lib/lacenode/adapter.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lacewingcove/lib/laceconn"
+	"lacewingcove/lib/lacemirror"
 	"lacewingcove/lib/laceplatform"
 	"lacewingcove/lib/lacerelay"
 	"lacewingcove/lib/laceroute"
@@ -24,6 +25,9 @@
 	DecodeDocument(value []byte) (laceroute.Document, error)
 	// DecodeBackend decodes the entry of a backend server.
 	DecodeBackend(e laceplatform.Entry) (lacerelay.Backend, error)
+	// Sequence returns the position of an entry among all that its writer, the operator or a backend server, has written.
+	// It returns false for other entries.
+	Sequence(e laceplatform.Entry) (lacemirror.Sequence, bool)
 	// ServerID returns the ID of the backend server that a key belongs to.
 	ServerID(key laceplatform.Key) laceunit.ServerID
 	// ReadyHandler returns the HTTP handler of the readiness check.
--- a/lib/lacenode/node.go
+++ b/lib/lacenode/node.go
@@ -266,6 +266,9 @@
 		f.AddLogFields(n.monitor.logFields)
 	}
 	n.followers[serversFollower].SetNormalizer(n.normalizeServer)
+	for _, i := range []int{configsFollower, serversFollower} {
+		n.followers[i].SetSequencer(n.adapter.Sequence)
+	}
 	for _, f := range n.followers[1:] {
 		f.StartAfter(n.followers[0])
 	}
--- a/lib/lacenode/query.go
+++ b/lib/lacenode/query.go
@@ -36,11 +36,13 @@
 	}
 	for _, f := range r.node.followers {
 		s := &lacewire.MirrorState{
-			Prefix:   string(f.Prefix()),
-			Revision: int64(f.Status().Revision),
+			Prefix: string(f.Prefix()),
 		}
-		if base, value := f.Base(); useBases && base.Key != "" {
-			s.Base, s.BaseRevision = string(base.Key), int64(base.Revision)
+		revision := f.Status().Revision
+		s.Revision, s.Era = revision.Number(), lacewire.FromEra(revision)
+		// A base of another era can't be described: the copy has changed in between.
+		if base, value := f.Base(); useBases && base.Key != "" && base.Revision.Era() == revision.Era() {
+			s.Base, s.BaseRevision = string(base.Key), base.Revision.Number()
 			q.bases[s.Prefix] = lacewire.Base{
 				Revision: s.BaseRevision,
 				Value:    value,
@@ -113,13 +115,12 @@
 		if syncedAt <= 0 {
 			continue
 		}
-		revision := laceplatform.Revision(c.GetRevision())
 		f := r.follower(laceplatform.Key(c.GetPrefix()))
-		if !f.Confirm(revision, syncedAt) {
+		if !f.Confirm(lacewire.ToRevision(c.GetEra(), c.GetRevision()), syncedAt) {
 			if !c.GetLarge() {
 				continue
 			}
-			f.AddPending(laceplatform.Revision(c.GetNewest()))
+			f.AddPending(lacewire.ToRevision(c.GetEra(), c.GetNewest()))
 			answer.deltaOmitted = true
 		}
 		confirmedCount++
@@ -158,7 +159,12 @@
 		}
 		// The status is read before the delta: later changes are in the delta or have advanced the copy's revision.
 		status := f.Status()
-		m, err := r.deltaFor(f, s)
+		era := int64(status.Revision.Era())
+		if s.Era != nil {
+			// An instance that does not know eras gets what it would get without them.
+			era = s.GetEra()
+		}
+		m, err := r.deltaFor(f, s, era)
 		if err != nil {
 			return nil, err
 		}
@@ -170,9 +176,10 @@
 			answer.Confirmed = append(answer.Confirmed, &lacewire.MirrorConfirmation{
 				Prefix:   s.GetPrefix(),
 				AgeMs:    roundedUpAge(now, status.SyncedAt).Milliseconds(),
-				Revision: int64(status.Revision),
-				Newest:   int64(status.LastChange),
+				Revision: status.Revision.Number(),
+				Newest:   status.LastChange.Number(),
 				Large:    omitted,
+				Era:      lacewire.FromEra(status.Revision),
 			})
 		}
 	}
@@ -183,10 +190,12 @@
 }
 
 // deltaFor returns the delta for the copy of a peer, or nil if that copy is up to date.
-func (r *replicator) deltaFor(f *lacemirror.Follower, s *lacewire.MirrorState) (*lacewire.MirrorDelta, error) {
-	d, value, ok := f.DeltaSince(laceplatform.Revision(s.GetRevision()), lacemirror.Base{
+func (r *replicator) deltaFor(
+	f *lacemirror.Follower, s *lacewire.MirrorState, era int64,
+) (*lacewire.MirrorDelta, error) {
+	d, value, ok := f.DeltaSince(lacewire.ToRevision(era, s.GetRevision()), lacemirror.Base{
 		Key:      laceplatform.Key(s.GetBase()),
-		Revision: laceplatform.Revision(s.GetBaseRevision()),
+		Revision: lacewire.ToRevision(era, s.GetBaseRevision()),
 	})
 	if !ok {
 		return nil, nil
--- a/lib/lacenode/validate.go
+++ b/lib/lacenode/validate.go
@@ -20,7 +20,7 @@
 		switch {
 		case r.follower(laceplatform.Key(d.GetPrefix())) == nil:
 			return "delta of an unknown prefix"
-		case d.GetRevision() <= 0 || d.GetFrom() < 0:
+		case lacewire.ToRevision(d.GetEra(), d.GetRevision()) == 0 || d.GetFrom() < 0:
 			return "delta with an invalid revision"
 		case d.GetRemovalGraceMs() < 0 || d.GetRemovalGraceMs() > maxRemovalGrace.Milliseconds():
 			return "delta with a removal grace out of range"
@@ -33,7 +33,7 @@
 		switch prefix := c.GetPrefix(); {
 		case r.follower(laceplatform.Key(prefix)) == nil || seen[prefix]:
 			return "confirmation of an unknown or repeated prefix"
-		case c.GetRevision() <= 0:
+		case lacewire.ToRevision(c.GetEra(), c.GetRevision()) == 0:
 			return "confirmation without a revision"
 		case c.GetNewest() < 0 || c.GetNewest() > c.GetRevision():
 			return "confirmation with an invalid newest revision"
@@ -49,12 +49,12 @@
 // hasInvalidEntry reports whether a delta has a key outside its prefix or an entry without a revision.
 func hasInvalidEntry(d *lacewire.MirrorDelta) bool {
 	for _, e := range d.GetEntries() {
-		if !strings.HasPrefix(e.GetKey(), d.GetPrefix()) || e.GetRevision() <= 0 {
+		if !strings.HasPrefix(e.GetKey(), d.GetPrefix()) || lacewire.ToRevision(d.GetEra(), e.GetRevision()) == 0 {
 			return true
 		}
 	}
 	for _, r := range d.GetRemoved() {
-		if !strings.HasPrefix(r.GetKey(), d.GetPrefix()) || r.GetRevision() <= 0 {
+		if !strings.HasPrefix(r.GetKey(), d.GetPrefix()) || lacewire.ToRevision(d.GetEra(), r.GetRevision()) == 0 {
 			return true
 		}
 	}
--- a/lib/laceplatform/connectivity.go
+++ b/lib/laceplatform/connectivity.go
@@ -18,6 +18,9 @@
 	ReachableSince laceunit.Uptime
 	// Failing is true if the last completed call received no response.
 	Failing bool
+	// Era is the latest era of the store in any response. LastReachable may be in it, so that it proves nothing about a
+	// copy of an earlier era.
+	Era Era
 }
 
 // ConnectivityTracker records which calls the store responds to. A response proves that the store was reachable when
@@ -82,6 +85,18 @@
 	t.connectivity.LastReachable = max(t.connectivity.LastReachable, sentAt)
 }
 
+// RecordEra records the era in a response, before its result. It reports whether the store was restored since the
+// previous responses.
+func (t *ConnectivityTracker) RecordEra(era Era) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if era <= t.connectivity.Era {
+		return false
+	}
+	t.connectivity.Era = era
+	return true
+}
+
 // Connectivity returns the current state.
 func (t *ConnectivityTracker) Connectivity() Connectivity {
 	t.mu.Lock()
--- a/lib/laceplatform/era.go
+++ b/lib/laceplatform/era.go
@@ -12,7 +12,7 @@
 
 const (
 	// numberBits is the width of a number within an era; the era takes the bits above it.
-	numberBits = 40
+	numberBits = 44
 	maxNumber  = 1<<numberBits - 1
 	maxEra     = 1<<(63-numberBits) - 1
 )
--- a/lib/lacewire/mirror_map.go
+++ b/lib/lacewire/mirror_map.go
@@ -13,9 +13,10 @@
 func FromMirrorDelta(d lacemirror.Delta) *MirrorDelta {
 	m := &MirrorDelta{
 		Prefix:   string(d.Prefix),
-		From:     int64(d.From),
+		From:     d.From.Number(),
 		Full:     d.Full,
-		Revision: int64(d.Revision),
+		Revision: d.Revision.Number(),
+		Era:      FromEra(d.Revision),
 		// Rounded up, so that a removal is never final too early.
 		RemovalGraceMs: proto.Int64((d.RemovalGrace + time.Millisecond - 1).Milliseconds()),
 	}
@@ -23,13 +24,13 @@
 		m.Entries = append(m.Entries, &MirrorEntry{
 			Key:      string(e.Key),
 			Value:    e.Value,
-			Revision: int64(e.Revision),
+			Revision: e.Revision.Number(),
 		})
 	}
 	for _, r := range d.Removed {
 		m.Removed = append(m.Removed, &MirrorRemoval{
 			Key:      string(r.Key),
-			Revision: int64(r.Revision),
+			Revision: r.Revision.Number(),
 		})
 	}
 	return m
@@ -39,9 +40,9 @@
 func ToMirrorDelta(m *MirrorDelta) lacemirror.Delta {
 	d := lacemirror.Delta{
 		Prefix:       laceplatform.Key(m.GetPrefix()),
-		From:         laceplatform.Revision(m.GetFrom()),
+		From:         ToRevision(m.GetEra(), m.GetFrom()),
 		Full:         m.GetFull(),
-		Revision:     laceplatform.Revision(m.GetRevision()),
+		Revision:     ToRevision(m.GetEra(), m.GetRevision()),
 		RemovalGrace: lacemirror.DefaultRemovalGrace,
 	}
 	if m.RemovalGraceMs != nil {
@@ -51,14 +52,26 @@
 		d.Entries = append(d.Entries, laceplatform.Entry{
 			Key:      laceplatform.Key(e.GetKey()),
 			Value:    e.GetValue(),
-			Revision: laceplatform.Revision(e.GetRevision()),
+			Revision: ToRevision(m.GetEra(), e.GetRevision()),
 		})
 	}
 	for _, r := range m.GetRemoved() {
 		d.Removed = append(d.Removed, lacemirror.Removal{
 			Key:      laceplatform.Key(r.GetKey()),
-			Revision: laceplatform.Revision(r.GetRevision()),
+			Revision: ToRevision(m.GetEra(), r.GetRevision()),
 		})
 	}
 	return d
 }
+
+// FromEra maps the era of a revision.
+func FromEra(r laceplatform.Revision) *int64 { return proto.Int64(int64(r.Era())) }
+
+// ToRevision maps a revision and its era; it returns zero, which is no revision, if one of them is out of range.
+func ToRevision(era, number int64) laceplatform.Revision {
+	r, err := laceplatform.NewRevision(laceplatform.Era(era), number)
+	if err != nil {
+		return 0
+	}
+	return r
+}
--- a/lib/lacewire/mirror_pack.go
+++ b/lib/lacewire/mirror_pack.go
@@ -52,6 +52,7 @@
 		Size:           int64(len(raw)),
 		Sum:            uint64(sum),
 		RemovalGraceMs: m.RemovalGraceMs,
+		Era:            m.Era,
 	}, nil
 }
 
@@ -85,5 +86,6 @@
 		Entries:        content.GetEntries(),
 		Removed:        content.GetRemoved(),
 		RemovalGraceMs: m.RemovalGraceMs,
+		Era:            m.Era,
 	}, nil
 }
