--- a/lib/lacenode/node.go
+++ b/lib/lacenode/node.go
@@ -272,6 +272,10 @@
 	for _, f := range n.followers[1:] {
 		f.StartAfter(n.followers[0])
 	}
+	n.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "lace_store_era",
+		Help: "How often the store was restored from a backup, as far as this instance has heard; 0 if it does not tell.",
+	}, func() float64 { return float64(n.tracker.Connectivity().Era) }))
 	for _, f := range n.followers {
 		n.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name:        "lace_mirror_age_seconds",
