lacesoak: the store is restored from a backup

Cause: the soak did not play what the platform's users call a drill, so that no run showed an old configuration in force or requests to servers that had left after one. Change: event store-restored. The store is away (refusing, silent or resetting), comes back from a copy 1 to 5 s old, and the operator writes again up to 1 s later. Configurations change and servers leave right before the backup, between backup and restore, and right after the return; the other events of a seed stay, but for faults of the whole store, which are left out while it is away and near most restores. Observers at each instance tell by an added route, a removed one and a revoked key which version is in force. "in-force" holds at all instances: 3 s after the acknowledgement in touch, and never back in one process. "leaving" also counts leavings that the store acknowledged while it was stable, at instances in touch. Half of all seeds have restores; -restores sets their number.

--- a/loadgen/lacecommand/soak.go
+++ b/loadgen/lacecommand/soak.go
@@ -31,6 +31,7 @@
 	flags.Float64Var(&o.LinkMbits, "narrow", -1,
 		"Mbit/s of a narrow link that callers press; 0 is none, below 0 as the seed says")
 	flags.IntVar(&o.LinkInstance, "behind", -1, "instance behind the narrow link; below 0 as the seed says")
+	flags.IntVar(&o.Restores, "restores", -1, "restores of the store from a backup; below 0 as the seed says")
 	if err := flags.Parse(args); err != nil {
 		return err
 	}
--- a/loadgen/lacesoak/check.go
+++ b/loadgen/lacesoak/check.go
@@ -84,6 +84,7 @@
 	c.checkResources()
 	c.checkRecovery()
 	c.checkPropagation()
+	c.checkOutdated()
 	c.checkRetryAfter()
 	c.checkQuarantine()
 	c.checkVersions()
@@ -293,6 +294,7 @@
 	for p, arrivals := range byPath {
 		slices.SortFunc(arrivals, func(a, b arrival) int { return a.Arrived.Compare(b.Arrived) })
 		c.checkDrain(p, arrivals)
+		c.checkLeaving(p, arrivals)
 		c.checkPause(p, arrivals)
 	}
 }
--- a/loadgen/lacesoak/injector.go
+++ b/loadgen/lacesoak/injector.go
@@ -26,6 +26,7 @@
 	// link.
 	injections []injection
 	changes    []change
+	observed   []observedChange
 	firstErr   error
 }
 
@@ -34,7 +35,8 @@
 	var running sync.WaitGroup
 	for _, e := range plan {
 		running.Go(func() {
-			if sleep(ctx, time.Until(j.started.Add(e.at))) {
+			// A restore begins with its backup.
+			if sleep(ctx, time.Until(j.started.Add(e.at-e.backupAge))) {
 				j.inject(ctx, e)
 			}
 		})
@@ -53,9 +55,34 @@
 		started: time.Now(),
 	}
 	var err error
+	switch e.kind {
+	case eventStoreRestored:
+		j.restoreStore(ctx, &x)
+	case eventObservedChange:
+		err = j.changeObserved()
+	case eventObservedLeave:
+		j.leave(ctx, &x)
+	default:
+		err = j.injectAt(ctx, &x)
+	}
+	if x.ended.IsZero() {
+		x.ended = time.Now()
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.injections = append(j.injections, x)
+	if j.firstErr == nil {
+		j.firstErr = errors.Wrap(err, e.String())
+	}
+}
+
+// injectAt injects an event at its target.
+func (j *injector) injectAt(ctx context.Context, x *injection) error {
+	e := x.event
+	var err error
 	switch e.target {
 	case targetInstance:
-		err = j.signalInstance(ctx, &x)
+		err = j.signalInstance(ctx, x)
 	case targetStore:
 		err = j.injectStoreFault(ctx, e)
 	case targetConfiguration:
@@ -65,17 +92,9 @@
 	case targetLink:
 		err = j.overloadLink(ctx, e)
 	case targetEngine, targetServer:
-		err = j.injectServerFault(ctx, &x)
-	}
-	if x.ended.IsZero() {
-		x.ended = time.Now()
-	}
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	j.injections = append(j.injections, x)
-	if j.firstErr == nil {
-		j.firstErr = errors.Wrap(err, e.String())
+		err = j.injectServerFault(ctx, x)
 	}
+	return err
 }
 
 // signalInstance stops or kills an instance and restarts it, freezes it for a time or makes it reload its settings.
@@ -146,8 +165,7 @@
 	return j.apply(func(c *laceroute.Document) {
 		switch e.kind {
 		case eventRouteTimeout:
-			// The first route is that of serviceFragile, which no event affects.
-			r := &c.Routes[1+e.variant%(len(c.Routes)-1)]
+			r := variableRoute(c, e.variant)
 			r.Timeout = defaultTimeout + shortTimeout - r.Timeout
 		case eventKeyRevoked:
 			c.Accounts[accountRevoked].Keys = c.Accounts[accountRevoked].Keys[:1]
--- a/loadgen/lacesoak/plan.go
+++ b/loadgen/lacesoak/plan.go
@@ -119,6 +119,8 @@
 	LinkMbits float64
 	// LinkInstance is the index of the instance behind the slow link; if negative, the seed draws it.
 	LinkInstance int
+	// Restores is how often the store is restored from a backup; if negative, the seed decides.
+	Restores int
 }
 
 // engineCount returns the number of backend servers that are engines. They have the lowest indices, before those of
@@ -139,6 +141,12 @@
 	isolated []int
 	// mbits is the bandwidth of a slow link in Mbit/s.
 	mbits float64
+	// backupAge is how old the backup of a restore is when the store goes away, and rewriteDelay how long after the
+	// store's return the operator writes again.
+	backupAge    time.Duration
+	rewriteDelay time.Duration
+	// lostRevisions is the number of revisions that other users of the store need right after the backup.
+	lostRevisions int
 	// variant is a random number below variants that selects between the variants of an event.
 	variant int
 }
@@ -155,6 +163,10 @@
 	if e.mbits > 0 {
 		text += fmt.Sprintf(" with %g Mbit/s", e.mbits)
 	}
+	if e.backupAge > 0 {
+		text += fmt.Sprintf(" from %.3f s and %d revisions ago, written again after %.3f s,",
+			e.backupAge.Seconds(), e.lostRevisions, e.rewriteDelay.Seconds())
+	}
 	if e.length > 0 {
 		text += fmt.Sprintf(" for %.3f s", e.length.Seconds())
 	}
@@ -187,6 +199,7 @@
 	}
 	p.addRateLimits(seed)
 	p.addSlowLink(seed)
+	p.addRestores(seed)
 	slices.SortStableFunc(p.events, func(a, b event) int { return int(a.at - b.at) })
 	return p.events
 }
--- a/loadgen/lacesoak/record.go
+++ b/loadgen/lacesoak/record.go
@@ -71,6 +71,9 @@
 	// in runs without one.
 	changes  []change
 	slowLink *event
+	// observed are the changes that observers look for, and leavings when the store acknowledged that a server leaves.
+	observed []observedChange
+	leavings map[laceunit.ServerID][]time.Time
 	// paid is the prepaid budget of each client account at the end of the run; it never decreases.
 	paid map[laceunit.AccountID]laceunit.Tokens
 	// started is the start of the timeline, faultsEnded the end of the last fault.
--- a/loadgen/lacesoak/soak.go
+++ b/loadgen/lacesoak/soak.go
@@ -35,7 +35,7 @@
 	specs, instances, err := t.writeSettings(dir)
 	r := &record{
 		instances: o.Instances,
-		backends:  o.engineCount() + o.serviceCount() + fragileServers,
+		backends:  o.engineCount() + o.serviceCount() + fragileServers + len(t.leaving),
 		slowLink:  t.slowLink,
 	}
 	if err == nil {
@@ -150,6 +150,10 @@
 	if t.slowLink == nil {
 		fragile.start(fragileCtx, c)
 	}
+	plan := newPlan(t.seed, t.options)
+	observerCtx, stopObservers := context.WithCancel(ctx)
+	defer stopObservers()
+	c.startObservers(observerCtx, countOf(plan, eventObservedChange))
 	j := &injector{
 		testbed: t,
 		fleet:   f,
@@ -157,7 +161,7 @@
 		started: time.Now(),
 	}
 	r.started = j.started
-	err := j.run(ctx, newPlan(t.seed, t.options))
+	err := j.run(ctx, plan)
 	sleep(ctx, time.Until(j.started.Add(t.options.Duration-QuietPeriod)))
 	r.faultsEnded = time.Now()
 	if err == nil {
@@ -165,12 +169,13 @@
 		sleep(ctx, time.Until(r.faultsEnded.Add(QuietPeriod)))
 	}
 	stopFragile()
+	stopObservers()
 	crashes, fragileErr := fragile.wait()
 	if r.crashes = crashes; err == nil {
 		err = fragileErr
 	}
 	c.close()
-	r.responses, r.injections, r.changes = c.responses, j.injections, j.changes
+	r.responses, r.injections, r.changes, r.observed = c.responses, j.injections, j.changes, j.observed
 	f.awaitBaseline(ctx, r)
 	cancel()
 	sampler.Wait()
@@ -178,11 +183,8 @@
 		f.process(i, true)
 	}
 	r.exited, r.peak, r.peakTotalMemory = f.exited, f.peak, f.peakTotalMemory
-	r.serverRecords = t.recorder.Records()
-	r.paid = map[laceunit.AccountID]laceunit.Tokens{}
-	for _, a := range t.document.Accounts {
-		r.paid[a.ID] = a.Paid
-	}
+	r.serverRecords, r.leavings = t.recorder.Records(), t.recorder.Leavings()
+	r.paid = t.paid()
 	return err
 }
 
--- a/loadgen/lacesoak/testbed.go
+++ b/loadgen/lacesoak/testbed.go
@@ -74,14 +74,19 @@
 	servers  []*lacestage.Server
 	// generations is the number of server ids that each server has used.
 	generations []int
+	// leaving are the servers of the events of the kind eventObservedLeave.
+	leaving []*lacestage.Server
+	// begunChanges is the number of changes that the operator has begun to write for observers.
+	begunChanges atomic.Int64
 }
 
 // newTestbed starts the store with a configuration and the backend servers.
 func newTestbed(seed uint64, o Options) (*testbed, error) {
+	plan := newPlan(seed, o)
 	t := &testbed{
 		seed:        seed,
 		options:     o,
-		slowLink:    findSlowLink(newPlan(seed, o)),
+		slowLink:    findSlowLink(plan),
 		recorder:    &lacestage.Recorder{},
 		document:    initialDocument(),
 		servers:     make([]*lacestage.Server, o.engineCount()+o.serviceCount()),
@@ -92,6 +97,7 @@
 		t.link = newLink(t.slowLink.mbits)
 		t.document.Accounts = append(t.document.Accounts, overloadAccount())
 	}
+	addObserved(&t.document, countOf(plan, eventObservedChange))
 	t.ports.Store(rand.Uint32N(maxPort))
 	err := t.apply(func(*laceroute.Document) {})
 	for i := range t.servers {
@@ -99,6 +105,9 @@
 			err = t.startServer(i, true, "")
 		}
 	}
+	if err == nil {
+		err = t.startLeaving(plan)
+	}
 	if err != nil {
 		return nil, errors.Wrapf(err, "soak: set-up failed (close: %v)", t.close())
 	}
@@ -224,6 +233,17 @@
 	return err
 }
 
+// paid returns the prepaid budget of each client account.
+func (t *testbed) paid() map[laceunit.AccountID]laceunit.Tokens {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	paid := map[laceunit.AccountID]laceunit.Tokens{}
+	for _, a := range t.document.Accounts {
+		paid[a.ID] = a.Paid
+	}
+	return paid
+}
+
 // routeTimeout returns the timeout of a route in the latest configuration.
 func (t *testbed) routeTimeout(name string) time.Duration {
 	t.mu.Lock()
@@ -247,6 +267,11 @@
 			}
 		}
 	}
+	for _, x := range t.leaving {
+		if err := x.Close(); first == nil {
+			first = err
+		}
+	}
 	if err := t.store.Close(); first == nil {
 		first = err
 	}
