lacesoak: an instance behind an overloaded link is not in touch until the overload has ended

Cause: the event of the slow link ends with its last change of the configuration, about 2.8 s after its start, while callers overload the link for up to 10 s. The excuse of "leaving" and "in-force" at all instances ended 5 s after the change. The check behind the slow link itself is unchanged. Change: the excuse lasts until 5 s after the overload.

--- a/loadgen/lacesoak/outdated.go
+++ b/loadgen/lacesoak/outdated.go
@@ -143,7 +143,8 @@
 		case d.kind == eventPartialStoreOutage && slices.Contains(d.isolated, instance):
 		case d.target == targetInstance && d.kind != eventReload && d.index == instance:
 		case d.kind == eventSlowLink && d.index == instance:
-			end = end.Add(chokedTime)
+			// The event ends with its last change; the overload goes on.
+			end = d.started.Add(d.length + chokedTime)
 		default:
 			return false
 		}
--- a/loadgen/lacesoak/restore_test.go
+++ b/loadgen/lacesoak/restore_test.go
@@ -142,6 +142,16 @@
 		"store forgets":   {modify: late(eventStoreCompaction, targetStore, 6, 7), want: violation},
 		"isolated":        {modify: late(eventPartialStoreOutage, targetStore, 3, 6.1, 0)},
 		"other isolated":  {modify: late(eventPartialStoreOutage, targetStore, 3, 6.1, 1), want: violation},
+		"choked": {modify: func(r *record) {
+			late(eventSlowLink, targetLink, 0.2, 0.9)(r)
+			r.injections[0].length = time.Second
+			r.slowLink = &event{}
+		}},
+		"choked before": {modify: func(r *record) {
+			late(eventSlowLink, targetLink, 0.2, 0.9)(r)
+			r.injections[0].length = 700 * time.Millisecond
+			r.slowLink = &event{}
+		}, want: violation},
 		"frozen":          {modify: late(eventFreeze, targetInstance, 6, 7)},
 		"reloaded":        {modify: late(eventReload, targetInstance, 6, 7), want: violation},
 		"back":            {modify: back("", 6.5), want: violation},
