lacemirror: a later list of a restored store does not bring servers back

A server that has left between the backup and the restore serves on for a while, and would get requests again until its lease in the copy ends. Cause: entries that are known to have been removed were left out of the first list of a new era only. The next list of the same era, after a compaction or by an instance that lists instead of watching, put them back. Change: they are left out of all lists until their writer has written again.

--- a/lib/lacemirror/mirror.go
+++ b/lib/lacemirror/mirror.go
@@ -109,9 +109,7 @@
 	if revision < m.revision {
 		return nil, false
 	}
-	if m.revision > 0 && revision.Era() > m.revision.Era() {
-		entries = m.withoutRollback(entries)
-	}
+	entries = m.withoutRollback(entries)
 	var changes []Change
 	seen := make(map[laceplatform.Key]bool, len(entries))
 	for _, e := range entries {
--- a/lib/lacemirror/restore_test.go
+++ b/lib/lacemirror/restore_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -231,3 +232,40 @@
 		t.Error("a server that has written its entry again is missing")
 	}
 }
+
+// Guards against a server that has left and gets requests again, because the restored store is listed a second time while it
+// has the entry of the backup.
+func TestSecondListDoesNotBringServersBack(t *testing.T) {
+	m := NewMirror("servers/")
+	m.sequence = func(e laceplatform.Entry) (Sequence, bool) {
+		n, err := strconv.ParseInt(string(e.Value), 10, 64)
+		return Sequence{Number: n}, err == nil
+	}
+	entry := func(value string, era laceplatform.Era, number int64) laceplatform.Entry {
+		return laceplatform.Entry{
+			Key:      "servers/a",
+			Value:    []byte(value),
+			Revision: revisionOf(t, era, number),
+		}
+	}
+	m.Replace([]laceplatform.Entry{entry("3", 1, 3)}, revisionOf(t, 1, 3))
+	m.ApplyEvent(laceplatform.Event{
+		Entry:   entry("", 1, 9),
+		Deleted: true,
+	})
+	for number := int64(5); number < 8; number++ {
+		m.Replace([]laceplatform.Entry{entry("2", 2, 2)}, revisionOf(t, 2, number))
+		if _, ok := m.Get("servers/a"); ok {
+			t.Errorf("the entry of the backup is back with the list at %d", number)
+		}
+	}
+	m.Replace([]laceplatform.Entry{entry("4", 2, 8)}, revisionOf(t, 2, 8))
+	if _, ok := m.Get("servers/a"); !ok {
+		t.Error("a server that has written its entry again is missing")
+	}
+	m.Replace(nil, revisionOf(t, 2, 9))
+	m.Replace([]laceplatform.Entry{entry("4", 2, 10)}, revisionOf(t, 2, 10))
+	if _, ok := m.Get("servers/a"); !ok {
+		t.Error("an entry that was removed and written in the present era is missing")
+	}
+}
--- a/lib/lacemirror/sequence.go
+++ b/lib/lacemirror/sequence.go
@@ -43,7 +43,7 @@
 
 // withoutRollback returns a list of a restored store without the contents that this copy knows to be outdated. An entry
 // whose writer has written more since the backup keeps its newer content until the writer writes again. An entry that
-// was removed, and has not been written since, is left out.
+// was removed in an earlier era, and has not been written since, is left out of all lists.
 func (m *Mirror) withoutRollback(entries []laceplatform.Entry) []laceplatform.Entry {
 	if m.sequence == nil {
 		return entries
@@ -51,10 +51,10 @@
 	current := make([]laceplatform.Entry, 0, len(entries))
 	for _, e := range entries {
 		if known, ok := m.entries[e.Key]; ok {
-			if m.compare(e, known.Entry) < 0 {
+			if m.restoredSince(known.Entry, e) && m.compare(e, known.Entry) < 0 {
 				e.Value = known.Value
 			}
-		} else if gone, ok := m.removed[e.Key]; ok && m.compare(e, gone) <= 0 {
+		} else if gone, ok := m.removed[e.Key]; ok && m.restoredSince(gone, e) && m.compare(e, gone) <= 0 {
 			continue
 		}
 		current = append(current, e)
@@ -62,6 +62,11 @@
 	return current
 }
 
+// restoredSince reports whether the store was restored between a known entry and one of a list.
+func (m *Mirror) restoredSince(known, listed laceplatform.Entry) bool {
+	return known.Revision.Era() < listed.Revision.Era()
+}
+
 // compare orders two contents of a key; contents without a known position are newer than any other.
 func (m *Mirror) compare(e, known laceplatform.Entry) int {
 	x, ok := m.sequence(e)
