lacestream, lacerelay: a version is recorded before its first event is passed on

Cause: an instance took a stream that it had not served for one of the only version in its copies, which count as current up to 2.5 s. A version that had joined since was in use at other instances by then. The ages of copies can't close this: a connection that hangs or a process that stood still learns of changes later than its other calls are answered.

Callers saw streams that began at the new version and went on at the old one, at an instance that was cut off, stood still or got changes late.

Change: the first event of a stream is passed on only once the store has the record of its version; for the first streams of a version that is one write. An instance that does not know a stream reads the records after the request has arrived, one read for all that wait; if that fails, it refuses. So neither clocks nor the ages of copies matter. A record carries the era of the store: after a restore a version counts as the only one once instances have confirmed the records, 3 s later, and a record that was lost is written again.

Tests: newsDelay was also the least age of a stream that is taken up; it is no more. An instance that was cut off is not started anew any more when its copies are current again.

--- a/lib/lacenode/node.go
+++ b/lib/lacenode/node.go
@@ -248,6 +248,7 @@
 			Streams:  streamPrefix,
 		},
 		Current: n.versionsCurrent,
+		Era:     func() laceplatform.Era { return n.tracker.Connectivity().Era },
 		Members: n.directory.Size,
 		Log:     n.log,
 		Metrics: lacestream.NewMetrics(n.registry),
--- a/lib/lacerelay/attempt.go
+++ b/lib/lacerelay/attempt.go
@@ -50,7 +50,7 @@
 	// response for settledAge.
 	firstEventAt time.Time
 	settled      bool
-	// neutral is true when nothing was sent for a reason that the server did not cause.
+	// neutral is true when nothing was sent, or the response was not used, for a reason that the server did not cause.
 	neutral bool
 	// delayed is true when nothing was sent because the instance's own link delayed the handshake.
 	delayed bool
@@ -356,6 +356,9 @@
 		j.refusedBy = append(j.refusedBy, d.Server)
 	case attemptBroken, attemptStalled:
 		result = lacebalancer.Failure
+		if a.neutral {
+			result = lacebalancer.Neutral
+		}
 	case attemptTimedOut:
 		result = lacebalancer.Neutral
 		if a.status == 0 && !r.excused(j, d.Server, started, excusedAnswer) {
--- a/lib/lacerelay/stream.go
+++ b/lib/lacerelay/stream.go
@@ -113,8 +113,12 @@
 			// A resumed stream may begin with the last event before the interruption.
 			continue
 		}
+		if !r.bind(ctx, j, a.backend) {
+			a.exchange.Abort()
+			a.outcome, a.reason, a.neutral = attemptBroken, "the software version can't be recorded", true
+			return
+		}
 		j.recordEvent(e)
-		r.bind(j, a.backend)
 		startedAt := j.response.startedAt
 		err = j.response.writeEvent(a, e.raw, events.reader.Buffered() > 0)
 		if startedAt.IsZero() && !j.response.startedAt.IsZero() {
--- a/lib/lacerelay/version.go
+++ b/lib/lacerelay/version.go
@@ -12,8 +12,9 @@
 // Streams knows the software versions that began streams. A stream is identified by the attempt of its caller that
 // brought its first event.
 type Streams interface {
-	// Begin records that a server of a version has written an event of a stream; End must follow.
-	Begin(service laceunit.ServiceID, id laceunit.AttemptID, version laceunit.SoftwareVersion)
+	// Begin records that a server of a version has written an event of a stream, before the event is passed on. It
+	// returns false if other instances could not learn of the version; End must follow otherwise.
+	Begin(ctx context.Context, service laceunit.ServiceID, id laceunit.AttemptID, version laceunit.SoftwareVersion) bool
 	// End records that a request for a stream has ended, and whether the stream was sent to its end.
 	End(service laceunit.ServiceID, id laceunit.AttemptID, complete bool)
 	// Find returns the software version of a stream, and false if it is not known.
@@ -48,15 +49,21 @@
 	return nil
 }
 
-// bind restricts the request to servers of the software version that has written an event of its stream.
-func (r *Relay) bind(j *job, server *backend) {
-	if j.softwareVersion == nil {
-		j.softwareVersion = &server.Version
+// bind restricts the request to servers of the software version that has written an event of its stream. It returns false
+// if the event must not be passed on, since the stream could be taken up at servers of another version.
+func (r *Relay) bind(ctx context.Context, j *job, server *backend) bool {
+	version := server.Version
+	if j.softwareVersion != nil {
+		version = *j.softwareVersion
 	}
 	if r.options.Streams != nil && !j.noted {
+		if !r.options.Streams.Begin(ctx, j.service, j.streamID(), version) {
+			return false
+		}
 		j.noted = true
-		r.options.Streams.Begin(j.service, j.streamID(), *j.softwareVersion)
 	}
+	j.softwareVersion = &version
+	return true
 }
 
 // endStreamNote records the end of a request for a stream.
--- a/lib/lacestream/record.go
+++ b/lib/lacestream/record.go
@@ -23,10 +23,17 @@
 	Streams laceplatform.Key
 }
 
-// ServiceVersion is a software version of a service, and its stored form.
+// ServiceVersion is a software version of a service.
 type ServiceVersion struct {
+	Service laceunit.ServiceID
+	Version laceunit.SoftwareVersion
+}
+
+// versionJSON is the record of a version. Era is that of the store in which the record was last confirmed.
+type versionJSON struct {
 	Service laceunit.ServiceID       `json:"service"`
 	Version laceunit.SoftwareVersion `json:"version"`
+	Era     laceplatform.Era         `json:"era,omitempty"`
 }
 
 // versionKey returns the key of the record of a version. The names in it may be too long for a key.
@@ -49,17 +56,24 @@
 	return xxhash.Sum64String(string(service) + "\x00" + name)
 }
 
-func encodeVersion(v ServiceVersion) ([]byte, error) {
-	text, err := json.Marshal(v)
+func encodeVersion(v ServiceVersion, era laceplatform.Era) ([]byte, error) {
+	text, err := json.Marshal(versionJSON{
+		Service: v.Service,
+		Version: v.Version,
+		Era:     era,
+	})
 	return text, errors.Wrap(err, "stream: encode version")
 }
 
-func decodeVersion(value []byte) (ServiceVersion, error) {
-	var v ServiceVersion
-	if err := json.Unmarshal(value, &v); err != nil || v.Service == "" {
-		return ServiceVersion{}, errors.Wrap(ErrRecord, "version")
+func decodeVersion(value []byte) (ServiceVersion, laceplatform.Era, error) {
+	var v versionJSON
+	if err := json.Unmarshal(value, &v); err != nil || v.Service == "" || !v.Era.Valid() {
+		return ServiceVersion{}, 0, errors.Wrap(ErrRecord, "version")
 	}
-	return v, nil
+	return ServiceVersion{
+		Service: v.Service,
+		Version: v.Version,
+	}, v.Era, nil
 }
 
 // streamsJSON lists streams of one version; Streams holds their keys with 8 bytes each.
--- a/lib/lacestream/service.go
+++ b/lib/lacestream/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,6 +28,9 @@
 	// callTimeout bounds a write, readTimeout a read, for which a client waits.
 	callTimeout = 600 * time.Millisecond
 	readTimeout = 300 * time.Millisecond
+	// memberReadSpacing is the minimum time between two reads of the versions, for each member. When all instances are
+	// killed at once, all streams of the fleet are taken up within about a second.
+	memberReadSpacing = time.Millisecond
 	// retryDelay is the wait after a failed write.
 	retryDelay = time.Second
 	// leaseRenewal is how often the lease of the notes is renewed. Notes outlive their instance by at least memory.
@@ -35,6 +39,9 @@
 	// maxRecordDelay bounds the wait before a version is recorded or its record is removed. Every instance could do it, and
 	// each has a wait of its own.
 	maxRecordDelay = 300 * time.Millisecond
+	// restorePeriod is how long after the restoration of the store from a backup its records may lack versions that were
+	// in service before: servers write their entries again each 1.2 s, and instances then record their versions.
+	restorePeriod = 3 * time.Second
 )
 
 // Options configure a service.
@@ -46,8 +53,12 @@
 	Current func() bool
 	// Members returns the number of instances.
 	Members func() int
+	// Era returns the latest era of the store in any response; nil means that the store is never restored.
+	Era func() laceplatform.Era
 	// Clock returns the time; nil means time.Now.
-	Clock   func() time.Time
+	Clock func() time.Time
+	// Sleep waits for a duration or until a context ends; nil means lacekernel.Sleep.
+	Sleep   func(ctx context.Context, d time.Duration) bool
 	Log     *lacelog.Logger
 	Metrics *Metrics
 }
@@ -64,6 +75,9 @@
 	expiredAt time.Time
 	// recordAt is when the records of versions may be changed next.
 	recordAt time.Time
+	// era is the latest known era of the store, eraAt is since when it is known.
+	era   laceplatform.Era
+	eraAt time.Time
 
 	// lease, leaseAt, written and writeAt belong to the writer: the lease of the notes, when it was granted or renewed,
 	// the revision of the notes, and when they may be written next.
@@ -76,6 +90,12 @@
 	reading sync.Mutex
 	noted   map[streamKey]laceunit.SoftwareVersion
 	readAt  time.Time
+
+	// versionReads are the reads of the recorded versions, recordWrites the writes of records that streams wait for.
+	versionReads sharedCalls[map[laceunit.ServiceID]recordedSet]
+	recordWrites sharedCalls[map[ServiceVersion]bool]
+	// versionsReadAt is when the latest read of the recorded versions began.
+	versionsReadAt time.Time
 }
 
 // New returns a service; the caller must run Serve.
@@ -83,11 +103,19 @@
 	if options.Clock == nil {
 		options.Clock = time.Now
 	}
+	if options.Sleep == nil {
+		options.Sleep = lacekernel.Sleep
+	}
+	if options.Era == nil {
+		options.Era = func() laceplatform.Era { return 0 }
+	}
 	return &Service{
 		options: options,
 		versions: versions{
-			serving:  map[ServiceVersion]bool{},
-			recorded: map[ServiceVersion]recordedVersion{},
+			serving:      map[ServiceVersion]bool{},
+			recorded:     map[ServiceVersion]recordedVersion{},
+			acknowledged: map[ServiceVersion]bool{},
+			lost:         map[ServiceVersion]bool{},
 		},
 		notes: notes{byKey: map[streamKey]*note{}},
 	}
@@ -107,28 +135,42 @@
 
 // ApplyEntry applies the record of a version in the store, or its removal.
 func (s *Service) ApplyEntry(e laceplatform.Entry, removed bool) error {
-	v, err := decodeVersion(e.Value)
+	v, era, err := decodeVersion(e.Value)
 	if err != nil {
 		return err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if removed {
-		delete(s.versions.recorded, v)
+		s.versions.remove(s.options.Clock(), v)
 		return nil
 	}
-	s.versions.recorded[v] = recordedVersion{revision: e.Revision}
+	s.versions.record(v, recordedVersion{
+		revision: e.Revision,
+		era:      era,
+	})
 	s.versions.observeAbsence(s.options.Clock())
 	s.changed = true
 	return nil
 }
 
-// Begin records that a server of a version has written an event of a stream. Each call must be followed by End.
-func (s *Service) Begin(service laceunit.ServiceID, id laceunit.AttemptID, version laceunit.SoftwareVersion) {
+// Begin records that a server of a version has written an event of a stream, before the event is passed on. It returns
+// false if the version is not recorded in the store and can't be, and otherwise must be followed by End. Only for the
+// first streams of a version it calls the store, and may then take 1.2 s.
+func (s *Service) Begin(
+	ctx context.Context, service laceunit.ServiceID, id laceunit.AttemptID, version laceunit.SoftwareVersion,
+) bool {
+	if !s.ensureRecorded(ctx, ServiceVersion{
+		Service: service,
+		Version: version,
+	}) {
+		return false
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.notes.begin(newStreamKey(service, id), service, version)
 	s.changed = true
+	return true
 }
 
 // End records that a request for a stream has ended, and whether the stream was sent to its end.
@@ -138,36 +180,30 @@
 	s.notes.end(s.options.Clock(), newStreamKey(service, id), complete)
 }
 
-// Find returns the software version of a stream, given the attempt that began it, and false if it is not known. While
-// several versions are in service it may read the store, for at most 300 ms.
+// Find returns the software version of a stream, given the attempt that began it, and false if it is not known. Unless
+// this instance has served the stream, it reads the store, for at most 900 ms.
 func (s *Service) Find(
 	ctx context.Context, service laceunit.ServiceID, id laceunit.AttemptID,
 ) (laceunit.SoftwareVersion, bool) {
 	key := newStreamKey(service, id)
 	s.mu.Lock()
-	own, noted := s.notes.find(key)
-	list := s.versions.of(service)
+	version, found := s.notes.find(key)
+	several := len(s.versions.of(service)) > 1
 	s.mu.Unlock()
-	if noted {
-		s.options.Metrics.countTakeUp(foundHere)
-		return own, true
-	}
-	// A version that a copy lacks may have begun the stream.
-	if len(list) == 0 || !s.options.Current() {
-		s.options.Metrics.countTakeUp(notFound)
-		return "", false
+	way := foundHere
+	if !found && !several {
+		version, found, several = s.findOnly(ctx, service)
+		way = foundSingle
 	}
-	if len(list) == 1 {
-		s.options.Metrics.countTakeUp(foundSingle)
-		return list[0], true
+	if !found && several {
+		version, found = s.findNoted(ctx, key)
+		way = foundInStore
 	}
-	v, ok := s.findNoted(ctx, key)
-	if ok {
-		s.options.Metrics.countTakeUp(foundInStore)
-	} else {
-		s.options.Metrics.countTakeUp(notFound)
+	if !found {
+		way = notFound
 	}
-	return v, ok
+	s.options.Metrics.countTakeUp(way)
+	return version, found
 }
 
 // RetryAfter returns when the version of a stream that is not known may be known.
@@ -286,14 +322,22 @@
 // conflict means that another instance has done so.
 func (s *Service) recordVersions(ctx context.Context, now time.Time) {
 	// Followers call this service while they hold the locks that Current needs.
-	current := s.options.Current()
+	current, era := s.options.Current(), s.options.Era()
 	s.mu.Lock()
+	if era != s.era || s.eraAt.IsZero() {
+		s.era, s.eraAt = era, now
+		clear(s.versions.acknowledged)
+	}
 	missing, outdated := s.versions.missing(), s.versions.outdated(now)
-	revisions := make([]laceplatform.Revision, 0, len(outdated))
-	for _, v := range outdated {
-		revisions = append(revisions, s.versions.recorded[v].revision)
+	var unconfirmed []ServiceVersion
+	if now.Sub(s.eraAt) >= restorePeriod {
+		unconfirmed = s.versions.unconfirmed(era)
 	}
-	idle := len(missing)+len(outdated) == 0 || !current
+	revisions := map[ServiceVersion]laceplatform.Revision{}
+	for _, v := range slices.Concat(outdated, unconfirmed) {
+		revisions[v] = s.versions.recorded[v].revision
+	}
+	idle := len(missing)+len(outdated)+len(unconfirmed) == 0 || !current
 	switch {
 	case idle:
 		s.recordAt = time.Time{}
@@ -311,21 +355,28 @@
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	for _, v := range missing {
-		s.countRecord(s.addVersion(callCtx, v))
+		s.addVersion(callCtx, v, era)
+	}
+	for _, v := range unconfirmed {
+		s.countRecord(s.writeVersion(callCtx, v, era, revisions[v]))
 	}
-	for i, v := range outdated {
-		s.countRecord(s.options.Store.Delete(callCtx, s.options.Keys.versionKey(v), revisions[i]))
+	for _, v := range outdated {
+		s.countRecord(s.options.Store.Delete(callCtx, s.options.Keys.versionKey(v), revisions[v]))
 	}
 }
 
-func (s *Service) addVersion(ctx context.Context, v ServiceVersion) error {
-	value, err := encodeVersion(v)
+// writeVersion writes the record of a version if it is at the expected revision; zero means that there must be none.
+func (s *Service) writeVersion(
+	ctx context.Context, v ServiceVersion, era laceplatform.Era, expect laceplatform.Revision,
+) error {
+	value, err := encodeVersion(v, era)
 	if err != nil {
 		return err
 	}
 	_, err = s.options.Store.Swap(ctx, laceplatform.Swap{
-		Key:   s.options.Keys.versionKey(v),
-		Value: value,
+		Key:    s.options.Keys.versionKey(v),
+		Value:  value,
+		Expect: expect,
 	})
 	return err
 }
--- a/lib/lacestream/simulation_test.go
+++ b/lib/lacestream/simulation_test.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -17,110 +16,15 @@
 )
 
 const (
+	// simulatedSeeds is a short run; by hand thousands are played.
+	simulatedSeeds                      = 60
 	simulatedService laceunit.ServiceID = "llm"
 	simulationStep                      = 50 * time.Millisecond
-	// newsDelay is how long changes of the servers take to reach an instance, and the least age of a stream that is taken
-	// up.
-	newsDelay = 500 * time.Millisecond
+	// newsDelay is how long changes of the servers and of the records take at most to reach an instance that is in step,
+	// and the greatest age of a copy that counts as current.
+	newsDelay = 2500 * time.Millisecond
 )
 
-// simulatedStore is a store in memory.
-type simulatedStore struct {
-	laceplatform.Store
-
-	sim      *simulation
-	down     bool
-	revision laceplatform.Revision
-	entries  map[laceplatform.Key]laceplatform.Entry
-	expiries map[laceplatform.LeaseID]time.Time
-}
-
-// Lease implements laceplatform.Store.
-func (f *simulatedStore) Lease(_ context.Context, ttl time.Duration) (laceplatform.LeaseID, error) {
-	if f.down {
-		return 0, laceplatform.ErrUnavailable
-	}
-	id := laceplatform.LeaseID(len(f.expiries) + 1)
-	f.expiries[id] = f.sim.now.Add(ttl)
-	return id, nil
-}
-
-// Renew implements laceplatform.Store.
-func (f *simulatedStore) Renew(_ context.Context, id laceplatform.LeaseID) error {
-	switch {
-	case f.down:
-		return laceplatform.ErrUnavailable
-	case f.expiries[id].Before(f.sim.now):
-		return laceplatform.ErrLeaseNotFound
-	}
-	f.expiries[id] = f.sim.now.Add(leaseTTL)
-	return nil
-}
-
-// List implements laceplatform.Store.
-func (f *simulatedStore) List(
-	_ context.Context, prefix laceplatform.Key,
-) ([]laceplatform.Entry, laceplatform.Revision, error) {
-	if f.down {
-		return nil, 0, laceplatform.ErrUnavailable
-	}
-	var list []laceplatform.Entry
-	for k, e := range f.entries {
-		if strings.HasPrefix(string(k), string(prefix)) {
-			list = append(list, e)
-		}
-	}
-	return list, f.revision, nil
-}
-
-// Swap implements laceplatform.Store. One in ten responses is lost.
-func (f *simulatedStore) Swap(_ context.Context, w laceplatform.Swap) (laceplatform.Revision, error) {
-	switch {
-	case f.down:
-		return 0, laceplatform.ErrUnavailable
-	case f.entries[w.Key].Revision != w.Expect:
-		if _, ok := f.entries[w.Key]; !ok {
-			return 0, laceplatform.ErrConflict
-		}
-		return 0, &laceplatform.Conflict{Entries: []laceplatform.Entry{f.entries[w.Key]}}
-	}
-	f.revision++
-	f.entries[w.Key] = laceplatform.Entry{
-		Key:      w.Key,
-		Value:    w.Value,
-		Revision: f.revision,
-		Lease:    w.Lease,
-	}
-	f.sim.announce(f.entries[w.Key], false)
-	if f.sim.random.IntN(10) == 0 {
-		return 0, laceplatform.ErrUnknown
-	}
-	return f.revision, nil
-}
-
-// Delete implements laceplatform.Store.
-func (f *simulatedStore) Delete(_ context.Context, key laceplatform.Key, expect laceplatform.Revision) error {
-	e, ok := f.entries[key]
-	switch {
-	case f.down:
-		return laceplatform.ErrUnavailable
-	case !ok || e.Revision != expect:
-		return laceplatform.ErrConflict
-	}
-	delete(f.entries, key)
-	f.sim.announce(e, true)
-	return nil
-}
-
-// expire removes the entries whose leases have ended.
-func (f *simulatedStore) expire() {
-	for k, e := range f.entries {
-		if e.Lease != 0 && f.expiries[e.Lease].Before(f.sim.now) {
-			delete(f.entries, k)
-		}
-	}
-}
-
 // simulatedStream is a stream with the version that began it.
 type simulatedStream struct {
 	id      laceunit.AttemptID
@@ -128,28 +32,51 @@
 	begun   time.Time
 }
 
-// simulatedInstance is an instance; it sees the versions in service with a delay.
+// simulatedNews is a change that an instance has not seen yet.
+type simulatedNews struct {
+	since, seenAt time.Time
+	apply         func()
+}
+
+// simulatedInstance is an instance; it sees the versions in service and the records with a delay.
 type simulatedInstance struct {
 	*Service
 
 	serving map[laceunit.SoftwareVersion]bool
-	// nextServing takes the place of serving at a time.
-	nextServing map[laceunit.SoftwareVersion]bool
-	servingAt   time.Time
-	// cutOff is true while the instance gets no news.
-	cutOff bool
+	era     laceplatform.Era
+	// news are in the order in which they are seen.
+	news []simulatedNews
+	// cutOffAt is since when the instance has been cut off, also from the store; zero while it is not.
+	cutOffAt time.Time
+	// frozenUntil is until when the process stands still.
+	frozenUntil time.Time
+}
+
+// current reports whether the instance's copies are young enough, by a clock that counts the time it stood still.
+func (x *simulatedInstance) current(now time.Time) bool {
+	age := time.Duration(0)
+	if len(x.news) > 0 {
+		age = now.Sub(x.news[0].since)
+	}
+	if !x.cutOffAt.IsZero() {
+		age = max(age, now.Sub(x.cutOffAt))
+	}
+	return age <= newsDelay
 }
 
 // simulation is a fleet whose service gets new software versions while instances and the store fail.
 type simulation struct {
-	t         *testing.T
-	random    *rand.Rand
-	now       time.Time
-	store     *simulatedStore
-	instances []*simulatedInstance
-	started   int
-	serving   map[laceunit.SoftwareVersion]bool
-	streams   []simulatedStream
+	t          *testing.T
+	random     *rand.Rand
+	now        time.Time
+	store      *simulatedStore
+	instances  []*simulatedInstance
+	started    int
+	serving    map[laceunit.SoftwareVersion]bool
+	streams    []simulatedStream
+	restoredAt time.Time
+	// releases counts the versions that have joined.
+	releases int
 	// found and unknown count the streams that were taken up by whether their version was known.
 	found, unknown int
 }
@@ -160,6 +87,8 @@
 		random:  rand.New(rand.NewPCG(seed, 0)),
 		now:     time.Unix(1000, 0),
 		serving: map[laceunit.SoftwareVersion]bool{"v1": true},
+
+		releases: 1,
 	}
 	s.store = &simulatedStore{
 		sim:      s,
@@ -176,20 +105,28 @@
 // start returns a new process, which reads the records before it serves.
 func (s *simulation) start() *simulatedInstance {
 	s.started++
-	x := &simulatedInstance{serving: s.serving}
+	x := &simulatedInstance{
+		serving: s.serving,
+		era:     s.store.era,
+	}
 	x.Service = New(Options{
 		Self: laceunit.Holder{
 			Instance:    laceunit.InstanceID(fmt.Sprint(s.started % 4)),
 			Incarnation: laceunit.Incarnation(s.random.Int64()),
 		},
-		Store: s.store,
+		Store: &instanceStore{
+			simulatedStore: s.store,
+			instance:       x,
+		},
 		Keys: Keys{
 			Versions: "version/",
 			Streams:  "stream/",
 		},
-		Current: func() bool { return !x.cutOff },
+		Current: func() bool { return x.current(s.now) },
+		Era:     func() laceplatform.Era { return x.era },
 		Members: func() int { return len(s.instances) },
 		Clock:   func() time.Time { return s.now },
+		Sleep:   func(context.Context, time.Duration) bool { return true },
 		Log:     lacelog.Discard(),
 	})
 	for k, e := range s.store.entries {
@@ -213,21 +150,38 @@
 		return
 	}
 	for _, x := range s.instances {
-		if !x.cutOff {
-			s.apply(x, e, removed)
-		}
+		s.inform(x, func() { s.apply(x, e, removed) })
+	}
+}
+
+// inform lets an instance see a change after a delay.
+func (s *simulation) inform(x *simulatedInstance, apply func()) {
+	seenAt := s.now
+	if s.random.IntN(2) == 0 {
+		seenAt = s.now.Add(time.Duration(s.random.Int64N(int64(newsDelay))))
+	}
+	if n := len(x.news); n > 0 && x.news[n-1].seenAt.After(seenAt) {
+		seenAt = x.news[n-1].seenAt
 	}
+	x.news = append(x.news, simulatedNews{
+		since:  s.now,
+		seenAt: seenAt,
+		apply:  apply,
+	})
 }
 
 // release changes the versions in service.
 func (s *simulation) release(versions ...laceunit.SoftwareVersion) {
-	s.serving = map[laceunit.SoftwareVersion]bool{}
+	serving := map[laceunit.SoftwareVersion]bool{}
 	for _, v := range versions {
-		s.serving[v] = true
+		serving[v] = true
 	}
+	s.serving = serving
 	for _, x := range s.instances {
-		x.nextServing = s.serving
-		x.servingAt = s.now.Add(time.Duration(s.random.Int64N(int64(newsDelay - simulationStep))))
+		s.inform(x, func() {
+			x.serving = serving
+			x.SetServing(versionsOf(serving))
+		})
 	}
 }
 
@@ -237,17 +191,55 @@
 		s.now = s.now.Add(simulationStep)
 		s.store.expire()
 		for _, x := range s.instances {
-			if x.nextServing != nil && !x.cutOff && !s.now.Before(x.servingAt) {
-				x.serving, x.nextServing = x.nextServing, nil
-				x.SetServing(versionsOf(x.serving))
+			if s.now.Before(x.frozenUntil) {
+				continue
+			}
+			for x.cutOffAt.IsZero() && len(x.news) > 0 && !s.now.Before(x.news[0].seenAt) {
+				x.news[0].apply()
+				x.news = x.news[1:]
 			}
 			x.step(context.Background())
 		}
 	}
 }
 
+// restore restores the store from a backup that is some seconds old. Since then a version has joined, and may have left.
+func (s *simulation) restore() {
+	backup, before := maps.Clone(s.store.entries), s.serving
+	s.releases++
+	s.release(append(slices.Sorted(maps.Keys(before)), version(s.releases))...)
+	for i := range 15 {
+		s.advance(4 * simulationStep)
+		s.begin()
+		if i == 10 && s.random.IntN(2) == 0 {
+			s.release(slices.Sorted(maps.Keys(before))...)
+		}
+	}
+	s.restoredAt = s.now
+	s.store.restore(backup)
+	for range 5 {
+		s.takeUp()
+	}
+}
+
+// freeze makes an instance stand still. The first that it does afterwards is to serve a request.
+func (s *simulation) freeze(x *simulatedInstance) {
+	x.frozenUntil = s.now.Add(time.Duration(1+s.random.IntN(60)) * simulationStep)
+	for s.now.Before(x.frozenUntil.Add(-simulationStep)) {
+		s.advance(simulationStep)
+		s.begin()
+	}
+	s.now = s.now.Add(simulationStep)
+	s.takeUpAt(x)
+}
+
+// instance returns an instance that does not stand still.
 func (s *simulation) instance() *simulatedInstance {
-	return s.instances[s.random.IntN(len(s.instances))]
+	for {
+		if x := s.instances[s.random.IntN(len(s.instances))]; !s.now.Before(x.frozenUntil) {
+			return x
+		}
+	}
 }
 
 // begin begins a stream at a version that its instance sees.
@@ -259,29 +251,34 @@
 		version: list[s.random.IntN(len(list))],
 		begun:   s.now,
 	}
-	x.Begin(simulatedService, stream.id, stream.version)
+	if !x.Begin(context.Background(), simulatedService, stream.id, stream.version) {
+		return
+	}
 	if s.random.IntN(2) == 0 {
 		x.End(simulatedService, stream.id, false)
 	}
 	s.streams = append(s.streams, stream)
 }
 
-// takeUp takes a stream up at an instance and checks its version.
-func (s *simulation) takeUp() {
+// takeUp takes a stream up at some instance.
+func (s *simulation) takeUp() { s.takeUpAt(s.instance()) }
+
+// takeUpAt takes a stream up at an instance and checks its version.
+func (s *simulation) takeUpAt(x *simulatedInstance) {
 	if len(s.streams) == 0 {
 		return
 	}
 	i := s.random.IntN(len(s.streams))
-	stream := s.streams[i]
-	if s.now.Sub(stream.begun) < newsDelay {
-		return
+	if s.random.IntN(2) == 0 {
+		i = len(s.streams) - 1
 	}
+	stream := s.streams[i]
 	s.streams[i] = s.streams[len(s.streams)-1]
 	s.streams = s.streams[:len(s.streams)-1]
 	if s.now.Sub(stream.begun) > memory/2 {
 		return
 	}
-	v, ok := s.instance().Find(context.Background(), simulatedService, stream.id)
+	v, ok := x.Find(context.Background(), simulatedService, stream.id)
 	switch {
 	case !ok:
 		s.unknown++
@@ -296,27 +293,29 @@
 // instances and the store between the two, and against versions and notes that stay in the store for ever.
 func TestStreamsAreNeverJoinedFromTwoVersions(t *testing.T) {
 	var found, unknown int
-	for seed := range uint64(60) {
+	for seed := range uint64(simulatedSeeds) {
 		s := newSimulation(t, seed)
-		releases := 1
 		for range 400 {
 			s.advance(time.Duration(1+s.random.IntN(4)) * simulationStep)
 			for range 2 {
 				s.begin()
 				s.takeUp()
 			}
-			switch s.random.IntN(60) {
+			switch s.random.IntN(40) {
 			case 0:
-				releases++
-				s.release(version(releases))
+				s.releases++
+				s.release(version(s.releases))
 			case 1:
-				releases++
-				s.release(version(releases-1), version(releases))
+				s.releases++
+				s.release(version(s.releases-1), version(s.releases))
 			case 2:
 				// All instances are killed at once and start again, at times after a release.
+				if s.now.Sub(s.restoredAt) < restorePeriod+newsDelay {
+					break
+				}
 				if s.random.IntN(2) == 0 {
-					releases++
-					s.release(version(releases))
+					s.releases++
+					s.release(version(s.releases))
 				}
 				for i := range s.instances {
 					s.instances[i] = s.start()
@@ -326,18 +325,21 @@
 			case 4, 5:
 				s.store.down = !s.store.down
 			case 6, 7:
-				x := s.instance()
-				x.cutOff = !x.cutOff
-				if !x.cutOff {
-					// The copies are current again at once.
-					*x = *s.start()
+				if x := s.instance(); x.cutOffAt.IsZero() {
+					x.cutOffAt = s.now
+				} else {
+					x.cutOffAt = time.Time{}
 				}
+			case 8, 9:
+				s.freeze(s.instance())
+			case 10:
+				s.restore()
 			}
 		}
 		found, unknown = found+s.found, unknown+s.unknown
 		s.store.down = false
 		for _, x := range s.instances {
-			x.cutOff = false
+			x.cutOffAt = time.Time{}
 		}
 		s.release("last")
 		s.advance(newsDelay)
@@ -373,14 +375,14 @@
 		s := newSimulation(t, 7)
 		s.release(versions...)
 		s.advance(2 * newsDelay)
-		before := s.store.revision
+		before := s.store.calls
 		for range 200 {
 			s.begin()
 			s.advance(simulationStep)
 		}
 		s.advance(2 * retryDelay)
-		if len(versions) == 1 && s.store.revision != before {
-			t.Errorf("%d writes with one version in service", s.store.revision-before)
+		if len(versions) == 1 && s.store.calls != before {
+			t.Errorf("%d calls with one version in service", s.store.calls-before)
 		}
 		for i := range s.instances {
 			s.instances[i] = s.start()
@@ -393,98 +395,3 @@
 		}
 	}
 }
-
-// Guards against a record of another writer that stops an instance or names a version, and against one that is read
-// differently than it was written.
-func TestRecordsAreChecked(t *testing.T) {
-	streams := map[streamKey]laceunit.SoftwareVersion{}
-	for _, text := range []string{"", "{", "[]]", `[{"version":"v1","streams":"AAAA"}]`, `[{"version":1}]`, "null"} {
-		_ = decodeStreams([]byte(text), streams)
-		if _, err := decodeVersion([]byte(text)); err == nil {
-			t.Errorf("%q is read as a version", text)
-		}
-	}
-	if len(streams) > 0 {
-		t.Errorf("streams %v", streams)
-	}
-	value, err := encodeStreams(map[laceunit.SoftwareVersion][]streamKey{"v1": {1, 1 << 63}, "": {2}})
-	if err == nil {
-		err = decodeStreams(value, streams)
-	}
-	if err != nil || len(streams) != 3 || streams[1] != "v1" || streams[1<<63] != "v1" || streams[2] != "" {
-		t.Errorf("streams %v, error %v", streams, err)
-	}
-}
-
-// Guards against memory that grows with the number of streams, and against a running stream that is forgotten.
-func TestRememberedStreamsAreBounded(t *testing.T) {
-	now := time.Unix(1000, 0)
-	n := notes{byKey: map[streamKey]*note{}}
-	n.begin(0, simulatedService, "v1")
-	for k := range streamKey(maxNotes - 1) {
-		n.begin(k+1, simulatedService, "v1")
-		n.end(now, k+1, k%2 == 0)
-	}
-	n.expire(now.Add(completedAge))
-	if len(n.byKey) != maxNotes/2 || n.byKey[0] == nil {
-		t.Errorf("%d of %d streams are remembered after %s", len(n.byKey), maxNotes, completedAge)
-	}
-	if n := len(n.stored(map[laceunit.ServiceID]bool{simulatedService: true})["v1"]); n != maxStored {
-		t.Errorf("%d streams are noted", n)
-	}
-	n.expire(now.Add(memory))
-	if len(n.byKey) != 1 || len(n.order) != 1 {
-		t.Errorf("%d streams are remembered after %s", len(n.byKey), memory)
-	}
-	for k := range streamKey(2 * maxNotes) {
-		n.begin(k, simulatedService, "v1")
-	}
-	if len(n.byKey) > maxNotes {
-		t.Errorf("%d streams are remembered", len(n.byKey))
-	}
-}
-
-// silentStore is a store that does not answer.
-type silentStore struct{ laceplatform.Store }
-
-// List implements laceplatform.Store.
-func (silentStore) List(ctx context.Context, _ laceplatform.Key) ([]laceplatform.Entry, laceplatform.Revision, error) {
-	<-ctx.Done()
-	return nil, 0, laceplatform.ErrUnavailable
-}
-
-// Guards against clients that wait for each other's reads of a store that does not answer, instead of being refused.
-func TestUnknownStreamsAreRefusedSoonWithoutStore(t *testing.T) {
-	s := New(Options{
-		Store:   silentStore{},
-		Current: func() bool { return true },
-		Members: func() int { return 1 },
-		Log:     lacelog.Discard(),
-	})
-	s.SetServing(versionsOf(map[laceunit.SoftwareVersion]bool{"v1": true, "v2": true}))
-	started := time.Now()
-	var clients sync.WaitGroup
-	for i := range 20 {
-		clients.Go(func() {
-			if v, ok := s.Find(t.Context(), simulatedService, laceunit.AttemptID(fmt.Sprint(i))); ok {
-				t.Errorf("the version of an unknown stream is %s", v)
-			}
-		})
-	}
-	clients.Wait()
-	if took := time.Since(started); took > 3*readTimeout {
-		t.Errorf("20 refusals took %s", took)
-	}
-}
-
-// Guards against a stream that is bound by an earlier one which the same attempt began.
-func TestAttemptSentAgainBeginsAnotherStream(t *testing.T) {
-	s := New(Options{})
-	for _, v := range []laceunit.SoftwareVersion{"v1", "v2"} {
-		s.Begin(simulatedService, "attempt", v)
-		s.End(simulatedService, "attempt", false)
-		if got, ok := s.Find(t.Context(), simulatedService, "attempt"); got != v || !ok {
-			t.Errorf("a stream of %s is bound to %q", v, got)
-		}
-	}
-}
