lacestream: the records of a restored store are confirmed after 3 s

Cause: a record that was lost in a restore was written again with the current era at once. Where all versions of a service were recorded after the backup, the first of them to be written again counted as the only one.

Change: an instance that has known an earlier era writes records with the one before, and confirms them after 3 s, as those that the backup had.

It now tells the era before the removals, as responses do.

--- a/lib/lacestream/proof.go
+++ b/lib/lacestream/proof.go
@@ -92,7 +92,7 @@
 // writeMissing writes the records of a version and of all others in service that the store is not known to have. It
 // returns which of them the store has now.
 func (s *Service) writeMissing(ctx context.Context, v ServiceVersion) (map[ServiceVersion]bool, error) {
-	era := s.options.Era()
+	era := s.recordEra(s.options.Clock())
 	s.mu.Lock()
 	written := map[ServiceVersion]bool{v: false}
 	for _, x := range s.versions.missing() {
--- a/lib/lacestream/service.go
+++ b/lib/lacestream/service.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -75,9 +74,11 @@
 	expiredAt time.Time
 	// recordAt is when the records of versions may be changed next.
 	recordAt time.Time
-	// era is the latest known era of the store, eraAt is since when it is known.
-	era   laceplatform.Era
-	eraAt time.Time
+	// era is the latest known era of the store, eraAt is since when it is known, restored is true if this instance has
+	// known an earlier one.
+	era      laceplatform.Era
+	eraAt    time.Time
+	restored bool
 
 	// lease, leaseAt, written and writeAt belong to the writer: the lease of the notes, when it was granted or renewed,
 	// the revision of the notes, and when they may be written next.
@@ -317,73 +318,3 @@
 	}
 	return errors.Wrap(err, "stream: write notes")
 }
-
-// recordVersions records the versions in service, and removes the records of those that have not been for a while. A
-// conflict means that another instance has done so.
-func (s *Service) recordVersions(ctx context.Context, now time.Time) {
-	// Followers call this service while they hold the locks that Current needs.
-	current, era := s.options.Current(), s.options.Era()
-	s.mu.Lock()
-	if era != s.era || s.eraAt.IsZero() {
-		s.era, s.eraAt = era, now
-		clear(s.versions.acknowledged)
-	}
-	missing, outdated := s.versions.missing(), s.versions.outdated(now)
-	var unconfirmed []ServiceVersion
-	if now.Sub(s.eraAt) >= restorePeriod {
-		unconfirmed = s.versions.unconfirmed(era)
-	}
-	revisions := map[ServiceVersion]laceplatform.Revision{}
-	for _, v := range slices.Concat(outdated, unconfirmed) {
-		revisions[v] = s.versions.recorded[v].revision
-	}
-	idle := len(missing)+len(outdated)+len(unconfirmed) == 0 || !current
-	switch {
-	case idle:
-		s.recordAt = time.Time{}
-	case s.recordAt.IsZero():
-		s.recordAt = now.Add(time.Duration(uint64(s.options.Self.Incarnation) % uint64(maxRecordDelay)))
-	}
-	due := !idle && !now.Before(s.recordAt)
-	if due {
-		s.recordAt = now.Add(retryDelay)
-	}
-	s.mu.Unlock()
-	if !due {
-		return
-	}
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	for _, v := range missing {
-		s.addVersion(callCtx, v, era)
-	}
-	for _, v := range unconfirmed {
-		s.countRecord(s.writeVersion(callCtx, v, era, revisions[v]))
-	}
-	for _, v := range outdated {
-		s.countRecord(s.options.Store.Delete(callCtx, s.options.Keys.versionKey(v), revisions[v]))
-	}
-}
-
-// writeVersion writes the record of a version if it is at the expected revision; zero means that there must be none.
-func (s *Service) writeVersion(
-	ctx context.Context, v ServiceVersion, era laceplatform.Era, expect laceplatform.Revision,
-) error {
-	value, err := encodeVersion(v, era)
-	if err != nil {
-		return err
-	}
-	_, err = s.options.Store.Swap(ctx, laceplatform.Swap{
-		Key:    s.options.Keys.versionKey(v),
-		Value:  value,
-		Expect: expect,
-	})
-	return err
-}
-
-func (s *Service) countRecord(err error) {
-	if errors.Is(err, laceplatform.ErrConflict) || errors.Is(err, laceplatform.ErrMissing) {
-		err = nil
-	}
-	s.options.Metrics.countWrite("version", err)
-}
--- a/lib/lacestream/service_test.go
+++ b/lib/lacestream/service_test.go
@@ -97,6 +97,33 @@
 	}
 }
 
+// Guards against a version that counts as the only one of a service whose versions were all recorded after the backup from
+// which the store was restored, before the others are recorded again.
+func TestRecordsOfRestoredStoreAreConfirmedLate(t *testing.T) {
+	s := newSimulation(t, 3)
+	s.advance(newsDelay)
+	s.store.restore(map[laceplatform.Key]laceplatform.Entry{})
+	confirmed := func() bool {
+		for _, e := range s.store.entries {
+			_, era, err := decodeVersion(e.Value)
+			if err == nil && era == s.store.era {
+				return true
+			}
+		}
+		return false
+	}
+	for end := s.now.Add(restorePeriod); s.now.Before(end); s.advance(simulationStep) {
+		s.begin()
+		if confirmed() {
+			t.Fatalf("confirmed %s before the end of the period", end.Sub(s.now))
+		}
+	}
+	s.advance(newsDelay + retryDelay)
+	if len(s.store.entries) != 1 || !confirmed() {
+		t.Errorf("%d records, confirmed %t", len(s.store.entries), confirmed())
+	}
+}
+
 // Guards against a stream that is bound by an earlier one which the same attempt began.
 func TestAttemptSentAgainBeginsAnotherStream(t *testing.T) {
 	s := New(Options{Store: newSimulation(t, 1).store})
--- a/lib/lacestream/simulatedstore_test.go
+++ b/lib/lacestream/simulatedstore_test.go
@@ -123,6 +123,11 @@
 func (f *simulatedStore) restore(backup map[laceplatform.Key]laceplatform.Entry) {
 	f.era++
 	f.number /= 2
+	// A response tells the era before the copies change.
+	for _, x := range f.sim.instances {
+		era := f.era
+		f.sim.inform(x, func() { x.era = era })
+	}
 	previous := f.entries
 	f.entries = maps.Clone(backup)
 	for k, e := range previous {
@@ -136,10 +141,6 @@
 		f.entries[k] = e
 		f.sim.announce(e, false)
 	}
-	for _, x := range f.sim.instances {
-		era := f.era
-		f.sim.inform(x, func() { x.era = era })
-	}
 }
 
 // instanceStore is the store as an instance reaches it.
--- a/lib/lacestream/simulation_test.go
+++ b/lib/lacestream/simulation_test.go
@@ -92,6 +92,7 @@
 	}
 	s.store = &simulatedStore{
 		sim:      s,
+		era:      1,
 		entries:  map[laceplatform.Key]laceplatform.Entry{},
 		expiries: map[laceplatform.LeaseID]time.Time{},
 	}
