lacestream: records of a restored store count again after 5 s

Cause: after a restore the record of one version was confirmed after 3 s, before that of another was written again: copies are up to 2.5 s late, and the write waits 0.3 s, 1 s more after a lost response. An instance that was cut off went on beginning streams at the second version, and one of them went on at the first.

Ruled out: an instance that starts after the restore. It confirms 3 s after its own start, which is later still.

Failures name their seed now.

--- a/lib/lacestream/service.go
+++ b/lib/lacestream/service.go
@@ -39,8 +39,9 @@
 	// each has a wait of its own.
 	maxRecordDelay = 300 * time.Millisecond
 	// restorePeriod is how long after the restoration of the store from a backup its records may lack versions that were
-	// in service before: servers write their entries again each 1.2 s, and instances then record their versions.
-	restorePeriod = 3 * time.Second
+	// in service before: servers write their entries again each 1.2 s, and instances whose copies are up to 2.5 s old
+	// record the versions, in a second attempt if a response is lost.
+	restorePeriod = 5 * time.Second
 )
 
 // Options configure a service.
--- a/lib/lacestream/simulation_test.go
+++ b/lib/lacestream/simulation_test.go
@@ -67,6 +67,7 @@
 // simulation is a fleet whose service gets new software versions while instances and the store fail.
 type simulation struct {
 	t          *testing.T
+	seed       uint64
 	random     *rand.Rand
 	now        time.Time
 	store      *simulatedStore
@@ -84,6 +85,7 @@
 func newSimulation(t *testing.T, seed uint64) *simulation {
 	s := &simulation{
 		t:       t,
+		seed:    seed,
 		random:  rand.New(rand.NewPCG(seed, 0)),
 		now:     time.Unix(1000, 0),
 		serving: map[laceunit.SoftwareVersion]bool{"v1": true},
@@ -284,7 +286,8 @@
 	case !ok:
 		s.unknown++
 	case v != stream.version:
-		s.t.Errorf("a stream of %s is continued at %s, %s after its beginning", stream.version, v, s.now.Sub(stream.begun))
+		s.t.Errorf("seed %d: a stream of %s is continued at %s, %s after its beginning", s.seed, stream.version, v,
+			s.now.Sub(stream.begun))
 	default:
 		s.found++
 	}
@@ -294,7 +297,12 @@
 // instances and the store between the two, and against versions and notes that stay in the store for ever.
 func TestStreamsAreNeverJoinedFromTwoVersions(t *testing.T) {
 	var found, unknown int
-	for seed := range uint64(simulatedSeeds) {
+	for i := range uint64(simulatedSeeds + 1) {
+		seed := i
+		if i == simulatedSeeds {
+			// A version is recorded again over 3 s after the restoration of the store.
+			seed = 2416
+		}
 		s := newSimulation(t, seed)
 		for range 400 {
 			s.advance(time.Duration(1+s.random.IntN(4)) * simulationStep)
