lacequota: tokens are sold once when the store is restored

Seen by callers: requests are served again from tokens that were sold before the store was restored from a backup. Cause: the restored budget has a lower cap, or no allocation, of an instance than it holds. Wallet.planAccount took that for "another instance counted this one as ended" (chargedElsewhere = p.cap) and Merge for OutcomeClosed, so that what was sold was charged nowhere and was drawn again. An instance that starts afterwards drew at once from what the restored budget shows as free. Change: budgets and allocations carry the era in which they were stated. In a new era each instance restates what it holds, writers and direct writers merge their copies of the lost budget into the restored one, and until the budget is confirmed nobody raises a cap or closes a holder. Answers, writes and proposals of an earlier era raise nothing. Loans and closings of the last 30 s are charged to the own allocation again. Without eras the stored form gains "after", the revision that was replaced, and nothing else changes.

--- a/lib/lacenode/budgetwriter.go
+++ b/lib/lacenode/budgetwriter.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"github.com/twitchtv/twirp"
 
+	"lacewingcove/lib/laceplatform"
 	"lacewingcove/lib/lacequota"
 	"lacewingcove/lib/laceunit"
 	"lacewingcove/lib/lacewire"
@@ -90,6 +91,8 @@
 		Close:   p.Close,
 		Paid:    int64(p.Paid),
 		Version: uint64(p.Version),
+		Era:     int64(p.Era),
+		Restate: p.Restate,
 	}
 }
 
@@ -112,6 +115,7 @@
 			Version:    laceunit.Version(a.GetVersion()),
 		},
 		Shortage: a.GetShortage(),
+		Era:      laceplatform.Era(a.GetEra()),
 	}
 	for _, id := range a.GetLenders() {
 		x.Lenders = append(x.Lenders, laceunit.InstanceID(id))
@@ -172,7 +176,7 @@
 		valid := p.GetAccount() != "" && 0 <= p.GetUsed() && p.GetUsed() <= p.GetLeast() && p.GetLeast() <= p.GetFloor() &&
 			p.GetFloor() <= p.GetWant() && p.GetWant() < maxProposalTokens && p.GetNeed() >= 0 &&
 			p.GetNeed() < maxProposalTokens && p.GetRate() >= 0 && p.GetCeiling() >= 0 && p.GetPaid() >= 0 &&
-			p.GetPaid() < maxProposalTokens && (!p.GetClose() || p.GetWant() == p.GetUsed())
+			p.GetPaid() < maxProposalTokens && laceplatform.Era(p.GetEra()).Valid() && (!p.GetClose() || p.GetWant() == p.GetUsed())
 		if !valid {
 			return nil, false
 		}
@@ -191,6 +195,8 @@
 			Close:   p.GetClose(),
 			Paid:    laceunit.Tokens(p.GetPaid()),
 			Version: laceunit.Version(p.GetVersion()),
+			Era:     laceplatform.Era(p.GetEra()),
+			Restate: p.GetRestate(),
 		})
 	}
 	return list, true
@@ -211,6 +217,7 @@
 		Paid:       int64(a.Standing.Paid),
 		Version:    uint64(a.Standing.Version),
 		Shortage:   a.Shortage,
+		Era:        int64(a.Era),
 	}
 	for _, id := range a.Lenders {
 		m.Lenders = append(m.Lenders, string(id))
--- a/lib/lacenode/budgetwriter_test.go
+++ b/lib/lacenode/budgetwriter_test.go
@@ -29,6 +29,8 @@
 		Fresh:   true,
 		Paid:    1_000,
 		Version: 3,
+		Era:     5,
+		Restate: true,
 	}
 }
 
@@ -54,6 +56,7 @@
 		t.Error(d)
 	}
 	a := lacequota.Answer{
+		Era:     6,
 		Outcome: lacequota.OutcomeUnavailable,
 		Standing: lacequota.Standing{
 			Own:        lacequota.Allocation{Cap: 1, Used: 2, Ceiling: 3, SentAt: instant("boot", 4)},
--- a/lib/lacequota/budget.go
+++ b/lib/lacequota/budget.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lacewingcove/lib/laceplatform"
 	"lacewingcove/lib/laceunit"
 )
 
@@ -16,6 +17,8 @@
 	// that, Cap applies.
 	Ceiling laceunit.Tokens
 	SentAt  Instant
+	// Era is the era of the store in which the holder last stated its allocation.
+	Era laceplatform.Era
 }
 
 // Instant is a point in time on a machine's boot clock, which counts suspension and is shared by all processes.
@@ -41,6 +44,11 @@
 	Paid        laceunit.Tokens
 	Version     laceunit.Version
 	Allocations map[laceunit.Holder]Allocation
+	// Era is the newest era in which the budget is known to cover what holders have, zero before the first one.
+	Era laceplatform.Era
+	// After is the revision of the budget that this one replaced.
+	After    laceplatform.Revision
+	Restored Restored
 }
 
 // Budgets are the budgets of the accounts in an update; each account has its own entry in the store.
@@ -117,6 +125,9 @@
 		ClosedUsed:  b.ClosedUsed,
 		Paid:        b.Paid,
 		Version:     b.Version,
+		Era:         b.Era,
+		After:       b.After,
+		Restored:    b.Restored,
 		Allocations: make(map[laceunit.Holder]Allocation, len(b.Allocations)+1),
 	}
 	for h, a := range b.Allocations {
--- a/lib/lacequota/codec.go
+++ b/lib/lacequota/codec.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"lacewingcove/lib/laceplatform"
 	"lacewingcove/lib/laceunit"
 )
 
@@ -20,6 +21,17 @@
 	Paid    int64                     `json:"paid"`
 	Version uint64                    `json:"version"`
 	Holders map[string]allocationJSON `json:"holders"`
+
+	Era      int64         `json:"era,omitempty"`
+	After    int64         `json:"after,omitempty"`
+	Restored *restoredJSON `json:"restored,omitempty"`
+}
+
+type restoredJSON struct {
+	Era    int64 `json:"era"`
+	After  int64 `json:"after"`
+	Closed int64 `json:"closed"`
+	Burnt  int64 `json:"burnt"`
 }
 
 type allocationJSON struct {
@@ -31,6 +43,7 @@
 	// Since is in milliseconds, rounded down.
 	Since int64  `json:"since"`
 	Boot  string `json:"boot"`
+	Era   int64  `json:"era,omitempty"`
 }
 
 // Encode returns the stored form of a budget.
@@ -41,6 +54,16 @@
 		Paid:    int64(b.Paid),
 		Version: uint64(b.Version),
 		Holders: make(map[string]allocationJSON, len(b.Allocations)),
+		Era:     int64(b.Era),
+		After:   int64(b.After),
+	}
+	if b.Restored.Era > 0 {
+		f.Restored = &restoredJSON{
+			Era:    int64(b.Restored.Era),
+			After:  int64(b.Restored.After),
+			Closed: int64(b.Restored.ClosedCap),
+			Burnt:  int64(b.Restored.ClosedUsed),
+		}
 	}
 	for h, a := range b.Allocations {
 		f.Holders[h.String()] = allocationJSON{
@@ -51,6 +74,7 @@
 			Ceiling: int64(a.Ceiling),
 			Since:   a.SentAt.SinceBoot.Milliseconds(),
 			Boot:    a.SentAt.BootID,
+			Era:     int64(a.Era),
 		}
 	}
 	data, err := json.Marshal(f)
@@ -74,6 +98,16 @@
 		Paid:        laceunit.Tokens(f.Paid),
 		Version:     laceunit.Version(f.Version),
 		Allocations: make(map[laceunit.Holder]Allocation, len(f.Holders)),
+		Era:         laceplatform.Era(f.Era),
+		After:       laceplatform.Revision(f.After),
+	}
+	if r := f.Restored; r != nil {
+		b.Restored = Restored{
+			Era:        laceplatform.Era(r.Era),
+			After:      laceplatform.Revision(r.After),
+			ClosedCap:  laceunit.Tokens(r.Closed),
+			ClosedUsed: laceunit.Tokens(r.Burnt),
+		}
 	}
 	for k, a := range f.Holders {
 		holder, err := parseHolder(k)
@@ -90,6 +124,7 @@
 				BootID:    a.Boot,
 				SinceBoot: time.Duration(a.Since) * time.Millisecond,
 			},
+			Era: laceplatform.Era(a.Era),
 		}
 	}
 	return b, nil
--- a/lib/lacequota/combine.go
+++ b/lib/lacequota/combine.go
@@ -80,6 +80,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := &s.combination
+	s.applyEra()
 	now, at, policy := time.Now(), s.options.Clock(), s.headroomPolicy()
 	fleet := s.fleet()
 	calls := map[GroupID]*call{}
@@ -175,7 +176,7 @@
 	} else {
 		answers, err = s.combination.Proposer.Propose(callCtx, writer, c.group, c.proposals, c.within)
 	}
-	if err == nil && len(answers) != len(c.proposals) {
+	if err == nil && (len(answers) != len(c.proposals) || !canRestate(c.proposals, answers)) {
 		err = ErrWriter
 	}
 	if err != nil && ctx.Err() == nil {
@@ -184,6 +185,17 @@
 	return answers, err
 }
 
+// canRestate reports whether a writer knows of eras, if an allocation is restated. Older ones take a lower stored cap for
+// one that was closed.
+func canRestate(proposals []Proposal, answers []Answer) bool {
+	for i, p := range proposals {
+		if p.Restate && p.Era > 0 && answers[i].Era == 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // markSilent records that a writer did not answer.
 func (s *Service) markSilent(writer laceunit.InstanceID, err error) {
 	s.mu.Lock()
@@ -199,6 +211,7 @@
 func (s *Service) accept(c *call, answers []Answer) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.applyEra()
 	now := time.Now()
 	for i, x := range c.proposals {
 		before := s.wallet.State(x.Account).Cap
--- a/lib/lacequota/direct.go
+++ b/lib/lacequota/direct.go
@@ -85,14 +85,11 @@
 	defer s.mu.Unlock()
 	for _, a := range accounts {
 		e := conflict.Entry(s.key(a))
-		b, err := Decode(e.Value)
+		c, err := s.cache[a].next(s.wallet.era, e)
 		if err != nil {
 			return errors.Wrap(err, string(e.Key))
 		}
-		s.cache[a] = cachedBudget{
-			budget:   b,
-			revision: e.Revision,
-		}
+		s.cache[a] = c
 	}
 	return nil
 }
@@ -100,6 +97,7 @@
 func (s *Service) plan(accounts []laceunit.AccountID) (Update, []laceplatform.Swap, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.applyEra()
 	cached := Budgets{ByAccount: make(map[laceunit.AccountID]Budget, len(accounts))}
 	for _, a := range accounts {
 		cached.ByAccount[a] = s.cache[a].budget
@@ -107,7 +105,10 @@
 	u := s.wallet.Plan(time.Now(), s.options.Clock(), cached, accounts, s.fleet(), s.headroomPolicy())
 	swaps := make([]laceplatform.Swap, 0, len(accounts))
 	for _, a := range accounts {
-		value, err := Encode(u.Budgets.ByAccount[a])
+		b := u.Budgets.ByAccount[a]
+		b.After = s.cache[a].revision
+		u.Budgets.ByAccount[a] = b
+		value, err := Encode(b)
 		if err != nil {
 			return u, nil, err
 		}
@@ -120,9 +121,33 @@
 	return u, swaps, nil
 }
 
+// updateEra applies a new era of the store and reports whether there is one.
+func (s *Service) updateEra() bool {
+	s.mu.Lock()
+	began := s.applyEra()
+	s.mu.Unlock()
+	return began
+}
+
+// applyEra is updateEra with the lock held.
+func (s *Service) applyEra() bool {
+	now := time.Now()
+	era := s.era.current(now).era
+	if !s.wallet.BeginEra(now, era) {
+		return false
+	}
+	s.options.Log.Write(lacelog.BudgetUpdate, lacelog.P("era", int64(era)))
+	s.triggerUpdate()
+	return true
+}
+
 // fleet returns the membership as of now.
 func (s *Service) fleet() Fleet {
+	now := time.Now()
+	era := s.era.current(now)
 	return Fleet{
+		Unconfirmed: func(b Budget) bool { return era.unconfirmed(now, b, s.options.Members.Live) },
+
 		ActiveCount: s.options.Members.Size(),
 		HasStandby:  s.options.Members.HasStandby(),
 		Combined:    s.combines(),
@@ -134,6 +159,7 @@
 func (s *Service) commit(u Update, accounts []laceunit.AccountID, revision laceplatform.Revision) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.applyEra()
 	now := time.Now()
 	s.wallet.Commit(now, u)
 	s.lastUpdate, s.storeFailing = now, false
--- a/lib/lacequota/loan.go
+++ b/lib/lacequota/loan.go
@@ -61,11 +61,11 @@
 }
 
 // Borrow adds tokens that another instance has lent and counted as spent.
-func (w *Wallet) Borrow(account laceunit.AccountID, amount laceunit.Tokens) {
+func (w *Wallet) Borrow(now time.Time, account laceunit.AccountID, amount laceunit.Tokens) {
 	p := w.portion(account)
 	p.cap += amount
 	p.ceilings.raise(amount)
-	p.chargedElsewhere += amount
+	p.charge(now, amount)
 	p.borrowed += amount
 	p.paidBasis = max(p.paidBasis, p.paid)
 }
@@ -160,7 +160,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if amount > 0 {
-		s.wallet.Borrow(account, amount)
+		s.wallet.Borrow(time.Now(), account, amount)
 	} else {
 		s.loanRefusedAt[account] = time.Now()
 	}
--- a/lib/lacequota/loan_test.go
+++ b/lib/lacequota/loan_test.go
@@ -21,7 +21,7 @@
 		t.Fatalf("verdict %d without tokens", v)
 	}
 	amount := lender.Lend(now, at, testAccount, 5_000, 8_000)
-	borrower.Borrow(testAccount, amount)
+	borrower.Borrow(now, testAccount, amount)
 	if v := borrower.RetryReserve(now, at, testAccount, 5_000); v != Reserved {
 		t.Errorf("verdict %d after a loan of %d", v, amount)
 	}
@@ -55,7 +55,7 @@
 	w := newTestWallet("router", 1_000_000)
 	now, at := time.Unix(1000, 0), Instant{}
 	u := w.Plan(now, at, Budgets{}, []laceunit.AccountID{testAccount}, liveFleet(2), HeadroomShare)
-	w.Borrow(testAccount, 7_000)
+	w.Borrow(now, testAccount, 7_000)
 	w.Commit(now, u)
 	want := u.Budgets.ByAccount[testAccount].Allocations[w.self].Cap + 7_000
 	if got := w.State(testAccount).Cap; got != want {
--- a/lib/lacequota/property_test.go
+++ b/lib/lacequota/property_test.go
@@ -199,9 +199,10 @@
 	}
 	for range maxMergeAttempts {
 		c, fleet := s.writers[k], s.fleet()
-		merged := c.merge(s.now, proposals, func(h laceunit.Holder, a Allocation) (laceunit.Tokens, bool) {
-			return a.Cap, fleet.Ended(h)
-		}, s.random.Intn(4) == 0)
+		merged := c.merge(s.now, proposals, mergePolicy{
+			ended:    func(h laceunit.Holder, a Allocation) (laceunit.Tokens, bool) { return a.Cap, fleet.Ended(h) },
+			holdIdle: s.random.Intn(4) == 0,
+		})
 		data, err := Encode(merged.Budget)
 		if err != nil {
 			panic(err)
@@ -336,7 +337,7 @@
 	}
 	amount := s.machines[from].wallet.Lend(s.now, s.instant(from), testAccount, minTokens, 2*minTokens)
 	if amount > 0 && s.random.Intn(4) > 0 {
-		s.machines[to].wallet.Borrow(testAccount, amount)
+		s.machines[to].wallet.Borrow(s.now, testAccount, amount)
 		s.loans++
 	}
 }
--- a/lib/lacequota/proposal.go
+++ b/lib/lacequota/proposal.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"lacewingcove/lib/laceplatform"
 	"lacewingcove/lib/laceunit"
 )
 
@@ -38,6 +39,10 @@
 
 	Paid    laceunit.Tokens
 	Version laceunit.Version
+	// Era is the era of the store that the sender knows, zero from older builds. Restate is true if the store has not
+	// confirmed its allocation in that era, so that it may have lost it.
+	Era     laceplatform.Era
+	Restate bool
 }
 
 // Outcome is the result of a proposal.
@@ -112,6 +117,8 @@
 	Shortage bool
 	// Lenders are the instances with the most unspent tokens, largest first.
 	Lenders []laceunit.InstanceID
+	// Era is the era of the store that the answer is of.
+	Era laceplatform.Era
 }
 
 // Merged is a budget with the proposals of some holders.
@@ -129,10 +136,12 @@
 type closeFunc func(laceunit.Holder, Allocation) (maxSpent laceunit.Tokens, ok bool)
 
 // Merge merges proposals of different holders into a stored budget. No cap falls below the floor of its holder, and the
-// sum of all caps does not rise above what was paid. Free tokens go to waiting requests first; with holdIdle, senders
-// get nothing beyond that.
-func Merge(stored Budget, proposals []Proposal, ended closeFunc, holdIdle bool) Merged {
+// sum of all caps does not rise above what was paid, apart from what is restated. Free tokens go to waiting requests
+// first.
+func Merge(stored Budget, proposals []Proposal, policy mergePolicy) Merged {
 	m := merger{
+		mergePolicy: policy,
+
 		proposals: proposals,
 		stored:    stored,
 		Merged: Merged{
@@ -141,12 +150,15 @@
 		},
 		granted: make([]laceunit.Tokens, len(proposals)),
 	}
-	m.closeEnded(ended)
+	if !m.unconfirmed {
+		m.closeEnded()
+		m.Budget.Era = max(m.Budget.Era, m.era)
+	}
 	for i, p := range proposals {
 		m.accept(i, p)
 	}
 	m.grantNeeds()
-	if !holdIdle && m.Lacking == 0 {
+	if !m.holdIdle && m.Lacking == 0 {
 		m.grantIdle()
 	}
 	for i, p := range proposals {
@@ -155,9 +167,22 @@
 	return m.Merged
 }
 
+// mergePolicy is what a Merge depends on beside the budget and the proposals.
+type mergePolicy struct {
+	// ended reports which holders have ended.
+	ended closeFunc
+	// holdIdle is true if senders get only what requests need.
+	holdIdle bool
+	era      laceplatform.Era
+	// unconfirmed is true if the budget may lack what others hold, so that nothing is free and no holder is closed.
+	unconfirmed bool
+}
+
 // merger is the state of one Merge.
 type merger struct {
 	Merged
+	mergePolicy
+
 	stored    Budget
 	proposals []Proposal
 	// granted are the caps of the accepted proposals, by index.
@@ -165,12 +190,12 @@
 }
 
 // closeEnded closes ended holders, except senders, which are evidently alive.
-func (m *merger) closeEnded(ended closeFunc) {
+func (m *merger) closeEnded() {
 	for h, x := range m.stored.Allocations {
 		if slices.ContainsFunc(m.proposals, func(p Proposal) bool { return p.Sender.Holder == h }) {
 			continue
 		}
-		if maxSpent, ok := ended(h, x); ok {
+		if maxSpent, ok := m.ended(h, x); ok {
 			m.close(h, x, maxSpent)
 		}
 	}
@@ -191,8 +216,13 @@
 	}
 	own, found := m.Budget.Allocations[p.Sender.Holder]
 	switch {
-	case m.isOutdated(i, p), found && !own.SentAt.before(p.SentAt):
+	case m.isOutdated(i, p), found && !own.SentAt.before(p.SentAt), p.Era != 0 && p.Era != m.era:
 		m.Outcomes[i] = OutcomeSuperseded
+	case m.restates(p):
+		m.Material = true
+		own.Cap, own.Ceiling, own.SentAt, own.Era = p.Floor, p.Ceiling, p.SentAt, m.era
+		m.Budget.Allocations[p.Sender.Holder] = own
+		m.Outcomes[i], m.granted[i] = OutcomeApplied, p.Floor
 	case !found && p.Fresh && p.Close:
 		m.Outcomes[i] = OutcomeUnchanged
 	case !found && !p.Fresh, found && own.Cap < p.Floor:
@@ -211,6 +241,12 @@
 	}
 }
 
+// restates reports whether a proposal states what the sender holds, which the store may have lost. Older builds don't
+// tell; a sender that has closed its allocation holds nothing.
+func (m *merger) restates(p Proposal) bool {
+	return p.Restate || p.Era == 0 && m.unconfirmed && !p.Fresh && !p.Close
+}
+
 // isOutdated reports whether another proposal of the same sender is newer, or the same and comes first.
 func (m *merger) isOutdated(i int, p Proposal) bool {
 	for j, q := range m.proposals {
@@ -223,6 +259,9 @@
 
 // closePredecessors closes earlier processes on the machine of a sender.
 func (m *merger) closePredecessors(s Sender) {
+	if m.unconfirmed {
+		return
+	}
 	for h, x := range m.Budget.Allocations {
 		if h.Instance != s.Holder.Instance || h == s.Holder || s.StartedAt.before(x.SentAt) {
 			continue
@@ -257,7 +296,12 @@
 }
 
 // free is what no holder has.
-func (m *merger) free() laceunit.Tokens { return max(m.Budget.Paid-m.Budget.Committed(), 0) }
+func (m *merger) free() laceunit.Tokens {
+	if m.unconfirmed {
+		return 0
+	}
+	return max(m.Budget.Paid-m.Budget.Committed(), 0)
+}
 
 func (m *merger) raise(i int, amount laceunit.Tokens) {
 	h := m.proposals[i].Sender.Holder
@@ -322,6 +366,7 @@
 		Rate:    p.Rate,
 		Ceiling: min(p.Ceiling, m.Budget.Allocations[h].Cap),
 		SentAt:  p.SentAt,
+		Era:     m.era,
 	}
 	m.Budget.Allocations[h] = a
 	limited := p.Need > 0 && old.Ceiling < p.Least+p.Need && a.Ceiling > old.Ceiling
--- a/lib/lacequota/proposal_test.go
+++ b/lib/lacequota/proposal_test.go
@@ -15,6 +15,8 @@
 	at     Instant
 }
 
+func noneEnded(laceunit.Holder, Allocation) (laceunit.Tokens, bool) { return 0, false }
+
 func newProposalBench(paid laceunit.Tokens) *proposalBench {
 	return &proposalBench{
 		wallet: newTestWallet("router", paid),
@@ -42,7 +44,7 @@
 		t.Fatal("nothing was proposed")
 	}
 	c := verifiedBudget{cachedBudget: cachedBudget{budget: copied}, verifiedAt: b.now}
-	m := c.merge(b.now, []Proposal{x}, func(laceunit.Holder, Allocation) (laceunit.Tokens, bool) { return 0, false }, false)
+	m := c.merge(b.now, []Proposal{x}, mergePolicy{ended: noneEnded})
 	if m.written {
 		copied, b.stored = m.Budget, m.Budget
 	}
@@ -120,7 +122,7 @@
 			Ceiling: 4_500, SentAt: at(110),
 		},
 		{Sender: Sender{Holder: next, StartedAt: at(112)}, Want: 500, SentAt: at(113), Fresh: true},
-	}, func(laceunit.Holder, Allocation) (laceunit.Tokens, bool) { return 0, false }, false)
+	}, mergePolicy{ended: noneEnded})
 	if n := m.Budget.ClosedCap; n != 4_500 {
 		t.Errorf("closed at %d, want the ceiling 4500", n)
 	}
--- a/lib/lacequota/propose.go
+++ b/lib/lacequota/propose.go
@@ -39,6 +39,8 @@
 	switch {
 	case !p.prepaid:
 		return 0, false
+	case w.mustRestate(p):
+		return urgentDelay, now.Sub(p.checkedAt) >= lowDelay
 	case p.unmet > 0 && w.MayAsk(now, account):
 		return urgentDelay, true
 	case !holds:
@@ -75,7 +77,7 @@
 		want = held
 	}
 	p.checkedAt = now
-	if p.used == p.reported && p.need() == 0 && !p.updateDue && !isMaterial(want-held, max(held, want)-minCap) {
+	if !w.mustRestate(p) && p.used == p.reported && p.need() == 0 && !p.updateDue && !isMaterial(want-held, max(held, want)-minCap) {
 		return Proposal{}, false
 	}
 	soft := max(w.softLimit(now, p, want-minCap, fleet), p.need())
@@ -93,9 +95,11 @@
 		Fresh:   !p.allocated,
 		Paid:    p.paid,
 		Version: p.version,
+		Era:     w.era,
+		Restate: p.era < w.era,
 	}
 	// Nothing is left to spend, so the stored budget needs no allocation of this instance.
-	x.Close = policy == HeadroomPending && x.Want == x.Used
+	x.Close = policy == HeadroomPending && x.Want == x.Used && !x.Restate
 	p.cap, p.sentAt = x.Floor+p.chargedElsewhere, x.SentAt
 	p.ceilings = p.ceilings.sent(x.SentAt, x.Ceiling+p.chargedElsewhere)
 	p.updateDue, p.sentUsed = false, p.used
@@ -107,7 +111,8 @@
 func (w *Wallet) Accept(now time.Time, x Proposal, answer Answer) {
 	p := w.portion(x.Account)
 	st := answer.Standing
-	if p.sentAt != x.SentAt {
+	if p.sentAt != x.SentAt || x.Era != w.era || answer.Era != 0 && answer.Era != w.era {
+		// An answer of an earlier era may be of a write that the store has lost. Older writers send none.
 		return
 	}
 	p.adoptTotal(st.Paid, st.Version)
@@ -125,13 +130,14 @@
 	switch {
 	case answer.Outcome == OutcomeClosed && st.Found:
 		// The stored cap is below the one that this instance keeps to; only the stored one is counted.
-		p.adoptCap(min(p.cap-p.chargedElsewhere, st.Own.Cap))
+		p.adoptCap(now, min(p.cap-p.chargedElsewhere, st.Own.Cap))
 	case answer.Outcome == OutcomeClosed, stored && x.Close:
 		// Everything that may be spent here is counted as spent in the stored budget.
-		p.chargedElsewhere, p.ceilings, p.allocated = p.cap, nil, false
+		p.charge(now, p.cap-p.chargedElsewhere)
+		p.ceilings, p.allocated = nil, false
 		p.updateDue = p.updateDue || !x.Close
 	case stored && st.Found && st.Own.SentAt == x.SentAt:
-		p.adoptCap(st.Own.Cap)
+		p.adoptCap(now, st.Own.Cap)
 		p.ceilings = ceilings(nil).sent(x.SentAt, st.Own.Ceiling+p.chargedElsewhere)
 		p.allocated = true
 		p.reported = p.sentUsed
@@ -139,6 +145,7 @@
 		// The answer may come from an outdated copy, whose caps were raised later under a higher total.
 		return
 	}
+	p.era = w.era
 	if st.Paid >= st.Committed && stored {
 		p.paidBasis = st.Paid
 	}
@@ -147,7 +154,7 @@
 // adoptCap sets the cap to a stored one. A stored cap is below what is spent and reserved only if another instance
 // counted an earlier allocation as spent and an older proposal or a copy was stored after that. The difference is then
 // covered by what was counted; requesting a cap for it again would raise the sum of all caps above what was paid.
-func (p *portion) adoptCap(stored laceunit.Tokens) {
-	p.chargedElsewhere += max(p.used+p.reserved-p.chargedElsewhere-stored, 0)
+func (p *portion) adoptCap(now time.Time, stored laceunit.Tokens) {
+	p.charge(now, max(p.used+p.reserved-p.chargedElsewhere-stored, 0))
 	p.cap = stored + p.chargedElsewhere
 }
--- a/lib/lacequota/service.go
+++ b/lib/lacequota/service.go
@@ -80,6 +80,7 @@
 	// calls are the running calls with proposals.
 	calls sync.WaitGroup
 	gate  *outageGate
+	era   *eraTracker
 
 	mu     sync.Mutex
 	wallet *Wallet
@@ -107,12 +108,6 @@
 	callStarted time.Time
 }
 
-// cachedBudget is a stored budget with its revision.
-type cachedBudget struct {
-	budget   Budget
-	revision laceplatform.Revision
-}
-
 // New returns a quota service; Serve must be running for its budgets to be updated.
 func New(options Options) *Service {
 	if options.Clock == nil {
@@ -124,6 +119,7 @@
 	s := &Service{
 		options:       options,
 		gate:          &outageGate{contact: options.Contact},
+		era:           &eraTracker{contact: options.Contact},
 		trigger:       make(chan struct{}, 1),
 		wallet:        NewWallet(options.Self, options.Share, options.Clock()),
 		cache:         map[laceunit.AccountID]cachedBudget{},
@@ -138,7 +134,7 @@
 		},
 	}
 	if options.Combination.Proposer != nil {
-		s.combination.writer = newWriter(options, s.key, s.gate)
+		s.combination.writer = newWriter(options, s.key, s.gate, s.era)
 	}
 	return s
 }
@@ -251,6 +247,8 @@
 	// Without jitter, instances that start together would keep writing at the same time.
 	timer := time.NewTimer(rand.N(minInterval / 4))
 	defer timer.Stop()
+	eraTicker := time.NewTicker(eraInterval)
+	defer eraTicker.Stop()
 	var last time.Time
 	for {
 		select {
@@ -262,6 +260,13 @@
 				return ctx.Err()
 			}
 		case <-timer.C:
+		case <-eraTicker.C:
+			if !s.updateEra() {
+				continue
+			}
+			if w := s.combination.writer; w != nil {
+				w.restate(ctx)
+			}
 		}
 		if s.combines() {
 			s.proposeDue(ctx)
--- a/lib/lacequota/update.go
+++ b/lib/lacequota/update.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"lacewingcove/lib/laceplatform"
 	"lacewingcove/lib/laceunit"
 )
 
@@ -12,7 +13,9 @@
 // Metrics and logs call it a draw.
 type Update struct {
 	Budgets Budgets
-	grants  map[laceunit.AccountID]grant
+	// era is the era of the store that the update was planned for.
+	era    laceplatform.Era
+	grants map[laceunit.AccountID]grant
 }
 
 // grant is the state of one account that Commit applies locally.
@@ -35,8 +38,10 @@
 	withinPaid bool
 	// allocated is true if the stored budget has an allocation of this instance.
 	allocated bool
-	standing  Standing
-	sentAt    Instant
+	// unconfirmed is true if no cap could be raised, as the budget may lack what others hold.
+	unconfirmed bool
+	standing    Standing
+	sentAt      Instant
 }
 
 // HeadroomPolicy selects how many tokens an instance holds beyond its spend and reservations.
@@ -64,6 +69,7 @@
 ) Update {
 	u := Update{
 		Budgets: Budgets{ByAccount: make(map[laceunit.AccountID]Budget, len(accounts))},
+		era:     w.era,
 		grants:  make(map[laceunit.AccountID]grant, len(accounts)),
 	}
 	for _, a := range accounts {
@@ -92,12 +98,14 @@
 	Live func(laceunit.Holder) bool
 	// Ended reports whether an incarnation is known to have ended for good.
 	Ended func(laceunit.Holder) bool
+	// Unconfirmed reports whether a budget may lack what others hold, since the store was restored; nil means never.
+	Unconfirmed func(Budget) bool
 }
 
 func (w *Wallet) planAccount(
 	now time.Time, at Instant, p *portion, b Budget, fleet Fleet, policy HeadroomPolicy,
 ) (Budget, grant) {
-	b = w.closeEnded(b, fleet)
+	b, unconfirmed := w.prepare(p, b, fleet)
 	st := b.standing(w.self, fleet.Live)
 	chargedElsewhere := p.chargedElsewhere
 	if !st.Found || st.Own.Cap < p.cap-p.chargedElsewhere {
@@ -111,14 +119,15 @@
 	paid := p.paid
 	b.Paid, b.Version = paid, p.version
 	available := max(paid-othersCommitted, 0)
-	headroom := w.headroom(now, p, st, fleet, policy)
-	newCap := min(minCap+headroom, available)
-	// Tokens that are spent or reserved can't be returned, regardless of what other instances hold.
-	newCap = max(newCap, minCap)
-	if newCap > available {
-		// While the sum of the caps exceeds what was paid, the cap must not be raised; lowering it is always safe.
-		newCap = min(newCap, max(st.Own.Cap, minCap))
-	}
+	newCap := capBounds{
+		least:       minCap,
+		headroom:    w.headroom(now, p, st, fleet, policy),
+		available:   available,
+		held:        p.cap - chargedElsewhere,
+		stored:      st.Own.Cap,
+		unconfirmed: unconfirmed,
+		restating:   p.era < w.era,
+	}.cap()
 	ceiling := min(minCap+max(w.softLimit(now, p, newCap, fleet), p.need()), newCap)
 	allocation := Allocation{
 		Cap:     newCap,
@@ -126,9 +135,10 @@
 		Rate:    p.rate(now),
 		Ceiling: ceiling,
 		SentAt:  at,
+		Era:     w.era,
 	}
 	allocated, isClosed := newCap, false
-	if policy == HeadroomPending && allocation.Cap == allocation.Used {
+	if policy == HeadroomPending && allocation.Cap == allocation.Used && !unconfirmed {
 		// Nothing is left to spend, so the stored budget needs no allocation of this instance.
 		b = b.withClosed(w.self, allocation)
 		chargedElsewhere, newCap, ceiling, isClosed = chargedElsewhere+newCap, 0, 0, true
@@ -150,11 +160,55 @@
 		usedElsewhere: st.OthersRate > 0,
 		withinPaid:    othersCommitted+allocated <= paid,
 		allocated:     !isClosed,
+		unconfirmed:   unconfirmed,
 		standing:      b.standing(w.self, fleet.Live),
 		sentAt:        at,
 	}
 }
 
+// prepare returns the budget that the own allocation is changed in, and whether it is unconfirmed.
+func (w *Wallet) prepare(p *portion, b Budget, fleet Fleet) (Budget, bool) {
+	unconfirmed := fleet.Unconfirmed != nil && fleet.Unconfirmed(b)
+	if !unconfirmed {
+		b = w.closeEnded(b, fleet)
+		b.Era = max(b.Era, w.era)
+	}
+	if p.era < w.era {
+		b = w.restate(b, p)
+	}
+	return b, unconfirmed
+}
+
+// capBounds are what a new cap depends on.
+type capBounds struct {
+	// least is what is spent or reserved, headroom what is to be held beyond that, available what others leave.
+	least, headroom, available laceunit.Tokens
+	// held is the present cap, stored the one in the stored budget.
+	held, stored laceunit.Tokens
+	// unconfirmed is true if the budget may lack what others hold, restating if it may lack the own allocation.
+	unconfirmed, restating bool
+}
+
+// cap returns the new cap.
+func (c capBounds) cap() laceunit.Tokens {
+	if c.unconfirmed {
+		// What is held was granted before the store was restored and is kept, whatever the budget shows.
+		return min(c.least+c.headroom, max(c.held, c.least))
+	}
+	// Tokens that are spent or reserved can't be returned, regardless of what other instances hold.
+	newCap := max(min(c.least+c.headroom, c.available), c.least)
+	if newCap <= c.available {
+		return newCap
+	}
+	// While the sum of the caps exceeds what was paid, the cap must not be raised; lowering it is always safe.
+	present := c.stored
+	if c.restating {
+		// The restored budget may show a cap that was returned since, and that others hold now.
+		present = c.held
+	}
+	return min(newCap, max(present, c.least))
+}
+
 // headroom returns how many tokens beyond its spend and reservations an instance holds under a policy.
 func (w *Wallet) headroom(
 	now time.Time, p *portion, st Standing, fleet Fleet, policy HeadroomPolicy,
@@ -262,6 +316,10 @@
 
 // Commit applies an update that the store has written.
 func (w *Wallet) Commit(now time.Time, u Update) {
+	if u.era != w.era {
+		// The store may have lost the write.
+		return
+	}
 	for a, g := range u.grants {
 		p := w.portion(a)
 		if p.sentAt != g.sentAt {
@@ -270,7 +328,9 @@
 		}
 		// Loans that were received during the call are not part of the update.
 		loans := p.borrowed - g.borrowed
-		p.cap, p.chargedElsewhere = g.cap+loans, g.chargedElsewhere+loans
+		p.charge(now, g.chargedElsewhere+loans-p.chargedElsewhere)
+		p.cap = g.cap + loans
+		p.era = u.era
 		p.ceilings = ceilings(nil).sent(g.sentAt, g.ceiling+loans)
 		p.reported, p.othersSpent, p.updatedAt = g.used, g.othersSpent, now
 		p.lost, p.unallocated, p.usedElsewhere = g.lost, g.unallocated, g.usedElsewhere
@@ -278,6 +338,10 @@
 		if g.withinPaid {
 			p.paidBasis = g.paid
 		}
+		if g.unconfirmed {
+			// Requests take loans meanwhile; the next regular update may find the budget confirmed.
+			p.unallocated, p.updateDue = 0, true
+		}
 		if p.paid != g.paid {
 			// A new configuration arrived during the call.
 			p.updateDue = true
--- a/lib/lacequota/wallet.go
+++ b/lib/lacequota/wallet.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"lacewingcove/lib/laceplatform"
 	"lacewingcove/lib/laceunit"
 )
 
@@ -82,7 +83,9 @@
 	share float64
 	// startedAt is when this process started; its predecessor on the same machine had ended by then.
 	startedAt Instant
-	portions  map[laceunit.AccountID]*portion
+	// era is the newest era of the store that the instance knows.
+	era      laceplatform.Era
+	portions map[laceunit.AccountID]*portion
 }
 
 // portion is the instance's part of one account.
@@ -103,6 +106,10 @@
 	// chargedElsewhere is the part of cap that is counted as spent outside the stored allocation of this incarnation:
 	// by another instance that considered this one ended, by a lender, or because this instance closed its allocation.
 	chargedElsewhere laceunit.Tokens
+	// charges are the last additions to chargedElsewhere, which a restored store may lack.
+	charges []charge
+	// era is the era in which the store last confirmed the allocation.
+	era laceplatform.Era
 
 	// borrowed is the sum of all loans from other instances.
 	borrowed laceunit.Tokens
@@ -310,6 +317,8 @@
 		empty := p.cap <= p.used && p.used == p.reported
 		switch {
 		case !p.prepaid:
+		case w.mustRestate(p):
+			urgent = append(urgent, a)
 		case p.unmet > 0 && p.canGrow():
 			urgent = append(urgent, a)
 		case empty && (policy >= HeadroomMinimal || policy == HeadroomIfRequested && p.firstRequest.IsZero()):
--- a/lib/lacequota/writer.go
+++ b/lib/lacequota/writer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -44,6 +45,7 @@
 	members Members
 	metrics *Metrics
 	gate    *outageGate
+	era     *eraTracker
 
 	flushes sync.WaitGroup
 
@@ -81,9 +83,12 @@
 }
 
 // newWriter returns a writer; start must be called before it accepts proposals.
-func newWriter(o Options, key func(laceunit.AccountID) laceplatform.Key, gate *outageGate) *Writer {
+func newWriter(
+	o Options, key func(laceunit.AccountID) laceplatform.Key, gate *outageGate, era *eraTracker,
+) *Writer {
 	return &Writer{
 		gate:      gate,
+		era:       era,
 		self:      o.Self,
 		store:     o.Store,
 		key:       key,
@@ -180,6 +185,33 @@
 	return channels, nil
 }
 
+// restate merges the copies of earlier eras into the stored budgets, also of accounts without proposals.
+func (w *Writer) restate(ctx context.Context) {
+	w.mu.Lock()
+	era := w.era.current(time.Now()).era
+	var accounts []laceunit.AccountID
+	for a, c := range w.cache {
+		if c.revision.Era() < era {
+			accounts = append(accounts, a)
+		}
+	}
+	if len(accounts) == 0 || w.ctx == nil || w.ctx.Err() != nil {
+		w.mu.Unlock()
+		return
+	}
+	w.flushes.Add(1)
+	w.mu.Unlock()
+	go func() {
+		defer w.flushes.Done()
+		slices.Sort(accounts)
+		for batch := range slices.Chunk(accounts, maxAccountsPerCall) {
+			if err := w.write(ctx, batch, nil); err != nil {
+				w.metrics.countFailure()
+			}
+		}
+	}()
+}
+
 // evictIdle drops what is known of accounts and groups without proposals, at most once per cacheIdleTimeout; the lock
 // must be held.
 func (w *Writer) evictIdle(now time.Time) {
@@ -297,15 +329,19 @@
 	cached Budget
 	// written is true if the budget has to be written before the proposals are answered.
 	written bool
+	era     laceplatform.Era
 }
 
 // merge merges proposals into a cached budget, which may be outdated.
-func (c verifiedBudget) merge(now time.Time, proposals []Proposal, ended closeFunc, holdIdle bool) mergedAccount {
-	m := Merge(c.budget, proposals, ended, holdIdle)
+func (c verifiedBudget) merge(now time.Time, proposals []Proposal, policy mergePolicy) mergedAccount {
+	m := Merge(c.budget, proposals, policy)
+	m.Budget.After = c.revision
 	return mergedAccount{
-		Merged:  m,
-		cached:  c.budget,
-		written: m.Material || m.Lacking > 0 && now.Sub(c.verifiedAt) > verifiedAge,
+		Merged: m,
+		cached: c.budget,
+		written: m.Material || m.Lacking > 0 && now.Sub(c.verifiedAt) > verifiedAge || len(c.former) > 0 ||
+			c.revision != 0 && c.revision.Era() < policy.era,
+		era: policy.era,
 	}
 }
 
@@ -322,6 +358,7 @@
 		Standing: stored.standing(holder, live),
 		Shortage: shortage,
 		Lenders:  stored.lenders(holder, live),
+		Era:      m.era,
 	}
 }
 
@@ -332,6 +369,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := time.Now()
+	era := w.era.current(now)
 	result := make(map[laceunit.AccountID]mergedAccount, len(accounts))
 	var swaps []laceplatform.Swap
 	for _, a := range accounts {
@@ -340,7 +378,12 @@
 			proposals = append(proposals, p.proposal)
 		}
 		cached := w.cache[a]
-		x := cached.merge(now, proposals, w.ended, now.Before(w.shortages[a]))
+		x := cached.merge(now, proposals, mergePolicy{
+			ended:       w.ended,
+			holdIdle:    now.Before(w.shortages[a]),
+			era:         era.era,
+			unconfirmed: era.unconfirmed(now, cached.budget, w.members.Live),
+		})
 		if x.Lacking > 0 {
 			w.shortages[a] = now.Add(shortageDuration)
 		}
@@ -371,22 +414,21 @@
 ) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	now := time.Now()
+	era := w.era.current(now).era
 	for _, a := range accounts {
 		for _, s := range swaps {
 			if s.Key != w.key(a) {
 				continue
 			}
 			e := conflict.Entry(s.Key)
-			b, err := Decode(e.Value)
+			c, err := w.cache[a].next(era, e)
 			if err != nil {
 				return errors.Wrap(err, string(e.Key))
 			}
 			w.cache[a] = verifiedBudget{
-				cachedBudget: cachedBudget{
-					budget:   b,
-					revision: e.Revision,
-				},
-				verifiedAt: time.Now(),
+				cachedBudget: c,
+				verifiedAt:   now,
 			}
 		}
 	}
--- a/lib/lacequota/writer_test.go
+++ b/lib/lacequota/writer_test.go
@@ -7,7 +7,7 @@
 
 // Guards against copies of budgets and names of groups that are kept for as long as the process runs.
 func TestWriterEvictsIdleAccounts(t *testing.T) {
-	w := newWriter(Options{}, nil, &outageGate{})
+	w := newWriter(Options{}, nil, &outageGate{}, &eraTracker{})
 	now := time.Unix(1_000, 0)
 	w.cache["old"] = verifiedBudget{verifiedAt: now.Add(-cacheIdleTimeout)}
 	w.cache["new"] = verifiedBudget{verifiedAt: now.Add(-time.Second)}
