--- a/lib/lacedirectory/directory.go
+++ b/lib/lacedirectory/directory.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"lacewingcove/lib/lacelog"
+	"lacewingcove/lib/laceplatform"
 	"lacewingcove/lib/laceunit"
 )
 
@@ -310,6 +311,18 @@
 	return m.Holder == h
 }
 
+// HasEarlier reports whether another listed instance may have used the store before an era.
+func (d *Directory) HasEarlier(era laceplatform.Era) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id, m := range d.members {
+		if id != d.self.Holder.Instance && m.Era < era {
+			return true
+		}
+	}
+	return false
+}
+
 // Ended reports whether an incarnation has been missing for longer than endedTimeout.
 func (d *Directory) Ended(h laceunit.Holder) bool {
 	d.mu.Lock()
--- a/lib/lacedirectory/member.go
+++ b/lib/lacedirectory/member.go
@@ -5,6 +5,7 @@
 
 	"github.com/pkg/errors"
 
+	"lacewingcove/lib/laceplatform"
 	"lacewingcove/lib/laceunit"
 )
 
@@ -23,6 +24,8 @@
 	Load     Cores
 	// Link is the bandwidth of the machine's network link.
 	Link Megabits
+	// Era is the era of the store in which the instance registered first. Older builds don't tell theirs.
+	Era laceplatform.Era
 }
 
 // Cores is CPU capacity or usage in cores.
@@ -52,6 +55,7 @@
 	Load     int64 `json:"load"`
 	// Link is in kilobits per second; 0 means unknown.
 	Link int64 `json:"link,omitempty"`
+	Era  int64 `json:"era,omitempty"`
 }
 
 // Encode returns the stored form of a member.
@@ -66,6 +70,7 @@
 		Capacity:    int64(m.Capacity * milliCoresPerCore),
 		Load:        int64(m.Load * milliCoresPerCore),
 		Link:        int64(m.Link * kilobitsPerMegabit),
+		Era:         int64(m.Era),
 	})
 	return data, errors.Wrap(err, "directory: encode member")
 }
@@ -97,5 +102,6 @@
 		Capacity: Cores(f.Capacity) / milliCoresPerCore,
 		Load:     Cores(f.Load) / milliCoresPerCore,
 		Link:     Megabits(f.Link) / kilobitsPerMegabit,
+		Era:      laceplatform.Era(f.Era),
 	}, nil
 }
--- a/lib/lacedirectory/registrar.go
+++ b/lib/lacedirectory/registrar.go
@@ -39,6 +39,7 @@
 	store  laceplatform.Store
 	log    *lacelog.Logger
 	ready  func() bool
+	era    func() laceplatform.Era
 
 	mu     sync.Mutex
 	lease  laceplatform.LeaseID
@@ -52,17 +53,30 @@
 	load Cores
 }
 
+// RegistrarOption configures a registrar.
+type RegistrarOption func(*Registrar)
+
+// WithEra makes the member tell the era of the store in which it registers first.
+func WithEra(era func() laceplatform.Era) RegistrarOption {
+	return func(r *Registrar) { r.era = era }
+}
+
 // NewRegistrar returns a registrar that registers the member as soon as ready returns true.
 func NewRegistrar(
 	prefix laceplatform.Key, member Member, store laceplatform.Store, log *lacelog.Logger, ready func() bool,
+	options ...RegistrarOption,
 ) *Registrar {
-	return &Registrar{
+	r := &Registrar{
 		key:    prefix + laceplatform.Key(member.Holder.Instance),
 		member: member,
 		store:  store,
 		log:    log,
 		ready:  ready,
 	}
+	for _, o := range options {
+		o(r)
+	}
+	return r
 }
 
 // Serve implements suture.Service.
@@ -173,6 +187,9 @@
 	if err != nil {
 		return errors.Wrap(err, "directory: grant lease")
 	}
+	if r.member.Era == 0 && r.era != nil {
+		r.member.Era = r.era()
+	}
 	if err := r.write(ctx, lease); err != nil {
 		return err
 	}
--- a/lib/lacenode/node.go
+++ b/lib/lacenode/node.go
@@ -162,7 +162,8 @@
 		Link:     lacedirectory.Megabits(n.settings.Machine.LinkMbps),
 	}
 	n.directory = lacedirectory.NewDirectory(self, n.log)
-	n.registrar = lacedirectory.NewRegistrar(memberPrefix, self, store, n.log, n.Ready)
+	n.registrar = lacedirectory.NewRegistrar(memberPrefix, self, store, n.log, n.Ready,
+		lacedirectory.WithEra(func() laceplatform.Era { return n.tracker.Connectivity().Era }))
 	n.quota = n.newQuota(self.Holder, store)
 	balancer, err := newBalancer(rand.IntN)
 	if err != nil {
--- a/lib/lacequota/direct.go
+++ b/lib/lacequota/direct.go
@@ -146,7 +146,7 @@
 	now := time.Now()
 	era := s.era.current(now)
 	return Fleet{
-		Unconfirmed: func(b Budget) bool { return era.unconfirmed(now, b, s.options.Members.Live) },
+		Unconfirmed: func(b Budget) bool { return era.unconfirmed(now, b, s.options.Members) },
 
 		ActiveCount: s.options.Members.Size(),
 		HasStandby:  s.options.Members.HasStandby(),
--- a/lib/lacequota/era.go
+++ b/lib/lacequota/era.go
@@ -22,6 +22,12 @@
 	eraInterval = 250 * time.Millisecond
 )
 
+// eraMembers is the part of Members that shows who may restate.
+type eraMembers interface {
+	Live(holder laceunit.Holder) bool
+	HasEarlier(era laceplatform.Era) bool
+}
+
 // storeEra is what a process knows of the era of the store. The zero value has not heard of the store yet.
 type storeEra struct {
 	era   laceplatform.Era
@@ -36,20 +42,19 @@
 	if c.LastReachable == 0 && c.Era == 0 || e.known && c.Era <= e.era {
 		return false
 	}
-	e.era, e.since, e.inherited = c.Era, now, !e.known
-	e.known = true
+	e.era, e.since, e.inherited, e.known = c.Era, now, !e.known, true
 	return c.Era > 0
 }
 
 // unconfirmed reports whether a budget may lack what others have drawn or spent before the store was restored, so that
 // no cap may be raised and no holder closed.
-func (e storeEra) unconfirmed(now time.Time, b Budget, live func(laceunit.Holder) bool) bool {
+func (e storeEra) unconfirmed(now time.Time, b Budget, members eraMembers) bool {
 	age := now.Sub(e.since)
 	switch {
 	case e.era == 0, b.Era >= e.era:
 		return false
-	case e.inherited && b.isEmpty():
-		// The account is new as far as anyone can tell.
+	case e.inherited && b.isEmpty() && !members.HasEarlier(e.era):
+		// Nobody has used the store before, so that nothing was lost.
 		return false
 	case age < restateTime:
 		return true
@@ -57,7 +62,7 @@
 		return false
 	}
 	for h, a := range b.Allocations {
-		if a.Era < e.era && a.Cap > a.Used && live(h) {
+		if a.Era < e.era && a.Cap > a.Used && members.Live(h) {
 			return true
 		}
 	}
--- a/lib/lacequota/fleet_test.go
+++ b/lib/lacequota/fleet_test.go
@@ -117,6 +117,9 @@
 // Ended implements Members.
 func (fleetMembers) Ended(laceunit.Holder) bool { return false }
 
+// HasEarlier implements Members.
+func (fleetMembers) HasEarlier(laceplatform.Era) bool { return false }
+
 // BudgetWriter implements Writers: the first two instances write the groups, others when they are removed.
 func (m fleetMembers) BudgetWriter(group string) (laceunit.InstanceID, bool) {
 	m.fleet.mu.Lock()
--- a/lib/lacequota/proposal.go
+++ b/lib/lacequota/proposal.go
@@ -145,7 +145,7 @@
 		proposals: proposals,
 		stored:    stored,
 		Merged: Merged{
-			Budget:   stored.clone(),
+			Budget:   stored.beginEra(policy.era).clone(),
 			Outcomes: make([]Outcome, len(proposals)),
 		},
 		granted: make([]laceunit.Tokens, len(proposals)),
@@ -218,7 +218,7 @@
 	switch {
 	case m.isOutdated(i, p), found && !own.SentAt.before(p.SentAt), p.Era != 0 && p.Era != m.era:
 		m.Outcomes[i] = OutcomeSuperseded
-	case m.restates(p):
+	case m.restates(p, own, found):
 		m.Material = true
 		own.Cap, own.Ceiling, own.SentAt, own.Era = p.Floor, p.Ceiling, p.SentAt, m.era
 		m.Budget.Allocations[p.Sender.Holder] = own
@@ -241,10 +241,11 @@
 	}
 }
 
-// restates reports whether a proposal states what the sender holds, which the store may have lost. Older builds don't
-// tell; a sender that has closed its allocation holds nothing.
-func (m *merger) restates(p Proposal) bool {
-	return p.Restate || p.Era == 0 && m.unconfirmed && !p.Fresh && !p.Close
+// restates reports whether a proposal states what the sender holds, which the store may have lost: the sender tells so,
+// the stored allocation is of an earlier era, or the budget is unconfirmed, in which no holder is closed.
+func (m *merger) restates(p Proposal, own Allocation, found bool) bool {
+	return p.Restate || !p.Close && (found && own.Era < p.Era || m.unconfirmed && !found && !p.Fresh ||
+		m.unconfirmed && p.Era == 0 && !p.Fresh)
 }
 
 // isOutdated reports whether another proposal of the same sender is newer, or the same and comes first.
--- a/lib/lacequota/restore.go
+++ b/lib/lacequota/restore.go
@@ -49,12 +49,29 @@
 		n.former = append(slices.Clone(n.former), c)
 		n.former = n.former[max(len(n.former)-maxFormer, 0):]
 	}
+	if c.revision.Era() == era && len(c.former) == 0 && b.lacks(c.budget, era) {
+		n.former = append(slices.Clone(n.former), c)
+	}
 	for _, f := range n.former {
 		n.budget = n.budget.mergeLost(f.budget, f.revision.Era(), era)
 	}
 	return n, nil
 }
 
+// lacks reports whether a stored budget does not follow a former one of this era: the store executed a write of an earlier
+// era late, whose revision it had given out again.
+func (b Budget) lacks(former Budget, era laceplatform.Era) bool {
+	switch {
+	case former.Restored.Era != era:
+		return false
+	case b.Restored.Era < era:
+		// Writes of older builds have no After.
+		return b.After != 0 && b.After.Era() < era
+	default:
+		return b.Restored.After < former.Restored.After
+	}
+}
+
 // isEmpty reports whether a budget has never been written.
 func (b Budget) isEmpty() bool {
 	return b.ClosedCap == 0 && len(b.Allocations) == 0 && b.Version == 0
@@ -72,6 +89,10 @@
 		ClosedCap:  b.ClosedCap,
 		ClosedUsed: b.ClosedUsed,
 	}
+	if b.After.Era() == era {
+		// It was written in this era without a copy of what was restored.
+		c.Restored.After = 0
+	}
 	return c
 }
 
@@ -97,11 +118,8 @@
 			c.Allocations[h] = own.atLeast(a)
 		}
 	}
-	if !ordered {
-		c.ClosedCap, c.ClosedUsed = max(c.ClosedCap, lost.ClosedCap), max(c.ClosedUsed, lost.ClosedUsed)
-		return c
-	}
-	if lost.After > b.Restored.After {
+	if ordered && lost.After > b.Restored.After {
+		c.Restored.After = lost.After
 		for h, a := range b.Allocations {
 			if _, open := lost.Allocations[h]; !open && a.Era < era {
 				// It was closed in the lost history, and counts in the closed tokens.
@@ -111,7 +129,10 @@
 	}
 	c.ClosedCap += max(lost.ClosedCap-c.Restored.ClosedCap, 0)
 	c.ClosedUsed += max(lost.ClosedUsed-c.Restored.ClosedUsed, 0)
-	c.Restored.After = lost.After
+	if !ordered {
+		// From now on it is not known which holders the lost history had closed.
+		c.Restored.After = 0
+	}
 	c.Restored.ClosedCap = max(c.Restored.ClosedCap, lost.ClosedCap)
 	c.Restored.ClosedUsed = max(c.Restored.ClosedUsed, lost.ClosedUsed)
 	return c
--- a/lib/lacequota/service.go
+++ b/lib/lacequota/service.go
@@ -47,6 +47,8 @@
 	Live(holder laceunit.Holder) bool
 	// Ended reports whether an incarnation is known to have ended for good.
 	Ended(holder laceunit.Holder) bool
+	// HasEarlier reports whether another member may have used the store before an era.
+	HasEarlier(era laceplatform.Era) bool
 }
 
 // Options configure a quota service.
--- a/lib/lacequota/service_test.go
+++ b/lib/lacequota/service_test.go
@@ -54,6 +54,9 @@
 // Ended implements Members.
 func (singleInstance) Ended(laceunit.Holder) bool { return false }
 
+// HasEarlier implements Members.
+func (singleInstance) HasEarlier(laceplatform.Era) bool { return false }
+
 // Guards against reads, which cost money, of budgets that the answer to a conflicting write already contains.
 func TestUpdateTakesBudgetsFromConflicts(t *testing.T) {
 	const account = "coop"
--- a/lib/lacequota/update.go
+++ b/lib/lacequota/update.go
@@ -105,7 +105,7 @@
 func (w *Wallet) planAccount(
 	now time.Time, at Instant, p *portion, b Budget, fleet Fleet, policy HeadroomPolicy,
 ) (Budget, grant) {
-	b, unconfirmed := w.prepare(p, b, fleet)
+	b, unconfirmed, restating := w.prepare(p, b, fleet)
 	st := b.standing(w.self, fleet.Live)
 	chargedElsewhere := p.chargedElsewhere
 	if !st.Found || st.Own.Cap < p.cap-p.chargedElsewhere {
@@ -126,7 +126,7 @@
 		held:        p.cap - chargedElsewhere,
 		stored:      st.Own.Cap,
 		unconfirmed: unconfirmed,
-		restating:   p.era < w.era,
+		restating:   restating,
 	}.cap()
 	ceiling := min(minCap+max(w.softLimit(now, p, newCap, fleet), p.need()), newCap)
 	allocation := Allocation{
@@ -166,17 +166,22 @@
 	}
 }
 
-// prepare returns the budget that the own allocation is changed in, and whether it is unconfirmed.
-func (w *Wallet) prepare(p *portion, b Budget, fleet Fleet) (Budget, bool) {
-	unconfirmed := fleet.Unconfirmed != nil && fleet.Unconfirmed(b)
+// prepare returns the budget that the own allocation is changed in, whether it may lack what others hold, and whether it
+// may lack what this instance holds.
+func (w *Wallet) prepare(p *portion, b Budget, fleet Fleet) (_ Budget, unconfirmed, restating bool) {
+	b = b.beginEra(w.era)
+	unconfirmed = fleet.Unconfirmed != nil && fleet.Unconfirmed(b)
 	if !unconfirmed {
 		b = w.closeEnded(b, fleet)
 		b.Era = max(b.Era, w.era)
 	}
-	if p.era < w.era {
+	own, found := b.Allocations[w.self]
+	// A write of an earlier era that the store executed late may have replaced a later allocation.
+	restating = p.era < w.era || found && own.Era < p.era || !found && unconfirmed
+	if restating {
 		b = w.restate(b, p)
 	}
-	return b, unconfirmed
+	return b, unconfirmed, restating
 }
 
 // capBounds are what a new cap depends on.
--- a/lib/lacequota/writer.go
+++ b/lib/lacequota/writer.go
@@ -382,7 +382,7 @@
 			ended:       w.ended,
 			holdIdle:    now.Before(w.shortages[a]),
 			era:         era.era,
-			unconfirmed: era.unconfirmed(now, cached.budget, w.members.Live),
+			unconfirmed: era.unconfirmed(now, cached.budget, w.members),
 		})
 		if x.Lacking > 0 {
 			w.shortages[a] = now.Add(shortageDuration)
