--- a/lib/lacequota/codec.go
+++ b/lib/lacequota/codec.go
@@ -29,6 +29,7 @@
 
 type restoredJSON struct {
 	Era    int64 `json:"era"`
+	From   int64 `json:"from"`
 	After  int64 `json:"after"`
 	Closed int64 `json:"closed"`
 	Burnt  int64 `json:"burnt"`
@@ -60,6 +61,7 @@
 	if b.Restored.Era > 0 {
 		f.Restored = &restoredJSON{
 			Era:    int64(b.Restored.Era),
+			From:   int64(b.Restored.From),
 			After:  int64(b.Restored.After),
 			Closed: int64(b.Restored.ClosedCap),
 			Burnt:  int64(b.Restored.ClosedUsed),
@@ -104,6 +106,7 @@
 	if r := f.Restored; r != nil {
 		b.Restored = Restored{
 			Era:        laceplatform.Era(r.Era),
+			From:       laceplatform.Revision(r.From),
 			After:      laceplatform.Revision(r.After),
 			ClosedCap:  laceunit.Tokens(r.Closed),
 			ClosedUsed: laceunit.Tokens(r.Burnt),
--- a/lib/lacequota/codec_test.go
+++ b/lib/lacequota/codec_test.go
@@ -56,6 +56,7 @@
 		After: after,
 		Restored: Restored{
 			Era:        2,
+			From:       after - 2,
 			After:      after - 1,
 			ClosedCap:  6,
 			ClosedUsed: 4,
--- a/lib/lacequota/direct.go
+++ b/lib/lacequota/direct.go
@@ -121,24 +121,35 @@
 	return u, swaps, nil
 }
 
-// updateEra applies a new era of the store and reports whether there is one.
-func (s *Service) updateEra() bool {
+// updateEra applies the present era of the store and returns it.
+func (s *Service) updateEra() laceplatform.Era {
 	s.mu.Lock()
-	began := s.applyEra()
-	s.mu.Unlock()
-	return began
+	defer s.mu.Unlock()
+	s.applyEra()
+	return s.wallet.era
 }
 
 // applyEra is updateEra with the lock held.
-func (s *Service) applyEra() bool {
+func (s *Service) applyEra() {
 	now := time.Now()
 	era := s.era.current(now).era
-	if !s.wallet.BeginEra(now, era) {
-		return false
+	if s.wallet.BeginEra(now, era) {
+		s.options.Log.Write(lacelog.BudgetUpdate, lacelog.P("era", int64(era)))
+		s.triggerUpdate()
+	}
+}
+
+// lostCopies returns the copies of budgets that are of earlier eras.
+func (s *Service) lostCopies(era laceplatform.Era) map[laceunit.AccountID]cachedBudget {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	copies := map[laceunit.AccountID]cachedBudget{}
+	for a, c := range s.cache {
+		if c.revision != 0 && c.revision.Era() < era {
+			copies[a] = c
+		}
 	}
-	s.options.Log.Write(lacelog.BudgetUpdate, lacelog.P("era", int64(era)))
-	s.triggerUpdate()
-	return true
+	return copies
 }
 
 // fleet returns the membership as of now.
--- a/lib/lacequota/proposal.go
+++ b/lib/lacequota/proposal.go
@@ -145,7 +145,7 @@
 		proposals: proposals,
 		stored:    stored,
 		Merged: Merged{
-			Budget:   stored.beginEra(policy.era).clone(),
+			Budget:   stored.beginEra(policy.era, 0).clone(),
 			Outcomes: make([]Outcome, len(proposals)),
 		},
 		granted: make([]laceunit.Tokens, len(proposals)),
--- a/lib/lacequota/restore.go
+++ b/lib/lacequota/restore.go
@@ -11,6 +11,8 @@
 // Restored is how far a budget covers the history that the store lost when an era began.
 type Restored struct {
 	Era laceplatform.Era
+	// From is the revision of the restored budget, zero if there was none or an older build wrote it.
+	From laceplatform.Revision
 	// After is that of the newest lost budget that is merged, at first that of the restored one. ClosedCap and ClosedUsed
 	// are the ones of that budget.
 	After      laceplatform.Revision
@@ -40,7 +42,7 @@
 		era = e.Revision.Era()
 	}
 	n := cachedBudget{
-		budget:   b.beginEra(era),
+		budget:   b.beginEra(era, e.Revision),
 		revision: e.Revision,
 		former:   c.former,
 	}
@@ -68,17 +70,29 @@
 		// Writes of older builds have no After.
 		return b.After != 0 && b.After.Era() < era
 	default:
-		return b.Restored.After < former.Restored.After
+		return b.Restored.From != 0 && b.Restored.From != former.Restored.From
 	}
 }
 
+// withFormer returns a copy that has to be merged with another one of an earlier era.
+func (c cachedBudget) withFormer(former cachedBudget) cachedBudget {
+	if c.revision == 0 {
+		return former
+	}
+	c.former = append(slices.Clone(c.former), former)
+	if era := c.revision.Era(); era > former.revision.Era() {
+		c.budget = c.budget.mergeLost(former.budget, former.revision.Era(), era)
+	}
+	return c
+}
+
 // isEmpty reports whether a budget has never been written.
 func (b Budget) isEmpty() bool {
 	return b.ClosedCap == 0 && len(b.Allocations) == 0 && b.Version == 0
 }
 
-// beginEra returns a copy that records what the restored budget covers.
-func (b Budget) beginEra(era laceplatform.Era) Budget {
+// beginEra returns a copy that records what a budget with a revision covers.
+func (b Budget) beginEra(era laceplatform.Era, revision laceplatform.Revision) Budget {
 	if era <= b.Restored.Era {
 		return b
 	}
@@ -89,6 +103,9 @@
 		ClosedCap:  b.ClosedCap,
 		ClosedUsed: b.ClosedUsed,
 	}
+	if b.After != 0 {
+		c.Restored.From = revision
+	}
 	if b.After.Era() == era {
 		// It was written in this era without a copy of what was restored.
 		c.Restored.After = 0
--- a/lib/lacequota/restore_test.go
+++ b/lib/lacequota/restore_test.go
@@ -168,6 +168,23 @@
 	lost := s.store.budget()
 	s.store.restore(s.backups[s.random.Intn(len(s.backups))])
 	s.restores++
+	s.forget(lost)
+}
+
+// swap writes to the store. A write of an earlier era replaces what was restated, if its revision was given out again.
+func (s *restoreSimulation) swap(
+	known laceplatform.Era, expect laceplatform.Revision, value []byte,
+) (laceplatform.Revision, error) {
+	replaced := s.store.budget()
+	revision, err := s.store.swap(known, expect, value)
+	if known != s.store.era && !errors.Is(err, laceplatform.ErrConflict) {
+		s.forget(replaced)
+	}
+	return revision, err
+}
+
+// forget counts what the store has lost and no instance in touch with it knows.
+func (s *restoreSimulation) forget(lost Budget) {
 	restored := s.store.budget()
 	closed := restored.ClosedCap
 	live := map[laceunit.Holder]bool{}
@@ -250,10 +267,10 @@
 		}
 		known, expect := n.era.era, n.copied.revision
 		if lossy && s.random.Intn(5) == 0 {
-			s.messages = append(s.messages, func() { _, _ = s.store.swap(known, expect, value) })
+			s.messages = append(s.messages, func() { _, _ = s.swap(known, expect, value) })
 			return
 		}
-		revision, err := s.store.swap(known, expect, value)
+		revision, err := s.swap(known, expect, value)
 		s.reach(n)
 		switch {
 		case lossy && s.random.Intn(5) == 0:
@@ -304,9 +321,11 @@
 			if err != nil {
 				panic(err)
 			}
-			revision, err := s.store.swap(n.era.era, c.revision, value)
+			revision, err := s.swap(n.era.era, c.revision, value)
 			s.reach(n)
 			switch {
+			case err == nil && revision.Era() != m.era:
+				return
 			case err == nil:
 				stored = m.Budget
 				n.written = verifiedBudget{cachedBudget: cachedBudget{budget: stored, revision: revision}, verifiedAt: s.now}
@@ -349,7 +368,11 @@
 	if s.now.Sub(n.era.since) > time.Second && n.wallet.mustRestate(n.wallet.portion(testAccount)) {
 		s.update(n, HeadroomShare, false)
 	}
-	if n.written.revision.Era() < n.era.era && n.written.revision != 0 {
+	if s.combined && n.copied.revision.Era() < n.era.era && n.copied.revision != 0 {
+		n.written.cachedBudget = n.written.withFormer(n.copied)
+		n.copied = cachedBudget{}
+	}
+	if n.written.revision.Era() < n.era.era && n.written.revision != 0 || len(n.written.former) > 0 {
 		s.merge(n, nil, nil)
 	}
 }
--- a/lib/lacequota/service.go
+++ b/lib/lacequota/service.go
@@ -252,6 +252,7 @@
 	eraTicker := time.NewTicker(eraInterval)
 	defer eraTicker.Stop()
 	var last time.Time
+	var restated laceplatform.Era
 	for {
 		select {
 		case <-ctx.Done():
@@ -263,11 +264,13 @@
 			}
 		case <-timer.C:
 		case <-eraTicker.C:
-			if !s.updateEra() {
+			era := s.updateEra()
+			if era == restated {
 				continue
 			}
+			restated = era
 			if w := s.combination.writer; w != nil {
-				w.restate(ctx)
+				w.restate(ctx, s.lostCopies(era))
 			}
 		}
 		if s.combines() {
--- a/lib/lacequota/update.go
+++ b/lib/lacequota/update.go
@@ -169,7 +169,7 @@
 // prepare returns the budget that the own allocation is changed in, whether it may lack what others hold, and whether it
 // may lack what this instance holds.
 func (w *Wallet) prepare(p *portion, b Budget, fleet Fleet) (_ Budget, unconfirmed, restating bool) {
-	b = b.beginEra(w.era)
+	b = b.beginEra(w.era, 0)
 	unconfirmed = fleet.Unconfirmed != nil && fleet.Unconfirmed(b)
 	if !unconfirmed {
 		b = w.closeEnded(b, fleet)
--- a/lib/lacequota/writer.go
+++ b/lib/lacequota/writer.go
@@ -185,13 +185,21 @@
 	return channels, nil
 }
 
-// restate merges the copies of earlier eras into the stored budgets, also of accounts without proposals.
-func (w *Writer) restate(ctx context.Context) {
+// restate merges the copies of earlier eras into the stored budgets, also of accounts without proposals: those of the
+// writer, and others that the service has from direct writes.
+func (w *Writer) restate(ctx context.Context, others map[laceunit.AccountID]cachedBudget) {
 	w.mu.Lock()
-	era := w.era.current(time.Now()).era
+	now := time.Now()
+	era := w.era.current(now).era
+	for a, c := range others {
+		w.cache[a] = verifiedBudget{
+			cachedBudget: w.cache[a].withFormer(c),
+			verifiedAt:   now,
+		}
+	}
 	var accounts []laceunit.AccountID
 	for a, c := range w.cache {
-		if c.revision.Era() < era {
+		if c.revision.Era() < era || len(c.former) > 0 {
 			accounts = append(accounts, a)
 		}
 	}
@@ -304,6 +312,10 @@
 			cancel()
 			w.gate.record(err)
 			w.metrics.countGroupWrite()
+			if era := revision.Era(); err == nil && era != merged[accounts[0]].era {
+				// The entries were missing, so that nothing showed that the store was restored before the write.
+				return errors.Wrapf(laceplatform.ErrUnknown, "quota: write a group in era %d", era)
+			}
 		}
 		if err == nil {
 			w.answer(accounts, pending, merged, revision)
