lacereach, laceconn: decide whether an instance is isolated from all backend servers

Each server is ejected by itself. Change: a state machine without sockets and clock. Failed connections, or silence while requests wait, only raise a suspicion; probes of up to three servers confirm it. An isolated instance probes one server each 500 ms and leaves the state after two answers, after more if it flaps. Not used yet.

--- a/lib/laceconn/pool.go
+++ b/lib/laceconn/pool.go
@@ -222,3 +222,14 @@
 	}
 	return nil
 }
+
+// DropIdle closes the idle connections; the pool remains open.
+func (p *Pool) DropIdle() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle = nil
+	p.mu.Unlock()
+	for _, c := range idle {
+		c.Discard()
+	}
+}
--- /dev/null
+++ b/lib/lacereach/detector.go
@@ -0,0 +1,148 @@
+package lacereach
+
+import "time"
+
+const (
+	// confirmProbes is how many servers are probed to confirm a suspicion. A crash of some servers leaves others that
+	// answer.
+	confirmProbes = 3
+	// confirmInterval is the least time between two such rounds of probes, quietInterval the same while the only evidence
+	// is that no server has written anything, which is usual while servers work on few requests.
+	confirmInterval = 500 * time.Millisecond
+	quietInterval   = time.Second
+	// recoveryInterval is the interval of probes of an isolated instance.
+	recoveryInterval = 500 * time.Millisecond
+	// minAnswers is how many probes must be answered until an isolated instance uses the servers again. It doubles up to
+	// maxAnswers with each isolation that begins within flapPeriod after the last one.
+	minAnswers = 2
+	maxAnswers = 8
+	flapPeriod = 10 * time.Second
+)
+
+// Round is the result of probes of different servers: how many were answered, refused or reset, or not answered at all.
+type Round struct {
+	Answered int
+	Refused  int
+	Silent   int
+}
+
+// Detector decides whether an instance is isolated. Evidence from requests only raises a suspicion, which probes of
+// several servers confirm or refute. The zero value is ready to use, for an instance that reaches the servers.
+type Detector struct {
+	isolated bool
+	// silent is true if the instance is isolated and no probe was refused.
+	silent bool
+	// suspectedAt is the time of the first evidence that was not refuted; zero without a suspicion.
+	suspectedAt time.Time
+	// failed is true if a connection has failed; otherwise the servers are only quiet.
+	failed bool
+	// probing is true during a round, which began at roundAt.
+	probing bool
+	roundAt time.Time
+	// connectedAt is when a server last accepted a connection.
+	connectedAt time.Time
+	// answers counts the answered probes of an isolated instance, required is how many are needed.
+	answers  int
+	required int
+	leftAt   time.Time
+}
+
+// Failed records that a connection to a server could not be opened, or was lost.
+func (d *Detector) Failed(now time.Time) {
+	d.suspect(now)
+	d.failed = true
+}
+
+// Quiet records that requests wait and that no server has written anything for some time.
+func (d *Detector) Quiet(now time.Time) { d.suspect(now) }
+
+func (d *Detector) suspect(now time.Time) {
+	if d.suspectedAt.IsZero() {
+		d.suspectedAt = now
+	}
+}
+
+// Connected records that a server has accepted a connection, which refutes a suspicion.
+func (d *Detector) Connected(now time.Time) {
+	d.connectedAt = now
+	if !d.isolated && !d.probing {
+		d.suspectedAt, d.failed = time.Time{}, false
+	}
+}
+
+// Begin returns how many different servers to probe now, given how many are known. Unless that is zero, Finish must
+// follow.
+func (d *Detector) Begin(now time.Time, servers int) int {
+	if servers == 0 || !d.Due(now) {
+		return 0
+	}
+	d.probing, d.roundAt = true, now
+	if d.isolated {
+		return 1
+	}
+	return min(confirmProbes, servers)
+}
+
+// Due reports whether it is time for a round of probes.
+func (d *Detector) Due(now time.Time) bool {
+	interval := confirmInterval
+	switch {
+	case d.probing:
+		return false
+	case d.isolated:
+		interval = recoveryInterval
+	case d.suspectedAt.IsZero():
+		return false
+	case !d.failed:
+		interval = quietInterval
+	}
+	return d.roundAt.IsZero() || now.Sub(d.roundAt) >= interval
+}
+
+// Finish records the result of a round and reports whether it has changed the state.
+func (d *Detector) Finish(now time.Time, r Round) bool {
+	d.probing = false
+	if d.isolated {
+		return d.recover(now, r)
+	}
+	if r.Answered > 0 || !d.connectedAt.Before(d.roundAt) || r.Refused+r.Silent == 0 {
+		d.suspectedAt, d.failed = time.Time{}, false
+		return false
+	}
+	d.isolated, d.silent, d.answers = true, r.Refused == 0, 0
+	if d.required == 0 || now.Sub(d.leftAt) > flapPeriod {
+		d.required = minAnswers
+	} else {
+		d.required = min(2*d.required, maxAnswers)
+	}
+	return true
+}
+
+// recover counts the answers to probes of an isolated instance. A server that has failed meanwhile does not undo the
+// answers of others.
+func (d *Detector) recover(now time.Time, r Round) bool {
+	if r.Answered == 0 {
+		d.answers = max(d.answers-1, 0)
+		return false
+	}
+	d.answers++
+	if d.answers < d.required {
+		return false
+	}
+	d.isolated, d.silent, d.leftAt = false, false, now
+	d.suspectedAt, d.failed = time.Time{}, false
+	return true
+}
+
+// Isolated reports whether the instance reaches no server.
+func (d *Detector) Isolated() bool { return d.isolated }
+
+// Silent reports whether an isolated instance gets no answers at all, so that requests at servers hang too. Otherwise
+// connections are refused, and open ones may be in order.
+func (d *Detector) Silent() bool { return d.silent }
+
+// Suspected reports whether the instance is isolated, or may be after a connection has failed.
+func (d *Detector) Suspected() bool { return d.isolated || d.failed }
+
+// Since returns the time of the first evidence of the current suspicion or isolation; zero without one.
+func (d *Detector) Since() time.Time { return d.suspectedAt }
