--- a/lib/lacebalancer/server.go
+++ b/lib/lacebalancer/server.go
@@ -68,7 +68,9 @@
 	// localAtReport is the number of requests that this instance had in flight at that time.
 	localAtReport int
 
-	failures      int
+	failures int
+	// failingSince is the time of the first of the failures.
+	failingSince  time.Time
 	ejected       bool
 	probeInFlight bool
 	ejectedUntil  time.Time
@@ -199,7 +201,9 @@
 
 // recordFailure counts a failure and ejects the server after threshold consecutive failures or after a failed probe.
 func (s *server) recordFailure(now time.Time, threshold int, baseTime time.Duration, probe bool) {
-	s.failures++
+	if s.failures++; s.failures == 1 {
+		s.failingSince = now
+	}
 	if s.ejected && !probe {
 		return
 	}
