lacedirectory: an instance that reaches no server is left out of the addresses

Change: the entry of a member gets an optional field, which earlier builds ignore. Addresses leaves such members out while others remain, and so does the choice of active members in large fleets; in small ones all stay active.

--- a/lib/lacedirectory/directory.go
+++ b/lib/lacedirectory/directory.go
@@ -177,14 +177,14 @@
 	}
 	slices.SortFunc(members, func(x, y Member) int { return cmp.Compare(x.Holder.Instance, y.Holder.Instance) })
 	d.candidateCount = len(members)
-	d.active = selectActive(members)
+	d.active = selectServing(members)
 	d.sharingCount = len(d.active)
 	if d.assumeDepartedAlive() {
 		all := slices.Clone(members)
 		for _, l := range d.departed {
 			all = append(all, l.member)
 		}
-		d.sharingCount = max(d.sharingCount, len(selectActive(all)))
+		d.sharingCount = max(d.sharingCount, len(selectServing(all)))
 	}
 	d.watchers = selectWatchers(members, d.active)
 	d.activeList, d.watcherList = d.activeList[:0:0], d.watcherList[:0:0]
@@ -351,7 +351,7 @@
 func (d *Directory) Addresses(place laceunit.Place) []laceunit.Address {
 	d.mu.Lock()
 	d.activeSet()
-	list := slices.Clone(d.activeList)
+	list := withoutIsolated(d.activeList)
 	d.mu.Unlock()
 	if len(list) > maxAddresses {
 		// Each response has another random subset, so that all active instances get callers.
--- a/lib/lacedirectory/member.go
+++ b/lib/lacedirectory/member.go
@@ -23,6 +23,8 @@
 	Load     Cores
 	// Link is the bandwidth of the machine's network link.
 	Link Megabits
+	// Isolated is true while the instance reaches no backend server.
+	Isolated bool
 }
 
 // Cores is CPU capacity or usage in cores.
@@ -52,6 +54,8 @@
 	Load     int64 `json:"load"`
 	// Link is in kilobits per second; 0 means unknown.
 	Link int64 `json:"link,omitempty"`
+	// Isolated is missing in the entries of earlier builds, which ignore it.
+	Isolated bool `json:"isolated,omitempty"`
 }
 
 // Encode returns the stored form of a member.
@@ -66,6 +70,7 @@
 		Capacity:    int64(m.Capacity * milliCoresPerCore),
 		Load:        int64(m.Load * milliCoresPerCore),
 		Link:        int64(m.Link * kilobitsPerMegabit),
+		Isolated:    m.Isolated,
 	})
 	return data, errors.Wrap(err, "directory: encode member")
 }
@@ -97,5 +102,6 @@
 		Capacity: Cores(f.Capacity) / milliCoresPerCore,
 		Load:     Cores(f.Load) / milliCoresPerCore,
 		Link:     Megabits(f.Link) / kilobitsPerMegabit,
+		Isolated: f.Isolated,
 	}, nil
 }
--- a/lib/lacedirectory/registrar.go
+++ b/lib/lacedirectory/registrar.go
@@ -50,6 +50,8 @@
 	leaseOutdated bool
 	// load is the newest measurement, member.Load the value in the stored entry.
 	load Cores
+	// isolated is the current state, member.Isolated the one in the stored entry.
+	isolated bool
 }
 
 // NewRegistrar returns a registrar that registers the member as soon as ready returns true.
@@ -97,6 +99,13 @@
 	r.load = load
 }
 
+// SetIsolated sets whether the instance reaches no backend server.
+func (r *Registrar) SetIsolated(isolated bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.isolated = isolated
+}
+
 // Renew renews the entry ahead of schedule, which probes whether the store is reachable. An instance that is not
 // ready must not be registered; it reads its entry instead.
 func (r *Registrar) Renew(ctx context.Context) {
@@ -152,7 +161,8 @@
 	if r.lease == 0 || r.leaseOutdated {
 		return r.register(callCtx)
 	}
-	if delta := minLoadChange * r.member.Capacity; r.load >= r.member.Load+delta || r.load <= r.member.Load-delta {
+	if delta := minLoadChange * r.member.Capacity; r.load >= r.member.Load+delta || r.load <= r.member.Load-delta ||
+		r.isolated != r.member.Isolated {
 		return r.write(callCtx, r.lease)
 	}
 	err := r.store.Renew(callCtx, r.lease)
@@ -186,7 +196,9 @@
 // registrar's own if the response to its write was lost.
 func (r *Registrar) write(ctx context.Context, lease laceplatform.LeaseID) error {
 	r.member.Load = r.load
-	value, err := Encode(r.member)
+	member := r.member
+	member.Isolated = r.isolated
+	value, err := Encode(member)
 	if err != nil {
 		return err
 	}
@@ -196,8 +208,11 @@
 		Expect: r.revision,
 		Lease:  lease,
 	})
-	if errors.Is(err, laceplatform.ErrLeaseNotFound) {
+	switch {
+	case errors.Is(err, laceplatform.ErrLeaseNotFound):
 		r.lease = 0
+	case err == nil:
+		r.member.Isolated = member.Isolated
 	}
 	return errors.Wrap(err, "directory: write entry")
 }
