lacerelay: requests of an isolated instance are forwarded to other instances

Cause: an instance that has lost all servers refuses its callers although other instances could serve them. Change: while lacereach says that the instance is isolated, a request goes as a whole to another instance by its peer address, which admits, bills and places it like that of a caller. Attempts that wait or hang are ended and forwarded, unless a request that must not run twice was sent. Failures since the first evidence are forgotten in the balancer.

--- a/lib/lacelog/event.go
+++ b/lib/lacelog/event.go
@@ -32,6 +32,8 @@
 	Transfer Event = "transfer"
 	// Link is a change between a saturated link and one with room.
 	Link Event = "link"
+	// Reach is the begin or the end of a time in which this instance reaches no backend server.
+	Reach Event = "reach"
 	// RateLimit is a change of this instance's share of a rate limit that a backend server has announced.
 	RateLimit Event = "limit"
 	// Quarantine is a new, changed or ended verdict on prompt parts that crash backend servers.
--- a/lib/lacenode/expiry.go
+++ b/lib/lacenode/expiry.go
@@ -21,5 +21,6 @@
 		now := time.Now()
 		e.node.backends.Tick(now)
 		e.node.directory.Tick(now)
+		e.node.peers.Tick(now)
 	})
 }
--- a/lib/lacenode/listen.go
+++ b/lib/lacenode/listen.go
@@ -119,7 +119,7 @@
 	}{
 		{address: n.settings.ReadyAddress, handler: n.adapter.ReadyHandler(n.Ready), guard: n.clientGuard},
 		{address: n.settings.DirectoryAddress, handler: n.adapter.DirectoryHandler(n), guard: n.clientGuard},
-		{address: n.settings.PeerAddress, handler: peerMux, guard: n.peerGuard},
+		{address: n.settings.PeerAddress, handler: n.relay.HandleForwarded(peerMux), guard: n.peerGuard},
 		{address: n.settings.MetricsAddress, handler: metricsMux, guard: n.peerGuard},
 	} {
 		if x.address == "" {
--- a/lib/lacenode/node.go
+++ b/lib/lacenode/node.go
@@ -63,6 +63,8 @@
 	nameBackends   lacekernel.Name = "backends"
 	nameListeners  lacekernel.Name = "listeners"
 	nameRole       lacekernel.Name = "role"
+	nameReach      lacekernel.Name = "reach"
+	namePeers      lacekernel.Name = "peers"
 )
 
 // Node is a router instance.
@@ -85,7 +87,10 @@
 	picker   *lacerelay.Picker
 	backends *lacerelay.Backends
 	relay    *lacerelay.Relay
-	link     *link
+	// reach observes whether servers are reachable, peers are the instances that get requests while none is.
+	reach *lacerelay.Reach
+	peers *lacerelay.Peers
+	link  *link
 	// clientGuard bounds what callers hold of the machine, peerGuard what other instances do.
 	clientGuard *lacelistener.Guard
 	peerGuard   *lacelistener.Guard
@@ -179,6 +184,7 @@
 	n.link = newLink(n.settings.Machine.LinkMbps, n.monitor.linkTraffic, n.registry)
 	n.backends.ExtendHandshakes(func() bool { return n.link.Saturated(time.Now()) })
 	n.newGuards()
+	n.newReach()
 	n.relay = lacerelay.New(lacerelay.Options{
 		Codec:    n.adapter.Codec(),
 		Routes:   n.routes,
@@ -197,6 +203,8 @@
 
 		ServersLate: n.serversLate,
 		Link:        n.link,
+		Reach:       n.reach,
+		Peers:       n.peers,
 		Members:     n.directory.ShareCount,
 		Log:         n.log,
 		Metrics:     lacerelay.NewMetrics(n.registry),
@@ -299,6 +307,8 @@
 		{name: nameReplicator, service: newReplicator(n)},
 		{name: nameExpiry, service: expiryTicker{n}},
 		{name: nameRole, service: &role{node: n}},
+		{name: nameReach, service: n.reach},
+		{name: namePeers, service: n.peers},
 	}
 	for _, s := range services {
 		if err := n.kernel.Register(s.name, s.service); err != nil {
--- a/lib/lacerelay/attempt.go
+++ b/lib/lacerelay/attempt.go
@@ -57,16 +57,27 @@
 	// revoked is true when nothing was sent because the server became unavailable (leaving, paused or rate limited)
 	// after it was picked.
 	revoked bool
+	// forwarded is true for a request that was forwarded to another instance.
+	forwarded bool
 	// refusal is why the request must not be sent to any server, or nil.
 	refusal *lacefault.Fault
 }
 
 // runAttempts picks a server and sends the request, with retries, until a response or an error goes to the caller.
 func (r *Relay) runAttempts(ctx context.Context, j *job) {
+	if j.forwardOnly {
+		r.forward(ctx, j)
+		return
+	}
 	for {
 		a, f := r.tryServer(ctx, j)
 		if f != nil {
-			r.failRequest(ctx, j, &a, f)
+			if !forwardable(f) || !r.forwardInstead(ctx, j) {
+				r.failRequest(ctx, j, &a, f)
+			}
+			return
+		}
+		if a.endsLocalAttempts(r.options.Reach.Isolated()) && r.forwardInstead(ctx, j) {
 			return
 		}
 		switch nextAction(j.route, j.history, a.outcome, a.status, r.retryBudgetCheck(j)) {
@@ -76,6 +87,9 @@
 		case actionRetry:
 			continue
 		case actionRefuse:
+			if a.outcome == attemptNotSent && r.forwardInstead(ctx, j) {
+				return
+			}
 			r.failRequest(ctx, j, &a,
 				newRefusal(lacefault.NoBackendServer, "server refused: "+a.reason, r.retryAfter(j)))
 			return
@@ -100,6 +114,9 @@
 	if f := r.lateFault(j); f != nil {
 		return attempt{}, f
 	}
+	attemptCtx, j.reach = r.options.Reach.begin(attemptCtx,
+		retrySafe(j.route) && j.history.sent+1 < j.route.MaxAttempts && r.mayForward(j))
+	defer r.options.Reach.end(j.reach)
 	decision := r.pickServer(attemptCtx, j)
 	if decision.Verdict != lacebalancer.Assigned {
 		if f := r.quarantineFault(j); f != nil {
@@ -129,6 +146,9 @@
 			begun()
 		})
 	}
+	if a.outcome == attemptBroken && a.connectionLost {
+		r.options.Reach.failed()
+	}
 	r.observeServer(ctx, j, d, &a)
 	r.recordAttempt(j, d, &a, started)
 	return a
@@ -268,6 +288,7 @@
 		return a
 	}
 	r.silence.end(d.Server)
+	r.options.Reach.heard(j.reach)
 	a.reply = r.options.Codec.DecodeReply(x.Response)
 	if a.reply.Attempt != j.call.Attempt && (a.reply.Attempt != "" || !x.Fresh) {
 		x.Abort()
@@ -290,6 +311,9 @@
 	if errors.Is(err, laceconn.ErrNotSent) {
 		j.history.sent--
 		a.outcome, a.neutral = attemptNotSent, ctx.Err() != nil
+		if !a.neutral {
+			r.options.Reach.failed()
+		}
 		return
 	}
 	a.outcome, a.connectionLost = interruptionOutcome(ctx), true
@@ -300,6 +324,8 @@
 	switch {
 	case errors.Is(context.Cause(ctx), errStalled):
 		return attemptStalled
+	case errors.Is(context.Cause(ctx), errIsolated):
+		return attemptIsolated
 	case errors.Is(context.Cause(ctx), errQuarantined):
 		return attemptBlocked
 	case errors.Is(context.Cause(ctx), errStopping):
@@ -362,7 +388,7 @@
 			// The server sent no response header before the deadline.
 			result = lacebalancer.Failure
 		}
-	case attemptCallerGone, attemptBlocked, attemptStopped:
+	case attemptCallerGone, attemptBlocked, attemptStopped, attemptIsolated:
 		result = lacebalancer.Neutral
 	case attemptComplete:
 		if a.status >= http.StatusInternalServerError {
@@ -377,6 +403,9 @@
 		// A pause is not a failure, and the load of the server is known again once the pause ends.
 		result = lacebalancer.Neutral
 	}
+	if (result == lacebalancer.Failure || result == lacebalancer.Unreachable) && r.options.Reach.Isolated() {
+		result = lacebalancer.Neutral
+	}
 	if a.outcome != attemptNotSent && a.outcome != attemptNotRun {
 		j.history.mayHaveRun = true
 	}
--- a/lib/lacerelay/codec.go
+++ b/lib/lacerelay/codec.go
@@ -85,6 +85,8 @@
 	DecodeCall(r *http.Request) (Call, error)
 	// EncodeRequest builds the request to a server.
 	EncodeRequest(c Call, body []byte, p AttemptParams) *http.Request
+	// EncodeForward builds the request to another instance, which decodes it like that of the caller.
+	EncodeForward(c Call, body []byte, p ForwardParams) *http.Request
 	// DecodeReply parses the header of a server's response.
 	DecodeReply(r *http.Response) Reply
 	// SetResponseHeader derives the header of the response to the caller from that of the server's response.
--- a/lib/lacerelay/connect.go
+++ b/lib/lacerelay/connect.go
@@ -33,11 +33,17 @@
 	if err != nil {
 		a.outcome, a.reason = attemptNotSent, err.Error()
 		a.neutral = r.connectionErrorIsNeutral(ctx, j, d.Server, err, started)
+		if !a.neutral {
+			r.options.Reach.failed()
+		}
 		a.delayed = a.neutral && ctx.Err() == nil && errors.Is(err, laceconn.ErrHandshakeTimeout)
 		r.placementRevoked(j, d, a)
 		return nil
 	}
 	r.silence.endHandshake(d.Server)
+	if conn.Fresh() {
+		r.options.Reach.connected()
+	}
 	if r.placementRevoked(j, d, a) {
 		conn.Release()
 		return nil
@@ -45,6 +51,12 @@
 	if a.refusal = r.quarantineFault(j); a.refusal == nil && !r.shutdown.beginSend(j) {
 		a.refusal = stoppingFault(j)
 	}
+	if a.refusal == nil && !r.options.Reach.beginSend(j.reach) {
+		conn.Release()
+		r.shutdown.endSend(j)
+		a.outcome, a.reason, a.neutral = attemptNotSent, errIsolated.Error(), true
+		return nil
+	}
 	if a.refusal != nil {
 		conn.Release()
 		a.outcome, a.reason, a.neutral = attemptNotSent, a.refusal.Message, true
--- a/lib/lacerelay/metric.go
+++ b/lib/lacerelay/metric.go
@@ -14,6 +14,7 @@
 	withheld          *prometheus.CounterVec
 	crashes           *prometheus.CounterVec
 	excused           *prometheus.CounterVec
+	forwarded         *prometheus.CounterVec
 	requestSeconds    *prometheus.HistogramVec
 	firstEventSeconds *prometheus.HistogramVec
 	firstEventRatio   *prometheus.HistogramVec
@@ -46,6 +47,10 @@
 			Name: "lace_relay_excused_total",
 			Help: "Time-outs of servers that are put down to this instance's saturated link, by service and cause.",
 		}, []string{"service", "cause"}),
+		forwarded: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lace_relay_forwarded_total",
+			Help: "Requests forwarded to other instances by service and how that ended; not_sent: not handled there.",
+		}, []string{"service", "ending"}),
 		requestSeconds: histogram("lace_relay_request_seconds", "Time from a request's arrival to its end."),
 		firstEventSeconds: histogram("lace_relay_first_event_seconds",
 			"Time from a request's arrival to the first event of its stream."),
@@ -55,7 +60,7 @@
 			Buckets: prometheus.ExponentialBuckets(firstRatioBucket, bucketFactor, ratioBuckets),
 		}, []string{"service"}),
 	}
-	r.MustRegister(m.requests, m.attempts, m.notices, m.withheld, m.crashes, m.excused, m.requestSeconds,
+	r.MustRegister(m.requests, m.attempts, m.notices, m.withheld, m.crashes, m.excused, m.forwarded, m.requestSeconds,
 		m.firstEventSeconds, m.firstEventRatio)
 	return m
 }
@@ -118,6 +123,12 @@
 	}
 }
 
+func (m *Metrics) countForwarded(j *job, outcome attemptOutcome) {
+	if m != nil {
+		m.forwarded.WithLabelValues(string(j.service), outcome.String()).Inc()
+	}
+}
+
 func (m *Metrics) observeFirstEvent(j *job, latency time.Duration) {
 	if m != nil {
 		m.firstEventSeconds.WithLabelValues(string(j.service)).Observe(latency.Seconds())
--- a/lib/lacerelay/picker.go
+++ b/lib/lacerelay/picker.go
@@ -169,6 +169,14 @@
 	return p.balancer.BlockReason(p.now(), t)
 }
 
+// Reinstate undoes what failures have done to servers whose failures began within an age, since they were not to blame.
+func (p *Picker) Reinstate(age time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	p.notify(p.balancer.Reinstate(now, now.Add(-age)))
+}
+
 // RetryAfter returns when a caller may retry while no server of a service accepts requests because of pauses or rate
 // limits, and zero otherwise.
 func (p *Picker) RetryAfter(service laceunit.ServiceID) time.Duration {
--- a/lib/lacerelay/relay.go
+++ b/lib/lacerelay/relay.go
@@ -88,6 +88,10 @@
 	ServersLate func() bool
 	// Link does admission control by the bandwidth of the machine's network link; nil admits every request.
 	Link Link
+	// Reach observes whether servers are reachable, Peers are the instances to which requests are forwarded while none is;
+	// nil disables this.
+	Reach *Reach
+	Peers *Peers
 	// Members returns how many instances share the retry budget.
 	Members func() int
 	Log     *lacelog.Logger
@@ -168,7 +172,16 @@
 	// refusalFields are log fields that explain a refusal: the state of the account or of the link.
 	refusalFields []lacelog.Pair
 	history       attemptHistory
-	link          linkUsage
+	// reserved is how many tokens are reserved for the request; reserving is false unless there is a reservation.
+	reserved  laceunit.Tokens
+	reserving bool
+	// origin is nil unless another instance has forwarded the request.
+	origin *origin
+	// forwardOnly is true if the request is to be forwarded without a local attempt.
+	forwardOnly bool
+	// reach observes the current attempt.
+	reach *reachAttempt
+	link  linkUsage
 	// sending is true while the request is at a server, and once its response has begun; the lock of the shutdown protects it.
 	sending bool
 	tried   []laceunit.ServerID
@@ -184,7 +197,11 @@
 }
 
 // ServeHTTP implements http.Handler.
-func (r *Relay) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+func (r *Relay) ServeHTTP(w http.ResponseWriter, q *http.Request) { r.serveHTTP(w, q, nil) }
+
+// serveHTTP serves a request of a caller or one that another instance has forwarded.
+func (r *Relay) serveHTTP(w http.ResponseWriter, q *http.Request, from *origin) {
+	removeForwardHeaders(q.Header)
 	r.running.Add(1)
 	defer r.running.Add(-1)
 	if r.keepAlivesDisabled.Load() {
@@ -194,6 +211,7 @@
 	j := &job{
 		arrived: time.Now(),
 		holding: holding,
+		origin:  from,
 		response: response{
 			codec:    r.options.Codec,
 			w:        w,
@@ -201,6 +219,10 @@
 			buffer:   lacelistener.NewBuffer(holding, lacelistener.Answer),
 		},
 	}
+	j.response.setForwardHeaders = j.setForwardHeaders
+	if from != nil {
+		j.history.sent, j.softwareVersion = from.params.attempts, from.params.software
+	}
 	defer r.releaseLink(j)
 	defer r.endStreamNote(j)
 	r.serve(w, q, j)
@@ -223,14 +245,12 @@
 		}
 		return
 	}
-	maxTokens := j.input() + j.call.MaxOutput
-	metered := j.call.Metered && j.account != ""
-	if metered {
-		if f := r.reserveTokens(q.Context(), j, maxTokens); f != nil {
+	if !r.forwardsFromStart(j) {
+		if f := r.reserveTokens(q.Context(), j); f != nil {
 			r.refuse(j, f)
 			return
 		}
-		defer func() { r.options.Quota.Settle(j.account, maxTokens, j.consumedTokens()) }()
+		defer r.settle(j)
 	}
 	r.withRetryBudget(j.service, func(b *lacelimit.RetryBudget) bool {
 		b.Request(j.arrived)
@@ -364,11 +384,17 @@
 	}
 }
 
-func (r *Relay) reserveTokens(ctx context.Context, j *job, maxTokens laceunit.Tokens) *lacefault.Fault {
+// reserveTokens reserves the tokens that a request costs at most, unless it costs none.
+func (r *Relay) reserveTokens(ctx context.Context, j *job) *lacefault.Fault {
+	if !j.call.Metered || j.account == "" {
+		return nil
+	}
+	maxTokens := j.input() + j.call.MaxOutput
 	reserveCtx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
 	verdict, state := r.reserve(reserveCtx, j, maxTokens)
 	if verdict == lacequota.Reserved {
+		j.reserved, j.reserving = maxTokens, true
 		return nil
 	}
 	j.refusalFields = []lacelog.Pair{
@@ -383,6 +409,14 @@
 	return newRefusal(lacefault.BudgetUnavailable, "prepaid tokens are not at this instance", budgetRetryAfter(state))
 }
 
+// settle ends the reservation of a request. What other instances deliver from then on is settled there.
+func (r *Relay) settle(j *job) {
+	if j.reserving {
+		j.reserving = false
+		r.options.Quota.Settle(j.account, j.reserved, j.consumedTokens())
+	}
+}
+
 // budgetRetryAfter returns when a caller whose tokens are not held by this instance should retry.
 func budgetRetryAfter(s lacequota.State) time.Duration {
 	switch {
--- a/lib/lacerelay/response.go
+++ b/lib/lacerelay/response.go
@@ -25,7 +25,9 @@
 type response struct {
 	codec Codec
 	call  Call
-	w     http.ResponseWriter
+	// setForwardHeaders sets the headers of a response to another instance; nil sets none.
+	setForwardHeaders func(http.Header)
+	w                 http.ResponseWriter
 	// buffered is true when events are buffered until the end of their stream, because the caller can't distinguish a
 	// truncated stream from a complete one (HTTP/1.0).
 	buffered bool
@@ -89,6 +91,7 @@
 // writeHeader writes the header; a negative length stands for an unknown one.
 func (s *response) writeHeader(length int) {
 	s.codec.SetResponseHeader(s.w.Header(), s.header, s.call)
+	s.prepareHeader()
 	switch contentLength := s.header.Get("Content-Length"); {
 	case s.call.Method != http.MethodHead && length >= 0:
 		s.w.Header().Set("Content-Length", strconv.Itoa(length))
@@ -99,6 +102,12 @@
 	s.w.WriteHeader(s.status)
 }
 
+func (s *response) prepareHeader() {
+	if s.setForwardHeaders != nil {
+		s.setForwardHeaders(s.w.Header())
+	}
+}
+
 func (s *response) write(p []byte) error {
 	n, err := s.w.Write(p)
 	s.sent += laceunit.Bytes(n)
@@ -149,6 +158,7 @@
 	if !s.startedAt.IsZero() {
 		return errResponseStarted
 	}
+	s.prepareHeader()
 	s.codec.WriteFault(s.w, s.call, f)
 	s.complete = true
 	return nil
--- a/lib/lacerelay/retry.go
+++ b/lib/lacerelay/retry.go
@@ -30,11 +30,15 @@
 	attemptBlocked
 	// attemptStopped means that the attempt was aborted because the instance stops.
 	attemptStopped
+	// attemptIsolated means that the attempt was aborted because the instance reaches no server.
+	attemptIsolated
 )
 
 // String returns the outcome as it appears in logs and metrics.
 func (o attemptOutcome) String() string {
-	return [...]string{"", "whole", "not_sent", "not_run", "broken", "silent", "late", "caller_left", "blocked", "stopped"}[o]
+	return [...]string{
+		"", "whole", "not_sent", "not_run", "broken", "silent", "late", "caller_left", "blocked", "stopped", "isolated",
+	}[o]
 }
 
 // action is the next step after an attempt.
--- a/lib/lacerelay/stream.go
+++ b/lib/lacerelay/stream.go
@@ -101,11 +101,14 @@
 			return
 		}
 		timer.reset()
+		if !a.forwarded {
+			r.options.Reach.heard(j.reach)
+		}
 		if a.firstEventAt.IsZero() {
 			begun()
 		}
 		a.events++
-		if a.recordProgress(time.Now()) {
+		if a.recordProgress(time.Now()) && !a.forwarded {
 			r.reportSuccess(j)
 		}
 		j.link.addReceived(len(e.raw))
--- a/lib/lacerelay/version.go
+++ b/lib/lacerelay/version.go
@@ -36,7 +36,7 @@
 // takeUp restricts a request that continues a stream to servers of its software version. It returns a refusal if the
 // version is not known.
 func (r *Relay) takeUp(ctx context.Context, j *job) *lacefault.Fault {
-	if r.options.Streams == nil || j.call.LastEventID == "" || !j.route.Stream {
+	if r.options.Streams == nil || j.softwareVersion != nil || j.call.LastEventID == "" || !j.route.Stream {
 		return nil
 	}
 	v, ok := r.options.Streams.Find(ctx, j.service, j.streamID())
