--- a/lib/laceconn/conn.go
+++ b/lib/laceconn/conn.go
@@ -144,9 +144,6 @@
 	}
 }
 
-// Fresh reports whether the connection was opened for this request.
-func (c *Conn) Fresh() bool { return c.fresh }
-
 // Release returns a connection on which nothing was sent. A reused one becomes idle again until its earlier deadline; a
 // new one is closed, since servers close connections that have not carried a request.
 func (c *Conn) Release() {
--- a/lib/lacereach/detector.go
+++ b/lib/lacereach/detector.go
@@ -39,8 +39,8 @@
 	// probing is true during a round, which began at roundAt.
 	probing bool
 	roundAt time.Time
-	// connectedAt is when a server last accepted a connection.
-	connectedAt time.Time
+	// answeredAt is when a server last answered a request on a new connection.
+	answeredAt time.Time
 	// answers counts the answered probes of an isolated instance, required is how many are needed.
 	answers  int
 	required int
@@ -53,18 +53,19 @@
 	d.failed = true
 }
 
-// Quiet records that requests wait and that no server has written anything for some time.
-func (d *Detector) Quiet(now time.Time) { d.suspect(now) }
+// Quiet records that requests have waited for some time, and that no server has written anything since.
+func (d *Detector) Quiet(since time.Time) { d.suspect(since) }
 
-func (d *Detector) suspect(now time.Time) {
+func (d *Detector) suspect(at time.Time) {
 	if d.suspectedAt.IsZero() {
-		d.suspectedAt = now
+		d.suspectedAt = at
 	}
 }
 
-// Connected records that a server has accepted a connection, which refutes a suspicion.
-func (d *Detector) Connected(now time.Time) {
-	d.connectedAt = now
+// Answered records that a server has answered a request on a new connection, which refutes a suspicion. Answers on older
+// ones do not, since these may live on while new ones are refused.
+func (d *Detector) Answered(now time.Time) {
+	d.answeredAt = now
 	if !d.isolated && !d.probing {
 		d.suspectedAt, d.failed = time.Time{}, false
 	}
@@ -105,7 +106,7 @@
 	if d.isolated {
 		return d.recover(now, r)
 	}
-	if r.Answered > 0 || !d.connectedAt.Before(d.roundAt) || r.Refused+r.Silent == 0 {
+	if r.Answered > 0 || !d.answeredAt.Before(d.roundAt) || r.Refused+r.Silent == 0 {
 		d.suspectedAt, d.failed = time.Time{}, false
 		return false
 	}
--- a/lib/lacerelay/attempt.go
+++ b/lib/lacerelay/attempt.go
@@ -289,6 +289,9 @@
 	}
 	r.silence.end(d.Server)
 	r.options.Reach.heard(j.reach)
+	if x.Fresh {
+		r.options.Reach.answered()
+	}
 	a.reply = r.options.Codec.DecodeReply(x.Response)
 	if a.reply.Attempt != j.call.Attempt && (a.reply.Attempt != "" || !x.Fresh) {
 		x.Abort()
--- a/lib/lacerelay/connect.go
+++ b/lib/lacerelay/connect.go
@@ -41,9 +41,6 @@
 		return nil
 	}
 	r.silence.endHandshake(d.Server)
-	if conn.Fresh() {
-		r.options.Reach.connected()
-	}
 	if r.placementRevoked(j, d, a) {
 		conn.Release()
 		return nil
--- a/lib/lacerelay/forward.go
+++ b/lib/lacerelay/forward.go
@@ -45,7 +45,7 @@
 // forwardInstead forwards a request that can't be served by this instance's own attempts, and reports whether it has
 // ended it that way.
 func (r *Relay) forwardInstead(ctx context.Context, j *job) bool {
-	if ctx.Err() != nil || !r.options.Reach.suspected() || !r.mayForward(j) {
+	if ctx.Err() != nil || !r.options.Reach.suspected() || !r.mayForward(j) || !r.options.Peers.available(time.Now()) {
 		return false
 	}
 	if j.history.sent > 0 && (j.history.sent >= j.route.MaxAttempts || !r.retryBudgetCheck(j)()) {
--- a/lib/lacerelay/peers.go
+++ b/lib/lacerelay/peers.go
@@ -77,6 +77,12 @@
 	return candidates[rand.IntN(near)], true
 }
 
+// available reports whether an instance may get a forwarded request.
+func (p *Peers) available(now time.Time) bool {
+	_, ok := p.pick(now, nil)
+	return ok
+}
+
 // any reports whether there are other instances.
 func (p *Peers) any() bool { return p != nil && len(p.list()) > 0 }
 
--- a/lib/lacerelay/reach.go
+++ b/lib/lacerelay/reach.go
@@ -20,6 +20,8 @@
 	reachInterval = 50 * time.Millisecond
 	// quietAge is how long no server has written anything, while a request waits for one, until servers are probed.
 	quietAge = 300 * time.Millisecond
+	// minQuietAge is the same for a request that has ended without an answer, since its caller waits for no longer.
+	minQuietAge = 100 * time.Millisecond
 	// reachProbeTimeout bounds a probe, also while the link delays handshakes.
 	reachProbeTimeout = time.Second
 )
@@ -84,8 +86,8 @@
 // step starts a round of probes if one is due.
 func (r *Reach) step(ctx context.Context, now time.Time) {
 	r.mu.Lock()
-	if r.isQuiet(now) && !r.saturated() {
-		r.detector.Quiet(now)
+	if since, quiet := r.quietSince(now); quiet && !r.saturated() {
+		r.detector.Quiet(since)
 	}
 	due := r.detector.Due(now)
 	r.mu.Unlock()
@@ -107,18 +109,19 @@
 	}()
 }
 
-// isQuiet reports whether a request waits and no server has written anything for some time; the lock must be held.
-func (r *Reach) isQuiet(now time.Time) bool {
-	limit := now.Add(-quietAge)
-	if time.Unix(0, r.heardAt.Load()).After(limit) {
-		return false
-	}
+// quietSince returns since when requests have waited and no server has written anything, and whether that is long enough
+// to be a sign; the lock must be held.
+func (r *Reach) quietSince(now time.Time) (time.Time, bool) {
+	since := now
 	for a := range r.running {
-		if a.startedAt.Before(limit) {
-			return true
+		if a.startedAt.Before(since) {
+			since = a.startedAt
 		}
 	}
-	return false
+	if heardAt := time.Unix(0, r.heardAt.Load()); heardAt.After(since) {
+		since = heardAt
+	}
+	return since, now.Sub(since) >= quietAge
 }
 
 func (r *Reach) saturated() bool { return r.options.Saturated != nil && r.options.Saturated() }
@@ -178,7 +181,7 @@
 // heard from their server since its beginning. The lock must be held.
 func (r *Reach) abort(since time.Time, silent bool) {
 	for a := range r.running {
-		hangs := silent && a.repeatable && time.Unix(0, a.heardAt.Load()).Before(since)
+		hangs := silent && a.repeatable && !time.Unix(0, a.heardAt.Load()).After(since)
 		if !a.sent || hangs {
 			a.cancel(errIsolated)
 		}
@@ -210,9 +213,14 @@
 		return
 	}
 	a.cancel(nil)
+	now := time.Now()
+	unheard := time.Unix(0, r.heardAt.Load()).Before(a.startedAt) && now.Sub(a.startedAt) >= minQuietAge
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.running, a)
+	if unheard && !r.saturated() {
+		r.detector.Quiet(a.startedAt)
+	}
 }
 
 // beginSend records that the request is being sent, and returns false if it must not be sent to a server.
@@ -246,14 +254,14 @@
 	r.detector.Failed(time.Now())
 }
 
-// connected records that a server has accepted a connection.
-func (r *Reach) connected() {
+// answered records that a server has answered a request on a new connection.
+func (r *Reach) answered() {
 	if r == nil {
 		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.detector.Connected(time.Now())
+	r.detector.Answered(time.Now())
 }
 
 // Isolated reports whether the instance reaches no server.
