lacequota: an isolated instance lends the tokens that it keeps for its clients

Cause: a lender keeps what its clients need in 2 s. The requests of an isolated instance's clients are served by other instances, which got nothing of the last tokens of an account. Change: while an instance is isolated, it lends all that is not reserved. Seen failing with the condition removed: loan_test.go:71, 0 of 99990 tokens were lent.

--- a/lib/lacenode/reach.go
+++ b/lib/lacenode/reach.go
@@ -25,6 +25,7 @@
 // setIsolated tells callers and other instances whether this instance reaches the backend servers.
 func (n *Node) setIsolated(ctx context.Context, isolated bool) {
 	n.directory.SetIsolated(isolated)
+	n.quota.SetIsolated(isolated)
 	n.registrar.SetIsolated(isolated)
 	n.registrar.Renew(ctx)
 }
--- a/lib/lacequota/loan.go
+++ b/lib/lacequota/loan.go
@@ -52,6 +52,9 @@
 	}
 	available := w.limit(p, at) - p.used - p.reserved
 	reserve := laceunit.Tokens(lenderReserve.Seconds()*float64(p.rate(now)) + p.largestRequest*p.decay(now))
+	if w.keepsNothing {
+		reserve = 0
+	}
 	amount := min(maxTokens, max(available-reserve, 0))
 	if amount < minTokens {
 		return 0
@@ -116,6 +119,14 @@
 	done chan struct{}
 }
 
+// SetIsolated sets whether this instance reaches no backend server. The requests of its clients then need the tokens at
+// other instances, so that it keeps none of those that are not reserved.
+func (s *Service) SetIsolated(isolated bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.wallet.keepsNothing = isolated
+}
+
 // Lend lends tokens to another instance. A newer total in the query is applied first, since a cap that is based on an
 // older, higher total is scaled down.
 func (s *Service) Lend(to laceunit.InstanceID, q LoanQuery) laceunit.Tokens {
--- a/lib/lacequota/loan_test.go
+++ b/lib/lacequota/loan_test.go
@@ -50,6 +50,28 @@
 	}
 }
 
+// Guards against an isolated instance that keeps the last tokens of an account for clients whose requests it forwards, so
+// that the instances that get them refuse them.
+func TestIsolatedInstanceLendsItsReserve(t *testing.T) {
+	w := newTestWallet("router", 1_000_000)
+	s := &Service{wallet: w}
+	now, at := time.Unix(1000, 0), Instant{}
+	budgets := commitUpdate(w, now, at, Budgets{}, liveFleet(1))
+	for range 12 {
+		_, now, at = serveRequests(w, now, at, 10, 1_000)
+		budgets = commitUpdate(w, now, at, budgets, liveFleet(1))
+	}
+	if v := w.Reserve(now, at, testAccount, 2_000); v != Reserved {
+		t.Fatalf("verdict %d", v)
+	}
+	state := w.State(testAccount)
+	available := state.Cap - state.Used - state.Reserved
+	s.SetIsolated(true)
+	if amount := w.Lend(now, at, testAccount, available, 2*available); amount != available {
+		t.Errorf("%d of %d tokens were lent", amount, available)
+	}
+}
+
 // Guards against losing a loan that is received while an update is in flight.
 func TestLoanDuringUpdateIsKept(t *testing.T) {
 	w := newTestWallet("router", 1_000_000)
--- a/lib/lacequota/wallet.go
+++ b/lib/lacequota/wallet.go
@@ -78,8 +78,10 @@
 
 // Wallet tracks what one instance may spend of each account; it is a state machine without clock, store or locks.
 type Wallet struct {
-	self  laceunit.Holder
-	share float64
+	// keepsNothing is true while all tokens that are not reserved are lent to instances that ask for them.
+	keepsNothing bool
+	self         laceunit.Holder
+	share        float64
 	// startedAt is when this process started; its predecessor on the same machine had ended by then.
 	startedAt Instant
 	portions  map[laceunit.AccountID]*portion
