lacereach: a crash of most servers isolates no instance for long

Cause: after a crash of most servers all instances became isolated, and each probed only while it saw another one that was not: none ever left the state. With three probes, an instance also became isolated while servers were up. Change: isolated instances always probe, two servers each 500 ms, and leave with the first answer if no other instance can help. Two servers without an answer are followed by eight at once, and only these decide. Seen failing: detector_test.go:165, isolated after the servers are back, without the rule for instances that are alone; :158, isolated although a server is up, with three probes at most.

--- a/lib/lacereach/detector.go
+++ b/lib/lacereach/detector.go
@@ -3,15 +3,17 @@
 import "time"
 
 const (
-	// confirmProbes is how many servers are probed to confirm a suspicion. A crash of some servers leaves others that
-	// answer.
-	confirmProbes = 3
-	// confirmInterval is the least time between two such rounds of probes, quietInterval the same while the only evidence
-	// is that no server has written anything, which is usual while servers work on few requests.
+	// firstProbes is how many servers are probed after a suspicion. If none answers, confirmProbes are probed at once: many
+	// servers may have crashed, and others may be well.
+	firstProbes   = 2
+	confirmProbes = 8
+	// confirmInterval is the least time between the first rounds of two suspicions, quietInterval the same while the only
+	// evidence is that no server has written anything, which is usual while servers work on few requests.
 	confirmInterval = 500 * time.Millisecond
 	quietInterval   = time.Second
-	// recoveryInterval is the interval of probes of an isolated instance.
+	// recoveryInterval is the interval of rounds of an isolated instance, recoveryProbes how many servers it probes then.
 	recoveryInterval = 500 * time.Millisecond
+	recoveryProbes   = 2
 	// minAnswers is how many probes must be answered until an isolated instance uses the servers again. It doubles up to
 	// maxAnswers with each isolation that begins within flapPeriod after the last one.
 	minAnswers = 2
@@ -34,6 +36,10 @@
 	silent bool
 	// suspectedAt is the time of the first evidence that was not refuted; zero without a suspicion.
 	suspectedAt time.Time
+	// alone is true while no other instance can help.
+	alone bool
+	// unanswered is true if the first round of a suspicion was not answered.
+	unanswered bool
 	// failed is true if a connection has failed; otherwise the servers are only quiet.
 	failed bool
 	// probing is true during a round, which began at roundAt.
@@ -67,7 +73,7 @@
 func (d *Detector) Answered(now time.Time) {
 	d.answeredAt = now
 	if !d.isolated && !d.probing {
-		d.suspectedAt, d.failed = time.Time{}, false
+		d.clear()
 	}
 }
 
@@ -78,10 +84,14 @@
 		return 0
 	}
 	d.probing, d.roundAt = true, now
-	if d.isolated {
-		return 1
+	switch {
+	case d.isolated:
+		return min(recoveryProbes, servers)
+	case d.unanswered:
+		return min(confirmProbes, servers)
+	default:
+		return min(firstProbes, servers)
 	}
-	return min(confirmProbes, servers)
 }
 
 // Due reports whether it is time for a round of probes.
@@ -92,8 +102,10 @@
 		return false
 	case d.isolated:
 		interval = recoveryInterval
-	case d.suspectedAt.IsZero():
+	case d.suspectedAt.IsZero() || d.alone:
 		return false
+	case d.unanswered:
+		return true
 	case !d.failed:
 		interval = quietInterval
 	}
@@ -107,7 +119,11 @@
 		return d.recover(now, r)
 	}
 	if r.Answered > 0 || !d.answeredAt.Before(d.roundAt) || r.Refused+r.Silent == 0 {
-		d.suspectedAt, d.failed = time.Time{}, false
+		d.clear()
+		return false
+	}
+	if !d.unanswered {
+		d.unanswered = true
 		return false
 	}
 	d.isolated, d.silent, d.answers = true, r.Refused == 0, 0
@@ -127,14 +143,21 @@
 		return false
 	}
 	d.answers++
-	if d.answers < d.required {
+	if d.answers < d.required && !d.alone {
 		return false
 	}
 	d.isolated, d.silent, d.leftAt = false, false, now
-	d.suspectedAt, d.failed = time.Time{}, false
+	d.clear()
 	return true
 }
 
+// clear drops a suspicion.
+func (d *Detector) clear() { d.suspectedAt, d.failed, d.unanswered = time.Time{}, false, false }
+
+// SetAlone sets whether no other instance can help. Then the instance does not become isolated, and it leaves the state with
+// the first answer.
+func (d *Detector) SetAlone(alone bool) { d.alone = alone }
+
 // Isolated reports whether the instance reaches no server.
 func (d *Detector) Isolated() bool { return d.isolated }
 
--- a/lib/lacereach/detector_test.go
+++ b/lib/lacereach/detector_test.go
@@ -102,7 +102,7 @@
 		w := newWorld(8, seed)
 		w.down[0], w.down[5] = true, true
 		w.run(10 * time.Second)
-		if w.changes != 0 || w.probes > 3*21 {
+		if w.changes != 0 || w.probes > (firstProbes+confirmProbes)*21 {
 			t.Errorf("seed %d: %d changes, %d probes in 10 s", seed, w.changes, w.probes)
 		}
 	}
@@ -128,14 +128,56 @@
 	}
 }
 
+// Guards against instances that stay isolated for ever, or for long, after most servers have crashed at once, each because
+// the others are.
+func TestMassCrashPasses(t *testing.T) {
+	for seed := range uint64(50) {
+		var fleet []*world
+		for i := range uint64(3) {
+			fleet = append(fleet, newWorld(6, seed*3+i))
+		}
+		crash := func(down int, d time.Duration) {
+			for end := fleet[0].now.Add(d); fleet[0].now.Before(end); {
+				for i, w := range fleet {
+					alone := true
+					for k, other := range fleet {
+						alone = alone && (k == i || other.detector.Isolated())
+					}
+					w.detector.SetAlone(alone)
+					for s := range w.down {
+						w.down[s] = s < down
+					}
+					w.run(step)
+				}
+			}
+		}
+		crash(0, time.Second)
+		crash(5, 3*time.Second)
+		for i, w := range fleet {
+			if w.changes != 0 {
+				t.Errorf("seed %d: instance %d is isolated although a server is up", seed, i)
+			}
+		}
+		crash(6, 3*time.Second)
+		crash(3, 6*time.Second)
+		for i, w := range fleet {
+			if w.detector.Isolated() {
+				t.Errorf("seed %d: instance %d is isolated after the servers are back", seed, i)
+			}
+		}
+	}
+}
+
 // Guards against a result of probes that outweighs an answer which arrived in the meantime.
 func TestAnswerDuringProbesCounts(t *testing.T) {
 	var d Detector
 	now := time.Unix(1000, 0)
 	d.Failed(now)
 	d.Begin(now, 4)
+	d.Finish(now, Round{Silent: 2})
+	d.Begin(now, 4)
 	d.Answered(now.Add(step))
-	if d.Finish(now.Add(2*step), Round{Silent: 3}) || d.Suspected() {
+	if d.Finish(now.Add(2*step), Round{Silent: 4}) || d.Suspected() {
 		t.Error("isolated although a server answered")
 	}
 }
--- a/lib/lacerelay/reach.go
+++ b/lib/lacerelay/reach.go
@@ -89,13 +89,14 @@
 	if since, quiet := r.quietSince(now); quiet && !r.saturated() {
 		r.detector.Quiet(since)
 	}
-	due := r.detector.Due(now)
+	undecided := r.detector.Since()
 	r.mu.Unlock()
-	if !due || !r.options.Peers.any() {
+	if undecided.IsZero() {
 		return
 	}
-	targets := r.options.Backends.probeTargets()
+	alone, targets := !r.options.Peers.any(), r.options.Backends.probeTargets()
 	r.mu.Lock()
+	r.detector.SetAlone(alone)
 	count := r.detector.Begin(now, len(targets))
 	r.mu.Unlock()
 	if count == 0 {
