lacerelay: a cut is no crash of the servers that it cuts off

Cause: a server that refuses connections after one was lost counts as crashed. When an instance is cut off so that connections are reset and new ones refused, all requests in flight were reported as crashes of the servers on their prompts, which may then be refused by all instances. Change: it counts as crashed only if one of up to three other servers accepts a connection, or if there is no other. The tests of crashing prompts pass.

--- a/lib/lacerelay/crash.go
+++ b/lib/lacerelay/crash.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"lacewingcove/lib/lacebalancer"
@@ -18,6 +20,8 @@
 	// endProbeTimeout bounds the probe after an answer without a length, which without a result counts as truncated. It
 	// leaves room for packets that queue on a busy link.
 	endProbeTimeout = 500 * time.Millisecond
+	// maxWitnesses is how many other servers are probed to tell a crash from a cut.
+	maxWitnesses = 3
 	// settledAge is how long a server must go on writing a response until the request counts as harmless. A part that
 	// crashes servers does so when the response begins.
 	settledAge = 500 * time.Millisecond
@@ -104,13 +108,31 @@
 	}
 	probeCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	presence := x.probe.run(time.Now(), func() laceconn.Presence { return x.pool.Probe(probeCtx) })
+	presence := x.probe.run(time.Now(), func() laceconn.Presence { return b.presence(probeCtx, x) })
 	if presence == laceconn.Present && b.isReplaced(x) {
 		return laceconn.PresenceUnknown
 	}
 	return presence
 }
 
+// presence probes a server. That it refuses connections is no sign of a crash if no other server can be reached either: the
+// instance may be cut off from all.
+func (b *Backends) presence(ctx context.Context, x *backend) laceconn.Presence {
+	presence := x.pool.Probe(ctx)
+	if presence != laceconn.Refusing {
+		return presence
+	}
+	others := slices.DeleteFunc(b.probeTargets(), func(o *backend) bool { return o.ID == x.ID })
+	if len(others) == 0 {
+		return presence
+	}
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	if probeAll(ctx, others[:min(len(others), maxWitnesses)]).Answered == 0 {
+		return laceconn.PresenceUnknown
+	}
+	return presence
+}
+
 // isReplaced reports whether a later process has the id or the address of a server.
 func (b *Backends) isReplaced(x *backend) bool {
 	b.mu.Lock()
