--- a/lib/lacerelay/relay.go
+++ b/lib/lacerelay/relay.go
@@ -274,15 +274,6 @@
 	return j.call.Input
 }
 
-// consumedTokens returns the cost of a request: its prompt once, and the forwarded events. A request of which the
-// caller received nothing is free.
-func (j *job) consumedTokens() laceunit.Tokens {
-	if j.response.events == 0 {
-		return 0
-	}
-	return j.input() + min(j.call.MaxOutput, laceunit.Tokens(j.response.events*max(j.tokensPerEvent, 1)))
-}
-
 // admit determines the route, account, service and deadline of a request and reads its body, or returns a refusal.
 func (r *Relay) admit(w http.ResponseWriter, q *http.Request, j *job) *lacefault.Fault {
 	table := r.options.Routes.Load()
@@ -384,51 +375,6 @@
 	}
 }
 
-// reserveTokens reserves the tokens that a request costs at most, unless it costs none.
-func (r *Relay) reserveTokens(ctx context.Context, j *job) *lacefault.Fault {
-	if !j.call.Metered || j.account == "" {
-		return nil
-	}
-	maxTokens := j.input() + j.call.MaxOutput
-	reserveCtx, cancel := context.WithTimeout(ctx, reserveTimeout)
-	defer cancel()
-	verdict, state := r.reserve(reserveCtx, j, maxTokens)
-	if verdict == lacequota.Reserved {
-		j.reserved, j.reserving = maxTokens, true
-		return nil
-	}
-	j.refusalFields = []lacelog.Pair{
-		lacelog.P(lacelog.Tokens, maxTokens), lacelog.P("paid", state.Paid), lacelog.P(lacelog.Cap, state.Cap),
-		lacelog.P(lacelog.Used, state.Used), lacelog.P(lacelog.Held, state.Reserved),
-		lacelog.P("others", state.OthersSpent), lacelog.P("lost", state.Lost), lacelog.P("free", state.Unallocated),
-		lacelog.P(lacelog.Age, time.Since(state.UpdatedAt).Milliseconds()),
-	}
-	if verdict == lacequota.Exhausted {
-		return j.freshness.orStale(newRefusal(lacefault.BudgetSpent, "prepaid tokens are spent", 0))
-	}
-	return newRefusal(lacefault.BudgetUnavailable, "prepaid tokens are not at this instance", budgetRetryAfter(state))
-}
-
-// settle ends the reservation of a request. What other instances deliver from then on is settled there.
-func (r *Relay) settle(j *job) {
-	if j.reserving {
-		j.reserving = false
-		r.options.Quota.Settle(j.account, j.reserved, j.consumedTokens())
-	}
-}
-
-// budgetRetryAfter returns when a caller whose tokens are not held by this instance should retry.
-func budgetRetryAfter(s lacequota.State) time.Duration {
-	switch {
-	case s.UsedElsewhere:
-		return otherInstanceRetryAfter
-	case time.Since(s.UpdatedAt) > storeDownAge:
-		return storeDownRetryAfter
-	default:
-		return rebalanceRetryAfter
-	}
-}
-
 // withRetryBudget calls f with the retry budget of a service while holding the lock.
 func (r *Relay) withRetryBudget(service laceunit.ServiceID, f func(*lacelimit.RetryBudget) bool) bool {
 	r.mu.Lock()
