lacerelay: an instance that may have lost the servers passes requests back

Cause: an instance that loses the servers while it has a forwarded request refused it for good, although a third one may reach them. A request whose three handshakes are each given up after 300 ms was refused after 0.9 s, before the verdict, since silence alone did not count as a suspicion. Change: what was not sent is then declined, and silence counts. Requests that are refused because servers are busy are forwarded only by an isolated instance, so that load is not doubled. The limit of 3 s is as before.

--- a/lib/lacereach/detector.go
+++ b/lib/lacereach/detector.go
@@ -165,8 +165,8 @@
 // connections are refused, and open ones may be in order.
 func (d *Detector) Silent() bool { return d.silent }
 
-// Suspected reports whether the instance is isolated, or may be after a connection has failed.
-func (d *Detector) Suspected() bool { return d.isolated || d.failed }
+// Suspected reports whether the instance is isolated, or may be.
+func (d *Detector) Suspected() bool { return d.isolated || !d.suspectedAt.IsZero() }
 
 // Since returns the time of the first evidence of the current suspicion or isolation; zero without one.
 func (d *Detector) Since() time.Time { return d.suspectedAt }
--- a/lib/lacerelay/attempt.go
+++ b/lib/lacerelay/attempt.go
@@ -72,7 +72,7 @@
 	for {
 		a, f := r.tryServer(ctx, j)
 		if f != nil {
-			if !forwardable(f) || !r.forwardInstead(ctx, j) {
+			if !forwardable(f, r.options.Reach.Isolated()) || !r.forwardInstead(ctx, j) {
 				r.failRequest(ctx, j, &a, f)
 			}
 			return
--- a/lib/lacerelay/forward.go
+++ b/lib/lacerelay/forward.go
@@ -55,11 +55,14 @@
 	return true
 }
 
-// forwardable reports whether another instance may be able to serve a request that was refused here.
-func forwardable(f *lacefault.Fault) bool {
+// forwardable reports whether another instance may be able to serve a request that was refused here, given whether this one
+// is isolated. The others share the load of busy servers.
+func forwardable(f *lacefault.Fault, isolated bool) bool {
 	switch f.Code {
-	case lacefault.NoBackendServer, lacefault.Overloaded, lacefault.BackendServerFailed:
+	case lacefault.NoBackendServer, lacefault.BackendServerFailed:
 		return true
+	case lacefault.Overloaded:
+		return isolated
 	default:
 		return false
 	}
--- a/lib/lacerelay/forwarded.go
+++ b/lib/lacerelay/forwarded.go
@@ -36,13 +36,21 @@
 		r.tableFreshness() == Superseded || r.options.ServersLate != nil && r.options.ServersLate()
 }
 
+// hasLostServers reports whether this instance may have become isolated since it accepted a forwarded request, and has not
+// sent it to a server.
+func (r *Relay) hasLostServers(j *job) bool {
+	return j.origin != nil && j.history.sent == j.origin.params.attempts && r.options.Reach.suspected()
+}
+
 // setForwardHeaders sets the headers of a response to another instance, and removes such headers of a server.
 func (j *job) setForwardHeaders(h http.Header) {
 	removeForwardHeaders(h)
 	if j.origin == nil {
 		return
 	}
-	h.Set(headerForwardServed, "1")
+	if !j.declined {
+		h.Set(headerForwardServed, "1")
+	}
 	h.Set(headerForwardAttempts, strconv.Itoa(j.history.sent))
 	encodeSoftware(h, j.softwareVersion)
 }
--- a/lib/lacerelay/relay.go
+++ b/lib/lacerelay/relay.go
@@ -177,6 +177,8 @@
 	reserving bool
 	// origin is nil unless another instance has forwarded the request.
 	origin *origin
+	// declined is true if the instance that forwarded the request has to try another one.
+	declined bool
 	// forwardOnly is true if the request is to be forwarded without a local attempt.
 	forwardOnly bool
 	// reach observes the current attempt.
@@ -403,6 +405,7 @@
 
 // refuse responds with an error instead of a server's response.
 func (r *Relay) refuse(j *job, f *lacefault.Fault) {
+	j.declined = f.Outcome == lacefault.NotRun && r.hasLostServers(j)
 	if err := j.response.writeFault(f); err != nil {
 		r.finish(j, 0, "broken_off")
 		return
