--- a/lib/lacedirectory/member.go
+++ b/lib/lacedirectory/member.go
@@ -26,6 +26,8 @@
 	Link Megabits
 	// Era is the era of the store in which the instance registered first. Older builds don't tell theirs.
 	Era laceplatform.Era
+	// Isolated is true while the instance reaches no backend server.
+	Isolated bool
 }
 
 // Cores is CPU capacity or usage in cores.
@@ -56,6 +58,8 @@
 	// Link is in kilobits per second; 0 means unknown.
 	Link int64 `json:"link,omitempty"`
 	Era  int64 `json:"era,omitempty"`
+	// Isolated is missing in the entries of earlier builds, which ignore it.
+	Isolated bool `json:"isolated,omitempty"`
 }
 
 // Encode returns the stored form of a member.
@@ -71,6 +75,7 @@
 		Load:        int64(m.Load * milliCoresPerCore),
 		Link:        int64(m.Link * kilobitsPerMegabit),
 		Era:         int64(m.Era),
+		Isolated:    m.Isolated,
 	})
 	return data, errors.Wrap(err, "directory: encode member")
 }
@@ -103,5 +108,6 @@
 		Load:     Cores(f.Load) / milliCoresPerCore,
 		Link:     Megabits(f.Link) / kilobitsPerMegabit,
 		Era:      laceplatform.Era(f.Era),
+		Isolated: f.Isolated,
 	}, nil
 }
--- a/lib/lacerelay/relay.go
+++ b/lib/lacerelay/relay.go
@@ -88,6 +88,10 @@
 	ServersLate func() bool
 	// Link does admission control by the bandwidth of the machine's network link; nil admits every request.
 	Link Link
+	// Reach observes whether servers are reachable, Peers are the instances to which requests are forwarded while none is;
+	// nil disables this.
+	Reach *Reach
+	Peers *Peers
 	// Members returns how many instances share the retry budget.
 	Members func() int
 	Log     *lacelog.Logger
@@ -168,7 +172,18 @@
 	// refusalFields are log fields that explain a refusal: the state of the account or of the link.
 	refusalFields []lacelog.Pair
 	history       attemptHistory
-	link          linkUsage
+	// reserved is how many tokens are reserved for the request; reserving is false unless there is a reservation.
+	reserved  laceunit.Tokens
+	reserving bool
+	// origin is nil unless another instance has forwarded the request.
+	origin *origin
+	// declined is true if the instance that forwarded the request has to try another one.
+	declined bool
+	// forwardOnly is true if the request is to be forwarded without a local attempt.
+	forwardOnly bool
+	// reach observes the current attempt.
+	reach *reachAttempt
+	link  linkUsage
 	// sending is true while the request is at a server, and once its response has begun; the lock of the shutdown protects it.
 	sending bool
 	tried   []laceunit.ServerID
@@ -184,7 +199,11 @@
 }
 
 // ServeHTTP implements http.Handler.
-func (r *Relay) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+func (r *Relay) ServeHTTP(w http.ResponseWriter, q *http.Request) { r.serveHTTP(w, q, nil) }
+
+// serveHTTP serves a request of a caller or one that another instance has forwarded.
+func (r *Relay) serveHTTP(w http.ResponseWriter, q *http.Request, from *origin) {
+	removeForwardHeaders(q.Header)
 	r.running.Add(1)
 	defer r.running.Add(-1)
 	if r.keepAlivesDisabled.Load() {
@@ -194,6 +213,7 @@
 	j := &job{
 		arrived: time.Now(),
 		holding: holding,
+		origin:  from,
 		response: response{
 			codec:    r.options.Codec,
 			w:        w,
@@ -201,6 +221,10 @@
 			buffer:   lacelistener.NewBuffer(holding, lacelistener.Answer),
 		},
 	}
+	j.response.setForwardHeaders = j.setForwardHeaders
+	if from != nil {
+		j.history.sent, j.softwareVersion = from.params.attempts, from.params.software
+	}
 	defer r.releaseLink(j)
 	defer r.endStreamNote(j)
 	r.serve(w, q, j)
@@ -223,14 +247,12 @@
 		}
 		return
 	}
-	maxTokens := j.input() + j.call.MaxOutput
-	metered := j.call.Metered && j.account != ""
-	if metered {
-		if f := r.reserveTokens(q.Context(), j, maxTokens); f != nil {
+	if !r.forwardsFromStart(j) {
+		if f := r.reserveTokens(q.Context(), j); f != nil {
 			r.refuse(j, f)
 			return
 		}
-		defer func() { r.options.Quota.Settle(j.account, maxTokens, j.consumedTokens()) }()
+		defer r.settle(j)
 	}
 	r.withRetryBudget(j.service, func(b *lacelimit.RetryBudget) bool {
 		b.Request(j.arrived)
@@ -254,15 +276,6 @@
 	return j.call.Input
 }
 
-// consumedTokens returns the cost of a request: its prompt once, and the forwarded events. A request of which the
-// caller received nothing is free.
-func (j *job) consumedTokens() laceunit.Tokens {
-	if j.response.events == 0 {
-		return 0
-	}
-	return j.input() + min(j.call.MaxOutput, laceunit.Tokens(j.response.events*max(j.tokensPerEvent, 1)))
-}
-
 // admit determines the route, account, service and deadline of a request and reads its body, or returns a refusal.
 func (r *Relay) admit(w http.ResponseWriter, q *http.Request, j *job) *lacefault.Fault {
 	table := r.options.Routes.Load()
@@ -364,37 +377,6 @@
 	}
 }
 
-func (r *Relay) reserveTokens(ctx context.Context, j *job, maxTokens laceunit.Tokens) *lacefault.Fault {
-	reserveCtx, cancel := context.WithTimeout(ctx, reserveTimeout)
-	defer cancel()
-	verdict, state := r.reserve(reserveCtx, j, maxTokens)
-	if verdict == lacequota.Reserved {
-		return nil
-	}
-	j.refusalFields = []lacelog.Pair{
-		lacelog.P(lacelog.Tokens, maxTokens), lacelog.P("paid", state.Paid), lacelog.P(lacelog.Cap, state.Cap),
-		lacelog.P(lacelog.Used, state.Used), lacelog.P(lacelog.Held, state.Reserved),
-		lacelog.P("others", state.OthersSpent), lacelog.P("lost", state.Lost), lacelog.P("free", state.Unallocated),
-		lacelog.P(lacelog.Age, time.Since(state.UpdatedAt).Milliseconds()),
-	}
-	if verdict == lacequota.Exhausted {
-		return j.freshness.orStale(newRefusal(lacefault.BudgetSpent, "prepaid tokens are spent", 0))
-	}
-	return newRefusal(lacefault.BudgetUnavailable, "prepaid tokens are not at this instance", budgetRetryAfter(state))
-}
-
-// budgetRetryAfter returns when a caller whose tokens are not held by this instance should retry.
-func budgetRetryAfter(s lacequota.State) time.Duration {
-	switch {
-	case s.UsedElsewhere:
-		return otherInstanceRetryAfter
-	case time.Since(s.UpdatedAt) > storeDownAge:
-		return storeDownRetryAfter
-	default:
-		return rebalanceRetryAfter
-	}
-}
-
 // withRetryBudget calls f with the retry budget of a service while holding the lock.
 func (r *Relay) withRetryBudget(service laceunit.ServiceID, f func(*lacelimit.RetryBudget) bool) bool {
 	r.mu.Lock()
@@ -423,6 +405,7 @@
 
 // refuse responds with an error instead of a server's response.
 func (r *Relay) refuse(j *job, f *lacefault.Fault) {
+	j.declined = f.Outcome == lacefault.NotRun && r.hasLostServers(j)
 	if err := j.response.writeFault(f); err != nil {
 		r.finish(j, 0, "broken_off")
 		return
