lacebalancer: brittle servers get no more than they surely have room for

Seen by callers: while the servers of a service fail under rejections, all of them are down most of the time. Cause: each instance sends to a server until its own load reports count it as full, and probes it at once when it is back. The reports lag, so that the instances together send far more than a server with a short queue takes. The room of the brittle servers of a pool is divided by the number of instances; a part below some requests is used at random times, so that the instances don't use it together. A rejection stops this instance's requests to the server for a time and lowers its share there and in the pool; reports of full slots lower the former. Requests that have to wait too long are refused with a Retry-After. A server that is back, probes of an ejected one and retries are limited alike.

--- a/lib/lacebalancer/balancer.go
+++ b/lib/lacebalancer/balancer.go
@@ -84,7 +84,10 @@
 	// latency is the moving average latency of successful requests in seconds.
 	latency float64
 	// demand is known while requests describe their prompts.
-	demand demand
+	demand  demand
+	brittle brittlePool
+	// workTime is the mean time in seconds that servers need for a request, without the wait for a slot.
+	workTime average
 }
 
 // Option configures a new balancer.
@@ -287,6 +290,7 @@
 			assigned.pool.latency = latency.Seconds()
 		}
 		assigned.pool.latency += weight * (latency.Seconds() - assigned.pool.latency)
+		assigned.pool.addWorkTime(s, latency)
 	case Failure:
 		s.recordFailure(now, b.routing.EjectAfter, b.routing.EjectionTime, assigned.probe)
 	case Unreachable:
--- a/lib/lacebalancer/pause.go
+++ b/lib/lacebalancer/pause.go
@@ -173,10 +173,14 @@
 	BlockPaused
 	// BlockRateLimited means that the server has set a rate limit since it was selected.
 	BlockRateLimited
+	// BlockBrittle means that the server is brittle, and has rejected a request since it was selected.
+	BlockBrittle
 )
 
 // String returns the label value in metrics.
-func (r BlockReason) String() string { return [...]string{"", "leaving", "pause", "limit"}[r] }
+func (r BlockReason) String() string {
+	return [...]string{"", "leaving", "pause", "limit", "brittle"}[r]
+}
 
 // BlockReason returns why an assigned request must no longer be sent to its server. Check it before sending, since the
 // state of the server may change between its selection and the connection to it.
@@ -189,6 +193,8 @@
 		return BlockPaused
 	case b.current(assigned.server).rateLimiter != nil && !assigned.rateLimited:
 		return BlockRateLimited
+	case b.current(assigned.server).brittle.rejectedSince(assigned.assignedAt):
+		return BlockBrittle
 	}
 	return BlockNone
 }
--- a/lib/lacebalancer/pick.go
+++ b/lib/lacebalancer/pick.go
@@ -19,7 +19,7 @@
 	if p == nil || !p.usable(request.Version) {
 		return refusal(ticket, NoServer, b.routing.EjectionTime), nil
 	}
-	if r, ok := p.stall(now, request.Version); ok {
+	if r, ok := b.stall(now, p, request.Version); ok {
 		if r = r.withBacklog(p.queue.Len()); !r.worthQueueing(now, b.deadline(now, request)) {
 			p.recordThrottled(now)
 			return refusal(ticket, r.reason, b.withJitter(r.wait)), nil
@@ -117,7 +117,7 @@
 		refuse(p.queue.Drop(func(lacelimit.Item[waiter]) bool { return true }), NoServer)
 		return decisions
 	}
-	if r, ok := p.stall(now, nil); ok {
+	if r, ok := b.stall(now, p, nil); ok {
 		for _, i := range p.queue.Drop(func(i lacelimit.Item[waiter]) bool { return !r.worthQueueing(now, i.Deadline) }) {
 			delete(b.waiting, i.Value.ticket)
 			decisions = append(decisions, refusal(i.Value.ticket, r.reason, b.withJitter(r.wait)))
@@ -179,6 +179,7 @@
 		age = now.Sub(s.reportTime)
 	}
 	placed, report := b.place(placing, s)
+	b.sendToBrittle(now, p, s)
 	s.addInFlight(now, 1)
 	if probe {
 		s.probeInFlight = true
@@ -230,8 +231,16 @@
 		if s.leaving || !s.has(r.Version) || s.paused(now) || slices.Contains(exclude, s.id) {
 			continue
 		}
+		withheld := b.withheld(now, p, s)
 		if s.ejected {
-			probeTarget = s.orEarlierProbe(now, probeTarget)
+			if !withheld {
+				probeTarget = s.orEarlierProbe(now, probeTarget)
+			}
+			continue
+		}
+		if withheld {
+			p.brittle.throttledAt = now
+			healthyCount++
 			continue
 		}
 		if s.rateLimited(now) {
--- a/lib/lacebalancer/request.go
+++ b/lib/lacebalancer/request.go
@@ -90,6 +90,8 @@
 	Paused
 	// RateLimited means that the rate limits of the pool's servers permit no request before the deadline.
 	RateLimited
+	// Withheld means that the brittle servers of the pool have no room for the request before its deadline.
+	Withheld
 	// NotInTime means that no server can serve the request before its time limit.
 	NotInTime
 )
--- a/lib/lacebalancer/server.go
+++ b/lib/lacebalancer/server.go
@@ -78,6 +78,7 @@
 	pause *pause
 	// rateLimiter is nil unless the server has a rate limit.
 	rateLimiter *rateLimiter
+	brittle     brittleState
 
 	cachedPrefixes map[uint64]struct{}
 	loadEstimate   float64
--- a/lib/lacebalancer/stall.go
+++ b/lib/lacebalancer/stall.go
@@ -25,7 +25,7 @@
 }
 
 // stall returns the stall of the pool's servers of a version, nil for all, and false while one of them is available.
-func (p *pool) stall(now time.Time, version *laceunit.SoftwareVersion) (stall, bool) {
+func (b *Balancer) stall(now time.Time, p *pool, version *laceunit.SoftwareVersion) (stall, bool) {
 	found := false
 	var shortest stall
 	var rate laceunit.Rate
@@ -33,12 +33,19 @@
 		if s.leaving || !s.has(version) {
 			continue
 		}
-		if !s.unavailable(now) {
+		if s.ejected && p.limitsBrittle(now, s) {
+			continue
+		}
+		withheld := b.withheld(now, p, s)
+		if !withheld && !s.unavailable(now) {
 			return stall{}, false
 		}
 		r := s.stall(now)
+		if withheld {
+			r = r.orLonger(b.brittleStall(now, p, s))
+		}
 		if r.queueable {
-			rate += s.rateLimiter.allowance.Rate
+			rate += r.rate
 		}
 		if !found || r.wait < shortest.wait {
 			shortest, found = r, true
@@ -68,18 +75,27 @@
 	if wait := s.rateLimiter.wait(now); wait > r.wait {
 		_, r.queueable = s.rateLimiter.nextAllowed(now)
 		r.queueable = r.queueable && !s.paused(now)
+		r.rate = s.rateLimiter.allowance.Rate
 		r.reason, r.wait = RateLimited, wait
 	}
 	return r
 }
 
+// orLonger returns the longer of two stalls of a server.
+func (r stall) orLonger(other stall) stall {
+	if other.wait < r.wait {
+		return r
+	}
+	return other
+}
+
 // RetryAfter returns a retry delay with jitter while no server of a pool is available, and zero otherwise.
 func (b *Balancer) RetryAfter(now time.Time, name Pool) time.Duration {
 	p := b.pools[name]
 	if p == nil {
 		return 0
 	}
-	r, ok := p.stall(now, nil)
+	r, ok := b.stall(now, p, nil)
 	if !ok {
 		return 0
 	}
@@ -88,6 +104,9 @@
 
 // recordThrottled records demand for the servers of a pool whose rate limits prevented a request.
 func (p *pool) recordThrottled(now time.Time) {
+	if p.isBrittle(now) {
+		p.brittle.throttledAt = now
+	}
 	for _, s := range p.servers {
 		if s.rateLimited(now) {
 			s.rateLimiter.demand.LastThrottled = now
