lacerelay, laceadapter: the header of brittle servers

Cause: a server that fails under rejections says so in all its answers, and nothing reads it. Change: Reply.Brittle, parsed and checked where it is decoded; malformed headers are logged as for rate limits and say nothing. Each answer is passed to the balancer before any part of it is forwarded. The header is not passed on to callers, nor from them to servers.

--- a/lib/lacebalancer/brittlepace.go
+++ b/lib/lacebalancer/brittlepace.go
@@ -125,6 +125,15 @@
 	return now.Before(b.nextTurn(now, p)) || now.Before(p.nextToBrittle(now, s))
 }
 
+// holdBack reports whether a request to a server must wait because the server is brittle, and records it.
+func (b *Balancer) holdBack(now time.Time, p *pool, s *server) bool {
+	if !b.withheld(now, p, s) {
+		return false
+	}
+	p.brittle.throttledAt = now
+	return true
+}
+
 // sendToBrittle counts a request that is assigned to a server; it precedes the count of requests in flight.
 func (b *Balancer) sendToBrittle(now time.Time, p *pool, s *server) {
 	if !p.limitsBrittle(now, s) {
--- a/lib/lacebalancer/pick.go
+++ b/lib/lacebalancer/pick.go
@@ -231,21 +231,16 @@
 		if s.leaving || !s.has(r.Version) || s.paused(now) || slices.Contains(exclude, s.id) {
 			continue
 		}
-		withheld := b.withheld(now, p, s)
-		if s.ejected {
-			if !withheld {
-				probeTarget = s.orEarlierProbe(now, probeTarget)
-			}
+		if b.holdBack(now, p, s) {
+			healthyCount++
 			continue
 		}
-		if withheld {
-			p.brittle.throttledAt = now
-			healthyCount++
+		if s.ejected {
+			probeTarget = s.orEarlierProbe(now, probeTarget)
 			continue
 		}
 		if s.rateLimited(now) {
-			s.rateLimiter.demand.LastThrottled = now
-			if at, known := s.rateLimiter.nextAllowed(now); known && at.Before(b.deadline(now, r)) {
+			if s.rateLimiter.throttle(now, b.deadline(now, r)) {
 				healthyCount++
 			}
 			continue
@@ -274,9 +269,7 @@
 	if probeTarget != nil && (healthyCount == 0 || probeTarget.mayBeProbedBy(now, r)) {
 		return probeTarget, true
 	}
-	if suspectCount > 0 && suspectCount < len(candidates) {
-		candidates = slices.DeleteFunc(candidates, func(s *server) bool { return now.Before(s.suspectUntil) })
-	}
+	candidates = trusted(now, candidates, suspectCount)
 	if len(candidates) == 0 {
 		return p.probeLoad(now, overloaded), false
 	}
@@ -286,6 +279,14 @@
 	return p.policy.Choose(candidates, r.Prefix, b.random), false
 }
 
+// trusted returns the candidates without a number of suspect ones, unless all are suspect.
+func trusted(now time.Time, candidates []*server, suspects int) []*server {
+	if suspects == 0 || suspects == len(candidates) {
+		return candidates
+	}
+	return slices.DeleteFunc(candidates, func(s *server) bool { return now.Before(s.suspectUntil) })
+}
+
 // orEarlierProbe returns the ejected server s if it can be probed before another one, which may be nil, and otherwise that
 // one.
 func (s *server) orEarlierProbe(now time.Time, other *server) *server {
--- a/lib/lacebalancer/ratelimit.go
+++ b/lib/lacebalancer/ratelimit.go
@@ -83,6 +83,13 @@
 	l.demand.LastSent = now
 }
 
+// throttle records that the allowance prevents a request, and reports whether the next one may be sent before a deadline.
+func (l *rateLimiter) throttle(now, deadline time.Time) bool {
+	l.demand.LastThrottled = now
+	at, known := l.nextAllowed(now)
+	return known && at.Before(deadline)
+}
+
 // wait returns the time until this instance may send the next request, or an estimate while it has no valid share.
 func (l *rateLimiter) wait(now time.Time) time.Duration {
 	if at, known := l.nextAllowed(now); known {
--- a/lib/lacerelay/attempt.go
+++ b/lib/lacerelay/attempt.go
@@ -204,6 +204,9 @@
 	case lacebalancer.RateLimited:
 		f.Message = "all servers get as many requests as they have said they take"
 		r.options.Metrics.countWithheld(j, lacebalancer.BlockRateLimited.String(), "refused")
+	case lacebalancer.Withheld:
+		f.Message = "the servers are brittle and have no room for more requests"
+		r.options.Metrics.countWithheld(j, lacebalancer.BlockBrittle.String(), "refused")
 	}
 	j.history.correctOutcome(f)
 	if ctx.Err() != nil && j.history.mayHaveRun {
--- a/lib/lacerelay/backend.go
+++ b/lib/lacerelay/backend.go
@@ -21,6 +21,9 @@
 	// stateRateLimited and stateNoRateLimit follow the rate limit in the responses that this instance gets.
 	stateRateLimited = "limiting"
 	stateNoRateLimit = "unlimited"
+	// stateBrittle and stateNotBrittle follow what the responses say of the server's brittleness.
+	stateBrittle    = "brittle"
+	stateNotBrittle = "not_brittle"
 )
 
 // Backend is the registration of a backend server.
--- a/lib/lacerelay/codec.go
+++ b/lib/lacerelay/codec.go
@@ -73,6 +73,8 @@
 	HeaderError error
 	// Limit is the server's rate limit in requests a second, for all instances together.
 	Limit laceconn.RateLimit
+	// Brittle tells whether the server fails when it has to reject requests.
+	Brittle Brittle
 	// Load is nil when the response has no load report.
 	Load *lacebalancer.Load
 	// KeepAlive is how long the server keeps an idle connection open; zero means that it did not specify it.
--- a/lib/lacerelay/notice.go
+++ b/lib/lacerelay/notice.go
@@ -15,6 +15,9 @@
 	noticeUnreadable  = "unread"
 	noticeLimit       = "limit"
 	noticeMisdirected = "misdirected"
+	noticeBrittle     = "brittle"
+	// noticeBrittleRejection is a request that a brittle server rejected for lack of room.
+	noticeBrittleRejection = "brittle_full"
 )
 
 // applyReply applies the control information in a response header: leaving, pause, rate limit and load. It does so
@@ -48,6 +51,7 @@
 	if reply.Limit.Present {
 		r.options.Metrics.countNotice(j, noticeLimit)
 	}
+	r.applyBrittle(j, d, a)
 	if reply.Load != nil {
 		r.options.Picker.ReportLoad(d.Server, *reply.Load)
 	}
--- a/lib/lacerelay/picker.go
+++ b/lib/lacerelay/picker.go
@@ -129,6 +129,15 @@
 	p.notify(p.balancer.Report(p.now(), id, load, 0))
 }
 
+// ObserveBrittle records what a response shows of the brittleness of its server. It reports whether that has changed.
+func (p *Picker) ObserveBrittle(t lacebalancer.Ticket, o lacebalancer.BrittleObservation) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	changed, decisions := p.balancer.ObserveBrittle(p.now(), t, o)
+	p.notify(decisions)
+	return changed
+}
+
 // MarkResponseStarted records that a server sent a response header that asks for no pause.
 func (p *Picker) MarkResponseStarted(t lacebalancer.Ticket) {
 	p.mu.Lock()
