--- a/loadgen/lacesoak/check.go
+++ b/loadgen/lacesoak/check.go
@@ -29,6 +29,7 @@
 	guaranteeRetryAfter  = "retry-after"
 	guaranteeQuarantine  = "quarantine"
 	guaranteeVersion     = "one-version"
+	guaranteeBrittle     = "brittle"
 )
 
 const (
@@ -86,6 +87,7 @@
 	c.checkPropagation()
 	c.checkRetryAfter()
 	c.checkQuarantine()
+	c.checkFalls()
 	c.checkVersions()
 	for _, i := range r.exited {
 		c.addViolation(guaranteeRunning, nil, "instance %d exited unexpectedly", i)
--- a/loadgen/lacesoak/injector.go
+++ b/loadgen/lacesoak/injector.go
@@ -146,8 +146,8 @@
 	return j.apply(func(c *laceroute.Document) {
 		switch e.kind {
 		case eventRouteTimeout:
-			// The first route is that of serviceFragile, which no event affects.
-			r := &c.Routes[1+e.variant%(len(c.Routes)-1)]
+			// The first routes are those of serviceFragile and serviceBrittle, which no event affects.
+			r := &c.Routes[2+e.variant%(len(c.Routes)-2)]
 			r.Timeout = defaultTimeout + shortTimeout - r.Timeout
 		case eventKeyRevoked:
 			c.Accounts[accountRevoked].Keys = c.Accounts[accountRevoked].Keys[:1]
--- a/loadgen/lacesoak/record.go
+++ b/loadgen/lacesoak/record.go
@@ -85,6 +85,9 @@
 	final map[int]laceprocess.Usage
 	// crashes are the times of the crashes of serviceFragile, in order.
 	crashes []time.Time
+	// falls is the number of times that servers of serviceBrittle fell over; brittle is true if the service ran.
+	falls   int
+	brittle bool
 	// exited are the instances that exited unexpectedly.
 	exited []int
 	// instances and backends are the numbers of instances and backend servers.
--- a/loadgen/lacesoak/soak.go
+++ b/loadgen/lacesoak/soak.go
@@ -35,7 +35,7 @@
 	specs, instances, err := t.writeSettings(dir)
 	r := &record{
 		instances: o.Instances,
-		backends:  o.engineCount() + o.serviceCount() + fragileServers,
+		backends:  o.engineCount() + o.serviceCount() + fragileServers + brittleServers,
 		slowLink:  t.slowLink,
 	}
 	if err == nil {
@@ -144,12 +144,8 @@
 		done:      make(chan struct{}),
 	}
 	c.start(0)
-	fragile := &fragileService{testbed: t}
-	fragileCtx, stopFragile := context.WithCancel(ctx)
-	defer stopFragile()
-	if t.slowLink == nil {
-		fragile.start(fragileCtx, c)
-	}
+	crashing := t.startCrashing(ctx, c)
+	defer crashing.stop()
 	j := &injector{
 		testbed: t,
 		fleet:   f,
@@ -164,10 +160,8 @@
 		c.probe(ctx)
 		sleep(ctx, time.Until(r.faultsEnded.Add(QuietPeriod)))
 	}
-	stopFragile()
-	crashes, fragileErr := fragile.wait()
-	if r.crashes = crashes; err == nil {
-		err = fragileErr
+	if crashErr := crashing.finish(r); err == nil {
+		err = crashErr
 	}
 	c.close()
 	r.responses, r.injections, r.changes = c.responses, j.injections, j.changes
@@ -186,6 +180,42 @@
 	return err
 }
 
+// crashingServices are the services whose servers crash without an event.
+type crashingServices struct {
+	fragile fragileService
+	brittle brittleService
+	stop    context.CancelFunc
+	running bool
+}
+
+// startCrashing starts the services whose servers crash and their callers, except in runs with a slow link.
+func (t *testbed) startCrashing(ctx context.Context, c *callers) *crashingServices {
+	s := &crashingServices{
+		fragile: fragileService{testbed: t},
+		brittle: brittleService{testbed: t},
+		running: t.slowLink == nil,
+	}
+	ctx, s.stop = context.WithCancel(ctx)
+	if s.running {
+		s.fragile.start(ctx, c)
+		s.brittle.start(ctx, c)
+	}
+	return s
+}
+
+// finish stops the services and records their crashes.
+func (s *crashingServices) finish(r *record) error {
+	s.stop()
+	var err, brittleErr error
+	r.crashes, err = s.fragile.wait()
+	r.falls, brittleErr = s.brittle.wait()
+	r.brittle = s.running
+	if err == nil {
+		err = brittleErr
+	}
+	return err
+}
+
 // awaitBaseline samples the instances until their resource usage is close to the baseline or baselineTimeout has
 // elapsed.
 func (f *fleet) awaitBaseline(ctx context.Context, r *record) {
--- a/loadgen/lacesoak/testbed.go
+++ b/loadgen/lacesoak/testbed.go
@@ -112,9 +112,10 @@
 		Services: []laceroute.Service{
 			{ID: serviceModel, MaxConnections: 100, Engine: &laceroute.Engine{MaxTokensPerEvent: tokensPerEvent}},
 			{ID: servicePlain, MaxConnections: 100},
+			{ID: serviceBrittle, MaxConnections: 100},
 			{ID: serviceFragile, MaxConnections: 100, Engine: &laceroute.Engine{MaxTokensPerEvent: tokensPerEvent}},
 		},
-		Routes: []laceroute.Route{fragileRoute().route()},
+		Routes: []laceroute.Route{fragileRoute().route(), brittleRoute().route()},
 	}
 	for _, k := range routeKinds() {
 		if !k.addedLater {
