lacebalancer, lacerelay: a server that was silent for a moment is back at once

Seen by callers: after the machine of a sound server, or of all servers, sends no packets for 0.8 to 1.5 s, the servers get no requests for up to 4.8 s afterwards. Cause: a handshake without an answer ejects the server for a second, and each failed probe doubles that. Requests from the time of the silence that time out after the server has answered again count as new failures and eject it once more. Change: time-outs are told from failures (Silent, SilentHandshake). Until 3 s after the ejection, a silent server is probed after 250 ms each time; from then on its ejection time doubles as before. Time-outs of requests from before its recovery don't count. Refused and broken connections count as before, and a silent server is ejected as fast as before.

--- a/lib/lacebalancer/balancer.go
+++ b/lib/lacebalancer/balancer.go
@@ -281,7 +281,7 @@
 	}
 	switch result {
 	case Success:
-		s.recordSuccess(assigned.probe)
+		s.recordSuccess(now, assigned.probe)
 		if !assigned.responseStarted {
 			b.raiseSlowStartLimit(now, assigned)
 		}
@@ -295,8 +295,12 @@
 		s.recordFailure(now, b.routing.EjectAfter, b.routing.EjectionTime, assigned.probe)
 	case Unreachable:
 		s.recordFailure(now, 1, b.routing.EjectionTime, assigned.probe)
+	case Silent:
+		s.recordSilence(now, assigned.assignedAt, b.routing.EjectAfter, b.routing.EjectionTime, assigned.probe)
+	case SilentHandshake:
+		s.recordSilence(now, assigned.assignedAt, 1, b.routing.EjectionTime, assigned.probe)
 	case Busy:
-		s.recordSuccess(assigned.probe)
+		s.recordSuccess(now, assigned.probe)
 		// Treat the server as full regardless of its last report, until the next report.
 		if !s.removed {
 			s.reportTime, s.localAtReport = now, s.localLoad
--- a/lib/lacebalancer/request.go
+++ b/lib/lacebalancer/request.go
@@ -125,6 +125,10 @@
 	Busy
 	// Unreachable means that no connection to the server could be opened; it ejects the server at once.
 	Unreachable
+	// Silent means that the server did not respond in time; consecutive failures and silences eject it.
+	Silent
+	// SilentHandshake means that the server's machine did not answer the handshake in time; it ejects the server at once.
+	SilentHandshake
 	// Neutral is an outcome that does not depend on the server, such as a canceled request.
 	Neutral
 )
--- a/lib/lacebalancer/server.go
+++ b/lib/lacebalancer/server.go
@@ -26,6 +26,10 @@
 	suspectDuration = 30 * time.Second
 	// maxEjectionFactor bounds the exponential backoff of the ejection time after failed probes.
 	maxEjectionFactor = 16
+	// maxSilence is how long the machine of a sound server may send no packets. Until then, a server that does not answer
+	// is ejected for at most silenceEjectionTime at a time.
+	maxSilence          = 3 * time.Second
+	silenceEjectionTime = 250 * time.Millisecond
 	// maxUnprobed is how long an ejected server without a probe is spared by non-idempotent requests. A service may get
 	// no others, so that nothing else shows whether the server has recovered.
 	maxUnprobed = 2 * time.Minute
@@ -68,7 +72,11 @@
 	// localAtReport is the number of requests that this instance had in flight at that time.
 	localAtReport int
 
-	failures      int
+	failures int
+	// recoveredAt is when the server last answered after failures, silentSince when it was ejected because it did not
+	// answer; zero unless it was.
+	recoveredAt   time.Time
+	silentSince   time.Time
 	ejected       bool
 	probeInFlight bool
 	ejectedUntil  time.Time
@@ -216,12 +224,40 @@
 	s.ejectedUntil = now.Add(s.ejectionTime)
 }
 
-func (s *server) recordSuccess(probe bool) {
+// recordSilence counts an unanswered request like a failure. The machine of the server may only be silent for a moment:
+// the server is then probed more often, and requests from before its recovery don't count.
+func (s *server) recordSilence(
+	now, assignedAt time.Time, threshold int, baseTime time.Duration, probe bool,
+) {
+	switch {
+	case !probe && assignedAt.Before(s.recoveredAt):
+		return
+	case probe && s.ejected && !s.silentSince.IsZero() && now.Sub(s.silentSince) < maxSilence:
+		s.failures++
+		s.ejectedUntil = now.Add(s.ejectionTime)
+		return
+	}
+	wasEjected := s.ejected
+	if wasEjected && probe && !s.silentSince.IsZero() {
+		s.ejectionTime, s.silentSince = max(s.ejectionTime, baseTime/2), time.Time{}
+	}
+	s.recordFailure(now, threshold, baseTime, probe)
+	if s.ejected && !wasEjected {
+		s.silentSince = now
+		s.ejectionTime = min(baseTime, silenceEjectionTime)
+		s.ejectedUntil = now.Add(s.ejectionTime)
+	}
+}
+
+func (s *server) recordSuccess(now time.Time, probe bool) {
 	// A request from before the ejection is weaker evidence of recovery than a probe.
 	if s.ejected && !probe {
 		return
 	}
-	s.failures, s.ejected, s.ejectionTime = 0, false, 0
+	if s.failures > 0 {
+		s.recoveredAt = now
+	}
+	s.failures, s.ejected, s.ejectionTime, s.silentSince = 0, false, 0, time.Time{}
 }
 
 // setCached records that the server has cached or evicted a prefix. Beyond the bound, arbitrary prefixes are dropped
--- a/lib/lacerelay/attempt.go
+++ b/lib/lacerelay/attempt.go
@@ -52,6 +52,8 @@
 	settled      bool
 	// neutral is true when nothing was sent for a reason that the server did not cause.
 	neutral bool
+	// noHandshake is true when nothing was sent because the server's machine did not answer the handshake in time.
+	noHandshake bool
 	// delayed is true when nothing was sent because the instance's own link delayed the handshake.
 	delayed bool
 	// revoked is true when nothing was sent because the server became unavailable (leaving, paused or rate limited)
@@ -350,20 +352,19 @@
 	switch a.outcome {
 	case attemptNotSent:
 		j.history.countNotSent(a)
-		result = lacebalancer.Unreachable
-		if a.neutral {
-			result = lacebalancer.Neutral
-		}
+		result = a.unreachableResult()
 	case attemptNotRun:
 		result = lacebalancer.Busy
 		j.refusedBy = append(j.refusedBy, d.Server)
-	case attemptBroken, attemptStalled:
+	case attemptBroken:
 		result = lacebalancer.Failure
+	case attemptStalled:
+		result = lacebalancer.Silent
 	case attemptTimedOut:
 		result = lacebalancer.Neutral
 		if a.status == 0 && !r.excused(j, d.Server, started, excusedAnswer) {
 			// The server sent no response header before the deadline.
-			result = lacebalancer.Failure
+			result = lacebalancer.Silent
 		}
 	case attemptCallerGone, attemptBlocked, attemptStopped:
 		result = lacebalancer.Neutral
--- a/lib/lacerelay/connect.go
+++ b/lib/lacerelay/connect.go
@@ -33,6 +33,7 @@
 	if err != nil {
 		a.outcome, a.reason = attemptNotSent, err.Error()
 		a.neutral = r.connectionErrorIsNeutral(ctx, j, d.Server, err, started)
+		a.noHandshake = errors.Is(err, laceconn.ErrHandshakeTimeout)
 		a.delayed = a.neutral && ctx.Err() == nil && errors.Is(err, laceconn.ErrHandshakeTimeout)
 		r.placementRevoked(j, d, a)
 		return nil
@@ -61,6 +62,18 @@
 		errors.Is(err, laceconn.ErrHandshakeTimeout) && r.excused(j, server, started, excusedHandshake)
 }
 
+// unreachableResult returns the balancer's result of an attempt of which nothing was sent.
+func (a *attempt) unreachableResult() lacebalancer.Result {
+	switch {
+	case a.neutral:
+		return lacebalancer.Neutral
+	case a.noHandshake:
+		return lacebalancer.SilentHandshake
+	default:
+		return lacebalancer.Unreachable
+	}
+}
+
 // countNotSent counts an attempt of which nothing was sent.
 func (h *attemptHistory) countNotSent(a *attempt) {
 	switch {
