laceconn: user timeout and keep-alives of sockets agree

Seen by callers: a stream without an event for a second breaks when one packet is lost, and any connection may break in a silence of the server's machine of 1.5 s. Cause: on Linux a TCP_USER_TIMEOUT also decides when keep-alive probes give up, whatever their number. With 2 s and a probe each second, a connection was given up after a single lost probe; data that is lost is sent again after 0.2, 0.6, 1.4 and 3 s, later than the 2 s. Clients without a dialer of their own had the 150 s of the net package. Change: KeepAlive states both. Connections to servers, the store and peers are given up 4 s after the last packet, by probes and by TCP_USER_TIMEOUT alike. Listeners and the other clients have probes after 5 s and give up after 20 s, without TCP_USER_TIMEOUT, which would also end connections to clients that read nothing for a time. A vanished peer without a time-out of the call is given up after 4 s, not 2 s.

--- a/lib/lacebackend/http.go
+++ b/lib/lacebackend/http.go
@@ -5,7 +5,6 @@
 	"context"
 	"crypto/tls"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -83,7 +82,7 @@
 	// The transport's transparent decompression is disabled because it hides the declared content length. Proxies from
 	// the environment are ignored. Each kind of call limits its body.
 	h.transport = laceconn.NewTransport(&http.Transport{
-		DialContext:         (&net.Dialer{Timeout: h.limits.DialTimeout}).DialContext,
+		DialContext:         laceconn.NewDialer(h.limits.DialTimeout).DialContext,
 		TLSClientConfig:     h.tls,
 		TLSHandshakeTimeout: h.limits.DialTimeout,
 		DisableCompression:  true,
--- a/lib/laceconn/dial.go
+++ b/lib/laceconn/dial.go
@@ -58,13 +58,8 @@
 	close(armed)
 	defer timer.Stop()
 	dialer := &net.Dialer{
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable:   true,
-			Idle:     keepAliveInterval,
-			Interval: keepAliveInterval,
-			Count:    keepAliveCount,
-		},
-		Control: h.setOptions,
+		KeepAliveConfig: serverKeepAlive().config(),
+		Control:         h.setOptions,
 	}
 	conn, err := dialer.DialContext(dialCtx, network, address)
 	var opErr *net.OpError
@@ -85,14 +80,7 @@
 	h.mu.Lock()
 	h.sockets = append(h.sockets, c)
 	h.mu.Unlock()
-	var optionErr error
-	err := c.Control(func(fd uintptr) {
-		optionErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(ackTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return err
-	}
-	return optionErr
+	return serverKeepAlive().setUserTimeout(c)
 }
 
 // isComplete reports whether the remote host has completed the handshake on any of the sockets.
--- a/lib/laceconn/pool.go
+++ b/lib/laceconn/pool.go
@@ -13,13 +13,6 @@
 )
 
 const (
-	// ackTimeout is the TCP_USER_TIMEOUT: how long sent data may stay unacknowledged before the connection is considered
-	// lost. During a partition no acknowledgement arrives, and a connection that has stopped responding does not recover.
-	ackTimeout = 2 * time.Second
-	// keepAliveInterval and keepAliveCount configure the TCP keepalive probes, which detect lost connections on which
-	// nothing is being sent.
-	keepAliveInterval = time.Second
-	keepAliveCount    = 2
 	// defaultIdleTimeout is how long an idle connection is kept if the server does not specify a keep-alive timeout.
 	defaultIdleTimeout = 4 * time.Second
 	// idleTimeoutMargin is subtracted from the server's keep-alive timeout, so that no request is sent on a connection
@@ -27,9 +20,6 @@
 	idleTimeoutMargin = 300 * time.Millisecond
 )
 
-// tcpUserTimeout is the socket option TCP_USER_TIMEOUT, for which package syscall has no constant.
-const tcpUserTimeout = 18
-
 // Pool is the connection pool for one backend server.
 type Pool struct {
 	address laceunit.Address
--- a/lib/laceconn/transport.go
+++ b/lib/laceconn/transport.go
@@ -27,7 +27,7 @@
 func NewTransport(base *http.Transport, maxBodyBytes int64) *Transport {
 	dialContext, dialTLS := base.DialContext, base.DialTLSContext
 	if dialContext == nil {
-		dialContext = (&net.Dialer{}).DialContext
+		dialContext = NewDialer(0).DialContext
 	}
 	if dialTLS == nil {
 		// net/http would encrypt the bytes above a ResponseConn.
--- a/lib/lacenode/listen.go
+++ b/lib/lacenode/listen.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"net"
 	"net/http"
 	"time"
 
@@ -27,8 +26,6 @@
 	idleTimeout = 2 * time.Minute
 	// maxHeaderBytes bounds the size of the header of a request.
 	maxHeaderBytes = 64 << 10
-	// keepAliveInterval is the interval of TCP keep-alive probes, which detect callers that have vanished.
-	keepAliveInterval = 5 * time.Second
 )
 
 // listener is an HTTP server of the instance.
@@ -44,8 +41,7 @@
 	ctx context.Context, address laceunit.Address, handler http.Handler, guard *lacelistener.Guard,
 	traffic *laceconn.Traffic,
 ) (*listener, error) {
-	config := net.ListenConfig{KeepAlive: keepAliveInterval}
-	socket, err := config.Listen(ctx, "tcp", string(address))
+	socket, err := laceconn.Listen(ctx, "tcp", string(address))
 	if err != nil {
 		return nil, errors.Wrap(err, "node: listen")
 	}
--- a/lib/laceplatform/client.go
+++ b/lib/laceplatform/client.go
@@ -111,9 +111,7 @@
 		o(c)
 	}
 	// Each endpoint gets an equal share of the timeout, so that an address that drops packets leaves time for the others.
-	dialer := &net.Dialer{
-		Timeout: c.timeout / time.Duration(len(c.endpoints)),
-	}
+	dialer := laceconn.NewDialer(c.timeout / time.Duration(len(c.endpoints)))
 	c.transport = laceconn.NewTransport(&http.Transport{
 		DialContext:         dialer.DialContext,
 		DialTLSContext:      c.dialTLS.withTimeout(dialer.Timeout),
--- a/lib/lacetls/config.go
+++ b/lib/lacetls/config.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"lacewingcove/lib/laceconn"
 )
 
 // ServerConfig returns the configuration of a listener that does not request client certificates.
@@ -47,7 +49,7 @@
 			return nil, errors.Wrap(err, "tls")
 		}
 		d := tls.Dialer{
-			NetDialer: &net.Dialer{Timeout: timeout},
+			NetDialer: laceconn.NewDialer(timeout),
 			Config:    s.ClientConfig(host),
 		}
 		return d.DialContext(ctx, network, address)
--- a/router/lacerouter/server.go
+++ b/router/lacerouter/server.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
 
+	"lacewingcove/lib/laceconn"
 	"lacewingcove/lib/lacelistener"
 	"lacewingcove/lib/laceunit"
 )
@@ -36,8 +37,7 @@
 	ctx context.Context, address laceunit.Address, handler http.Handler, config *tls.Config,
 	guard *lacelistener.Guard, logger logr.Logger,
 ) (*listener, error) {
-	var listenConfig net.ListenConfig
-	socket, err := listenConfig.Listen(ctx, "tcp", string(address))
+	socket, err := laceconn.Listen(ctx, "tcp", string(address))
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
