--- a/lib/lacebalancer/brittle_test.go
+++ b/lib/lacebalancer/brittle_test.go
@@ -29,6 +29,8 @@
 	// demand is the usual demand relative to the capacity.
 	demand float64
 	seeds  uint64
+	// unreported is true for servers without load reports.
+	unreported bool
 }
 
 type brittleServer struct {
@@ -275,7 +277,9 @@
 		o := BrittleObservation{
 			Instances: s.instances,
 			Rejected:  rejected,
-			Load:      &x.report,
+		}
+		if !s.unreported {
+			o.Load = &x.report
 		}
 		if s.elapsed >= simBrittleFrom {
 			o.Brittle, o.MaxRejections = true, laceunit.Rate(s.maxRejections)
@@ -285,6 +289,9 @@
 			s.apply(r.instance, decisions)
 		}
 	}
+	if s.unreported {
+		return
+	}
 	decisions := b.Report(s.now(), x.id, x.report, 0)
 	if b == r.instance.balancer {
 		s.apply(r.instance, decisions)
@@ -354,6 +361,8 @@
 		{instances: 7, servers: 9, slots: 16, maxRejections: 3, demand: 0.35, seeds: 1},
 		{instances: 60, servers: 12, slots: 6, maxRejections: 5, demand: 0.85, seeds: 2},
 		{instances: 300, servers: 6, slots: 6, maxRejections: 5, demand: 0.85, seeds: 4},
+		{instances: 60, servers: 4, slots: 6, maxRejections: 5, demand: 0.35, seeds: 4, unreported: true},
+		{instances: 300, servers: 6, slots: 6, maxRejections: 5, demand: 0.35, seeds: 4, unreported: true},
 		{instances: 300, servers: 30, slots: 6, maxRejections: 5, demand: 0.35, seeds: 1},
 	} {
 		c.aware = true
