--- a/lib/lacebalancer/balancer.go
+++ b/lib/lacebalancer/balancer.go
@@ -84,7 +84,10 @@
 	// latency is the moving average latency of successful requests in seconds.
 	latency float64
 	// demand is known while requests describe their prompts.
-	demand demand
+	demand  demand
+	brittle brittlePool
+	// workTime is the mean time in seconds that servers need for a request, without the wait for a slot.
+	workTime average
 }
 
 // Option configures a new balancer.
@@ -278,7 +281,7 @@
 	}
 	switch result {
 	case Success:
-		s.recordSuccess(assigned.probe)
+		s.recordSuccess(now, assigned.probe)
 		if !assigned.responseStarted {
 			b.raiseSlowStartLimit(now, assigned)
 		}
@@ -287,12 +290,17 @@
 			assigned.pool.latency = latency.Seconds()
 		}
 		assigned.pool.latency += weight * (latency.Seconds() - assigned.pool.latency)
+		assigned.pool.addWorkTime(s, latency)
 	case Failure:
 		s.recordFailure(now, b.routing.EjectAfter, b.routing.EjectionTime, assigned.probe)
 	case Unreachable:
 		s.recordFailure(now, 1, b.routing.EjectionTime, assigned.probe)
+	case Silent:
+		s.recordSilence(now, assigned.assignedAt, b.routing.EjectAfter, b.routing.EjectionTime, assigned.probe)
+	case SilentHandshake:
+		s.recordSilence(now, assigned.assignedAt, 1, b.routing.EjectionTime, assigned.probe)
 	case Busy:
-		s.recordSuccess(assigned.probe)
+		s.recordSuccess(now, assigned.probe)
 		// Treat the server as full regardless of its last report, until the next report.
 		if !s.removed {
 			s.reportTime, s.localAtReport = now, s.localLoad
--- a/lib/lacebalancer/pick.go
+++ b/lib/lacebalancer/pick.go
@@ -19,7 +19,7 @@
 	if p == nil || !p.usable(request.Version) {
 		return refusal(ticket, NoServer, b.routing.EjectionTime), nil
 	}
-	if r, ok := p.stall(now, request.Version); ok {
+	if r, ok := b.stall(now, p, request.Version); ok {
 		if r = r.withBacklog(p.queue.Len()); !r.worthQueueing(now, b.deadline(now, request)) {
 			p.recordThrottled(now)
 			return refusal(ticket, r.reason, b.withJitter(r.wait)), nil
@@ -117,7 +117,7 @@
 		refuse(p.queue.Drop(func(lacelimit.Item[waiter]) bool { return true }), NoServer)
 		return decisions
 	}
-	if r, ok := p.stall(now, nil); ok {
+	if r, ok := b.stall(now, p, nil); ok {
 		for _, i := range p.queue.Drop(func(i lacelimit.Item[waiter]) bool { return !r.worthQueueing(now, i.Deadline) }) {
 			delete(b.waiting, i.Value.ticket)
 			decisions = append(decisions, refusal(i.Value.ticket, r.reason, b.withJitter(r.wait)))
@@ -179,6 +179,7 @@
 		age = now.Sub(s.reportTime)
 	}
 	placed, report := b.place(placing, s)
+	b.sendToBrittle(now, p, s)
 	s.addInFlight(now, 1)
 	if probe {
 		s.probeInFlight = true
@@ -230,13 +231,16 @@
 		if s.leaving || !s.has(r.Version) || s.paused(now) || slices.Contains(exclude, s.id) {
 			continue
 		}
+		if b.holdBack(now, p, s) {
+			healthyCount++
+			continue
+		}
 		if s.ejected {
 			probeTarget = s.orEarlierProbe(now, probeTarget)
 			continue
 		}
 		if s.rateLimited(now) {
-			s.rateLimiter.demand.LastThrottled = now
-			if at, known := s.rateLimiter.nextAllowed(now); known && at.Before(b.deadline(now, r)) {
+			if s.rateLimiter.throttle(now, b.deadline(now, r)) {
 				healthyCount++
 			}
 			continue
@@ -265,9 +269,7 @@
 	if probeTarget != nil && (healthyCount == 0 || probeTarget.mayBeProbedBy(now, r)) {
 		return probeTarget, true
 	}
-	if suspectCount > 0 && suspectCount < len(candidates) {
-		candidates = slices.DeleteFunc(candidates, func(s *server) bool { return now.Before(s.suspectUntil) })
-	}
+	candidates = trusted(now, candidates, suspectCount)
 	if len(candidates) == 0 {
 		return p.probeLoad(now, overloaded), false
 	}
@@ -277,6 +279,14 @@
 	return p.policy.Choose(candidates, r.Prefix, b.random), false
 }
 
+// trusted returns the candidates without a number of suspect ones, unless all are suspect.
+func trusted(now time.Time, candidates []*server, suspects int) []*server {
+	if suspects == 0 || suspects == len(candidates) {
+		return candidates
+	}
+	return slices.DeleteFunc(candidates, func(s *server) bool { return now.Before(s.suspectUntil) })
+}
+
 // orEarlierProbe returns the ejected server s if it can be probed before another one, which may be nil, and otherwise that
 // one.
 func (s *server) orEarlierProbe(now time.Time, other *server) *server {
--- a/lib/lacebalancer/reinstate.go
+++ b/lib/lacebalancer/reinstate.go
@@ -7,7 +7,7 @@
 func (b *Balancer) Reinstate(now, since time.Time) []Decision {
 	for _, s := range b.servers {
 		if s.failures > 0 && !s.failingSince.Before(since) {
-			s.failures, s.ejected, s.ejectionTime = 0, false, 0
+			s.failures, s.ejected, s.ejectionTime, s.silentSince = 0, false, 0, time.Time{}
 		}
 	}
 	return b.Tick(now)
--- a/lib/lacebalancer/request.go
+++ b/lib/lacebalancer/request.go
@@ -90,6 +90,8 @@
 	Paused
 	// RateLimited means that the rate limits of the pool's servers permit no request before the deadline.
 	RateLimited
+	// Withheld means that the brittle servers of the pool have no room for the request before its deadline.
+	Withheld
 	// NotInTime means that no server can serve the request before its time limit.
 	NotInTime
 )
@@ -123,6 +125,10 @@
 	Busy
 	// Unreachable means that no connection to the server could be opened; it ejects the server at once.
 	Unreachable
+	// Silent means that the server did not respond in time; consecutive failures and silences eject it.
+	Silent
+	// SilentHandshake means that the server's machine did not answer the handshake in time; it ejects the server at once.
+	SilentHandshake
 	// Neutral is an outcome that does not depend on the server, such as a canceled request.
 	Neutral
 )
--- a/lib/lacerelay/attempt.go
+++ b/lib/lacerelay/attempt.go
@@ -52,6 +52,8 @@
 	settled      bool
 	// neutral is true when nothing was sent, or the response was not used, for a reason that the server did not cause.
 	neutral bool
+	// noHandshake is true when nothing was sent because the server's machine did not answer the handshake in time.
+	noHandshake bool
 	// delayed is true when nothing was sent because the instance's own link delayed the handshake.
 	delayed bool
 	// revoked is true when nothing was sent because the server became unavailable (leaving, paused or rate limited)
@@ -224,6 +226,9 @@
 	case lacebalancer.RateLimited:
 		f.Message = "all servers get as many requests as they have said they take"
 		r.options.Metrics.countWithheld(j, lacebalancer.BlockRateLimited.String(), "refused")
+	case lacebalancer.Withheld:
+		f.Message = "the servers are brittle and have no room for more requests"
+		r.options.Metrics.countWithheld(j, lacebalancer.BlockBrittle.String(), "refused")
 	}
 	j.history.correctOutcome(f)
 	if ctx.Err() != nil && j.history.mayHaveRun {
@@ -376,23 +381,22 @@
 	switch a.outcome {
 	case attemptNotSent:
 		j.history.countNotSent(a)
-		result = lacebalancer.Unreachable
-		if a.neutral {
-			result = lacebalancer.Neutral
-		}
+		result = a.unreachableResult()
 	case attemptNotRun:
 		result = lacebalancer.Busy
 		j.refusedBy = append(j.refusedBy, d.Server)
-	case attemptBroken, attemptStalled:
+	case attemptBroken:
 		result = lacebalancer.Failure
 		if a.neutral {
 			result = lacebalancer.Neutral
 		}
+	case attemptStalled:
+		result = lacebalancer.Silent
 	case attemptTimedOut:
 		result = lacebalancer.Neutral
 		if a.status == 0 && !r.excused(j, d.Server, started, excusedAnswer) {
 			// The server sent no response header before the deadline.
-			result = lacebalancer.Failure
+			result = lacebalancer.Silent
 		}
 	case attemptCallerGone, attemptBlocked, attemptStopped, attemptIsolated:
 		result = lacebalancer.Neutral
@@ -409,8 +413,11 @@
 		// A pause is not a failure, and the load of the server is known again once the pause ends.
 		result = lacebalancer.Neutral
 	}
-	if (result == lacebalancer.Failure || result == lacebalancer.Unreachable) && r.options.Reach.Isolated() {
-		result = lacebalancer.Neutral
+	switch result {
+	case lacebalancer.Failure, lacebalancer.Unreachable, lacebalancer.Silent:
+		if r.options.Reach.Isolated() {
+			result = lacebalancer.Neutral
+		}
 	}
 	if a.outcome != attemptNotSent && a.outcome != attemptNotRun {
 		j.history.mayHaveRun = true
--- a/loadgen/lacesoak/observer.go
+++ b/loadgen/lacesoak/observer.go
@@ -75,12 +75,12 @@
 	return r
 }
 
-// variableRoute returns the route whose timeout an event changes. The first route is that of serviceFragile, which no event
-// affects; those of observers do not change which route an event selects.
+// variableRoute returns the route whose timeout an event changes. The first routes are those of serviceFragile and
+// serviceBrittle, which no event affects; those of observers do not change which route an event selects.
 func variableRoute(d *laceroute.Document, variant int) *laceroute.Route {
 	var candidates []int
 	for i, r := range d.Routes {
-		if i > 0 && !strings.HasPrefix(r.Name, addedObservedPrefix) && !strings.HasPrefix(r.Name, removedObservedPrefix) {
+		if i >= 2 && !strings.HasPrefix(r.Name, addedObservedPrefix) && !strings.HasPrefix(r.Name, removedObservedPrefix) {
 			candidates = append(candidates, i)
 		}
 	}
