lacedirectory: others take over the load of isolated members of a large fleet

Cause: in a fleet with standby instances, isolated members were left out of the choice of active ones together with their load, so that too few others became active for the callers that come to them. Change: their load counts for the members that reach the servers. Seen failing before and with the change removed: isolated_test.go:39, 40 members: 15 addresses where 29 were before and 20 reach the servers.

--- a/lib/lacedirectory/isolated.go
+++ b/lib/lacedirectory/isolated.go
@@ -51,5 +51,17 @@
 	if len(members) <= maxAllActive {
 		return selectActive(members)
 	}
-	return selectActive(withoutIsolated(members))
+	reaching := withoutIsolated(members)
+	var load, reachingLoad Cores
+	for _, m := range members {
+		load += m.Load
+	}
+	for _, m := range reaching {
+		reachingLoad += m.Load
+	}
+	for i := range reaching {
+		// The callers of the others come to these.
+		reaching[i].Load += (load - reachingLoad) / Cores(len(reaching))
+	}
+	return selectActive(reaching)
 }
