lacerelay: a request without time left blames no other instance

Cause: on a busy machine the context of a request ends later than its deadline. A handshake with another instance then fails at once, and the instance was avoided for 1 s; with one instance left, all requests were refused. Callers saw: TestForwardingWithoutTheStore in 1 of 1 run of the whole package at a load of 25 to 44 on 8 cores: isolation_test.go:130, 503 four times. Change: no instance is tried or avoided by a request without time left. Seen failing before: forward_test.go:45, late: the instance may get requests: false.

--- a/lib/lacerelay/forward.go
+++ b/lib/lacerelay/forward.go
@@ -90,7 +90,7 @@
 	defer r.shutdown.endSend(j)
 	var tried []*peer
 	a := attempt{reason: "no other instance reaches the servers"}
-	for len(tried) < maxPeersTried && ctx.Err() == nil {
+	for len(tried) < maxPeersTried && ctx.Err() == nil && time.Until(j.deadline) >= minRemainingTime {
 		p, ok := r.options.Peers.pick(time.Now(), tried)
 		if !ok {
 			break
@@ -141,7 +141,9 @@
 	if a.exchange != nil {
 		r.forwardStream(ctx, j, &a, &stallTimer{}, func() {})
 	}
-	if a.outcome == attemptNotSent && ctx.Err() == nil || a.outcome == attemptBroken {
+	// At the deadline, a connection may fail before the context ends.
+	inTime := ctx.Err() == nil && time.Until(j.deadline) > 0
+	if a.outcome == attemptNotSent && inTime || a.outcome == attemptBroken {
 		r.options.Peers.avoid(time.Now(), p)
 	}
 	r.options.Metrics.countForwarded(j, a.outcome)
