--- a/lib/lacemirror/delta_base.go
+++ b/lib/lacemirror/delta_base.go
@@ -48,10 +48,13 @@
 }
 
 // Base returns the largest value of the copy and its identity, to be used as a delta base; it returns none if all
-// values are small.
+// values are small. A retained value is no base: other copies have another value at its revision.
 func (m *Mirror) Base() (Base, []byte) {
 	var largest laceplatform.Entry
 	for _, e := range m.entries {
+		if m.isRetained(e.Entry) {
+			continue
+		}
 		if len(e.Value) > len(largest.Value) || len(e.Value) == len(largest.Value) && e.Key < largest.Key {
 			largest = e.Entry
 		}
@@ -67,7 +70,7 @@
 
 // BaseValue returns the value that a base identifies, if it is current here or was until recently.
 func (m *Mirror) BaseValue(b Base) ([]byte, bool) {
-	if e, ok := m.entries[b.Key]; ok && e.Revision == b.Revision {
+	if e, ok := m.entries[b.Key]; ok && e.Revision == b.Revision && !m.isRetained(e.Entry) {
 		return e.Value, true
 	}
 	return m.previous.lookup(b)
--- a/lib/lacemirror/list.go
+++ b/lib/lacemirror/list.go
@@ -35,8 +35,13 @@
 	defer f.mu.Unlock()
 	previous := f.mirror.Revision()
 	changes, ok := f.mirror.Replace(l.entries, l.revision)
-	if !ok {
+	switch {
+	case !ok && l.revision.Era() < previous.Era():
 		return 0, errors.Wrapf(errOutdatedList, "list at %d, copy at %d", l.revision, previous)
+	case !ok:
+		// Peers were faster. The list does not show that the copy is current; a watch from the copy's revision will.
+		f.recordContact()
+		return 0, nil
 	}
 	f.recordContact()
 	f.markSynced(began)
--- a/lib/lacemirror/mirror.go
+++ b/lib/lacemirror/mirror.go
@@ -55,6 +55,10 @@
 	// removed are the last contents of entries that were removed, by key; removedKeys has the keys in order.
 	removed     map[laceplatform.Key]laceplatform.Entry
 	removedKeys []laceplatform.Key
+	// restoredAt is the revision of the first list since the store was last restored; zero if it was not.
+	restoredAt laceplatform.Revision
+	// retained are the revisions at which the store has an older value than this copy, since it was restored.
+	retained map[laceplatform.Key]laceplatform.Revision
 }
 
 // mirrorEntry is an entry of the copy.
@@ -109,6 +113,9 @@
 	if revision < m.revision {
 		return nil, false
 	}
+	if m.revision > 0 && revision.Era() > m.revision.Era() {
+		m.restoredAt = revision
+	}
 	entries = m.withoutRollback(entries)
 	var changes []Change
 	seen := make(map[laceplatform.Key]bool, len(entries))
@@ -227,7 +234,7 @@
 	if m.normalize != nil {
 		next.normalized = m.normalize(e)
 	}
-	if ok {
+	if ok && !m.isRetained(old.Entry) {
 		m.previous.add(old.Entry)
 	}
 	unchanged := ok && next.normalized != nil && next.normalized == old.normalized
@@ -264,6 +271,7 @@
 		return laceplatform.Entry{}, false
 	}
 	delete(m.entries, key)
+	delete(m.retained, key)
 	m.rememberRemoved(old.Entry)
 	return old.Entry, true
 }
--- a/lib/lacemirror/sequence.go
+++ b/lib/lacemirror/sequence.go
@@ -51,10 +51,13 @@
 	current := make([]laceplatform.Entry, 0, len(entries))
 	for _, e := range entries {
 		if known, ok := m.entries[e.Key]; ok {
-			if m.restoredSince(known.Entry, e) && m.compare(e, known.Entry) < 0 {
+			if m.fromBackup(known.Entry, e) && m.compare(e, known.Entry) < 0 {
+				// Other copies have the listed value, and may offer it as a base.
+				m.previous.add(e)
 				e.Value = known.Value
+				m.retain(e)
 			}
-		} else if gone, ok := m.removed[e.Key]; ok && m.restoredSince(gone, e) && m.compare(e, gone) <= 0 {
+		} else if gone, ok := m.removed[e.Key]; ok && m.fromBackup(gone, e) && m.compare(e, gone) <= 0 {
 			continue
 		}
 		current = append(current, e)
@@ -62,9 +65,24 @@
 	return current
 }
 
-// restoredSince reports whether the store was restored between a known entry and one of a list.
-func (m *Mirror) restoredSince(known, listed laceplatform.Entry) bool {
-	return known.Revision.Era() < listed.Revision.Era()
+// fromBackup reports whether a listed entry may be of the backup from which the store was restored since an entry was known.
+// What is newer than the first list of the era was written since.
+func (m *Mirror) fromBackup(known, listed laceplatform.Entry) bool {
+	return known.Revision.Era() < listed.Revision.Era() && listed.Revision <= m.restoredAt
+}
+
+// retain records that the value of an entry is newer than the one that the store has at its revision.
+func (m *Mirror) retain(e laceplatform.Entry) {
+	if m.retained == nil {
+		m.retained = map[laceplatform.Key]laceplatform.Revision{}
+	}
+	m.retained[e.Key] = e.Revision
+}
+
+// isRetained reports whether the value of an entry is not the one that the store has at its revision.
+func (m *Mirror) isRetained(e laceplatform.Entry) bool {
+	r, ok := m.retained[e.Key]
+	return ok && r == e.Revision
 }
 
 // compare orders two contents of a key; contents without a known position are newer than any other.
--- a/lib/lacemirror/status.go
+++ b/lib/lacemirror/status.go
@@ -112,7 +112,8 @@
 func (f *Follower) Confirm(revision laceplatform.Revision, at laceunit.Uptime) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if current := f.mirror.Revision(); current < revision || current.Era() != revision.Era() {
+	current := f.mirror.Revision()
+	if current < revision || current.Era() != revision.Era() || current.Era() < f.tracker.Connectivity().Era {
 		return false
 	}
 	f.markSynced(at)
--- a/lib/lacenode/query.go
+++ b/lib/lacenode/query.go
@@ -96,9 +96,12 @@
 		}
 	}
 	if problem != "" {
+		// A peer may have another value of a base; without bases, its next answer is complete.
+		r.offerNoBases.Store(true)
 		r.node.rejectMessage(problem, string(peer))
 		return peerAnswer{}, errors.Wrap(errMalformedAnswer, problem)
 	}
+	r.offerNoBases.Store(false)
 	for _, d := range deltas {
 		r.follower(d.Prefix).Merge(d)
 	}
--- a/lib/lacenode/replicator.go
+++ b/lib/lacenode/replicator.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"lacewingcove/lib/laceconn"
@@ -44,6 +45,8 @@
 	staleCopies map[laceplatform.Key]bool
 
 	transfers transfers
+	// offerNoBases is true after an answer that could not be applied, until one was.
+	offerNoBases atomic.Bool
 	// tasks are the running queries and transfers.
 	tasks sync.WaitGroup
 
@@ -190,7 +193,7 @@
 
 // queryPeer sends the query of a round to a peer; it returns nil if the query fails.
 func (r *replicator) queryPeer(ctx context.Context, peer laceunit.Address) *peerAnswer {
-	answer, err := r.fetch(ctx, peer, r.newQuery(maxRoundDeltaBytes, true))
+	answer, err := r.fetch(ctx, peer, r.newQuery(maxRoundDeltaBytes, !r.offerNoBases.Load()))
 	if err != nil {
 		// Not logged: the next round queries other peers.
 		return nil
--- a/lib/lacestream/recorder.go
+++ b/lib/lacestream/recorder.go
@@ -61,7 +61,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if era != s.era || s.eraAt.IsZero() {
-		s.restored = s.era > 0
+		// Era zero is also that of a store that has not answered yet.
+		s.restored = s.era > 0 || len(s.versions.recorded)+len(s.versions.acknowledged) > 0
 		s.era, s.eraAt = era, now
 		clear(s.versions.acknowledged)
 	}
