lacerelay: one failure does not keep callers from the only other instance

Seen by callers: (review) after one stream that a server broke off, one request beyond the connections to an instance, or a refusal for another reason at an instance whose servers are quiet for a moment, an isolated instance refused everybody for a second; a frozen instance went on getting its share. Cause: each of these made the instance avoided, and nobody else was left. Change: an avoided instance is used if there is no other; only what it has caused itself counts, also that it writes nothing. An instance passes a request back only if it has no server for it.

--- a/lib/lacerelay/forward.go
+++ b/lib/lacerelay/forward.go
@@ -142,8 +142,7 @@
 		r.forwardStream(ctx, j, &a, &stallTimer{}, func() {})
 	}
 	// At the deadline, a connection may fail before the context ends.
-	inTime := ctx.Err() == nil && time.Until(j.deadline) > 0
-	if a.outcome == attemptNotSent && inTime || a.outcome == attemptBroken {
+	if inTime := ctx.Err() == nil && time.Until(j.deadline) > 0; a.blamesPeer(inTime) {
 		r.options.Peers.avoid(time.Now(), p)
 	}
 	r.options.Metrics.countForwarded(j, a.outcome)
@@ -155,11 +154,24 @@
 	return a
 }
 
+// blamesPeer reports whether the instance to which a request was forwarded is the cause that it was not served. What broke
+// after the header of the response may have been its server's.
+func (a *attempt) blamesPeer(inTime bool) bool {
+	switch a.outcome {
+	case attemptNotSent:
+		return inTime && !a.neutral
+	case attemptBroken, attemptTimedOut:
+		return a.header == nil
+	default:
+		return false
+	}
+}
+
 // exchangeWith sends a request to an instance and reads the response, or only its header if it is a stream.
 func (r *Relay) exchangeWith(ctx context.Context, j *job, p *peer, a *attempt) {
 	conn, err := p.pool.Get(ctx)
 	if err != nil {
-		a.outcome, a.reason = attemptNotSent, err.Error()
+		a.outcome, a.reason, a.neutral = attemptNotSent, err.Error(), errors.Is(err, laceconn.ErrPoolExhausted)
 		return
 	}
 	x, err := conn.Send(ctx, r.newForwardRequest(j))
--- a/lib/lacerelay/forwarded.go
+++ b/lib/lacerelay/forwarded.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"strconv"
+
+	"lacewingcove/lib/lacefault"
 )
 
 // origin is the state of a request that another instance has forwarded; nil for one of a caller.
@@ -36,10 +38,13 @@
 		r.tableFreshness() == Superseded || r.options.ServersLate != nil && r.options.ServersLate()
 }
 
-// hasLostServers reports whether this instance may have become isolated since it accepted a forwarded request, and has not
-// sent it to a server.
-func (r *Relay) hasLostServers(j *job) bool {
-	return j.origin != nil && j.history.sent == j.origin.params.attempts && r.options.Reach.suspected()
+// hasLostServers reports whether a forwarded request that was sent to no server is refused because this instance may have
+// become isolated since it accepted it.
+func (r *Relay) hasLostServers(j *job, f *lacefault.Fault) bool {
+	if j.origin == nil || j.history.sent != j.origin.params.attempts || !r.options.Reach.suspected() {
+		return false
+	}
+	return f.Code == lacefault.NoBackendServer || f.Code == lacefault.Overloaded
 }
 
 // setForwardHeaders sets the headers of a response to another instance, and removes such headers of a server.
--- a/lib/lacerelay/peers.go
+++ b/lib/lacerelay/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,7 +13,7 @@
 const (
 	// maxPeerConns bounds the connections to another instance for forwarded requests.
 	maxPeerConns = 128
-	// peerAvoidance is how long an instance gets no forwarded requests after it has refused one or failed.
+	// peerAvoidance is how long other instances are preferred to one that has refused a forwarded request or failed.
 	peerAvoidance = time.Second
 	// minNearPeers is the least number of instances among which requests are spread, if there are as many. Otherwise half
 	// of the instances are used, the nearest ones.
@@ -32,7 +33,7 @@
 type peer struct {
 	address laceunit.Address
 	pool    *laceconn.Pool
-	// avoidUntil is until when the instance gets no forwarded requests; zero if it may get them. The lock of Peers
+	// avoidUntil is until when other instances are preferred; zero if it is not avoided. The lock of Peers
 	// protects it.
 	avoidUntil time.Time
 }
@@ -47,7 +48,8 @@
 	}
 }
 
-// pick returns an instance that was not tried, and false if there is none.
+// pick returns an instance that was not tried, and false if there is none. One that is avoided is picked only if there is no
+// other.
 func (p *Peers) pick(now time.Time, tried []*peer) (*peer, bool) {
 	if p == nil {
 		return nil, false
@@ -55,21 +57,20 @@
 	listed := p.list()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	candidates := make([]*peer, 0, len(listed))
+	candidates, avoided := make([]*peer, 0, len(listed)), []*peer(nil)
 	for _, address := range listed {
-		x := p.byAddress[address]
-		if x == nil {
-			x = &peer{
-				address: address,
-				pool:    laceconn.NewPool(address, maxPeerConns),
-			}
-			x.pool.CountTraffic(p.traffic)
-			p.byAddress[address] = x
-		}
-		if !now.Before(x.avoidUntil) && !contains(tried, x) {
+		x := p.get(address)
+		switch {
+		case slices.Contains(tried, x):
+		case now.Before(x.avoidUntil):
+			avoided = append(avoided, x)
+		default:
 			candidates = append(candidates, x)
 		}
 	}
+	if len(candidates) == 0 {
+		candidates = avoided
+	}
 	if len(candidates) == 0 {
 		return nil, false
 	}
@@ -77,25 +78,37 @@
 	return candidates[rand.IntN(near)], true
 }
 
-// available reports whether an instance may get a forwarded request.
+// get returns the instance with an address; the lock must be held.
+func (p *Peers) get(address laceunit.Address) *peer {
+	x := p.byAddress[address]
+	if x == nil {
+		x = &peer{
+			address: address,
+			pool:    laceconn.NewPool(address, maxPeerConns),
+		}
+		x.pool.CountTraffic(p.traffic)
+		p.byAddress[address] = x
+	}
+	return x
+}
+
+// available reports whether there is an instance that is not avoided.
 func (p *Peers) available(now time.Time) bool {
-	_, ok := p.pick(now, nil)
-	return ok
+	if p == nil {
+		return false
+	}
+	listed := p.list()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(listed, func(address laceunit.Address) bool {
+		return !now.Before(p.get(address).avoidUntil)
+	})
 }
 
 // any reports whether there are other instances.
 func (p *Peers) any() bool { return p != nil && len(p.list()) > 0 }
 
-func contains(list []*peer, x *peer) bool {
-	for _, l := range list {
-		if l == x {
-			return true
-		}
-	}
-	return false
-}
-
-// avoid keeps forwarded requests from an instance for some time.
+// avoid makes other instances preferred to one for some time.
 func (p *Peers) avoid(now time.Time, x *peer) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/lib/lacerelay/relay.go
+++ b/lib/lacerelay/relay.go
@@ -405,7 +405,7 @@
 
 // refuse responds with an error instead of a server's response.
 func (r *Relay) refuse(j *job, f *lacefault.Fault) {
-	j.declined = f.Outcome == lacefault.NotRun && r.hasLostServers(j)
+	j.declined = r.hasLostServers(j, f)
 	if err := j.response.writeFault(f); err != nil {
 		r.finish(j, 0, "broken_off")
 		return
