lacerelay: attempts of a forwarded stream are counted in sum

Seen: (review) a stream was sent to three servers at one instance and three at another, two attempts are allowed. Cause: an instance names its attempts in the header, and made further ones after it. Change: once it has sent events to the instance that forwarded the request, it makes no further attempt; that one resumes the stream, at the same instance too. Measured: TestForwardedStreamKeepsMaxAttempts failed before ("sent to [m4 m3 m1] and [m4 m6 m5], 2 are allowed") and passes.

--- a/lib/lacerelay/attempt.go
+++ b/lib/lacerelay/attempt.go
@@ -82,6 +82,11 @@
 		if a.endsLocalAttempts(r.options.Reach.Isolated()) && r.forwardInstead(ctx, j) {
 			return
 		}
+		if j.origin != nil && a.outcome != attemptComplete && !j.response.startedAt.IsZero() {
+			// The instance that forwarded the request knows of the attempts up to the header, and continues the stream.
+			r.failRequest(ctx, j, &a, r.attemptFault(&a))
+			return
+		}
 		switch nextAction(j.route, j.history, a.outcome, a.status, r.retryBudgetCheck(j)) {
 		case actionDeliver:
 			r.deliver(ctx, j, &a)
--- a/lib/lacerelay/forward.go
+++ b/lib/lacerelay/forward.go
@@ -90,13 +90,15 @@
 	defer r.shutdown.endSend(j)
 	var tried []*peer
 	a := attempt{reason: "no other instance reaches the servers"}
-	for len(tried) < maxPeersTried && ctx.Err() == nil && time.Until(j.deadline) >= minRemainingTime {
+	for range maxPeersTried {
 		p, ok := r.options.Peers.pick(time.Now(), tried)
-		if !ok {
+		if !ok || ctx.Err() != nil || time.Until(j.deadline) < minRemainingTime {
 			break
 		}
-		tried = append(tried, p)
 		a = r.forwardTo(ctx, j, p)
+		if a.header == nil {
+			tried = append(tried, p)
+		}
 		switch r.nextForward(j, &a) {
 		case actionRetry:
 			continue
