lacerelay: a forwarded request counts once for the retry budget

Cause: (review) both instances counted it, so that the fleet allowed up to twice the retries while many are isolated. Change: only the instance that got it from its caller counts it.

--- a/lib/lacerelay/relay.go
+++ b/lib/lacerelay/relay.go
@@ -254,10 +254,13 @@
 		}
 		defer r.settle(j)
 	}
-	r.withRetryBudget(j.service, func(b *lacelimit.RetryBudget) bool {
-		b.Request(j.arrived)
-		return true
-	})
+	if j.origin == nil {
+		// The instance that forwarded a request has counted it.
+		r.withRetryBudget(j.service, func(b *lacelimit.RetryBudget) bool {
+			b.Request(j.arrived)
+			return true
+		})
+	}
 	deadlineCtx, cancelDeadline := context.WithDeadline(q.Context(), j.deadline)
 	defer cancelDeadline()
 	ctx, cancel := context.WithCancelCause(deadlineCtx)
