lacerelay: an isolated instance ends only requests that it can repeat

Cause: all attempts that hung were ended, and the retry budget then covered only some of the repetitions. Change: each takes its retry from the budget before it is ended; others go on waiting. Measured: TestIsolationEndsOnlyWhatItCanRepeat failed before and passes.

--- a/lib/lacerelay/attempt.go
+++ b/lib/lacerelay/attempt.go
@@ -121,8 +121,11 @@
 	if f := r.lateFault(j); f != nil {
 		return attempt{}, f
 	}
-	attemptCtx, j.reach = r.options.Reach.begin(attemptCtx,
-		retrySafe(j.route) && j.history.sent+1 < j.route.MaxAttempts && r.mayForward(j))
+	var takeRetry func() bool
+	if retrySafe(j.route) && j.history.sent+1 < j.route.MaxAttempts && r.mayForward(j) {
+		takeRetry = r.retryBudgetCheck(j)
+	}
+	attemptCtx, j.reach = r.options.Reach.begin(attemptCtx, takeRetry)
 	defer r.options.Reach.end(j.reach)
 	decision := r.pickServer(attemptCtx, j)
 	if decision.Verdict != lacebalancer.Assigned {
--- a/lib/lacerelay/forward.go
+++ b/lib/lacerelay/forward.go
@@ -48,7 +48,8 @@
 	if ctx.Err() != nil || !r.options.Reach.suspected() || !r.mayForward(j) || !r.options.Peers.available(time.Now()) {
 		return false
 	}
-	if j.history.sent > 0 && (j.history.sent >= j.route.MaxAttempts || !r.retryBudgetCheck(j)()) {
+	if j.history.sent > 0 &&
+		(j.history.sent >= j.route.MaxAttempts || !j.reach.hasRetry() && !r.retryBudgetCheck(j)()) {
 		return false
 	}
 	r.forward(ctx, j)
--- a/lib/lacerelay/reach.go
+++ b/lib/lacerelay/reach.go
@@ -68,9 +68,11 @@
 // reachAttempt is an attempt at a server. A nil reachAttempt is not observed.
 type reachAttempt struct {
 	cancel context.CancelCauseFunc
-	// repeatable is true if the attempt may be aborted after the request was sent.
-	repeatable bool
-	startedAt  time.Time
+	// takeRetry takes a retry from the retry budget, so that the attempt may be aborted after the request was sent; nil if
+	// the request can't be repeated. tookRetry is true once it has.
+	takeRetry func() bool
+	tookRetry atomic.Bool
+	startedAt time.Time
 	// sent is true once the request may be at a server; the lock of the Reach protects it.
 	sent bool
 	// heardAt is when the server last wrote something, in nanoseconds; zero before.
@@ -178,27 +180,30 @@
 	}
 }
 
-// abort ends the attempts that have not been sent, and in a silent isolation those that may be repeated and have not
-// heard from their server since its beginning. The lock must be held.
+// abort ends the attempts that have not been sent, and in a silent isolation those that have not heard from their server
+// since its beginning, as far as the retry budget covers their repetition. The lock must be held.
 func (r *Reach) abort(since time.Time, silent bool) {
 	for a := range r.running {
-		hangs := silent && a.repeatable && !time.Unix(0, a.heardAt.Load()).After(since)
-		if !a.sent || hangs {
+		hangs := silent && a.takeRetry != nil && !time.Unix(0, a.heardAt.Load()).After(since)
+		if a.sent && hangs {
+			a.tookRetry.Store(a.takeRetry())
+		}
+		if !a.sent || a.tookRetry.Load() {
 			a.cancel(errIsolated)
 		}
 	}
 }
 
-// begin registers an attempt and returns its context; end must follow.
-func (r *Reach) begin(ctx context.Context, repeatable bool) (context.Context, *reachAttempt) {
+// begin registers an attempt and returns its context; end must follow. takeRetry is nil if the request can't be repeated.
+func (r *Reach) begin(ctx context.Context, takeRetry func() bool) (context.Context, *reachAttempt) {
 	if r == nil {
 		return ctx, nil
 	}
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	a := &reachAttempt{
-		cancel:     cancel,
-		repeatable: repeatable,
-		startedAt:  time.Now(),
+		cancel:    cancel,
+		takeRetry: takeRetry,
+		startedAt: time.Now(),
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -235,6 +240,9 @@
 	return a.sent
 }
 
+// hasRetry reports whether a retry was taken from the budget for the repetition of an attempt.
+func (a *reachAttempt) hasRetry() bool { return a != nil && a.tookRetry.Load() }
+
 // heard records that the server of an attempt has written something.
 func (r *Reach) heard(a *reachAttempt) {
 	if a == nil {
