lacerelay: an isolated instance learns which servers leave from the responses that it passes on

Seen: (review) an instance that had passed on, from another instance, an answer whose server said that it leaves sent requests to that server once it reached servers again. Cause: the instance that handled the request observed the announcement and removed the header. Change: it names such servers, by id and start, to the instance that forwarded the request, which marks them before it passes the response on. Measured: TestIsolatedInstanceLearnsWhoLeaves failed before ("1 of 8 requests reached the server that leaves, 2 s after the cut") and passes.

--- a/lib/lacebalancer/leaving.go
+++ b/lib/lacebalancer/leaving.go
@@ -94,6 +94,26 @@
 	return b.leavingServers.add(s.incarnation()), b.drainQueues(now, s.pools)
 }
 
+// MarkIncarnationLeaving is MarkLeaving for a server whose announcement another instance has received. The server must have
+// a start time: without one, a later process under the same id would be marked as well.
+func (b *Balancer) MarkIncarnationLeaving(
+	now time.Time, id laceunit.ServerID, startTime int64,
+) (bool, []Decision) {
+	if startTime == 0 {
+		return false, nil
+	}
+	added := b.leavingServers.add(incarnation{
+		id:        id,
+		startTime: startTime,
+	})
+	s := b.servers[id]
+	if s == nil || s.startTime != startTime {
+		return added, nil
+	}
+	s.leaving = true
+	return added, b.drainQueues(now, s.pools)
+}
+
 // current returns the listed state of the same incarnation, or s itself if there is none: the entry may have
 // disappeared and reappeared since a request was assigned.
 func (b *Balancer) current(s *server) *server {
--- a/lib/lacerelay/backend.go
+++ b/lib/lacerelay/backend.go
@@ -169,7 +169,19 @@
 func (b *Backends) MarkLeaving(id laceunit.ServerID, t lacebalancer.Ticket) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	changed := b.picker.MarkLeaving(t)
+	b.announceLeaving(id, b.picker.MarkLeaving(t))
+}
+
+// MarkIncarnationLeaving is MarkLeaving for a server that has announced it in a response that another instance has passed
+// on.
+func (b *Backends) MarkIncarnationLeaving(id laceunit.ServerID, startTime int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.announceLeaving(id, b.picker.MarkIncarnationLeaving(id, startTime))
+}
+
+// announceLeaving closes the idle connections of a server that is newly marked as leaving; the lock must be held.
+func (b *Backends) announceLeaving(id laceunit.ServerID, changed bool) {
 	x, ok := b.byID[id]
 	if !ok || !changed || !b.picker.IsLeaving(id, x.StartTime) {
 		return
--- a/lib/lacerelay/forward.go
+++ b/lib/lacerelay/forward.go
@@ -228,6 +228,10 @@
 	if n, err := strconv.Atoi(header.Get(headerForwardAttempts)); err == nil {
 		j.history.sent = max(j.history.sent, n)
 	}
+	for _, s := range decodeLeaving(header) {
+		// Applied before the response is passed on, as for a server of this instance.
+		r.options.Backends.MarkIncarnationLeaving(s.id, s.startTime)
+	}
 	if v := decodeSoftware(header); v != nil {
 		a.backend = &backend{Backend: Backend{Version: *v}}
 	}
--- a/lib/lacerelay/forwarded.go
+++ b/lib/lacerelay/forwarded.go
@@ -58,4 +58,5 @@
 	}
 	h.Set(headerForwardAttempts, strconv.Itoa(j.history.sent))
 	encodeSoftware(h, j.softwareVersion)
+	encodeLeaving(h, j.leaving)
 }
--- a/lib/lacerelay/forwardheader.go
+++ b/lib/lacerelay/forwardheader.go
@@ -20,6 +20,8 @@
 	headerForwardAttempts = forwardHeaderPrefix + "Attempts"
 	// headerForwardSoftware is the software version of the servers that wrote the stream, behind softwarePrefix.
 	headerForwardSoftware = forwardHeaderPrefix + "Software"
+	// headerForwardLeaving has a value for each server that has announced that it leaves: its start time and its id.
+	headerForwardLeaving = forwardHeaderPrefix + "Leaving"
 	// headerForwardServed is in each response to a forwarded request that the instance has handled.
 	headerForwardServed = forwardHeaderPrefix + "Served"
 )
@@ -75,6 +77,36 @@
 	return &v
 }
 
+// leavingServer is a server process that has announced that it leaves.
+type leavingServer struct {
+	id        laceunit.ServerID
+	startTime int64
+}
+
+func encodeLeaving(h http.Header, servers []leavingServer) {
+	for _, s := range servers {
+		h.Add(headerForwardLeaving, strconv.FormatInt(s.startTime, 10)+" "+string(s.id))
+	}
+}
+
+// decodeLeaving returns the servers that a header names. Values that can't be parsed are left out: the instance that got
+// the announcement observes it in any case.
+func decodeLeaving(h http.Header) []leavingServer {
+	var servers []leavingServer
+	for _, v := range h.Values(headerForwardLeaving) {
+		text, id, ok := strings.Cut(v, " ")
+		startTime, err := strconv.ParseInt(text, 10, 64)
+		if !ok || err != nil || id == "" {
+			continue
+		}
+		servers = append(servers, leavingServer{
+			id:        laceunit.ServerID(id),
+			startTime: startTime,
+		})
+	}
+	return servers
+}
+
 // removeForwardHeaders removes the headers between instances.
 func removeForwardHeaders(h http.Header) {
 	for name := range h {
--- a/lib/lacerelay/notice.go
+++ b/lib/lacerelay/notice.go
@@ -31,6 +31,10 @@
 	}
 	if reply.Leaving {
 		r.options.Backends.MarkLeaving(d.Server, d.Ticket)
+		j.leaving = append(j.leaving, leavingServer{
+			id:        d.Server,
+			startTime: a.backend.StartTime,
+		})
 		r.options.Metrics.countNotice(j, noticeLeaving)
 	}
 	if reply.Pause > 0 {
--- a/lib/lacerelay/picker.go
+++ b/lib/lacerelay/picker.go
@@ -164,6 +164,15 @@
 	return changed
 }
 
+// MarkIncarnationLeaving is MarkLeaving for a server that has announced it to another instance.
+func (p *Picker) MarkIncarnationLeaving(id laceunit.ServerID, startTime int64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	changed, decisions := p.balancer.MarkIncarnationLeaving(p.now(), id, startTime)
+	p.notify(decisions)
+	return changed
+}
+
 // IsLeaving reports whether an incarnation of a server has announced that it is leaving.
 func (p *Picker) IsLeaving(id laceunit.ServerID, startTime int64) bool {
 	p.mu.Lock()
--- a/lib/lacerelay/relay.go
+++ b/lib/lacerelay/relay.go
@@ -175,6 +175,8 @@
 	// reserved is how many tokens are reserved for the request; reserving is false unless there is a reservation.
 	reserved  laceunit.Tokens
 	reserving bool
+	// leaving are the servers that have announced in a response to this request that they leave.
+	leaving []leavingServer
 	// origin is nil unless another instance has forwarded the request.
 	origin *origin
 	// declined is true if the instance that forwarded the request has to try another one.
