--- a/lib/lacequota/restore_test.go
+++ b/lib/lacequota/restore_test.go
@@ -448,11 +448,14 @@
 	return sum
 }
 
+// restoreSeeds is a short run; by hand thousands are played.
+const restoreSeeds = 600
+
 // Guards against tokens that are sold twice when the store is restored, in any order of backups, restores, planned stops
 // and starts, kills, cut-offs, loans, late writes, proposals and answers. What nobody alive knew may be sold again.
 func TestRestoredStoreIsNotOverspent(t *testing.T) {
 	parameters := gopter.DefaultTestParametersWithSeed(20261208)
-	parameters.MinSuccessfulTests = 3_000
+	parameters.MinSuccessfulTests = restoreSeeds
 	properties := gopter.NewProperties(parameters)
 	restores, strict := 0, 0
 	properties.Property("what may be spent does not exceed what was paid", prop.ForAll(func(seed int64) bool {
