lacesoak: one loop for servers that crash and are started again

Cause: the brittle service had a copy of the fragile service's loop of starts, crashes and restarts. Change: restartingServer runs the loop of both; they give the options, what a started server is set to, and what a crash counts as.

--- a/loadgen/lacesoak/brittle.go
+++ b/loadgen/lacesoak/brittle.go
@@ -91,30 +91,25 @@
 		Shape:         responseShape(),
 		Seed:          t.seed,
 	}
-	for {
-		s, err := lacestage.NewServer(t.store, t.recorder, o)
-		if err != nil {
-			b.mu.Lock()
-			b.err = err
-			b.mu.Unlock()
-			return
-		}
-		s.SetFault(lacestage.ServerFault{Delay: brittleWork})
-		sleep(ctx, time.Until(since))
-		s.SetBrittle(brittleness())
-		select {
-		case <-s.Done():
+	err := restartingServer{
+		testbed: t,
+		options: func(int) lacestage.ServerOptions { return o },
+		prepare: func(s *lacestage.Server) {
+			s.SetFault(lacestage.ServerFault{Delay: brittleWork})
+			sleep(ctx, time.Until(since))
+			s.SetBrittle(brittleness())
+		},
+		crashed: func() {
 			b.mu.Lock()
+			defer b.mu.Unlock()
 			b.falls++
-			b.mu.Unlock()
-			s.Crash(lacestage.CutReset)
-		case <-ctx.Done():
-			_ = s.Close() // The store removes the entry of a server that is closed during an outage later.
-			return
-		}
-		if !sleep(ctx, brittleDowntime) {
-			return
-		}
+		},
+		downtime: brittleDowntime,
+	}.run(ctx)
+	if err != nil {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.err = err
 	}
 }
 
--- a/loadgen/lacesoak/fragile.go
+++ b/loadgen/lacesoak/fragile.go
@@ -87,27 +87,20 @@
 		Shape:   responseShape(),
 		Seed:    t.seed,
 	}
-	for starts := 0; ; starts++ {
-		o.ID = laceunit.ServerID(fmt.Sprintf("fragile-%d-%d", index, starts/2))
-		s, err := lacestage.NewServer(t.store, t.recorder, o)
-		if err != nil {
-			f.mu.Lock()
-			f.err = err
-			f.mu.Unlock()
-			return
-		}
-		s.SetFault(lacestage.ServerFault{CrashPart: crashPart})
-		select {
-		case <-s.Done():
-			f.recordCrash()
-			s.Crash(lacestage.CutReset)
-		case <-ctx.Done():
-			_ = s.Close() // The store removes the entry of a server that is closed during an outage later.
-			return
-		}
-		if !sleep(ctx, restartDelay) {
-			return
-		}
+	err := restartingServer{
+		testbed: t,
+		options: func(starts int) lacestage.ServerOptions {
+			o.ID = laceunit.ServerID(fmt.Sprintf("fragile-%d-%d", index, starts/2))
+			return o
+		},
+		prepare:  func(s *lacestage.Server) { s.SetFault(lacestage.ServerFault{CrashPart: crashPart}) },
+		crashed:  f.recordCrash,
+		downtime: restartDelay,
+	}.run(ctx)
+	if err != nil {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.err = err
 	}
 }
 
