lacemirror: the grace after a restore is set once

Cause: recordEra set the grace of a list, which Merge overwrote with that of the delta. Change: recordEra takes the grace. Measured: the tests of lacemirror and lacenode pass.

--- a/lib/lacemirror/follower.go
+++ b/lib/lacemirror/follower.go
@@ -197,8 +197,7 @@
 	// An older delta than the copy is not applied; its grace does not hold for the removals of the copy.
 	previous := f.mirror.Revision()
 	changes := f.mirror.Merge(d)
-	if f.recordEra(previous, len(changes)) {
-		f.restoredUntil = time.Now().Add(d.RemovalGrace)
+	if f.recordEra(previous, len(changes), d.RemovalGrace) {
 		f.notifyUntil(changes, true, f.restoredUntil)
 		return
 	}
@@ -216,13 +215,13 @@
 }
 
 // recordEra records that the copy may have moved to a later era of the store since a revision, and reports whether it
-// has. The lock must be held.
-func (f *Follower) recordEra(previous laceplatform.Revision, changes int) bool {
+// has. Owners may register lost entries again within a grace period. The lock must be held.
+func (f *Follower) recordEra(previous laceplatform.Revision, changes int, grace time.Duration) bool {
 	current := f.mirror.Revision()
 	if previous == 0 || current.Era() == previous.Era() {
 		return false
 	}
-	f.restoredUntil = time.Now().Add(restoreGrace)
+	f.restoredUntil = time.Now().Add(grace)
 	f.log.Write(lacelog.StoreRestored, lacelog.P("prefix", f.prefix), lacelog.P("era", current.Era()),
 		lacelog.P(lacelog.Revision, current.Number()), lacelog.P("previous_era", previous.Era()),
 		lacelog.P("previous_revision", previous.Number()), lacelog.P("changes", changes))
--- a/lib/lacemirror/list.go
+++ b/lib/lacemirror/list.go
@@ -45,8 +45,7 @@
 	}
 	f.recordContact()
 	f.markSynced(began)
-	if f.recordEra(previous, len(changes)) {
-		// Owners register entries again that the backup did not have.
+	if f.recordEra(previous, len(changes), restoreGrace) {
 		f.notifyUntil(changes, false, f.restoredUntil)
 		return len(changes), nil
 	}
