--- a/lib/laceconn/ratelimit.go
+++ b/lib/laceconn/ratelimit.go
@@ -34,7 +34,7 @@
 	}
 	parts := strings.Split(strings.Join(values, ","), ",")
 	for _, text := range parts {
-		n, err := parseDecimal(strings.TrimSpace(text))
+		n, err := ParseRate(strings.TrimSpace(text))
 		if err != nil {
 			l.ParseError = err
 			continue
@@ -49,7 +49,8 @@
 	return l
 }
 
-func parseDecimal(text string) (laceunit.Rate, error) {
+// ParseRate parses a decimal number of requests per second, without a sign or an exponent.
+func ParseRate(text string) (laceunit.Rate, error) {
 	if text == "" || strings.Trim(text, "0123456789.") != "" {
 		return 0, errors.Wrap(ErrInvalidRateLimit, "not a decimal number")
 	}
