docs: comments on eras and isolation in plainer words

Cause: some comments said that instances tell, hear and know, where they report, receive and have records. Change: comments only. Measured: formatter, linter and go vet pass on lib and platform.

--- a/lib/lacedirectory/member.go
+++ b/lib/lacedirectory/member.go
@@ -24,7 +24,7 @@
 	Load     Cores
 	// Link is the bandwidth of the machine's network link.
 	Link Megabits
-	// Era is the era of the store in which the instance registered first. Older builds don't tell theirs.
+	// Era is the era of the store in which the instance registered first; zero in the entries of earlier builds.
 	Era laceplatform.Era
 	// Isolated is true while the instance reaches no backend server.
 	Isolated bool
--- a/lib/lacedirectory/registrar.go
+++ b/lib/lacedirectory/registrar.go
@@ -58,7 +58,7 @@
 // RegistrarOption configures a registrar.
 type RegistrarOption func(*Registrar)
 
-// WithEra makes the member tell the era of the store in which it registers first.
+// WithEra adds to the member's entry the era of the store in which it registers first.
 func WithEra(era func() laceplatform.Era) RegistrarOption {
 	return func(r *Registrar) { r.era = era }
 }
--- a/lib/lacemirror/restore_test.go
+++ b/lib/lacemirror/restore_test.go
@@ -128,7 +128,7 @@
 }
 
 // Guards against a copy that counts as current because of a list that was dropped as older than the copy. An instance
-// then serves by an old configuration and tells its peers that it is current.
+// then serves by an old configuration and reports to its peers that it is current.
 func TestDroppedListDoesNotMakeCopyCurrent(t *testing.T) {
 	store := &outdatedStore{lists: make(chan laceplatform.Revision, 1)}
 	clock := laceunit.Uptime(time.Hour)
--- a/lib/lacenode/reach.go
+++ b/lib/lacenode/reach.go
@@ -22,7 +22,7 @@
 	})
 }
 
-// setIsolated tells callers and other instances whether this instance reaches the backend servers.
+// setIsolated publishes to callers and other instances whether this instance reaches the backend servers.
 func (n *Node) setIsolated(ctx context.Context, isolated bool) {
 	n.directory.SetIsolated(isolated)
 	n.quota.SetIsolated(isolated)
--- a/lib/laceplatform/era.go
+++ b/lib/laceplatform/era.go
@@ -7,7 +7,7 @@
 
 // Era counts how often a store has been restored from a backup. Revisions that were given out after that backup are given
 // out again in the next era, so that they identify something only together with their era. It is zero for stores that do
-// not tell their era.
+// not report an era.
 type Era int64
 
 const (
--- a/lib/lacequota/era.go
+++ b/lib/lacequota/era.go
@@ -28,7 +28,7 @@
 	HasEarlier(era laceplatform.Era) bool
 }
 
-// storeEra is what a process knows of the era of the store. The zero value has not heard of the store yet.
+// storeEra is what a process knows of the era of the store. The zero value applies until the store first responds.
 type storeEra struct {
 	era   laceplatform.Era
 	since time.Time
--- a/lib/lacequota/proposal.go
+++ b/lib/lacequota/proposal.go
@@ -241,7 +241,7 @@
 	}
 }
 
-// restates reports whether a proposal states what the sender holds, which the store may have lost: the sender tells so,
+// restates reports whether a proposal states what the sender holds, which the store may have lost: the sender says so,
 // the stored allocation is of an earlier era, or the budget is unconfirmed, in which no holder is closed.
 func (m *merger) restates(p Proposal, own Allocation, found bool) bool {
 	return p.Restate || !p.Close && (found && own.Era < p.Era || m.unconfirmed && !found && !p.Fresh ||
--- a/lib/lacequota/restore_test.go
+++ b/lib/lacequota/restore_test.go
@@ -92,7 +92,7 @@
 	paid     laceunit.Tokens
 	// failures is whether processes die and are cut off.
 	failures bool
-	// unknown is what nobody alive knew when the store lost it.
+	// unknown is the spend that no live instance had a record of when the store lost it.
 	unknown  laceunit.Tokens
 	consumed laceunit.Tokens
 	restores int
@@ -155,7 +155,7 @@
 	}
 }
 
-// known returns the cap of a holder that an instance can tell, zero while it is cut off.
+// known returns the cap of a holder in the records of an instance, zero while it is cut off.
 func (s *restoreSimulation) known(n *restoredNode, h laceunit.Holder) laceunit.Tokens {
 	if s.now.Before(n.cut) {
 		return 0
@@ -206,7 +206,7 @@
 	}
 }
 
-// reach makes an instance hear from the store.
+// reach makes an instance receive a response of the store.
 func (s *restoreSimulation) reach(n *restoredNode) {
 	n.contactAt = s.now
 	n.era.observe(s.now, laceplatform.Connectivity{LastReachable: 1, Era: s.store.era})
@@ -357,7 +357,7 @@
 	}
 }
 
-// maintain plays what instances in touch with the store do in time: they hear from it, and restate in a new era.
+// maintain does what instances connected to the store do in time: they receive responses, and restate in a new era.
 func (s *restoreSimulation) maintain(n *restoredNode) {
 	if s.now.Before(n.cut) {
 		return
@@ -452,7 +452,7 @@
 const restoreSeeds = 600
 
 // Guards against tokens that are sold twice when the store is restored, in any order of backups, restores, planned stops
-// and starts, kills, cut-offs, loans, late writes, proposals and answers. What nobody alive knew may be sold again.
+// and starts, kills, cut-offs, loans, late writes, proposals and answers. Spend that no live instance had a record of may be sold again.
 func TestRestoredStoreIsNotOverspent(t *testing.T) {
 	parameters := gopter.DefaultTestParametersWithSeed(20261208)
 	parameters.MinSuccessfulTests = restoreSeeds
